--- /dev/null
+++ b/monsoonflow/address/__init__.py
@@ -0,0 +1,1 @@
+"""Tells callers which node to connect to."""
--- /dev/null
+++ b/monsoonflow/api/__init__.py
@@ -0,0 +1,1 @@
+"""Answers callers, operators and probes over HTTP."""
--- /dev/null
+++ b/monsoonflow/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Meets the engines behind one typed interface."""
--- /dev/null
+++ b/monsoonflow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Provides the command line."""
--- /dev/null
+++ b/monsoonflow/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Holds small functions that several components share."""
--- /dev/null
+++ b/monsoonflow/helpers/logfmt.py
@@ -0,0 +1,51 @@
+"""Formats log records as one line of key=value pairs."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any, Final
+
+SECRET_KEYS: Final = frozenset({"token", "key", "authorization", "secret"})
+
+
+def _quote(value: Any) -> str:
+    text = str(value)
+    if text and all(char.isalnum() or char in "-_.:/@+" for char in text):
+        return text
+    return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+
+
+def pairs(**fields: Any) -> str:
+    r"""Return fields as key=value pairs; values that could be secrets are withheld.
+
+    >>> pairs(event="request_done", adapter="a@1", cause="two words", token="abc")
+    'event=request_done adapter=a@1 cause="two words" token=withheld'
+    """
+    return " ".join(
+        f"{name}={'withheld' if name in SECRET_KEYS else _quote(value)}"
+        for name, value in fields.items()
+        if value is not None
+    )
+
+
+class _Line(logging.Formatter):
+    """Prefixes the record's time, level and logger as pairs."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        head = f"time={self.formatTime(record, '%Y-%m-%dT%H:%M:%S')}.{int(record.msecs):03d}"
+        text = f"{head} level={record.levelname.lower()} logger={record.name}"
+        text = f"{text} {record.getMessage()}"
+        if record.exc_info:
+            text += " " + pairs(trace=self.formatException(record.exc_info))
+        return text
+
+
+def configure(level: str) -> None:
+    """Send all log lines to standard error in this format.
+
+    :param level: a level name of :mod:`logging`.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(_Line())
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- /dev/null
+++ b/monsoonflow/node/health.py
@@ -0,0 +1,74 @@
+"""Checks the engines of the runners that this node owns, and reads the VM list."""
+
+from __future__ import annotations
+
+import logging
+
+import gevent
+
+from ..helpers.logfmt import pairs
+from ..platform.models import Unavailable
+from ..serving.models import Owned
+from .const import HEALTH_EVERY_MS, VM_LIST_EVERY_MS
+from .context import NodeContext
+from .dispatcher import Dispatcher
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class HealthLoop:
+    """Learns that an engine has restarted, leaves or is gone."""
+
+    def __init__(self, context: NodeContext, dispatcher: Dispatcher) -> None:
+        self._context = context
+        self._dispatcher = dispatcher
+
+    def run(self) -> None:
+        """Check all owned runners side by side until the process ends."""
+        while True:
+            gevent.sleep(HEALTH_EVERY_MS / 1000)
+            owned = list(self._context.core.owned_by_runner.values())
+            gevent.joinall([gevent.spawn(self._check, entry) for entry in owned], timeout=2)
+
+    def run_vm_list(self) -> None:
+        """Read the VM list until the process ends."""
+        while True:
+            listed = self._context.vms.read()
+            if not isinstance(listed, Unavailable):
+                self._context.leaving.vm_list(set(listed.leaving))
+            gevent.sleep(VM_LIST_EVERY_MS / 1000)
+
+    def _check(self, owned: Owned) -> None:
+        context = self._context
+        runner_id = owned.runner.runner_id
+        entry = context.config.runner_by_id.get(runner_id)
+        if entry is None:
+            return
+        asked_ms = context.now_ms()
+        state = context.engine(runner_id).state()
+        if context.core.owned_by_runner.get(runner_id) is not owned:
+            return
+        if state is None:
+            context.leaving.check_failed(entry.address)
+        else:
+            context.leaving.answered(entry.address, state.boot_id, state.leaving)
+            context.core.restarted(runner_id, state.boot_id)
+            for run_id in owned.foreign_runs - set(state.running):
+                context.core.run_over(runner_id, run_id, asked_ms)
+        reason = context.leaving.reason(entry.address)
+        if owned.takes_new_work != (reason is None):
+            context.journal.record(
+                runner_id, "takes new work" if reason is None else "takes no new work", cause=reason
+            )
+            _LOGGER.info(
+                "%s", pairs(event="runner_availability", runner=runner_id, cause=reason or "back")
+            )
+        owned.takes_new_work = reason is None
+        if reason is not None:
+            self._move_waiting(owned)
+        self._dispatcher.kick()
+
+    def _move_waiting(self, owned: Owned) -> None:
+        """Send the requests that wait at a leaving runner elsewhere; none of them was offered."""
+        if owned.runner.queued:
+            self._context.core.move_waiting(owned.runner.runner_id)
--- /dev/null
+++ b/monsoonflow/node/heartbeat.py
@@ -0,0 +1,149 @@
+"""Exchanges reports with the other nodes and answers their control calls."""
+
+from __future__ import annotations
+
+import logging
+
+import gevent
+
+from ..core.adapter import parse_ref
+from ..helpers.logfmt import pairs
+from ..ownership.models import OwnerRow
+from ..placement.models import RunnerView
+from ..rpc import control_pb2 as pb
+from ..rpc.client import ControlClient
+from .config_loop import ConfigLoop
+from .context import NodeContext, RemoteRunner
+from .grants import GrantGiver
+from .takeover import Takeover
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Control:
+    """Handles control messages in both directions."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        client: ControlClient,
+        config_loop: ConfigLoop,
+        takeover: Takeover,
+        giver: GrantGiver,
+    ) -> None:
+        self._context = context
+        self._client = client
+        self._config_loop = config_loop
+        self._takeover = takeover
+        self._giver = giver
+
+    def run(self) -> None:
+        """Send heartbeats until the process ends; a configuration change sends them at once."""
+        interval_s = self._context.settings["heartbeat-ms"] / 1000
+        while True:
+            self._config_loop.changed.wait(interval_s)
+            self._config_loop.changed.clear()
+            self.beat()
+
+    def beat(self) -> None:
+        """Exchange reports with every peer."""
+        report = self.report()
+        peers = list(self._context.membership.peer_by_incarnation.values())
+        jobs = [gevent.spawn(self._beat_one, peer.row.rpc, report) for peer in peers]
+        gevent.joinall(jobs, timeout=1.2)
+
+    def report(self) -> pb.NodeReport:
+        """Return this node's report."""
+        context = self._context
+        report = pb.NodeReport(
+            node=context.settings["node"],
+            incarnation=context.me.incarnation,
+            leaving=context.stopping,
+            config_version=context.config.version if context.config_loaded else 0,
+        )
+        for runner_id, owned in context.core.owned_by_runner.items():
+            runner = owned.runner
+            report.runners.append(
+                pb.RunnerReport(
+                    runner_id=runner_id,
+                    fence=owned.fence,
+                    queued=runner.queued,
+                    running=runner.running,
+                    slots=runner.limits.slots,
+                    max_batch=runner.limits.max_batch,
+                    resident=[str(adapter) for adapter in runner.slot_by_adapter],
+                    takes_new_work=owned.takes_new_work and not owned.handing_over,
+                )
+            )
+        return report
+
+    def on_heartbeat(self, report: pb.NodeReport) -> pb.NodeReport:
+        """Take a report and return one's own."""
+        self._take(report)
+        return self.report()
+
+    def on_promise(self, holder: str, for_ms: int) -> bool:
+        """Decide whether to promise not to claim."""
+        context = self._context
+        return context.watch.promise(holder, for_ms, context.now_ms())
+
+    def on_hand_over(self, request: pb.HandOverRequest) -> bool:
+        """Take a runner over whose owner has written the row for this node."""
+        context = self._context
+        if context.stopping or request.runner_id not in context.config.runner_by_id:
+            return False
+        row = OwnerRow(request.runner_id, context.me.node, context.me.incarnation, request.fence)
+        runs = {run.run_id: ref for run in request.runs if (ref := parse_ref(run.adapter))}
+        context.owners[request.runner_id] = (row, 0)
+        self._takeover.begin(row, first=False, runs=runs)
+        return True
+
+    def on_grant(self, request: pb.GrantRequest) -> bool:
+        """Decide whether a load may start."""
+        return self._giver.ask(request)
+
+    def on_changes(self, after_version: int) -> pb.ChangesReply:
+        """Return configuration changes."""
+        return self._config_loop.changes_after(after_version)
+
+    def _beat_one(self, address: str, report: pb.NodeReport) -> None:
+        reply = self._client.heartbeat(address, report)
+        if reply is not None:
+            self._take(reply)
+
+    def _take(self, report: pb.NodeReport) -> None:
+        context = self._context
+        now_ms = context.now_ms()
+        peer = context.membership.peer_by_incarnation.get(report.incarnation)
+        if peer is None:
+            return
+        if report.leaving and not peer.leaving:
+            _LOGGER.info("%s", pairs(event="peer_leaving", node=report.node))
+        context.membership.heartbeat(
+            report.incarnation, report.leaving, report.config_version, now_ms
+        )
+        for runner in report.runners:
+            self._take_runner(report.incarnation, runner)
+        self._config_loop.peer_has(peer.row.rpc, report.config_version)
+
+    def _take_runner(self, incarnation: str, report: pb.RunnerReport) -> None:
+        context = self._context
+        known = context.remote_by_runner.get(report.runner_id)
+        if known is not None and known.fence > report.fence:
+            return
+        entry = context.config.runner_by_id.get(report.runner_id)
+        if entry is None:
+            return
+        resident = frozenset(ref for name in report.resident if (ref := parse_ref(name)))
+        view = RunnerView(
+            report.runner_id,
+            entry.base_model,
+            report.slots,
+            report.max_batch,
+            report.queued,
+            report.running,
+            0,
+            resident,
+            report.takes_new_work,
+        )
+        context.remote_by_runner[report.runner_id] = RemoteRunner(incarnation, report.fence, view)
--- /dev/null
+++ b/monsoonflow/node/load_gate.py
@@ -0,0 +1,100 @@
+"""Asks the fleet's grant-giver before each load, and falls back to a share of the rate."""
+
+from __future__ import annotations
+
+from ..helpers.hashing import best
+from ..rpc import control_pb2 as pb
+from ..rpc.client import ControlClient
+from ..runner.models import LoadCandidate
+from .context import NodeContext
+from .dispatcher import Dispatcher
+from .grants import GrantGiver
+
+ASK_EVERY_MS = 50
+FALLBACK_MS = 3_000
+
+
+class LoadGate:
+    """Starts loads one at a time in the fleet while a grant-giver answers."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        client: ControlClient,
+        dispatcher: Dispatcher,
+        giver: GrantGiver,
+    ) -> None:
+        self._context = context
+        self._client = client
+        self._dispatcher = dispatcher
+        self._giver = giver
+        self._fallback_until_ms = 0
+        self._granted_by: str | None = None
+
+    def run(self) -> None:
+        """Ask while there is something to load, until the process ends."""
+        while True:
+            self._dispatcher.load_ended.wait(ASK_EVERY_MS / 1000)
+            self._dispatcher.load_ended.clear()
+            self.step()
+
+    def step(self) -> None:
+        """Ask once."""
+        context, core = self._context, self._context.core
+        self._set_share()
+        now_ms = context.now_ms()
+        core.granted_by_fleet = now_ms >= self._fallback_until_ms
+        if not core.granted_by_fleet or core.share.loading():
+            return
+        self._give_back()
+        candidates = core.load_candidates(now_ms)
+        if not candidates:
+            return
+        chosen = max(candidates, key=lambda entry: (entry.urgency(), entry.runner_id))
+        if not self._ask(chosen):
+            return
+        if core.start_load(chosen, context.now_ms()):
+            self._dispatcher.kick()
+
+    def _ask(self, chosen: LoadCandidate) -> bool:
+        address = self._giver_address()
+        request = pb.GrantRequest(
+            incarnation=self._context.me.incarnation,
+            runner_id=chosen.runner_id,
+            adapter=str(chosen.adapter),
+            score=chosen.score,
+            overdue=chosen.overdue,
+        )
+        granted = (
+            self._giver.ask(request)
+            if address == self._context.me.rpc
+            else self._client.grant_load(address, request)
+        )
+        if granted is None:
+            self._fallback_until_ms = self._context.now_ms() + FALLBACK_MS
+            return False
+        if granted:
+            self._granted_by = address
+        return granted
+
+    def _give_back(self) -> None:
+        """Tell the giver that the granted load has ended."""
+        if self._granted_by is None:
+            return
+        address, self._granted_by = self._granted_by, None
+        request = pb.GrantRequest(incarnation=self._context.me.incarnation, finished=True)
+        if address == self._context.me.rpc:
+            self._giver.ask(request)
+        else:
+            self._client.grant_load(address, request)
+
+    def _giver_address(self) -> str:
+        context = self._context
+        rows = [peer.row for peer in context.membership.serving(context.now_ms())] + [context.me]
+        by_incarnation = {row.incarnation: row.rpc for row in rows}
+        chosen = best("load-grants", by_incarnation)
+        return by_incarnation[chosen] if chosen else context.me.rpc
+
+    def _set_share(self) -> None:
+        nodes = len(self._context.membership.live(self._context.now_ms())) + 1
+        self._context.core.share.set_rate(self._context.settings["loads-per-second"] / nodes)
--- /dev/null
+++ b/monsoonflow/node/served.py
@@ -0,0 +1,95 @@
+"""A request in the daemon: its life, and the signal that those who wait for it listen to."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from ..core.clock import Clock
+from ..core.outcome import Outcome
+from ..membership.view import Peer
+from ..request.life import RequestLife
+from ..serving.models import Active, SendRun
+
+
+class Signal:
+    """Wakes every greenlet that waits for a change.
+
+    A waiter that has looked at the state and then waits misses nothing: no other greenlet runs
+    between the look and the wait.
+    """
+
+    def __init__(self) -> None:
+        self._event = Event()
+
+    def notify(self) -> None:
+        """Wake all waiters."""
+        event, self._event = self._event, Event()
+        event.set()
+
+    def wait(self, timeout_ms: int) -> bool:
+        """Wait for the next change.
+
+        :returns: whether there was one.
+        """
+        return self._event.wait(timeout_ms / 1000)
+
+
+class Served:
+    """One request that this node drives for its callers.
+
+    :param data: the decoded completion request.
+    :param key: the idempotency key, if the caller gave one.
+    """
+
+    def __init__(
+        self, life: RequestLife, data: dict[str, Any], created_ms: int, key: str | None = None
+    ) -> None:
+        self.life = life
+        self.data = data
+        self.key = key
+        self.created_ms = created_ms
+        self.ended_ms: int | None = None
+        self.first_chunk_ms: int | None = None
+        self.unplaced_since_ms: int | None = None
+        self.readers = 0
+        self.last_read_ms = created_ms
+        self.signal = Signal()
+        self.active = Active(life, self.signal.notify)
+        self.send: SendRun | None = None
+        self.driver: gevent.Greenlet | None = None
+        self.home_peer: Peer | None = None
+        self.keyed_headers: dict[str, str] = {}
+        self.remote_id = ""
+
+    @property
+    def request_id(self) -> str:
+        """Return the request's identifier."""
+        return self.life.terms.request_id
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """Return how the request ended, or ``None`` while it goes on."""
+        return self.life.outcome
+
+    def read(
+        self, from_index: int, clock: Clock, pause_ms: int
+    ) -> Iterator[tuple[int, str] | None]:
+        """Yield chunks from an index on until the request ends; ``None`` after a quiet pause."""
+        index = from_index
+        self.readers += 1
+        try:
+            while True:
+                while index < len(self.life.chunks):
+                    yield index, self.life.chunks[index]
+                    index += 1
+                if self.life.ended:
+                    return
+                if not self.signal.wait(pause_ms):
+                    yield None
+        finally:
+            self.readers -= 1
+            self.last_read_ms = clock.now_ms()
--- /dev/null
+++ b/monsoonflow/node/service_health.py
@@ -0,0 +1,41 @@
+"""Checks the servers of the plain services and takes their load reports."""
+
+from __future__ import annotations
+
+import gevent
+
+from ..helpers.http import Answer, HttpClient
+from .const import HEALTH_EVERY_MS
+from .context import NodeContext
+
+
+class ServiceHealth:
+    """Learns that a plain server leaves or is gone, and how loaded it is."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._http = HttpClient(HEALTH_EVERY_MS * 4)
+
+    def run(self) -> None:
+        """Check every server until the process ends."""
+        while True:
+            addresses = {
+                address
+                for service in self._context.config.service_by_name.values()
+                for address in service.addresses
+            }
+            jobs = [gevent.spawn(self._check, address) for address in sorted(addresses)]
+            gevent.joinall(jobs, timeout=3)
+            gevent.sleep(HEALTH_EVERY_MS / 1000)
+
+    def _check(self, address: str) -> None:
+        context = self._context
+        result = self._http.call("GET", f"{address}/health")
+        data = result.json() if isinstance(result, Answer) and result.status == 200 else None
+        if not isinstance(data, dict):
+            context.leaving.check_failed(address)
+            return
+        context.leaving.answered(address, str(data.get("boot_id", "")), bool(data.get("leaving")))
+        active = data.get("active")
+        if isinstance(active, int):
+            context.server_choice.reported(address, active)
--- /dev/null
+++ b/monsoonflow/node/stop.py
@@ -0,0 +1,121 @@
+"""Stops a node gracefully: no request in progress is cut off."""
+
+from __future__ import annotations
+
+import logging
+
+import gevent
+
+from ..helpers.ids import new_id
+from ..helpers.logfmt import pairs
+from ..ownership.book import preferred_owner
+from ..ownership.models import OwnerRow
+from ..platform.models import Committed, Row, Transaction
+from ..rpc import control_pb2 as pb
+from ..rpc.client import ControlClient
+from .context import NodeContext
+from .heartbeat import Control
+from .lease_loop import LeaseLoop
+from .rows import lease_key, owner_key, to_owner, to_value
+
+_LOGGER = logging.getLogger(__name__)
+POLL_MS = 50
+LINGER_MS = 300
+
+
+class GracefulStop:
+    """Hands ownership over and waits for the last request."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        control: Control,
+        client: ControlClient,
+        lease_loop: LeaseLoop,
+    ) -> None:
+        self._context = context
+        self._control = control
+        self._client = client
+        self._lease_loop = lease_loop
+
+    def run(self) -> None:
+        """Stop; returns when the last request has ended or the longest time is over."""
+        context = self._context
+        started_ms = context.now_ms()
+        context.stopping = True
+        _LOGGER.info("%s", pairs(event="stop_began", active=self._active()))
+        self._lease_loop.renew()
+        self._control.beat()
+        deadline_ms = started_ms + context.settings["stop-ms"]
+        for runner_id in list(context.core.owned_by_runner):
+            self._hand_over(runner_id)
+        while self._active() and context.now_ms() < deadline_ms:
+            gevent.sleep(POLL_MS / 1000)
+        gevent.sleep(LINGER_MS / 1000)
+        context.table.commit(
+            Transaction(
+                new_id("op"),
+                {lease_key(context.me.incarnation): self._lease_loop.row_version},
+                {},
+                (lease_key(context.me.incarnation),),
+            )
+        )
+        took_ms = context.now_ms() - started_ms
+        _LOGGER.info("%s", pairs(event="stop_ended", active=self._active(), took_ms=took_ms))
+
+    def _active(self) -> int:
+        """Return how many requests are in progress or still being read by their callers."""
+        served = self._context.served_by_id.values()
+        busy = sum(1 for entry in served if not entry.life.ended or entry.readers)
+        return busy + self._context.service_calls
+
+    def _hand_over(self, runner_id: str) -> None:
+        """Give a runner to the node that should own it next.
+
+        The row is written first: if the message is lost, the new owner finds its name in the row
+        and takes the runner the slow way. This node sends no order from the moment it decides.
+        """
+        context = self._context
+        owned = context.core.owned_by_runner[runner_id]
+        peers = {peer.row.node: peer for peer in context.membership.serving(context.now_ms())}
+        runners = sorted(context.config.runner_by_id)
+        successor = preferred_owner(runner_id, peers, runners)
+        version = self._current_version(runner_id, owned.fence)
+        if successor is None or version is None:
+            return
+        owned.handing_over = True
+        peer = peers[successor]
+        row = OwnerRow(runner_id, successor, peer.row.incarnation, owned.fence + 1)
+        transaction = Transaction(
+            new_id("op"), {owner_key(runner_id): version}, {owner_key(runner_id): to_value(row)}
+        )
+        result = context.table.commit(transaction)
+        if not isinstance(result, Committed):
+            _LOGGER.warning("%s", pairs(event="hand_over_failed", runner=runner_id))
+            owned.handing_over = False
+            return
+        context.owners[runner_id] = (row, result.version)
+        request = pb.HandOverRequest(
+            from_incarnation=context.me.incarnation, runner_id=runner_id, fence=row.fence
+        )
+        for run_id, adapter in owned.runner.adapter_by_running.items():
+            request.runs.append(pb.Run(run_id=run_id, adapter=str(adapter)))
+        accepted = self._client.hand_over(peer.row.rpc, request)
+        context.core.release(runner_id)
+        _LOGGER.info(
+            "%s",
+            pairs(
+                event="runner_handed_over",
+                runner=runner_id,
+                to=successor,
+                runs=len(request.runs),
+                accepted=accepted,
+            ),
+        )
+
+    def _current_version(self, runner_id: str, fence: int) -> int | None:
+        """Return the version of our ownership row, or ``None`` when it is no longer ours."""
+        row = self._context.table.get(owner_key(runner_id))
+        if not isinstance(row, Row) or to_owner(row).fence != fence:
+            return None
+        return row.version
--- /dev/null
+++ b/monsoonflow/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which node owns which runner, by lease and fencing number."""
--- /dev/null
+++ b/monsoonflow/ownership/book.py
@@ -0,0 +1,69 @@
+"""Decides which runners this node should claim or hand over."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ..helpers.hashing import rank
+from .models import Claim, LeaseRow, OwnerRow
+
+VersionedOwner = tuple[OwnerRow, int]
+
+
+def preferred_owner(runner_id: str, nodes: Iterable[str], total_runners: list[str]) -> str | None:
+    """Return the node that should own a runner, with shares kept within one of each other.
+
+    Plain rendezvous hashing over few runners leaves some nodes with three and others with none;
+    each runner in turn takes its best node that has not reached the fair share.
+
+    :param total_runners: all runners, so that every node computes the same shares.
+    """
+    names = sorted(nodes)
+    if not names:
+        return None
+    share = -(-len(total_runners) // len(names))
+    count_by_node = dict.fromkeys(names, 0)
+    for current in sorted(total_runners):
+        for name in rank(current, names):
+            if count_by_node[name] < share:
+                count_by_node[name] += 1
+                if current == runner_id:
+                    return name
+                break
+    return None
+
+
+def claims(
+    me: LeaseRow,
+    runners: list[str],
+    owners: dict[str, VersionedOwner],
+    live: dict[str, LeaseRow],
+    lapsed: set[str],
+) -> list[Claim]:
+    """Return the runners to claim now.
+
+    :param me: this node's own row.
+    :param runners: every runner in the configuration.
+    :param owners: the ownership rows and their versions, by runner.
+    :param live: the rows of the nodes that take new work, by incarnation.
+    :param lapsed: the incarnations whose leases this node may treat as lapsed.
+    """
+    names = {row.node for row in live.values() if not row.leaving}
+    decided: list[Claim] = []
+    for runner_id in runners:
+        known = owners.get(runner_id)
+        if known is not None and not _is_free(known[0], me, lapsed):
+            continue
+        if preferred_owner(runner_id, names, runners) != me.node:
+            continue
+        fence = known[0].fence + 1 if known else 1
+        row = OwnerRow(runner_id, me.node, me.incarnation, fence)
+        reason = "nobody owned it" if known is None else "its owner's lease lapsed"
+        decided.append(Claim(row, known[1] if known else 0, reason))
+    return decided
+
+
+def _is_free(owner: OwnerRow, me: LeaseRow, lapsed: set[str]) -> bool:
+    if owner.incarnation == "":
+        return True
+    return owner.incarnation != me.incarnation and owner.incarnation in lapsed
--- /dev/null
+++ b/monsoonflow/ownership/lease.py
@@ -0,0 +1,141 @@
+"""The holder's and the claimant's side of a lease; neither compares wall clocks."""
+
+from __future__ import annotations
+
+from .const import MAX_OUTAGE_MS
+from .models import LeaseTiming
+
+
+class HeldLease:
+    """Tells a holder whether its lease is still good, on its own monotonic clock.
+
+    Validity counts from the moment *before* a renewal was sent: the table can only have applied it
+    later, so every claimant's count starts later than the holder's.
+    """
+
+    def __init__(self, timing: LeaseTiming, max_outage_ms: int = MAX_OUTAGE_MS) -> None:
+        self._timing = timing
+        self._max_outage_ms = max_outage_ms
+        self._valid_until_ms: int | None = None
+        self._last_renewal_ms: int | None = None
+        self._promised_until_by_successor: dict[str, int] = {}
+        self.lapsed = False
+
+    def held(self, now_ms: int) -> bool:
+        """Tell whether orders may be sent at this moment."""
+        if self.lapsed or self._valid_until_ms is None:
+            return False
+        if now_ms < self._valid_until_ms:
+            return True
+        self.lapsed = True
+        return False
+
+    def remaining_ms(self, now_ms: int) -> int:
+        """Return how long the lease is still good for."""
+        return max(0, (self._valid_until_ms or 0) - now_ms) if self.held(now_ms) else 0
+
+    def renewed(self, sent_ms: int, now_ms: int) -> bool:
+        """Take the answer to a renewal.
+
+        An answer that arrives after expiry must not revive the lease: a claimant may have claimed
+        in between, and two owners would evict under each other's requests. A lapsed lease stays
+        lapsed; the node starts again under a new incarnation.
+
+        :param sent_ms: the holder's time before the renewal was sent.
+        :returns: whether the lease is held.
+        """
+        if self._valid_until_ms is not None and not self.held(now_ms):
+            return False
+        until_ms = sent_ms + self._timing.duration_ms - self._timing.margin_ms
+        if until_ms <= now_ms:
+            return self.held(now_ms)
+        self._valid_until_ms = max(until_ms, self._valid_until_ms or 0)
+        self._last_renewal_ms = sent_ms
+        return True
+
+    def promised(self, successor: str, asked_ms: int, for_ms: int) -> None:
+        """Take a successor's promise not to claim.
+
+        :param asked_ms: the holder's time before it asked.
+        :param for_ms: how long the successor will not claim, from when it was asked.
+        """
+        until_ms = asked_ms + for_ms - self._timing.margin_ms
+        self._promised_until_by_successor[successor] = until_ms
+
+    def extend_by_promises(self, successors: tuple[str, ...], now_ms: int) -> bool:
+        """Go on without the table while *every* named successor has promised not to claim.
+
+        Only named successors may claim early, and anyone else waits out the longest outage; so with
+        all promises in hand nobody claims, and an outage longer than the lease stops no service.
+
+        :returns: whether the lease is held.
+        """
+        if not successors or self._last_renewal_ms is None or not self.held(now_ms):
+            return self.held(now_ms)
+        promised = [self._promised_until_by_successor.get(name, 0) for name in successors]
+        until_ms = min(*promised, self._last_renewal_ms + self._max_outage_ms)
+        self._valid_until_ms = max(self._valid_until_ms or 0, until_ms)
+        return self.held(now_ms)
+
+
+class LeaseWatch:
+    """Tells a claimant whether another node's lease has lapsed, on the claimant's own clock."""
+
+    def __init__(self, timing: LeaseTiming, max_outage_ms: int = MAX_OUTAGE_MS) -> None:
+        self._timing = timing
+        self._max_outage_ms = max_outage_ms
+        self._seen_by_incarnation: dict[str, tuple[int, int]] = {}
+        self._promised_until_by_incarnation: dict[str, int] = {}
+        self._claiming: set[str] = set()
+
+    def seen(self, incarnation: str, counter: int, read_ms: int) -> None:
+        """Take a row as read from the table.
+
+        :param read_ms: the claimant's time when the answer came.
+        """
+        known = self._seen_by_incarnation.get(incarnation)
+        if known is None or counter > known[0]:
+            self._seen_by_incarnation[incarnation] = (counter, read_ms)
+            self._claiming.discard(incarnation)
+
+    def promise(self, incarnation: str, for_ms: int, now_ms: int) -> bool:
+        """Promise a holder not to claim from it.
+
+        :param for_ms: how long the promise is good for.
+        :returns: ``False`` once this node has begun to claim; a promise after that would be false.
+        """
+        if incarnation in self._claiming:
+            return False
+        until_ms = max(now_ms + for_ms, self._promised_until_by_incarnation.get(incarnation, 0))
+        self._promised_until_by_incarnation[incarnation] = until_ms
+        return True
+
+    def begin_claim(self, incarnation: str) -> None:
+        """Record that a claim is about to be written; from here on no promise is given."""
+        self._claiming.add(incarnation)
+
+    def lapsed(self, incarnation: str, named: bool, last_read_ms: int, now_ms: int) -> bool:
+        """Tell whether this node may claim what an incarnation owned.
+
+        :param named: whether this node is one of the holder's named successors.
+        :param last_read_ms: when this node last read the table: silence counts only up to there,
+            since an unread row says nothing.
+        """
+        known = self._seen_by_incarnation.get(incarnation)
+        if known is None:
+            return False
+        if incarnation in self._claiming:
+            return True
+        if now_ms < self._promised_until_by_incarnation.get(incarnation, 0):
+            return False
+        silent_ms = last_read_ms - known[1]
+        wait_ms = self._timing.claim_after_ms
+        if not named:
+            wait_ms += self._max_outage_ms
+        return silent_ms > wait_ms
+
+    def forget(self, incarnation: str) -> None:
+        """Drop what is known of an incarnation that is gone."""
+        self._seen_by_incarnation.pop(incarnation, None)
+        self._promised_until_by_incarnation.pop(incarnation, None)
+        self._claiming.discard(incarnation)
--- /dev/null
+++ b/monsoonflow/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which runner serves an adapter and which adapter is loaded next."""
--- /dev/null
+++ b/monsoonflow/placement/choice.py
@@ -0,0 +1,49 @@
+"""Chooses the runner of a request."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from functools import lru_cache
+
+from ..core.adapter import AdapterRef
+from ..helpers.hashing import rank
+from .models import PlacementTuning, RunnerView
+
+
+@lru_cache(maxsize=65_536)
+def _ranked(adapter_name: str, runner_ids: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(rank(adapter_name, runner_ids))
+
+
+def choose_runner(
+    adapter: AdapterRef,
+    base_model: str,
+    view_by_id: Mapping[str, RunnerView],
+    tuning: PlacementTuning,
+) -> str | None:
+    """Return the runner that a new request should go to, or ``None`` when none takes work.
+
+    Requests for one adapter go to one runner while that runner keeps up: one load serves them all
+    and fills its batches. When the runner's backlog grows, the adapter spreads to its next runners
+    by rendezvous order, which all nodes agree on without talking.
+    """
+    usable = tuple(
+        sorted(
+            view.runner_id
+            for view in view_by_id.values()
+            if view.takes_new_work and view.base_model == base_model
+        )
+    )
+    if not usable:
+        return None
+    order = _ranked(adapter.name, usable)[: tuning.max_replicas]
+    best_id = order[0]
+    best_cost = float("inf")
+    for position, runner_id in enumerate(order):
+        view = view_by_id[runner_id]
+        cost = view.backlog() + position * tuning.replica_backlog
+        if adapter not in view.resident:
+            cost += tuning.load_cost
+        if cost < best_cost:
+            best_id, best_cost = runner_id, cost
+    return best_id
--- /dev/null
+++ b/monsoonflow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Meets the platform: table service, object store and VM list."""
--- /dev/null
+++ b/monsoonflow/platform/const.py
@@ -0,0 +1,9 @@
+"""Constants of the platform's clients."""
+
+from __future__ import annotations
+
+from typing import Final
+
+CALL_TIMEOUT_MS: Final = 1_500
+COMMIT_TRIES: Final = 3
+RETRY_PAUSE_MS: Final = 50
--- /dev/null
+++ b/monsoonflow/platform/models.py
@@ -0,0 +1,86 @@
+"""Data of the table service and tagged outcomes of its calls."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol, TypeAlias
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class Row:
+    """A row as read.
+
+    :param version: rises with every write of the row and is never used again.
+    """
+
+    key: str
+    version: int
+    value: dict[str, Any]
+
+
+@attrs.frozen(slots=True)
+class Transaction:
+    """Writes that take effect together, or not at all.
+
+    :param operation_id: written into each row, so that an unclear answer can be settled.
+    :param conditions: row versions that must still be current (0: the row must not exist).
+    """
+
+    operation_id: str
+    conditions: dict[str, int]
+    puts: dict[str, dict[str, Any]]
+    deletes: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """The transaction took effect.
+
+    :param version: what the written rows' versions are now.
+    """
+
+    version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """A condition did not hold; nothing was written."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The service gave no answer.
+
+    :param ambiguous: whether a write may have taken effect, or may still do so.
+    """
+
+    reason: str
+    ambiguous: bool = False
+
+
+CommitResult: TypeAlias = Committed | Conflict | Unavailable
+
+
+class Table(Protocol):
+    """The transactional table service."""
+
+    def get(self, key: str) -> Row | None | Unavailable:
+        """Return a row; ``None`` means that the service said there is none."""
+
+    def scan(self, prefix: str, after: str = "") -> list[Row] | Unavailable:
+        """Return the rows under a prefix in key order, those after a key only."""
+
+    def commit(self, transaction: Transaction) -> CommitResult:
+        """Write a transaction and settle an unclear answer."""
+
+
+class ObjectStore(Protocol):
+    """The object store."""
+
+    def put(self, key: str, body: bytes) -> bool:
+        """Store an object; ``False`` when it is not certain to be stored."""
+
+    def get(self, key: str) -> bytes | None | Unavailable:
+        """Return an object; ``None`` means that the store said there is none."""
--- /dev/null
+++ b/monsoonflow/platform/table.py
@@ -0,0 +1,106 @@
+"""Calls the table service over HTTP."""
+
+from __future__ import annotations
+
+import logging
+import time
+from urllib.parse import quote
+
+from ..helpers.http import Answer, HttpClient, Lost
+from ..helpers.logfmt import pairs
+from .const import CALL_TIMEOUT_MS, COMMIT_TRIES, RETRY_PAUSE_MS
+from .models import CommitResult, Committed, Conflict, Row, Transaction, Unavailable
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class HttpTable:
+    """A client of the table service with deadlines and bounded retries."""
+
+    def __init__(self, base_url: str, timeout_ms: int = CALL_TIMEOUT_MS) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._http = HttpClient(timeout_ms)
+        self.reads = 0
+        self.writes = 0
+
+    def get(self, key: str) -> Row | None | Unavailable:
+        """Return a row; ``None`` means that the service said there is none."""
+        self.reads += 1
+        result = self._http.call("GET", f"{self._base_url}/row?key={quote(key, safe='')}")
+        match result:
+            case Answer(status=200):
+                return _row(result.json())
+            case Answer(status=404):
+                return None
+            case Answer(status=status):
+                return Unavailable(f"status {status}")
+            case Lost(reason=reason):
+                return Unavailable(reason)
+
+    def scan(self, prefix: str, after: str = "") -> list[Row] | Unavailable:
+        """Return the rows under a prefix in key order, those after a key only."""
+        self.reads += 1
+        query = f"prefix={quote(prefix, safe='')}&after={quote(after, safe='')}"
+        result = self._http.call("GET", f"{self._base_url}/rows?{query}")
+        match result:
+            case Answer(status=200):
+                return [_row(entry) for entry in result.json()["rows"]]
+            case Answer(status=status):
+                return Unavailable(f"status {status}")
+            case Lost(reason=reason):
+                return Unavailable(reason)
+
+    def commit(self, transaction: Transaction) -> CommitResult:
+        """Write a transaction and settle an unclear answer.
+
+        An answer can be lost after the effect. The same conditional transaction is sent again: at
+        most one sending can take effect, since the first changes the versions that the others are
+        bound to. A conflict after an unclear try is settled by the operation id in the row.
+        """
+        unclear = False
+        for _ in range(COMMIT_TRIES):
+            result = self._commit_once(transaction)
+            match result:
+                case Committed():
+                    return result
+                case Conflict():
+                    return self._settle(transaction) if unclear else result
+                case Unavailable(ambiguous=ambiguous):
+                    unclear = unclear or ambiguous
+            time.sleep(RETRY_PAUSE_MS / 1000)
+        _LOGGER.warning("%s", pairs(event="commit_unclear", operation=transaction.operation_id))
+        return Unavailable("no answer", ambiguous=unclear)
+
+    def _commit_once(self, transaction: Transaction) -> CommitResult:
+        self.writes += 1
+        stamp = {"op": transaction.operation_id}
+        body = {
+            "conditions": transaction.conditions,
+            "puts": {key: {**value, **stamp} for key, value in transaction.puts.items()},
+            "deletes": list(transaction.deletes),
+        }
+        result = self._http.call("POST", f"{self._base_url}/commit", json=body)
+        match result:
+            case Answer(status=200):
+                return Committed(result.json()["version"])
+            case Answer(status=409):
+                return Conflict()
+            case Answer(status=429 | 503):
+                return Unavailable("refused for now")
+            case Answer(status=status):
+                return Unavailable(f"status {status}", ambiguous=True)
+            case Lost(sent=sent, reason=reason):
+                return Unavailable(reason, ambiguous=sent)
+
+    def _settle(self, transaction: Transaction) -> CommitResult:
+        for key in transaction.puts:
+            row = self.get(key)
+            if isinstance(row, Unavailable):
+                return Unavailable(row.reason, ambiguous=True)
+            if row is not None and row.value.get("op") == transaction.operation_id:
+                return Committed(row.version)
+        return Conflict()
+
+
+def _row(entry: dict) -> Row:
+    return Row(entry["key"], entry["version"], entry["value"])
--- /dev/null
+++ b/monsoonflow/routing/keys.py
@@ -0,0 +1,94 @@
+"""Keeps idempotency keys, so that a request with a key runs at most once at its home node."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TypeAlias
+
+import attrs
+
+
+@dataclass(frozen=True, slots=True)
+class NewKey:
+    """The key was not known; the request may be admitted."""
+
+
+@dataclass(frozen=True, slots=True)
+class KnownKey:
+    """The key names a request of this node; its answer is given again."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyClash:
+    """The key was used with another body."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeysFull:
+    """No more keys can be kept; the request must not be admitted."""
+
+
+KeyVerdict: TypeAlias = NewKey | KnownKey | KeyClash | KeysFull
+
+
+@attrs.define(slots=True)
+class _Entry:
+    request_id: str
+    body_digest: bytes
+    ended_ms: int | None = None
+
+
+class KeyBook:
+    """Remembers keys per customer until a fixed time after their request has ended.
+
+    A full book refuses new keys rather than forgetting old ones: forgetting one would let its
+    request run a second time.
+    """
+
+    def __init__(self, keep_ms: int, max_keys: int) -> None:
+        self._keep_ms = keep_ms
+        self._max_keys = max_keys
+        self._entry_by_key: OrderedDict[tuple[str, str], _Entry] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._entry_by_key)
+
+    def admit(
+        self, customer: str, key: str, body_digest: bytes, request_id: str, now_ms: int
+    ) -> KeyVerdict:
+        """Register a key, or tell what it already stands for.
+
+        Keys of different customers never meet: one can neither see nor block another's.
+        """
+        self._expire(now_ms)
+        entry = self._entry_by_key.get((customer, key))
+        if entry is not None:
+            if entry.body_digest != body_digest:
+                return KeyClash()
+            return KnownKey(entry.request_id)
+        if len(self._entry_by_key) >= self._max_keys:
+            return KeysFull()
+        self._entry_by_key[(customer, key)] = _Entry(request_id, body_digest)
+        return NewKey()
+
+    def ended(self, customer: str, key: str, now_ms: int, ran: bool) -> None:
+        """Note the end of a key's request.
+
+        :param ran: ``False`` for ``not_run``, which frees the key: the caller may try again.
+        """
+        entry = self._entry_by_key.get((customer, key))
+        if entry is None:
+            return
+        if not ran:
+            del self._entry_by_key[(customer, key)]
+            return
+        entry.ended_ms = now_ms
+        self._entry_by_key.move_to_end((customer, key))
+
+    def _expire(self, now_ms: int) -> None:
+        for key, entry in list(self._entry_by_key.items())[:8]:
+            if entry.ended_ms is not None and now_ms - entry.ended_ms > self._keep_ms:
+                del self._entry_by_key[key]
--- /dev/null
+++ b/monsoonflow/routing/limits.py
@@ -0,0 +1,123 @@
+"""Admission limits and retry budgets; a refusal is immediate and says when to come back."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+import attrs
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Tells why a request is not admitted and when coming back helps."""
+
+    reason: str
+    retry_after_ms: int
+    status: int = 503
+
+
+@attrs.define(slots=True)
+class DrainRate:
+    """Measures how many requests end per second, as a decaying average."""
+
+    half_life_ms: int = 5_000
+    _mass: float = 0.0
+    _at_ms: int | None = None
+
+    def ended(self, now_ms: int) -> None:
+        """Count one end."""
+        self._mass = self._decayed(now_ms) + 1.0
+        self._at_ms = now_ms
+
+    def per_second(self, now_ms: int) -> float:
+        """Return the rate; zero when nothing ended for long."""
+        return self._decayed(now_ms) * math.log(2) * 1000 / self.half_life_ms
+
+    def _decayed(self, now_ms: int) -> float:
+        if self._at_ms is None:
+            return 0.0
+        return self._mass * math.exp2((self._at_ms - now_ms) / self.half_life_ms)
+
+
+@attrs.frozen(slots=True)
+class Limits:
+    """Bounds on what one node takes.
+
+    :param max_queue_per_runner: waiting requests per runner.
+    :param max_per_customer: requests of one customer at one time.
+    """
+
+    max_queue_per_runner: int = 512
+    max_per_customer: int = 1024
+
+
+class Admission:
+    """Decides whether a request may wait at a runner."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.active_by_customer: dict[str, int] = {}
+        self._drain_by_runner: dict[str, DrainRate] = {}
+
+    def admit(
+        self, customer: str, runner_id: str, queued: int, time_left_ms: int, now_ms: int
+    ) -> Refusal | None:
+        """Return why a request is refused, or ``None``.
+
+        A request that would wait past its deadline is refused at once: waiting would take a place
+        from one that can still be served.
+        """
+        if self.active_by_customer.get(customer, 0) >= self.limits.max_per_customer:
+            return Refusal("too many requests of this customer at one time", 1_000, 429)
+        drain = self._drain_by_runner.get(runner_id)
+        rate = drain.per_second(now_ms) if drain else 0.0
+        expected_ms = int(queued / rate * 1000) if rate > 0.1 else 0
+        retry_after_ms = min(max(expected_ms // 2, 250), 30_000)
+        if queued >= self.limits.max_queue_per_runner:
+            return Refusal("the queue is full", retry_after_ms)
+        if expected_ms > time_left_ms:
+            return Refusal("the queue is longer than the time left", retry_after_ms)
+        return None
+
+    def began(self, customer: str) -> None:
+        """Count a request of a customer."""
+        self.active_by_customer[customer] = self.active_by_customer.get(customer, 0) + 1
+
+    def ended(self, customer: str, runner_id: str | None, now_ms: int) -> None:
+        """Count the end of a request."""
+        left = self.active_by_customer.get(customer, 1) - 1
+        if left > 0:
+            self.active_by_customer[customer] = left
+        else:
+            self.active_by_customer.pop(customer, None)
+        if runner_id is not None:
+            self._drain_by_runner.setdefault(runner_id, DrainRate()).ended(now_ms)
+
+
+class RetryBudget:
+    """Allows retries as a share of first tries, so that a failing fleet is not loaded further.
+
+    >>> budget = RetryBudget(share=0.5, reserve=1)
+    >>> budget.spend(), budget.spend()
+    (True, False)
+    >>> budget.first_try(); budget.first_try()
+    >>> budget.spend()
+    True
+    """
+
+    def __init__(self, share: float, reserve: float) -> None:
+        self._share = share
+        self._cap = reserve
+        self._tokens = reserve
+
+    def first_try(self) -> None:
+        """Earn a share of a retry."""
+        self._tokens = min(self._cap, self._tokens + self._share)
+
+    def spend(self) -> bool:
+        """Take one retry, if the budget allows."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/monsoonflow/runner/aggregate.py
@@ -0,0 +1,352 @@
+"""The aggregate of one model runner: slots, pins, queues, loads and evictions."""
+
+from __future__ import annotations
+
+from ..core.adapter import AdapterRef
+from ..core.invariant import require
+from .const import (
+    LOAD_BACKOFF_MAX_MS,
+    LOAD_BACKOFF_START_MS,
+    MAX_LOAD_FAILURES,
+    Permission,
+    SlotState,
+)
+from .models import (
+    AdapterQueue,
+    Dispatch,
+    Heat,
+    Load,
+    LoadCandidate,
+    Order,
+    RunnerLimits,
+    Slot,
+    Unload,
+    Waiting,
+    Weights,
+)
+
+
+class Runner:
+    """Holds exact knowledge of one runner, kept by its owner only.
+
+    Rules kept here:
+
+    * a request is dispatched only to a resident adapter, and pins it until it ends;
+    * a pinned adapter is never unloaded;
+    * slots in use never exceed what the engine has.
+    """
+
+    def __init__(
+        self, runner_id: str, limits: RunnerLimits, weights: Weights, boot_id: str
+    ) -> None:
+        self.runner_id = runner_id
+        self.limits = limits
+        self.weights = weights
+        self.boot_id = boot_id
+        self.slot_by_adapter: dict[AdapterRef, Slot] = {}
+        self.queue_by_adapter: dict[AdapterRef, AdapterQueue] = {}
+        self.adapter_by_running: dict[str, AdapterRef] = {}
+        self.heat_by_adapter: dict[AdapterRef, Heat] = {}
+        self.served_by_customer: dict[str, float] = {}
+        self.loads = 0
+        self.evictions = 0
+        self._failures_by_adapter: dict[AdapterRef, int] = {}
+        self._retry_at_by_adapter: dict[AdapterRef, int] = {}
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        return sum(queue.count for queue in self.queue_by_adapter.values())
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return len(self.adapter_by_running)
+
+    def resident(self) -> list[AdapterRef]:
+        """Return the adapters that serve new requests."""
+        return [
+            slot.adapter
+            for slot in self.slot_by_adapter.values()
+            if slot.state is SlotState.RESIDENT
+        ]
+
+    def enqueue(self, waiting: Waiting) -> None:
+        """Add a request to the queue of its adapter."""
+        self._heat(waiting.adapter).add(waiting.enqueued_ms)
+        self._join_customer(waiting.customer)
+        self.queue_by_adapter.setdefault(waiting.adapter, AdapterQueue()).add(waiting)
+
+    def withdraw(self, request_id: str) -> bool:
+        """Take a waiting request out of its queue.
+
+        :returns: whether it was waiting.
+        """
+        for adapter, queue in self.queue_by_adapter.items():
+            for waiting in queue.all():
+                if waiting.request_id == request_id:
+                    self._dequeue(adapter, waiting)
+                    return True
+        return False
+
+    def dispatches(self, now_ms: int, permission: Permission) -> list[Dispatch]:
+        """Pick the requests to send now and pin their adapters."""
+        picked: list[Dispatch] = []
+        if permission is Permission.NOTHING:
+            return picked
+        while self.running < self.limits.max_batch:
+            waiting = self._next_waiting()
+            if waiting is None:
+                return picked
+            self._dequeue(waiting.adapter, waiting)
+            self._pin(waiting, now_ms)
+            picked.append(Dispatch(waiting.request_id, waiting.adapter))
+        return picked
+
+    def best_load(self, now_ms: int, permission: Permission) -> LoadCandidate | None:
+        """Return the load that helps most and could start now, if any."""
+        if permission is Permission.NOTHING:
+            return None
+        candidates = [
+            self._candidate(adapter, queue, now_ms)
+            for adapter, queue in self.queue_by_adapter.items()
+            if adapter not in self.slot_by_adapter
+            and self._retry_at_by_adapter.get(adapter, 0) <= now_ms
+        ]
+        if not candidates:
+            self._reopen()
+            return None
+        chosen = max(candidates, key=lambda candidate: (candidate.urgency(), candidate.adapter))
+        if self._has_free_slot():
+            return chosen
+        if permission is not Permission.ALL:
+            return None
+        if self._victim(now_ms) is None:
+            self._close_for(chosen.adapter, now_ms)
+        return chosen if self._victim(now_ms) is not None else None
+
+    def start_load(self, adapter: AdapterRef, now_ms: int, permission: Permission) -> list[Order]:
+        """Begin a load that was granted; may begin with an eviction.
+
+        :returns: the orders to send, none when the state changed since the grant was asked for.
+        """
+        if adapter in self.slot_by_adapter or permission is Permission.NOTHING:
+            return []
+        if self._has_free_slot():
+            self._occupy(adapter)
+            return [Load(adapter)]
+        victim = self._victim(now_ms) if permission is Permission.ALL else None
+        if victim is None:
+            return []
+        require(not victim.pins, "a pinned adapter is never unloaded")
+        victim.state = SlotState.UNLOADING
+        victim.successor = adapter
+        self.evictions += 1
+        return [Unload(victim.adapter)]
+
+    def retire(self, adapter: AdapterRef) -> list[Order]:
+        """Close an adapter to new requests and unload it once nothing uses it."""
+        slot = self.slot_by_adapter.get(adapter)
+        if slot is None or slot.state not in (SlotState.RESIDENT, SlotState.CLOSING):
+            return []
+        slot.state = SlotState.CLOSING
+        slot.retired = True
+        return self._unload_if_idle(slot)
+
+    def loaded(self, adapter: AdapterRef, now_ms: int) -> None:
+        """Take the engine's word that a load is complete."""
+        slot = self.slot_by_adapter.get(adapter)
+        if slot is None or slot.state is not SlotState.LOADING:
+            return
+        slot.state = SlotState.RESIDENT
+        slot.last_used_ms = now_ms
+        self.loads += 1
+        self._failures_by_adapter.pop(adapter, None)
+        self._retry_at_by_adapter.pop(adapter, None)
+
+    def load_failed(self, adapter: AdapterRef, now_ms: int) -> list[Waiting]:
+        """Take a failed load; it is tried again later, a bounded number of times.
+
+        :returns: the waiters to give up on, once the adapter has failed too often.
+        """
+        slot = self.slot_by_adapter.get(adapter)
+        if slot is None or slot.state is not SlotState.LOADING:
+            return []
+        del self.slot_by_adapter[adapter]
+        failures = self._failures_by_adapter.get(adapter, 0) + 1
+        self._failures_by_adapter[adapter] = failures
+        backoff = min(LOAD_BACKOFF_START_MS * 2 ** (failures - 1), LOAD_BACKOFF_MAX_MS)
+        self._retry_at_by_adapter[adapter] = now_ms + backoff
+        if failures < MAX_LOAD_FAILURES:
+            return []
+        queue = self.queue_by_adapter.pop(adapter, None)
+        return queue.all() if queue else []
+
+    def unloaded(self, adapter: AdapterRef) -> list[Order]:
+        """Take the engine's word that an adapter is gone; its slot passes on."""
+        slot = self.slot_by_adapter.get(adapter)
+        if slot is None or slot.state is not SlotState.UNLOADING:
+            return []
+        require(not slot.pins, "an adapter that serves a request is never unloaded")
+        del self.slot_by_adapter[adapter]
+        if slot.successor is None or slot.successor in self.slot_by_adapter:
+            return []
+        self._occupy(slot.successor)
+        return [Load(slot.successor)]
+
+    def ended(self, request_id: str, now_ms: int) -> list[Order]:
+        """Release the pin of a request that no longer runs on the engine."""
+        adapter = self.adapter_by_running.pop(request_id, None)
+        if adapter is None:
+            return []
+        slot = self.slot_by_adapter.get(adapter)
+        if slot is None:
+            return []
+        slot.pins.discard(request_id)
+        slot.last_used_ms = now_ms
+        return self._unload_if_idle(slot) if slot.state is SlotState.CLOSING else []
+
+    def adopt(self, resident: dict[AdapterRef, set[str]], now_ms: int) -> None:
+        """Take over what an engine holds, with the running requests as pins."""
+        for adapter, pins in resident.items():
+            slot = self.slot_by_adapter.setdefault(adapter, Slot(adapter, SlotState.RESIDENT))
+            slot.pins |= pins
+            slot.last_used_ms = now_ms
+            for request_id in pins:
+                self.adapter_by_running[request_id] = adapter
+
+    def restarted(self, boot_id: str) -> list[str]:
+        """Forget everything that the engine held before it restarted.
+
+        :returns: the requests that ran there, now lost.
+        """
+        lost = list(self.adapter_by_running)
+        self.boot_id = boot_id
+        self.slot_by_adapter.clear()
+        self.adapter_by_running.clear()
+        return lost
+
+    def drop_queue(self) -> list[Waiting]:
+        """Empty all queues, for handing the runner over.
+
+        :returns: every request that waited.
+        """
+        waiting = [entry for queue in self.queue_by_adapter.values() for entry in queue.all()]
+        self.queue_by_adapter.clear()
+        return waiting
+
+    def check(self) -> None:
+        """Assert the rules that hold between any two events."""
+        require(len(self.slot_by_adapter) <= self.limits.slots, "slots never exceed the engine's")
+        for request_id, adapter in self.adapter_by_running.items():
+            slot = self.slot_by_adapter.get(adapter)
+            require(slot is not None, "a running request's adapter is in a slot")
+            require(request_id in slot.pins, "a running request pins its adapter")
+            require(slot.state is not SlotState.UNLOADING, "a pinned adapter is not unloading")
+
+    def _next_waiting(self) -> Waiting | None:
+        heads = [
+            head
+            for adapter in self.resident()
+            if (queue := self.queue_by_adapter.get(adapter)) and (head := queue.head())
+        ]
+        return min(
+            heads,
+            key=lambda head: (
+                head.priority,
+                self.served_by_customer[head.customer],
+                head.enqueued_ms,
+                head.request_id,
+            ),
+            default=None,
+        )
+
+    def _dequeue(self, adapter: AdapterRef, waiting: Waiting) -> None:
+        queue = self.queue_by_adapter[adapter]
+        queue.remove(waiting)
+        if not queue.count:
+            del self.queue_by_adapter[adapter]
+
+    def _pin(self, waiting: Waiting, now_ms: int) -> None:
+        slot = self.slot_by_adapter[waiting.adapter]
+        require(slot.state is SlotState.RESIDENT, "only a resident adapter serves")
+        slot.pins.add(waiting.request_id)
+        slot.last_used_ms = now_ms
+        self.adapter_by_running[waiting.request_id] = waiting.adapter
+        self.served_by_customer[waiting.customer] += 1.0
+
+    def _join_customer(self, customer: str) -> None:
+        """Start a customer at the least served one's count, so that idling earns no credit."""
+        active = {
+            head.customer for queue in self.queue_by_adapter.values() if (head := queue.head())
+        }
+        if customer in active:
+            return
+        floor = min((self.served_by_customer[name] for name in active), default=0.0)
+        self.served_by_customer[customer] = max(self.served_by_customer.get(customer, 0.0), floor)
+
+    def _candidate(self, adapter: AdapterRef, queue: AdapterQueue, now_ms: int) -> LoadCandidate:
+        waited_s = queue.total_wait_ms(now_ms) / 1000
+        score = self.weights.stall * waited_s + self.weights.batch * queue.count
+        overdue = now_ms - queue.oldest_ms() > self.weights.wait_bound_ms
+        return LoadCandidate(self.runner_id, adapter, score, overdue, queue.count)
+
+    def _has_free_slot(self) -> bool:
+        return len(self.slot_by_adapter) < self.limits.slots
+
+    def _occupy(self, adapter: AdapterRef) -> None:
+        require(self._has_free_slot(), "a load needs a free slot")
+        self.slot_by_adapter[adapter] = Slot(adapter, SlotState.LOADING)
+
+    def _victim(self, now_ms: int) -> Slot | None:
+        """Choose the idle adapter that is least likely to be asked for again."""
+        idle = [slot for slot in self.slot_by_adapter.values() if self._may_go(slot)]
+        return min(
+            idle,
+            key=lambda slot: (self._heat(slot.adapter).now(now_ms), slot.last_used_ms),
+            default=None,
+        )
+
+    def _may_go(self, slot: Slot) -> bool:
+        if slot.pins:
+            return False
+        if slot.state is SlotState.CLOSING:
+            return True
+        return slot.state is SlotState.RESIDENT and slot.adapter not in self.queue_by_adapter
+
+    def _reopen(self) -> None:
+        """Let adapters that were closed to make room serve again, once nobody needs the room.
+
+        One that stayed closed would leave its own waiters neither served nor loaded.
+        """
+        for slot in self.slot_by_adapter.values():
+            if slot.state is SlotState.CLOSING and not slot.retired:
+                slot.state = SlotState.RESIDENT
+
+    def _close_for(self, adapter: AdapterRef, now_ms: int) -> None:
+        """Drain the least valuable adapter when a waiter finds every slot pinned."""
+        queue = self.queue_by_adapter[adapter]
+        if now_ms - queue.oldest_ms() < self.weights.close_after_ms:
+            return
+        states = [slot.state for slot in self.slot_by_adapter.values()]
+        if SlotState.CLOSING in states or SlotState.UNLOADING in states:
+            return
+        open_slots = [
+            slot for slot in self.slot_by_adapter.values() if slot.state is SlotState.RESIDENT
+        ]
+        if open_slots:
+            least = min(open_slots, key=lambda slot: self._heat(slot.adapter).now(now_ms))
+            least.state = SlotState.CLOSING
+
+    def _unload_if_idle(self, slot: Slot) -> list[Order]:
+        if slot.pins:
+            return []
+        slot.state = SlotState.UNLOADING
+        self.evictions += 1
+        return [Unload(slot.adapter)]
+
+    def _heat(self, adapter: AdapterRef) -> Heat:
+        heat = self.heat_by_adapter.get(adapter)
+        if heat is None:
+            heat = self.heat_by_adapter[adapter] = Heat()
+        return heat
--- /dev/null
+++ b/monsoonflow/runner/const.py
@@ -0,0 +1,29 @@
+"""Constants of a runner."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Final
+
+HEAT_HALF_LIFE_MS: Final = 60_000
+LOAD_BACKOFF_START_MS: Final = 500
+LOAD_BACKOFF_MAX_MS: Final = 15_000
+MAX_LOAD_FAILURES: Final = 4
+DRAIN_RATE_WINDOW_MS: Final = 10_000
+
+
+class SlotState(StrEnum):
+    """Names the states of an adapter slot."""
+
+    LOADING = "loading"
+    RESIDENT = "resident"
+    CLOSING = "closing"
+    UNLOADING = "unloading"
+
+
+class Permission(StrEnum):
+    """Names what the owner of a runner may order at the moment."""
+
+    ALL = "all"
+    NO_EVICTION = "no_eviction"
+    NOTHING = "nothing"
--- /dev/null
+++ b/monsoonflow/runner/models.py
@@ -0,0 +1,172 @@
+"""Data that the runner aggregate takes in and hands out."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass
+from typing import TypeAlias
+
+import attrs
+
+from ..core.adapter import AdapterRef
+from .const import HEAT_HALF_LIFE_MS, SlotState
+
+
+@attrs.frozen(slots=True)
+class RunnerLimits:
+    """Tells what the engine reported about itself.
+
+    :param slots: how many adapters fit.
+    :param max_batch: how many requests one engine step serves at most.
+    """
+
+    slots: int
+    max_batch: int
+
+
+@attrs.frozen(slots=True)
+class Weights:
+    """Balances load stalls against batch efficiency.
+
+    :param stall: what a second of waiting counts.
+    :param batch: what one more request to be served by a load counts.
+    :param wait_bound_ms: the wait after which the oldest waiter goes first.
+    :param close_after_ms: the wait after which a pinned slot is drained for a waiter.
+    """
+
+    stall: float = 1.0
+    batch: float = 1.0
+    wait_bound_ms: int = 10_000
+    close_after_ms: int = 1_500
+
+
+@attrs.frozen(slots=True)
+class Waiting:
+    """A request that waits at a runner."""
+
+    request_id: str
+    adapter: AdapterRef
+    customer: str
+    enqueued_ms: int
+    priority: int = 1
+
+
+@attrs.define(slots=True)
+class Heat:
+    """Measures how often something is asked for, decaying over time."""
+
+    value: float = 0.0
+    at_ms: int = 0
+
+    def now(self, now_ms: int) -> float:
+        """Return the decayed value."""
+        return self.value * math.exp2((self.at_ms - now_ms) / HEAT_HALF_LIFE_MS)
+
+    def add(self, now_ms: int) -> None:
+        """Count one use."""
+        self.value = self.now(now_ms) + 1.0
+        self.at_ms = now_ms
+
+
+@attrs.define(slots=True)
+class Slot:
+    """One adapter slot of a runner that is not free.
+
+    :param pins: the requests that use the adapter now.
+    :param successor: the adapter that gets the slot once this one is unloaded.
+    :param retired: whether it was closed for good rather than to make room.
+    """
+
+    adapter: AdapterRef
+    state: SlotState
+    pins: set[str] = attrs.field(factory=set)
+    last_used_ms: int = 0
+    successor: AdapterRef | None = None
+    retired: bool = False
+
+
+@attrs.define(slots=True)
+class AdapterQueue:
+    """The requests that wait for one adapter, by class; sums make scoring cheap."""
+
+    by_priority: dict[int, deque[Waiting]] = attrs.field(factory=dict)
+    count: int = 0
+    enqueued_sum_ms: int = 0
+
+    def add(self, waiting: Waiting) -> None:
+        """Append a request."""
+        self.by_priority.setdefault(waiting.priority, deque()).append(waiting)
+        self.count += 1
+        self.enqueued_sum_ms += waiting.enqueued_ms
+
+    def head(self) -> Waiting | None:
+        """Return the request to serve next: the most urgent class, then the oldest."""
+        for priority in sorted(self.by_priority):
+            if self.by_priority[priority]:
+                return self.by_priority[priority][0]
+        return None
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take a request out."""
+        self.by_priority[waiting.priority].remove(waiting)
+        if not self.by_priority[waiting.priority]:
+            del self.by_priority[waiting.priority]
+        self.count -= 1
+        self.enqueued_sum_ms -= waiting.enqueued_ms
+
+    def oldest_ms(self) -> int:
+        """Return when the longest waiter came."""
+        return min(queue[0].enqueued_ms for queue in self.by_priority.values())
+
+    def total_wait_ms(self, now_ms: int) -> int:
+        """Return the sum of all waiting times."""
+        return self.count * now_ms - self.enqueued_sum_ms
+
+    def all(self) -> list[Waiting]:
+        """Return every waiter."""
+        return [waiting for queue in self.by_priority.values() for waiting in queue]
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Send this request to the engine now; its adapter is resident and pinned."""
+
+    request_id: str
+    adapter: AdapterRef
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load an adapter into a slot that is free."""
+
+    adapter: AdapterRef
+
+
+@dataclass(frozen=True, slots=True)
+class Unload:
+    """Unload an adapter that nothing uses."""
+
+    adapter: AdapterRef
+
+
+Order: TypeAlias = Dispatch | Load | Unload
+
+
+@attrs.frozen(slots=True)
+class LoadCandidate:
+    """The load that helps a runner most.
+
+    :param score: waiting cost per load; higher goes first.
+    :param overdue: whether a waiter is past the bound, which goes before any score.
+    """
+
+    runner_id: str
+    adapter: AdapterRef
+    score: float
+    overdue: bool
+    waiting: int
+
+    def urgency(self) -> tuple[bool, float]:
+        """Return the sort key: overdue first, then the score."""
+        return (self.overdue, self.score)
--- /dev/null
+++ b/monsoonflow/serving/core.py
@@ -0,0 +1,339 @@
+"""The pure core of a node: events in, commands out; no sockets and no clock of its own.
+
+The daemon and the randomised runs drive the same code.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..core.adapter import AdapterRef
+from ..core.invariant import require
+from ..core.journal import Journal
+from ..ownership.lease import HeldLease
+from ..placement.store_share import StoreShare
+from ..request.models import End, NextStep, Resume, Retry
+from ..routing.limits import Admission, Refusal
+from ..runner.const import Permission
+from ..runner.models import Dispatch, Load, LoadCandidate, Order, Unload, Waiting
+from .models import Active, Command, Owned, SendCancel, SendLoad, SendRun, SendUnload
+
+EXPIRY_EVERY_MS: Final = 50
+
+
+class ServingCore:
+    """Decides what one node sends to the runners that it owns."""
+
+    def __init__(
+        self, lease: HeldLease, admission: Admission, share: StoreShare, journal: Journal
+    ) -> None:
+        self.lease = lease
+        self.admission = admission
+        self.share = share
+        self.journal = journal
+        self.owned_by_runner: dict[str, Owned] = {}
+        self.active_by_id: dict[str, Active] = {}
+        self.granted_by_fleet = False
+        self._cancels: dict[str, SendCancel] = {}
+        self._orders: list[Command] = []
+        self._next_expiry_ms = 0
+
+    # Ownership
+
+    def take(self, owned: Owned) -> None:
+        """Begin to own a runner whose engine has been fenced and read."""
+        runner_id = owned.runner.runner_id
+        known = self.owned_by_runner.get(runner_id)
+        require(known is None or known.fence < owned.fence, "fencing numbers rise")
+        self.owned_by_runner[runner_id] = owned
+        self.journal.record(runner_id, "owned by this node", fence=owned.fence)
+
+    def release(self, runner_id: str) -> list[Active]:
+        """Stop owning a runner.
+
+        :returns: the requests that waited there; nothing of them was offered.
+        """
+        owned = self.owned_by_runner.pop(runner_id, None)
+        if owned is None:
+            return []
+        self.journal.record(runner_id, "no longer owned by this node", fence=owned.fence)
+        return self._unplace_waiting(owned)
+
+    def move_waiting(self, runner_id: str) -> list[Active]:
+        """Send every request that waits at a runner to be placed again."""
+        owned = self.owned_by_runner.get(runner_id)
+        return self._unplace_waiting(owned) if owned is not None else []
+
+    def _unplace_waiting(self, owned: Owned) -> list[Active]:
+        moved = []
+        for waiting in owned.runner.drop_queue():
+            active = self._active_of_run(waiting.request_id)
+            if active is not None:
+                self._unplace(active)
+                moved.append(active)
+        return moved
+
+    def may_send(self, runner_id: str, fence: int, now_ms: int) -> bool:
+        """Tell whether an order may leave now; asked in the last statement before each send.
+
+        The lease may have lapsed since the decision, while the process was paused. Deciding once
+        per loop would let the rest of the loop's orders out under another owner.
+        """
+        owned = self.owned_by_runner.get(runner_id)
+        if owned is None or owned.fence != fence:
+            return False
+        return self.lease.held(now_ms) and not owned.handing_over
+
+    def permission(self, owned: Owned, now_ms: int) -> Permission:
+        """Return what may be ordered of a runner now."""
+        if owned.handing_over or not self.lease.held(now_ms):
+            return Permission.NOTHING
+        return owned.quarantine.permission(now_ms)
+
+    # Requests
+
+    def submit(self, active: Active, runner_id: str, now_ms: int) -> Refusal | None:
+        """Let a request wait at a runner of this node.
+
+        :returns: why it may not, or ``None``.
+        """
+        owned = self.owned_by_runner.get(runner_id)
+        terms = active.life.terms
+        if owned is None or owned.handing_over or not self.lease.held(now_ms):
+            return Refusal("this node no longer owns the runner", 200)
+        time_left_ms = terms.deadline_ms - now_ms
+        refusal = self.admission.admit(
+            terms.customer, runner_id, owned.runner.queued, time_left_ms, now_ms
+        )
+        if refusal is not None:
+            return refusal
+        active.runner_id = runner_id
+        active.run_id = f"{terms.request_id}.{active.life.attempt + 1}"
+        active.waiting = True
+        active.enqueued_ms = now_ms
+        active.stalled = terms.adapter not in owned.runner.resident()
+        self.active_by_id[terms.request_id] = active
+        owned.runner.enqueue(
+            Waiting(active.run_id, terms.adapter, terms.customer, now_ms, terms.priority)
+        )
+        self.journal.record(
+            terms.request_id,
+            "waits",
+            runner=runner_id,
+            queued=owned.runner.queued,
+            adapter_resident=not active.stalled,
+        )
+        return None
+
+    def withdraw(self, request_id: str) -> None:
+        """Take a request that the caller gave up on out of its queue, or cancel its run."""
+        active = self.active_by_id.get(request_id)
+        if active is None or active.runner_id is None:
+            return
+        owned = self.owned_by_runner.get(active.runner_id)
+        if owned is None:
+            return
+        if active.waiting:
+            owned.runner.withdraw(active.run_id)
+            active.waiting = False
+        elif active.run_id in owned.runner.adapter_by_running:
+            self._cancel(active.runner_id, owned.fence, active.run_id)
+
+    def step(self, request_id: str, step: NextStep, run_over: bool, now_ms: int) -> NextStep:
+        """Settle the place of a request after its life took an event.
+
+        A run that was lost may still be going on at the engine: its pin stays until the engine
+        confirms the cancel, or the adapter could be evicted under it.
+
+        :param run_over: whether the engine itself said that nothing of the run goes on.
+        """
+        active = self.active_by_id.get(request_id)
+        if active is None:
+            return step
+        match step:
+            case Resume(from_index=index):
+                self.journal.record(request_id, "resumes", from_chunk=index)
+            case Retry(attempt=attempt):
+                self._leave_runner(active, now_ms, run_over)
+                self.journal.record(request_id, "tried again", attempt=attempt)
+            case End():
+                self._leave_runner(active, now_ms, run_over)
+        return step
+
+    def forget(self, request_id: str) -> None:
+        """Drop a request that has ended and been answered."""
+        self.active_by_id.pop(request_id, None)
+
+    # Events of engines
+
+    def run_over(self, runner_id: str, run_id: str, now_ms: int) -> None:
+        """Take the engine's word that a run is over."""
+        self._cancels.pop(run_id, None)
+        owned = self.owned_by_runner.get(runner_id)
+        if owned is None:
+            return
+        owned.foreign_runs.discard(run_id)
+        self._collect(owned, owned.runner.ended(run_id, now_ms))
+        owned.runner.check()
+
+    def loaded(self, runner_id: str, adapter: AdapterRef, now_ms: int) -> None:
+        """Take the end of a load."""
+        self.share.finished()
+        owned = self.owned_by_runner.get(runner_id)
+        if owned is not None:
+            owned.runner.loaded(adapter, now_ms)
+            self.journal.record(runner_id, "adapter loaded", adapter=adapter)
+
+    def load_failed(self, runner_id: str, adapter: AdapterRef, reason: str, now_ms: int) -> None:
+        """Take the failure of a load; after several, those who wait for it are refused."""
+        self.share.finished()
+        owned = self.owned_by_runner.get(runner_id)
+        if owned is None:
+            return
+        self.journal.record(runner_id, "load failed", adapter=adapter, cause=reason)
+        for waiting in owned.runner.load_failed(adapter, now_ms):
+            active = self._active_of_run(waiting.request_id)
+            if active is not None:
+                self._unplace(active)
+                active.life.give_up(f"adapter {adapter} can't be loaded: {reason}", 5_000)
+                active.changed()
+
+    def unloaded(self, runner_id: str, adapter: AdapterRef) -> None:
+        """Take the end of an unload."""
+        owned = self.owned_by_runner.get(runner_id)
+        if owned is not None:
+            self._collect(owned, owned.runner.unloaded(adapter))
+            self.journal.record(runner_id, "adapter unloaded", adapter=adapter)
+
+    def restarted(self, runner_id: str, boot_id: str) -> None:
+        """Take another boot id: the engine has lost everything it held."""
+        owned = self.owned_by_runner.get(runner_id)
+        if owned is None or owned.runner.boot_id == boot_id:
+            return
+        self.journal.record(runner_id, "engine restarted empty", boot_id=boot_id)
+        for run_id in owned.runner.restarted(boot_id):
+            owned.foreign_runs.discard(run_id)
+            self._cancels.pop(run_id, None)
+            active = self._active_of_run(run_id)
+            if active is not None:
+                active.changed()
+
+    # Decisions
+
+    def poll(self, now_ms: int) -> list[Command]:
+        """Return everything to send now."""
+        self._expire(now_ms)
+        commands: list[Command] = []
+        for runner_id, owned in self.owned_by_runner.items():
+            permission = self.permission(owned, now_ms)
+            for dispatch in owned.runner.dispatches(now_ms, permission):
+                commands.append(self._dispatch(runner_id, owned, dispatch, now_ms))
+            owned.runner.check()
+        if not self.granted_by_fleet:
+            chosen = self.share.pick(self.load_candidates(now_ms), now_ms)
+            if chosen is not None:
+                self.start_load(chosen, now_ms)
+        commands += self._orders
+        self._orders = []
+        return commands
+
+    def load_candidates(self, now_ms: int) -> list[LoadCandidate]:
+        """Return each owned runner's most helpful load."""
+        candidates = (
+            owned.runner.best_load(now_ms, self.permission(owned, now_ms))
+            for owned in self.owned_by_runner.values()
+        )
+        return [candidate for candidate in candidates if candidate is not None]
+
+    def start_load(self, chosen: LoadCandidate, now_ms: int) -> bool:
+        """Begin a load that the store's share or a grant allows.
+
+        :returns: whether it began.
+        """
+        owned = self.owned_by_runner.get(chosen.runner_id)
+        if owned is None:
+            return False
+        permission = self.permission(owned, now_ms)
+        orders = owned.runner.start_load(chosen.adapter, now_ms, permission)
+        if not orders:
+            return False
+        self.share.started(now_ms)
+        self.journal.record(
+            chosen.runner_id,
+            "load decided",
+            adapter=chosen.adapter,
+            waiting=chosen.waiting,
+            score=round(chosen.score, 2),
+        )
+        self._collect(owned, orders)
+        return True
+
+    def cancels(self) -> list[SendCancel]:
+        """Return the runs that are to be stopped and are not yet confirmed."""
+        return list(self._cancels.values())
+
+    def _dispatch(self, runner_id: str, owned: Owned, order: Dispatch, now_ms: int) -> SendRun:
+        active = self._active_of_run(order.request_id)
+        require(active is not None, "a waiting request is known")
+        assert active is not None
+        attempt = active.life.offer()
+        require(active.run_id == f"{active.life.terms.request_id}.{attempt}", "run ids match")
+        active.waiting = False
+        active.dispatched_ms = now_ms
+        self.journal.record(
+            active.life.terms.request_id,
+            "offered",
+            runner=runner_id,
+            attempt=attempt,
+            waited_ms=now_ms - active.enqueued_ms,
+        )
+        return SendRun(runner_id, owned.fence, active.life.terms.request_id, active.run_id)
+
+    def _collect(self, owned: Owned, orders: list[Order]) -> None:
+        runner_id = owned.runner.runner_id
+        for order in orders:
+            match order:
+                case Load(adapter=adapter):
+                    self._orders.append(SendLoad(runner_id, owned.fence, adapter))
+                case Unload(adapter=adapter):
+                    self._orders.append(SendUnload(runner_id, owned.fence, adapter))
+                case Dispatch():
+                    require(False, "requests are dispatched by poll only")
+
+    def _expire(self, now_ms: int) -> None:
+        if now_ms < self._next_expiry_ms:
+            return
+        self._next_expiry_ms = now_ms + EXPIRY_EVERY_MS
+        for active in list(self.active_by_id.values()):
+            if active.life.ended or now_ms < active.life.terms.deadline_ms:
+                continue
+            self.withdraw(active.life.terms.request_id)
+            active.life.give_up("the deadline has passed", status=504)
+            active.changed()
+
+    def _leave_runner(self, active: Active, now_ms: int, run_over: bool) -> None:
+        runner_id, run_id = active.runner_id, active.run_id
+        if runner_id is None:
+            return
+        self._unplace(active)
+        owned = self.owned_by_runner.get(runner_id)
+        if owned is None:
+            return
+        if run_id not in owned.runner.adapter_by_running:
+            return
+        if run_over:
+            self.run_over(runner_id, run_id, now_ms)
+        else:
+            self._cancel(runner_id, owned.fence, run_id)
+
+    def _cancel(self, runner_id: str, fence: int, run_id: str) -> None:
+        self._cancels[run_id] = SendCancel(runner_id, fence, run_id)
+
+    def _unplace(self, active: Active) -> None:
+        active.runner_id = None
+        active.waiting = False
+        active.changed()
+
+    def _active_of_run(self, run_id: str) -> Active | None:
+        active = self.active_by_id.get(run_id.rpartition(".")[0])
+        return active if active is not None and active.run_id == run_id else None
--- /dev/null
+++ b/monsoonflow/serving/models.py
@@ -0,0 +1,90 @@
+"""Data that the serving core takes in and hands out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeAlias
+
+import attrs
+
+from ..core.adapter import AdapterRef
+from ..ownership.quarantine import Quarantine
+from ..request.life import RequestLife
+from ..runner.aggregate import Runner
+
+
+@attrs.define(slots=True)
+class Owned:
+    """A runner that this node owns.
+
+    :param foreign_runs: runs that an earlier owner sent; their pins end with the engine's word.
+    :param handing_over: set while the runner moves to another node; nothing is ordered then.
+    """
+
+    runner: Runner
+    base_model: str
+    fence: int
+    quarantine: Quarantine
+    foreign_runs: set[str] = attrs.field(factory=set)
+    handing_over: bool = False
+    takes_new_work: bool = True
+
+
+@attrs.define(slots=True)
+class Active:
+    """A request that this node drives.
+
+    :param runner_id: where it waits or runs; ``None`` while it has no place.
+    :param run_id: names the attempt that waits or runs.
+    :param changed: called whenever a waiting party should look again.
+    """
+
+    life: RequestLife
+    changed: Callable[[], None]
+    runner_id: str | None = None
+    run_id: str = ""
+    waiting: bool = False
+    enqueued_ms: int = 0
+    dispatched_ms: int = 0
+    stalled: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SendRun:
+    """Offer a request to a runner."""
+
+    runner_id: str
+    fence: int
+    request_id: str
+    run_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendLoad:
+    """Order a runner to load an adapter."""
+
+    runner_id: str
+    fence: int
+    adapter: AdapterRef
+
+
+@dataclass(frozen=True, slots=True)
+class SendUnload:
+    """Order a runner to unload an adapter."""
+
+    runner_id: str
+    fence: int
+    adapter: AdapterRef
+
+
+@dataclass(frozen=True, slots=True)
+class SendCancel:
+    """Order a runner to stop a run; repeated until the runner confirms."""
+
+    runner_id: str
+    fence: int
+    run_id: str
+
+
+Command: TypeAlias = SendRun | SendLoad | SendUnload | SendCancel
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of monsoonflow; the folders mirror the product's."""
--- /dev/null
+++ b/tests/runner/test_aggregate.py
@@ -0,0 +1,169 @@
+"""Tests of the runner aggregate."""
+
+from __future__ import annotations
+
+import pytest
+
+from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.runner.aggregate import Runner
+from monsoonflow.runner.const import MAX_LOAD_FAILURES, Permission, SlotState
+from monsoonflow.runner.models import Dispatch, Load, RunnerLimits, Unload, Waiting, Weights
+
+ALL = Permission.ALL
+A, B, C = (AdapterRef(name, 1) for name in "abc")
+
+
+@pytest.fixture
+def runner():
+    return Runner("m1", RunnerLimits(2, 4), Weights(), "boot-1")
+
+
+def wait(runner, request_id, adapter, now_ms=0, customer="acme", priority=1):
+    runner.enqueue(Waiting(request_id, adapter, customer, now_ms, priority))
+
+
+def load(runner, adapter, now_ms=0):
+    for order in runner.start_load(adapter, now_ms, ALL):
+        if isinstance(order, Unload):
+            runner.unloaded(order.adapter)
+    runner.loaded(adapter, now_ms)
+    runner.check()
+
+
+def test_waits_for_its_adapter_and_pins_it(runner):
+    wait(runner, "r1", A)
+    assert runner.dispatches(0, ALL) == []
+    load(runner, A)
+    assert runner.dispatches(5, ALL) == [Dispatch("r1", A)]
+    assert runner.slot_by_adapter[A].pins == {"r1"}
+    runner.check()
+
+
+def test_one_load_serves_all_that_wait(runner):
+    for number in range(3):
+        wait(runner, f"r{number}", A)
+    load(runner, A)
+    assert len(runner.dispatches(0, ALL)) == 3
+
+
+def test_most_waiting_cost_is_loaded_first(runner):
+    wait(runner, "r1", A, 0)
+    wait(runner, "r2", B, 10)
+    wait(runner, "r3", B, 10)
+    assert runner.best_load(20, ALL).adapter == B
+
+
+def test_oldest_goes_first_past_the_bound(runner):
+    wait(runner, "r1", A, 0)
+    for number in range(100):
+        wait(runner, f"b{number}", B, 10_500)
+    assert runner.best_load(10_600, ALL).adapter == A
+
+
+def test_pinned_adapters_are_never_evicted(runner):
+    """All slots serve requests and another adapter's request waits.
+
+    Evicting a serving adapter would cut its request or let it run on other weights. The waiter
+    waits; after the bound the least valuable adapter takes no more and goes once it is idle.
+    """
+    wait(runner, "r1", A)
+    wait(runner, "r2", B)
+    load(runner, A)
+    load(runner, B)
+    runner.dispatches(0, ALL)
+    wait(runner, "r3", C, 100)
+    assert runner.best_load(200, ALL) is None
+    assert runner.start_load(C, 200, ALL) == []
+    assert runner.best_load(5_000, ALL) is None
+    closing = [s.adapter for s in runner.slot_by_adapter.values() if s.state is SlotState.CLOSING]
+    assert len(closing) == 1
+    busy = next(run for run, adapter in runner.adapter_by_running.items() if adapter in closing)
+    assert runner.ended(busy, 5_100) == [Unload(closing[0])]
+    runner.unloaded(closing[0])
+    assert runner.start_load(C, 5_100, ALL) == [Load(C)]
+
+
+def test_closed_adapter_with_waiters_serves_again(runner):
+    """An adapter closed for room keeps waiters of its own while the other's waiter gives up.
+
+    Left closed, it would be neither a candidate to load nor a server: its waiters would wait for
+    their deadline. It reopens once nobody needs the room.
+    """
+    wait(runner, "r1", A)
+    wait(runner, "r2", B)
+    load(runner, A)
+    load(runner, B)
+    runner.dispatches(0, ALL)
+    wait(runner, "r3", C, 100)
+    runner.best_load(5_000, ALL)
+    closing = next(s for s in runner.slot_by_adapter.values() if s.state is SlotState.CLOSING)
+    wait(runner, "r4", closing.adapter, 5_000)
+    assert runner.dispatches(5_000, ALL) == []
+    runner.withdraw("r3")
+    runner.best_load(5_100, ALL)
+    assert runner.dispatches(5_100, ALL) == [Dispatch("r4", closing.adapter)]
+
+
+def test_without_permission_to_evict_only_free_slots_are_used(runner):
+    load(runner, A)
+    load(runner, B)
+    wait(runner, "r1", C)
+    assert runner.best_load(0, Permission.NO_EVICTION) is None
+    assert runner.start_load(C, 0, Permission.NO_EVICTION) == []
+    assert runner.dispatches(0, Permission.NOTHING) == []
+
+
+def test_batch_is_never_overfilled(runner):
+    for number in range(9):
+        wait(runner, f"r{number}", A)
+    load(runner, A)
+    assert len(runner.dispatches(0, ALL)) == 4
+
+
+def test_urgent_class_goes_first(runner):
+    for number in range(4):
+        wait(runner, f"tile{number}", A, number, priority=3)
+    wait(runner, "lookup", A, 10, priority=0)
+    load(runner, A)
+    assert runner.dispatches(20, ALL)[0] == Dispatch("lookup", A)
+
+
+def test_customers_share_the_batch(runner):
+    for number in range(8):
+        wait(runner, f"x{number}", A, 0, customer="busy")
+    wait(runner, "y0", B, 1, customer="small")
+    load(runner, A)
+    load(runner, B)
+    assert Dispatch("y0", B) in runner.dispatches(2, ALL)[:2]
+
+
+def test_failing_load_is_tried_again_later_then_given_up(runner):
+    wait(runner, "r1", A)
+    now_ms = 0
+    for attempt in range(MAX_LOAD_FAILURES):
+        assert runner.start_load(A, now_ms, ALL) == [Load(A)]
+        waiters = runner.load_failed(A, now_ms)
+        assert bool(waiters) == (attempt == MAX_LOAD_FAILURES - 1)
+        assert runner.best_load(now_ms, ALL) is None
+        now_ms += 60_000
+
+
+def test_restart_forgets_slots_and_returns_lost_runs(runner):
+    wait(runner, "r1", A)
+    load(runner, A)
+    runner.dispatches(0, ALL)
+    assert runner.restarted("boot-2") == ["r1"]
+    assert runner.slot_by_adapter == {}
+    runner.check()
+
+
+def test_adopted_runs_pin_their_adapters(runner):
+    """A new owner finds a run of the earlier owner on the engine.
+
+    Unpinned, its adapter could be evicted under the run; it stays until the engine says it ended.
+    """
+    runner.adopt({A: {"old-run"}, B: set()}, 0)
+    wait(runner, "r1", C)
+    orders = runner.start_load(C, 0, ALL)
+    assert orders == [Unload(B)]
+    runner.check()
