--- a/monsoonflow/api/callers.py
+++ b/monsoonflow/api/callers.py
@@ -149,7 +149,13 @@
         )
 
     def _wait_for_head(self, served: Served) -> None:
-        """Wait a moment for the first chunk, so that an early refusal gets its own status."""
+        """Wait a moment for the first chunk, so that an early refusal gets its own status.
+
+        A key's home may have pinned another version than this node would; the head tells the version,
+        so it has to wait for the home's word.
+        """
+        while served.awaits_version() and not served.life.ended:
+            served.signal.wait(HEAD_WAIT_MS)
         left_ms = HEAD_WAIT_MS
         while not served.life.chunks and not served.life.ended and left_ms > 0:
             before_ms = self._context.now_ms()
--- a/monsoonflow/client/client.py
+++ b/monsoonflow/client/client.py
@@ -2,21 +2,18 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 import attrs
-import orjson
 
 from ..api.const import HEADER_HOME, HEADER_TRY
 from ..backend.models import Began, Broken, Chunk, Cut, Ended, Refused, StreamEvent, Unclear
-from ..backend.openai_http import read_stream
 from ..core.clock import Clock, MonotonicClock
 from ..core.outcome import Done, Failed, NotRun, Outcome, Unknown
-from ..helpers.http import Answer, HttpClient
 from ..helpers.ids import new_id
 from .models import Address, Reply, Transcript
+from .transport import HttpTransport, Transport
 
 SILENCE_MS: Final = 5_000
 MAX_RESUMES: Final = 8
@@ -39,6 +36,7 @@
     home: Address | None = None
     sends: int = 0
     resumes: int = 0
+    may_have_run: bool = False
     first_text_ms: int | None = None
     on_text: Callable[[str], None] | None = None
 
@@ -52,13 +50,19 @@
 
     :param seeds: URLs of some nodes, tried in turn.
     :param key: the customer's bearer key.
+    :param transport: carries the calls; HTTP where none is given.
     """
 
-    def __init__(self, seeds: list[str], key: str, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        seeds: list[str],
+        key: str,
+        clock: Clock | None = None,
+        transport: Transport | None = None,
+    ) -> None:
         self._seeds = [seed.rstrip("/") for seed in seeds]
-        self._auth = {"Authorization": f"Bearer {key}"}
         self._clock = clock or MonotonicClock()
-        self._http = HttpClient(SILENCE_MS)
+        self._transport = transport or HttpTransport(key, SILENCE_MS)
         self._found_by_model: dict[str, tuple[int, list[Address]]] = {}
 
     def complete(
@@ -90,6 +94,9 @@
             on_text=on_text,
         )
         outcome = self._run(sending)
+        if isinstance(outcome, NotRun) and sending.may_have_run:
+            # Only the last sending was refused; an earlier one is unaccounted for.
+            outcome = Unknown(outcome.reason)
         transcript = sending.transcript
         return Reply(
             outcome,
@@ -109,14 +116,10 @@
         if known is not None:
             seeds = [f"http://{entry.address}" for entry in known[1]] + seeds
         for seed in seeds:
-            result = self._http.call(
-                "GET", f"{seed}/v1/address?model={model}", headers=self._auth, timeout_ms=2_000
-            )
-            if isinstance(result, Answer) and result.status == 200:
-                data = result.json()
-                found = [Address(entry["address"], entry["home"]) for entry in data["addresses"]]
-                self._found_by_model[model] = (now_ms + data["good_for_ms"], found)
-                return found
+            found = self._transport.lookup(seed, model)
+            if found is not None:
+                self._found_by_model[model] = (now_ms + found.good_for_ms, found.addresses)
+                return found.addresses
         return []
 
     def _run(self, sending: _Sending) -> Outcome:
@@ -134,12 +137,15 @@
                 case NotRun(retry_after_ms=None):
                     return outcome
                 case NotRun(retry_after_ms=wait_ms):
-                    # Nothing ran, so the next sending is a first one again, anywhere.
-                    sending.home = None
+                    if not sending.may_have_run:
+                        # Nothing ran, so the next sending is a first one again, anywhere. After an
+                        # unclear sending it is not: that one may still be on its way to its home.
+                        sending.home = None
                     skipped.add(target.address)
                     self._found_by_model.pop(sending.model, None)
                     self._pause(wait_ms, sending)
                 case Unknown() if self._may_repeat(sending):
+                    sending.may_have_run = True
                     skipped.add(target.address)
                     self._pause(PAUSE_MS, sending)
                 case _:
@@ -163,9 +169,8 @@
         if sending.key is not None and first:
             sending.home = target
         headers = self._headers(sending, first)
-        url = f"http://{target.address}/v1/completions"
-        body = orjson.dumps(sending.body)
-        events = read_stream(self._http.open("POST", url, body, headers, not sending.repeatable))
+        fresh = not sending.repeatable
+        events = self._transport.send(target.address, headers, sending.body, fresh)
         outcome = self._read(sending, events)
         while outcome is None:
             sending.resumes += 1
@@ -177,9 +182,8 @@
 
     def _resumed(self, sending: _Sending, target: Address) -> Iterator[StreamEvent]:
         transcript = sending.transcript
-        url = f"http://{target.address}/v1/requests/{transcript.request_id}/stream"
-        headers = {**self._auth, "Last-Event-ID": str(len(transcript.chunks) - 1)}
-        for event in read_stream(self._http.open("GET", url, headers=headers, fresh=True)):
+        index = len(transcript.chunks)
+        for event in self._transport.resume(target.address, transcript.request_id, index):
             match event:
                 case Refused(reason=reason):
                     yield Unclear(reason)
@@ -228,8 +232,6 @@
 
     def _headers(self, sending: _Sending, first: bool) -> dict[str, str]:
         headers = {
-            **self._auth,
-            "Content-Type": "application/json",
             "X-Monsoonflow-Deadline-Ms": str(max(1, self._left_ms(sending))),
             "X-Monsoonflow-Repeatable": "true" if sending.repeatable else "false",
             "X-Monsoonflow-Priority": sending.priority,
@@ -250,4 +252,4 @@
         return sending.started_ms + sending.deadline_ms - self._clock.now_ms()
 
     def _pause(self, wait_ms: int, sending: _Sending) -> None:
-        time.sleep(max(0, min(wait_ms, self._left_ms(sending))) / 1000)
+        self._transport.sleep(max(0, min(wait_ms, self._left_ms(sending))))
--- a/monsoonflow/node/claims.py
+++ b/monsoonflow/node/claims.py
@@ -7,9 +7,8 @@
 from typing import TypeAlias
 
 import attrs
-import gevent
-from gevent.event import AsyncResult
 
+from ..core.tasks import Flag, Tasks
 from ..helpers.ids import new_id
 from ..platform.models import Committed, Row, Table, Transaction, Unavailable
 
@@ -44,7 +43,13 @@
 class _Wanted:
     row_key: str
     home: str
-    result: AsyncResult
+    settled: Flag
+    result: ClaimResult | None = None
+
+    def settle(self, result: ClaimResult) -> None:
+        """Hand the result to the one who waits."""
+        self.result = result
+        self.settled.set()
 
 
 class Claims:
@@ -55,23 +60,26 @@
     caller's next try finds the row and is sent to its home.
     """
 
-    def __init__(self, table: Table) -> None:
+    def __init__(self, table: Table, tasks: Tasks) -> None:
         self._table = table
+        self._tasks = tasks
         self._wanted: list[_Wanted] = []
         self._busy = False
 
     def claim(self, customer: str, key: str, home: str) -> ClaimResult:
         """Claim a key for a process."""
         digest = hashlib.sha256(f"{customer}\x00{key}".encode()).hexdigest()
-        wanted = _Wanted(f"{KEY_PREFIX}{digest}", home, AsyncResult())
+        wanted = _Wanted(f"{KEY_PREFIX}{digest}", home, self._tasks.flag())
         self._wanted.append(wanted)
         if not self._busy:
             self._busy = True
-            gevent.spawn(self._work)
-        return wanted.result.get()
+            self._tasks.spawn(self._work)
+        wanted.settled.wait()
+        assert wanted.result is not None
+        return wanted.result
 
     def _work(self) -> None:
-        gevent.sleep(GATHER_MS / 1000)
+        self._tasks.sleep(GATHER_MS)
         while self._wanted:
             batch, self._wanted = self._wanted[:MAX_PER_COMMIT], self._wanted[MAX_PER_COMMIT:]
             self._commit(batch)
@@ -89,14 +97,14 @@
         result = self._table.commit(Transaction(new_id("op"), conditions, puts))
         if isinstance(result, Committed):
             for wanted in by_key.values():
-                wanted.result.set(NewClaim())
+                wanted.settle(NewClaim())
             return
         if len(by_key) > 1 and not isinstance(result, Unavailable):
             for wanted in by_key.values():
                 self._commit([wanted])
             return
         for wanted in by_key.values():
-            wanted.result.set(self._read(wanted))
+            wanted.settle(self._read(wanted))
 
     def _read(self, wanted: _Wanted) -> ClaimResult:
         row = self._table.get(wanted.row_key)
--- a/monsoonflow/node/config_loop.py
+++ b/monsoonflow/node/config_loop.py
@@ -6,9 +6,7 @@
 import time
 from collections import deque
 
-import gevent
 import orjson
-from gevent.event import Event
 
 from ..configuration.models import Change, Plan, converter
 from ..configuration.store import ConfigurationStore, Delta
@@ -17,7 +15,7 @@
 from ..helpers.logfmt import pairs
 from ..platform.models import Unavailable
 from ..rpc import control_pb2 as pb
-from ..rpc.client import ControlClient
+from ..rpc.client import ControlCaller
 from .context import NodeContext
 
 _LOGGER = logging.getLogger(__name__)
@@ -28,13 +26,13 @@
     """Learns of new versions from the table and from peers; never goes back."""
 
     def __init__(
-        self, context: NodeContext, client: ControlClient, store: ConfigurationStore
+        self, context: NodeContext, client: ControlCaller, store: ConfigurationStore
     ) -> None:
         self._context = context
         self._client = client
         self.store = store
-        self.changed = Event()
-        self._wake = Event()
+        self.changed = context.tasks.flag()
+        self._wake = context.tasks.flag()
         self._recent: deque[Delta] = deque(maxlen=KEPT_DELTAS)
 
     def load(self) -> None:
@@ -44,7 +42,7 @@
             config = self.store.load()
             if isinstance(config, Unavailable):
                 _LOGGER.warning("%s", pairs(event="config_not_loaded", cause=config.reason))
-                gevent.sleep(pause_ms / 1000)
+                self._context.tasks.sleep(pause_ms)
                 pause_ms = min(pause_ms * 2, 2_000)
                 continue
             self._context.config = config
@@ -55,7 +53,7 @@
     def run(self) -> None:
         """Poll the table until the process ends."""
         while True:
-            self._wake.wait(self._context.settings["poll-ms"] / 1000)
+            self._wake.wait(self._context.settings["poll-ms"])
             self._wake.clear()
             self.read()
 
@@ -83,7 +81,7 @@
         self._heard()
         if version <= self._context.config.version or not self._context.config_loaded:
             return
-        gevent.spawn(self._fetch_from, rpc_address)
+        self._context.tasks.spawn(self._fetch_from, rpc_address)
 
     def changes_after(self, version: int) -> pb.ChangesReply:
         """Return recent deltas for a peer, none when the oldest kept is too new."""
@@ -107,7 +105,7 @@
         Two nodes that both think so do no harm: each step's write is conditional.
         """
         while True:
-            gevent.sleep(self._context.settings["poll-ms"] / 1000)
+            self._context.tasks.sleep(self._context.settings["poll-ms"])
             if not self._carries_plans():
                 continue
             plans = self.store.open_plans()
--- a/monsoonflow/node/context.py
+++ b/monsoonflow/node/context.py
@@ -3,30 +3,33 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import attrs
 
 from ..address.choice import NodeAddress
-from ..backend.openai_http import OpenAiEngine
+from ..backend.models import Engine
 from ..configuration.aggregate import Configuration
 from ..core.clock import Clock
 from ..core.journal import Journal
+from ..core.tasks import Tasks
 from ..helpers.ids import new_id
 from ..membership.view import Leaving, Membership
 from ..ownership.lease import HeldLease, LeaseWatch
 from ..ownership.models import LeaseRow, LeaseTiming, OwnerRow
 from ..placement.models import PlacementTuning, RunnerView
 from ..placement.store_share import StoreShare
-from ..platform.objects import HttpObjectStore
-from ..platform.table import HttpTable
-from ..platform.vms import HttpVmList
+from ..platform.models import ObjectStore, Table
+from ..platform.vms import VmListReader
 from ..routing.keys import KeyBook
 from ..routing.limits import Admission, Limits, RetryBudget
 from ..routing.servers import ServerChoice
+from ..rpc.client import ControlCaller
 from ..runner.models import Weights
 from ..serving.core import ServingCore
 from .const import FAILURES_TO_LEAVE, MAX_KEYS, RETRY_RESERVE, RETRY_SHARE
 from .metrics import Metrics
+from .relay import Relay
 from .served import Served
 from .settings import NodeSettings
 
@@ -40,13 +43,32 @@
     view: RunnerView
 
 
+@attrs.frozen(slots=True)
+class Edges:
+    """Everything outside the node that it calls; tests give fakes in its place.
+
+    :param open_engine: returns the client of an engine at an address.
+    """
+
+    table: Table
+    objects: ObjectStore
+    vms: VmListReader
+    control: ControlCaller
+    relay: Relay
+    open_engine: Callable[[str], Engine]
+
+
 class NodeContext:
     """Holds one node's state and clients."""
 
-    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: NodeSettings, clock: Clock, tasks: Tasks, edges: Edges, rng: random.Random
+    ) -> None:
         self.settings = settings
         self.clock = clock
-        self.rng = random.Random()
+        self.tasks = tasks
+        self.edges = edges
+        self.rng = rng
         self.journal = Journal(clock)
         self.metrics = Metrics()
         self.home = new_id(settings["node"])
@@ -81,22 +103,21 @@
         self.server_choice = ServerChoice(self.rng)
         self.served_by_id: dict[str, Served] = {}
         self.service_calls = 0
-        self.table = HttpTable(settings["table"])
-        self.objects = HttpObjectStore(settings["objects"])
-        self.vms = HttpVmList(settings["vms"])
-        self._engine_by_address: dict[str, OpenAiEngine] = {}
+        self.table = edges.table
+        self.objects = edges.objects
+        self.vms = edges.vms
+        self._engine_by_address: dict[str, Engine] = {}
 
     def now_ms(self) -> int:
         """Return the node's monotonic time."""
         return self.clock.now_ms()
 
-    def engine(self, runner_id: str) -> OpenAiEngine:
+    def engine(self, runner_id: str) -> Engine:
         """Return the client of a runner's engine."""
         address = self.config.runner_by_id[runner_id].address
         engine = self._engine_by_address.get(address)
         if engine is None:
-            engine = OpenAiEngine(address, self.settings["silence-ms"])
-            self._engine_by_address[address] = engine
+            engine = self._engine_by_address[address] = self.edges.open_engine(address)
         return engine
 
     def begin_life(self) -> None:
--- a/monsoonflow/node/daemon.py
+++ b/monsoonflow/node/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import signal
 from typing import Any
 
@@ -15,30 +16,23 @@
 from ..api.health import HealthApi
 from ..api.operators import OperatorApi
 from ..api.services import ServiceApi
-from ..configuration.store import ConfigurationStore
+from ..backend.openai_http import OpenAiEngine
 from ..core.clock import MonotonicClock
 from ..core.invariant import InvariantBroken
+from ..helpers.gevent_tasks import GeventTasks
 from ..helpers.logfmt import pairs
 from ..helpers.wsgi import start_server
+from ..platform.objects import HttpObjectStore
+from ..platform.settling import SettlingTable
+from ..platform.table import HttpTable
+from ..platform.vms import HttpVmList
 from ..rpc.client import ControlClient
 from ..rpc.server import serve
-from .claims import Claims
-from .config_loop import ConfigLoop
-from .context import NodeContext
-from .dispatcher import Dispatcher
-from .driver import Driver
-from .grants import GrantGiver
-from .health import HealthLoop
-from .heartbeat import Control
-from .intake import Intake
-from .lease_loop import LeaseLoop
-from .load_gate import LoadGate
-from .reaper import Reaper
+from .assembly import assemble
+from .context import Edges
 from .relay import RelayClient
 from .service_health import ServiceHealth
 from .settings import NodeSettings
-from .stop import GracefulStop
-from .takeover import Takeover
 
 _LOGGER = logging.getLogger(__name__)
 EXIT_BIND = 3
@@ -50,45 +44,29 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         clock = MonotonicClock()
+        tasks = GeventTasks()
         self._settings = settings
         self._stop_asked = Event()
         self._broken = False
-        self.context = NodeContext(settings, clock)
-        context = self.context
-        client = ControlClient(settings["node-token"])
-        store = ConfigurationStore(context.table, context.objects)
-        dispatcher = Dispatcher(context)
-        takeover = Takeover(context, dispatcher)
-        giver = GrantGiver(clock, settings["loads-per-second"])
-        relay = RelayClient(settings["node-token"], settings["silence-ms"])
-        driver = Driver(context, dispatcher, relay)
-        self._config = ConfigLoop(context, client, store)
-        self._lease = LeaseLoop(context, client, takeover)
-        self._control = Control(context, client, self._config, takeover, giver)
-        health = HealthLoop(context, dispatcher)
-        gate = LoadGate(context, client, dispatcher, giver)
-        self._stopper = GracefulStop(context, self._control, client, self._lease)
+        silence_ms = settings["silence-ms"]
+        edges = Edges(
+            table=SettlingTable(HttpTable(settings["table"]), tasks),
+            objects=HttpObjectStore(settings["objects"]),
+            vms=HttpVmList(settings["vms"]),
+            control=ControlClient(settings["node-token"]),
+            relay=RelayClient(settings["node-token"], silence_ms),
+            open_engine=lambda address: OpenAiEngine(address, silence_ms),
+        )
+        self._node = assemble(settings, clock, tasks, edges, random.Random())
+        self.context = self._node.context
         self._app = bottle.Bottle()
-        intake = Intake(context, driver, Claims(context.table))
         for api in (
-            CallerApi(context, intake),
-            ServiceApi(context),
-            OperatorApi(context, self._config),
-            HealthApi(context),
+            CallerApi(self.context, self._node.intake),
+            ServiceApi(self.context),
+            OperatorApi(self.context, self._node.config_loop),
+            HealthApi(self.context),
         ):
             api.register(self._app)
-        self._loops = [
-            self._lease.run,
-            self._config.run,
-            self._config.run_plans,
-            self._control.run,
-            dispatcher.run,
-            health.run,
-            health.run_vm_list,
-            ServiceHealth(context).run,
-            gate.run,
-            Reaper(context).run,
-        ]
 
     def run(self) -> int:
         """Run until a signal asks to stop.
@@ -97,7 +75,7 @@
         """
         gevent.signal_handler(signal.SIGTERM, self._stop_asked.set)
         gevent.signal_handler(signal.SIGINT, self._stop_asked.set)
-        rpc = serve(self._settings["rpc"], self._control, self._settings["node-token"])
+        rpc = serve(self._settings["rpc"], self._node.control, self._settings["node-token"])
         if rpc is None:
             return self._not_bound("rpc")
         http = start_server(self._settings["http"], self._app)
@@ -113,8 +91,8 @@
                 incarnation=self.context.me.incarnation,
             ),
         )
-        self._config.load()
-        for loop in self._loops:
+        self._node.config_loop.load()
+        for loop in (*self._node.loops, ServiceHealth(self.context).run):
             gevent.spawn(self._guard, loop)
         self._stop_asked.wait()
         if self._broken:
@@ -140,7 +118,7 @@
                 gevent.sleep(0.5)
 
     def _shut_down(self, http: WSGIServer, rpc: Any) -> int:
-        self._stopper.run()
+        self._node.stopper.run()
         http.stop(timeout=2)
         rpc.stop(grace=0.5)
         return 0
--- a/monsoonflow/node/dispatcher.py
+++ b/monsoonflow/node/dispatcher.py
@@ -4,9 +4,6 @@
 
 import logging
 
-import gevent
-from gevent.event import Event
-
 from ..backend.models import OrderDone, OrderRefused, OrderResult, OrderStamp, OrderUnclear
 from ..helpers.logfmt import pairs
 from ..serving.models import Command, SendCancel, SendLoad, SendRun, SendUnload
@@ -23,8 +20,8 @@
 
     def __init__(self, context: NodeContext) -> None:
         self._context = context
-        self._event = Event()
-        self.load_ended = Event()
+        self._event = context.tasks.flag()
+        self.load_ended = context.tasks.flag()
         self._cancelling: set[str] = set()
 
     def kick(self) -> None:
@@ -34,7 +31,7 @@
     def run(self) -> None:
         """Poll until the process ends."""
         while True:
-            self._event.wait(TICK_MS / 1000)
+            self._event.wait(TICK_MS)
             self._event.clear()
             for command in self._context.core.poll(self._context.now_ms()):
                 self._carry_out(command)
@@ -48,9 +45,9 @@
                 served.send = command
                 served.signal.notify()
             case SendLoad():
-                gevent.spawn(self._load, command)
+                self._context.tasks.spawn(self._load, command)
             case SendUnload():
-                gevent.spawn(self._unload, command)
+                self._context.tasks.spawn(self._unload, command)
             case SendCancel():
                 self._cancel(command)
 
@@ -93,7 +90,7 @@
                 return
             if command.adapter not in owned.runner.slot_by_adapter:
                 return
-            gevent.sleep(ORDER_PAUSE_MS / 1000)
+            self._context.tasks.sleep(ORDER_PAUSE_MS)
 
     def _order(self, command: SendLoad | SendUnload, send: object) -> OrderResult:
         """Send an order until its result is clear; loads and unloads are idempotent."""
@@ -108,13 +105,13 @@
             result = send(engine)
             if not isinstance(result, OrderUnclear):
                 return result
-            gevent.sleep(ORDER_PAUSE_MS / 1000)
+            self._context.tasks.sleep(ORDER_PAUSE_MS)
         return result
 
     def _cancel(self, command: SendCancel) -> None:
         if command.run_id not in self._cancelling:
             self._cancelling.add(command.run_id)
-            gevent.spawn(self._cancel_until_done, command)
+            self._context.tasks.spawn(self._cancel_until_done, command)
 
     def _cancel_until_done(self, command: SendCancel) -> None:
         """Cancel a run until its engine confirms: only then may its pin go."""
@@ -129,6 +126,6 @@
                 context.core.run_over(command.runner_id, command.run_id, context.now_ms())
                 self.kick()
             else:
-                gevent.sleep(ORDER_PAUSE_MS / 1000)
+                self._context.tasks.sleep(ORDER_PAUSE_MS)
         finally:
             self._cancelling.discard(command.run_id)
--- a/monsoonflow/node/driver.py
+++ b/monsoonflow/node/driver.py
@@ -5,8 +5,6 @@
 import logging
 from collections.abc import Iterable, Iterator
 
-import gevent
-
 from ..backend.models import (
     Began,
     Broken,
@@ -27,7 +25,7 @@
 from .const import NO_RUNNER_WAIT_MS, PLACE_PAUSE_MS, RESUME_PAUSE_MS
 from .context import NodeContext
 from .dispatcher import Dispatcher
-from .relay import RelayClient
+from .relay import Relay
 from .router import Here, Nowhere, There, place
 from .served import Served
 
@@ -37,7 +35,7 @@
 class Driver:
     """Runs one greenlet per request; all decisions are the request's life's and the core's."""
 
-    def __init__(self, context: NodeContext, dispatcher: Dispatcher, relay: RelayClient) -> None:
+    def __init__(self, context: NodeContext, dispatcher: Dispatcher, relay: Relay) -> None:
         self._context = context
         self._dispatcher = dispatcher
         self._relay = relay
@@ -47,7 +45,7 @@
         self._context.served_by_id[served.request_id] = served
         self._context.core.admission.began(served.life.terms.customer)
         self._context.retry_budget.first_try()
-        served.driver = gevent.spawn(self._drive, served, may_relay)
+        self._context.tasks.spawn(self._drive, served, may_relay)
 
     def _drive(self, served: Served, may_relay: bool) -> None:
         life = served.life
@@ -74,7 +72,7 @@
         if waited_ms > NO_RUNNER_WAIT_MS or left_ms <= PLACE_PAUSE_MS:
             served.life.give_up(reason, 1_000)
             return
-        gevent.sleep(PLACE_PAUSE_MS / 1000)
+        self._context.tasks.sleep(PLACE_PAUSE_MS)
 
     def _run_here(self, served: Served, runner_id: str) -> None:
         context, active = self._context, served.active
@@ -130,7 +128,7 @@
 
     def _pause_before_resume(self, served: Served) -> None:
         self._context.metrics.resumes.inc()
-        gevent.sleep(RESUME_PAUSE_MS * 2**served.life.resumes / 1000)
+        self._context.tasks.sleep(RESUME_PAUSE_MS * 2**served.life.resumes)
 
     def _consume(
         self, served: Served, events: Iterable[StreamEvent], runner_id: str | None = None
--- a/monsoonflow/node/health.py
+++ b/monsoonflow/node/health.py
@@ -4,8 +4,6 @@
 
 import logging
 
-import gevent
-
 from ..helpers.logfmt import pairs
 from ..platform.models import Unavailable
 from ..serving.models import Owned
@@ -26,9 +24,11 @@
     def run(self) -> None:
         """Check all owned runners side by side until the process ends."""
         while True:
-            gevent.sleep(HEALTH_EVERY_MS / 1000)
+            self._context.tasks.sleep(HEALTH_EVERY_MS)
             owned = list(self._context.core.owned_by_runner.values())
-            gevent.joinall([gevent.spawn(self._check, entry) for entry in owned], timeout=2)
+            self._context.tasks.join(
+                [self._context.tasks.spawn(self._check, entry) for entry in owned], 2000
+            )
 
     def run_vm_list(self) -> None:
         """Read the VM list until the process ends."""
@@ -36,7 +36,7 @@
             listed = self._context.vms.read()
             if not isinstance(listed, Unavailable):
                 self._context.leaving.vm_list(set(listed.leaving))
-            gevent.sleep(VM_LIST_EVERY_MS / 1000)
+            self._context.tasks.sleep(VM_LIST_EVERY_MS)
 
     def _check(self, owned: Owned) -> None:
         context = self._context
--- a/monsoonflow/node/heartbeat.py
+++ b/monsoonflow/node/heartbeat.py
@@ -4,14 +4,12 @@
 
 import logging
 
-import gevent
-
 from ..core.adapter import parse_ref
 from ..helpers.logfmt import pairs
 from ..ownership.models import OwnerRow
 from ..placement.models import RunnerView
 from ..rpc import control_pb2 as pb
-from ..rpc.client import ControlClient
+from ..rpc.client import ControlCaller
 from .config_loop import ConfigLoop
 from .context import NodeContext, RemoteRunner
 from .grants import GrantGiver
@@ -26,7 +24,7 @@
     def __init__(
         self,
         context: NodeContext,
-        client: ControlClient,
+        client: ControlCaller,
         config_loop: ConfigLoop,
         takeover: Takeover,
         giver: GrantGiver,
@@ -39,9 +37,9 @@
 
     def run(self) -> None:
         """Send heartbeats until the process ends; a configuration change sends them at once."""
-        interval_s = self._context.settings["heartbeat-ms"] / 1000
+        interval_ms = self._context.settings["heartbeat-ms"]
         while True:
-            self._config_loop.changed.wait(interval_s)
+            self._config_loop.changed.wait(interval_ms)
             self._config_loop.changed.clear()
             self.beat()
 
@@ -49,8 +47,8 @@
         """Exchange reports with every peer."""
         report = self.report()
         peers = list(self._context.membership.peer_by_incarnation.values())
-        jobs = [gevent.spawn(self._beat_one, peer.row.rpc, report) for peer in peers]
-        gevent.joinall(jobs, timeout=1.2)
+        jobs = [self._context.tasks.spawn(self._beat_one, peer.row.rpc, report) for peer in peers]
+        self._context.tasks.join(jobs, 1200)
 
     def report(self) -> pb.NodeReport:
         """Return this node's report."""
--- a/monsoonflow/node/intake.py
+++ b/monsoonflow/node/intake.py
@@ -75,7 +75,7 @@
         """Admit a request, find the one that its key names, or say why not."""
         context = self._context
         request_id = arrival.relayed_id or new_id("r")
-        if not context.takes_new_work():
+        if not context.takes_new_work() and not self._runs_here(arrival):
             return Rejected(self._not_here(arrival), request_id)
         completion = arrival.completion
         adapter = context.config.resolve(arrival.customer, completion.adapter, completion.version)
@@ -87,6 +87,15 @@
             return served
         return self._admit_keyed(arrival, served)
 
+    def _runs_here(self, arrival: Arrival) -> bool:
+        """Tell whether a key's request is already this node's.
+
+        A stopping node that answered "not run" to a repetition would send the caller elsewhere with
+        a request that is still running here.
+        """
+        key = arrival.terms.key
+        return key is not None and self._context.keys.known(arrival.customer, key) is not None
+
     def _admit_keyed(self, arrival: Arrival, served: Served) -> Admitted:
         context, key = self._context, arrival.terms.key
         assert key is not None
@@ -190,7 +199,7 @@
             repeatable=terms.repeatable,
             config_version=context.config.version,
         )
-        return Served(life, arrival.completion.data, now_ms)
+        return Served(life, arrival.completion.data, now_ms, context.tasks)
 
     def _not_here(self, arrival: Arrival) -> NotRun:
         context = self._context
--- a/monsoonflow/node/lease_loop.py
+++ b/monsoonflow/node/lease_loop.py
@@ -5,7 +5,6 @@
 import logging
 
 import attrs
-import gevent
 
 from ..helpers.hashing import rank
 from ..helpers.ids import new_id
@@ -14,7 +13,7 @@
 from ..ownership.const import LEASE_PREFIX, OWNER_PREFIX
 from ..ownership.models import Claim, LeaseRow
 from ..platform.models import Committed, Conflict, Row, Transaction, Unavailable
-from ..rpc.client import ControlClient
+from ..rpc.client import ControlCaller
 from .const import SUCCESSORS
 from .context import NodeContext, home_of
 from .rows import lease_key, owner_key, to_lease, to_owner, to_value
@@ -26,7 +25,7 @@
 class LeaseLoop:
     """Keeps the lease and the view of who owns what."""
 
-    def __init__(self, context: NodeContext, client: ControlClient, takeover: Takeover) -> None:
+    def __init__(self, context: NodeContext, client: ControlCaller, takeover: Takeover) -> None:
         self._context = context
         self._client = client
         self._takeover = takeover
@@ -39,7 +38,7 @@
         while True:
             self.renew()
             self._read_and_claim()
-            gevent.sleep(self._context.settings["poll-ms"] / 1000)
+            self._context.tasks.sleep(self._context.settings["poll-ms"])
 
     def renew(self) -> bool:
         """Renew the lease once; on lapse, begin a new life.
@@ -91,8 +90,8 @@
         # confirmed: both sets may claim, so both must promise.
         successors = tuple(sorted(self._named)) if context.me.successors else ()
         for_ms = context.timing.duration_ms
-        jobs = [gevent.spawn(self._ask_promise, name, for_ms) for name in successors]
-        gevent.joinall(jobs, timeout=1.5)
+        jobs = [self._context.tasks.spawn(self._ask_promise, name, for_ms) for name in successors]
+        self._context.tasks.join(jobs, 1500)
         held = context.lease.extend_by_promises(successors, context.now_ms())
         context.metrics.lease_held.set(held)
         _LOGGER.warning(
--- a/monsoonflow/node/load_gate.py
+++ b/monsoonflow/node/load_gate.py
@@ -4,7 +4,7 @@
 
 from ..helpers.hashing import best
 from ..rpc import control_pb2 as pb
-from ..rpc.client import ControlClient
+from ..rpc.client import ControlCaller
 from ..runner.models import LoadCandidate
 from .context import NodeContext
 from .dispatcher import Dispatcher
@@ -20,7 +20,7 @@
     def __init__(
         self,
         context: NodeContext,
-        client: ControlClient,
+        client: ControlCaller,
         dispatcher: Dispatcher,
         giver: GrantGiver,
     ) -> None:
@@ -34,7 +34,7 @@
     def run(self) -> None:
         """Ask while there is something to load, until the process ends."""
         while True:
-            self._dispatcher.load_ended.wait(ASK_EVERY_MS / 1000)
+            self._dispatcher.load_ended.wait(ASK_EVERY_MS)
             self._dispatcher.load_ended.clear()
             self.step()
 
--- a/monsoonflow/node/reaper.py
+++ b/monsoonflow/node/reaper.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import gevent
-
 from .context import NodeContext
 from .served import Served
 
@@ -20,7 +18,7 @@
     def run(self) -> None:
         """Sweep until the process ends."""
         while True:
-            gevent.sleep(EVERY_MS / 1000)
+            self._context.tasks.sleep(EVERY_MS)
             self.sweep()
 
     def sweep(self) -> None:
--- a/monsoonflow/node/relay.py
+++ b/monsoonflow/node/relay.py
@@ -4,6 +4,7 @@
 
 import ssl
 from collections.abc import Iterator
+from typing import Protocol
 
 import orjson
 
@@ -23,6 +24,26 @@
 HEADER_KEY = "Idempotency-Key"
 
 
+class Relay(Protocol):
+    """Calls other nodes as a backend."""
+
+    def run(
+        self,
+        address: str,
+        terms: Terms,
+        data: dict,
+        attempt: int,
+        time_left_ms: int,
+        keyed: dict[str, str] | None = None,
+    ) -> Iterator[StreamEvent]:
+        """Send a request to another node."""
+
+    def resume(
+        self, address: str, customer: str, request_id: str, from_index: int
+    ) -> Iterator[StreamEvent]:
+        """Continue to read a request that another node drives."""
+
+
 class RelayClient:
     """Calls other nodes as a backend."""
 
--- a/monsoonflow/node/served.py
+++ b/monsoonflow/node/served.py
@@ -5,12 +5,11 @@
 from collections.abc import Iterator
 from typing import Any
 
-import gevent
-from gevent.event import Event
-
 from ..core.clock import Clock
 from ..core.outcome import Outcome
+from ..core.tasks import Tasks
 from ..membership.view import Peer
+from ..request.const import State
 from ..request.life import RequestLife
 from ..serving.models import Active, SendRun
 
@@ -22,45 +21,44 @@
     between the look and the wait.
     """
 
-    def __init__(self) -> None:
-        self._event = Event()
+    def __init__(self, tasks: Tasks) -> None:
+        self._tasks = tasks
+        self._flag = tasks.flag()
 
     def notify(self) -> None:
         """Wake all waiters."""
-        event, self._event = self._event, Event()
-        event.set()
+        flag, self._flag = self._flag, self._tasks.flag()
+        flag.set()
 
     def wait(self, timeout_ms: int) -> bool:
         """Wait for the next change.
 
         :returns: whether there was one.
         """
-        return self._event.wait(timeout_ms / 1000)
+        return self._flag.wait(timeout_ms)
 
 
 class Served:
     """One request that this node drives for its callers.
 
     :param data: the decoded completion request.
-    :param key: the idempotency key, if the caller gave one.
     """
 
     def __init__(
-        self, life: RequestLife, data: dict[str, Any], created_ms: int, key: str | None = None
+        self, life: RequestLife, data: dict[str, Any], created_ms: int, tasks: Tasks
     ) -> None:
         self.life = life
         self.data = data
-        self.key = key
+        self.key: str | None = None
         self.created_ms = created_ms
         self.ended_ms: int | None = None
         self.first_chunk_ms: int | None = None
         self.unplaced_since_ms: int | None = None
         self.readers = 0
         self.last_read_ms = created_ms
-        self.signal = Signal()
+        self.signal = Signal(tasks)
         self.active = Active(life, self.signal.notify)
         self.send: SendRun | None = None
-        self.driver: gevent.Greenlet | None = None
         self.home_peer: Peer | None = None
         self.keyed_headers: dict[str, str] = {}
         self.remote_id = ""
@@ -70,6 +68,14 @@
         """Return the request's identifier."""
         return self.life.terms.request_id
 
+    def awaits_version(self) -> bool:
+        """Tell whether another node has still to say which version serves."""
+        return (
+            self.home_peer is not None
+            and self.life.terms.any_version
+            and self.life.state is not State.STREAMING
+        )
+
     @property
     def outcome(self) -> Outcome | None:
         """Return how the request ended, or ``None`` while it goes on."""
--- a/monsoonflow/node/service_health.py
+++ b/monsoonflow/node/service_health.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import gevent
-
 from ..helpers.http import Answer, HttpClient
 from .const import HEALTH_EVERY_MS
 from .context import NodeContext
@@ -24,9 +22,11 @@
                 for service in self._context.config.service_by_name.values()
                 for address in service.addresses
             }
-            jobs = [gevent.spawn(self._check, address) for address in sorted(addresses)]
-            gevent.joinall(jobs, timeout=3)
-            gevent.sleep(HEALTH_EVERY_MS / 1000)
+            jobs = [
+                self._context.tasks.spawn(self._check, address) for address in sorted(addresses)
+            ]
+            self._context.tasks.join(jobs, 3000)
+            self._context.tasks.sleep(HEALTH_EVERY_MS)
 
     def _check(self, address: str) -> None:
         context = self._context
--- a/monsoonflow/node/stop.py
+++ b/monsoonflow/node/stop.py
@@ -4,15 +4,13 @@
 
 import logging
 
-import gevent
-
 from ..helpers.ids import new_id
 from ..helpers.logfmt import pairs
 from ..ownership.book import preferred_owner
 from ..ownership.models import OwnerRow
 from ..platform.models import Committed, Row, Transaction
 from ..rpc import control_pb2 as pb
-from ..rpc.client import ControlClient
+from ..rpc.client import ControlCaller
 from .context import NodeContext
 from .heartbeat import Control
 from .lease_loop import LeaseLoop
@@ -30,7 +28,7 @@
         self,
         context: NodeContext,
         control: Control,
-        client: ControlClient,
+        client: ControlCaller,
         lease_loop: LeaseLoop,
     ) -> None:
         self._context = context
@@ -50,8 +48,8 @@
         for runner_id in list(context.core.owned_by_runner):
             self._hand_over(runner_id)
         while self._active() and context.now_ms() < deadline_ms:
-            gevent.sleep(POLL_MS / 1000)
-        gevent.sleep(LINGER_MS / 1000)
+            self._context.tasks.sleep(POLL_MS)
+        self._context.tasks.sleep(LINGER_MS)
         context.table.commit(
             Transaction(
                 new_id("op"),
--- a/monsoonflow/node/takeover.py
+++ b/monsoonflow/node/takeover.py
@@ -4,8 +4,6 @@
 
 import logging
 
-import gevent
-
 from ..backend.models import EngineState, OrderDone, OrderRefused
 from ..core.adapter import AdapterRef
 from ..helpers.logfmt import pairs
@@ -38,7 +36,7 @@
         if self._under_way.get(row.runner_id, 0) >= row.fence:
             return
         self._under_way[row.runner_id] = row.fence
-        gevent.spawn(self._take, row, first, runs)
+        self._context.tasks.spawn(self._take, row, first, runs)
 
     def _take(self, row: OwnerRow, first: bool, runs: dict[str, AdapterRef] | None) -> None:
         context = self._context
@@ -47,7 +45,7 @@
         while self._still_ours(row, incarnation):
             if self._fence(row):
                 break
-            gevent.sleep(FENCE_PAUSE_MS / 1000)
+            self._context.tasks.sleep(FENCE_PAUSE_MS)
         if not self._still_ours(row, incarnation):
             self._under_way.pop(row.runner_id, None)
             return
@@ -55,7 +53,7 @@
             # Runs that the earlier owner sent just before the fence show in the engine's report
             # only after its lag; read too early, they would not be pinned and their adapters could
             # be evicted under them.
-            gevent.sleep(context.settings["report-lag-ms"] / 1000)
+            self._context.tasks.sleep(context.settings["report-lag-ms"])
         state = self._read_state(row, incarnation)
         self._under_way.pop(row.runner_id, None)
         if state is None:
@@ -88,7 +86,7 @@
             state = context.engine(row.runner_id).state()
             if state is not None:
                 return state
-            gevent.sleep(FENCE_PAUSE_MS / 1000)
+            self._context.tasks.sleep(FENCE_PAUSE_MS)
         return None
 
     def _adopt(
--- a/monsoonflow/platform/models.py
+++ b/monsoonflow/platform/models.py
@@ -76,6 +76,19 @@
         """Write a transaction and settle an unclear answer."""
 
 
+class RawTable(Protocol):
+    """The table service as its protocol gives it: a commit may end unclear."""
+
+    def get(self, key: str) -> Row | None | Unavailable:
+        """Return a row; ``None`` means that the service said there is none."""
+
+    def scan(self, prefix: str, after: str = "") -> list[Row] | Unavailable:
+        """Return the rows under a prefix in key order, those after a key only."""
+
+    def commit_once(self, transaction: Transaction) -> CommitResult:
+        """Send a transaction once."""
+
+
 class ObjectStore(Protocol):
     """The object store."""
 
--- a/monsoonflow/platform/table.py
+++ b/monsoonflow/platform/table.py
@@ -2,20 +2,15 @@
 
 from __future__ import annotations
 
-import logging
-import time
 from urllib.parse import quote
 
 from ..helpers.http import Answer, HttpClient, Lost
-from ..helpers.logfmt import pairs
-from .const import CALL_TIMEOUT_MS, COMMIT_TRIES, RETRY_PAUSE_MS
+from .const import CALL_TIMEOUT_MS
 from .models import CommitResult, Committed, Conflict, Row, Transaction, Unavailable
 
-_LOGGER = logging.getLogger(__name__)
-
 
 class HttpTable:
-    """A client of the table service with deadlines and bounded retries."""
+    """A client of the table service with deadlines; each call is sent once."""
 
     def __init__(self, base_url: str, timeout_ms: int = CALL_TIMEOUT_MS) -> None:
         self._base_url = base_url.rstrip("/")
@@ -50,28 +45,8 @@
             case Lost(reason=reason):
                 return Unavailable(reason)
 
-    def commit(self, transaction: Transaction) -> CommitResult:
-        """Write a transaction and settle an unclear answer.
-
-        An answer can be lost after the effect. The same conditional transaction is sent again: at
-        most one sending can take effect, since the first changes the versions that the others are
-        bound to. A conflict after an unclear try is settled by the operation id in the row.
-        """
-        unclear = False
-        for _ in range(COMMIT_TRIES):
-            result = self._commit_once(transaction)
-            match result:
-                case Committed():
-                    return result
-                case Conflict():
-                    return self._settle(transaction) if unclear else result
-                case Unavailable(ambiguous=ambiguous):
-                    unclear = unclear or ambiguous
-            time.sleep(RETRY_PAUSE_MS / 1000)
-        _LOGGER.warning("%s", pairs(event="commit_unclear", operation=transaction.operation_id))
-        return Unavailable("no answer", ambiguous=unclear)
-
-    def _commit_once(self, transaction: Transaction) -> CommitResult:
+    def commit_once(self, transaction: Transaction) -> CommitResult:
+        """Send a transaction once."""
         self.writes += 1
         stamp = {"op": transaction.operation_id}
         body = {
@@ -92,15 +67,6 @@
             case Lost(sent=sent, reason=reason):
                 return Unavailable(reason, ambiguous=sent)
 
-    def _settle(self, transaction: Transaction) -> CommitResult:
-        for key in transaction.puts:
-            row = self.get(key)
-            if isinstance(row, Unavailable):
-                return Unavailable(row.reason, ambiguous=True)
-            if row is not None and row.value.get("op") == transaction.operation_id:
-                return Committed(row.version)
-        return Conflict()
-
 
 def _row(entry: dict) -> Row:
     return Row(entry["key"], entry["version"], entry["value"])
--- a/monsoonflow/platform/vms.py
+++ b/monsoonflow/platform/vms.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 import attrs
 
 from ..helpers.http import Answer, HttpClient
@@ -17,6 +19,13 @@
     leaving: frozenset[str]
 
 
+class VmListReader(Protocol):
+    """The platform's list of VMs."""
+
+    def read(self) -> VmList | Unavailable:
+        """Return the list."""
+
+
 class HttpVmList:
     """A client of the VM list."""
 
--- a/monsoonflow/routing/keys.py
+++ b/monsoonflow/routing/keys.py
@@ -56,6 +56,11 @@
     def __len__(self) -> int:
         return len(self._entry_by_key)
 
+    def known(self, customer: str, key: str) -> str | None:
+        """Return the request that a key stands for, if any."""
+        entry = self._entry_by_key.get((customer, key))
+        return entry.request_id if entry is not None else None
+
     def admit(
         self, customer: str, key: str, body_digest: bytes, request_id: str, now_ms: int
     ) -> KeyVerdict:
--- a/monsoonflow/rpc/client.py
+++ b/monsoonflow/rpc/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Protocol
 
 import grpc
 
@@ -11,6 +11,25 @@
 from .const import CALL_TIMEOUT_MS, CHANNEL_OPTIONS, TOKEN_METADATA
 
 
+class ControlCaller(Protocol):
+    """The control calls that a node makes."""
+
+    def heartbeat(self, address: str, report: pb.NodeReport) -> pb.NodeReport | None:
+        """Exchange reports with a node; ``None`` when it did not answer."""
+
+    def promise(self, address: str, holder: str, for_ms: int) -> bool:
+        """Ask a successor for its promise not to claim."""
+
+    def hand_over(self, address: str, request: pb.HandOverRequest) -> bool:
+        """Hand a runner over."""
+
+    def grant_load(self, address: str, request: pb.GrantRequest) -> bool | None:
+        """Ask for the fleet's next load; ``None`` when the grant-giver did not answer."""
+
+    def changes(self, address: str, after_version: int) -> pb.ChangesReply | None:
+        """Fetch configuration changes from a node."""
+
+
 class ControlClient:
     """Keeps one channel per node that it calls."""
 
--- /dev/null
+++ b/tests/randomised/__init__.py
@@ -0,0 +1,1 @@
+"""Runs whole nodes with small fakes in virtual time, from a seed."""
--- /dev/null
+++ b/tests/randomised/scenario.py
@@ -0,0 +1,445 @@
+"""One seeded run: nodes, engines, callers, operators and faults; and what must hold."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from monsoonflow.client import Client, Reply
+from monsoonflow.configuration.models import Plan
+from monsoonflow.configuration.planner import IntentError, PlanRequest, propose
+from monsoonflow.core.outcome import Done, NotRun, tag
+from monsoonflow.helpers import ids
+from monsoonflow.node.assembly import assemble
+from monsoonflow.node.context import Edges
+from monsoonflow.node.settings import NodeSettings, load_settings
+from monsoonflow.platform.settling import SettlingTable
+from script.fleet import bring_in_intent
+from stand_ins.text import expected_text
+
+from .fakes import (
+    EngineClient,
+    FakeEngine,
+    FakeObjects,
+    FakeTable,
+    FakeVms,
+    Record,
+    TableClient,
+    Weather,
+)
+from .network import CallerTransport, ControlFake, Network, Process, RelayFake
+from .virtual import VirtualTasks, World
+
+ENGINES = 4
+NODES = 5
+ADAPTERS = 12
+CUSTOMERS = ("ledger", "harbor")
+QUIET_MS = 45_000
+DEADLINE_MS = 20_000
+
+
+@attrs.define
+class Asked:
+    """One request of a caller and its end."""
+
+    model: str
+    prompt: str
+    tokens: int
+    repeatable: bool
+    reply: Reply | None = None
+
+
+class Scenario:
+    """Runs one seed."""
+
+    def __init__(self, seed: int, busy_ms: int = 40_000, requests: int = 160) -> None:
+        self.seed = seed
+        self.busy_ms = busy_ms
+        self.requests = requests
+        self.rng = random.Random(seed)
+        id_rng = random.Random(seed + 1)
+        ids.use_source(lambda count: id_rng.randbytes(count).hex())
+        self.world = World()
+        self.weather = Weather(random.Random(seed + 2))
+        self.network = Network(self.world, self.weather)
+        self.table = FakeTable()
+        self.objects = FakeObjects()
+        self.vms = FakeVms()
+        self.record = Record()
+        self.engine_by_address = {
+            f"engine-{number}": FakeEngine(
+                self.world, self.weather, f"engine-{number}", number % 2 == 0, self.record
+            )
+            for number in range(ENGINES)
+        }
+        self.processes: dict[str, Process] = {}
+        self.asked: list[Asked] = []
+        self.accepted: list[str] = []
+        self.versions: dict[str, int] = {}
+        self.outside = VirtualTasks(self.world)
+        self.faults_on = True
+
+    # Running
+
+    def run(self) -> list[str]:
+        """Run the seed and return every broken promise."""
+        for number in range(NODES):
+            self.start_node(f"node-{number}")
+        self.outside.spawn(self._configure)
+        self.world.run(8_000)
+        self.outside.spawn(self._traffic, self.requests)
+        for fault in self._faults():
+            self.outside.spawn(self._repeat, fault)
+        self.outside.spawn(self._operators)
+        self.world.run(8_000 + self.busy_ms)
+        self._heal()
+        self.world.run(8_000 + self.busy_ms + QUIET_MS)
+        before = len(self.asked)
+        self.outside.spawn(self._traffic, 20)
+        self.world.run(8_000 + self.busy_ms + 2 * QUIET_MS)
+        return self._judge(before)
+
+    def start_node(self, name: str) -> Process:
+        """Start a node process, under a new address."""
+        tasks = VirtualTasks(self.world)
+        process = Process(name, tasks)
+        address = f"10.0.{len(self.network.process_by_address)}.1"
+        settings = node_settings(name, address)
+        table = TableClient(self.world, self.weather, tasks, self.table, name)
+        edges = Edges(
+            table=SettlingTable(table, tasks),
+            objects=self.objects,
+            vms=self.vms,
+            control=ControlFake(self.network, tasks, name),
+            relay=RelayFake(self.network, tasks, name),
+            open_engine=lambda address: EngineClient(
+                self.world, self.weather, tasks, self.engine_by_address[address]
+            ),
+        )
+        rng = random.Random(self.rng.random())
+        process.node = assemble(settings, self.world, tasks, edges, rng)
+        self.processes[name] = process
+        self.network.process_by_address[settings["http"]] = process
+        self.network.process_by_address[settings["rpc"]] = process
+        tasks.spawn(self._boot, process)
+        return process
+
+    def _boot(self, process: Process) -> None:
+        process.node.config_loop.load()
+        for loop in process.node.loops:
+            process.tasks.spawn(loop)
+        process.tasks.spawn(self._watch_version, process)
+
+    def _watch_version(self, process: Process) -> None:
+        """Assert from outside that a node's configuration never goes back."""
+        seen = 0
+        while True:
+            version = process.node.context.config.version
+            if version < seen:
+                self.record.violations.append(f"{process.name} went from {seen} to {version}")
+            seen = version
+            process.tasks.sleep(200)
+
+    def _configure(self) -> None:
+        for address, engine in self.engine_by_address.items():
+            runner = {
+                "runner_id": address,
+                "address": address,
+                "base_model": "base-1",
+                "data_centre": "dc-1",
+                "checks_fencing": engine.checks_fencing,
+                "draining": False,
+            }
+            self._apply("node-0", {"kind": "put_runner", "runner": runner})
+        for customer in CUSTOMERS:
+            self._apply("node-1", bring_in_intent(customer, ADAPTERS // 2))
+
+    def _apply(self, name: str, intent: dict) -> bool:
+        """Propose and confirm in the node's own process; tell whether it was accepted."""
+        process = self.processes[name]
+        done = self.outside.flag()
+        result: list[bool] = []
+
+        def work() -> None:
+            result.append(self._propose_and_confirm(process, intent))
+            done.set()
+
+        process.tasks.deliver(lambda: process.tasks.spawn(work))
+        done.wait(20_000)
+        return bool(result and result[0])
+
+    def _propose_and_confirm(self, process: Process, intent: dict) -> bool:
+        config_loop, context = process.node.config_loop, process.node.context
+        config_loop.read()
+        request = PlanRequest(ids.new_id("p"), "operator", 1, 3.0)
+        plan = propose(intent, context.config, request)
+        if isinstance(plan, IntentError):
+            return False
+        if not config_loop.store.save_plan(plan, ids.new_id("op")):
+            return False
+        confirmed = config_loop.store.confirm(plan.plan_id, ids.new_id("op"), 1)
+        if not isinstance(confirmed, Plan):
+            self.weather.count("plans refused")
+            return False
+        self.accepted.append(plan.plan_id)
+        config_loop.read()
+        return True
+
+    # Callers and operators
+
+    def _traffic(self, count: int) -> None:
+        for _ in range(count):
+            number = len(self.asked)
+            customer = self.rng.choice(CUSTOMERS)
+            adapter = min(int(self.rng.paretovariate(0.8)) - 1, ADAPTERS // 2 - 1)
+            model = f"{customer}-{adapter}" + self.rng.choice(("", "@1", "@2"))
+            tokens = self.rng.choice((3, 10, 60, 200))
+            asked = Asked(model, f"prompt-{number}", tokens, self.rng.random() < 0.5)
+            self.asked.append(asked)
+            self.outside.spawn(self._ask, asked, customer)
+            self.outside.sleep(self.rng.expovariate(1 / (self.busy_ms / self.requests)))
+
+    def _ask(self, asked: Asked, customer: str) -> None:
+        addresses = [
+            process.node.context.me.http
+            for process in self.processes.values()
+            if not process.tasks.dead
+        ]
+        self.rng.shuffle(addresses)
+        transport = CallerTransport(self.network, self.outside, customer)
+        client = Client(addresses, "", self.world, transport)
+        asked.reply = client.complete(
+            asked.model, asked.prompt, asked.tokens, asked.repeatable, deadline_ms=DEADLINE_MS
+        )
+        self.weather.count(f"outcome {tag(asked.reply.outcome)}")
+
+    def _operators(self) -> None:
+        """Two operators race with moves of the same adapters."""
+        while self.faults_on:
+            for _ in range(2):
+                customer = self.rng.choice(CUSTOMERS)
+                intent = {
+                    "kind": "move_version",
+                    "adapter": f"{customer}-{self.rng.randrange(ADAPTERS // 2)}",
+                    "version": self.rng.choice((1, 2)),
+                    "close_previous": False,
+                }
+                name = self.rng.choice(sorted(self.processes))
+                self.outside.spawn(self._apply, name, intent)
+            self.outside.sleep(self.rng.uniform(1_000, 4_000))
+
+    # Faults
+
+    def _faults(self) -> list[Callable[[], None]]:
+        return [
+            self._kill,
+            self._freeze,
+            self._stop,
+            self._table_down,
+            self._cut_from_table,
+            self._cut_pair,
+            self._lose_answers,
+            self._restart_engine,
+            self._silence,
+            self._cut_streams,
+            self._fail_loads,
+            self._leave_engine,
+        ]
+
+    def _repeat(self, fault: Callable[[], None]) -> None:
+        """Bring a fault about now and then; several run side by side."""
+        while True:
+            self.outside.sleep(self.rng.uniform(2_000, 28_000))
+            if not self.faults_on:
+                return
+            self.weather.count(f"fault {fault.__name__.strip('_')}")
+            fault()
+
+    def _some_process(self) -> Process:
+        return self.processes[self.rng.choice(sorted(self.processes))]
+
+    def _kill(self) -> None:
+        process = self._some_process()
+        process.tasks.kill()
+        self.outside.sleep(self.rng.uniform(100, 3_000))
+        self._replace(process)
+
+    def _replace(self, process: Process) -> None:
+        if self.processes[process.name] is process:
+            self.start_node(process.name)
+
+    def _freeze(self) -> None:
+        process = self._some_process()
+        process.tasks.freeze()
+        self.outside.sleep(self.rng.uniform(500, 9_000))
+        process.tasks.thaw()
+
+    def _stop(self) -> None:
+        process = self._some_process()
+        if process.stopped or process.tasks.dead:
+            return
+        process.stopped = True
+        process.tasks.deliver(lambda: process.tasks.spawn(self._stop_now, process))
+
+    def _stop_now(self, process: Process) -> None:
+        process.node.stopper.run()
+        left = [
+            served.request_id
+            for served in process.node.context.served_by_id.values()
+            if not served.life.ended
+        ]
+        if left:
+            self.record.violations.append(f"graceful stop of {process.name} cut {left}")
+        self.weather.count("graceful stops ended")
+        process.tasks.kill()
+        self.world.later(500, lambda: self._replace(process))
+
+    def _table_down(self) -> None:
+        self.weather.table_down = True
+        self.outside.sleep(self.rng.choice((500, 2_000, 9_000)))
+        self.weather.table_down = False
+
+    def _cut_from_table(self) -> None:
+        name = self._some_process().name
+        self.weather.cut_from_table.add(name)
+        self.outside.sleep(self.rng.uniform(1_000, 8_000))
+        self.weather.cut_from_table.discard(name)
+
+    def _cut_pair(self) -> None:
+        pair = frozenset(self.rng.sample(sorted(self.processes), 2))
+        self.weather.cut_pairs.add(pair)
+        self.outside.sleep(self.rng.uniform(1_000, 8_000))
+        self.weather.cut_pairs.discard(pair)
+
+    def _lose_answers(self) -> None:
+        self.weather.lose = 0.15
+        self.outside.sleep(3_000)
+        self.weather.lose = 0.0
+
+    def _some_engine(self) -> FakeEngine:
+        return self.engine_by_address[self.rng.choice(sorted(self.engine_by_address))]
+
+    def _restart_engine(self) -> None:
+        self._some_engine().boot()
+
+    def _silence(self) -> None:
+        """Open connections fall silent for good; new ones work."""
+        for channel in self.network.channels + self._some_engine().channels:
+            if self.rng.random() < 0.5:
+                channel.silent = True
+
+    def _cut_streams(self) -> None:
+        for channel in self.network.channels + self._some_engine().channels:
+            if self.rng.random() < 0.5:
+                channel.cut()
+
+    def _fail_loads(self) -> None:
+        self.weather.fail_loads = 0.3
+        self.outside.sleep(4_000)
+        self.weather.fail_loads = 0.0
+
+    def _leave_engine(self) -> None:
+        engine = self._some_engine()
+        engine.leaving = True
+        self.outside.sleep(self.rng.uniform(3_000, 8_000))
+        engine.leaving = False
+        engine.boot()
+
+    def _heal(self) -> None:
+        self.faults_on = False
+        self.weather.table_down = False
+        self.weather.cut_from_table.clear()
+        self.weather.cut_pairs.clear()
+        self.weather.lose = self.weather.fail_loads = 0.0
+        for engine in self.engine_by_address.values():
+            if engine.leaving:
+                engine.leaving = False
+                engine.boot()
+        for process in self.processes.values():
+            if process.tasks.frozen:
+                process.tasks.thaw()
+
+    # What must hold
+
+    def _judge(self, healed_from: int) -> list[str]:
+        broken = list(self.record.violations)
+        for number, asked in enumerate(self.asked):
+            broken += self._judge_one(asked, must_end_well=number >= healed_from)
+        broken += self._judge_configuration()
+        owned = [
+            (name, runner)
+            for name, process in self.processes.items()
+            for runner in process.node.context.core.owned_by_runner
+        ]
+        if sorted(runner for _, runner in owned) != sorted(self.engine_by_address):
+            broken.append(f"after healing, runners are owned as {owned}")
+        return broken
+
+    def _judge_one(self, asked: Asked, must_end_well: bool) -> list[str]:
+        runs = self.record.runs_by_prompt.get(asked.prompt, 0)
+        if asked.reply is None:
+            return [f"{asked} never ended"]
+        broken = []
+        outcome = asked.reply.outcome
+        if not asked.repeatable and runs > 1:
+            broken.append(f"{asked} may not be repeated and ran {runs} times")
+        if isinstance(outcome, NotRun) and runs:
+            broken.append(f"{asked} was told not run and ran {runs} times")
+        if isinstance(outcome, Done):
+            broken += self._judge_text(asked)
+        elif must_end_well:
+            broken.append(f"{asked} did not end well after healing")
+        return broken
+
+    def _judge_text(self, asked: Asked) -> list[str]:
+        reply = asked.reply
+        assert reply is not None
+        name, _, version = asked.model.partition("@")
+        right = reply.model == asked.model if version else reply.model.startswith(f"{name}@")
+        expected = expected_text(reply.model, asked.prompt, asked.tokens)
+        if right and reply.text == expected:
+            return []
+        return [f"{asked} got a wrong or foreign answer"]
+
+    def _judge_configuration(self) -> list[str]:
+        broken = []
+        head = self.table.rows["config/head"][1]["version"]
+        for name, process in self.processes.items():
+            version = process.node.context.config.version
+            if version != head:
+                broken.append(f"{name} is at version {version}, the head is {head}")
+        for plan_id in self.accepted:
+            state = self.table.rows[f"plan/{plan_id}"][1]["state"]
+            if state not in ("running", "done"):
+                broken.append(f"accepted plan {plan_id} is {state}")
+        return broken
+
+
+def node_settings(name: str, address: str) -> NodeSettings:
+    """Return a node's settings for a run."""
+    settings = load_settings(
+        {
+            "node": name,
+            "data-centre": "dc-1",
+            "http": f"{address}:80",
+            "rpc": f"{address}:81",
+            "table": "http://table",
+            "objects": "http://objects",
+            "vms": "http://vms",
+            "loads-per-second": "6",
+            "operator-token": "operator-token-0123456789",
+            "node-token": "node-token-0123456789abcd",
+            "poll-ms": "400",
+            "heartbeat-ms": "300",
+            "lease-ms": "3000",
+            "lease-margin-ms": "500",
+            "max-outage-ms": "12000",
+            "silence-ms": "3000",
+            "report-lag-ms": "600",
+        },
+        {},
+    )
+    assert isinstance(settings, NodeSettings), settings
+    return settings
