--- a/monsoonflow/api/callers.py
+++ b/monsoonflow/api/callers.py
@@ -151,8 +151,8 @@
     def _wait_for_head(self, served: Served) -> None:
         """Wait a moment for the first chunk, so that an early refusal gets its own status.
 
-        A key's home may have pinned another version than this node would; the head tells the version,
-        so it has to wait for the home's word.
+        A key's home may have pinned another version than this node would; the head tells which, so
+        it has to wait for the home's word.
         """
         while served.awaits_version() and not served.life.ended:
             served.signal.wait(HEAD_WAIT_MS)
--- a/monsoonflow/node/assembly.py
+++ b/monsoonflow/node/assembly.py
@@ -65,9 +65,10 @@
         config_loop=config_loop,
         control=control,
         intake=Intake(context, driver, Claims(context.table, tasks)),
-        stopper=GracefulStop(context, control, edges.control, lease_loop),
+        stopper=GracefulStop(context, control, edges.control, lease_loop, dispatcher),
         loops=(
             lease_loop.run,
+            lease_loop.run_promises,
             config_loop.run,
             config_loop.run_plans,
             control.run,
--- a/monsoonflow/node/dispatcher.py
+++ b/monsoonflow/node/dispatcher.py
@@ -23,11 +23,21 @@
         self._event = context.tasks.flag()
         self.load_ended = context.tasks.flag()
         self._cancelling: set[str] = set()
+        self._orders_by_runner: dict[str, int] = {}
+        self._ended_by_runner: dict[str, int] = {}
 
     def kick(self) -> None:
         """Ask for a poll soon; several kicks make one poll."""
         self._event.set()
 
+    def order_mark(self, runner_id: str) -> int | None:
+        """Return a number that changes with each order to a runner; ``None`` while one is out.
+
+        Two equal marks tell that what the engine said in between is no older than any order.
+        """
+        sent = self._orders_by_runner.get(runner_id, 0)
+        return sent if sent == self._ended_by_runner.get(runner_id, 0) else None
+
     def run(self) -> None:
         """Poll until the process ends."""
         while True:
@@ -94,6 +104,14 @@
 
     def _order(self, command: SendLoad | SendUnload, send: object) -> OrderResult:
         """Send an order until its result is clear; loads and unloads are idempotent."""
+        runner_id = command.runner_id
+        self._orders_by_runner[runner_id] = self._orders_by_runner.get(runner_id, 0) + 1
+        try:
+            return self._order_until_clear(command, send)
+        finally:
+            self._ended_by_runner[runner_id] = self._ended_by_runner.get(runner_id, 0) + 1
+
+    def _order_until_clear(self, command: SendLoad | SendUnload, send: object) -> OrderResult:
         context = self._context
         result: OrderResult = OrderRefused("not sent")
         for _ in range(ORDER_TRIES):
--- a/monsoonflow/node/driver.py
+++ b/monsoonflow/node/driver.py
@@ -21,7 +21,8 @@
 from ..membership.view import Peer
 from ..request.const import State
 from ..request.models import ChunkVerdict, End, NextStep, Resume, Retry
-from ..serving.models import SendRun
+from ..routing.limits import Refusal
+from ..serving.models import NotOwner, SendRun
 from .const import NO_RUNNER_WAIT_MS, PLACE_PAUSE_MS, RESUME_PAUSE_MS
 from .context import NodeContext
 from .dispatcher import Dispatcher
@@ -30,6 +31,7 @@
 from .served import Served
 
 _LOGGER = logging.getLogger(__name__)
+REFUSED_PAUSE_MS = 300
 
 
 class Driver:
@@ -77,9 +79,13 @@
     def _run_here(self, served: Served, runner_id: str) -> None:
         context, active = self._context, served.active
         refusal = context.core.submit(active, runner_id, context.now_ms())
-        if refusal is not None:
-            served.life.give_up(refusal.reason, refusal.retry_after_ms, refusal.status)
-            return
+        match refusal:
+            case NotOwner(reason=reason):
+                self._wait_for_place(served, reason)
+                return
+            case Refusal(reason=reason, retry_after_ms=retry_after_ms, status=status):
+                served.life.give_up(reason, retry_after_ms, status)
+                return
         served.unplaced_since_ms = None
         self._dispatcher.kick()
         while served.send is None:
@@ -151,9 +157,7 @@
         """Return the next step that an event leads to, and whether the run is over."""
         life = served.life
         match event:
-            case Began(served=name, boot_id=boot_id, request_id=remote_id):
-                if runner_id is not None and boot_id:
-                    self._context.core.restarted(runner_id, boot_id)
+            case Began(served=name, request_id=remote_id):
                 served.remote_id = remote_id or served.remote_id
                 return life.begin(attempt, name), False
             case Chunk(index=index, text=text):
@@ -166,20 +170,19 @@
             case Ended(count=count, digest=digest):
                 return life.finish(attempt, count, digest), True
             case _:
-                return self._take_loss(served, event, attempt)
+                return self._take_loss(served, event, attempt, runner_id)
 
     def _take_loss(
-        self, served: Served, event: StreamEvent, attempt: int
+        self, served: Served, event: StreamEvent, attempt: int, runner_id: str | None
     ) -> tuple[NextStep | None, bool]:
         """Return the next step after a refusal or a loss, and whether the run is over."""
         life = served.life
         offered = life.state is State.OFFERED
         match event:
-            case Refused() if offered:
-                refused = life.refused(attempt, event.reason, event.retry_after_ms, event.status)
+            case Refused():
+                wait_ms = REFUSED_PAUSE_MS if runner_id is not None else event.retry_after_ms
+                refused = life.refused(attempt, event.reason, wait_ms, event.status)
                 return refused, True
-            case Refused(reason=reason):
-                return life.resume_refused(attempt, reason), True
             case Broken(reason=reason):
                 return life.resume_refused(attempt, reason), False
             case Unclear(reason=reason):
--- a/monsoonflow/node/grants.py
+++ b/monsoonflow/node/grants.py
@@ -12,7 +12,7 @@
 from ..rpc import control_pb2 as pb
 
 FRESH_MS = 400
-GRANT_TIMEOUT_MS = 30_000
+HOLD_MS = 3_000
 
 
 @attrs.frozen(slots=True)
@@ -39,6 +39,10 @@
             if self._granted_to == request.incarnation:
                 self._granted_to = None
             return False
+        if request.holding:
+            if self._granted_to == request.incarnation:
+                self._granted_ms = now_ms
+            return False
         wish = _Wish((request.overdue, request.score), now_ms)
         self._wish_by_incarnation[request.incarnation] = wish
         if not self._idle(now_ms) or not self._first(request.incarnation, now_ms):
@@ -52,8 +56,9 @@
     def _idle(self, now_ms: int) -> bool:
         if now_ms < self._next_ms:
             return False
-        # A node that was lost with its grant would stop all loads; its grant ends by itself.
-        return self._granted_to is None or now_ms - self._granted_ms > GRANT_TIMEOUT_MS
+        # A node that was lost with its grant would stop all loads: a holder says now and then that
+        # it still loads, and a grant that nobody speaks for ends by itself.
+        return self._granted_to is None or now_ms - self._granted_ms > HOLD_MS
 
     def _first(self, incarnation: str, now_ms: int) -> bool:
         fresh = {
--- a/monsoonflow/node/health.py
+++ b/monsoonflow/node/health.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from ..backend.models import EngineState
 from ..helpers.logfmt import pairs
 from ..platform.models import Unavailable
 from ..serving.models import Owned
@@ -45,6 +46,7 @@
         if entry is None:
             return
         asked_ms = context.now_ms()
+        mark = self._dispatcher.order_mark(runner_id)
         state = context.engine(runner_id).state()
         if context.core.owned_by_runner.get(runner_id) is not owned:
             return
@@ -52,9 +54,10 @@
             context.leaving.check_failed(entry.address)
         else:
             context.leaving.answered(entry.address, state.boot_id, state.leaving)
-            context.core.restarted(runner_id, state.boot_id)
-            for run_id in owned.foreign_runs - set(state.running):
-                context.core.run_over(runner_id, run_id, asked_ms)
+            if mark is not None and mark == self._dispatcher.order_mark(runner_id):
+                resident = set(state.resident)
+                context.core.reconcile(runner_id, owned.fence, state.boot_id, resident)
+            self._end_foreign_runs(owned, state, asked_ms)
         reason = context.leaving.reason(entry.address)
         if owned.takes_new_work != (reason is None):
             context.journal.record(
@@ -68,6 +71,18 @@
             self._move_waiting(owned)
         self._dispatcher.kick()
 
+    def _end_foreign_runs(self, owned: Owned, state: EngineState, asked_ms: int) -> None:
+        """Release the pins of an earlier owner's runs that the engine no longer reports.
+
+        A run sent just before the runner changed hands is missing from reports that are older than
+        its start; its pin stays until reports have caught up.
+        """
+        settled_ms = owned.taken_ms + 2 * self._context.settings["report-lag-ms"]
+        if asked_ms < settled_ms:
+            return
+        for run_id in sorted(owned.foreign_runs - set(state.running)):
+            self._context.core.run_over(owned.runner.runner_id, run_id, asked_ms)
+
     def _move_waiting(self, owned: Owned) -> None:
         """Send the requests that wait at a leaving runner elsewhere; none of them was offered."""
         if owned.runner.queued:
--- a/monsoonflow/node/lease_loop.py
+++ b/monsoonflow/node/lease_loop.py
@@ -20,6 +20,7 @@
 from .takeover import Takeover
 
 _LOGGER = logging.getLogger(__name__)
+PROMISE_STEPS = 8
 
 
 class LeaseLoop:
@@ -63,7 +64,7 @@
         if context.me.incarnation != incarnation:
             return False
         if not written:
-            return self._extend()
+            return context.lease.held(context.now_ms())
         context.me = context.membership.me = me
         self._named = set(me.successors)
         held = context.lease.renewed(sent_ms, context.now_ms())
@@ -83,6 +84,19 @@
                 self.row_version = row.version
         return False
 
+    def run_promises(self) -> None:
+        """Carry the lease over outages of the table, until the process ends.
+
+        A task of its own: a renewal that gets no answer waits for longer than the lease lasts, and
+        the promises would come too late.
+        """
+        step_ms = self._context.timing.duration_ms // PROMISE_STEPS
+        while True:
+            self._context.tasks.sleep(step_ms)
+            remaining_ms = self._context.lease.remaining_ms(self._context.now_ms())
+            if 0 < remaining_ms < self._context.timing.duration_ms // 2:
+                self._extend()
+
     def _extend(self) -> bool:
         """Carry the lease over an outage by the successors' promises."""
         context = self._context
@@ -91,7 +105,7 @@
         successors = tuple(sorted(self._named)) if context.me.successors else ()
         for_ms = context.timing.duration_ms
         jobs = [self._context.tasks.spawn(self._ask_promise, name, for_ms) for name in successors]
-        self._context.tasks.join(jobs, 1500)
+        self._context.tasks.join(jobs, context.timing.duration_ms // PROMISE_STEPS)
         held = context.lease.extend_by_promises(successors, context.now_ms())
         context.metrics.lease_held.set(held)
         _LOGGER.warning(
--- a/monsoonflow/node/load_gate.py
+++ b/monsoonflow/node/load_gate.py
@@ -12,6 +12,7 @@
 
 ASK_EVERY_MS = 50
 FALLBACK_MS = 3_000
+HOLD_EVERY_MS = 1_000
 
 
 class LoadGate:
@@ -30,6 +31,7 @@
         self._giver = giver
         self._fallback_until_ms = 0
         self._granted_by: str | None = None
+        self._held_ms = 0
 
     def run(self) -> None:
         """Ask while there is something to load, until the process ends."""
@@ -44,7 +46,10 @@
         self._set_share()
         now_ms = context.now_ms()
         core.granted_by_fleet = now_ms >= self._fallback_until_ms
-        if not core.granted_by_fleet or core.share.loading():
+        if core.loads_under_way():
+            self._hold(now_ms)
+            return
+        if not core.granted_by_fleet:
             return
         self._give_back()
         candidates = core.load_candidates(now_ms)
@@ -59,22 +64,19 @@
     def _ask(self, chosen: LoadCandidate) -> bool:
         address = self._giver_address()
         request = pb.GrantRequest(
-            incarnation=self._context.me.incarnation,
+            incarnation=self._context.home,
             runner_id=chosen.runner_id,
             adapter=str(chosen.adapter),
             score=chosen.score,
             overdue=chosen.overdue,
         )
-        granted = (
-            self._giver.ask(request)
-            if address == self._context.me.rpc
-            else self._client.grant_load(address, request)
-        )
+        granted = self._tell(address, request)
         if granted is None:
             self._fallback_until_ms = self._context.now_ms() + FALLBACK_MS
             return False
         if granted:
             self._granted_by = address
+            self._held_ms = self._context.now_ms()
         return granted
 
     def _give_back(self) -> None:
@@ -82,11 +84,19 @@
         if self._granted_by is None:
             return
         address, self._granted_by = self._granted_by, None
-        request = pb.GrantRequest(incarnation=self._context.me.incarnation, finished=True)
+        self._tell(address, pb.GrantRequest(incarnation=self._context.home, finished=True))
+
+    def _hold(self, now_ms: int) -> None:
+        """Tell the giver now and then that the granted load goes on."""
+        if self._granted_by is None or now_ms - self._held_ms < HOLD_EVERY_MS:
+            return
+        self._held_ms = now_ms
+        self._tell(self._granted_by, pb.GrantRequest(incarnation=self._context.home, holding=True))
+
+    def _tell(self, address: str, request: pb.GrantRequest) -> bool | None:
         if address == self._context.me.rpc:
-            self._giver.ask(request)
-        else:
-            self._client.grant_load(address, request)
+            return self._giver.ask(request)
+        return self._client.grant_load(address, request)
 
     def _giver_address(self) -> str:
         context = self._context
--- a/monsoonflow/node/stop.py
+++ b/monsoonflow/node/stop.py
@@ -12,6 +12,7 @@
 from ..rpc import control_pb2 as pb
 from ..rpc.client import ControlCaller
 from .context import NodeContext
+from .dispatcher import Dispatcher
 from .heartbeat import Control
 from .lease_loop import LeaseLoop
 from .rows import lease_key, owner_key, to_owner, to_value
@@ -19,6 +20,7 @@
 _LOGGER = logging.getLogger(__name__)
 POLL_MS = 50
 LINGER_MS = 300
+ORDERS_WAIT_MS = 5_000
 
 
 class GracefulStop:
@@ -30,11 +32,13 @@
         control: Control,
         client: ControlCaller,
         lease_loop: LeaseLoop,
+        dispatcher: Dispatcher,
     ) -> None:
         self._context = context
         self._control = control
         self._client = client
         self._lease_loop = lease_loop
+        self._dispatcher = dispatcher
 
     def run(self) -> None:
         """Stop; returns when the last request has ended or the longest time is over."""
@@ -74,7 +78,9 @@
         and takes the runner the slow way. This node sends no order from the moment it decides.
         """
         context = self._context
-        owned = context.core.owned_by_runner[runner_id]
+        owned = context.core.owned_by_runner.get(runner_id)
+        if owned is None:
+            return
         peers = {peer.row.node: peer for peer in context.membership.serving(context.now_ms())}
         runners = sorted(context.config.runner_by_id)
         successor = preferred_owner(runner_id, peers, runners)
@@ -82,6 +88,7 @@
         if successor is None or version is None:
             return
         owned.handing_over = True
+        self._await_orders(runner_id)
         peer = peers[successor]
         row = OwnerRow(runner_id, successor, peer.row.incarnation, owned.fence + 1)
         transaction = Transaction(
@@ -111,6 +118,18 @@
             ),
         )
 
+    def _await_orders(self, runner_id: str) -> None:
+        """Wait until no load or unload of ours is under way.
+
+        An unload that arrived after the new owner has read what is resident would take an adapter
+        from under its requests, where the engine ignores fencing numbers.
+        """
+        deadline_ms = self._context.now_ms() + ORDERS_WAIT_MS
+        while self._context.now_ms() < deadline_ms:
+            if self._dispatcher.order_mark(runner_id) is not None:
+                return
+            self._context.tasks.sleep(POLL_MS)
+
     def _current_version(self, runner_id: str, fence: int) -> int | None:
         """Return the version of our ownership row, or ``None`` when it is no longer ours."""
         row = self._context.table.get(owner_key(runner_id))
--- a/monsoonflow/node/takeover.py
+++ b/monsoonflow/node/takeover.py
@@ -33,6 +33,9 @@
         :param first: whether nobody ever owned it.
         :param runs: the earlier owner's runs, when it handed them over itself.
         """
+        owned = self._context.core.owned_by_runner.get(row.runner_id)
+        if owned is not None and owned.fence >= row.fence:
+            return
         if self._under_way.get(row.runner_id, 0) >= row.fence:
             return
         self._under_way[row.runner_id] = row.fence
@@ -41,12 +44,11 @@
     def _take(self, row: OwnerRow, first: bool, runs: dict[str, AdapterRef] | None) -> None:
         context = self._context
         claimed_ms = context.now_ms()
-        incarnation = context.me.incarnation
-        while self._still_ours(row, incarnation):
+        while self._still_ours(row):
             if self._fence(row):
                 break
             self._context.tasks.sleep(FENCE_PAUSE_MS)
-        if not self._still_ours(row, incarnation):
+        if not self._still_ours(row):
             self._under_way.pop(row.runner_id, None)
             return
         if not first and runs is None:
@@ -54,17 +56,17 @@
             # only after its lag; read too early, they would not be pinned and their adapters could
             # be evicted under them.
             self._context.tasks.sleep(context.settings["report-lag-ms"])
-        state = self._read_state(row, incarnation)
+        state = self._read_state(row)
         self._under_way.pop(row.runner_id, None)
         if state is None:
             return
         self._adopt(row, state, runs or {}, claimed_ms if not first else None)
 
-    def _still_ours(self, row: OwnerRow, incarnation: str) -> bool:
+    def _still_ours(self, row: OwnerRow) -> bool:
         context = self._context
         known = context.owners.get(row.runner_id)
         return (
-            context.me.incarnation == incarnation
+            context.me.incarnation == row.incarnation
             and row.runner_id in context.config.runner_by_id
             and (known is None or known[0].fence <= row.fence)
         )
@@ -80,9 +82,9 @@
                 context.owners.pop(row.runner_id, None)
         return False
 
-    def _read_state(self, row: OwnerRow, incarnation: str) -> EngineState | None:
+    def _read_state(self, row: OwnerRow) -> EngineState | None:
         context = self._context
-        while self._still_ours(row, incarnation):
+        while self._still_ours(row):
             state = context.engine(row.runner_id).state()
             if state is not None:
                 return state
@@ -115,6 +117,7 @@
             row.fence,
             Quarantine(entry.checks_fencing, until_ms, fenced=True),
             foreign_runs=set(runner.adapter_by_running),
+            taken_ms=now_ms,
         )
         context.core.take(owned)
         _LOGGER.info(
--- a/monsoonflow/placement/store_share.py
+++ b/monsoonflow/placement/store_share.py
@@ -18,31 +18,24 @@
     def __init__(self, loads_per_second: float) -> None:
         self._interval_ms = 1000.0 / loads_per_second
         self._next_ms = 0.0
-        self._running = 0
 
     def set_rate(self, loads_per_second: float) -> None:
         """Change the rate, as nodes come and go."""
         self._interval_ms = 1000.0 / loads_per_second
 
-    def pick(self, candidates: list[LoadCandidate], now_ms: int) -> LoadCandidate | None:
-        """Return the load to start now, if one may start: the most urgent of all runners'."""
-        if self._running or now_ms < self._next_ms or not candidates:
+    def pick(
+        self, candidates: list[LoadCandidate], under_way: int, now_ms: int
+    ) -> LoadCandidate | None:
+        """Return the load to start now, if one may start: the most urgent of all runners'.
+
+        :param under_way: how many loads are going on. Counted anew from the slots each time: a
+            counter of its own once stayed raised when a runner changed hands between an unload and
+            the load after it, and no load ever started again.
+        """
+        if under_way or now_ms < self._next_ms or not candidates:
             return None
         return max(candidates, key=lambda entry: (entry.urgency(), entry.runner_id))
 
     def started(self, now_ms: int) -> None:
-        """Count a load as started."""
-        self._running += 1
+        """Note the start of a load."""
         self._next_ms = max(self._next_ms + self._interval_ms, float(now_ms))
-
-    def finished(self) -> None:
-        """Count a load as ended, well or not."""
-        self._running = max(0, self._running - 1)
-
-    def loading(self) -> bool:
-        """Tell whether a load is under way."""
-        return self._running > 0
-
-    def next_start_ms(self) -> float:
-        """Return when the next load may start at the earliest."""
-        return self._next_ms
--- a/monsoonflow/request/life.py
+++ b/monsoonflow/request/life.py
@@ -74,9 +74,15 @@
     def refused(
         self, attempt: int, reason: str, retry_after_ms: int | None = None, status: int = 503
     ) -> NextStep:
-        """Take a positive refusal: the server says that it ran nothing of this attempt."""
-        if attempt != self.attempt or self.state is not State.OFFERED:
+        """Take a positive refusal: the server says that it ran nothing of this attempt.
+
+        It may come after the head of an answer (a node sends the head before it knows), but never
+        after text: a server that refuses then contradicts itself, and the run counts as broken.
+        """
+        if attempt != self.attempt or self.state not in (State.OFFERED, State.STREAMING):
             return self._unchanged()
+        if self.chunks:
+            return self._after_loss(reason, ran=True)
         self._unrefused_offers -= 1
         if self.terms.repeatable and self.attempt < MAX_ATTEMPTS:
             self.state = State.ADMITTED
--- a/monsoonflow/runner/aggregate.py
+++ b/monsoonflow/runner/aggregate.py
@@ -63,6 +63,14 @@
         """Return how many requests run."""
         return len(self.adapter_by_running)
 
+    def loads_under_way(self) -> int:
+        """Return how many slots are being loaded or cleared for a load."""
+        return sum(
+            1
+            for slot in self.slot_by_adapter.values()
+            if slot.state is SlotState.LOADING or slot.successor is not None
+        )
+
     def resident(self) -> list[AdapterRef]:
         """Return the adapters that serve new requests."""
         return [
@@ -215,16 +223,32 @@
             for request_id in pins:
                 self.adapter_by_running[request_id] = adapter
 
-    def restarted(self, boot_id: str) -> list[str]:
-        """Forget everything that the engine held before it restarted.
+    def reconcile(self, boot_id: str, resident: set[AdapterRef]) -> bool:
+        """Take the engine's own word on what it holds, given while no order was under way.
+
+        Two failures make the owner's memory differ: an engine that restarted empty, and a load
+        whose answers were all lost, which counts as failed while its adapter is in place. Pinned
+        slots stay: after a restart, runs of the new boot may already use them, and evicting their
+        adapters would cut them. Runs that the restart ended lose their pins with their streams.
 
-        :returns: the requests that ran there, now lost.
+        :returns: whether anything differed.
         """
-        lost = list(self.adapter_by_running)
+        gone = [
+            slot.adapter
+            for slot in self.slot_by_adapter.values()
+            if slot.adapter not in resident
+            and not slot.pins
+            and slot.state in (SlotState.RESIDENT, SlotState.CLOSING)
+        ]
+        for adapter in gone:
+            del self.slot_by_adapter[adapter]
+        unknown = [adapter for adapter in sorted(resident) if adapter not in self.slot_by_adapter]
+        taken = unknown[: max(0, self.limits.slots - len(self.slot_by_adapter))]
+        for adapter in taken:
+            self.slot_by_adapter[adapter] = Slot(adapter, SlotState.RESIDENT)
+        restarted = boot_id != self.boot_id
         self.boot_id = boot_id
-        self.slot_by_adapter.clear()
-        self.adapter_by_running.clear()
-        return lost
+        return bool(gone or taken or restarted)
 
     def drop_queue(self) -> list[Waiting]:
         """Empty all queues, for handing the runner over.
--- a/monsoonflow/serving/core.py
+++ b/monsoonflow/serving/core.py
@@ -16,7 +16,7 @@
 from ..routing.limits import Admission, Refusal
 from ..runner.const import Permission
 from ..runner.models import Dispatch, Load, LoadCandidate, Order, Unload, Waiting
-from .models import Active, Command, Owned, SendCancel, SendLoad, SendRun, SendUnload
+from .models import Active, Command, NotOwner, Owned, SendCancel, SendLoad, SendRun, SendUnload
 
 EXPIRY_EVERY_MS: Final = 50
 
@@ -40,6 +40,18 @@
 
     # Ownership
 
+    def reconcile(
+        self, runner_id: str, fence: int, boot_id: str, resident: set[AdapterRef]
+    ) -> None:
+        """Take what an engine holds, as it said while no order to it was under way."""
+        owned = self.owned_by_runner.get(runner_id)
+        if owned is None or owned.fence != fence:
+            return
+        before = owned.runner.boot_id
+        if owned.runner.reconcile(boot_id, resident):
+            cause = "engine restarted" if before != boot_id else "lost answers"
+            self.journal.record(runner_id, "slots corrected", cause=cause, resident=len(resident))
+
     def take(self, owned: Owned) -> None:
         """Begin to own a runner whose engine has been fenced and read."""
         runner_id = owned.runner.runner_id
@@ -92,7 +104,7 @@
 
     # Requests
 
-    def submit(self, active: Active, runner_id: str, now_ms: int) -> Refusal | None:
+    def submit(self, active: Active, runner_id: str, now_ms: int) -> Refusal | NotOwner | None:
         """Let a request wait at a runner of this node.
 
         :returns: why it may not, or ``None``.
@@ -100,7 +112,7 @@
         owned = self.owned_by_runner.get(runner_id)
         terms = active.life.terms
         if owned is None or owned.handing_over or not self.lease.held(now_ms):
-            return Refusal("this node no longer owns the runner", 200)
+            return NotOwner()
         time_left_ms = terms.deadline_ms - now_ms
         refusal = self.admission.admit(
             terms.customer, runner_id, owned.runner.queued, time_left_ms, now_ms
@@ -178,7 +190,6 @@
 
     def loaded(self, runner_id: str, adapter: AdapterRef, now_ms: int) -> None:
         """Take the end of a load."""
-        self.share.finished()
         owned = self.owned_by_runner.get(runner_id)
         if owned is not None:
             owned.runner.loaded(adapter, now_ms)
@@ -186,7 +197,6 @@
 
     def load_failed(self, runner_id: str, adapter: AdapterRef, reason: str, now_ms: int) -> None:
         """Take the failure of a load; after several, those who wait for it are refused."""
-        self.share.finished()
         owned = self.owned_by_runner.get(runner_id)
         if owned is None:
             return
@@ -205,19 +215,6 @@
             self._collect(owned, owned.runner.unloaded(adapter))
             self.journal.record(runner_id, "adapter unloaded", adapter=adapter)
 
-    def restarted(self, runner_id: str, boot_id: str) -> None:
-        """Take another boot id: the engine has lost everything it held."""
-        owned = self.owned_by_runner.get(runner_id)
-        if owned is None or owned.runner.boot_id == boot_id:
-            return
-        self.journal.record(runner_id, "engine restarted empty", boot_id=boot_id)
-        for run_id in owned.runner.restarted(boot_id):
-            owned.foreign_runs.discard(run_id)
-            self._cancels.pop(run_id, None)
-            active = self._active_of_run(run_id)
-            if active is not None:
-                active.changed()
-
     # Decisions
 
     def poll(self, now_ms: int) -> list[Command]:
@@ -230,13 +227,18 @@
                 commands.append(self._dispatch(runner_id, owned, dispatch, now_ms))
             owned.runner.check()
         if not self.granted_by_fleet:
-            chosen = self.share.pick(self.load_candidates(now_ms), now_ms)
+            under_way = self.loads_under_way()
+            chosen = self.share.pick(self.load_candidates(now_ms), under_way, now_ms)
             if chosen is not None:
                 self.start_load(chosen, now_ms)
         commands += self._orders
         self._orders = []
         return commands
 
+    def loads_under_way(self) -> int:
+        """Return how many loads are going on at the runners of this node."""
+        return sum(owned.runner.loads_under_way() for owned in self.owned_by_runner.values())
+
     def load_candidates(self, now_ms: int) -> list[LoadCandidate]:
         """Return each owned runner's most helpful load."""
         candidates = (
--- a/monsoonflow/serving/models.py
+++ b/monsoonflow/serving/models.py
@@ -27,6 +27,7 @@
     fence: int
     quarantine: Quarantine
     foreign_runs: set[str] = attrs.field(factory=set)
+    taken_ms: int = 0
     handing_over: bool = False
     takes_new_work: bool = True
 
@@ -50,6 +51,13 @@
     stalled: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class NotOwner:
+    """Tells that this node may order nothing of the runner now; another place will do."""
+
+    reason: str = "this node no longer owns the runner"
+
+
 @dataclass(frozen=True, slots=True)
 class SendRun:
     """Offer a request to a runner."""
