Switch safeguards off one by one; mend an overtaken takeover

Change: a node's view of owners keeps the highest fencing number; takeovers look once more at the end.

--- a/monsoonflow/node/context.py
+++ b/monsoonflow/node/context.py
@@ -142,6 +142,16 @@
             rows.append(self.me)
         return [NodeAddress(row.node, row.http, row.incarnation) for row in rows]
 
+    def take_owner(self, row: OwnerRow, version: int) -> None:
+        """Take an ownership row, unless a newer one is known.
+
+        A read of the table that was under way while a runner changed hands brings the earlier
+        owner's row; taking it would let a takeover that is already overtaken go on.
+        """
+        known = self.owners.get(row.runner_id)
+        if known is None or row.fence >= known[0].fence:
+            self.owners[row.runner_id] = (row, version)
+
     def owner_of(self, runner_id: str) -> str | None:
         """Return the incarnation that owns a runner, by the highest fencing number heard of."""
         if runner_id in self.core.owned_by_runner:
--- a/monsoonflow/node/heartbeat.py
+++ b/monsoonflow/node/heartbeat.py
@@ -92,7 +92,7 @@
             return False
         row = OwnerRow(request.runner_id, context.me.node, context.me.incarnation, request.fence)
         runs = {run.run_id: ref for run in request.runs if (ref := parse_ref(run.adapter))}
-        context.owners[request.runner_id] = (row, 0)
+        context.take_owner(row, 0)
         self._takeover.begin(row, first=False, runs=runs)
         return True
 
--- a/monsoonflow/node/lease_loop.py
+++ b/monsoonflow/node/lease_loop.py
@@ -158,10 +158,8 @@
         for lease in leases:
             context.watch.seen(lease.incarnation, lease.counter, read_ms)
         context.membership.read_rows(leases, read_ms)
-        context.owners = {
-            owner.runner_id: (owner, row.version)
-            for owner, row in ((to_owner(row), row) for row in owner_rows)
-        }
+        for row in owner_rows:
+            context.take_owner(to_owner(row), row.version)
         self._drop_lost()
         if context.config_loaded:
             self._claim(leases, read_ms)
@@ -235,7 +233,7 @@
         context.journal.record(
             claim.row.runner_id, "claimed", fence=claim.row.fence, cause=claim.reason
         )
-        context.owners[claim.row.runner_id] = (claim.row, result.version)
+        context.take_owner(claim.row, result.version)
         self._takeover.begin(claim.row, first=claim.row.fence == 1)
 
     def _take_rows_of_mine(self) -> None:
--- a/monsoonflow/node/stop.py
+++ b/monsoonflow/node/stop.py
@@ -99,7 +99,7 @@
             _LOGGER.warning("%s", pairs(event="hand_over_failed", runner=runner_id))
             owned.handing_over = False
             return
-        context.owners[runner_id] = (row, result.version)
+        context.take_owner(row, result.version)
         request = pb.HandOverRequest(
             from_incarnation=context.me.incarnation, runner_id=runner_id, fence=row.fence
         )
--- a/monsoonflow/node/takeover.py
+++ b/monsoonflow/node/takeover.py
@@ -58,7 +58,8 @@
             self._context.tasks.sleep(context.settings["report-lag-ms"])
         state = self._read_state(row)
         self._under_way.pop(row.runner_id, None)
-        if state is None:
+        owned = self._context.core.owned_by_runner.get(row.runner_id)
+        if state is None or (owned is not None and owned.fence >= row.fence):
             return
         self._adopt(row, state, runs or {}, claimed_ms if not first else None)
 
--- a/tests/randomised/fakes.py
+++ b/tests/randomised/fakes.py
@@ -48,6 +48,8 @@
     """What goes wrong at the moment, and how often messages are lost.
 
     :param lose: share of answers that are lost after their effect.
+    :param garble: share of chunks that get lost or doubled on their way.
+    :param base_fallback: whether engines serve their base model for adapters that they lack.
     """
 
     rng: random.Random
@@ -56,6 +58,8 @@
     cut_pairs: set[frozenset[str]] = attrs.field(factory=set)
     lose: float = 0.0
     fail_loads: float = 0.0
+    garble: float = 0.0
+    base_fallback: bool = False
     counts: dict[str, int] = attrs.field(factory=dict)
 
     def count(self, name: str) -> None:
@@ -193,6 +197,11 @@
         """Send an event; ``None`` is a keep-alive."""
         if self.silent or self.closed:
             return
+        if isinstance(event, Chunk) and self._weather.rng.random() < self._weather.garble:
+            self._weather.count("chunks garbled")
+            if self._weather.rng.random() < 0.5:
+                return
+            self._world.later(150, lambda: self._arrive(event))
         self._last_ms = max(self._last_ms, self._world.time_ms + self._weather.delay_ms())
         self._world.later(self._last_ms - self._world.time_ms, lambda: self._arrive(event))
 
@@ -282,6 +291,10 @@
         """Take a request."""
         if not self.allowed(stamp.fence):
             channel.push(Refused("stale fencing number"))
+        elif adapter not in self.resident and self.weather.base_fallback:
+            self.weather.count("base model served")
+            channel.push(Began("base", self.boot_id))
+            channel.push(Chunk(0, "base text"))
         elif adapter not in self.resident:
             channel.push(Refused("adapter is not loaded"))
         elif stamp.run_id in self.tombstones:
--- a/tests/randomised/scenario.py
+++ b/tests/randomised/scenario.py
@@ -250,6 +250,8 @@
             self._cut_streams,
             self._fail_loads,
             self._leave_engine,
+            self._garble,
+            self._base_fallback,
         ]
 
     def _repeat(self, fault: Callable[[], None]) -> None:
@@ -351,12 +353,26 @@
         engine.leaving = False
         engine.boot()
 
+    def _garble(self) -> None:
+        """Chunks get lost and doubled while connections stay up."""
+        self.weather.garble = 0.02
+        self.outside.sleep(4_000)
+        self.weather.garble = 0.0
+
+    def _base_fallback(self) -> None:
+        """Engines restart empty and answer with their base model under the adapters' names."""
+        self.weather.base_fallback = True
+        self._some_engine().boot()
+        self.outside.sleep(3_000)
+        self.weather.base_fallback = False
+
     def _heal(self) -> None:
         self.faults_on = False
         self.weather.table_down = False
         self.weather.cut_from_table.clear()
         self.weather.cut_pairs.clear()
-        self.weather.lose = self.weather.fail_loads = 0.0
+        self.weather.lose = self.weather.fail_loads = self.weather.garble = 0.0
+        self.weather.base_fallback = False
         for engine in self.engine_by_address.values():
             if engine.leaving:
                 engine.leaving = False
@@ -414,7 +430,12 @@
             version = process.node.context.config.version
             if version != head:
                 broken.append(f"{name} is at version {version}, the head is {head}")
+        carried = {
+            row["plan_id"] for key, (_, row) in self.table.rows.items() if "config/delta/" in key
+        }
         for plan_id in self.accepted:
+            if plan_id not in carried:
+                broken.append(f"the change of accepted plan {plan_id} is lost")
             state = self.table.rows[f"plan/{plan_id}"][1]["state"]
             if state not in ("running", "done"):
                 broken.append(f"accepted plan {plan_id} is {state}")
--- /dev/null
+++ b/tests/randomised/without.py
@@ -0,0 +1,218 @@
+"""Runs the seeds with one safeguard at a time switched off, to see that each is needed."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from monsoonflow.configuration import store
+from monsoonflow.core import invariant
+from monsoonflow.core.invariant import InvariantBroken
+from monsoonflow.core.outcome import NotRun
+from monsoonflow.node import intake, stop, takeover
+from monsoonflow.node.health import HealthLoop
+from monsoonflow.ownership.lease import HeldLease
+from monsoonflow.ownership.quarantine import Quarantine
+from monsoonflow.request import life as life_module
+from monsoonflow.request.const import State
+from monsoonflow.request.models import ChunkVerdict
+from monsoonflow.runner import aggregate
+from monsoonflow.runner.const import Permission, SlotState
+from monsoonflow.serving.core import ServingCore
+
+from .scenario import Scenario
+
+
+def replace(owner: Any, name: str, value: Any) -> None:
+    """Put something else in a safeguard's place."""
+    setattr(owner, name, value)
+
+
+def _no_invariants() -> None:
+    """Let broken rules pass, so that their effect shows at the stand-ins."""
+    for module in (aggregate, life_module):
+        replace(module, "require", lambda _holds, _rule: None)
+    replace(invariant, "require", lambda _holds, _rule: None)
+
+
+def pins() -> None:
+    """Evict adapters whether or not requests use them."""
+    _no_invariants()
+    replace(aggregate.Runner, "_may_go", lambda _self, slot: slot.state is not SlotState.UNLOADING)
+    replace(aggregate.Runner, "check", lambda _self: None)
+
+
+def late_renewal() -> None:
+    """Let an answer that comes after expiry revive the lease, and skip the check before sends."""
+    replace(HeldLease, "held", lambda self, _now_ms: self._valid_until_ms is not None)
+    send_check()
+    quarantine()
+
+
+def send_check() -> None:
+    """Send orders without a last look at lease and fencing number."""
+    replace(ServingCore, "may_send", lambda *_arguments: True)
+
+
+def quarantine() -> None:
+    """Evict at once after a takeover, whoever may still be sending."""
+    replace(Quarantine, "permission", lambda _self, _now_ms: Permission.ALL)
+
+
+def adopted_runs() -> None:
+    """Take a runner over without pinning what it still runs."""
+    original = takeover.Takeover._adopt
+
+    def adopt(self: Any, row: Any, state: Any, _runs: Any, claimed_ms: Any) -> None:
+        state.running.clear()
+        original(self, row, state, {}, claimed_ms)
+
+    replace(takeover.Takeover, "_adopt", adopt)
+
+
+def report_lag() -> None:
+    """Release an earlier owner's pins by reports that are older than its last sends."""
+
+    def end(self: Any, owned: Any, state: Any, asked_ms: int) -> None:
+        for run_id in sorted(owned.foreign_runs - set(state.running)):
+            self._context.core.run_over(owned.runner.runner_id, run_id, asked_ms)
+
+    replace(HealthLoop, "_end_foreign_runs", end)
+
+
+def key_home() -> None:
+    """Run a repeated key at whichever node it reaches."""
+    replace(intake.Intake, "_home", lambda _self, _arrival, _served: intake._Home(None))
+
+
+def offered_once() -> None:
+    """Try again what may not be repeated."""
+    _no_invariants()
+    original = life_module.RequestLife._after_loss
+
+    def after_loss(self: Any, reason: str, ran: bool) -> Any:
+        if not self.chunks and self.attempt < 3:
+            self.state = State.ADMITTED
+            self.resumes = 0
+            return life_module.Retry(self.attempt + 1)
+        return original(self, reason, ran)
+
+    replace(life_module.RequestLife, "_after_loss", after_loss)
+
+
+def not_run_is_true() -> None:
+    """Say "not run" of whatever was given up."""
+    _no_invariants()
+
+    def give_up(self: Any, reason: str, retry_after_ms: Any = None, status: int = 503) -> Any:
+        return self.outcome or self._end(NotRun(reason, retry_after_ms, status))
+
+    replace(life_module.RequestLife, "give_up", give_up)
+
+
+def echo() -> None:
+    """Pass text on without a look at which adapter the engine says it runs."""
+
+    def begin(self: Any, _attempt: int, _served: str) -> None:
+        self.state = State.STREAMING
+
+    replace(life_module.RequestLife, "begin", begin)
+
+
+def chunk_order() -> None:
+    """Take chunks as they come."""
+
+    def chunk(self: Any, _attempt: int, _index: int, text: str) -> ChunkVerdict:
+        self.chunks.append(text)
+        self._digest.update(text.encode())
+        return ChunkVerdict.ACCEPTED
+
+    replace(life_module.RequestLife, "chunk", chunk)
+
+
+def plan_condition() -> None:
+    """Confirm plans without a condition on the head's version."""
+    original = store.ConfigurationStore._advance
+
+    def advance(self: Any, plan: Any, row: int, head: int, head_row: int, *rest: Any) -> Any:
+        commit = self._table.commit
+
+        def unbound(transaction: Any) -> Any:
+            transaction.conditions.pop(store.HEAD_KEY, None)
+            return commit(transaction)
+
+        self._table.commit = unbound
+        try:
+            return original(self, plan, row, head, head_row, *rest)
+        finally:
+            self._table.commit = commit
+
+    replace(store.ConfigurationStore, "_advance", advance)
+    replace(store, "StalePlan", store.StalePlan)
+
+
+def graceful_stop() -> None:
+    """Leave without waiting for the requests in progress."""
+    replace(stop.GracefulStop, "_active", lambda _self: 0)
+
+
+SAFEGUARDS: dict[str, Callable[[], None]] = {
+    function.__name__: function
+    for function in (
+        pins,
+        late_renewal,
+        adopted_runs,
+        report_lag,
+        key_home,
+        offered_once,
+        not_run_is_true,
+        echo,
+        chunk_order,
+        plan_condition,
+        graceful_stop,
+    )
+}
+
+
+def run_one(name: str, first: int, count: int) -> int:
+    """Run seeds without one safeguard and print the first promise that breaks."""
+    logging.disable(logging.CRITICAL)
+    SAFEGUARDS[name]()
+    failed = 0
+    example = ""
+    for seed in range(first, first + count):
+        try:
+            broken = Scenario(seed).run()
+        except InvariantBroken as stopped:
+            broken = [f"invariant in the product: {stopped}"]
+        if broken:
+            failed += 1
+            example = example or f"seed {seed}: {broken[0][:150]}"
+    print(f"{name:<16} off: {failed:>3} of {count} seeds break a promise; {example}", flush=True)
+    return 0
+
+
+def main() -> int:
+    """Run all safeguards, each in a process of its own."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--count", type=int, default=20)
+    parser.add_argument("--only", choices=sorted(SAFEGUARDS))
+    given = parser.parse_args()
+    if given.only:
+        return run_one(given.only, given.seed, given.count)
+    command = [sys.executable, "-m", "tests.randomised.without"]
+    limits = ["--seed", str(given.seed), "--count", str(given.count)]
+    running = [
+        subprocess.Popen([*command, "--only", name, *limits], env=os.environ) for name in SAFEGUARDS
+    ]
+    return max(process.wait() for process in running)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
