Bound the share of loads that newcomers take

Change: while others wait, one load in four at most is a newcomer's; a customer is a newcomer until the last step of its bring-in plan. Each runner and node offers its best load of both kinds.

--- a/measure/policies.py
+++ b/measure/policies.py
@@ -81,6 +81,8 @@
     """One way to decide.
 
     :param ordered: whether one queue orders the loads of all runners.
+    :param background_every: of so many loads, one is a newcomer's while others wait; 1 for no
+        such bound.
     :param spread: how the work is packed onto fewer runners; the default uses all.
     """
 
@@ -90,6 +92,7 @@
     weights: Weights = Weights()
     ordered: bool = True
     spread: SpreadTuning = SpreadTuning()
+    background_every: int = 1
 
 
 def baselines() -> list[Policy]:
@@ -103,7 +106,7 @@
 
 def product(weights: Weights, tuning: PlacementTuning, spread: SpreadTuning) -> Policy:
     """Return the product's policy."""
-    return Policy("monsoonflow", ours(tuning), Runner, weights, spread=spread)
+    return Policy("monsoonflow", ours(tuning), Runner, weights, spread=spread, background_every=4)
 
 
 def ablations(weights: Weights, tuning: PlacementTuning, spread: SpreadTuning) -> list[Policy]:
@@ -121,4 +124,5 @@
         attrs.evolve(full, name="less replicas", choose=ours(one_home)),
         attrs.evolve(full, name="less wait bound", weights=no_bound),
         attrs.evolve(full, name="less packing", spread=SpreadTuning()),
+        attrs.evolve(full, name="less newcomer bound", background_every=1),
     ]
--- a/measure/policy.py
+++ b/measure/policy.py
@@ -208,6 +208,31 @@
     return "\n".join(lines)
 
 
+def newcomer_wave(places: list[Place]) -> str:
+    """Return how long customers already in service wait, with and without a newcomer wave."""
+    lines = [
+        "| user | customers in service wait for loads | mean | 95 % | 99 % |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for place in places:
+        named = {entry.name: entry for entry in workloads(place, LOADS[place.name], SEED)}
+        full, *parts = policies_of(place, parts=True)[3:]
+        unbound = next(policy for policy in parts if policy.name == "less newcomer bound")
+        for title, workload, policy in (
+            ("without the wave", named["steady"], full),
+            ("with 1,000 new adapters", named["newcomer wave"], full),
+            ("with them, less the bound", named["newcomer wave"], unbound),
+        ):
+            world = PolicyWorld(place, workload, policy, SEED)
+            jobs = [job for job in world.run() if job.request.customer != "newcomer"]
+            stalls = sorted(job.stalled_ms / 1000 for job in jobs)
+            lines.append(
+                f"| {place.name} | {title} | {statistics.fmean(stalls):.2f} | "
+                f"{quantile(stalls, 0.95):.2f} | {quantile(stalls, 0.99):.2f} |"
+            )
+    return "\n".join(lines)
+
+
 def plot(results: list[Figures], path: Path) -> None:
     """Draw efficiency against the 95th percentile stall, a panel per user."""
     import matplotlib
@@ -248,7 +273,7 @@
     if given.place:
         places = [places[0] if given.place == "association" else places[1]]
     results = measure(places, given.workload, not given.no_parts)
-    text = "\n\n".join((goals(results), bounds(places), table(results)))
+    text = "\n\n".join((goals(results), bounds(places), newcomer_wave(places), table(results)))
     print(text)
     if given.out:
         given.out.with_suffix(".md").write_text(f"# Policy figures\n\n{HEAD}\n\n{text}\n")
--- a/measure/policy_world.py
+++ b/measure/policy_world.py
@@ -10,6 +10,7 @@
 
 from monsoonflow.core.adapter import AdapterRef
 from monsoonflow.placement.choice import view_of
+from monsoonflow.placement.load_order import LoadOrder
 from monsoonflow.placement.models import RunnerView
 from monsoonflow.placement.spread import Spread, demand_of, runners_in_use
 from monsoonflow.runner.aggregate import Runner
@@ -61,6 +62,7 @@
         self.view_by_id = {
             name: RunnerView(name, "base", place.slots, place.max_batch) for name in names
         }
+        self.order = LoadOrder(policy.background_every)
         self.spread = Spread(policy.spread)
         self.in_use = list(names)
         self.jobs: dict[str, Job] = {}
@@ -101,7 +103,14 @@
         name = str(request.number)
         self.jobs[name] = job
         runner.enqueue(
-            Waiting(name, request.adapter, request.customer, self.now_ms, request.priority)
+            Waiting(
+                name,
+                request.adapter,
+                request.customer,
+                self.now_ms,
+                request.priority,
+                request.customer == "newcomer" and self.policy.background_every > 1,
+            )
         )
         self._decide(runner_id)
 
@@ -140,10 +149,14 @@
     def _start_one(self, runners: list[Runner], under_way: int) -> None:
         if under_way:
             return
-        candidates = [entry for runner in runners if (entry := runner.best_load(self.now_ms, ALL))]
+        candidates = [
+            entry for runner in runners for entry in runner.load_options(self.now_ms, ALL)
+        ]
         if not candidates:
             return
-        chosen = max(candidates, key=lambda entry: (entry.urgency(), entry.runner_id))
+        chosen = self.order.pick(candidates)
+        assert chosen is not None
+        self.order.granted(chosen)
         runner = self.runner_by_id[chosen.runner_id]
         self._carry_out(runner, runner.start_load(chosen.adapter, self.now_ms, ALL))
 
--- a/monsoonflow/configuration/models.py
+++ b/monsoonflow/configuration/models.py
@@ -14,12 +14,14 @@
     """A customer, known by the SHA-256 of its bearer key.
 
     :param weight: its share when customers compete.
+    :param newcomer: set while it is brought in; its adapters' loads then take a bounded share.
     """
 
     name: str
     key_sha256: str
     weight: float = 1.0
     group: str = ""
+    newcomer: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/monsoonflow/configuration/planner.py
+++ b/monsoonflow/configuration/planner.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..core.adapter import MAX_VERSION, NAME_PATTERN
+from ..placement.load_order import BACKGROUND_EVERY
 from .aggregate import Configuration
 from .models import (
     Adapter,
@@ -131,10 +132,19 @@
     problem = _customer_problem(customer, config) or _adapters_problem(adapters, config)
     if problem is not None:
         return IntentError(problem)
-    steps = [Step(f"register customer {customer.name}", (PutCustomer(customer),))]
+    newcomer = attrs.evolve(customer, newcomer=True)
+    steps = [Step(f"register customer {customer.name}", (PutCustomer(newcomer),))]
     for start in range(0, len(adapters), ADAPTERS_PER_STEP):
         batch = tuple(adapters[start : start + ADAPTERS_PER_STEP])
         steps.append(Step(f"bring {len(batch)} adapters into service", (PutAdapters(batch),)))
+    settling_ms = int(len(adapters) / request.loads_per_second * BACKGROUND_EVERY * 1000)
+    steps.append(
+        Step(
+            f"end the bounded share of loads of {customer.name}",
+            (PutCustomer(attrs.evolve(customer, newcomer=False)),),
+            request.now_unix_ms + settling_ms,
+        )
+    )
     earlier = config.customer_by_name.get(customer.name)
     undo: list[Change] = [PutCustomer(earlier) if earlier else RemoveCustomer(customer.name)]
     replaced = tuple(
@@ -154,8 +164,8 @@
         effects=(
             f"{len(adapters)} adapters of {customer.name} become addressable",
             f"{len(config.adapter_by_name)} adapters already in service keep their versions",
-            "adapters are loaded when first asked for; a customer's share of running places is "
-            "bounded by fair queueing",
+            "adapters are loaded when first asked for; while others wait for loads, at most one "
+            f"load in {BACKGROUND_EVERY} is the newcomer's, for {settling_ms // 1000} s",
         ),
         assumptions=("every adapter's weights are already in the weight store",),
     )
--- a/monsoonflow/node/grants.py
+++ b/monsoonflow/node/grants.py
@@ -6,20 +6,31 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import attrs
 
 from ..core.clock import Clock
+from ..placement.load_order import LoadOrder
 from ..rpc import control_pb2 as pb
 
-FRESH_MS = 400
-HOLD_MS = 3_000
+FRESH_MS: Final = 400
+HOLD_MS: Final = 3_000
 
 
 @attrs.frozen(slots=True)
 class _Wish:
-    urgency: tuple[bool, float]
+    process: str
+    number: int
+    overdue: bool
+    score: float
+    background: bool
     asked_ms: int
 
+    def urgency(self) -> tuple[bool, float, str]:
+        """Return the sort key: overdue first, then the score."""
+        return (self.overdue, self.score, self.process)
+
 
 class GrantGiver:
     """Gives one load at a time to the most urgent wish that was renewed lately."""
@@ -30,28 +41,39 @@
         self._next_ms = 0.0
         self._granted_to: str | None = None
         self._granted_ms = 0
-        self._wish_by_incarnation: dict[str, _Wish] = {}
+        self._order = LoadOrder()
+        self._wishes_by_process: dict[str, list[_Wish]] = {}
+
+    def ask(self, request: pb.GrantRequest) -> int | None:
+        """Take wishes, or word of a granted load.
 
-    def ask(self, request: pb.GrantRequest) -> bool:
-        """Take a wish, or the end of a granted load; return whether the load may start."""
+        :returns: the number of the wish that is granted, if one is.
+        """
         now_ms = self._clock.now_ms()
-        if request.finished:
-            if self._granted_to == request.incarnation:
-                self._granted_to = None
-            return False
-        if request.holding:
-            if self._granted_to == request.incarnation:
-                self._granted_ms = now_ms
-            return False
-        wish = _Wish((request.overdue, request.score), now_ms)
-        self._wish_by_incarnation[request.incarnation] = wish
-        if not self._idle(now_ms) or not self._first(request.incarnation, now_ms):
-            return False
-        del self._wish_by_incarnation[request.incarnation]
-        self._granted_to = request.incarnation
+        if request.finished or request.holding:
+            self._take_word(request, now_ms)
+            return None
+        self._wishes_by_process[request.process] = [
+            _Wish(request.process, number, wish.overdue, wish.score, wish.background, now_ms)
+            for number, wish in enumerate(request.wishes)
+        ]
+        wish = self._first(now_ms) if self._idle(now_ms) else None
+        if wish is None or wish.process != request.process:
+            return None
+        self._order.granted(wish)
+        del self._wishes_by_process[request.process]
+        self._granted_to = request.process
         self._granted_ms = now_ms
         self._next_ms = max(self._next_ms + self._interval_ms, float(now_ms))
-        return True
+        return wish.number
+
+    def _take_word(self, request: pb.GrantRequest, now_ms: int) -> None:
+        if self._granted_to != request.process:
+            return
+        if request.finished:
+            self._granted_to = None
+        else:
+            self._granted_ms = now_ms
 
     def _idle(self, now_ms: int) -> bool:
         if now_ms < self._next_ms:
@@ -60,12 +82,12 @@
         # it still loads, and a grant that nobody speaks for ends by itself.
         return self._granted_to is None or now_ms - self._granted_ms > HOLD_MS
 
-    def _first(self, incarnation: str, now_ms: int) -> bool:
-        fresh = {
-            name: wish
-            for name, wish in self._wish_by_incarnation.items()
-            if now_ms - wish.asked_ms <= FRESH_MS
+    def _first(self, now_ms: int) -> _Wish | None:
+        self._wishes_by_process = {
+            process: wishes
+            for process, wishes in self._wishes_by_process.items()
+            if wishes and now_ms - wishes[0].asked_ms <= FRESH_MS
         }
-        self._wish_by_incarnation = fresh
-        first = max(fresh, key=lambda name: (fresh[name].urgency, name))
-        return first == incarnation
+        return self._order.pick(
+            wish for wishes in self._wishes_by_process.values() for wish in wishes
+        )
--- a/monsoonflow/node/heartbeat.py
+++ b/monsoonflow/node/heartbeat.py
@@ -105,8 +105,8 @@
         self._takeover.begin(row, first=False, runs=runs)
         return True
 
-    def on_grant(self, request: pb.GrantRequest) -> bool:
-        """Decide whether a load may start."""
+    def on_grant(self, request: pb.GrantRequest) -> int | None:
+        """Decide whether a load may start, and which."""
         return self._giver.ask(request)
 
     def on_changes(self, after_version: int) -> pb.ChangesReply:
--- a/monsoonflow/node/intake.py
+++ b/monsoonflow/node/intake.py
@@ -179,6 +179,7 @@
     def _new_served(self, arrival: Arrival, adapter: AdapterRef, request_id: str) -> Served:
         context, terms = self._context, arrival.terms
         now_ms = context.now_ms()
+        customer = context.config.customer_by_name.get(arrival.customer)
         deadline_ms = terms.deadline_ms or context.settings["default-deadline-ms"]
         life = RequestLife(
             LifeTerms(
@@ -188,6 +189,7 @@
                 repeatable=terms.repeatable,
                 deadline_ms=now_ms + deadline_ms,
                 priority=terms.priority,
+                newcomer=customer is not None and customer.newcomer,
                 any_version=arrival.completion.version is None,
             )
         )
--- a/monsoonflow/node/load_gate.py
+++ b/monsoonflow/node/load_gate.py
@@ -5,7 +5,7 @@
 from ..helpers.hashing import best
 from ..rpc import control_pb2 as pb
 from ..rpc.client import ControlCaller
-from ..runner.models import LoadCandidate
+from ..runner.models import LoadCandidate, best_of_each_kind
 from .context import NodeContext
 from .dispatcher import Dispatcher
 from .grants import GrantGiver
@@ -53,50 +53,48 @@
             return
         self._give_back()
         candidates = core.load_candidates(now_ms)
-        if not candidates:
-            return
-        chosen = max(candidates, key=lambda entry: (entry.urgency(), entry.runner_id))
-        if not self._ask(chosen):
-            return
-        if core.start_load(chosen, context.now_ms()):
+        chosen = self._ask(candidates) if candidates else None
+        if chosen is not None and core.start_load(chosen, context.now_ms()):
             self._dispatcher.kick()
 
-    def _ask(self, chosen: LoadCandidate) -> bool:
+    def _ask(self, candidates: list[LoadCandidate]) -> LoadCandidate | None:
+        """Return the load that the giver grants, if any: the best in service or of newcomers."""
+        options = best_of_each_kind(candidates)
         address = self._giver_address()
-        request = pb.GrantRequest(
-            incarnation=self._context.home,
-            runner_id=chosen.runner_id,
-            adapter=str(chosen.adapter),
-            score=chosen.score,
-            overdue=chosen.overdue,
-        )
-        granted = self._tell(address, request)
-        if granted is None:
+        request = pb.GrantRequest(process=self._context.home)
+        for option in options:
+            request.wishes.add(
+                score=option.score, overdue=option.overdue, background=option.background
+            )
+        reply = self._tell(address, request)
+        if reply is None:
             self._fallback_until_ms = self._context.now_ms() + FALLBACK_MS
-            return False
-        if granted:
-            self._granted_by = address
-            self._held_ms = self._context.now_ms()
-        return granted
+            return None
+        if not reply.granted:
+            return None
+        self._granted_by = address
+        self._held_ms = self._context.now_ms()
+        return options[reply.wish]
 
     def _give_back(self) -> None:
         """Tell the giver that the granted load has ended."""
         if self._granted_by is None:
             return
         address, self._granted_by = self._granted_by, None
-        self._tell(address, pb.GrantRequest(incarnation=self._context.home, finished=True))
+        self._tell(address, pb.GrantRequest(process=self._context.home, finished=True))
 
     def _hold(self, now_ms: int) -> None:
         """Tell the giver now and then that the granted load goes on."""
         if self._granted_by is None or now_ms - self._held_ms < HOLD_EVERY_MS:
             return
         self._held_ms = now_ms
-        self._tell(self._granted_by, pb.GrantRequest(incarnation=self._context.home, holding=True))
+        self._tell(self._granted_by, pb.GrantRequest(process=self._context.home, holding=True))
 
-    def _tell(self, address: str, request: pb.GrantRequest) -> bool | None:
-        if address == self._context.me.rpc:
-            return self._giver.ask(request)
-        return self._client.grant_load(address, request)
+    def _tell(self, address: str, request: pb.GrantRequest) -> pb.GrantReply | None:
+        if address != self._context.me.rpc:
+            return self._client.grant_load(address, request)
+        wish = self._giver.ask(request)
+        return pb.GrantReply(granted=wish is not None, wish=wish or 0)
 
     def _giver_address(self) -> str:
         context = self._context
--- a/monsoonflow/placement/store_share.py
+++ b/monsoonflow/placement/store_share.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..runner.models import LoadCandidate
+from .load_order import LoadOrder
 
 
 class StoreShare:
@@ -18,6 +19,7 @@
     def __init__(self, loads_per_second: float) -> None:
         self._interval_ms = 1000.0 / loads_per_second
         self._next_ms = 0.0
+        self._order = LoadOrder()
 
     def set_rate(self, loads_per_second: float) -> None:
         """Change the rate, as nodes come and go."""
@@ -34,8 +36,9 @@
         """
         if under_way or now_ms < self._next_ms or not candidates:
             return None
-        return max(candidates, key=lambda entry: (entry.urgency(), entry.runner_id))
+        return self._order.pick(candidates)
 
-    def started(self, now_ms: int) -> None:
+    def started(self, load: LoadCandidate, now_ms: int) -> None:
         """Note the start of a load."""
+        self._order.granted(load)
         self._next_ms = max(self._next_ms + self._interval_ms, float(now_ms))
--- a/monsoonflow/request/models.py
+++ b/monsoonflow/request/models.py
@@ -18,6 +18,7 @@
 
     :param deadline_ms: on the node's monotonic clock.
     :param priority: 0 is the most urgent class.
+    :param newcomer: whether the customer was brought in lately; its loads take a bounded share.
     :param any_version: whether the caller named no version; the one that serves is told then.
     """
 
@@ -28,6 +29,7 @@
     deadline_ms: int
     priority: int = 1
     any_version: bool = False
+    newcomer: bool = False
 
 
 class ChunkVerdict(Enum):
--- a/monsoonflow/rpc/client.py
+++ b/monsoonflow/rpc/client.py
@@ -23,7 +23,7 @@
     def hand_over(self, address: str, request: pb.HandOverRequest) -> bool:
         """Hand a runner over."""
 
-    def grant_load(self, address: str, request: pb.GrantRequest) -> bool | None:
+    def grant_load(self, address: str, request: pb.GrantRequest) -> pb.GrantReply | None:
         """Ask for the fleet's next load; ``None`` when the grant-giver did not answer."""
 
     def changes(self, address: str, after_version: int) -> pb.ChangesReply | None:
@@ -54,10 +54,9 @@
         reply = self._call(address, "HandOver", request)
         return reply is not None and reply.accepted
 
-    def grant_load(self, address: str, request: pb.GrantRequest) -> bool | None:
+    def grant_load(self, address: str, request: pb.GrantRequest) -> pb.GrantReply | None:
         """Ask for the fleet's next load; ``None`` when the grant-giver did not answer."""
-        reply = self._call(address, "GrantLoad", request)
-        return None if reply is None else reply.granted
+        return self._call(address, "GrantLoad", request)
 
     def changes(self, address: str, after_version: int) -> pb.ChangesReply | None:
         """Fetch configuration changes from a node."""
--- a/monsoonflow/rpc/server.py
+++ b/monsoonflow/rpc/server.py
@@ -25,8 +25,8 @@
     def on_hand_over(self, request: pb.HandOverRequest) -> bool:
         """Take a runner over."""
 
-    def on_grant(self, request: pb.GrantRequest) -> bool:
-        """Decide whether a load may start."""
+    def on_grant(self, request: pb.GrantRequest) -> int | None:
+        """Decide whether a load may start, and which."""
 
     def on_changes(self, after_version: int) -> pb.ChangesReply:
         """Return configuration changes."""
@@ -55,7 +55,8 @@
     def GrantLoad(self, request: pb.GrantRequest, context: Any) -> pb.GrantReply:  # noqa: N802
         """Grant a load."""
         self._authenticate(context)
-        return pb.GrantReply(granted=self._handler.on_grant(request))
+        wish = self._handler.on_grant(request)
+        return pb.GrantReply(granted=wish is not None, wish=wish or 0)
 
     def Changes(self, request: pb.ChangesRequest, context: Any) -> pb.ChangesReply:  # noqa: N802
         """Return configuration changes."""
--- a/monsoonflow/runner/aggregate.py
+++ b/monsoonflow/runner/aggregate.py
@@ -24,6 +24,7 @@
     Unload,
     Waiting,
     Weights,
+    best_of_each_kind,
 )
 
 
@@ -129,10 +130,13 @@
             picked.append(Dispatch(waiting.request_id, waiting.adapter))
         return picked
 
-    def best_load(self, now_ms: int, permission: Permission) -> LoadCandidate | None:
-        """Return the load that helps most and could start now, if any."""
+    def load_options(self, now_ms: int, permission: Permission) -> list[LoadCandidate]:
+        """Return the loads that help most: one for customers in service, one for newcomers.
+
+        :returns: only loads that could start now.
+        """
         if permission is Permission.NOTHING:
-            return None
+            return []
         candidates = [
             self._candidate(adapter, queue, now_ms)
             for adapter, queue in self.queue_by_adapter.items()
@@ -141,15 +145,15 @@
         ]
         if not candidates:
             self._reopen()
-            return None
-        chosen = max(candidates, key=lambda candidate: (candidate.urgency(), candidate.adapter))
+            return []
+        options = best_of_each_kind(candidates)
         if self._has_free_slot():
-            return chosen
+            return options
         if permission is not Permission.ALL:
-            return None
+            return []
         if self._victim(now_ms) is None:
-            self._close_for(chosen.adapter, now_ms)
-        return chosen if self._victim(now_ms) is not None else None
+            self._close_for(options[0].adapter, now_ms)
+        return options if self._victim(now_ms) is not None else []
 
     def start_load(self, adapter: AdapterRef, now_ms: int, permission: Permission) -> list[Order]:
         """Begin a load that was granted; may begin with an eviction.
@@ -331,8 +335,9 @@
     def _candidate(self, adapter: AdapterRef, queue: AdapterQueue, now_ms: int) -> LoadCandidate:
         waited_s = queue.total_wait_ms(now_ms) / 1000
         score = self.weights.stall * waited_s + self.weights.batch * queue.count
+        background = queue.background_count == queue.count
         overdue = now_ms - queue.oldest_ms() > self.weights.wait_bound_ms
-        return LoadCandidate(self.runner_id, adapter, score, overdue, queue.count)
+        return LoadCandidate(self.runner_id, adapter, score, overdue, queue.count, background)
 
     def _has_free_slot(self) -> bool:
         return len(self.slot_by_adapter) < self.limits.slots
--- a/monsoonflow/runner/models.py
+++ b/monsoonflow/runner/models.py
@@ -43,13 +43,17 @@
 
 @attrs.frozen(slots=True)
 class Waiting:
-    """A request that waits at a runner."""
+    """A request that waits at a runner.
+
+    :param background: whether its customer is a newcomer, whose loads take a bounded share.
+    """
 
     request_id: str
     adapter: AdapterRef
     customer: str
     enqueued_ms: int
     priority: int = 1
+    background: bool = False
 
 
 @attrs.define(slots=True)
@@ -120,12 +124,14 @@
 
     by_priority: dict[int, deque[Waiting]] = attrs.field(factory=dict)
     count: int = 0
+    background_count: int = 0
     enqueued_sum_ms: int = 0
 
     def add(self, waiting: Waiting) -> None:
         """Append a request."""
         self.by_priority.setdefault(waiting.priority, deque()).append(waiting)
         self.count += 1
+        self.background_count += waiting.background
         self.enqueued_sum_ms += waiting.enqueued_ms
 
     def head(self) -> Waiting | None:
@@ -141,6 +147,7 @@
         if not self.by_priority[waiting.priority]:
             del self.by_priority[waiting.priority]
         self.count -= 1
+        self.background_count -= waiting.background
         self.enqueued_sum_ms -= waiting.enqueued_ms
 
     def oldest_ms(self) -> int:
@@ -194,7 +201,14 @@
     score: float
     overdue: bool
     waiting: int
+    background: bool = False
+
+    def urgency(self) -> tuple[bool, float, str, AdapterRef]:
+        """Return the sort key: overdue first, then the score; the rest only breaks ties."""
+        return (self.overdue, self.score, self.runner_id, self.adapter)
+
 
-    def urgency(self) -> tuple[bool, float]:
-        """Return the sort key: overdue first, then the score."""
-        return (self.overdue, self.score)
+def best_of_each_kind(candidates: list[LoadCandidate]) -> list[LoadCandidate]:
+    """Return the most urgent candidate in service, then the most urgent newcomer."""
+    kinds = ([entry for entry in candidates if entry.background is kind] for kind in (False, True))
+    return [max(kind, key=LoadCandidate.urgency) for kind in kinds if kind]
--- a/monsoonflow/serving/core.py
+++ b/monsoonflow/serving/core.py
@@ -126,7 +126,14 @@
         active.stalled = terms.adapter not in owned.runner.resident()
         self.active_by_id[terms.request_id] = active
         owned.runner.enqueue(
-            Waiting(active.run_id, terms.adapter, terms.customer, now_ms, terms.priority)
+            Waiting(
+                active.run_id,
+                terms.adapter,
+                terms.customer,
+                now_ms,
+                terms.priority,
+                terms.newcomer,
+            )
         )
         self.journal.record(
             terms.request_id,
@@ -240,12 +247,12 @@
         return sum(owned.runner.loads_under_way() for owned in self.owned_by_runner.values())
 
     def load_candidates(self, now_ms: int) -> list[LoadCandidate]:
-        """Return each owned runner's most helpful load."""
-        candidates = (
-            owned.runner.best_load(now_ms, self.permission(owned, now_ms))
+        """Return each owned runner's most helpful loads."""
+        return [
+            candidate
             for owned in self.owned_by_runner.values()
-        )
-        return [candidate for candidate in candidates if candidate is not None]
+            for candidate in owned.runner.load_options(now_ms, self.permission(owned, now_ms))
+        ]
 
     def start_load(self, chosen: LoadCandidate, now_ms: int) -> bool:
         """Begin a load that the store's share or a grant allows.
@@ -259,7 +266,7 @@
         orders = owned.runner.start_load(chosen.adapter, now_ms, permission)
         if not orders:
             return False
-        self.share.started(now_ms)
+        self.share.started(chosen, now_ms)
         self.journal.record(
             chosen.runner_id,
             "load decided",
--- a/script/fleet.py
+++ b/script/fleet.py
@@ -155,14 +155,13 @@
         if confirmed.status != 200:
             raise AssertionError(confirmed.json())
         plan_id = confirmed.json()["plan_id"]
-        if any(step["not_before_unix_ms"] for step in confirmed.json()["steps"]):
-            return confirmed.json()
 
         def done() -> Any:
-            plan = self.get(node, f"/v1/plans/{plan_id}")
-            return plan if plan is not None and plan["state"] == "done" else None
+            plan = self.get(node, f"/v1/plans/{plan_id}") or {"steps": [{}]}
+            at_once = [step for step in plan["steps"] if not step.get("not_before_unix_ms")]
+            return plan if all(step.get("done") for step in at_once) else None
 
-        return wait_until(done, 15, f"plan {plan_id} done")
+        return wait_until(done, 15, f"the steps of plan {plan_id} that are due at once")
 
     def apply_runners(self, node: str) -> None:
         """Bring every started runner into the configuration."""
--- a/tests/randomised/network.py
+++ b/tests/randomised/network.py
@@ -163,9 +163,14 @@
         """Hand a runner over."""
         return bool(self._call(address, lambda process: process.node.control.on_hand_over(request)))
 
-    def grant_load(self, address: str, request: pb.GrantRequest) -> bool | None:
+    def grant_load(self, address: str, request: pb.GrantRequest) -> pb.GrantReply | None:
         """Ask for a load."""
-        return self._call(address, lambda process: process.node.control.on_grant(request))
+
+        def handle(process: Process) -> pb.GrantReply:
+            wish = process.node.control.on_grant(request)
+            return pb.GrantReply(granted=wish is not None, wish=wish or 0)
+
+        return self._call(address, handle)
 
     def changes(self, address: str, after_version: int) -> pb.ChangesReply | None:
         """Fetch configuration changes."""
--- a/tests/runner/test_aggregate.py
+++ b/tests/runner/test_aggregate.py
@@ -50,14 +50,14 @@
     wait(runner, "r1", A, 0)
     wait(runner, "r2", B, 10)
     wait(runner, "r3", B, 10)
-    assert runner.best_load(20, ALL).adapter == B
+    assert runner.load_options(20, ALL)[0].adapter == B
 
 
 def test_oldest_goes_first_past_the_bound(runner):
     wait(runner, "r1", A, 0)
     for number in range(100):
         wait(runner, f"b{number}", B, 10_500)
-    assert runner.best_load(10_600, ALL).adapter == A
+    assert runner.load_options(10_600, ALL)[0].adapter == A
 
 
 def test_pinned_adapters_are_never_evicted(runner):
@@ -72,9 +72,9 @@
     load(runner, B)
     runner.dispatches(0, ALL)
     wait(runner, "r3", C, 100)
-    assert runner.best_load(200, ALL) is None
+    assert runner.load_options(200, ALL) == []
     assert runner.start_load(C, 200, ALL) == []
-    assert runner.best_load(5_000, ALL) is None
+    assert runner.load_options(5_000, ALL) == []
     closing = [s.adapter for s in runner.slot_by_adapter.values() if s.state is SlotState.CLOSING]
     assert len(closing) == 1
     busy = next(run for run, adapter in runner.adapter_by_running.items() if adapter in closing)
@@ -95,12 +95,12 @@
     load(runner, B)
     runner.dispatches(0, ALL)
     wait(runner, "r3", C, 100)
-    runner.best_load(5_000, ALL)
+    runner.load_options(5_000, ALL)
     closing = next(s for s in runner.slot_by_adapter.values() if s.state is SlotState.CLOSING)
     wait(runner, "r4", closing.adapter, 5_000)
     assert runner.dispatches(5_000, ALL) == []
     runner.withdraw("r3")
-    runner.best_load(5_100, ALL)
+    runner.load_options(5_100, ALL)
     assert runner.dispatches(5_100, ALL) == [Dispatch("r4", closing.adapter)]
 
 
@@ -108,7 +108,7 @@
     load(runner, A)
     load(runner, B)
     wait(runner, "r1", C)
-    assert runner.best_load(0, Permission.NO_EVICTION) is None
+    assert runner.load_options(0, Permission.NO_EVICTION) == []
     assert runner.start_load(C, 0, Permission.NO_EVICTION) == []
     assert runner.dispatches(0, Permission.NOTHING) == []
 
@@ -144,7 +144,7 @@
         assert runner.start_load(A, now_ms, ALL) == [Load(A)]
         waiters = runner.load_failed(A, now_ms)
         assert bool(waiters) == (attempt == MAX_LOAD_FAILURES - 1)
-        assert runner.best_load(now_ms, ALL) is None
+        assert runner.load_options(now_ms, ALL) == []
         now_ms += 60_000
 
 
