--- a/monsoonflow/client/client.py
+++ b/monsoonflow/client/client.py
@@ -17,7 +17,8 @@
 
 SILENCE_MS: Final = 5_000
 MAX_RESUMES: Final = 8
-MAX_SENDS: Final = 6
+MAX_SENDS: Final = 20
+MAX_KNOWN_NODES: Final = 64
 PAUSE_MS: Final = 100
 
 
@@ -64,6 +65,7 @@
         self._clock = clock or MonotonicClock()
         self._transport = transport or HttpTransport(key, SILENCE_MS)
         self._found_by_model: dict[str, tuple[int, list[Address]]] = {}
+        self._known_nodes: dict[str, None] = {}
 
     def complete(
         self,
@@ -112,16 +114,23 @@
         known = self._found_by_model.get(model)
         if known is not None and now_ms < known[0]:
             return known[1]
-        seeds = list(self._seeds)
-        if known is not None:
-            seeds = [f"http://{entry.address}" for entry in known[1]] + seeds
-        for seed in seeds:
+        # The seeds may all have been replaced since; nodes heard of later know the others, too.
+        for seed in [*reversed(self._known_nodes), *self._seeds]:
             found = self._transport.lookup(seed, model)
             if found is not None:
+                self._remember(found.addresses)
                 self._found_by_model[model] = (now_ms + found.good_for_ms, found.addresses)
                 return found.addresses
         return []
 
+    def _remember(self, addresses: list[Address]) -> None:
+        for entry in reversed(addresses):
+            seed = f"http://{entry.address}"
+            self._known_nodes.pop(seed, None)
+            self._known_nodes[seed] = None
+        while len(self._known_nodes) > MAX_KNOWN_NODES:
+            del self._known_nodes[next(iter(self._known_nodes))]
+
     def _run(self, sending: _Sending) -> Outcome:
         outcome: Outcome = NotRun("no node answers", PAUSE_MS)
         skipped: set[str] = set()
@@ -219,7 +228,7 @@
             case Refused(reason=reason, retry_after_ms=retry_after_ms):
                 return NotRun(reason, retry_after_ms)
             case Cut(sent=False, reason=reason):
-                if sending.home is not None and sending.sends > 1:
+                if sending.may_have_run:
                     return Unknown(reason)
                 return NotRun(reason, PAUSE_MS)
             case Cut(reason=reason):
--- a/monsoonflow/node/stop.py
+++ b/monsoonflow/node/stop.py
@@ -53,7 +53,7 @@
             self._hand_over(runner_id)
         while self._active() and context.now_ms() < deadline_ms:
             self._context.tasks.sleep(POLL_MS)
-        self._context.tasks.sleep(LINGER_MS)
+        self._outlast_addresses(started_ms)
         context.table.commit(
             Transaction(
                 new_id("op"),
@@ -118,6 +118,16 @@
             ),
         )
 
+    def _outlast_addresses(self, started_ms: int) -> None:
+        """Go on to refuse until no caller can have an address answer that names this node.
+
+        A caller that connects while the port closes has sent its request and gets no answer: it
+        would have to count the request as unknown, where "not run" is the truth.
+        """
+        until_ms = started_ms + self._context.settings["address-ttl-ms"] + LINGER_MS
+        while self._context.now_ms() < until_ms or self._active():
+            self._context.tasks.sleep(POLL_MS)
+
     def _await_orders(self, runner_id: str) -> None:
         """Wait until no load or unload of ours is under way.
 
--- a/script/fleet.py
+++ b/script/fleet.py
@@ -101,6 +101,7 @@
             "lease-ms": 2000,
             "lease-margin-ms": 400,
             "silence-ms": 3000,
+            "address-ttl-ms": 1000,
             **{key.replace("_", "-"): value for key, value in settings.items()},
         }
         environment = {
--- a/tests/randomised/fakes.py
+++ b/tests/randomised/fakes.py
@@ -41,6 +41,7 @@
 CALL_TIMEOUT_MS = 1_500
 SILENCE_MS = 3_000
 KEEP_ALIVE_MS = 1_000
+BASE_TEXT = "text of the base model"
 
 
 @attrs.define
@@ -242,6 +243,7 @@
     adapter: AdapterRef
     prompt: str
     total: int
+    first_at_ms: float
     tokens: list[str] = attrs.field(factory=list)
     over: bool = False
     channels: list[tuple[Channel, list[int]]] = attrs.field(factory=list)
@@ -294,7 +296,8 @@
         elif adapter not in self.resident and self.weather.base_fallback:
             self.weather.count("base model served")
             channel.push(Began("base", self.boot_id))
-            channel.push(Chunk(0, "base text"))
+            channel.push(Chunk(0, BASE_TEXT))
+            channel.push(Ended(1, hashlib.sha256(BASE_TEXT.encode()).hexdigest()))
         elif adapter not in self.resident:
             channel.push(Refused("adapter is not loaded"))
         elif stamp.run_id in self.tombstones:
@@ -302,7 +305,10 @@
         else:
             run = self.run_by_id.get(stamp.run_id)
             if run is None:
-                run = EngineRun(stamp.run_id, adapter, body["prompt"], body["max_tokens"])
+                first_at_ms = self.world.time_ms + self.weather.rng.choice((5, 20, 200, 600))
+                run = EngineRun(
+                    stamp.run_id, adapter, body["prompt"], body["max_tokens"], first_at_ms
+                )
                 self.run_by_id[stamp.run_id] = run
                 self.record.ran(run)
             self.attach(run, channel, 0)
@@ -341,6 +347,8 @@
         self.stepping = False
         batch = self.active()[: self.max_batch]
         for run in batch:
+            if self.world.time_ms < run.first_at_ms:
+                continue
             run.tokens.append(token(str(run.adapter), run.prompt, len(run.tokens)))
             for channel, position in run.channels:
                 self.feed(run, channel, position)
--- a/tests/randomised/scenario.py
+++ b/tests/randomised/scenario.py
@@ -466,6 +466,7 @@
             "max-outage-ms": "12000",
             "silence-ms": "3000",
             "report-lag-ms": "600",
+            "address-ttl-ms": "3000",
         },
         {},
     )
--- a/tests/randomised/without.py
+++ b/tests/randomised/without.py
@@ -13,7 +13,7 @@
 from monsoonflow.configuration import store
 from monsoonflow.core import invariant
 from monsoonflow.core.invariant import InvariantBroken
-from monsoonflow.core.outcome import NotRun
+from monsoonflow.core.outcome import Done, NotRun
 from monsoonflow.node import intake, stop, takeover
 from monsoonflow.node.health import HealthLoop
 from monsoonflow.ownership.lease import HeldLease
@@ -125,14 +125,18 @@
 
 
 def chunk_order() -> None:
-    """Take chunks as they come."""
+    """Take chunks as they come, and any end marker."""
 
     def chunk(self: Any, _attempt: int, _index: int, text: str) -> ChunkVerdict:
         self.chunks.append(text)
         self._digest.update(text.encode())
         return ChunkVerdict.ACCEPTED
 
+    def finish(self: Any, _attempt: int, _count: int, _digest: str) -> Any:
+        return life_module.End(self.outcome or self._end(Done(len(self.chunks), self.digest)))
+
     replace(life_module.RequestLife, "chunk", chunk)
+    replace(life_module.RequestLife, "finish", finish)
 
 
 def plan_condition() -> None:
