--- a/monsoonflow/api/operators.py
+++ b/monsoonflow/api/operators.py
@@ -38,6 +38,7 @@
         app.post("/v1/intents", callback=self._guarded(self.intent))
         app.get("/v1/plans/<plan_id>", callback=self._guarded(self.plan))
         app.post("/v1/plans/<plan_id>/confirm", callback=self._guarded(self.confirm))
+        app.get("/v1/burn", callback=self._guarded(self.burn))
         app.get("/v1/explain/requests/<request_id>", callback=self._guarded(self.request))
         app.get("/v1/explain/runners/<runner_id>", callback=self._guarded(self.runner))
 
@@ -135,6 +136,17 @@
             case None:
                 return refuse(404, "unknown plan")
 
+    def burn(self) -> Any:
+        """Return this node's counts against the objectives."""
+        objectives = self._context.config.objective_by_name.values()
+        return answer(
+            200,
+            {
+                "objectives": [converter.unstructure(entry) for entry in objectives],
+                "counts": self._context.burn.counts(),
+            },
+        )
+
     def request(self, request_id: str) -> Any:
         """Tell what was decided about a request."""
         return answer(200, {"lines": explain_request(self._context, request_id)})
--- a/monsoonflow/cli/application.py
+++ b/monsoonflow/cli/application.py
@@ -14,6 +14,7 @@
     PlanShowCommand,
     StatusCommand,
 )
+from .report import ReportBurnCommand
 
 
 def build() -> Application:
@@ -28,6 +29,7 @@
         PlanShowCommand(),
         PlanConfirmCommand(),
         ExplainCommand(),
+        ReportBurnCommand(),
     ):
         application.add(command)
     return application
--- a/monsoonflow/cli/operate.py
+++ b/monsoonflow/cli/operate.py
@@ -26,14 +26,24 @@
 ]
 
 
-class _Remote(Command):
+class Remote(Command):
     """Calls a node and prints what it answers."""
 
     options: ClassVar[list[Option]] = COMMON
 
-    def call(self, method: str, path: str, json: Any = None) -> Any | None:
-        """Return the decoded answer, or ``None`` after printing one line about the problem."""
-        at = self.option("at") or os.environ.get("MONSOONFLOW_AT", "")
+    def scheme(self) -> str:
+        """Return the scheme that nodes are reached by."""
+        return self._at().partition("://")[0]
+
+    def _at(self) -> str:
+        return self.option("at") or os.environ.get("MONSOONFLOW_AT", "")
+
+    def call(self, method: str, path: str, json: Any = None, at: str | None = None) -> Any | None:
+        """Return the decoded answer, or ``None`` after printing one line about the problem.
+
+        :param at: the URL of the node, in place of the one that the operator named.
+        """
+        at = at or self._at()
         token = self.option("token") or os.environ.get("MONSOONFLOW_TOKEN", "")
         if not at.startswith(("http://", "https://")):
             print("--at (MONSOONFLOW_AT) must be the URL of a node", file=sys.stderr)
@@ -61,7 +71,7 @@
         return 0
 
 
-class AddressCommand(_Remote):
+class AddressCommand(Remote):
     """Asks which node a caller should use."""
 
     name = "address"
@@ -78,7 +88,7 @@
         )
 
 
-class StatusCommand(_Remote):
+class StatusCommand(Remote):
     """Shows the fleet as one node sees it."""
 
     name = "status"
@@ -116,7 +126,7 @@
     return lines
 
 
-class IntentCommand(_Remote):
+class IntentCommand(Remote):
     """States an intent and gets a plan."""
 
     name = "intent"
@@ -138,7 +148,7 @@
         return self.show(data, plan_lines(data))
 
 
-class PlanShowCommand(_Remote):
+class PlanShowCommand(Remote):
     """Shows a plan and how far it is."""
 
     name = "plan show"
@@ -151,7 +161,7 @@
         return EXIT_FAILED if data is None else self.show(data, plan_lines(data))
 
 
-class PlanConfirmCommand(_Remote):
+class PlanConfirmCommand(Remote):
     """Confirms a plan."""
 
     name = "plan confirm"
@@ -164,7 +174,7 @@
         return EXIT_FAILED if data is None else self.show(data, plan_lines(data))
 
 
-class ExplainCommand(_Remote):
+class ExplainCommand(Remote):
     """Tells what was decided about a request or a runner."""
 
     name = "explain"
--- a/monsoonflow/configuration/aggregate.py
+++ b/monsoonflow/configuration/aggregate.py
@@ -13,8 +13,10 @@
     Change,
     Customer,
     MoveVersion,
+    Objective,
     PutAdapters,
     PutCustomer,
+    PutObjective,
     PutRunner,
     PutService,
     RemoveAdapters,
@@ -35,6 +37,7 @@
         self.adapter_by_name: dict[str, Adapter] = {}
         self.runner_by_id: dict[str, RunnerEntry] = {}
         self.service_by_name: dict[str, ServiceEntry] = {}
+        self.objective_by_name: dict[str, Objective] = {}
 
     def apply(self, version: int, changes: tuple[Change, ...]) -> bool:
         """Apply the changes that lead to a version.
@@ -89,6 +92,7 @@
             "adapters": [converter.unstructure(a) for a in self.adapter_by_name.values()],
             "runners": [converter.unstructure(r) for r in self.runner_by_id.values()],
             "services": [converter.unstructure(s) for s in self.service_by_name.values()],
+            "objectives": [converter.unstructure(o) for o in self.objective_by_name.values()],
         }
 
     @classmethod
@@ -103,6 +107,9 @@
         for runner in data["runners"]:
             runner_entry = converter.structure(runner, RunnerEntry)
             config.runner_by_id[runner_entry.runner_id] = runner_entry
+        for objective in data["objectives"]:
+            promised = converter.structure(objective, Objective)
+            config.objective_by_name[promised.name] = promised
         for service in data["services"]:
             service_entry = converter.structure(service, ServiceEntry)
             config.service_by_name[service_entry.name] = service_entry
@@ -123,6 +130,8 @@
             case RemoveAdapters(names=names):
                 for name in names:
                     self.adapter_by_name.pop(name, None)
+            case PutObjective(objective=objective):
+                self.objective_by_name[objective.name] = objective
             case MoveVersion():
                 self._move_version(change)
 
--- a/monsoonflow/configuration/models.py
+++ b/monsoonflow/configuration/models.py
@@ -64,6 +64,35 @@
     customers: tuple[str, ...] = ()
 
 
+@attrs.frozen(slots=True)
+class Objective:
+    """What a class of requests is promised.
+
+    :param priority: the class.
+    :param group: the customer group; empty for all.
+    :param first_token_ms: the time within which the first token shall come.
+    :param share: the share of requests that shall be whole and in time, such as 0.95.
+    """
+
+    priority: int
+    first_token_ms: int
+    share: float
+    group: str = ""
+
+    @property
+    def name(self) -> str:
+        """Return the objective's key."""
+        return f"{self.priority}/{self.group}"
+
+
+@attrs.frozen(slots=True)
+class PutObjective:
+    """Adds or replaces an objective."""
+
+    objective: Objective
+    kind: str = "put_objective"
+
+
 @attrs.frozen(slots=True)
 class PutCustomer:
     """Adds or replaces a customer."""
@@ -130,6 +159,7 @@
     | RemoveCustomer
     | RemoveAdapters
     | MoveVersion
+    | PutObjective
 )
 
 CHANGE_BY_KIND: dict[str, type] = {
@@ -140,6 +170,7 @@
     "remove_customer": RemoveCustomer,
     "remove_adapters": RemoveAdapters,
     "move_version": MoveVersion,
+    "put_objective": PutObjective,
 }
 
 
--- a/monsoonflow/configuration/planner.py
+++ b/monsoonflow/configuration/planner.py
@@ -17,10 +17,12 @@
     Change,
     Customer,
     MoveVersion,
+    Objective,
     Plan,
     PlanState,
     PutAdapters,
     PutCustomer,
+    PutObjective,
     PutRunner,
     PutService,
     RemoveAdapters,
@@ -305,6 +307,22 @@
     )
 
 
+def _put_objective(
+    intent: dict, config: Configuration, _request: PlanRequest
+) -> Draft | IntentError:
+    objective = converter.structure(intent["objective"], Objective)
+    if not 0 < objective.share < 1 or not 0 <= objective.priority <= 3:
+        return IntentError("share must be between 0 and 1, priority from 0 to 3")
+    if objective.first_token_ms < 1:
+        return IntentError("first_token_ms must be at least 1")
+    earlier = config.objective_by_name.get(objective.name)
+    return Draft(
+        steps=(Step(f"set the objective of {objective.name}", (PutObjective(objective),)),),
+        undo=(PutObjective(earlier),) if earlier else (),
+        effects=("the burn report counts against it; no request is treated otherwise",),
+    )
+
+
 DRAFTER_BY_KIND: dict[
     str | None, Callable[[dict, Configuration, PlanRequest], Draft | IntentError]
 ] = {
@@ -314,6 +332,7 @@
     "drain_runner": _drain_runner,
     "put_runner": _put_runner,
     "put_service": _put_service,
+    "put_objective": _put_objective,
 }
 
 
--- a/monsoonflow/configuration/store.py
+++ b/monsoonflow/configuration/store.py
@@ -107,12 +107,16 @@
         value = {key: entry for key, entry in row.value.items() if key != "op"}
         return converter.structure(value, Plan), row.version
 
-    def open_plans(self) -> list[str] | Unavailable:
-        """Return the identifiers of the plans that are under way."""
+    def due_plans(self, now_unix_ms: int) -> list[str] | Unavailable:
+        """Return the identifiers of the plans that have a step to carry out now."""
         rows = self._table.scan(OPEN_PREFIX)
         if isinstance(rows, Unavailable):
             return rows
-        return [row.key.removeprefix(OPEN_PREFIX) for row in rows]
+        return [
+            row.key.removeprefix(OPEN_PREFIX)
+            for row in rows
+            if row.value["due_unix_ms"] <= now_unix_ms
+        ]
 
     def confirm(self, plan_id: str, operation_id: str, now_unix_ms: int) -> StepResult:
         """Confirm a plan in one conditional transaction.
@@ -185,7 +189,10 @@
             }
         deletes: tuple[str, ...] = ()
         if state is PlanState.RUNNING:
-            puts[OPEN_PREFIX + plan.plan_id] = {"plan_id": plan.plan_id}
+            # The open row tells when the next step is due: a carrier that read the whole plan each
+            # time to find out would fetch every adapter that it brings in, several times a second.
+            due_ms = plan.steps[done].not_before_unix_ms
+            puts[OPEN_PREFIX + plan.plan_id] = {"due_unix_ms": due_ms}
         elif plan.state is PlanState.RUNNING:
             deletes = (OPEN_PREFIX + plan.plan_id,)
         self._stop_undone(plan, conditions, puts)
--- a/monsoonflow/node/config_loop.py
+++ b/monsoonflow/node/config_loop.py
@@ -20,6 +20,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 KEPT_DELTAS = 512
+CALM_POLLS = 3
 
 
 class ConfigLoop:
@@ -51,9 +52,12 @@
             self._note()
 
     def run(self) -> None:
-        """Poll the table until the process ends."""
+        """Poll the table until the process ends.
+
+        New versions come with heartbeats; polling is for when no peer has told.
+        """
         while True:
-            self._wake.wait(self._context.settings["poll-ms"])
+            self._wake.wait(CALM_POLLS * self._context.settings["poll-ms"])
             self._wake.clear()
             self.read()
 
@@ -108,7 +112,7 @@
             self._context.tasks.sleep(self._context.settings["poll-ms"])
             if not self._carries_plans():
                 continue
-            plans = self.store.open_plans()
+            plans = self.store.due_plans(unix_ms())
             if isinstance(plans, Unavailable):
                 continue
             for plan_id in plans:
--- a/monsoonflow/node/const.py
+++ b/monsoonflow/node/const.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 TICK_MS: Final = 20
+IDLE_TICK_MS: Final = 500
 RESUME_PAUSE_MS: Final = 50
 HEALTH_EVERY_MS: Final = 500
 FAILURES_TO_LEAVE: Final = 3
--- a/monsoonflow/node/context.py
+++ b/monsoonflow/node/context.py
@@ -22,6 +22,7 @@
 from ..placement.store_share import StoreShare
 from ..platform.models import ObjectStore, Table
 from ..platform.vms import VmListReader
+from ..report.burn import BurnCounter
 from ..routing.keys import KeyBook
 from ..routing.limits import Admission, Limits, RetryBudget
 from ..routing.servers import ServerChoice
@@ -72,6 +73,7 @@
         self.rng = rng
         self.journal = Journal(clock)
         self.metrics = Metrics()
+        self.burn = BurnCounter(clock)
         self.home = new_id(settings["node"])
         self.stopping = False
         self.lives_begun = 0
--- a/monsoonflow/node/dispatcher.py
+++ b/monsoonflow/node/dispatcher.py
@@ -7,7 +7,7 @@
 from ..backend.models import OrderDone, OrderRefused, OrderResult, OrderStamp, OrderUnclear
 from ..helpers.logfmt import pairs
 from ..serving.models import Command, SendCancel, SendLoad, SendRun, SendUnload
-from .const import TICK_MS
+from .const import IDLE_TICK_MS, TICK_MS
 from .context import NodeContext
 
 _LOGGER = logging.getLogger(__name__)
@@ -21,7 +21,7 @@
     def __init__(self, context: NodeContext) -> None:
         self._context = context
         self._event = context.tasks.flag()
-        self.load_ended = context.tasks.flag()
+        self.load_wanted = context.tasks.flag()
         self._cancelling: set[str] = set()
         self._orders_by_runner: dict[str, int] = {}
         self._ended_by_runner: dict[str, int] = {}
@@ -41,7 +41,10 @@
     def run(self) -> None:
         """Poll until the process ends."""
         while True:
-            self._event.wait(TICK_MS)
+            queued = self._context.core.queued()
+            if queued:
+                self.load_wanted.set()
+            self._event.wait(TICK_MS if queued else IDLE_TICK_MS)
             self._event.clear()
             for command in self._context.core.poll(self._context.now_ms()):
                 self._carry_out(command)
@@ -82,7 +85,7 @@
                 cause=None if ok else result.reason,
             ),
         )
-        self.load_ended.set()
+        self.load_wanted.set()
         self.kick()
 
     def _unload(self, command: SendUnload) -> None:
--- a/monsoonflow/node/driver.py
+++ b/monsoonflow/node/driver.py
@@ -19,6 +19,7 @@
 from ..core.outcome import NotRun, tag
 from ..helpers.logfmt import pairs
 from ..membership.view import Peer
+from ..report.burn import Ending
 from ..request.const import State
 from ..request.models import ChunkVerdict, End, NextStep, Resume, Retry
 from ..routing.limits import Refusal
@@ -217,8 +218,27 @@
     def _note_stall(self, served: Served, runner_id: str) -> None:
         if served.active.stalled:
             waited_ms = served.active.dispatched_ms - served.active.enqueued_ms
+            served.stall_ms += waited_ms
             self._context.metrics.load_stall.labels(runner_id).inc(waited_ms / 1000)
 
+    def _count_burn(self, served: Served) -> None:
+        context, terms = self._context, served.life.terms
+        customer = context.config.customer_by_name.get(terms.customer)
+        first_ms = None
+        if served.first_chunk_ms is not None:
+            first_ms = served.first_chunk_ms - served.created_ms
+        outcome = served.life.outcome
+        assert outcome is not None
+        ending = Ending(
+            terms.priority,
+            customer.group if customer else "",
+            outcome,
+            first_ms,
+            served.stall_ms,
+            served.life.attempt,
+        )
+        context.burn.count(ending, context.config.objective_by_name.values())
+
     def _finish(self, served: Served) -> None:
         context, life = self._context, served.life
         outcome = life.outcome
@@ -231,6 +251,7 @@
         if served.key is not None:
             context.keys.ended(life.terms.customer, served.key, now_ms, ran)
         context.metrics.requests.labels(tag(outcome), str(life.terms.priority)).inc()
+        self._count_burn(served)
         reason = None if not hasattr(outcome, "reason") else outcome.reason
         context.journal.record(
             served.request_id,
--- a/monsoonflow/node/heartbeat.py
+++ b/monsoonflow/node/heartbeat.py
@@ -6,6 +6,7 @@
 
 from ..core.adapter import parse_ref
 from ..helpers.logfmt import pairs
+from ..membership.view import Peer
 from ..ownership.models import OwnerRow
 from ..placement.models import RunnerView
 from ..rpc import control_pb2 as pb
@@ -42,17 +43,33 @@
         """Send heartbeats until the process ends; a configuration change sends them at once."""
         interval_ms = self._context.settings["heartbeat-ms"]
         while True:
-            self._config_loop.changed.wait(interval_ms)
+            changed = self._config_loop.changed.wait(interval_ms)
             self._config_loop.changed.clear()
-            self.beat()
+            self.beat(to_all=changed)
 
-    def beat(self) -> None:
-        """Exchange reports with every peer."""
+    def beat(self, to_all: bool = True) -> None:
+        """Exchange reports with peers.
+
+        A call carries both reports, so of each pair one node calls; the other calls only when it
+        has not heard from the first for longer than an interval.
+
+        :param to_all: whether there is news that all peers should have now.
+        """
         report = self.report()
-        peers = list(self._context.membership.peer_by_incarnation.values())
+        peers = [
+            peer
+            for peer in self._context.membership.peer_by_incarnation.values()
+            if to_all or self._is_my_turn(peer)
+        ]
         jobs = [self._context.tasks.spawn(self._beat_one, peer.row.rpc, report) for peer in peers]
         self._context.tasks.join(jobs, 1200)
 
+    def _is_my_turn(self, peer: Peer) -> bool:
+        context = self._context
+        if context.me.incarnation < peer.row.incarnation:
+            return True
+        return context.now_ms() - peer.heard_ms > 1.5 * context.settings["heartbeat-ms"]
+
     def report(self) -> pb.NodeReport:
         """Return this node's report."""
         context = self._context
--- a/monsoonflow/node/lease_loop.py
+++ b/monsoonflow/node/lease_loop.py
@@ -21,6 +21,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 PROMISE_STEPS = 8
+RENEWALS_PER_LEASE = 3
+CALM_POLLS = 5
 
 
 class LeaseLoop:
@@ -35,11 +37,41 @@
         self._named: set[str] = set()
 
     def run(self) -> None:
-        """Renew, read and claim until the process ends."""
+        """Renew, read and claim until the process ends.
+
+        While all is calm, the rows are read seldom: heartbeats tell that the others live, and every
+        node reading every row each second would spend more than its budget of control bytes.
+        """
+        context = self._context
+        poll_ms = context.settings["poll-ms"]
+        renew_ms = max(poll_ms, context.timing.duration_ms // RENEWALS_PER_LEASE)
+        renew_at_ms = read_at_ms = 0
         while True:
-            self.renew()
-            self._read_and_claim()
-            self._context.tasks.sleep(self._context.settings["poll-ms"])
+            if context.now_ms() >= renew_at_ms:
+                renew_at_ms = context.now_ms() + renew_ms
+                self.renew()
+            if context.now_ms() >= read_at_ms or not self._is_calm():
+                self._read_and_claim()
+                read_at_ms = context.now_ms() + CALM_POLLS * poll_ms
+            context.tasks.sleep(min(poll_ms, renew_ms))
+
+    def _is_calm(self) -> bool:
+        """Tell whether every runner has an owner that is heard of, and no peer is silent."""
+        context = self._context
+        live = {peer.row.incarnation for peer in context.membership.live(context.now_ms())}
+        quiet_ms = 3 * context.settings["heartbeat-ms"]
+        for peer in context.membership.peer_by_incarnation.values():
+            if peer.leaving or context.now_ms() - peer.heard_ms > quiet_ms:
+                return False
+        live.add(context.me.incarnation)
+        owned = context.core.owned_by_runner
+        if any(
+            runner not in owned
+            for runner, (row, _) in context.owners.items()
+            if row.incarnation == context.me.incarnation
+        ):
+            return False
+        return all(context.owner_of(runner) in live for runner in context.config.runner_by_id)
 
     def renew(self) -> bool:
         """Renew the lease once; on lapse, begin a new life.
--- a/monsoonflow/node/load_gate.py
+++ b/monsoonflow/node/load_gate.py
@@ -11,6 +11,8 @@
 from .grants import GrantGiver
 
 ASK_EVERY_MS = 50
+MIN_PAUSE_MS = 5
+IDLE_MS = 1_000
 FALLBACK_MS = 3_000
 HOLD_EVERY_MS = 1_000
 
@@ -36,9 +38,12 @@
     def run(self) -> None:
         """Ask while there is something to load, until the process ends."""
         while True:
-            self._dispatcher.load_ended.wait(ASK_EVERY_MS)
-            self._dispatcher.load_ended.clear()
+            busy = self._context.core.queued() or self._granted_by is not None
+            self._dispatcher.load_wanted.wait(ASK_EVERY_MS if busy else IDLE_MS)
+            self._dispatcher.load_wanted.clear()
             self.step()
+            if busy:
+                self._context.tasks.sleep(MIN_PAUSE_MS)
 
     def step(self) -> None:
         """Ask once."""
--- a/monsoonflow/node/served.py
+++ b/monsoonflow/node/served.py
@@ -54,6 +54,7 @@
         self.ended_ms: int | None = None
         self.first_chunk_ms: int | None = None
         self.unplaced_since_ms: int | None = None
+        self.stall_ms = 0
         self.readers = 0
         self.last_read_ms = created_ms
         self.signal = Signal(tasks)
--- a/monsoonflow/node/settings.py
+++ b/monsoonflow/node/settings.py
@@ -44,7 +44,7 @@
     ),
     Setting("operator-token", *_TOKEN, "bearer token of operators", secret=True),
     Setting("node-token", *_TOKEN, "token that nodes prove themselves with", secret=True),
-    Setting("lease-ms", *whole(300, 60_000), "how long a lease lasts", "3000", "ms"),
+    Setting("lease-ms", *whole(300, 60_000), "how long a lease lasts", "5000", "ms"),
     Setting(
         "lease-margin-ms",
         *whole(50, 10_000),
@@ -59,7 +59,7 @@
         "300000",
         "ms",
     ),
-    Setting("heartbeat-ms", *whole(50, 10_000), "time between heartbeats", "500", "ms"),
+    Setting("heartbeat-ms", *whole(50, 10_000), "time between heartbeats", "1000", "ms"),
     Setting("poll-ms", *whole(50, 10_000), "time between reads of the table service", "1000", "ms"),
     Setting(
         "silence-ms", *whole(200, 60_000), "silence after which a connection is lost", "4000", "ms"
--- /dev/null
+++ b/monsoonflow/report/__init__.py
@@ -0,0 +1,1 @@
+"""Counts requests against objectives and reports how fast their budgets burn."""
--- a/monsoonflow/runner/aggregate.py
+++ b/monsoonflow/runner/aggregate.py
@@ -7,6 +7,7 @@
 from .const import (
     LOAD_BACKOFF_MAX_MS,
     LOAD_BACKOFF_START_MS,
+    MAX_HEAT_ENTRIES,
     MAX_LOAD_FAILURES,
     Permission,
     SlotState,
@@ -397,4 +398,16 @@
         heat = self.heat_by_adapter.get(adapter)
         if heat is None:
             heat = self.heat_by_adapter[adapter] = Heat()
+            if len(self.heat_by_adapter) > MAX_HEAT_ENTRIES:
+                self._forget_cold()
         return heat
+
+    def _forget_cold(self) -> None:
+        """Drop the colder half of the adapters that were asked for, so that memory is bounded."""
+        latest_ms = max(heat.at_ms for heat in self.heat_by_adapter.values())
+        order = sorted(
+            self.heat_by_adapter, key=lambda name: self.heat_by_adapter[name].now(latest_ms)
+        )
+        for adapter in order[: len(order) // 2]:
+            if adapter not in self.slot_by_adapter:
+                del self.heat_by_adapter[adapter]
--- a/monsoonflow/serving/core.py
+++ b/monsoonflow/serving/core.py
@@ -242,6 +242,10 @@
         self._orders = []
         return commands
 
+    def queued(self) -> int:
+        """Return how many requests wait at the runners of this node."""
+        return sum(owned.runner.queued for owned in self.owned_by_runner.values())
+
     def loads_under_way(self) -> int:
         """Return how many loads are going on at the runners of this node."""
         return sum(owned.runner.loads_under_way() for owned in self.owned_by_runner.values())
