--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -283,6 +283,7 @@
     return {
         "processor per node, mean (% of a core)": statistics.fmean(spent),
         "processor per node, worst (% of a core)": max(spent),
+        "resident memory per node, least (MB)": min(resident_mb(pid) for pid in processes),
         "resident memory per node, worst (MB)": max(resident_mb(pid) for pid in processes),
         "table reads, all nodes (1/s)": (done["reads"] - counts["reads"]) / took,
         "table writes, all nodes (1/s)": (done["writes"] - counts["writes"]) / took,
--- a/monsoonflow/backend/models.py
+++ b/monsoonflow/backend/models.py
@@ -128,6 +128,32 @@
 OrderResult: TypeAlias = OrderDone | OrderRefused | OrderUnclear
 
 
+@attrs.frozen(slots=True)
+class CacheEvent:
+    """One change of an engine's prefix cache.
+
+    :param number: rises by one with each event, so that a gap is seen.
+    :param kind: ``stored`` or ``dropped``.
+    """
+
+    number: int
+    kind: str
+    prefix: str
+
+
+@attrs.frozen(slots=True)
+class CacheFeed:
+    """Cache events as fetched; they come late and with gaps.
+
+    :param gap: whether events before the first one are missing: what was known of the cache is then
+        to be forgotten and learnt anew.
+    """
+
+    boot_id: str
+    events: tuple[CacheEvent, ...]
+    gap: bool
+
+
 class Engine(Protocol):
     """One model runner's engine, whatever its protocol."""
 
@@ -151,5 +177,17 @@
     def fence(self, number: int) -> OrderResult:
         """Tell the engine the number below which it shall refuse orders."""
 
+    def export_kv(self, run_id: str) -> bytes | None:
+        """Return the KV cache of a run, or ``None`` when the engine has none to give."""
+
+    def import_kv(self, stamp: OrderStamp, body: bytes) -> OrderResult:
+        """Give a run's KV cache to this engine."""
+
+    def set_role(self, role: str, fence: int) -> OrderResult:
+        """Order the engine to prefill, to decode, or to do both."""
+
+    def cache_events(self, after: int) -> CacheFeed | None:
+        """Return the prefix-cache events after a number, or ``None`` without an answer."""
+
     def state(self) -> EngineState | None:
         """Return what the engine says of itself now, or ``None`` when it does not answer."""
--- a/monsoonflow/backend/openai_http.py
+++ b/monsoonflow/backend/openai_http.py
@@ -4,6 +4,7 @@
 
 import ssl
 from collections.abc import Iterator
+from itertools import pairwise
 from typing import Any, Final
 
 import orjson
@@ -16,6 +17,8 @@
 from .models import (
     Began,
     Broken,
+    CacheEvent,
+    CacheFeed,
     Chunk,
     Cut,
     Ended,
@@ -170,6 +173,39 @@
         """Tell the engine the number below which it shall refuse orders."""
         return self._order("/v1/fence", {}, number)
 
+    def export_kv(self, run_id: str) -> bytes | None:
+        """Return the KV cache of a run, or ``None`` when the engine has none to give."""
+        result = self._http.call("GET", f"{self._base}/v1/requests/{run_id}/kv")
+        return result.body if isinstance(result, Answer) and result.status == 200 else None
+
+    def import_kv(self, stamp: OrderStamp, body: bytes) -> OrderResult:
+        """Give a run's KV cache to this engine."""
+        url = f"{self._base}/v1/requests/{stamp.run_id}/kv"
+        head = self._http.open("PUT", url, body, _stamp_headers(stamp), fresh=True)
+        if isinstance(head, Lost):
+            return OrderUnclear(head.reason) if head.sent else OrderRefused(head.reason)
+        head.response.close()
+        if head.status == 200:
+            return OrderDone()
+        return OrderRefused(f"status {head.status}", stale_fence=head.status == 409)
+
+    def set_role(self, role: str, fence: int) -> OrderResult:
+        """Order the engine to prefill, to decode, or to do both."""
+        return self._order("/v1/role", {"role": role}, fence)
+
+    def cache_events(self, after: int) -> CacheFeed | None:
+        """Return the prefix-cache events after a number, or ``None`` without an answer."""
+        result = self._http.call("GET", f"{self._base}/v1/cache_events?after={after}")
+        if not isinstance(result, Answer) or result.status != 200:
+            return None
+        data = result.json()
+        events = tuple(
+            CacheEvent(entry["number"], entry["kind"], entry["prefix"]) for entry in data["events"]
+        )
+        numbers = [after, *(event.number for event in events)]
+        gap = any(later != earlier + 1 for earlier, later in pairwise(numbers))
+        return CacheFeed(data["boot_id"], events, gap)
+
     def state(self) -> EngineState | None:
         """Return what the engine says of itself now, or ``None`` when it does not answer."""
         result = self._http.call("GET", f"{self._base}/v1/load")
--- a/monsoonflow/helpers/sse.py
+++ b/monsoonflow/helpers/sse.py
@@ -62,6 +62,15 @@
 
 
 def _parse(block: bytes) -> SseEvent:
+    head, mark, data = block.partition(b"\ndata: ")
+    number = head[4:]
+    if mark and head.startswith(b"id: ") and number.isdigit() and b"\n" not in data:
+        return SseEvent(int(number), "message", data)
+    return _parse_lines(block)
+
+
+def _parse_lines(block: bytes) -> SseEvent:
+    """Parse an event that is not an identifier and one line of data, as chunks are."""
     event_id: int | None = None
     name = "message"
     data = b""
--- a/monsoonflow/node/driver.py
+++ b/monsoonflow/node/driver.py
@@ -213,7 +213,6 @@
             seconds = (served.first_chunk_ms - served.created_ms) / 1000
             priority = str(served.life.terms.priority)
             self._context.metrics.first_chunk.labels(priority).observe(seconds)
-        self._context.metrics.chunks.inc()
         served.signal.notify()
 
     def _note_stall(self, served: Served, runner_id: str) -> None:
@@ -251,6 +250,7 @@
         context.core.forget(served.request_id)
         if served.key is not None:
             context.keys.ended(life.terms.customer, served.key, now_ms, ran)
+        context.metrics.chunks.inc(len(life.chunks))
         context.metrics.requests.labels(tag(outcome), str(life.terms.priority)).inc()
         self._count_burn(served)
         reason = None if not hasattr(outcome, "reason") else outcome.reason
--- a/monsoonflow/node/served.py
+++ b/monsoonflow/node/served.py
@@ -7,7 +7,7 @@
 
 from ..core.clock import Clock
 from ..core.outcome import Outcome
-from ..core.tasks import Tasks
+from ..core.tasks import Flag, Tasks
 from ..membership.view import Peer
 from ..request.const import State
 from ..request.life import RequestLife
@@ -23,18 +23,21 @@
 
     def __init__(self, tasks: Tasks) -> None:
         self._tasks = tasks
-        self._flag = tasks.flag()
+        self._flag: Flag | None = None
 
     def notify(self) -> None:
-        """Wake all waiters."""
-        flag, self._flag = self._flag, self._tasks.flag()
-        flag.set()
+        """Wake all waiters; without any, this costs next to nothing."""
+        if self._flag is not None:
+            flag, self._flag = self._flag, None
+            flag.set()
 
     def wait(self, timeout_ms: int) -> bool:
         """Wait for the next change.
 
         :returns: whether there was one.
         """
+        if self._flag is None:
+            self._flag = self._tasks.flag()
         return self._flag.wait(timeout_ms)
 
 
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -74,6 +74,9 @@
         self.run_by_id: dict[str, Run] = {}
         self.tombstones: set[str] = set()
         self.reports = []
+        self.cached: list[dict[str, Any]] = []
+        self.cache_number = 0
+        self.role = "both"
 
     def _routes(self) -> None:
         app = self.app
@@ -84,6 +87,10 @@
         app.post("/v1/unload_lora_adapter", callback=self.unload)
         app.post("/v1/fence", callback=self.set_fence)
         app.get("/v1/load", callback=self.state)
+        app.get("/v1/requests/<run_id>/kv", callback=self.export_kv)
+        app.put("/v1/requests/<run_id>/kv", callback=self.import_kv)
+        app.post("/v1/role", callback=self.set_role)
+        app.get("/v1/cache_events", callback=self.cache_events)
         app.get("/v1/models", callback=lambda: reply({"data": [{"id": n} for n in self.resident]}))
         app.get("/health", callback=lambda: reply({"boot_id": self.boot_id}))
         app.get("/_records", callback=self.records)
@@ -151,6 +158,7 @@
             request_id = run_id.split(".")[0]
             self.runs_by_request[request_id] = self.runs_by_request.get(request_id, 0) + 1
             self.run_by_id[run_id] = Run(run_id, model, data["prompt"], data["max_tokens"])
+            self._note_cached(data["prompt"])
         self.lose_answer()
         return self._stream(self.run_by_id[run_id], 0)
 
@@ -200,6 +208,48 @@
         self.lose_answer()
         return reply({})
 
+    def export_kv(self, run_id: str) -> Any:
+        """Return what a run has produced, as its cache."""
+        run = self.run_by_id.get(run_id)
+        if run is None:
+            return self._refuse("unknown run", 404)
+        return reply(
+            {"model": run.model, "prompt": run.prompt, "total": run.total, "tokens": run.tokens}
+        )
+
+    def import_kv(self, run_id: str) -> Any:
+        """Take a run over where another engine left it."""
+        if not self._fenced():
+            return self._refuse("stale fencing number", 409)
+        data = body()
+        if data["model"] not in self.resident:
+            return self._refuse("adapter is not loaded", 404)
+        run = Run(run_id, data["model"], data["prompt"], data["total"], data["tokens"])
+        run.digest.update("".join(run.tokens).encode())
+        self.run_by_id[run_id] = run
+        return reply({})
+
+    def set_role(self) -> Any:
+        """Change the role; the stand-in only remembers it."""
+        if not self._fenced():
+            return self._refuse("stale fencing number", 409)
+        role = body()["role"]
+        if role not in ("prefill", "decode", "both"):
+            return self._refuse("unknown role", 400)
+        self.role = role
+        return reply({"role": role})
+
+    def cache_events(self) -> Any:
+        """Return cache events: only the latest are kept, so a slow reader sees a gap."""
+        after = int(bottle.request.query.after or 0)
+        events = [event for event in self.cached if event["number"] > after]
+        return reply({"boot_id": self.boot_id, "events": events})
+
+    def _note_cached(self, prompt: str) -> None:
+        self.cache_number += 1
+        event = {"number": self.cache_number, "kind": "stored", "prefix": prompt[:32]}
+        self.cached = [*self.cached[-63:], event]
+
     def set_fence(self) -> Any:
         """Refuse orders below a number from now on."""
         return reply({}) if self._fenced() else self._refuse("stale fencing number", 409)
--- /dev/null
+++ b/tests/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the backend component."""
