--- a/tests/randomised/fakes.py
+++ b/tests/randomised/fakes.py
@@ -50,6 +50,7 @@
 
     :param lose: share of answers that are lost after their effect.
     :param garble: share of chunks that get lost or doubled on their way.
+    :param note: takes a line for each message that a session's reader wants to see.
     :param base_fallback: whether engines serve their base model for adapters that they lack.
     """
 
@@ -62,6 +63,7 @@
     garble: float = 0.0
     base_fallback: bool = False
     counts: dict[str, int] = attrs.field(factory=dict)
+    note: Callable[[str], None] = attrs.field(default=lambda _line: None)
 
     def count(self, name: str) -> None:
         """Count one fault or event."""
@@ -147,7 +149,12 @@
     def commit_once(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once."""
         lost = Unavailable("lost", ambiguous=True)
-        return self._send(lambda: self._table.commit(transaction), lost)
+        result = self._send(lambda: self._table.commit(transaction), lost)
+        keys = [key for key in transaction.puts if not key.startswith("lease/")]
+        if keys:
+            answer = type(result).__name__.lower()
+            self._weather.note(f"{self._node} -> table: write {', '.join(keys)}: {answer}")
+        return result
 
     def _send(self, effect: Callable[[], Any], lost: Any) -> Any:
         if self._weather.table_down or self._node in self._weather.cut_from_table:
@@ -396,15 +403,22 @@
     """One node's way to an engine."""
 
     def __init__(
-        self, world: World, weather: Weather, tasks: VirtualTasks, engine: FakeEngine
+        self,
+        world: World,
+        weather: Weather,
+        tasks: VirtualTasks,
+        engine: FakeEngine,
+        sender: str = "",
     ) -> None:
         self._world, self._weather, self._tasks, self._engine = world, weather, tasks, engine
+        self._sender = sender
 
     def run(
         self, stamp: OrderStamp, adapter: AdapterRef, body: dict, fresh: bool
     ) -> Iterator[StreamEvent]:
         """Send a request and yield what comes back."""
         channel = Channel(self._world, self._weather, self._tasks)
+        self._note(f"run {body['prompt']!r} on {adapter}, fencing number {stamp.fence}")
         self._world.later(
             self._weather.delay_ms(), lambda: self._engine.start(stamp, adapter, body, channel)
         )
@@ -433,6 +447,7 @@
     def load(self, adapter: AdapterRef, fence: int) -> OrderResult:
         """Load an adapter, which takes a while."""
         engine, boot_id = self._engine, self._engine.boot_id
+        self._note(f"load {adapter}, fencing number {fence}")
         if not engine.allowed(fence):
             return OrderRefused("stale fencing number", stale_fence=True)
         self._tasks.sleep(self._weather.rng.uniform(100, 250))
@@ -453,10 +468,12 @@
 
     def unload(self, adapter: AdapterRef, fence: int) -> OrderResult:
         """Unload an adapter."""
+        self._note(f"unload {adapter}, fencing number {fence}")
         return self._order(lambda: self._engine.unload(adapter, fence))
 
     def fence(self, number: int) -> OrderResult:
         """Raise the fence."""
+        self._note(f"refuse orders below fencing number {number}")
 
         def effect() -> OrderResult:
             if self._engine.allowed(number):
@@ -469,6 +486,9 @@
         """Return the load report."""
         return call(self._world, self._weather, self._tasks, self._engine.state, None)
 
+    def _note(self, line: str) -> None:
+        self._weather.note(f"{self._sender} -> {self._engine.name}: {line}")
+
     def _order(self, effect: Callable[[], OrderResult]) -> OrderResult:
         return call(self._world, self._weather, self._tasks, effect, OrderUnclear("lost"))
 
--- a/tests/randomised/scenario.py
+++ b/tests/randomised/scenario.py
@@ -118,7 +118,7 @@
             control=ControlFake(self.network, tasks, name),
             relay=RelayFake(self.network, tasks, name),
             open_engine=lambda address: EngineClient(
-                self.world, self.weather, tasks, self.engine_by_address[address]
+                self.world, self.weather, tasks, self.engine_by_address[address], name
             ),
         )
         rng = random.Random(self.rng.random())
@@ -221,6 +221,8 @@
             asked.model, asked.prompt, asked.tokens, asked.repeatable, deadline_ms=DEADLINE_MS
         )
         self.weather.count(f"outcome {tag(asked.reply.outcome)}")
+        served = f" on {asked.reply.model}" if asked.reply.model else ""
+        self.weather.note(f"caller: {asked.prompt!r} is {tag(asked.reply.outcome)}{served}")
 
     def _operators(self) -> None:
         """Two operators race with moves of the same adapters."""
--- /dev/null
+++ b/tests/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole sessions that a person can read."""
