--- a/monsoonflow/node/daemon.py
+++ b/monsoonflow/node/daemon.py
@@ -21,6 +21,7 @@
 from ..core.invariant import InvariantBroken
 from ..helpers.gevent_tasks import GeventTasks
 from ..helpers.logfmt import pairs
+from ..helpers.memory import give_back
 from ..helpers.wsgi import start_server
 from ..platform.objects import HttpObjectStore
 from ..platform.settling import SettlingTable
@@ -37,6 +38,7 @@
 _LOGGER = logging.getLogger(__name__)
 EXIT_BIND = 3
 EXIT_BROKEN = 4
+GIVE_BACK_EVERY_S = 15
 
 
 class Daemon:
@@ -94,11 +96,17 @@
         self._node.config_loop.load()
         for loop in (*self._node.loops, ServiceHealth(self.context).run):
             gevent.spawn(self._guard, loop)
+        gevent.spawn(self._guard, self._give_back_memory)
         self._stop_asked.wait()
         if self._broken:
             return EXIT_BROKEN
         return self._shut_down(http, rpc)
 
+    def _give_back_memory(self) -> None:
+        while True:
+            gevent.sleep(GIVE_BACK_EVERY_S)
+            give_back()
+
     def _guard(self, loop: Any) -> None:
         """Run a loop; a broken invariant stops the process, any other error restarts the loop.
 
