--- a/monsoonflow/cli/node.py
+++ b/monsoonflow/cli/node.py
@@ -13,6 +13,7 @@
 
 from ..helpers import logfmt
 from ..helpers.settings import SettingError, env_name
+from ..helpers.tls import TlsContexts, TlsProblem, open_contexts
 from ..node.settings import SCHEMA, NodeSettings, load_settings
 
 EXIT_USAGE = 2
@@ -36,6 +37,12 @@
     return load_settings(flags, os.environ)
 
 
+def _open_tls(settings: NodeSettings) -> TlsContexts | TlsProblem | None:
+    if not settings["tls-cert"]:
+        return None
+    return open_contexts(settings["tls-cert"], settings["tls-key"], settings["tls-authority"])
+
+
 class NodeCommand(Command):
     """Runs one node until SIGTERM asks it to stop gracefully."""
 
@@ -52,7 +59,11 @@
         logfmt.configure(settings["log-level"])
         from ..node.daemon import Daemon
 
-        return Daemon(settings).run()
+        tls = _open_tls(settings)
+        if isinstance(tls, TlsProblem):
+            print(SettingError("tls-cert", tls.reason).line(), file=sys.stderr)
+            return EXIT_USAGE
+        return Daemon(settings, tls).run()
 
 
 class SettingsCommand(Command):
--- a/monsoonflow/client/client.py
+++ b/monsoonflow/client/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
@@ -51,6 +52,7 @@
 
     :param seeds: URLs of some nodes, tried in turn.
     :param key: the customer's bearer key.
+    :param tls: a context that trusts the nodes' authority, where they speak TLS.
     :param transport: carries the calls; HTTP where none is given.
     """
 
@@ -60,10 +62,11 @@
         key: str,
         clock: Clock | None = None,
         transport: Transport | None = None,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         self._seeds = [seed.rstrip("/") for seed in seeds]
         self._clock = clock or MonotonicClock()
-        self._transport = transport or HttpTransport(key, SILENCE_MS)
+        self._transport = transport or HttpTransport(key, SILENCE_MS, tls)
         self._found_by_model: dict[str, tuple[int, list[Address]]] = {}
         self._known_nodes: dict[str, None] = {}
 
--- a/monsoonflow/client/transport.py
+++ b/monsoonflow/client/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 import time
 from collections.abc import Iterator
 from typing import Any, Protocol
@@ -49,15 +50,18 @@
 
     :param key: the customer's bearer key.
     :param silence_ms: the longest time without a byte before a connection counts as lost.
+    :param tls: a context, where nodes speak TLS.
     """
 
-    def __init__(self, key: str, silence_ms: int) -> None:
+    def __init__(self, key: str, silence_ms: int, tls: ssl.SSLContext | None = None) -> None:
         self._auth = {"Authorization": f"Bearer {key}"}
-        self._http = HttpClient(silence_ms)
+        self._http = HttpClient(silence_ms, tls)
+        self._scheme = "https" if tls else "http"
 
     def lookup(self, seed: str, model: str) -> Found | None:
         """Ask a node which nodes to use; ``None`` when it does not answer."""
-        url = f"{seed}/v1/address?model={quote(model, safe='')}"
+        host = seed.partition("://")[2]
+        url = f"{self._scheme}://{host}/v1/address?model={quote(model, safe='')}"
         result = self._http.call("GET", url, headers=self._auth, timeout_ms=LOOKUP_TIMEOUT_MS)
         if not isinstance(result, Answer) or result.status != 200:
             return None
@@ -69,13 +73,13 @@
         self, address: str, headers: dict[str, str], body: dict[str, Any], fresh: bool
     ) -> Iterator[StreamEvent]:
         """Send a completion request."""
-        url = f"http://{address}/v1/completions"
+        url = f"{self._scheme}://{address}/v1/completions"
         all_headers = {**self._auth, **headers, "Content-Type": "application/json"}
         yield from read_stream(self._http.open("POST", url, orjson.dumps(body), all_headers, fresh))
 
     def resume(self, address: str, request_id: str, from_index: int) -> Iterator[StreamEvent]:
         """Go on with a cut answer."""
-        url = f"http://{address}/v1/requests/{request_id}/stream"
+        url = f"{self._scheme}://{address}/v1/requests/{request_id}/stream"
         headers = {**self._auth, "Last-Event-ID": str(from_index - 1)}
         yield from read_stream(self._http.open("GET", url, headers=headers, fresh=True))
 
--- a/monsoonflow/helpers/http.py
+++ b/monsoonflow/helpers/http.py
@@ -138,5 +138,5 @@
         return Head(response.status, response)
 
     def _new_pool(self, size: int) -> urllib3.PoolManager:
-        extra = {"ssl_context": self._tls, "assert_hostname": False} if self._tls else {}
+        extra = {"ssl_context": self._tls} if self._tls else {}
         return urllib3.PoolManager(num_pools=64, maxsize=size, block=False, **extra)
--- a/monsoonflow/node/daemon.py
+++ b/monsoonflow/node/daemon.py
@@ -22,6 +22,7 @@
 from ..helpers.gevent_tasks import GeventTasks
 from ..helpers.logfmt import pairs
 from ..helpers.memory import give_back
+from ..helpers.tls import TlsContexts
 from ..helpers.wsgi import start_server
 from ..platform.objects import HttpObjectStore
 from ..platform.settling import SettlingTable
@@ -39,13 +40,16 @@
 EXIT_BIND = 3
 EXIT_BROKEN = 4
 GIVE_BACK_EVERY_S = 15
+RENEW_EVERY_S = 1
 
 
 class Daemon:
     """One entry VM's whole daemon."""
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(self, settings: NodeSettings, tls: TlsContexts | None = None) -> None:
         clock = MonotonicClock()
+        self._tls = tls
+        credentials = None if tls is None else tls.channel_credentials()
         tasks = GeventTasks()
         self._settings = settings
         self._stop_asked = Event()
@@ -55,8 +59,8 @@
             table=SettlingTable(HttpTable(settings["table"]), tasks),
             objects=HttpObjectStore(settings["objects"]),
             vms=HttpVmList(settings["vms"]),
-            control=ControlClient(settings["node-token"]),
-            relay=RelayClient(settings["node-token"], silence_ms),
+            control=ControlClient(settings["node-token"], credentials),
+            relay=RelayClient(settings["node-token"], silence_ms, tls and tls.client),
             open_engine=lambda address: OpenAiEngine(address, silence_ms),
         )
         self._node = assemble(settings, clock, tasks, edges, random.Random())
@@ -77,10 +81,12 @@
         """
         gevent.signal_handler(signal.SIGTERM, self._stop_asked.set)
         gevent.signal_handler(signal.SIGINT, self._stop_asked.set)
-        rpc = serve(self._settings["rpc"], self._node.control, self._settings["node-token"])
+        credentials = None if self._tls is None else self._tls.server_credentials()
+        token = self._settings["node-token"]
+        rpc = serve(self._settings["rpc"], self._node.control, token, credentials)
         if rpc is None:
             return self._not_bound("rpc")
-        http = start_server(self._settings["http"], self._app)
+        http = start_server(self._settings["http"], self._app, self._tls and self._tls.server)
         if http is None:
             return self._not_bound("http")
         _LOGGER.info(
@@ -97,6 +103,7 @@
         for loop in (*self._node.loops, ServiceHealth(self.context).run):
             gevent.spawn(self._guard, loop)
         gevent.spawn(self._guard, self._give_back_memory)
+        gevent.spawn(self._guard, self._renew_certificates)
         self._stop_asked.wait()
         if self._broken:
             return EXIT_BROKEN
@@ -107,6 +114,13 @@
             gevent.sleep(GIVE_BACK_EVERY_S)
             give_back()
 
+    def _renew_certificates(self) -> None:
+        while self._tls is not None:
+            gevent.sleep(RENEW_EVERY_S)
+            if self._tls.reload_if_changed():
+                _LOGGER.info("%s", pairs(event="certificates_reloaded"))
+        gevent.sleep(3600)
+
     def _guard(self, loop: Any) -> None:
         """Run a loop; a broken invariant stops the process, any other error restarts the loop.
 
--- a/monsoonflow/node/settings.py
+++ b/monsoonflow/node/settings.py
@@ -186,6 +186,6 @@
         return SettingError("rpc", "must differ from --http")
     if bool(settings["tls-cert"]) != bool(settings["tls-key"]):
         return SettingError("tls-key", "--tls-cert and --tls-key go together")
-    if settings["tls-authority"] and not settings["tls-cert"]:
-        return SettingError("tls-authority", "needs --tls-cert and --tls-key")
+    if bool(settings["tls-authority"]) != bool(settings["tls-cert"]):
+        return SettingError("tls-authority", "goes together with --tls-cert and --tls-key")
     return None
