--- a/monsoonflow/api/callers.py
+++ b/monsoonflow/api/callers.py
@@ -15,8 +15,7 @@
 from ..node.relay import HEADER_HOP, HEADER_REQUEST
 from ..node.router import owner_for
 from ..node.served import Served
-from .errors import outcome_body, outcome_status, retry_headers
-from .http import answer, bad, customer_of, from_node, lower_headers, read_body, refuse
+from .http import answer, bad, ended_badly, from_node, identify, read_body, refuse
 from .parse import BadRequest, parse_completion, parse_terms
 from .stream import event_stream, head_fields, whole
 
@@ -39,23 +38,20 @@
     def address(self) -> Any:
         """Tell a caller which nodes to use for a model, best first."""
         context = self._context
-        headers = lower_headers()
-        if isinstance(headers, BadRequest):
-            return bad(headers)
-        customer = customer_of(context, headers)
-        if isinstance(customer, bottle.HTTPResponse):
-            return customer
+        caller = identify(context)
+        if isinstance(caller, bottle.HTTPResponse):
+            return caller
         preferred = None
         model = bottle.request.query.get("model", "")
         if model:
             parsed = parse_model(model)
             if parsed is None:
                 return refuse(400, "model must be ADAPTER or ADAPTER@VERSION")
-            adapter = context.config.resolve(customer.name, *parsed)
+            adapter = context.config.resolve(caller.customer.name, *parsed)
             if isinstance(adapter, str):
                 return refuse(404, adapter)
             preferred = owner_for(context, adapter)
-        nodes = order_nodes(context.serving_nodes(), preferred, model or customer.name)
+        nodes = order_nodes(context.serving_nodes(), preferred, model or caller.customer.name)
         if not nodes:
             return refuse(503, "no node takes new work", retry_after_ms=1_000)
         return answer(
@@ -71,13 +67,10 @@
 
     def models(self) -> Any:
         """List the customer's own adapters."""
-        headers = lower_headers()
-        if isinstance(headers, BadRequest):
-            return bad(headers)
-        customer = customer_of(self._context, headers)
-        if isinstance(customer, bottle.HTTPResponse):
-            return customer
-        adapters = self._context.config.adapters_of(customer.name)
+        caller = identify(self._context)
+        if isinstance(caller, bottle.HTTPResponse):
+            return caller
+        adapters = self._context.config.adapters_of(caller.customer.name)
         data = [
             {"id": f"{adapter.name}@{version}", "object": "model"}
             for adapter in adapters
@@ -89,13 +82,10 @@
     def complete(self, chat: bool) -> Any:
         """Run a completion."""
         context = self._context
-        headers = lower_headers()
-        if isinstance(headers, BadRequest):
-            return bad(headers)
-        customer = customer_of(context, headers)
-        if isinstance(customer, bottle.HTTPResponse):
-            return customer
-        terms = parse_terms(headers)
+        caller = identify(context)
+        if isinstance(caller, bottle.HTTPResponse):
+            return caller
+        terms = parse_terms(caller.headers)
         if isinstance(terms, BadRequest):
             return bad(terms)
         body = read_body(context.settings["max-body-bytes"])
@@ -104,17 +94,17 @@
         completion = parse_completion(body, chat)
         if isinstance(completion, BadRequest):
             return bad(completion)
-        by_node = from_node(context, headers)
+        by_node = from_node(context, caller.headers)
         arrival = Arrival(
-            customer.name,
+            caller.customer.name,
             completion,
             terms,
-            relayed_id=headers.get(HEADER_REQUEST.lower()) if by_node else None,
-            hop=by_node and HEADER_HOP.lower() in headers,
+            relayed_id=caller.headers.get(HEADER_REQUEST.lower()) if by_node else None,
+            hop=by_node and HEADER_HOP.lower() in caller.headers,
         )
         admitted = self._intake.admit(arrival)
         if isinstance(admitted, Rejected):
-            return self._ended_badly(admitted.outcome, admitted.request_id)
+            return ended_badly(admitted.outcome, admitted.request_id)
         if completion.stream:
             return self._streamed(admitted, 0, chat)
         return self._whole(admitted, chat)
@@ -122,17 +112,14 @@
     def resume(self, request_id: str) -> Any:
         """Go on with an answer from the chunk after the last one that arrived."""
         context = self._context
-        headers = lower_headers()
-        if isinstance(headers, BadRequest):
-            return bad(headers)
-        customer = customer_of(context, headers)
-        if isinstance(customer, bottle.HTTPResponse):
-            return customer
-        last = headers.get("last-event-id", "-1")
+        caller = identify(context)
+        if isinstance(caller, bottle.HTTPResponse):
+            return caller
+        last = caller.headers.get("last-event-id", "-1")
         if not last.removeprefix("-").isdigit():
             return refuse(400, "Last-Event-ID must be a whole number")
         served = context.served_by_id.get(request_id)
-        if served is None or served.life.terms.customer != customer.name:
+        if served is None or served.life.terms.customer != caller.customer.name:
             body = {"error": {"message": "the request is not known here", "outcome": "unknown"}}
             return answer(404, body)
         chat = bottle.request.query.get("shape") == "chat"
@@ -142,7 +129,7 @@
         self._wait_for_head(served)
         outcome = served.outcome
         if outcome is not None and not isinstance(outcome, Done) and not served.life.chunks:
-            return self._ended_badly(outcome, served.request_id)
+            return ended_badly(outcome, served.request_id)
         fields = {**head_fields(served), "Content-Type": "text/event-stream"}
         return bottle.HTTPResponse(
             event_stream(served, from_index, chat, self._context.clock), 200, fields
@@ -168,12 +155,4 @@
         outcome = served.outcome
         if isinstance(outcome, Done):
             return answer(200, whole(served, outcome, chat), head_fields(served))
-        return self._ended_badly(outcome, served.request_id)
-
-    def _ended_badly(self, outcome: Any, request_id: str) -> bottle.HTTPResponse:
-        retry_after_ms = getattr(outcome, "retry_after_ms", None)
-        return answer(
-            outcome_status(outcome),
-            outcome_body(outcome, request_id),
-            {HEADER_REQUEST: request_id, **retry_headers(retry_after_ms)},
-        )
+        return ended_badly(outcome, served.request_id)
--- a/monsoonflow/api/http.py
+++ b/monsoonflow/api/http.py
@@ -5,14 +5,16 @@
 import hmac
 from typing import Any
 
+import attrs
 import bottle
 import orjson
 
 from ..configuration.models import Customer
+from ..core.outcome import NotRun, Outcome
 from ..node.context import NodeContext
-from ..node.relay import HEADER_CUSTOMER, HEADER_NODE_TOKEN
+from ..node.relay import HEADER_CUSTOMER, HEADER_NODE_TOKEN, HEADER_REQUEST
 from .const import MAX_HEADER_BYTES
-from .errors import error_body, retry_headers
+from .errors import error_body, outcome_body, outcome_status, retry_headers
 from .parse import BadRequest
 
 READ_PIECE = 65_536
@@ -99,3 +101,32 @@
         )
     customer = context.config.customer_of_key(token)
     return customer or refuse(403, "the key is not known")
+
+
+@attrs.frozen(slots=True)
+class Caller:
+    """Who sent a request, with its headers by lower-case name."""
+
+    customer: Customer
+    headers: dict[str, str]
+
+
+def identify(context: NodeContext) -> Caller | bottle.HTTPResponse:
+    """Return who sends the current request, or the answer that refuses it."""
+    headers = lower_headers()
+    if isinstance(headers, BadRequest):
+        return bad(headers)
+    customer = customer_of(context, headers)
+    if isinstance(customer, bottle.HTTPResponse):
+        return customer
+    return Caller(customer, headers)
+
+
+def ended_badly(outcome: Outcome, request_id: str) -> bottle.HTTPResponse:
+    """Return the answer to a request that did not end well."""
+    retry_after_ms = outcome.retry_after_ms if isinstance(outcome, NotRun) else None
+    return answer(
+        outcome_status(outcome),
+        outcome_body(outcome, request_id),
+        {HEADER_REQUEST: request_id, **retry_headers(retry_after_ms)},
+    )
--- a/monsoonflow/api/services.py
+++ b/monsoonflow/api/services.py
@@ -16,8 +16,7 @@
 from ..helpers.logfmt import pairs
 from ..node.context import NodeContext
 from ..routing.keys import KeyClash, KeysFull, KnownKey
-from .errors import outcome_body, outcome_status, retry_headers
-from .http import READ_PIECE, answer, bad, customer_of, lower_headers, refuse
+from .http import READ_PIECE, bad, ended_badly, identify, refuse
 from .parse import BadRequest, Terms, parse_terms
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,29 +57,26 @@
     def call(self, name: str, path: str) -> Any:
         """Pass one call on to a server of the service."""
         context = self._context
-        headers = lower_headers()
-        if isinstance(headers, BadRequest):
-            return bad(headers)
-        customer = customer_of(context, headers)
-        if isinstance(customer, bottle.HTTPResponse):
-            return customer
-        terms = parse_terms(headers)
+        caller = identify(context)
+        if isinstance(caller, bottle.HTTPResponse):
+            return caller
+        terms = parse_terms(caller.headers)
         if isinstance(terms, BadRequest):
             return bad(terms)
         entry = context.config.service_by_name.get(name)
-        if entry is None or (entry.customers and customer.name not in entry.customers):
+        if entry is None or (entry.customers and caller.customer.name not in entry.customers):
             return refuse(404, "unknown service")
         if not context.takes_new_work():
             return refuse(503, "this node takes no new work", retry_after_ms=500)
         request_id = new_id("s")
-        refused = self._admit_key(customer.name, terms, request_id, f"{name}/{path}")
+        refused = self._admit_key(caller.customer.name, terms, request_id, f"{name}/{path}")
         if refused is not None:
-            return self._ended_badly(refused, request_id)
+            return ended_badly(refused, request_id)
         method = bottle.request.method
         repeatable = terms.repeatable and method in SAFE_METHODS
         context.service_calls += 1
-        result = self._try_servers(entry.addresses, path, headers, request_id, repeatable)
-        self._release_key(customer.name, terms, ran=not isinstance(result, NotRun))
+        result = self._try_servers(entry.addresses, path, caller.headers, request_id, repeatable)
+        self._release_key(caller.customer.name, terms, ran=not isinstance(result, NotRun))
         if isinstance(result, Head):
             return result.response
         context.service_calls -= 1
@@ -89,13 +85,13 @@
             pairs(
                 event="service_call_failed",
                 request=request_id,
-                customer=customer.name,
+                customer=caller.customer.name,
                 service=name,
                 outcome=tag(result),
                 cause=result.reason,
             ),
         )
-        return self._ended_badly(result, request_id)
+        return ended_badly(result, request_id)
 
     def _admit_key(
         self, customer: str, terms: Terms, request_id: str, target: str
@@ -198,14 +194,6 @@
         self._context.server_choice.ended(address)
         self._context.service_calls -= 1
 
-    def _ended_badly(self, outcome: Any, request_id: str) -> bottle.HTTPResponse:
-        retry_after_ms = getattr(outcome, "retry_after_ms", None)
-        return answer(
-            outcome_status(outcome),
-            outcome_body(outcome, request_id),
-            {"X-Request-Id": request_id, **retry_headers(retry_after_ms)},
-        )
-
 
 def _pieces(stream: Any) -> Iterator[bytes]:
     while piece := stream.read(READ_PIECE):
--- a/monsoonflow/node/intake.py
+++ b/monsoonflow/node/intake.py
@@ -190,6 +190,7 @@
                 deadline_ms=now_ms + deadline_ms,
                 priority=terms.priority,
                 newcomer=customer is not None and customer.newcomer,
+                weight=customer.weight if customer is not None else 1.0,
                 any_version=arrival.completion.version is None,
             )
         )
--- a/monsoonflow/request/models.py
+++ b/monsoonflow/request/models.py
@@ -30,6 +30,7 @@
     priority: int = 1
     any_version: bool = False
     newcomer: bool = False
+    weight: float = 1.0
 
 
 class ChunkVerdict(Enum):
--- a/monsoonflow/runner/aggregate.py
+++ b/monsoonflow/runner/aggregate.py
@@ -321,7 +321,7 @@
         slot.last_used_ms = now_ms
         self.stall.add(max(0, slot.resident_since_ms - waiting.enqueued_ms), now_ms)
         self.adapter_by_running[waiting.request_id] = waiting.adapter
-        self.served_by_customer[waiting.customer] += 1.0
+        self.served_by_customer[waiting.customer] += 1.0 / waiting.weight
 
     def _join_customer(self, customer: str) -> None:
         """Start a customer at the least served one's count, so that idling earns no credit."""
--- a/monsoonflow/runner/models.py
+++ b/monsoonflow/runner/models.py
@@ -45,6 +45,7 @@
 class Waiting:
     """A request that waits at a runner.
 
+    :param weight: the customer's share when customers compete.
     :param background: whether its customer is a newcomer, whose loads take a bounded share.
     """
 
@@ -54,6 +55,7 @@
     enqueued_ms: int
     priority: int = 1
     background: bool = False
+    weight: float = 1.0
 
 
 @attrs.define(slots=True)
--- a/monsoonflow/serving/core.py
+++ b/monsoonflow/serving/core.py
@@ -135,6 +135,7 @@
                 now_ms,
                 terms.priority,
                 terms.newcomer,
+                terms.weight,
             )
         )
         self.journal.record(
--- a/tests/randomised/scenario.py
+++ b/tests/randomised/scenario.py
@@ -3,32 +3,22 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 
-import attrs
-
-from monsoonflow.client import Client, Reply
+from monsoonflow.client import Client
 from monsoonflow.configuration.models import Plan
 from monsoonflow.configuration.planner import IntentError, PlanRequest, propose
-from monsoonflow.core.outcome import Done, NotRun, tag
+from monsoonflow.core.outcome import tag
 from monsoonflow.helpers import ids
 from monsoonflow.node.assembly import assemble
 from monsoonflow.node.context import Edges
 from monsoonflow.node.settings import NodeSettings, load_settings
 from monsoonflow.platform.settling import SettlingTable
 from script.fleet import bring_in_intent
-from stand_ins.text import expected_text
 
-from .fakes import (
-    EngineClient,
-    FakeEngine,
-    FakeObjects,
-    FakeTable,
-    FakeVms,
-    Record,
-    TableClient,
-    Weather,
-)
+from .engines import EngineClient, FakeEngine, Record
+from .fakes import FakeObjects, FakeTable, FakeVms, TableClient, Weather
+from .faults import Faults
+from .judge import Asked, Judge
 from .network import CallerTransport, ControlFake, Network, Process, RelayFake
 from .virtual import VirtualTasks, World
 
@@ -40,18 +30,7 @@
 DEADLINE_MS = 20_000
 
 
-@attrs.define
-class Asked:
-    """One request of a caller and its end."""
-
-    model: str
-    prompt: str
-    tokens: int
-    repeatable: bool
-    reply: Reply | None = None
-
-
-class Scenario:
+class Scenario(Faults, Judge):
     """Runs one seed."""
 
     def __init__(
@@ -239,213 +218,6 @@
                 self.outside.spawn(self._apply, name, intent)
             self.outside.sleep(self.rng.uniform(1_000, 4_000))
 
-    # Faults
-
-    def _faults(self) -> list[Callable[[], None]]:
-        return [
-            self._kill,
-            self._freeze,
-            self._stop,
-            self._table_down,
-            self._cut_from_table,
-            self._cut_pair,
-            self._lose_answers,
-            self._restart_engine,
-            self._silence,
-            self._cut_streams,
-            self._fail_loads,
-            self._leave_engine,
-            self._garble,
-            self._base_fallback,
-        ]
-
-    def _repeat(self, fault: Callable[[], None]) -> None:
-        """Bring a fault about now and then; several run side by side."""
-        while True:
-            self.outside.sleep(self.rng.uniform(2_000, 28_000) / self.intensity)
-            if not self.faults_on:
-                return
-            self.weather.count(f"fault {fault.__name__.strip('_')}")
-            fault()
-
-    def _some_process(self) -> Process:
-        return self.processes[self.rng.choice(sorted(self.processes))]
-
-    def _kill(self) -> None:
-        process = self._some_process()
-        process.tasks.kill()
-        self.outside.sleep(self.rng.uniform(100, 3_000))
-        self._replace(process)
-
-    def _replace(self, process: Process) -> None:
-        if self.processes[process.name] is process:
-            self.start_node(process.name)
-
-    def _freeze(self) -> None:
-        process = self._some_process()
-        process.tasks.freeze()
-        self.outside.sleep(self.rng.uniform(500, 9_000))
-        process.tasks.thaw()
-
-    def _stop(self) -> None:
-        process = self._some_process()
-        if process.stopped or process.tasks.dead:
-            return
-        process.stopped = True
-        process.tasks.deliver(lambda: process.tasks.spawn(self._stop_now, process))
-
-    def _stop_now(self, process: Process) -> None:
-        process.node.stopper.run()
-        left = [
-            served.request_id
-            for served in process.node.context.served_by_id.values()
-            if not served.life.ended
-        ]
-        if left:
-            self.record.violations.append(f"graceful stop of {process.name} cut {left}")
-        self.weather.count("graceful stops ended")
-        process.tasks.kill()
-        self.world.later(500, lambda: self._replace(process))
-
-    def _table_down(self) -> None:
-        self.weather.table_down = True
-        self.outside.sleep(self.rng.choice((500, 2_000, 9_000)))
-        self.weather.table_down = False
-
-    def _cut_from_table(self) -> None:
-        name = self._some_process().name
-        self.weather.cut_from_table.add(name)
-        self.outside.sleep(self.rng.uniform(1_000, 8_000))
-        self.weather.cut_from_table.discard(name)
-
-    def _cut_pair(self) -> None:
-        pair = frozenset(self.rng.sample(sorted(self.processes), 2))
-        self.weather.cut_pairs.add(pair)
-        self.outside.sleep(self.rng.uniform(1_000, 8_000))
-        self.weather.cut_pairs.discard(pair)
-
-    def _lose_answers(self) -> None:
-        self.weather.lose = 0.15
-        self.outside.sleep(3_000)
-        self.weather.lose = 0.0
-
-    def _some_engine(self) -> FakeEngine:
-        return self.engine_by_address[self.rng.choice(sorted(self.engine_by_address))]
-
-    def _restart_engine(self) -> None:
-        self._some_engine().boot()
-
-    def _silence(self) -> None:
-        """Open connections fall silent for good; new ones work."""
-        for channel in self.network.channels + self._some_engine().channels:
-            if self.rng.random() < 0.5:
-                channel.silent = True
-
-    def _cut_streams(self) -> None:
-        for channel in self.network.channels + self._some_engine().channels:
-            if self.rng.random() < 0.5:
-                channel.cut()
-
-    def _fail_loads(self) -> None:
-        self.weather.fail_loads = 0.3
-        self.outside.sleep(4_000)
-        self.weather.fail_loads = 0.0
-
-    def _leave_engine(self) -> None:
-        engine = self._some_engine()
-        engine.leaving = True
-        self.outside.sleep(self.rng.uniform(3_000, 8_000))
-        engine.leaving = False
-        engine.boot()
-
-    def _garble(self) -> None:
-        """Chunks get lost and doubled while connections stay up."""
-        self.weather.garble = 0.02
-        self.outside.sleep(4_000)
-        self.weather.garble = 0.0
-
-    def _base_fallback(self) -> None:
-        """Engines restart empty and answer with their base model under the adapters' names."""
-        self.weather.base_fallback = True
-        self._some_engine().boot()
-        self.outside.sleep(3_000)
-        self.weather.base_fallback = False
-
-    def _heal(self) -> None:
-        self.faults_on = False
-        self.weather.table_down = False
-        self.weather.cut_from_table.clear()
-        self.weather.cut_pairs.clear()
-        self.weather.lose = self.weather.fail_loads = self.weather.garble = 0.0
-        self.weather.base_fallback = False
-        for engine in self.engine_by_address.values():
-            if engine.leaving:
-                engine.leaving = False
-                engine.boot()
-        for process in self.processes.values():
-            if process.tasks.frozen:
-                process.tasks.thaw()
-
-    # What must hold
-
-    def _judge(self, healed_from: int) -> list[str]:
-        broken = list(self.record.violations)
-        for number, asked in enumerate(self.asked):
-            broken += self._judge_one(asked, must_end_well=number >= healed_from)
-        broken += self._judge_configuration()
-        owned = [
-            (name, runner)
-            for name, process in self.processes.items()
-            for runner in process.node.context.core.owned_by_runner
-        ]
-        if sorted(runner for _, runner in owned) != sorted(self.engine_by_address):
-            broken.append(f"after healing, runners are owned as {owned}")
-        return broken
-
-    def _judge_one(self, asked: Asked, must_end_well: bool) -> list[str]:
-        runs = self.record.runs_by_prompt.get(asked.prompt, 0)
-        if asked.reply is None:
-            return [f"{asked} never ended"]
-        broken = []
-        outcome = asked.reply.outcome
-        if not asked.repeatable and runs > 1:
-            broken.append(f"{asked} may not be repeated and ran {runs} times")
-        if isinstance(outcome, NotRun) and runs:
-            broken.append(f"{asked} was told not run and ran {runs} times")
-        if isinstance(outcome, Done):
-            broken += self._judge_text(asked)
-        elif must_end_well:
-            broken.append(f"{asked} did not end well after healing")
-        return broken
-
-    def _judge_text(self, asked: Asked) -> list[str]:
-        reply = asked.reply
-        assert reply is not None
-        name, _, version = asked.model.partition("@")
-        right = reply.model == asked.model if version else reply.model.startswith(f"{name}@")
-        expected = expected_text(reply.model, asked.prompt, asked.tokens)
-        if right and reply.text == expected:
-            return []
-        return [f"{asked} got a wrong or foreign answer"]
-
-    def _judge_configuration(self) -> list[str]:
-        broken = []
-        head = self.table.rows["config/head"][1]["version"]
-        for name, process in self.processes.items():
-            version = process.node.context.config.version
-            if version != head:
-                broken.append(f"{name} is at version {version}, the head is {head}")
-        carried = {
-            row["plan_id"] for key, (_, row) in self.table.rows.items() if "config/delta/" in key
-        }
-        for plan_id in self.accepted:
-            if plan_id not in carried:
-                broken.append(f"the change of accepted plan {plan_id} is lost")
-            state = self.table.rows[f"plan/{plan_id}"][1]["state"]
-            if state not in ("running", "done"):
-                broken.append(f"accepted plan {plan_id} is {state}")
-        return broken
-
 
 def node_settings(name: str, address: str) -> NodeSettings:
     """Return a node's settings for a run."""
--- a/tests/runner/test_aggregate.py
+++ b/tests/runner/test_aggregate.py
@@ -137,6 +137,17 @@
     assert Dispatch("y0", B) in runner.dispatches(2, ALL)[:2]
 
 
+def test_weight_gives_a_larger_share():
+    runner = Runner("m1", RunnerLimits(2, 9), Weights(), "boot-1")
+    for number in range(9):
+        runner.enqueue(Waiting(f"x{number}", A, "light", 0, weight=1.0))
+        runner.enqueue(Waiting(f"y{number}", B, "heavy", 0, weight=2.0))
+    load(runner, A)
+    load(runner, B)
+    picked = [dispatch.adapter for dispatch in runner.dispatches(1, ALL)]
+    assert picked.count(B) == 6
+
+
 def test_failing_load_is_tried_again_later_then_given_up(runner):
     wait(runner, "r1", A)
     now_ms = 0
--- a/tests/sessions/session.py
+++ b/tests/sessions/session.py
@@ -5,8 +5,10 @@
 import random
 from collections.abc import Callable
 
-from tests.randomised.fakes import FakeEngine, Weather
-from tests.randomised.scenario import Asked, Scenario
+from tests.randomised.engines import FakeEngine
+from tests.randomised.fakes import Weather
+from tests.randomised.judge import Asked
+from tests.randomised.scenario import Scenario
 
 
 class CalmWeather(Weather):
