--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import json
+import os
+import socket
+import subprocess
+import sys
+
 import pytest
+import urllib3
 
 from monsoonflow.client import Client
 from monsoonflow.core.outcome import NotRun
-from script.fleet import Fleet, customer_key
+from script.fleet import OPERATOR_TOKEN, Fleet, customer_key
 from stand_ins.text import expected_text
 
 NODES = ("n1", "n2", "n3")
@@ -130,3 +137,91 @@
 def test_unknown_request_of_a_client_is_not_run(client):
     reply = client.complete("nothing-here", "x", deadline_ms=2_000)
     assert isinstance(reply.outcome, NotRun)
+
+
+def post_raw(running, body, headers):
+    """Send bytes as they are."""
+    return urllib3.request(
+        "POST",
+        running.url("n1") + "/v1/completions",
+        body=body,
+        headers={"Authorization": f"Bearer {customer_key('acme')}", **headers},
+        retries=False,
+        timeout=10,
+    )
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    ("body", "headers", "status"),
+    [
+        (b"{not json", {}, 400),
+        (b"[]", {}, 400),
+        (b"", {}, 400),
+        (b"x" * 2_000_000, {}, 413),
+        (b"{}", {"X-Long": "y" * 7_000, "X-Longer": "z" * 30_000}, 431),
+        (b'{"model":"acme-0","prompt":"x"}', {"X-Monsoonflow-Deadline-Ms": "-1"}, 504),
+        (b'{"model":"acme-0","prompt":"x"}', {"X-Monsoonflow-Deadline-Ms": "soon"}, 400),
+    ],
+)
+def test_bad_input_gets_a_clear_error(running, body, headers, status):
+    result = post_raw(running, body, headers)
+    assert result.status == status
+    assert result.json()["error"]["outcome"] == "not_run"
+    assert result.json()["error"]["message"]
+
+
+@pytest.mark.processes
+def test_key_with_another_body_is_refused(running):
+    headers = {"Idempotency-Key": "same", "X-Monsoonflow-Repeatable": "false"}
+    first = post_raw(running, b'{"model":"acme-5","prompt":"one","max_tokens":2}', headers)
+    second = post_raw(running, b'{"model":"acme-5","prompt":"two","max_tokens":2}', headers)
+    assert first.status == 200
+    assert second.status == 422
+
+
+@pytest.mark.processes
+def test_half_open_callers_do_not_keep_others_waiting(running, client):
+    """Many callers send half a request and no more; others are served meanwhile."""
+    host, _, port = running.address_by_name["n1"].partition(":")
+    half = [socket.create_connection((host, int(port))) for _ in range(200)]
+    for connection in half:
+        connection.sendall(b"POST /v1/completions HTTP/1.1\r\nContent-Length: 100\r\n")
+    reply = client.complete("acme-0", "meanwhile", 3)
+    for connection in half:
+        connection.close()
+    assert reply.done
+    assert reply.first_text_ms < 5_000
+
+
+@pytest.mark.processes
+def test_command_line_against_a_running_node(running):
+    """An operator's session: status, intent, plan, confirm, burn report."""
+
+    def run(*arguments, given=None):
+        done = subprocess.run(
+            [sys.executable, "-m", "monsoonflow.cli.main", *arguments],
+            env={
+                **os.environ,
+                "MONSOONFLOW_AT": running.url("n2"),
+                "MONSOONFLOW_TOKEN": OPERATOR_TOKEN,
+            },
+            input=given,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        assert done.returncode == 0, done.stderr
+        return done.stdout
+
+    objective = {"priority": 1, "first_token_ms": 60_000, "share": 0.9, "group": ""}
+    intent = json.dumps({"kind": "put_objective", "objective": objective})
+    plan = json.loads(run("intent", "-", "--json", given=intent))
+    assert plan["state"] == "proposed"
+    assert "done" in run("plan", "confirm", plan["plan_id"])
+    assert json.loads(run("plan", "show", plan["plan_id"], "--json"))["state"] == "done"
+    assert "in force" in run("status") or "on its way" in run("status")
+    Client([running.url("n2")], customer_key("acme")).complete("acme-0", "counted", 2)
+    rows = json.loads(run("report", "burn", "--json"))
+    assert any(row["requests"] >= 1 and row["bad"] == 0 for row in rows)
