--- a/monsoonflow/configuration/store.py
+++ b/monsoonflow/configuration/store.py
@@ -19,7 +19,7 @@
     Unavailable,
 )
 from .aggregate import Configuration
-from .const import DELTA_PREFIX, HEAD_KEY, PLAN_PREFIX, SNAPSHOT_EVERY, delta_key
+from .const import DELTA_PREFIX, HEAD_KEY, PLAN_PREFIX, delta_key
 from .models import Change, Plan, PlanState, converter
 
 OPEN_PREFIX = "plan-open/"
@@ -84,13 +84,14 @@
             return rows
         return [decode_delta(row) for row in rows]
 
-    def save_snapshot(self, config: Configuration) -> None:
-        """Store a snapshot now and then, so that a new node reads few deltas."""
-        if config.version == 0 or config.version % SNAPSHOT_EVERY:
-            return
-        key = f"config-{config.version:010d}"
-        if self._objects.put(key, orjson.dumps(config.snapshot())):
-            self._point_to_snapshot(config.version, key)
+    def save_snapshot(self, version: int, data: dict) -> None:
+        """Store a snapshot, so that a new node reads few deltas.
+
+        :param data: the configuration as plain data, taken at that version.
+        """
+        key = f"config-{version:010d}"
+        if self._objects.put(key, orjson.dumps(data)):
+            self._point_to_snapshot(version, key)
 
     def save_plan(self, plan: Plan, operation_id: str) -> bool:
         """Store a new plan."""
--- a/monsoonflow/membership/view.py
+++ b/monsoonflow/membership/view.py
@@ -65,15 +65,6 @@
         """Return the peers that take new work."""
         return [peer for peer in self.live(now_ms) if not peer.leaving]
 
-    def peer_of_node(self, node: str, now_ms: int) -> Peer | None:
-        """Return the newest live incarnation of a node."""
-        peers = [peer for peer in self.live(now_ms) if peer.row.node == node]
-        return max(peers, key=lambda peer: peer.heard_ms, default=None)
-
-    def last_heard_ms(self) -> int | None:
-        """Return when any peer was last heard of."""
-        return max((peer.heard_ms for peer in self.peer_by_incarnation.values()), default=None)
-
 
 class Leaving:
     """Collects the ways of learning that a backend server leaves; the first one counts.
--- a/monsoonflow/node/config_loop.py
+++ b/monsoonflow/node/config_loop.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from ..configuration.const import SNAPSHOT_EVERY
 from ..configuration.models import Change, Plan, converter
 from ..configuration.store import ConfigurationStore, Delta
 from ..helpers.hashing import best
@@ -79,6 +80,13 @@
         if applied:
             self._note()
             self.changed.set()
+            self._save_snapshot()
+
+    def _save_snapshot(self) -> None:
+        """Store a snapshot now and then, where this node leads; a missed one costs time only."""
+        config = self._context.config
+        if config.version % SNAPSHOT_EVERY == 0 and self._carries_plans():
+            self._context.tasks.spawn(self.store.save_snapshot, config.version, config.snapshot())
 
     def peer_has(self, rpc_address: str, version: int) -> None:
         """Take a peer's version number; a newer one is fetched from the peer itself."""
--- a/monsoonflow/runner/aggregate.py
+++ b/monsoonflow/runner/aggregate.py
@@ -175,15 +175,6 @@
         self.evictions += 1
         return [Unload(victim.adapter)]
 
-    def retire(self, adapter: AdapterRef) -> list[Order]:
-        """Close an adapter to new requests and unload it once nothing uses it."""
-        slot = self.slot_by_adapter.get(adapter)
-        if slot is None or slot.state not in (SlotState.RESIDENT, SlotState.CLOSING):
-            return []
-        slot.state = SlotState.CLOSING
-        slot.retired = True
-        return self._unload_if_idle(slot)
-
     def loaded(self, adapter: AdapterRef, now_ms: int) -> None:
         """Take the engine's word that a load is complete."""
         slot = self.slot_by_adapter.get(adapter)
@@ -369,7 +360,7 @@
         One that stayed closed would leave its own waiters neither served nor loaded.
         """
         for slot in self.slot_by_adapter.values():
-            if slot.state is SlotState.CLOSING and not slot.retired:
+            if slot.state is SlotState.CLOSING:
                 slot.state = SlotState.RESIDENT
 
     def _close_for(self, adapter: AdapterRef, now_ms: int) -> None:
--- a/monsoonflow/runner/models.py
+++ b/monsoonflow/runner/models.py
@@ -108,7 +108,6 @@
 
     :param pins: the requests that use the adapter now.
     :param successor: the adapter that gets the slot once this one is unloaded.
-    :param retired: whether it was closed for good rather than to make room.
     """
 
     adapter: AdapterRef
@@ -117,7 +116,6 @@
     last_used_ms: int = 0
     resident_since_ms: int = 0
     successor: AdapterRef | None = None
-    retired: bool = False
 
 
 @attrs.define(slots=True)
--- a/tests/configuration/test_plans.py
+++ b/tests/configuration/test_plans.py
@@ -201,6 +201,24 @@
     assert copy.snapshot() == config.snapshot()
 
 
+def test_new_node_starts_from_the_snapshot(table, store, operator):
+    """The oldest deltas can't be read any more; a snapshot was stored after them."""
+    operator.apply(bring_in_intent("acme", 3))
+    config = store.load()
+    store.save_snapshot(config.version, config.snapshot())
+    for key in [key for key in table.table.rows if key.startswith("config/delta/")]:
+        del table.table.rows[key]
+    assert store.load().snapshot() == config.snapshot()
+
+
+def test_missing_snapshot_costs_time_only(store, operator):
+    operator.apply(bring_in_intent("acme", 3))
+    config = store.load()
+    store.save_snapshot(config.version, config.snapshot())
+    store._objects.body_by_key.clear()
+    assert store.load().snapshot() == config.snapshot()
+
+
 def test_plans_survive_their_encoding(operator):
     plan = operator.plan(bring_in_intent("acme", 2))
     assert converter.structure(converter.unstructure(plan), Plan) == plan
