Print figures in one place

Cause: two measurements printed their figures each in its own way. Change: measure/output.py. Checked by script/measure capacity --no-nodes, formatter and linter; no product code and no test is touched.

--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -35,6 +35,7 @@
 from script.fleet import Fleet
 
 from .forwarder import CountingForwarder
+from .output import show
 
 NODES = 7
 RUNNERS = 6
@@ -361,9 +362,7 @@
     if not given.no_nodes:
         sections["seven nodes, six runners, 3,000 adapters, no requests"] = seven_nodes()
     for title, figures in sections.items():
-        print(title)
-        for name, value in figures.items():
-            print(f"  {name:<58} {value:>12,.2f}")
+        show(title, figures)
     return 0
 
 
--- a/measure/node.py
+++ b/measure/node.py
@@ -15,6 +15,7 @@
 from script.fleet import ROOT, Fleet, customer_key
 
 from .capacity import resident_mb, seconds_of
+from .output import show
 
 RUNNERS = 4
 LOADERS = 2
@@ -116,9 +117,7 @@
         ("few streams, one step each 10 ms", direct_and_through(8, 8)),
         ("the letter's share of a node", node_under_load(given.streams, given.seconds)),
     ):
-        print(title)
-        for name, value in figures.items():
-            print(f"  {name:<40} {value}")
+        show(title, figures)
     return 0
 
 
