Move the product's own table, object and VM list ports to storage

Change: the package moves, its types and tests with it; no line of behaviour. Ruled out: keeping both in one folder: two protocols would share one name.

--- a/monsoonflow/configuration/store.py
+++ b/monsoonflow/configuration/store.py
@@ -8,7 +8,7 @@
 import attrs
 import orjson
 
-from ..platform.models import (
+from ..storage.models import (
     CommitResult,
     Committed,
     Conflict,
--- a/monsoonflow/node/claims.py
+++ b/monsoonflow/node/claims.py
@@ -10,7 +10,7 @@
 
 from ..core.tasks import Flag, Tasks
 from ..helpers.ids import new_id
-from ..platform.models import Committed, Row, Table, Transaction, Unavailable
+from ..storage.models import Committed, Row, Table, Transaction, Unavailable
 
 KEY_PREFIX = "key/"
 GATHER_MS = 5
--- a/monsoonflow/node/config_loop.py
+++ b/monsoonflow/node/config_loop.py
@@ -14,9 +14,9 @@
 from ..helpers.hashing import best
 from ..helpers.ids import new_id
 from ..helpers.logfmt import pairs
-from ..platform.models import Unavailable
 from ..rpc import control_pb2 as pb
 from ..rpc.client import ControlCaller
+from ..storage.models import Unavailable
 from .context import NodeContext
 
 _LOGGER = logging.getLogger(__name__)
--- a/monsoonflow/node/context.py
+++ b/monsoonflow/node/context.py
@@ -20,8 +20,6 @@
 from ..placement.models import PlacementTuning, RunnerView
 from ..placement.spread import SpreadTuning, runners_in_use
 from ..placement.store_share import StoreShare
-from ..platform.models import ObjectStore, Table
-from ..platform.vms import VmListReader
 from ..report.burn import BurnCounter
 from ..routing.keys import KeyBook
 from ..routing.limits import Admission, Limits, RetryBudget
@@ -29,6 +27,8 @@
 from ..rpc.client import ControlCaller
 from ..runner.models import Weights
 from ..serving.core import ServingCore
+from ..storage.models import ObjectStore, Table
+from ..storage.vms import VmListReader
 from .const import FAILURES_TO_LEAVE, MAX_KEYS, RETRY_RESERVE, RETRY_SHARE
 from .metrics import Metrics
 from .relay import Relay
--- a/monsoonflow/node/daemon.py
+++ b/monsoonflow/node/daemon.py
@@ -24,12 +24,12 @@
 from ..helpers.memory import give_back
 from ..helpers.tls import TlsContexts
 from ..helpers.wsgi import start_server
-from ..platform.objects import HttpObjectStore
-from ..platform.settling import SettlingTable
-from ..platform.table import HttpTable
-from ..platform.vms import HttpVmList
 from ..rpc.client import ControlClient
 from ..rpc.server import serve
+from ..storage.objects import HttpObjectStore
+from ..storage.settling import SettlingTable
+from ..storage.table import HttpTable
+from ..storage.vms import HttpVmList
 from .assembly import assemble
 from .context import Edges
 from .relay import RelayClient
--- a/monsoonflow/node/health.py
+++ b/monsoonflow/node/health.py
@@ -6,8 +6,8 @@
 
 from ..backend.models import EngineState
 from ..helpers.logfmt import pairs
-from ..platform.models import Unavailable
 from ..serving.models import Owned
+from ..storage.models import Unavailable
 from .const import HEALTH_EVERY_MS, VM_LIST_EVERY_MS
 from .context import NodeContext
 from .dispatcher import Dispatcher
--- a/monsoonflow/node/lease_loop.py
+++ b/monsoonflow/node/lease_loop.py
@@ -12,8 +12,8 @@
 from ..ownership.book import claims
 from ..ownership.const import LEASE_PREFIX, OWNER_PREFIX
 from ..ownership.models import Claim, LeaseRow
-from ..platform.models import Committed, Conflict, Row, Transaction, Unavailable
 from ..rpc.client import ControlCaller
+from ..storage.models import Committed, Conflict, Row, Transaction, Unavailable
 from .const import SUCCESSORS
 from .context import NodeContext, home_of
 from .rows import lease_key, owner_key, to_lease, to_owner, to_value
--- a/monsoonflow/node/rows.py
+++ b/monsoonflow/node/rows.py
@@ -6,7 +6,7 @@
 
 from ..ownership.const import LEASE_PREFIX, OWNER_PREFIX
 from ..ownership.models import LeaseRow, OwnerRow
-from ..platform.models import Row
+from ..storage.models import Row
 
 _converter = cattrs.Converter()
 
--- a/monsoonflow/node/stop.py
+++ b/monsoonflow/node/stop.py
@@ -8,9 +8,9 @@
 from ..helpers.logfmt import pairs
 from ..ownership.book import preferred_owner
 from ..ownership.models import OwnerRow
-from ..platform.models import Committed, Row, Transaction
 from ..rpc import control_pb2 as pb
 from ..rpc.client import ControlCaller
+from ..storage.models import Committed, Row, Transaction
 from .context import NodeContext
 from .dispatcher import Dispatcher
 from .heartbeat import Control
--- a/monsoonflow/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Meets the platform: table service, object store and VM list."""
--- a/tests/configuration/conftest.py
+++ b/tests/configuration/conftest.py
@@ -5,7 +5,7 @@
 import pytest
 
 from monsoonflow.configuration.store import ConfigurationStore
-from monsoonflow.platform.models import Committed, Row, Unavailable
+from monsoonflow.storage.models import Committed, Row, Unavailable
 from tests.randomised.fakes import FakeObjects, FakeTable
 
 
--- a/tests/configuration/test_plans.py
+++ b/tests/configuration/test_plans.py
@@ -7,7 +7,7 @@
 from monsoonflow.configuration.models import Plan, PlanState, converter
 from monsoonflow.configuration.planner import IntentError, PlanRequest, propose, propose_undo
 from monsoonflow.configuration.store import StalePlan, WrongState
-from monsoonflow.platform.models import Unavailable
+from monsoonflow.storage.models import Unavailable
 from script.fleet import bring_in_intent
 
 RUNNER = {
--- a/tests/randomised/fakes.py
+++ b/tests/randomised/fakes.py
@@ -13,7 +13,7 @@
     Chunk,
     Cut,
 )
-from monsoonflow.platform.models import (
+from monsoonflow.storage.models import (
     CommitResult,
     Committed,
     Conflict,
@@ -21,7 +21,7 @@
     Transaction,
     Unavailable,
 )
-from monsoonflow.platform.vms import VmList
+from monsoonflow.storage.vms import VmList
 
 from .virtual import VirtualTasks, World
 
--- a/tests/randomised/scenario.py
+++ b/tests/randomised/scenario.py
@@ -12,7 +12,7 @@
 from monsoonflow.node.assembly import assemble
 from monsoonflow.node.context import Edges
 from monsoonflow.node.settings import NodeSettings, load_settings
-from monsoonflow.platform.settling import SettlingTable
+from monsoonflow.storage.settling import SettlingTable
 from script.fleet import bring_in_intent
 
 from .engines import EngineClient, FakeEngine, Record
