--- a/monsoonflow/core/clock.py
+++ b/monsoonflow/core/clock.py
@@ -14,11 +14,15 @@
 
 
 class MonotonicClock:
-    """Reads the machine's monotonic clock, which a change of the wall clock leaves alone."""
+    """Reads the time since boot, which a change of the wall clock leaves alone.
+
+    The steady clock stands still while a VM is suspended: a lease holder would wake up and believe
+    that its lease still holds, while another node has long taken over. The time since boot goes on.
+    """
 
     def now_ms(self) -> int:
-        """Return the monotonic time in milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        """Return the time since boot in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 class ManualClock:
--- /dev/null
+++ b/monsoonflow/discovery/models.py
@@ -0,0 +1,35 @@
+"""Data of discovered backend servers."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..core.adapter import AdapterRef
+
+
+@attrs.frozen(slots=True)
+class HeldModel:
+    """A base model that a runner holds, with the adapters loaded beside it."""
+
+    name: str
+    version: int = 1
+    adapters: tuple[AdapterRef, ...] = ()
+
+
+@attrs.frozen(slots=True)
+class BackendServer:
+    """One life of a backend server, as it registers itself.
+
+    :param server_id: names this life; another one at the same address has another name.
+    :param slots: requests that it works on at once.
+    :param leaves_in_ms: how long it goes on, where it says so.
+    """
+
+    server_id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int = 1
+    leaving: bool = False
+    leaves_in_ms: int | None = None
+    models: tuple[HeldModel, ...] = ()
--- /dev/null
+++ b/monsoonflow/entry/beliefs.py
@@ -0,0 +1,82 @@
+"""What this node takes to be true: the configuration, the servers, and the adapter versions."""
+
+from __future__ import annotations
+
+import logging
+
+from ..core.adapter import AdapterRef
+from ..core.clock import Clock
+from ..discovery.book import ServerBook
+from ..fleet.models import NodeReport
+from ..helpers.logfmt import pairs
+from ..routing.routes import RouteTable
+
+_LOGGER = logging.getLogger(__name__)
+TELL_MS = 10_000
+"""How long news is repeated to other nodes: longer than they may be cut off from the store and from
+this node at the same time on an ordinary day."""
+
+
+class Beliefs:
+    """The newest state of the world that this node has learnt, from the store or from peers."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.table: RouteTable | None = None
+        self.table_body = b""
+        self.book = ServerBook()
+        self.version_by_adapter: dict[str, int] = {}
+        self._named_at_by_adapter: dict[str, int] = {}
+
+    def take_table(self, table: RouteTable, body: bytes, source: str) -> bool:
+        """Put a configuration in force; never one that is older than what is in force."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        self.table_body = body
+        _LOGGER.info(
+            "%s",
+            pairs(
+                event="configuration",
+                version=table.version,
+                routes=len(table.routes()),
+                source=source,
+            ),
+        )
+        return True
+
+    def take_version(self, ref: AdapterRef, source: str) -> bool:
+        """Take that a version of an adapter is named; return whether it is news."""
+        if self.version_by_adapter.get(ref.name, 0) >= ref.version:
+            return False
+        self.version_by_adapter[ref.name] = ref.version
+        self._named_at_by_adapter[ref.name] = self._clock.now_ms()
+        _LOGGER.info("%s", pairs(event="adapter_version", adapter=str(ref), source=source))
+        return True
+
+    def named_ms_ago(self, adapter: str) -> int | None:
+        """Return how long ago the newest version of an adapter became known."""
+        at_ms = self._named_at_by_adapter.get(adapter)
+        return None if at_ms is None else self._clock.now_ms() - at_ms
+
+    def recent_versions(self) -> tuple[AdapterRef, ...]:
+        """Return the versions that became known lately."""
+        now_ms = self._clock.now_ms()
+        return tuple(
+            AdapterRef(name, self.version_by_adapter[name])
+            for name, at_ms in self._named_at_by_adapter.items()
+            if now_ms - at_ms <= TELL_MS
+        )
+
+    def recent_left(self) -> tuple[str, ...]:
+        """Return the servers that lately said, or were said, to be leaving."""
+        return tuple(self.book.recently_left(self._clock.now_ms(), TELL_MS))
+
+    def take_report(self, report: NodeReport) -> None:
+        """Take what another node says of servers and versions."""
+        now_ms = self._clock.now_ms()
+        for server_id in report.left_servers:
+            if server_id in self.book.by_id:
+                self.book.left(server_id, now_ms, f"told by {report.name}")
+        for ref in report.versions:
+            self.take_version(ref, report.name)
--- /dev/null
+++ b/monsoonflow/entry/cards.py
@@ -0,0 +1,71 @@
+"""Keeps this node's card in the store, and clears away those of nodes that are long gone."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+from ..core.clock import Clock
+from ..core.tasks import Tasks
+from ..fleet.models import NodeCard
+from ..fleet.view import FleetView
+from ..helpers.ids import new_id
+from ..helpers.logfmt import pairs
+from ..storage.models import Committed, Table, Transaction
+from .following import CARD_PREFIX, encode_card
+
+_LOGGER = logging.getLogger(__name__)
+RETRY_PAUSE_MS: Final = 300
+CHECK_EVERY_MS: Final = 5_000
+GONE_AFTER_MS: Final = 30_000
+"""A node silent for so long is taken out of the list; when it lives, it writes its card again."""
+
+
+class CardKeeper:
+    """Writes this node's card and removes those of nodes that are gone."""
+
+    def __init__(
+        self, card: NodeCard, table: Table, view: FleetView, tasks: Tasks, clock: Clock
+    ) -> None:
+        self._card = card
+        self._table = table
+        self._view = view
+        self._tasks = tasks
+        self._clock = clock
+        self._missing_since_by_name: dict[str, int] = {}
+        self.written = False
+
+    def run(self) -> None:
+        """Write the card, and look after the list for good."""
+        while not self._write():
+            self._tasks.sleep(RETRY_PAUSE_MS)
+        while True:
+            self._tasks.sleep(CHECK_EVERY_MS)
+            if self._view.card_by_name.get(self._card.name) != self._card:
+                self._write()
+            self._clear_away()
+
+    def _write(self) -> bool:
+        key = CARD_PREFIX + self._card.name
+        result = self._table.commit(Transaction(new_id("op"), {}, {key: encode_card(self._card)}))
+        self.written = isinstance(result, Committed)
+        if self.written:
+            _LOGGER.info("%s", pairs(event="card_written", node=self._card.name))
+        return self.written
+
+    def _clear_away(self) -> None:
+        now_ms = self._clock.now_ms()
+        names = sorted({self._card.name, *self._view.card_by_name})
+        alive = [
+            name for name in names if name == self._card.name or self._view.alive(name, now_ms)
+        ]
+        for name in names:
+            if name in alive:
+                self._missing_since_by_name.pop(name, None)
+                continue
+            since_ms = self._missing_since_by_name.setdefault(name, now_ms)
+            # Only the first of the living does it: the others would only repeat the write.
+            if now_ms - since_ms > GONE_AFTER_MS and alive[0] == self._card.name:
+                self._table.commit(Transaction(new_id("op"), {}, {}, (CARD_PREFIX + name,)))
+                self._missing_since_by_name.pop(name)
+                _LOGGER.info("%s", pairs(event="card_removed", node=name))
--- /dev/null
+++ b/monsoonflow/entry/daemon.py
@@ -0,0 +1,253 @@
+"""Starts, runs and stops one entry process."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import random
+import signal
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import gevent
+from gevent.event import Event
+
+from ..core.clock import Clock, MonotonicClock
+from ..core.tasks import Tasks
+from ..fleet.gossip import Gossip
+from ..fleet.models import NodeCard, NodeReport
+from ..fleet.view import FleetView
+from ..gateway.budget import SharedRetries
+from ..gateway.engines import EngineChooser
+from ..gateway.handler import Gateway
+from ..gateway.models import Dialect
+from ..gateway.plain import PlainChooser
+from ..helpers.gevent_tasks import GeventTasks
+from ..helpers.ids import new_id
+from ..helpers.logfmt import pairs
+from ..orders.models import RunnerControl
+from ..routing.budget import FleetRetryBudget, RetryAllowance
+from ..routing.condition import Conditions
+from ..routing.in_flight import InFlight
+from ..storage.models import ChangeFeed, RawTable
+from ..storage.settling import SettlingTable
+from ..transport.client import Pools
+from ..transport.models import MessageLimits
+from ..transport.server import Handler, Port
+from .address import AddressBook
+from .beliefs import Beliefs
+from .cards import CardKeeper
+from .duties import Duties
+from .following import Decoders, Followed, Following
+from .peers import PeerApi, PeerClient
+from .settings import EntrySettings
+from .stopping import stop_gracefully
+
+_LOGGER = logging.getLogger(__name__)
+SWEEP_EVERY_MS = 500
+"""How often resting connections and doubtful servers are looked through."""
+
+
+class Outside(Protocol):
+    """What a deployment's translation provides."""
+
+    dialect: Dialect
+    decoders: Decoders
+
+    def raw_table(self) -> RawTable:
+        """Return the table service."""
+
+    def feed(self) -> ChangeFeed:
+        """Return a change feed with a connection of its own."""
+
+    def runners(self) -> RunnerControl:
+        """Return the way to the runners."""
+
+    def readiness(self, ready: Callable[[], bool]) -> Handler:
+        """Return the handler of the readiness address."""
+
+    def directory(self, choose: Callable[[], tuple[list[str], float]]) -> Handler:
+        """Return the handler of the directory address."""
+
+
+@attrs.define(slots=True)
+class Ports:
+    """The addresses at which a process listens."""
+
+    callers: Port
+    ready: Port
+    directory: Port
+    peers: Port
+
+    def all(self) -> tuple[Port, ...]:
+        """Return all ports; callers are taken last, when everything else answers."""
+        return (self.ready, self.directory, self.peers, self.callers)
+
+
+class EntryDaemon:
+    """One entry process: its beliefs, its ports and its loops."""
+
+    def __init__(self, settings: EntrySettings, outside: Outside) -> None:
+        self.settings = settings
+        self.boot = new_id("b")
+        self.clock: Clock = MonotonicClock()
+        self.tasks: Tasks = GeventTasks()
+        self.rng = random.Random()
+        self.leaving = False
+        self.view = FleetView(settings.name)
+        self.beliefs = Beliefs(self.clock)
+        self.in_flight = InFlight()
+        self.conditions = Conditions()
+        self.pools = Pools(self.clock)
+        self._sequence = 0
+        self._stop = Event()
+        bounds = settings.bounds
+        self.budget = FleetRetryBudget(
+            RetryAllowance(bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_ms)
+        )
+        self.table = SettlingTable(outside.raw_table(), self.tasks)
+        self.gossip = Gossip(
+            settings.peer_address,
+            self.view,
+            self.report,
+            self.beliefs.take_report,
+            self.tasks,
+            self.clock,
+            self.rng,
+        )
+        self.peers = PeerClient(self.view, self.clock, outside.decoders.table)
+        self.duties = Duties(self, outside.runners())
+        self.following = Following(
+            outside.decoders,
+            self.beliefs,
+            self.view,
+            self.clock,
+            self.duties.own_row,
+            self.pools.forget,
+            self._news,
+        )
+        self.followed: Followed | None = None
+        self.cards = CardKeeper(self._card(), self.table, self.view, self.tasks, self.clock)
+        self.ports = self._ports(outside)
+
+    def run(self) -> int:
+        """Serve until the word to stop; return the process's exit status."""
+        for port in self.ports.all():
+            if not port.start():
+                return 1
+        self.gossip.start()
+        self.followed = self.following.start(self._feed, self.tasks)
+        self.tasks.spawn(self.cards.run)
+        self.tasks.spawn(self._sweep_for_good)
+        self.duties.start()
+        gevent.signal_handler(signal.SIGTERM, self._stop.set)
+        gevent.signal_handler(signal.SIGINT, self._stop.set)
+        # Start-up objects live as long as the process; looking through them again and again costs
+        # processor time in the middle of requests.
+        gc.collect()
+        gc.freeze()
+        _LOGGER.info(
+            "%s",
+            pairs(
+                event="started",
+                node=self.settings.name,
+                boot=self.boot,
+                callers=self.settings.callers_address,
+                peer=self.settings.peer_address,
+            ),
+        )
+        self._stop.wait()
+        stop_gracefully(self)
+        return 0
+
+    def ready(self) -> bool:
+        """Tell whether callers should come here: a node that knows no routes refuses all."""
+        return (
+            not self.leaving
+            and self.beliefs.table is not None
+            and self.followed is not None
+            and self.followed.servers.loaded
+        )
+
+    def report(self) -> NodeReport:
+        """Return this node's word about itself."""
+        self._sequence += 1
+        table = self.beliefs.table
+        return NodeReport(
+            name=self.settings.name,
+            boot=self.boot,
+            sequence=self._sequence,
+            ready=self.ready(),
+            leaving=self.leaving,
+            config_version=table.version if table else 0,
+            store_heard=self.followed is not None and self.followed.reaches_store(),
+            work_by_server=self.in_flight.by_server,
+            spent_by_service=self.budget.all_spent(self.clock.now_ms()),
+            left_servers=self.beliefs.recent_left(),
+            versions=self.beliefs.recent_versions(),
+            claims=self.duties.claims(),
+            residency=self.duties.told_residency(),
+        )
+
+    def _feed(self) -> ChangeFeed:
+        return self._outside.feed()
+
+    def _news(self) -> None:
+        self.duties.wake()
+
+    def _card(self) -> NodeCard:
+        settings = self.settings
+        return NodeCard(
+            settings.name,
+            self.boot,
+            settings.data_centre,
+            settings.callers_address,
+            settings.peer_address,
+        )
+
+    def _ports(self, outside: Outside) -> Ports:
+        self._outside = outside
+        settings = self.settings
+        retries = SharedRetries(self.budget, self.view, self.clock)
+        shared = (self.beliefs.book, self.in_flight, self.view, self.conditions)
+        gateway = Gateway(
+            self.clock,
+            outside.dialect,
+            lambda: self.beliefs.table,
+            self.pools,
+            self.in_flight,
+            retries,
+            PlainChooser(*shared, self.rng, settings.data_centre),
+            EngineChooser(*shared, self.duties.placement, self.rng, settings.data_centre),
+            self.rng,
+        )
+        addresses = AddressBook(
+            self.view,
+            self.clock,
+            settings.callers_address,
+            self.ready,
+            settings.bounds.address_ttl_ms,
+        )
+        usual = MessageLimits
+        return Ports(
+            callers=Port(settings.callers_address, gateway.handle, self._limits, self.clock),
+            ready=Port(settings.ready_address, outside.readiness(self.ready), usual, self.clock),
+            directory=Port(
+                settings.directory_address, outside.directory(addresses.choose), usual, self.clock
+            ),
+            peers=Port(settings.peer_address, PeerApi(self).handle, usual, self.clock),
+        )
+
+    def _limits(self) -> MessageLimits:
+        table = self.beliefs.table
+        return table.limits if table is not None else MessageLimits()
+
+    def _sweep_for_good(self) -> None:
+        while True:
+            self.tasks.sleep(SWEEP_EVERY_MS)
+            self.pools.sweep()
+            for server_id in self.beliefs.book.settle(self.clock.now_ms()):
+                self.pools.forget(server_id)
+                self.conditions.forget(server_id)
+            self.peers.fetch_newer(self.beliefs)
--- /dev/null
+++ b/monsoonflow/entry/duties.py
@@ -0,0 +1,401 @@
+"""Holds the duties of this node, and asks the holders of the others for adapters."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any, Final
+
+import gevent
+import orjson
+from gevent.event import AsyncResult, Event
+
+from ..core.adapter import AdapterRef
+from ..fleet.models import DutyClaim, HeldAdapters
+from ..gateway.handler import Job
+from ..gateway.models import Call, Chosen, NoServer
+from ..helpers.logfmt import pairs
+from ..orders.models import Order, RunnerControl, Superseded
+from ..placement.desk import Desk, Waiter
+from ..placement.seats import SeatState, Step
+from ..routing.in_flight import ServerWork
+from ..routing.routes import Route, Service
+from ..storage.models import ChangedRow
+from ..transport.models import Lost, Request
+from ..transport.server import Reply
+from .lease_loop import DUTY_PREFIX, DutyLoop
+from .peers import PLACE_PATH
+from .residency import Residency
+
+if TYPE_CHECKING:
+    from .daemon import EntryDaemon
+
+_LOGGER = logging.getLogger(__name__)
+LEASE_STEP_MS: Final = 100
+PLAN_EVERY_MS: Final = 100
+"""Longest pause between two looks at what is to be ordered; news wakes it at once."""
+
+WAIT_SHARE: Final = 0.6
+"""Share of the time left that a request waits for its adapter; the rest is for its answer."""
+
+NO_HOLDER_PAUSE_MS: Final = 60
+REFUSED_RETRY_MS: Final = 500
+
+
+class Duty:
+    """The duty of one cell: all runners of one service."""
+
+    def __init__(self, service: Service, loop: DutyLoop, newest: dict[str, int]) -> None:
+        self.service = service
+        self.loop = loop
+        self.newest = newest
+        self.desk: Desk | None = None
+        self.epoch = 0
+
+
+class Duties:
+    """The placement of adapters, by this node or by another."""
+
+    def __init__(self, daemon: EntryDaemon, control: RunnerControl) -> None:
+        self._daemon = daemon
+        self._control = control
+        self._duty_by_cell: dict[str, Duty] = {}
+        self._wake = Event()
+        self.residency = Residency(daemon.clock)
+        self.placement = self
+        self._rows: dict[str, ChangedRow] = {}
+
+    # Life.
+
+    def start(self) -> None:
+        """Begin to look after duties."""
+        gevent.spawn(self._lease_for_good)
+        gevent.spawn(self._plan_for_good)
+
+    def wake(self) -> None:
+        """Look at once at what is to be ordered."""
+        self._wake.set()
+
+    def own_row(self, row: ChangedRow) -> None:
+        """Take a changed row of a duty."""
+        if not row.key.startswith(DUTY_PREFIX):
+            return
+        cell = row.key.removeprefix(DUTY_PREFIX)
+        self._rows[cell] = row
+        duty = self._duty_by_cell.get(cell)
+        if duty is not None:
+            duty.loop.row_changed(row)
+
+    def give_up(self) -> None:
+        """Release all duties."""
+        for duty in self._duty_by_cell.values():
+            duty.desk = None
+            duty.loop.give_up()
+
+    def claims(self) -> tuple[DutyClaim, ...]:
+        """Return the duties that this node holds, for the others."""
+        claims = [duty.loop.claim() for duty in self._duty_by_cell.values()]
+        return tuple(claim for claim in claims if claim is not None)
+
+    def told_residency(self) -> tuple[HeldAdapters, ...]:
+        """Return what the runners of this node's duties hold, for the others."""
+        return tuple(
+            HeldAdapters(
+                runner.server_id,
+                tuple(seat.ref for seat in runner.seats.values() if seat.state is SeatState.READY),
+            )
+            for duty in self._duty_by_cell.values()
+            if duty.desk is not None
+            for runner in duty.desk.runners.values()
+            if runner.known()
+        )
+
+    # What the chooser asks.
+
+    def holders(self, adapter: str) -> dict[str, int]:
+        """Return the version of an adapter by the id of the runner that can serve it now."""
+        held = self.residency.holders(adapter)
+        wanted = self.wanted_version(adapter)
+        if wanted is None:
+            return held
+        fresh = {server_id: version for server_id, version in held.items() if version >= wanted}
+        return fresh if fresh or self._old_is_over(adapter) else held
+
+    def wanted_version(self, adapter: str) -> int | None:
+        """Return the version that the operator named; ``None`` where none was."""
+        return self._daemon.beliefs.version_by_adapter.get(adapter)
+
+    def missing(self, adapter: str, server_id: str) -> None:
+        """Take the word of a runner that it does not hold an adapter."""
+        self.residency.missing(server_id, adapter)
+        for duty in self._duty_by_cell.values():
+            runner = duty.desk.runners.get(server_id) if duty.desk is not None else None
+            if runner is not None and runner.ready(adapter) is not None:
+                # What the desk believes of this runner is wrong.
+                runner.report_at_ms = self._daemon.clock.now_ms()
+                self.wake()
+
+    def ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
+        """Have the adapter loaded somewhere; waits until it is there."""
+        clock = self._daemon.clock
+        until_ms = clock.now_ms() + int((job.until_ms - clock.now_ms()) * WAIT_SHARE)
+        adapter = call.adapter or ""
+        while True:
+            left_ms = until_ms - clock.now_ms()
+            if left_ms <= 0:
+                return NoServer("no place for the adapter in time", REFUSED_RETRY_MS)
+            found = self._ask_once(adapter, route, service, job, left_ms)
+            if found is not None:
+                server_id, version = found
+                server = self._daemon.beliefs.book.by_id.get(server_id)
+                if server is not None and self._daemon.beliefs.book.takes_work(server_id):
+                    self.residency.granted(server_id, AdapterRef(adapter, version))
+                    wanted = self.wanted_version(adapter)
+                    return Chosen(
+                        server_id,
+                        server.address,
+                        adapter,
+                        call.prompt_tokens,
+                        call.prompt_tokens + call.output_tokens,
+                        wanted if wanted is not None and version >= wanted else None,
+                        why="placed",
+                    )
+            self._daemon.tasks.sleep(min(NO_HOLDER_PAUSE_MS, max(1, left_ms)))
+            held = self.holders(adapter)
+            known = [
+                server
+                for server in self._daemon.beliefs.book.of_service(service.name)
+                if server.server_id in held and server.server_id not in job.refused_by
+            ]
+            if known:
+                server = known[0]
+                return Chosen(
+                    server.server_id,
+                    server.address,
+                    adapter,
+                    call.prompt_tokens,
+                    call.prompt_tokens + call.output_tokens,
+                    why="held meanwhile",
+                )
+
+    def _ask_once(
+        self, adapter: str, route: Route, service: Service, job: Job, left_ms: int
+    ) -> tuple[str, int] | None:
+        version = self.wanted_version(adapter) or 1
+        question = {
+            "cell": service.name,
+            "adapter": adapter,
+            "version": version,
+            "priority": route.priority,
+            "wait_ms": left_ms,
+            "refused_by": job.refused_by,
+        }
+        duty = self._duty_by_cell.get(service.name)
+        if duty is not None and duty.desk is not None:
+            return self._ask_desk(duty, question)
+        claim = self._daemon.view.claim_of(service.name)
+        card = self._daemon.view.card_by_name.get(claim.holder) if claim is not None else None
+        now_ms = self._daemon.clock.now_ms()
+        if card is None or not self._daemon.view.alive(claim.holder, now_ms):
+            return None
+        answer = self._daemon.peers.call(
+            card.peer_address, PLACE_PATH, orjson.dumps(question), left_ms + 50
+        )
+        if isinstance(answer, Lost) or answer.head.status != 200:
+            return None
+        try:
+            data = orjson.loads(answer.body)
+            return str(data["server"]), int(data["version"])
+        except (ValueError, KeyError, TypeError):
+            return None
+
+    def answer_placement(self, request: Request, reply: Reply) -> None:
+        """Answer another node that needs an adapter."""
+        try:
+            question = orjson.loads(request.body)
+            duty = self._duty_by_cell.get(question["cell"])
+            found = None
+            if duty is not None and duty.desk is not None:
+                found = self._ask_desk(duty, question)
+        except (ValueError, KeyError, TypeError):
+            reply.whole(400, [])
+            return
+        if found is None:
+            reply.whole(503, [])
+            return
+        reply.whole(200, [], orjson.dumps({"server": found[0], "version": found[1]}))
+
+    def _ask_desk(self, duty: Duty, question: dict[str, Any]) -> tuple[str, int] | None:
+        now_ms = self._daemon.clock.now_ms()
+        result: AsyncResult = AsyncResult()
+        waiter = Waiter(
+            name=question["adapter"],
+            version=question["version"],
+            priority=question["priority"],
+            since_ms=now_ms,
+            until_ms=now_ms + question["wait_ms"],
+            refused_by=frozenset(question["refused_by"]),
+            settle=lambda server_id, version: result.set((server_id, version)),
+        )
+        desk = duty.desk
+        desk.ask(waiter, now_ms, self._work())
+        self.wake()
+        try:
+            server_id, version = result.get()
+        finally:
+            desk.forget(waiter)
+        return None if server_id is None else (server_id, version)
+
+    def _old_is_over(self, adapter: str) -> bool:
+        """Tell whether an older version may no longer begin a request."""
+        known_ms = self._daemon.beliefs.named_ms_ago(adapter)
+        bound_ms = self._daemon.settings.bounds.version_ms
+        return known_ms is not None and known_ms > bound_ms * 0.6
+
+    # Loops.
+
+    def _lease_for_good(self) -> None:
+        while True:
+            self._daemon.tasks.sleep(LEASE_STEP_MS)
+            self._match_services()
+            for duty in list(self._duty_by_cell.values()):
+                duty.loop.loaded = bool(
+                    self._daemon.followed is not None and self._daemon.followed.own.loaded
+                )
+                duty.loop.step()
+
+    def _match_services(self) -> None:
+        table = self._daemon.beliefs.table
+        if table is None:
+            return
+        for service in table.service_by_name.values():
+            if service.engine is None:
+                continue
+            duty = self._duty_by_cell.get(service.name)
+            if duty is None:
+                duty = Duty(service, self._new_loop(service.name), {})
+                self._duty_by_cell[service.name] = duty
+                row = self._rows.get(service.name)
+                if row is not None:
+                    duty.loop.row_changed(row)
+            duty.service = service
+
+    def _new_loop(self, cell: str) -> DutyLoop:
+        daemon = self._daemon
+        return DutyLoop(
+            cell,
+            daemon.settings.name,
+            daemon.boot,
+            daemon.settings.bounds.lease_ms,
+            daemon.settings.bounds.fenced,
+            daemon.table,
+            daemon.view,
+            daemon.clock,
+            daemon.ready,
+        )
+
+    def _plan_for_good(self) -> None:
+        while True:
+            self._wake.wait(PLAN_EVERY_MS / 1000)
+            self._wake.clear()
+            now_ms = self._daemon.clock.now_ms()
+            work: dict[str, ServerWork] | None = None
+            for duty in list(self._duty_by_cell.values()):
+                if not self._keep_desk(duty, now_ms):
+                    continue
+                work = self._work() if work is None else work
+                self._plan(duty, now_ms, work)
+            self._take_told(now_ms)
+
+    def _keep_desk(self, duty: Duty, now_ms: int) -> bool:
+        """Open a desk when the duty is won, close it when it is lost."""
+        if not duty.loop.holds(now_ms):
+            if duty.loop.held.row is None and duty.desk is not None:
+                duty.desk = None
+            return False
+        epoch = duty.loop.held.row.epoch
+        if duty.desk is None or duty.epoch != epoch:
+            duty.epoch = epoch
+            duty.desk = Desk(duty.service.engine, self._daemon.beliefs.version_by_adapter)
+        desk = duty.desk
+        present = {s.server_id for s in self._daemon.beliefs.book.of_service(duty.service.name)}
+        for server_id in present:
+            desk.came(server_id)
+        for server_id in [known for known in desk.runners if known not in present]:
+            desk.gone(server_id)
+            self.residency.forget(server_id)
+        return True
+
+    def _plan(self, duty: Duty, now_ms: int, work: dict[str, ServerWork]) -> None:
+        desk = duty.desk
+        for server_id in desk.wants_report(now_ms):
+            desk.runners[server_id].ordering = True
+            gevent.spawn(self._report, duty, desk, server_id)
+        desk.settle_waiters(now_ms, work)
+        for step in desk.plan(now_ms, work):
+            gevent.spawn(self._order, duty, desk, step)
+        self.residency.take(self.told_residency())
+
+    def _report(self, duty: Duty, desk: Desk, server_id: str) -> None:
+        server = self._daemon.beliefs.book.by_id.get(server_id)
+        report = self._control.report(server_id, server.address) if server is not None else None
+        desk.reported(server_id, report, self._daemon.clock.now_ms())
+        self.wake()
+
+    def _order(self, duty: Duty, desk: Desk, step: Step) -> None:
+        daemon = self._daemon
+        server = daemon.beliefs.book.by_id.get(step.server_id)
+        if server is None or desk is not duty.desk:
+            return
+        # Looked at once more right before the send: the duty may have lapsed since the plan.
+        if not duty.loop.holds(daemon.clock.now_ms()):
+            desk.runners[step.server_id].ordering = False
+            return
+        order = Order(
+            step.operation,
+            step.name,
+            step.version,
+            step.sequence,
+            daemon.settings.name,
+            duty.epoch,
+        )
+        answer = self._control.order(step.server_id, server.address, order)
+        now_ms = daemon.clock.now_ms()
+        if not step.confirms:
+            _LOGGER.info(
+                "%s",
+                pairs(
+                    event="order",
+                    server=step.server_id,
+                    operation=step.operation.value,
+                    name=step.name,
+                    version=step.version,
+                    sequence=step.sequence,
+                    fence=duty.epoch,
+                    answer=type(answer).__name__,
+                    cause=getattr(answer, "reason", None),
+                ),
+            )
+        if not desk.answered(step, answer, now_ms) and isinstance(answer, Superseded):
+            duty.loop.superseded()
+            duty.desk = None
+        self.wake()
+
+    def _take_told(self, now_ms: int) -> None:
+        """Take what the holders of other cells told of their runners."""
+        for cell, duty in self._duty_by_cell.items():
+            if duty.desk is not None:
+                continue
+            told = self._daemon.view.residency(cell, now_ms)
+            if told is not None:
+                self.residency.take(told)
+
+    def _work(self) -> dict[str, ServerWork]:
+        """Return what all nodes have in progress by server."""
+        now_ms = self._daemon.clock.now_ms()
+        total: dict[str, ServerWork] = {}
+        own = self._daemon.in_flight.by_server
+        reports = self._daemon.view.reports(now_ms, 2_000)
+        for by_server in (own, *(report.work_by_server for report in reports)):
+            for server_id, work in by_server.items():
+                total.setdefault(server_id, ServerWork()).add(work)
+        return total
--- /dev/null
+++ b/monsoonflow/entry/following.py
@@ -0,0 +1,180 @@
+"""Follows what the operator, the servers and the other nodes keep in the store."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import orjson
+
+from ..core.adapter import AdapterRef
+from ..core.clock import Clock
+from ..core.tasks import Tasks
+from ..discovery.models import BackendServer
+from ..fleet.models import NodeCard
+from ..fleet.view import FleetView
+from ..helpers.logfmt import pairs
+from ..routing.routes import RouteTable
+from ..storage.models import ChangedRow, ChangeFeed
+from ..storage.watch import CollectionWatch
+from .beliefs import Beliefs
+
+_LOGGER = logging.getLogger(__name__)
+CARD_PREFIX = "node/"
+
+
+class Decoders(Protocol):
+    """Decodes rows that others write; the names of rows are theirs."""
+
+    operator_collection: str
+    server_collection: str
+    own_collection: str
+
+    def table(self, body: bytes) -> RouteTable | str:
+        """Return the routes that a row's bytes hold, or why they can't be used."""
+
+    def routes(self, key: str, body: bytes) -> RouteTable | str | None:
+        """Return the routes; a text says why not; ``None``: the row holds something else."""
+
+    def adapter_version(self, key: str, body: bytes) -> AdapterRef | str | None:
+        """Return a named adapter version; a text says why not; ``None``: something else."""
+
+    def server(self, key: str, body: bytes) -> BackendServer | str:
+        """Return a backend server's entry; a text says why not."""
+
+
+@attrs.define(slots=True)
+class Followed:
+    """The watches of one node."""
+
+    operator: CollectionWatch
+    servers: CollectionWatch
+    own: CollectionWatch
+
+    def loaded(self) -> bool:
+        """Tell whether everything has been read once."""
+        return self.operator.loaded and self.servers.loaded
+
+    def reaches_store(self) -> bool:
+        """Tell whether the store answers this node."""
+        return any(watch.lost_since_ms is None for watch in (self.operator, self.servers, self.own))
+
+
+class Following:
+    """Keeps beliefs up to date from the store."""
+
+    def __init__(
+        self,
+        decoders: Decoders,
+        beliefs: Beliefs,
+        view: FleetView,
+        clock: Clock,
+        on_own_row: Callable[[ChangedRow], None],
+        on_server_gone: Callable[[str], None],
+        on_news: Callable[[], None],
+    ) -> None:
+        self._decoders = decoders
+        self._beliefs = beliefs
+        self._view = view
+        self._clock = clock
+        self._on_own_row = on_own_row
+        self._on_server_gone = on_server_gone
+        self._on_news = on_news
+
+    def start(self, feed: Callable[[], ChangeFeed], tasks: Tasks) -> Followed:
+        """Begin to follow.
+
+        :param feed: returns a feed with a connection of its own.
+        """
+        names = self._decoders
+        followed = Followed(
+            CollectionWatch(feed(), names.operator_collection, tasks, self._clock, self._operator),
+            CollectionWatch(
+                feed(),
+                names.server_collection,
+                tasks,
+                self._clock,
+                self._server,
+                self._store_returned,
+            ),
+            CollectionWatch(feed(), names.own_collection, tasks, self._clock, self._own),
+        )
+        for watch in (followed.operator, followed.servers, followed.own):
+            tasks.spawn(watch.run)
+        return followed
+
+    def _operator(self, row: ChangedRow) -> None:
+        if row.body is None:
+            return
+        table = self._decoders.routes(row.key, row.body)
+        if isinstance(table, RouteTable):
+            if self._beliefs.take_table(table, row.body, "store"):
+                self._on_news()
+            return
+        ref = self._decoders.adapter_version(row.key, row.body) if table is None else table
+        if isinstance(ref, AdapterRef):
+            if self._beliefs.take_version(ref, "store"):
+                self._on_news()
+        elif ref is not None:
+            # The last good one stays in force.
+            _LOGGER.error("%s", pairs(event="unusable_row", row=row.key, cause=ref))
+
+    def _server(self, row: ChangedRow) -> None:
+        now_ms = self._clock.now_ms()
+        book = self._beliefs.book
+        if row.body is None:
+            book.removed(row.key, now_ms)
+        else:
+            server = self._decoders.server(row.key, row.body)
+            if isinstance(server, str):
+                _LOGGER.warning("%s", pairs(event="unusable_row", row=row.key, cause=server))
+                return
+            book.put(server, now_ms)
+        if not book.takes_work(row.key):
+            self._on_server_gone(row.key)
+            self._on_news()
+
+    def _store_returned(self) -> None:
+        self._beliefs.book.store_returned(self._clock.now_ms())
+
+    def _own(self, row: ChangedRow) -> None:
+        if not row.key.startswith(CARD_PREFIX):
+            self._on_own_row(row)
+            return
+        name = row.key.removeprefix(CARD_PREFIX)
+        if row.body is None:
+            self._view.card_gone(name)
+            return
+        card = decode_card(row.body)
+        if card is None:
+            _LOGGER.warning("%s", pairs(event="unusable_row", row=row.key))
+            return
+        self._view.card(card)
+
+
+def decode_card(body: bytes) -> NodeCard | None:
+    """Return a node's card, or ``None`` when it is malformed."""
+    try:
+        data = orjson.loads(body)
+        return NodeCard(
+            str(data["name"]),
+            str(data["boot"]),
+            str(data["data_centre"]),
+            str(data["callers"]),
+            str(data["peer"]),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def encode_card(card: NodeCard) -> dict[str, str]:
+    """Return the value of a node's row."""
+    return {
+        "name": card.name,
+        "boot": card.boot,
+        "data_centre": card.data_centre,
+        "callers": card.callers_address,
+        "peer": card.peer_address,
+    }
--- /dev/null
+++ b/monsoonflow/entry/lease_loop.py
@@ -0,0 +1,237 @@
+"""Claims, renews and gives up the duty of a cell in the store."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import orjson
+
+from ..core.clock import Clock
+from ..fleet.models import DutyClaim
+from ..fleet.view import FleetView
+from ..helpers.hashing import rank
+from ..helpers.ids import new_id
+from ..helpers.logfmt import pairs
+from ..ownership.duty import DutyRow, DutyWatch, HeldDuty
+from ..ownership.models import LeaseTiming
+from ..storage.models import ChangedRow, Committed, Conflict, Row, Table, Transaction, Unavailable
+
+_LOGGER = logging.getLogger(__name__)
+DUTY_PREFIX: Final = "duty/"
+RENEWALS_A_LEASE: Final = 3
+MARGIN_SHARE: Final = 0.1
+"""Share of the lease that the holder gives up early and claimants wait on top."""
+
+RANK_DELAY_MS: Final = 250
+"""Each node further down in the order of candidates waits so much longer before it claims: one
+claims, the others need not."""
+
+
+class DutyLoop:
+    """One node's part in the duty of a cell.
+
+    :param may_claim: tells whether this node wants duties now.
+    """
+
+    def __init__(
+        self,
+        cell: str,
+        node: str,
+        boot: str,
+        lease_ms: int,
+        fenced: bool,
+        table: Table,
+        view: FleetView,
+        clock: Clock,
+        may_claim: Callable[[], bool],
+    ) -> None:
+        timing = LeaseTiming(lease_ms, int(lease_ms * MARGIN_SHARE))
+        self.cell = cell
+        self.held = HeldDuty(timing, fenced)
+        self._watch = DutyWatch(timing, fenced)
+        self._node = node
+        self._boot = boot
+        self._table = table
+        self._view = view
+        self._clock = clock
+        self._may_claim = may_claim
+        self._renew_every_ms = lease_ms // RENEWALS_A_LEASE
+        self._renewed_ms = 0
+        self._wanted_since_ms: int | None = None
+        self.store_lost = False
+        self.loaded = False
+
+    def holds(self, now_ms: int) -> bool:
+        """Tell whether this node may send orders at this moment."""
+        newest = self._view.claim_of(self.cell)
+        heard = [
+            age
+            for report in self._view.reports(now_ms)
+            if (age := self._view.age_ms(report.name, now_ms)) is not None
+        ]
+        alone = self._view.nodes() == 1
+        peers_heard_ms = None if alone else min(heard, default=1_000_000)
+        return self.held.may_order(
+            now_ms, newest.epoch if newest else 0, self.store_lost, peers_heard_ms
+        )
+
+    def claim(self) -> DutyClaim | None:
+        """Return this node's claim, for the others."""
+        row = self.held.row
+        return None if row is None else DutyClaim(self.cell, row.holder, row.epoch)
+
+    def row_changed(self, row: ChangedRow | Row) -> None:
+        """Take the duty's row as the store holds it."""
+        now_ms = self._clock.now_ms()
+        value = row.value if isinstance(row, Row) else decode(row.body)
+        duty = to_duty(self.cell, value) if value is not None else None
+        self._watch.seen(duty, row.version, now_ms)
+        if duty is None:
+            return
+        if not duty.released:
+            self._view.claimed(DutyClaim(self.cell, duty.holder, duty.epoch))
+        held = self.held.row
+        if held is not None and duty.epoch > held.epoch:
+            self._lost(f"taken by {duty.holder}")
+
+    def step(self) -> None:
+        """Do what is due: renew, or claim what is free."""
+        now_ms = self._clock.now_ms()
+        if self.held.row is not None:
+            newest = self._view.claim_of(self.cell)
+            if newest is not None and newest.epoch > self.held.row.epoch:
+                self._lost(f"taken by {newest.holder}")
+            elif now_ms - self._renewed_ms >= self._renew_every_ms:
+                self._renew(now_ms)
+            return
+        if not self.loaded or not self._may_claim() or not self._claimable(now_ms):
+            self._wanted_since_ms = None
+            return
+        if self._wanted_since_ms is None:
+            self._wanted_since_ms = now_ms
+        if now_ms - self._wanted_since_ms >= self._own_rank(now_ms) * RANK_DELAY_MS:
+            self._claim(now_ms)
+
+    def give_up(self) -> None:
+        """Release the duty, so that another node takes it at once."""
+        row = self.held.row
+        if row is None:
+            return
+        version = self.held.row_version
+        self.held.lost()
+        released = attrs.evolve(row, counter=row.counter + 1, released=True)
+        self._commit(released, version)
+        _LOGGER.info("%s", pairs(event="duty_released", cell=self.cell, epoch=row.epoch))
+
+    def _claimable(self, now_ms: int) -> bool:
+        holder = self._watch.row.holder if self._watch.row is not None else ""
+        silent = holder != "" and not self._view.alive(holder, now_ms)
+        others = [name for name in self._view.card_by_name if name not in (self._node, holder)]
+        heard = sum(self._view.alive(name, now_ms) for name in others)
+        return self._watch.claimable(
+            self._node, self._boot, now_ms, silent, heard * 2 > len(others) or not others
+        )
+
+    def _own_rank(self, now_ms: int) -> int:
+        names = [
+            report.name
+            for report in self._view.reports(now_ms)
+            if report.ready and not report.leaving and report.store_heard
+        ]
+        return rank(self.cell, [*names, self._node]).index(self._node)
+
+    def _claim(self, now_ms: int) -> None:
+        known = self._watch.row
+        newest = self._view.claim_of(self.cell)
+        epoch = 1 + max(known.epoch if known else 0, newest.epoch if newest else 0)
+        row = DutyRow(self.cell, self._node, self._boot, epoch, 0)
+        result = self._commit(row, self._watch.row_version if known is not None else 0)
+        self._wanted_since_ms = None
+        if isinstance(result, Committed):
+            self.held.took(row, result.version, now_ms)
+            self._renewed_ms = now_ms
+            self._view.claimed(DutyClaim(self.cell, self._node, epoch))
+            _LOGGER.info(
+                "%s",
+                pairs(
+                    event="duty_won",
+                    cell=self.cell,
+                    epoch=epoch,
+                    before=known.holder if known else None,
+                ),
+            )
+        elif isinstance(result, Conflict):
+            self._read_row()
+
+    def _renew(self, now_ms: int) -> None:
+        row = attrs.evolve(self.held.row, counter=self.held.row.counter + 1)
+        result = self._commit(row, self.held.row_version)
+        match result:
+            case Committed(version=version):
+                # Lost meanwhile by what was heard: the renewal must not revive it.
+                if self.held.row is not None and self.held.row.epoch == row.epoch:
+                    self.held.took(row, version, now_ms)
+                    self._renewed_ms = now_ms
+                    self.store_lost = False
+            case Conflict():
+                self._lost("the row has changed")
+                self._read_row()
+            case Unavailable(reason=reason):
+                if not self.store_lost:
+                    _LOGGER.warning(
+                        "%s", pairs(event="renewal_failed", cell=self.cell, cause=reason)
+                    )
+                self.store_lost = True
+
+    def superseded(self) -> None:
+        """Take a runner's word that another node holds the duty."""
+        self._lost("a runner has seen a higher fencing number")
+        self._read_row()
+
+    def _lost(self, cause: str) -> None:
+        epoch = self.held.row.epoch if self.held.row is not None else 0
+        self.held.lost()
+        _LOGGER.info("%s", pairs(event="duty_lost", cell=self.cell, epoch=epoch, cause=cause))
+
+    def _read_row(self) -> None:
+        row = self._table.get(DUTY_PREFIX + self.cell)
+        if isinstance(row, Row):
+            self.row_changed(row)
+
+    def _commit(self, row: DutyRow, version: int) -> Committed | Conflict | Unavailable:
+        key = DUTY_PREFIX + self.cell
+        value = {
+            "holder": row.holder,
+            "boot": row.boot,
+            "epoch": row.epoch,
+            "counter": row.counter,
+            "released": row.released,
+        }
+        return self._table.commit(Transaction(new_id("op"), {key: version}, {key: value}))
+
+
+def decode(body: bytes | None) -> dict | None:
+    """Return a row's value, or ``None`` when it is malformed or gone."""
+    try:
+        value = orjson.loads(body or b"null")
+    except orjson.JSONDecodeError:
+        return None
+    return value if isinstance(value, dict) else None
+
+
+def to_duty(cell: str, value: dict) -> DutyRow | None:
+    """Return a duty's row, or ``None`` when it is malformed."""
+    try:
+        return DutyRow(
+            cell,
+            str(value["holder"]),
+            str(value["boot"]),
+            int(value["epoch"]),
+            int(value["counter"]),
+            bool(value["released"]),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/monsoonflow/entry/peers.py
@@ -0,0 +1,79 @@
+"""Calls between entry nodes: a newer configuration, and an adapter asked for."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
+
+from ..core.clock import Clock
+from ..fleet.view import FleetView
+from ..helpers.logfmt import pairs
+from ..routing.routes import RouteTable
+from ..transport.client import Answer, Pools, call
+from ..transport.models import Lost, Request
+from ..transport.server import Reply
+from .beliefs import Beliefs
+
+if TYPE_CHECKING:
+    from .daemon import EntryDaemon
+
+_LOGGER = logging.getLogger(__name__)
+CONFIGURATION_PATH: Final = "/v1/peer/configuration"
+PLACE_PATH: Final = "/v1/peer/place"
+FETCH_TIMEOUT_MS: Final = 1_000
+
+
+class PeerClient:
+    """Asks other entry nodes."""
+
+    def __init__(
+        self, view: FleetView, clock: Clock, decode: Callable[[bytes], RouteTable | str]
+    ) -> None:
+        self._view = view
+        self._clock = clock
+        self._pools = Pools(clock, max_idle=8)
+        self._decode = decode
+
+    def call(self, address: str, path: str, body: bytes, timeout_ms: int) -> Answer | Lost:
+        """Make one call to another node."""
+        method = "POST" if body else "GET"
+        return call(self._pools, address, method, path, body, timeout_ms)
+
+    def fetch_newer(self, beliefs: Beliefs) -> None:
+        """Fetch the configuration from a node that has a newer one.
+
+        A node that can't reach the store would otherwise go on with the old one.
+        """
+        own = beliefs.table.version if beliefs.table is not None else 0
+        for report in self._view.reports(self._clock.now_ms()):
+            card = self._view.card_by_name.get(report.name)
+            if report.config_version <= own or card is None:
+                continue
+            answer = self.call(card.peer_address, CONFIGURATION_PATH, b"", FETCH_TIMEOUT_MS)
+            if isinstance(answer, Lost) or answer.head.status != 200:
+                continue
+            table = self._decode(answer.body)
+            if isinstance(table, str):
+                _LOGGER.error("%s", pairs(event="unusable_peer_configuration", cause=table))
+                continue
+            beliefs.take_table(table, answer.body, report.name)
+            return
+
+
+class PeerApi:
+    """Answers other entry nodes."""
+
+    def __init__(self, daemon: EntryDaemon) -> None:
+        self._daemon = daemon
+
+    def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one call."""
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        beliefs = self._daemon.beliefs
+        if path == CONFIGURATION_PATH and beliefs.table is not None:
+            reply.whole(200, [], beliefs.table_body)
+        elif path == PLACE_PATH:
+            self._daemon.duties.answer_placement(request, reply)
+        else:
+            reply.whole(404, [])
--- /dev/null
+++ b/monsoonflow/entry/settings.py
@@ -0,0 +1,77 @@
+"""What one entry process is told about itself."""
+
+from __future__ import annotations
+
+import attrs
+
+
+def _address(_instance: object, field: attrs.Attribute, value: str) -> None:
+    host, mark, port = value.rpartition(":")
+    if not mark or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(f"{field.name}: {value!r} is not IP:PORT")
+
+
+def _positive(_instance: object, field: attrs.Attribute, value: float) -> None:
+    if value <= 0:
+        raise ValueError(f"{field.name}: {value} must be above zero")
+
+
+@attrs.frozen(slots=True)
+class StoreBounds:
+    """Where the store is and how long it remembers changes."""
+
+    address: str = attrs.field(validator=_address)
+    history_ms: int = attrs.field(validator=_positive)
+
+
+@attrs.frozen(slots=True)
+class PeerBounds:
+    """Bounds that the operator sets for a deployment.
+
+    :param lease_ms: how long a duty may be held without a renewal.
+    :param grace_ms: from the word to stop to the end of the process.
+    :param drain_ms: how soon a leaving server gets nothing new.
+    :param fenced: whether runners refuse orders with an old fencing number.
+    :param retry_ratio: retries for each request, fleet-wide, in each ``retry_window_ms``.
+    :param retry_reserve: retries on top of that in each window.
+    :param version_ms: how soon a new version of an adapter answers.
+    :param address_ttl_ms: the longest time that an address answer may be kept.
+    :param load_window_ms: the window in which loads of base models are counted.
+    :param thaw_ms: how long after a freeze no orders are sent.
+    """
+
+    lease_ms: int = attrs.field(default=3_000, validator=_positive)
+    grace_ms: int = attrs.field(default=8_000, validator=_positive)
+    drain_ms: int = attrs.field(default=2_000, validator=_positive)
+    fenced: bool = False
+    retry_ratio: float = 0.2
+    retry_reserve: float = 0.0
+    retry_window_ms: int = attrs.field(default=10_000, validator=_positive)
+    version_ms: int = attrs.field(default=5_000, validator=_positive)
+    address_ttl_ms: int = attrs.field(default=5_000, validator=_positive)
+    load_window_ms: int = attrs.field(default=5_000, validator=_positive)
+    thaw_ms: int = 300
+
+
+@attrs.frozen(slots=True)
+class EntrySettings:
+    """The settings of one entry process.
+
+    :param callers_address: where callers' requests come.
+    :param ready_address: where the platform asks whether this process is ready.
+    :param directory_address: where callers ask which address to use.
+    :param peer_address: where other entry processes reach this one (UDP and TCP).
+    """
+
+    name: str
+    ip: str
+    data_centre: str
+    region: str
+    callers_address: str = attrs.field(validator=_address)
+    ready_address: str = attrs.field(validator=_address)
+    directory_address: str = attrs.field(validator=_address)
+    peer_address: str = attrs.field(validator=_address)
+    store: StoreBounds
+    bounds: PeerBounds = PeerBounds()
+    max_descriptors: int = 1_024
+    memory_mb: float = 256.0
--- /dev/null
+++ b/monsoonflow/entry/stopping.py
@@ -0,0 +1,48 @@
+"""Stops an entry process without cutting off a request."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+from ..helpers.logfmt import pairs
+
+if TYPE_CHECKING:
+    from .daemon import EntryDaemon
+
+_LOGGER = logging.getLogger(__name__)
+OUTLAST_ADDRESSES_MS: Final = 2_500
+"""Callers may come for so long after the last address answer that named this node."""
+
+END_MARGIN_MS: Final = 700
+"""What is left of the grace period when the process ends by itself."""
+
+CHECK_EVERY_MS: Final = 50
+
+
+def stop_gracefully(daemon: EntryDaemon) -> None:
+    """Give up duties, send callers elsewhere, and end when the last request has been answered."""
+    started_ms = daemon.clock.now_ms()
+    _LOGGER.info("%s", pairs(event="stopping", in_progress=daemon.ports.callers.active))
+    daemon.leaving = True
+    daemon.gossip.send_now()
+    daemon.duties.give_up()
+    daemon.ports.callers.stop_keeping()
+    end_ms = started_ms + daemon.settings.bounds.grace_ms - END_MARGIN_MS
+    outlast_ms = min(end_ms, started_ms + OUTLAST_ADDRESSES_MS)
+    while daemon.clock.now_ms() < end_ms:
+        if daemon.clock.now_ms() >= outlast_ms and daemon.ports.callers.active == 0:
+            break
+        daemon.tasks.sleep(CHECK_EVERY_MS)
+    daemon.ports.callers.stop_listening()
+    daemon.tasks.sleep(CHECK_EVERY_MS)
+    while daemon.clock.now_ms() < end_ms and daemon.ports.callers.active:
+        daemon.tasks.sleep(CHECK_EVERY_MS)
+    _LOGGER.info(
+        "%s",
+        pairs(
+            event="stopped",
+            in_progress=daemon.ports.callers.active,
+            took_ms=daemon.clock.now_ms() - started_ms,
+        ),
+    )
--- /dev/null
+++ b/monsoonflow/fleet/codec.py
@@ -0,0 +1,88 @@
+"""Writes and reads node reports as small JSON arrays: one datagram each."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any, Final
+
+import orjson
+
+from ..core.adapter import AdapterRef
+from ..routing.budget import Spent
+from ..routing.in_flight import ServerWork
+from .models import DutyClaim, HeldAdapters, NodeReport
+
+FORMAT: Final = 1
+"""First field of each report; a node of another version is not understood and is left alone."""
+
+
+def encode(report: NodeReport) -> bytes:
+    """Return a report's bytes."""
+    flags = report.ready | report.leaving << 1 | report.store_heard << 2
+    return orjson.dumps(
+        [
+            FORMAT,
+            report.name,
+            report.boot,
+            report.sequence,
+            flags,
+            report.config_version,
+            {
+                server_id: [work.requests, work.unread_tokens, work.memory_tokens, work.by_adapter]
+                for server_id, work in report.work_by_server.items()
+            },
+            {
+                service: [spent.firsts, spent.retries]
+                for service, spent in report.spent_by_service.items()
+            },
+            report.left_servers,
+            [str(ref) for ref in report.versions],
+            [[claim.cell, claim.holder, claim.epoch] for claim in report.claims],
+            [[held.server_id, [str(ref) for ref in held.adapters]] for held in report.residency],
+        ]
+    )
+
+
+def decode(data: bytes) -> NodeReport | None:
+    """Return a report, or ``None`` for bytes that are none."""
+    try:
+        fields = orjson.loads(data)
+        return _decode(fields) if fields[0] == FORMAT else None
+    except (ValueError, TypeError, KeyError, IndexError, AttributeError):
+        return None
+
+
+def _decode(fields: list[Any]) -> NodeReport:
+    flags = int(fields[4])
+    return NodeReport(
+        name=str(fields[1]),
+        boot=str(fields[2]),
+        sequence=int(fields[3]),
+        ready=bool(flags & 1),
+        leaving=bool(flags & 2),
+        store_heard=bool(flags & 4),
+        config_version=int(fields[5]),
+        work_by_server={
+            server_id: ServerWork(work[0], work[1], work[2], Counter(work[3]))
+            for server_id, work in fields[6].items()
+        },
+        spent_by_service={service: Spent(*spent) for service, spent in fields[7].items()},
+        left_servers=tuple(map(str, fields[8])),
+        versions=tuple(ref_of(text) for text in fields[9]),
+        claims=tuple(DutyClaim(str(c[0]), str(c[1]), int(c[2])) for c in fields[10]),
+        residency=tuple(
+            HeldAdapters(str(held[0]), tuple(ref_of(text) for text in held[1]))
+            for held in fields[11]
+        ),
+    )
+
+
+def ref_of(text: str) -> AdapterRef:
+    """Return the reference that ``MODEL/NAME@VERSION`` names.
+
+    :raises ValueError: when malformed.
+    """
+    name, mark, version = text.rpartition("@")
+    if not mark:
+        raise ValueError(text)
+    return AdapterRef(name, int(version))
--- /dev/null
+++ b/monsoonflow/fleet/gossip.py
@@ -0,0 +1,105 @@
+"""Sends this node's report to the others and takes theirs, in single datagrams.
+
+A datagram has no connection that could go silent, needs no answer, and a lost one is replaced by
+the next: for reports of which only the newest counts, that is all that is needed.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import socket as native
+from collections.abc import Callable
+from typing import Final
+
+from gevent import socket
+
+from ..core.clock import Clock
+from ..core.tasks import Tasks
+from ..helpers.logfmt import pairs
+from ..transport.sockets import split_address
+from . import codec
+from .models import NodeReport
+from .view import FleetView
+
+_LOGGER = logging.getLogger(__name__)
+EVERY_MS: Final = 200
+"""Pause between reports: the age of what nodes know of each other's work."""
+
+MAX_PEERS_A_ROUND: Final = 12
+"""Nodes told in one round; in a larger fleet the others come in later rounds."""
+
+MAX_DATAGRAM_BYTES: Final = 60_000
+
+
+class Gossip:
+    """Exchanges reports with the other nodes.
+
+    :param report: returns this node's report as of now.
+    :param on_report: takes each report that is news.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        view: FleetView,
+        report: Callable[[], NodeReport],
+        on_report: Callable[[NodeReport], None],
+        tasks: Tasks,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._view = view
+        self._report = report
+        self._on_report = on_report
+        self._tasks = tasks
+        self._clock = clock
+        self._rng = rng
+        self._address = address
+        self._socket = socket.socket(native.AF_INET, native.SOCK_DGRAM)
+        self.sent_bytes = 0
+
+    def start(self) -> None:
+        """Begin to send and to receive."""
+        self._socket.bind(split_address(self._address))
+        self._tasks.spawn(self._receive)
+        self._tasks.spawn(self._send_for_good)
+
+    def send_now(self) -> None:
+        """Tell the others at once."""
+        data = codec.encode(self._report())
+        if len(data) > MAX_DATAGRAM_BYTES:
+            _LOGGER.warning("%s", pairs(event="report_too_large", bytes=len(data)))
+            return
+        for address in self._peers():
+            try:
+                self._socket.sendto(data, split_address(address))
+                self.sent_bytes += len(data)
+            except OSError as error:
+                _LOGGER.debug("%s", pairs(event="report_unsent", to=address, cause=error))
+
+    def _peers(self) -> list[str]:
+        addresses = [
+            card.peer_address
+            for card in self._view.card_by_name.values()
+            if card.peer_address != self._address
+        ]
+        if len(addresses) <= MAX_PEERS_A_ROUND:
+            return addresses
+        return self._rng.sample(addresses, MAX_PEERS_A_ROUND)
+
+    def _send_for_good(self) -> None:
+        while True:
+            self.send_now()
+            self._tasks.sleep(EVERY_MS)
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as error:
+                _LOGGER.debug("%s", pairs(event="report_unread", cause=error))
+                continue
+            report = codec.decode(data)
+            if report is not None and self._view.heard(report, self._clock.now_ms()):
+                self._on_report(report)
--- /dev/null
+++ b/monsoonflow/fleet/models.py
@@ -0,0 +1,69 @@
+"""What entry nodes tell each other."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..core.adapter import AdapterRef
+from ..routing.budget import Spent
+from ..routing.in_flight import ServerWork
+
+
+@attrs.frozen(slots=True)
+class NodeCard:
+    """How to reach an entry node; kept in the store.
+
+    :param boot: names one life of the node's process.
+    """
+
+    name: str
+    boot: str
+    data_centre: str
+    callers_address: str
+    peer_address: str
+
+
+@attrs.frozen(slots=True)
+class DutyClaim:
+    """Who gives orders to the runners of a cell, as a node knows it.
+
+    :param epoch: rises with each holder; the fencing number of its orders.
+    """
+
+    cell: str
+    holder: str
+    epoch: int
+
+
+@attrs.frozen(slots=True)
+class HeldAdapters:
+    """The adapters that a runner can serve now, as the holder of its cell knows it."""
+
+    server_id: str
+    adapters: tuple[AdapterRef, ...]
+
+
+@attrs.frozen(slots=True)
+class NodeReport:
+    """One node's word about itself; a newer one replaces it whole.
+
+    :param sequence: rises with each report of one boot.
+    :param store_heard: whether the node reaches the store.
+    :param left_servers: servers that the node lately learnt are leaving.
+    :param versions: adapter versions that the node lately learnt.
+    :param residency: set by the holder of a cell.
+    """
+
+    name: str
+    boot: str
+    sequence: int
+    ready: bool
+    leaving: bool
+    config_version: int
+    store_heard: bool
+    work_by_server: dict[str, ServerWork] = attrs.Factory(dict)
+    spent_by_service: dict[str, Spent] = attrs.Factory(dict)
+    left_servers: tuple[str, ...] = ()
+    versions: tuple[AdapterRef, ...] = ()
+    claims: tuple[DutyClaim, ...] = ()
+    residency: tuple[HeldAdapters, ...] = ()
--- /dev/null
+++ b/monsoonflow/gateway/engines.py
@@ -0,0 +1,113 @@
+"""Chooses among model runners: by who holds the adapter and how much is waiting there."""
+
+from __future__ import annotations
+
+import random
+from typing import Final, Protocol
+
+import attrs
+
+from ..discovery.book import ServerBook
+from ..discovery.models import BackendServer
+from ..fleet.view import FleetView
+from ..routing.condition import Conditions
+from ..routing.in_flight import InFlight
+from ..routing.routes import Route, Service
+from .handler import Job
+from .models import Call, Chosen, Cut, NoServer, Passed, Rejected, Try, Unclear, Unsent, Whole
+
+NO_SERVER_RETRY_MS: Final = 400
+REQUEST_TOKENS: Final = 60
+"""Tokens of prompt reading that one running request's generation costs its runner in a while."""
+
+
+class Placement(Protocol):
+    """Knows which runners hold an adapter and gets it loaded where none does."""
+
+    def holders(self, adapter: str) -> dict[str, int]:
+        """Return the version of an adapter by the id of the runner that can serve it now."""
+
+    def wanted_version(self, adapter: str) -> int | None:
+        """Return the version that the operator named; ``None`` where none was."""
+
+    def ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
+        """Have the adapter loaded somewhere; waits until it is there."""
+
+    def missing(self, adapter: str, server_id: str) -> None:
+        """Take the word of a runner that it does not hold an adapter."""
+
+
+@attrs.define(slots=True)
+class EngineChooser:
+    """Picks a runner for a generation."""
+
+    book: ServerBook
+    in_flight: InFlight
+    view: FleetView
+    conditions: Conditions
+    placement: Placement
+    rng: random.Random
+    data_centre: str
+
+    def choose(
+        self, call: Call, route: Route, service: Service, job: Job, now_ms: int
+    ) -> Chosen | NoServer:
+        """Return a runner that holds what the request needs, or have it loaded."""
+        usable = self._usable(call, service, job, now_ms)
+        if call.adapter is None:
+            if not usable:
+                return NoServer("no runner holds the model", NO_SERVER_RETRY_MS)
+            return self._chosen(min(usable, key=lambda s: self._cost(s, now_ms)), call, service)
+        held = self.placement.holders(call.adapter)
+        holding = [server for server in usable if server.server_id in held]
+        if holding:
+            best = min(holding, key=lambda s: self._cost(s, now_ms))
+            return self._chosen(best, call, service)
+        return self.placement.ask(call, route, service, job)
+
+    def _usable(self, call: Call, service: Service, job: Job, now_ms: int) -> list[BackendServer]:
+        servers = [
+            server
+            for server in self.book.of_service(service.name)
+            if any(held.name == call.model for held in server.models)
+            and server.server_id not in job.refused_by
+        ]
+        if job.servers_used() >= job.route.attempts and job.may_have_run:
+            servers = [server for server in servers if server.server_id in job.tried]
+        reached = [s for s in servers if not self.conditions.paused(s.server_id, now_ms)]
+        fresh = [s for s in reached if s.server_id not in job.tried]
+        return fresh or reached or servers
+
+    def _chosen(self, server: BackendServer, call: Call, service: Service) -> Chosen:
+        return Chosen(
+            server.server_id,
+            server.address,
+            call.adapter,
+            call.prompt_tokens,
+            call.prompt_tokens + call.output_tokens,
+            self.placement.wanted_version(call.adapter) if call.adapter else None,
+        )
+
+    def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
+        """Take how a try ended."""
+        match result:
+            case Passed():
+                self.conditions.ended(chosen.server_id, True, took_ms, now_ms)
+            case Whole(head=head):
+                self.conditions.ended(chosen.server_id, head.status < 500, took_ms, now_ms)
+            case Rejected(moved=True) if chosen.adapter is not None:
+                self.placement.missing(chosen.adapter, chosen.server_id)
+            case Unsent():
+                self.conditions.unreached(chosen.server_id, now_ms)
+            case Unclear(silent=True) | Cut(silent=True):
+                self.conditions.unreached(chosen.server_id, now_ms)
+            case Unclear() | Cut() | Rejected():
+                self.conditions.ended(chosen.server_id, False, took_ms, now_ms)
+
+    def _cost(self, server: BackendServer, now_ms: int) -> float:
+        own = self.in_flight.at(server.server_id)
+        others = self.view.work_at(server.server_id, now_ms)
+        waiting = own.unread_tokens + others.unread_tokens
+        running = own.requests + others.requests
+        success = 1.0 - self.conditions.failure_share(server.server_id, now_ms)
+        return (waiting + REQUEST_TOKENS * (running + 1)) / max(0.1, success) + self.rng.random()
--- /dev/null
+++ b/monsoonflow/gateway/plain.py
@@ -0,0 +1,93 @@
+"""Chooses among the servers of a plain service."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+import attrs
+
+from ..discovery.book import ServerBook
+from ..discovery.models import BackendServer
+from ..fleet.view import FleetView
+from ..routing.condition import Conditions
+from ..routing.in_flight import InFlight
+from ..routing.routes import Route, Service
+from .handler import Job
+from .models import Call, Chosen, Cut, NoServer, Rejected, Try, Unclear, Unsent, Whole
+
+USUAL_MS: Final = 80.0
+"""Time of an answer while none was seen yet."""
+
+MIN_SUCCESS: Final = 0.1
+"""A failing server keeps this share of its weight, so that its recovery is noticed."""
+
+NO_SERVER_RETRY_MS: Final = 400
+QUEUE_RETRY_SHARE: Final = 0.5
+"""Come back after half of the expected wait: the queue drains meanwhile."""
+
+
+@attrs.define(slots=True)
+class PlainChooser:
+    """Picks the server whose answer is expected first, by what all nodes have in progress there.
+
+    Health answers are not asked for: a server that fails requests may call itself healthy. How its
+    requests end tells.
+    """
+
+    book: ServerBook
+    in_flight: InFlight
+    view: FleetView
+    conditions: Conditions
+    rng: random.Random
+    data_centre: str
+
+    def choose(
+        self, call: Call, route: Route, service: Service, job: Job, now_ms: int
+    ) -> Chosen | NoServer:
+        """Return the server with the least expected time to a good answer."""
+        servers = self.book.of_service(service.name)
+        if job.servers_used() >= route.attempts and job.may_have_run:
+            servers = [server for server in servers if server.server_id in job.tried]
+        reached = [s for s in servers if not self.conditions.paused(s.server_id, now_ms)]
+        fresh = [s for s in reached or servers if s.server_id not in job.tried]
+        candidates = fresh or [s for s in servers if s.server_id not in job.refused_by]
+        if not candidates:
+            return NoServer("no server takes work", job.retry_after_ms or NO_SERVER_RETRY_MS)
+        costs = {s.server_id: self._expected_ms(s, now_ms) for s in candidates}
+        best = min(candidates, key=lambda s: (costs[s.server_id], self.rng.random()))
+        expected_ms = costs[best.server_id]
+        if expected_ms > 2 * (job.until_ms - now_ms) and self._busy(best, now_ms):
+            return NoServer(
+                "the queue is longer than the time left",
+                max(NO_SERVER_RETRY_MS, int(expected_ms * QUEUE_RETRY_SHARE)),
+            )
+        return Chosen(best.server_id, best.address, why=f"expected_ms={expected_ms:.0f}")
+
+    def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
+        """Take how a try ended."""
+        match result:
+            case Whole(head=head):
+                self.conditions.ended(chosen.server_id, head.status < 500, took_ms, now_ms)
+            case Unsent():
+                self.conditions.unreached(chosen.server_id, now_ms)
+            case Unclear(silent=True) | Cut(silent=True):
+                self.conditions.unreached(chosen.server_id, now_ms)
+            case Unclear() | Cut() | Rejected(moved=False):
+                self.conditions.ended(chosen.server_id, False, took_ms, now_ms)
+
+    def _expected_ms(self, server: BackendServer, now_ms: int) -> float:
+        busy = self._in_progress(server, now_ms)
+        rounds = max(1.0, (busy + 1) / max(1, server.slots))
+        usual_ms = self.conditions.latency_ms(server.server_id, USUAL_MS)
+        success = 1.0 - self.conditions.failure_share(server.server_id, now_ms)
+        # The share of a server that is not full also counts a little, so that equal servers share.
+        crowd = 1.0 + 0.1 * busy / max(1, server.slots)
+        return usual_ms * rounds * crowd / max(MIN_SUCCESS, success) ** 2
+
+    def _in_progress(self, server: BackendServer, now_ms: int) -> int:
+        own = self.in_flight.at(server.server_id).requests
+        return own + self.view.work_at(server.server_id, now_ms).requests
+
+    def _busy(self, server: BackendServer, now_ms: int) -> bool:
+        return self._in_progress(server, now_ms) >= server.slots
--- /dev/null
+++ b/monsoonflow/helpers/log_lines.py
@@ -0,0 +1,89 @@
+"""Writes log lines to standard output without ever holding up the process."""
+
+from __future__ import annotations
+
+import logging
+import os
+import select
+import sys
+from collections import Counter, deque
+from typing import Final
+
+import gevent
+
+from .logfmt import LineFormatter, pairs
+
+MAX_WAITING_LINES: Final = 4_000
+"""Lines that wait for a slow reader; about a megabyte."""
+
+WRITE_EVERY_S: Final = 0.05
+"""Pause between writes: lines of that time leave in few system calls."""
+
+PIPE_BYTES: Final = 4_096
+"""A pipe that says it is writable takes this much without blocking (``PIPE_BUF``)."""
+
+
+class QueueHandler(logging.Handler):
+    """Keeps lines until the writer has time; drops them, counted by level, when too many wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: deque[bytes] = deque()
+        self.dropped_by_level: Counter[str] = Counter()
+
+    def createLock(self) -> None:  # noqa: N802
+        """Use no lock: all lines come from greenlets of one thread."""
+        self.lock = None
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a line."""
+        if len(self.lines) >= MAX_WAITING_LINES and record.levelno < logging.ERROR:
+            self.dropped_by_level[record.levelname.lower()] += 1
+            return
+        self.lines.append((self.format(record) + "\n").encode("utf-8", "replace"))
+
+    def write_some(self, file: int) -> bool:
+        """Write what the reader takes now; return whether all is written."""
+        while self.lines:
+            if not select.select([], [file], [], 0)[1]:
+                return False
+            chunk = bytearray()
+            while self.lines and len(chunk) + len(self.lines[0]) <= PIPE_BYTES:
+                chunk += self.lines.popleft()
+            if not chunk:
+                chunk += self.lines.popleft()[: PIPE_BYTES - 1] + b"\n"
+            os.write(file, chunk)
+        return True
+
+
+def start(level: str) -> QueueHandler:
+    """Send all log lines to standard output through a queue."""
+    handler = QueueHandler()
+    handler.setFormatter(LineFormatter())
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    gevent.spawn(_write_for_good, handler)
+    return handler
+
+
+def _write_for_good(handler: QueueHandler) -> None:
+    file = sys.stdout.fileno()
+    logger = logging.getLogger(__name__)
+    while True:
+        gevent.sleep(WRITE_EVERY_S)
+        try:
+            written = handler.write_some(file)
+        except OSError:
+            # Nobody reads any more; the process goes on without its log.
+            handler.lines.clear()
+            continue
+        if written and handler.dropped_by_level:
+            dropped, handler.dropped_by_level = handler.dropped_by_level, Counter()
+            logger.warning("%s", pairs(event="log_lines_dropped", **dropped))
+
+
+def flush(handler: QueueHandler) -> None:
+    """Write the last lines before the process ends, as far as the reader takes them."""
+    try:
+        handler.write_some(sys.stdout.fileno())
+    except OSError:
+        handler.lines.clear()
--- a/monsoonflow/helpers/logfmt.py
+++ b/monsoonflow/helpers/logfmt.py
@@ -29,10 +29,11 @@
     )
 
 
-class _Line(logging.Formatter):
+class LineFormatter(logging.Formatter):
     """Prefixes the record's time, level and logger as pairs."""
 
     def format(self, record: logging.LogRecord) -> str:
+        """Return the record's line."""
         head = f"time={self.formatTime(record, '%Y-%m-%dT%H:%M:%S')}.{int(record.msecs):03d}"
         text = f"{head} level={record.levelname.lower()} logger={record.name}"
         text = f"{text} {record.getMessage()}"
@@ -47,5 +48,5 @@
     :param level: a level name of :mod:`logging`.
     """
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(_Line())
+    handler.setFormatter(LineFormatter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- /dev/null
+++ b/monsoonflow/ownership/duty.py
@@ -0,0 +1,116 @@
+"""The right of one node to give orders to the runners of a cell."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from .models import LeaseTiming
+
+PEERS_HEARD_MS: Final = 700
+"""How lately other nodes must have been heard when a holder goes on without the store: three of
+their reports. A holder that was frozen has heard nobody and asks first."""
+
+
+@attrs.frozen(slots=True)
+class DutyRow:
+    """A duty's row in the table service.
+
+    :param epoch: rises with each holder; the fencing number of its orders.
+    :param counter: rises with each renewal.
+    :param released: the holder has given the duty up.
+    """
+
+    cell: str
+    holder: str
+    boot: str
+    epoch: int
+    counter: int
+    released: bool = False
+
+
+class HeldDuty:
+    """Tells a holder whether it may give orders, on its own clock."""
+
+    def __init__(self, timing: LeaseTiming, fenced: bool) -> None:
+        self._timing = timing
+        self._fenced = fenced
+        self._valid_until_ms = 0
+        self.row: DutyRow | None = None
+        self.row_version = 0
+
+    def took(self, row: DutyRow, row_version: int, sent_ms: int) -> None:
+        """Take a successful claim or renewal.
+
+        :param sent_ms: this node's time before the write was sent: the store can only have applied
+            it later, so every claimant's count begins later than the holder's.
+        """
+        self.row = row
+        self.row_version = row_version
+        until_ms = sent_ms + self._timing.duration_ms - self._timing.margin_ms
+        self._valid_until_ms = max(self._valid_until_ms, until_ms)
+
+    def lost(self) -> None:
+        """Take that another node holds the duty, or that nobody may know."""
+        self.row = None
+        self.row_version = 0
+        self._valid_until_ms = 0
+
+    def may_order(
+        self, now_ms: int, newest_epoch: int, store_lost: bool, peers_heard_ms: int | None
+    ) -> bool:
+        """Tell whether an order may be sent at this moment.
+
+        Without the store nobody can claim. Where runners refuse old fencing numbers, a holder that
+        still hears the others, and hears of no newer claim, goes on: stopping all loads for the
+        length of an outage would help nobody. Where they don't, the lease alone counts.
+
+        :param newest_epoch: the highest epoch that any node was heard to name.
+        :param peers_heard_ms: how long ago another node was heard; ``None`` where there is none.
+        """
+        if self.row is None or newest_epoch > self.row.epoch:
+            return False
+        if now_ms < self._valid_until_ms:
+            return True
+        if not self._fenced or not store_lost:
+            return False
+        return peers_heard_ms is None or peers_heard_ms <= PEERS_HEARD_MS
+
+
+class DutyWatch:
+    """Tells a claimant whether a duty is free, on the claimant's own clock."""
+
+    def __init__(self, timing: LeaseTiming, fenced: bool) -> None:
+        self._timing = timing
+        self._fenced = fenced
+        self.row: DutyRow | None = None
+        self.row_version = 0
+        self._seen_ms = 0
+
+    def seen(self, row: DutyRow | None, row_version: int, now_ms: int) -> None:
+        """Take the row as the store holds it."""
+        if row_version < self.row_version:
+            return
+        if row_version != self.row_version:
+            self._seen_ms = now_ms
+        self.row = row
+        self.row_version = row_version
+
+    def claimable(
+        self, node: str, boot: str, now_ms: int, holder_silent: bool, others_heard: bool
+    ) -> bool:
+        """Tell whether this node may claim.
+
+        :param holder_silent: the holder's reports have stopped.
+        :param others_heard: most other nodes are heard, so the silence is not this node's own.
+        """
+        if self.row is None or self.row.released:
+            return True
+        if self.row.holder == node:
+            # A former life of this node's process, or a claim whose answer was lost.
+            return self.row.boot != boot or now_ms - self._seen_ms > self._timing.claim_after_ms
+        if now_ms - self._seen_ms > self._timing.claim_after_ms:
+            return True
+        # Runners that check fencing numbers stop the old holder by themselves.
+        return self._fenced and holder_silent and others_heard
--- /dev/null
+++ b/monsoonflow/placement/desk.py
@@ -0,0 +1,465 @@
+"""Decides which runner loads which adapter, for all requests of a cell.
+
+The load that it is made for: a few adapters get most requests, thousands get one now and then, and
+a rush asks for many rare ones at once. Runners hold few adapters and keep copies of more, so an
+adapter goes back to where it was; what is busy is never unloaded; who waits is served by urgency;
+and the weight store carries no more loads at once than it does at full speed.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..core.adapter import AdapterRef
+from ..helpers.hashing import weight
+from ..orders.models import (
+    Accepted,
+    Operation,
+    OrderAnswer,
+    RunnerReport,
+    Stale,
+    Superseded,
+    Unanswered,
+    Unusable,
+)
+from ..routing.in_flight import ServerWork
+from ..routing.routes import EngineTraits
+from .seats import MAX_INCOMING, RunnerSeats, Seat, SeatState, Step
+
+COLD_LOADS_AT_ONCE: Final = 8
+"""Adapters fetched from the weight store at once over all runners; beyond it each takes longer in
+proportion (the store's sheet)."""
+
+COLD_LOAD_MS: Final = 250
+WARM_LOAD_MS: Final = 25
+"""Usual times of a load (the store's sheet); first guesses, then the runner is asked."""
+
+CONFIRM_EVERY_MS: Final = 20
+"""Pause between questions whether a load is complete: a question costs a round trip of 3 ms."""
+
+MODEL_CONFIRM_EVERY_MS: Final = 250
+UNSEEN_MS: Final = 300
+"""A use that began so lately may not have been heard of: reports between nodes are 200 ms apart."""
+
+GRANT_MS: Final = 600
+"""How long a grant keeps its adapter until the request shows up in its node's report."""
+
+HEAT_HALF_LIFE_MS: Final = 8_000
+REPORT_RETRY_MS: Final = 150
+REPORT_LAG_MS: Final = 500
+"""A runner's report is some hundred milliseconds old: one that knows fewer orders than were
+accepted is asked for again until this age."""
+
+CROWDED_TOKENS: Final = 6_000
+"""Unread prompt tokens at a runner beyond which others are preferred: some 300 ms of reading."""
+
+STALE_HEAT: Final = 0.05
+"""Heat below which an adapter's new version is not fetched ahead of its first request."""
+
+
+@attrs.define(slots=True)
+class Waiter:
+    """A request that waits for an adapter.
+
+    :param version: the oldest version that may serve it.
+    :param until_ms: when it gives up.
+    :param settle: called once with the runner and the version, or with ``None``.
+    """
+
+    name: str
+    version: int
+    priority: int
+    since_ms: int
+    until_ms: int
+    refused_by: frozenset[str]
+    settle: Callable[[str | None, int], None]
+
+
+class Desk:
+    """The seats of all runners of one cell, and who waits for one.
+
+    :param newest: the newest version by adapter, where the operator named one.
+    """
+
+    def __init__(self, traits: EngineTraits, newest: dict[str, int]) -> None:
+        self.traits = traits
+        self._newest = newest
+        self.runners: dict[str, RunnerSeats] = {}
+        self.waiters: list[Waiter] = []
+        self._heat: dict[str, tuple[float, int]] = {}
+        self._ticked_ms = 0
+        self._model_loads: list[int] = []
+        self.loads = 0
+        self.cold_loads = 0
+
+    # Runners come, go and report.
+
+    def came(self, server_id: str) -> None:
+        """Take a runner into the cell."""
+        if server_id not in self.runners:
+            self.runners[server_id] = RunnerSeats(server_id, self._slots())
+
+    def gone(self, server_id: str) -> None:
+        """Take a runner out of the cell."""
+        self.runners.pop(server_id, None)
+
+    def reported(self, server_id: str, report: RunnerReport | None, now_ms: int) -> None:
+        """Take a runner's report, asked for because its state was unclear."""
+        runner = self.runners.get(server_id)
+        if runner is None:
+            return
+        runner.ordering = False
+        runner.report_at_ms = now_ms + REPORT_RETRY_MS
+        if report is None:
+            return
+        overtaken = runner.sequence is not None and report.sequence < runner.sequence
+        if overtaken and now_ms - runner.sequence_at_ms < REPORT_LAG_MS:
+            return
+        runner.adopt(report, now_ms)
+        runner.report_at_ms = 0
+
+    def wants_report(self, now_ms: int) -> list[str]:
+        """Return the runners that must be asked what they hold."""
+        return [
+            runner.server_id
+            for runner in self.runners.values()
+            if not runner.ordering
+            and (not runner.known() or runner.report_at_ms > 0)
+            and now_ms >= runner.report_at_ms
+        ]
+
+    # Requests ask.
+
+    def ask(self, waiter: Waiter, now_ms: int, work: dict[str, ServerWork]) -> None:
+        """Take a request that needs an adapter; it is settled now or later."""
+        self._warm(waiter.name, 0.3, now_ms)
+        self.waiters.append(waiter)
+        self.settle_waiters(now_ms, work)
+
+    def forget(self, waiter: Waiter) -> None:
+        """Drop a request that no longer waits."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+
+    def settle_waiters(self, now_ms: int, work: dict[str, ServerWork]) -> None:
+        """Settle those whose adapter can serve, and those whose time is over."""
+        for waiter in list(self.waiters):
+            held = self._held(waiter, work)
+            if held is not None:
+                runner, seat = held
+                seat.granted_until_ms = now_ms + GRANT_MS
+                seat.used_ms = now_ms
+                self.waiters.remove(waiter)
+                waiter.settle(runner.server_id, seat.ref.version)
+            elif now_ms >= waiter.until_ms:
+                self.waiters.remove(waiter)
+                waiter.settle(None, 0)
+
+    def _held(self, waiter: Waiter, work: dict[str, ServerWork]) -> tuple[RunnerSeats, Seat] | None:
+        found = [
+            (runner, seat)
+            for runner in self.runners.values()
+            if runner.server_id not in waiter.refused_by
+            and (seat := runner.ready(waiter.name)) is not None
+            and seat.ref.version >= waiter.version
+        ]
+        if not found:
+            return None
+        return min(found, key=lambda pair: _crowd(work, pair[0].server_id))
+
+    # Orders are planned and answered.
+
+    def plan(self, now_ms: int, work: dict[str, ServerWork]) -> list[Step]:
+        """Return the orders to send now, at most one a runner.
+
+        :param work: what all nodes have in progress by runner.
+        """
+        self._tick(now_ms, work)
+        steps = []
+        for runner in self.runners.values():
+            step = self._overdue(runner, now_ms)
+            if step is not None:
+                runner.ordering = True
+                steps.append(step)
+        steps += self._loads(now_ms, work)
+        return steps
+
+    def _overdue(self, runner: RunnerSeats, now_ms: int) -> Step | None:
+        """Return what a runner is to be told before anything new."""
+        if runner.ordering or not runner.known() or runner.report_at_ms:
+            return None
+        if runner.doubtful is not None:
+            return runner.doubtful
+        if runner.model is None:
+            return self._model_step(runner, now_ms)
+        for seat in runner.seats.values():
+            if seat.state is SeatState.LOADING and now_ms >= seat.check_at_ms:
+                return self._step(runner, Operation.LOAD, seat.ref, confirms=True)
+            if seat.state is SeatState.DROPPING and now_ms >= seat.check_at_ms:
+                return self._step(runner, Operation.UNLOAD, seat.ref, confirms=True)
+        return None
+
+    def _model_step(self, runner: RunnerSeats, now_ms: int) -> Step | None:
+        if runner.model_loading is not None:
+            if now_ms < runner.model_check_at_ms:
+                return None
+            name = runner.model_loading
+            return Step(runner.server_id, Operation.LOAD, name, None, runner.sequence or 0, True)
+        name = self._model_wanted()
+        if name is None or not self._model_load_allowed(now_ms):
+            return None
+        runner.model_loading = name
+        runner.model_since_ms = now_ms
+        self._model_loads.append(now_ms)
+        return Step(runner.server_id, Operation.LOAD, name, None, runner.sequence or 0)
+
+    def _model_wanted(self) -> str | None:
+        """Return the base model with the fewest runners."""
+        held: dict[str, int] = {model.name: 0 for model in self.traits.models}
+        for runner in self.runners.values():
+            name = runner.model or runner.model_loading
+            if name in held:
+                held[name] += 1
+        fits = [m.name for m in self.traits.models if m.memory_mb <= self.traits.weights_mb]
+        return min(fits, key=lambda name: held[name], default=None)
+
+    def _model_load_allowed(self, now_ms: int) -> bool:
+        """Keep loads of base models under the rate that the weight store allows.
+
+        Two holders in a row each start with an empty count: four fifths of the rate and a short
+        burst leave room for that.
+        """
+        self._model_loads = [at_ms for at_ms in self._model_loads if now_ms - at_ms < 5_000]
+        return len(self._model_loads) < max(1, math.floor(self.traits.loads_per_s * 5 * 0.8 / 2))
+
+    def _loads(self, now_ms: int, work: dict[str, ServerWork]) -> list[Step]:
+        """Return loads for those who wait, most urgent first, and the unloads they need."""
+        steps: list[Step] = []
+        cold = self._cold_incoming()
+        wanted = sorted(self.waiters, key=lambda w: (w.priority, w.since_ms))
+        seen: set[str] = set()
+        for waiter in wanted:
+            if waiter.name in seen or self._coming(waiter):
+                continue
+            seen.add(waiter.name)
+            runner = self._runner_for(waiter, now_ms, work, cold < COLD_LOADS_AT_ONCE)
+            if runner is None:
+                continue
+            step = self._make_room_or_load(runner, waiter, now_ms, work)
+            if step is None:
+                continue
+            cold += step.operation is Operation.LOAD and runner.seats[waiter.name].cold
+            runner.ordering = True
+            steps.append(step)
+        return steps
+
+    def _make_room_or_load(
+        self,
+        runner: RunnerSeats,
+        waiter: Waiter,
+        now_ms: int,
+        work: dict[str, ServerWork],
+    ) -> Step | None:
+        old = runner.seats.get(waiter.name)
+        if runner.free() <= 0 and old is None:
+            seat = self._evictable(runner, now_ms, work)
+            if seat is None:
+                return None
+            seat.state = SeatState.DROPPING
+            return self._step(runner, Operation.UNLOAD, seat.ref)
+        ref = self._newest_ref(waiter)
+        seat = runner.begin_load(ref, now_ms)
+        self.loads += 1
+        self.cold_loads += seat.cold
+        version = ref.version if ref.version > 1 else None
+        return Step(runner.server_id, Operation.LOAD, ref.name, version, runner.sequence or 0)
+
+    def _coming(self, waiter: Waiter) -> bool:
+        """Tell whether an adapter is on its way, or a place is being made for it at its home."""
+        return any(
+            runner.server_id not in waiter.refused_by
+            and (seat := runner.seats.get(waiter.name)) is not None
+            and seat.state is SeatState.LOADING
+            and seat.ref.version >= waiter.version
+            for runner in self.runners.values()
+        )
+
+    def _runner_for(
+        self, waiter: Waiter, now_ms: int, work: dict[str, ServerWork], cold_allowed: bool
+    ) -> RunnerSeats | None:
+        """Return where an adapter is loaded best.
+
+        A runner that held it keeps a copy: a tenth of the time and nothing from the weight store.
+        Then comes the adapter's home by hash, so that it is found there again; a crowded runner
+        comes after all that are not.
+        """
+        choices = []
+        for runner in self.runners.values():
+            if runner.server_id in waiter.refused_by or runner.ordering or not runner.known():
+                continue
+            if runner.model != waiter.name.partition("/")[0] or runner.report_at_ms:
+                continue
+            if runner.doubtful is not None or runner.incoming() >= MAX_INCOMING:
+                continue
+            own = runner.seats.get(waiter.name)
+            if own is not None and (own.state is not SeatState.READY):
+                continue
+            # A replacement waits for the runs on the old version, and new ones wait with it.
+            in_use = own is not None and bool(
+                work.get(runner.server_id, _NO_WORK).by_adapter.get(waiter.name)
+            )
+            warm = self._newest_ref(waiter) in runner.remembered
+            if not warm and not cold_allowed:
+                continue
+            room = runner.free() > 0 or own is not None
+            if not room and self._evictable(runner, now_ms, work) is None:
+                continue
+            crowded = work.get(runner.server_id, _NO_WORK).unread_tokens > CROWDED_TOKENS
+            home = -weight(waiter.name, runner.server_id)
+            choices.append((in_use, crowded, not warm, home, runner))
+        return min(choices, key=lambda choice: choice[:4])[4] if choices else None
+
+    def _evictable(
+        self, runner: RunnerSeats, now_ms: int, work: dict[str, ServerWork]
+    ) -> Seat | None:
+        """Return the least valuable seat that nothing uses, or may use unheard."""
+        used = work.get(runner.server_id, _NO_WORK).by_adapter
+        idle = [
+            seat
+            for seat in runner.seats.values()
+            if seat.state is SeatState.READY
+            and not used.get(seat.ref.name)
+            and now_ms - seat.used_ms >= UNSEEN_MS
+            and now_ms >= seat.granted_until_ms
+        ]
+        return min(idle, key=lambda seat: self._value(seat, now_ms), default=None)
+
+    def _newest_ref(self, waiter: Waiter) -> AdapterRef:
+        return AdapterRef(waiter.name, max(waiter.version, self._newest.get(waiter.name, 1)))
+
+    def _value(self, seat: Seat, now_ms: int) -> float:
+        if seat.ref.version < self._newest.get(seat.ref.name, 1):
+            return 0.0
+        copies = sum(runner.ready(seat.ref.name) is not None for runner in self.runners.values())
+        return self.heat(seat.ref.name, now_ms) / max(1, copies)
+
+    def answered(self, step: Step, answer: OrderAnswer, now_ms: int) -> bool:
+        """Take the answer to an order; return whether the duty is still this node's."""
+        runner = self.runners.get(step.server_id)
+        if runner is None:
+            return not isinstance(answer, Superseded)
+        runner.ordering = False
+        match answer:
+            case Accepted(complete=complete):
+                self._accepted(runner, step, complete, now_ms)
+            case Unanswered():
+                # Sent again under the same condition: whichever of the two is carried out first
+                # makes the other fail, so the order takes effect once.
+                runner.doubtful = step
+            case Stale():
+                self._unclear(runner, step, now_ms)
+            case Unusable():
+                self._undo(runner, step)
+                self._unclear(runner, step, now_ms)
+            case Superseded():
+                return False
+        return True
+
+    def _accepted(self, runner: RunnerSeats, step: Step, complete: bool, now_ms: int) -> None:
+        if not step.confirms or step is runner.doubtful:
+            runner.sequence = step.sequence + (not step.confirms)
+            runner.sequence_at_ms = now_ms
+        runner.doubtful = None
+        if "/" not in step.name:
+            if complete:
+                runner.model, runner.model_loading = step.name, None
+            runner.model_check_at_ms = now_ms + MODEL_CONFIRM_EVERY_MS
+            return
+        seat = runner.seats.get(step.name)
+        if seat is None:
+            return
+        if complete:
+            if step.operation is Operation.LOAD:
+                runner.loaded(step.name, now_ms)
+            else:
+                runner.dropped(step.name, now_ms)
+            return
+        usual_ms = COLD_LOAD_MS if seat.cold else WARM_LOAD_MS
+        first = not step.confirms and step.operation is Operation.LOAD
+        seat.check_at_ms = now_ms + (usual_ms if first else CONFIRM_EVERY_MS)
+
+    def _undo(self, runner: RunnerSeats, step: Step) -> None:
+        """Take back what was believed of an order that was never carried out."""
+        if step.confirms:
+            return
+        runner.doubtful = None
+        seat = runner.seats.get(step.name)
+        if "/" not in step.name:
+            runner.model_loading = None
+        elif seat is not None and step.operation is Operation.LOAD:
+            del runner.seats[step.name]
+        elif seat is not None:
+            seat.state = SeatState.READY
+
+    def _unclear(self, runner: RunnerSeats, step: Step, now_ms: int) -> None:
+        """Ask the runner what it holds before it gets another order."""
+        if isinstance(step, Step) and not step.confirms:
+            self._undo(runner, step)
+        runner.doubtful = None
+        runner.report_at_ms = now_ms + CONFIRM_EVERY_MS
+
+    def _step(
+        self, runner: RunnerSeats, operation: Operation, ref: AdapterRef, confirms: bool = False
+    ) -> Step:
+        version = ref.version if operation is Operation.LOAD and ref.version > 1 else None
+        return Step(runner.server_id, operation, ref.name, version, runner.sequence or 0, confirms)
+
+    # Heat tells which adapters are worth their seats.
+
+    def heat(self, name: str, now_ms: int) -> float:
+        """Return how much an adapter was used lately."""
+        value, at_ms = self._heat.get(name, (0.0, now_ms))
+        return value * math.exp2((at_ms - now_ms) / HEAT_HALF_LIFE_MS)
+
+    def _warm(self, name: str, by: float, now_ms: int) -> None:
+        self._heat[name] = (self.heat(name, now_ms) + by, now_ms)
+
+    def _tick(self, now_ms: int, work: dict[str, ServerWork]) -> None:
+        span_s = min(1.0, (now_ms - self._ticked_ms) / 1000)
+        self._ticked_ms = now_ms
+        for runner in self.runners.values():
+            for name, count in work.get(runner.server_id, _NO_WORK).by_adapter.items():
+                self._warm(name, count * span_s, now_ms)
+                seat = runner.seats.get(name)
+                if seat is not None:
+                    seat.used_ms = now_ms
+        if len(self._heat) > 8_000:
+            self._heat = {n: h for n, h in self._heat.items() if self.heat(n, now_ms) > 0.001}
+
+    def _cold_incoming(self) -> int:
+        return sum(
+            seat.state is SeatState.LOADING and seat.cold
+            for runner in self.runners.values()
+            for seat in runner.seats.values()
+        )
+
+    def _slots(self) -> int:
+        """Return how many adapters a runner holds beside its base model."""
+        largest = max((model.memory_mb for model in self.traits.models), default=0.0)
+        adapter_mb = max((model.adapter_mb for model in self.traits.models), default=0.0)
+        if adapter_mb <= 0:
+            return self.traits.adapter_slots
+        room = math.floor((self.traits.weights_mb - largest) / adapter_mb)
+        return max(0, min(self.traits.adapter_slots, room))
+
+
+_NO_WORK: Final = ServerWork()
+
+
+def _crowd(work: dict[str, ServerWork], server_id: str) -> int:
+    at_server = work.get(server_id, _NO_WORK)
+    return at_server.unread_tokens + 60 * at_server.requests
--- /dev/null
+++ b/monsoonflow/placement/seats.py
@@ -0,0 +1,159 @@
+"""What one runner holds, as the holder of its duty knows it."""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from typing import Final
+
+import attrs
+
+from ..core.adapter import AdapterRef
+from ..core.invariant import require
+from ..orders.models import Operation, RunnerReport
+
+MAX_REMEMBERED: Final = 64
+"""Adapters that a runner is thought to keep copies of after they were unloaded."""
+
+MAX_INCOMING: Final = 4
+"""Adapters that may be on their way to one runner at the same time; it refuses more."""
+
+
+class SeatState(enum.Enum):
+    """How far an adapter is on a runner."""
+
+    LOADING = "loading"
+    READY = "ready"
+    DROPPING = "dropping"
+
+
+@attrs.define(slots=True)
+class Seat:
+    """An adapter's place on a runner.
+
+    :param check_at_ms: when to ask whether it is loaded.
+    :param used_ms: when it was last seen in use.
+    :param granted_until_ms: how long a request that was just sent here keeps it.
+    """
+
+    ref: AdapterRef
+    state: SeatState
+    since_ms: int
+    check_at_ms: int = 0
+    used_ms: int = 0
+    granted_until_ms: int = 0
+    cold: bool = True
+
+
+@attrs.frozen(slots=True)
+class Step:
+    """One order that should be sent now.
+
+    :param confirms: it only asks whether an order that was accepted is complete.
+    """
+
+    server_id: str
+    operation: Operation
+    name: str
+    version: int | None
+    sequence: int
+    confirms: bool = False
+
+
+@attrs.define(slots=True)
+class RunnerSeats:
+    """The seats of one runner.
+
+    :param sequence: orders that it has accepted; ``None`` until it was asked.
+    :param doubtful: an order without an answer; it is sent again until it is settled.
+    :param remembered: adapters that it held, newest last; they load again in a tenth of the time.
+    """
+
+    server_id: str
+    slots: int
+    model: str | None = None
+    model_loading: str | None = None
+    model_check_at_ms: int = 0
+    model_since_ms: int = 0
+    sequence: int | None = None
+    ordering: bool = False
+    doubtful: Step | None = None
+    report_at_ms: int = 0
+    sequence_at_ms: int = 0
+    seats: dict[str, Seat] = attrs.Factory(dict)
+    remembered: OrderedDict[AdapterRef, int] = attrs.Factory(OrderedDict)
+
+    def known(self) -> bool:
+        """Tell whether orders can be given: the runner was asked what it holds."""
+        return self.sequence is not None
+
+    def incoming(self) -> int:
+        """Return how many adapters are on their way."""
+        return sum(seat.state is SeatState.LOADING for seat in self.seats.values())
+
+    def free(self) -> int:
+        """Return how many more adapters fit."""
+        return self.slots - len(self.seats)
+
+    def ready(self, name: str) -> Seat | None:
+        """Return an adapter's seat when it can serve."""
+        seat = self.seats.get(name)
+        return seat if seat is not None and seat.state is SeatState.READY else None
+
+    def begin_load(self, ref: AdapterRef, now_ms: int) -> Seat:
+        """Take a place for an adapter before its order is sent.
+
+        The place stays taken while the order's fate is unknown: a runner that is ordered to hold
+        more than it can crashes with all its requests.
+        """
+        require(self.free() > 0 or ref.name in self.seats, "a load has a place on its runner")
+        cold = ref not in self.remembered
+        seat = Seat(ref, SeatState.LOADING, now_ms, cold=cold, used_ms=now_ms)
+        self.seats[ref.name] = seat
+        return seat
+
+    def loaded(self, name: str, now_ms: int) -> None:
+        """Note that an adapter can serve."""
+        seat = self.seats.get(name)
+        if seat is None:
+            return
+        seat.state = SeatState.READY
+        seat.used_ms = now_ms
+        self.remember(seat.ref, now_ms)
+
+    def dropped(self, name: str, now_ms: int) -> None:
+        """Note that an adapter's place is free."""
+        seat = self.seats.pop(name, None)
+        if seat is not None:
+            self.remember(seat.ref, now_ms)
+
+    def remember(self, ref: AdapterRef, now_ms: int) -> None:
+        """Note that the runner keeps a copy of an adapter."""
+        self.remembered[ref] = now_ms
+        self.remembered.move_to_end(ref)
+        if len(self.remembered) > MAX_REMEMBERED:
+            self.remembered.popitem(last=False)
+
+    def adopt(self, report: RunnerReport, now_ms: int) -> None:
+        """Take what the runner says it holds in place of what was believed."""
+        self.sequence = report.sequence
+        self.sequence_at_ms = now_ms
+        self.doubtful = None
+        self.model = report.models[0].name if report.models else None
+        if self.model is not None and not report.busy:
+            self.model_loading = None
+        held = {ref.name: ref for model in report.models for ref in model.adapters}
+        coming = {ref.name: ref for ref in report.incoming}
+        for name in [name for name in self.seats if name not in held and name not in coming]:
+            del self.seats[name]
+        for name, ref in held.items():
+            seat = self.seats.get(name)
+            if seat is None or seat.ref != ref or seat.state is not SeatState.READY:
+                used_ms = seat.used_ms if seat is not None else now_ms
+                self.seats[name] = Seat(ref, SeatState.READY, now_ms, used_ms=used_ms)
+            self.remember(ref, now_ms)
+        for name, ref in coming.items():
+            if name not in held:
+                seat = self.seats.get(name)
+                if seat is None or seat.state is not SeatState.LOADING:
+                    self.seats[name] = Seat(ref, SeatState.LOADING, now_ms, check_at_ms=now_ms)
--- /dev/null
+++ b/monsoonflow/platform/settings.py
@@ -0,0 +1,77 @@
+"""Reads the settings file of a process on the platform."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from collections.abc import Mapping
+from typing import Any, Final
+
+from ..entry.settings import EntrySettings, PeerBounds, StoreBounds
+from ..helpers.settings import SettingError
+
+FILE_VARIABLE: Final = "MONSOONFLOW_NODE_FILE"
+DEFAULT_FILE: Final = "/etc/monsoonflow/local.toml"
+
+
+def settings_path() -> str:
+    """Return where the settings file lies."""
+    return os.environ.get(FILE_VARIABLE, DEFAULT_FILE)
+
+
+def read_settings(path: str) -> EntrySettings | SettingError:
+    """Return the settings, or what is wrong with them in one line; unknown fields are ignored."""
+    try:
+        with open(path, "rb") as file:
+            fields = tomllib.load(file)
+    except OSError as error:
+        return SettingError("settings-file", f"{path}: {error.strerror}")
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return SettingError("settings-file", f"{path}: {error}")
+    try:
+        return _decode(fields)
+    except KeyError as error:
+        return SettingError(str(error.args[0]), "missing in the settings file")
+    except (TypeError, ValueError, AttributeError) as error:
+        return SettingError("settings-file", f"{path}: {error}")
+
+
+def _decode(fields: Mapping[str, Any]) -> EntrySettings:
+    listens = fields["listenAddrs"]
+    bounds = fields.get("contractParams", {})
+    limits = fields.get("limits", {})
+    platform = fields["platform"]
+    ports = fields["portRange"]
+    return EntrySettings(
+        name=str(fields["nodeName"]),
+        ip=str(fields["bindIp"]),
+        data_centre=str(fields["zone"]),
+        region=str(fields["region"]),
+        callers_address=str(listens["front"]),
+        ready_address=str(listens["ready"]),
+        directory_address=str(listens["directory"]),
+        peer_address=f"{fields['bindIp']}:{int(ports[0])}",
+        store=StoreBounds(
+            address=str(platform["address"]),
+            history_ms=_ms(platform.get("historyS", 20)),
+        ),
+        bounds=PeerBounds(
+            lease_ms=int(bounds.get("leaseMs", 3_000)),
+            grace_ms=_ms(bounds.get("graceS", 8)),
+            drain_ms=int(bounds.get("drainMs", 2_000)),
+            fenced=bool(bounds.get("requireFence", False)),
+            retry_ratio=float(bounds.get("budgetRatio", 0.2)),
+            retry_reserve=float(bounds.get("budgetExtraRetries", 0)),
+            retry_window_ms=_ms(bounds.get("budgetWindowS", 10)),
+            version_ms=int(bounds.get("version_ms", 5_000)),
+            address_ttl_ms=_ms(bounds.get("ttl_max_s", 5)),
+            load_window_ms=_ms(bounds.get("ceilingWindowS", 5)),
+            thaw_ms=int(bounds.get("thawMs", 300)),
+        ),
+        max_descriptors=int(limits.get("maxFds", 1_024)),
+        memory_mb=float(limits.get("memoryMb", 256)),
+    )
+
+
+def _ms(seconds: float) -> int:
+    return round(float(seconds) * 1000)
--- /dev/null
+++ b/monsoonflow/platform/store.py
@@ -0,0 +1,184 @@
+"""Calls the platform's store: rows, their changes, and objects."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import logging
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import orjson
+
+from ..core.clock import Clock
+from ..helpers.logfmt import pairs
+from ..storage.models import (
+    ChangedRow,
+    Changes,
+    CommitResult,
+    Committed,
+    Conflict,
+    HistoryLost,
+    Row,
+    Transaction,
+    Unavailable,
+)
+from ..transport.client import Answer, Pools, call
+from ..transport.models import Lost
+
+_LOGGER = logging.getLogger(__name__)
+JSON_HEADERS: Final = ((b"Content-Type", b"application/json"),)
+CALL_TIMEOUT_MS: Final = 1_500
+PAGE: Final = 500
+"""Rows a page, the most that the store gives."""
+
+OWN_TABLE: Final = "monsoonflow"
+"""The table of this product's own rows."""
+
+
+class PlatformStore:
+    """The store's calls, as the product's table and change feed.
+
+    Product keys ``KEY`` become rows of one table with an empty part, so that one transaction can
+    bind several of them.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._address = address
+        self._pools = Pools(clock, max_idle=4)
+        self.calls = 0
+
+    def get(self, key: str) -> Row | None | Unavailable:
+        """Return a row; ``None`` means that the store said there is none."""
+        data = self._rows(OWN_TABLE, {"from": key, "pageLimit": 1})
+        if isinstance(data, Unavailable):
+            return data
+        found = [row for entry in data["rows"] if (row := _row(entry)) and row.key == key]
+        return found[0] if found else None
+
+    def scan(self, prefix: str, after: str = "") -> list[Row] | Unavailable:
+        """Return the rows under a prefix in key order, those after a key only."""
+        rows = self._all(OWN_TABLE)
+        if isinstance(rows, Unavailable):
+            return rows
+        found = [_decoded(row) for row in rows.rows if row.key.startswith(prefix)]
+        return [row for row in found if row is not None and row.key > after]
+
+    def commit_once(self, transaction: Transaction) -> CommitResult:
+        """Send a transaction once."""
+        stamp = {"op": transaction.operation_id}
+        body = {
+            "expectedRev": [
+                {**_place(key), "rowVersion": version}
+                for key, version in transaction.conditions.items()
+            ],
+            "setKeys": [
+                {
+                    **_place(key),
+                    "value": _encoded({**value, **stamp}),
+                }
+                for key, value in transaction.puts.items()
+            ],
+            "remove": [_place(key) for key in transaction.deletes],
+        }
+        answer = self._call("POST", "/v1/rows-tx", orjson.dumps(body), CALL_TIMEOUT_MS)
+        match answer:
+            case Answer(head=head) if head.status == 200:
+                return Committed(int(_json(answer).get("rowVersion", 0)))
+            case Answer(head=head) if head.status == 412:
+                return Conflict()
+            case Answer(head=head) if head.status in (429, 503):
+                return Unavailable(f"status {head.status}")
+            case Answer(head=head):
+                return Unavailable(f"status {head.status}", ambiguous=True)
+            case Lost(sent=sent, reason=reason):
+                return Unavailable(reason, ambiguous=sent)
+
+    def read_all(self, collection: str) -> Changes | Unavailable:
+        """Return all rows of a table."""
+        return self._all(collection)
+
+    def changes(
+        self, collection: str, after: int, wait_ms: int
+    ) -> Changes | HistoryLost | Unavailable:
+        """Return what changed in a table after a version, as soon as there is something."""
+        query = urlencode({"table": collection, "after": after, "waitMs": wait_ms})
+        answer = self._call("GET", f"/v1/rows-feed?{query}", b"", wait_ms + CALL_TIMEOUT_MS)
+        if isinstance(answer, Lost):
+            return Unavailable(answer.reason)
+        if answer.head.status == 410:
+            return HistoryLost()
+        data = _json(answer)
+        if answer.head.status != 200 or "rowVersion" not in data:
+            return Unavailable(f"status {answer.head.status}")
+        rows = [row for entry in data.get("rows", ()) if (row := _changed(entry)) is not None]
+        return Changes(tuple(rows), int(data["rowVersion"]))
+
+    def _all(self, table: str) -> Changes | Unavailable:
+        rows: list[ChangedRow] = []
+        start = ""
+        while True:
+            query = {"pageLimit": PAGE, **({"from": start} if start else {})}
+            data = self._rows(table, query)
+            if isinstance(data, Unavailable):
+                return data
+            page = [row for entry in data["rows"] if (row := _changed(entry)) is not None]
+            rows += page
+            if not data.get("hasMore") or not data["rows"]:
+                return Changes(tuple(rows), int(data["rowVersion"]))
+            # The range begins with its first key: the next page starts right behind the last one.
+            start = data["rows"][-1]["key"] + "\x00"
+
+    def _rows(self, table: str, query: dict[str, Any]) -> dict[str, Any] | Unavailable:
+        text = urlencode({"table": table, "part": "", **query})
+        answer = self._call("GET", f"/v1/rows-get?{text}", b"", CALL_TIMEOUT_MS)
+        if isinstance(answer, Lost):
+            return Unavailable(answer.reason)
+        data = _json(answer)
+        if answer.head.status != 200 or "rowVersion" not in data or "rows" not in data:
+            return Unavailable(f"status {answer.head.status}")
+        return data
+
+    def _call(self, method: str, target: str, body: bytes, timeout_ms: int) -> Answer | Lost:
+        self.calls += 1
+        headers = JSON_HEADERS if body else ()
+        return call(self._pools, self._address, method, target, body, timeout_ms, headers)
+
+
+def _encoded(value: dict[str, Any]) -> str:
+    return base64.b64encode(orjson.dumps(value)).decode()
+
+
+def _place(key: str) -> dict[str, str]:
+    return {"table": OWN_TABLE, "part": "", "key": key}
+
+
+def _json(answer: Answer) -> dict[str, Any]:
+    try:
+        data = orjson.loads(answer.body or b"{}")
+    except orjson.JSONDecodeError:
+        return {}
+    return data if isinstance(data, dict) else {}
+
+
+def _changed(entry: Any) -> ChangedRow | None:
+    """Return a row; a malformed one is logged and skipped, it must never stop a process."""
+    try:
+        body = None if entry.get("removed") else base64.b64decode(entry["value"])
+        return ChangedRow(str(entry["key"]), int(entry["rowVersion"]), body)
+    except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
+        _LOGGER.warning("%s", pairs(event="malformed_row", row=str(entry)[:120], cause=repr(error)))
+        return None
+
+
+def _row(entry: Any) -> Row | None:
+    changed = _changed(entry)
+    return None if changed is None else _decoded(changed)
+
+
+def _decoded(changed: ChangedRow) -> Row | None:
+    try:
+        value = orjson.loads(changed.body or b"null")
+    except orjson.JSONDecodeError:
+        return None
+    return Row(changed.key, changed.version, value) if isinstance(value, dict) else None
--- /dev/null
+++ b/monsoonflow/routing/condition.py
@@ -0,0 +1,85 @@
+"""Judges backend servers by how their requests end, never by what they say of their health."""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+import attrs
+
+FAILURE_STEP: Final = 0.2
+"""Weight of one ended request in the failure share."""
+
+FORGET_HALF_LIFE_MS: Final = 3_000
+"""A server that gets no work is trusted again after a few of these."""
+
+LATENCY_STEP: Final = 0.15
+UNREACHED_PAUSE_MS: Final = 400
+MAX_PAUSE_MS: Final = 3_000
+"""A server that can't be reached gets a new try after a pause that doubles up to this."""
+
+
+@attrs.define(slots=True)
+class ServerCondition:
+    """What this node has seen of one server."""
+
+    failure_share: float = 0.0
+    latency_ms: float = 0.0
+    seen_ms: int = 0
+    unreached: int = 0
+    paused_until_ms: int = 0
+
+
+class Conditions:
+    """The condition of the servers by id."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, ServerCondition] = {}
+
+    def ended(self, server_id: str, good: bool, latency_ms: float, now_ms: int) -> None:
+        """Take the end of a request."""
+        condition = self._fresh(server_id, now_ms)
+        condition.failure_share += ((0.0 if good else 1.0) - condition.failure_share) * FAILURE_STEP
+        if good:
+            known = condition.latency_ms or latency_ms
+            condition.latency_ms = known + (latency_ms - known) * LATENCY_STEP
+            condition.unreached = 0
+            condition.paused_until_ms = 0
+
+    def unreached(self, server_id: str, now_ms: int) -> None:
+        """Take that a server gave no sign: no connection, a reset, or silence."""
+        condition = self._fresh(server_id, now_ms)
+        condition.failure_share += (1.0 - condition.failure_share) * FAILURE_STEP
+        if now_ms < condition.paused_until_ms:
+            return
+        pause_ms = min(MAX_PAUSE_MS, UNREACHED_PAUSE_MS * 2**condition.unreached)
+        condition.unreached = min(condition.unreached + 1, 8)
+        condition.paused_until_ms = now_ms + pause_ms
+
+    def paused(self, server_id: str, now_ms: int) -> bool:
+        """Tell whether a server should be left alone for now."""
+        condition = self.by_id.get(server_id)
+        return condition is not None and now_ms < condition.paused_until_ms
+
+    def failure_share(self, server_id: str, now_ms: int) -> float:
+        """Return the share of requests that failed lately; it fades while nothing is sent."""
+        condition = self.by_id.get(server_id)
+        if condition is None:
+            return 0.0
+        age = max(0, now_ms - condition.seen_ms)
+        return condition.failure_share * math.exp2(-age / FORGET_HALF_LIFE_MS)
+
+    def latency_ms(self, server_id: str, default_ms: float) -> float:
+        """Return the usual time of a good answer."""
+        condition = self.by_id.get(server_id)
+        return (condition.latency_ms if condition else 0.0) or default_ms
+
+    def forget(self, server_id: str) -> None:
+        """Drop what is known of a server that is gone."""
+        self.by_id.pop(server_id, None)
+
+    def _fresh(self, server_id: str, now_ms: int) -> ServerCondition:
+        condition = self.by_id.setdefault(server_id, ServerCondition(seen_ms=now_ms))
+        condition.failure_share = self.failure_share(server_id, now_ms)
+        condition.seen_ms = now_ms
+        return condition
--- /dev/null
+++ b/monsoonflow/routing/in_flight.py
@@ -0,0 +1,93 @@
+"""Counts what this node has in progress at each backend server."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+
+
+@attrs.define(slots=True)
+class ServerWork:
+    """What is in progress at one server.
+
+    :param requests: requests in progress.
+    :param unread_tokens: prompt tokens of requests whose first event has not come.
+    :param memory_tokens: KV cache that the requests may need.
+    :param by_adapter: requests by adapter name (model runners).
+    """
+
+    requests: int = 0
+    unread_tokens: int = 0
+    memory_tokens: int = 0
+    by_adapter: Counter[str] = attrs.Factory(Counter)
+
+    def add(self, other: ServerWork) -> None:
+        """Add another node's share."""
+        self.requests += other.requests
+        self.unread_tokens += other.unread_tokens
+        self.memory_tokens += other.memory_tokens
+        self.by_adapter.update(other.by_adapter)
+
+
+@attrs.define(slots=True)
+class Ticket:
+    """One request's share of a server's work."""
+
+    server_id: str
+    adapter: str | None
+    unread_tokens: int
+    memory_tokens: int
+    sent_ms: int
+    ended: bool = False
+
+
+class InFlight:
+    """What a node has in progress, by server."""
+
+    def __init__(self) -> None:
+        self.by_server: dict[str, ServerWork] = {}
+
+    def begin(
+        self,
+        server_id: str,
+        now_ms: int,
+        adapter: str | None = None,
+        unread_tokens: int = 0,
+        memory_tokens: int = 0,
+    ) -> Ticket:
+        """Count a request that is about to be sent."""
+        work = self.by_server.setdefault(server_id, ServerWork())
+        work.requests += 1
+        work.unread_tokens += unread_tokens
+        work.memory_tokens += memory_tokens
+        if adapter is not None:
+            work.by_adapter[adapter] += 1
+        return Ticket(server_id, adapter, unread_tokens, memory_tokens, now_ms)
+
+    def first_event(self, ticket: Ticket) -> None:
+        """Note that a request's prompt has been read."""
+        if ticket.ended or not ticket.unread_tokens:
+            return
+        self.by_server[ticket.server_id].unread_tokens -= ticket.unread_tokens
+        ticket.unread_tokens = 0
+
+    def end(self, ticket: Ticket) -> None:
+        """Count a request out; a second time does nothing."""
+        if ticket.ended:
+            return
+        self.first_event(ticket)
+        ticket.ended = True
+        work = self.by_server[ticket.server_id]
+        work.requests -= 1
+        work.memory_tokens -= ticket.memory_tokens
+        if ticket.adapter is not None:
+            work.by_adapter[ticket.adapter] -= 1
+            if work.by_adapter[ticket.adapter] <= 0:
+                del work.by_adapter[ticket.adapter]
+        if work.requests <= 0:
+            del self.by_server[ticket.server_id]
+
+    def at(self, server_id: str) -> ServerWork:
+        """Return the work at a server."""
+        return self.by_server.get(server_id) or ServerWork()
--- a/monsoonflow/storage/models.py
+++ b/monsoonflow/storage/models.py
@@ -97,3 +97,43 @@
 
     def get(self, key: str) -> bytes | None | Unavailable:
         """Return an object; ``None`` means that the store said there is none."""
+
+
+@attrs.frozen(slots=True)
+class ChangedRow:
+    """A row that changed.
+
+    :param body: the row's bytes as stored; ``None`` when it was removed.
+    """
+
+    key: str
+    version: int
+    body: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Rows that changed, in order.
+
+    :param version: of the whole table service; the next question goes on after it.
+    """
+
+    rows: tuple[ChangedRow, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The service no longer knows what changed since then; everything must be read again."""
+
+
+class ChangeFeed(Protocol):
+    """Tells what changes in a collection of rows."""
+
+    def read_all(self, collection: str) -> Changes | Unavailable:
+        """Return all rows of one moment."""
+
+    def changes(
+        self, collection: str, after: int, wait_ms: int
+    ) -> Changes | HistoryLost | Unavailable:
+        """Return what changed after a version, as soon as there is something."""
--- /dev/null
+++ b/monsoonflow/storage/watch.py
@@ -0,0 +1,129 @@
+"""Follows a collection of rows through outages, lost history and stale reads."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from ..core.clock import Clock
+from ..core.tasks import Tasks
+from ..helpers.logfmt import pairs
+from .models import ChangedRow, ChangeFeed, Changes, HistoryLost, Unavailable
+
+_LOGGER = logging.getLogger(__name__)
+WAIT_MS: Final = 20_000
+"""How long one question waits for changes: each costs a read, and a change ends it at once."""
+
+RETRY_PAUSE_MS: Final = 250
+STALE_PAUSE_MS: Final = 400
+"""Pause before a read that was older than what is known is made again."""
+
+
+class CollectionWatch:
+    """Keeps the rows of one collection as the service holds them.
+
+    :param on_change: takes a row that is new, changed or gone (then its body is ``None``).
+    :param on_return: called when the service answers again after an outage, before its rows.
+    """
+
+    def __init__(
+        self,
+        feed: ChangeFeed,
+        collection: str,
+        tasks: Tasks,
+        clock: Clock,
+        on_change: Callable[[ChangedRow], None],
+        on_return: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._feed = feed
+        self._collection = collection
+        self._tasks = tasks
+        self._clock = clock
+        self._on_change = on_change
+        self._on_return = on_return
+        self._version = 0
+        self._row_version_by_key: dict[str, int] = {}
+        self.loaded = False
+        self.lost_since_ms: int | None = None
+
+    def run(self) -> None:
+        """Follow the collection for good."""
+        while True:
+            pause_ms = self.step()
+            if pause_ms:
+                self._tasks.sleep(pause_ms)
+
+    def step(self) -> int:
+        """Ask once; return how long to pause before the next question."""
+        if not self.loaded:
+            return self._take_all(self._feed.read_all(self._collection))
+        result = self._feed.changes(self._collection, self._version, WAIT_MS)
+        match result:
+            case Changes(rows=rows, version=version):
+                self._heard()
+                for row in rows:
+                    self._take(row)
+                self._version = max(self._version, version)
+                return 0
+            case HistoryLost():
+                _LOGGER.info("%s", pairs(event="history_lost", collection=self._collection))
+                self.loaded = False
+                return 0
+            case Unavailable(reason=reason):
+                return self._unavailable(reason)
+
+    def _take_all(self, result: Changes | Unavailable) -> int:
+        if isinstance(result, Unavailable):
+            return self._unavailable(result.reason)
+        if result.version < self._version:
+            # After a lost history reads may come from a copy that is seconds behind: taken, it
+            # would bring back servers that left and configuration that was replaced.
+            _LOGGER.info(
+                "%s",
+                pairs(
+                    event="stale_read",
+                    collection=self._collection,
+                    version=result.version,
+                    known=self._version,
+                ),
+            )
+            return STALE_PAUSE_MS
+        self._heard()
+        present = {row.key for row in result.rows}
+        for row in result.rows:
+            self._take(row)
+        for key in [known for known in self._row_version_by_key if known not in present]:
+            self._take(ChangedRow(key, result.version, None))
+        self._version = result.version
+        self.loaded = True
+        return 0
+
+    def _take(self, row: ChangedRow) -> None:
+        if row.version < self._row_version_by_key.get(row.key, 0):
+            return
+        if row.body is None:
+            self._row_version_by_key.pop(row.key, None)
+        elif self._row_version_by_key.get(row.key) == row.version:
+            return
+        else:
+            self._row_version_by_key[row.key] = row.version
+        self._on_change(row)
+
+    def _heard(self) -> None:
+        if self.lost_since_ms is None:
+            return
+        out_ms = self._clock.now_ms() - self.lost_since_ms
+        self.lost_since_ms = None
+        _LOGGER.info(
+            "%s", pairs(event="store_returned", collection=self._collection, after_ms=out_ms)
+        )
+        self._on_return()
+
+    def _unavailable(self, reason: str) -> int:
+        if self.lost_since_ms is None:
+            self.lost_since_ms = self._clock.now_ms()
+            _LOGGER.warning(
+                "%s", pairs(event="store_lost", collection=self._collection, cause=reason)
+            )
+        return RETRY_PAUSE_MS
--- /dev/null
+++ b/monsoonflow/transport/client.py
@@ -0,0 +1,249 @@
+"""Sends requests to servers over kept connections; never sends one twice by itself."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+
+import attrs
+import gevent
+from gevent import socket
+
+from ..core.clock import Clock
+from .codec import AnswerReader
+from .const import CONNECT_TIMEOUT_MS, READ_BYTES
+from .models import AnswerHead, BrokenAnswer, Header, Lost
+from .sockets import connect, readable_now
+
+KEPT_MS: Final = 4_000
+"""Longest rest of a kept connection where the server names none: under the usual five seconds."""
+
+KEPT_SHARE: Final = 0.6
+"""Share of the rest that a server grants which is used: a request must not cross its close."""
+
+FRESH_MS: Final = 1_500
+"""Longest rest before a request that may not be repeated: a connection that went silent since would
+swallow it, and nobody could say whether it ran."""
+
+BACKGROUND_BODY_BYTES: Final = 32_768
+"""Bodies above this are sent beside reading: a server may answer before it has read them."""
+
+
+class ServerConnection:
+    """A connection to a server; one request at a time."""
+
+    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+        self._sock = sock
+        self._clock = clock
+        self._reader = AnswerReader()
+        self._sender: gevent.Greenlet | None = None
+        self._eof = False
+        self.rested_at_ms = clock.now_ms()
+        self.keep_ms = float(KEPT_MS)
+        self.served = 0
+
+    def send(self, head: bytes, body: bytes, no_answer_body: bool = False) -> None:
+        """Send a request.
+
+        :raises OSError: when it can't be sent whole; the server may still have received it.
+        """
+        if no_answer_body:
+            self._reader.expect_no_body()
+        self.served += 1
+        if len(body) > BACKGROUND_BODY_BYTES:
+            self._sender = gevent.spawn(self._send_quietly, head + body)
+            return
+        self._sock.settimeout(2.0)
+        self._sock.sendall(head + body)
+
+    def _send_quietly(self, data: bytes) -> bool:
+        try:
+            self._sock.sendall(data)
+        except OSError:
+            return False
+        return True
+
+    def read_head(self, until_ms: int) -> AnswerHead:
+        """Return the head of the next answer.
+
+        :raises TimeoutError: when it is not there in time.
+        :raises OSError: when the connection broke.
+        :raises BrokenAnswer: when the bytes are no answer.
+        """
+        while not self._reader.messages:
+            self._receive(until_ms)
+        return self._reader.messages[0].head
+
+    def read_piece(self, until_ms: int) -> bytes | None:
+        """Return the next bytes of the body, as they come; ``None`` at its end.
+
+        :raises TimeoutError: when nothing comes in time.
+        :raises OSError: when the connection broke.
+        :raises BrokenAnswer: when the body ends before its end.
+        """
+        incoming = self._reader.messages[0]
+        while not incoming.pieces:
+            if incoming.complete:
+                self._reader.messages.popleft()
+                return None
+            self._receive(until_ms)
+        pieces = incoming.pieces
+        data = pieces.popleft() if len(pieces) == 1 else b"".join(pieces)
+        pieces.clear()
+        return data
+
+    def _receive(self, until_ms: int) -> None:
+        if self._eof:
+            raise BrokenAnswer("the connection ended inside the answer")
+        left_ms = until_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            raise TimeoutError
+        self._sock.settimeout(left_ms / 1000)
+        data = self._sock.recv(READ_BYTES)
+        if data:
+            self._reader.feed(data)
+            return
+        self._eof = True
+        self._reader.closed()
+        if not self._reader.messages or not self._reader.messages[0].complete:
+            raise BrokenAnswer("the connection ended inside the answer")
+
+    def reusable(self) -> bool:
+        """Tell whether another request may follow on this connection.
+
+        A connection with bytes left over is never used again: they belong to no request, and the
+        next caller would get them for its answer.
+        """
+        sent = self._sender is None or (self._sender.ready() and bool(self._sender.value))
+        return sent and not self._eof and self._reader.keep_alive and self._reader.clean
+
+    def stale(self, now_ms: int, longest_ms: float) -> bool:
+        """Tell whether the connection rested too long or something came while it rested."""
+        rest_ms = now_ms - self.rested_at_ms
+        return rest_ms > min(self.keep_ms, longest_ms) or readable_now(self._sock)
+
+    def rest(self, head: AnswerHead) -> None:
+        """Note how long the server keeps the connection, before it goes back to its pool."""
+        self.rested_at_ms = self._clock.now_ms()
+        self._sender = None
+        told = head.value(b"keep-alive")
+        if told is None:
+            return
+        for part in told.split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                self.keep_ms = int(value) * 1000 * KEPT_SHARE
+
+    def close(self) -> None:
+        """End the connection at once, whatever is in progress on it."""
+        if self._sender is not None:
+            self._sender.kill(block=False)
+        self._sock.close()
+
+
+@attrs.define(slots=True)
+class Pools:
+    """Keeps connections that rest, by server.
+
+    :param max_idle: resting connections a server.
+    """
+
+    clock: Clock
+    max_idle: int = 64
+    opened: int = 0
+    _idle_by_key: dict[str, deque[ServerConnection]] = attrs.Factory(dict)
+
+    def take(
+        self,
+        key: str,
+        address: str,
+        fresh: bool = False,
+        timeout_ms: int = CONNECT_TIMEOUT_MS,
+    ) -> ServerConnection | Lost:
+        """Return a connection that is good for one request.
+
+        :param key: names the server's process; its address may be given to another one later.
+        :param fresh: take none that rested for long.
+        """
+        now_ms = self.clock.now_ms()
+        idle = self._idle_by_key.get(key)
+        while idle:
+            connection = idle.pop()
+            if not connection.stale(now_ms, FRESH_MS if fresh else KEPT_MS * 8):
+                return connection
+            connection.close()
+        try:
+            sock = connect(address, timeout_ms)
+        except OSError as error:
+            return Lost(False, f"no connection: {type(error).__name__}")
+        self.opened += 1
+        return ServerConnection(sock, self.clock)
+
+    def give_back(self, key: str, connection: ServerConnection, head: AnswerHead) -> None:
+        """Keep a connection whose answer was read to its end, or close it."""
+        idle = self._idle_by_key.setdefault(key, deque())
+        if not connection.reusable() or len(idle) >= self.max_idle:
+            connection.close()
+            return
+        connection.rest(head)
+        idle.append(connection)
+
+    def forget(self, key: str) -> None:
+        """Close the resting connections to a server that is gone."""
+        for connection in self._idle_by_key.pop(key, ()):
+            connection.close()
+
+    def sweep(self) -> None:
+        """Close what rested too long."""
+        now_ms = self.clock.now_ms()
+        for key, idle in list(self._idle_by_key.items()):
+            kept = deque(c for c in idle if not c.stale(now_ms, KEPT_MS * 8))
+            for connection in idle:
+                if connection not in kept:
+                    connection.close()
+            if kept:
+                self._idle_by_key[key] = kept
+            else:
+                del self._idle_by_key[key]
+
+
+@attrs.frozen(slots=True)
+class Answer:
+    """An answer to a control call, read whole."""
+
+    head: AnswerHead
+    body: bytes
+
+
+def call(
+    pools: Pools,
+    address: str,
+    method: str,
+    target: str,
+    body: bytes,
+    timeout_ms: int,
+    headers: tuple[Header, ...] = (),
+) -> Answer | Lost:
+    """Make one control call and read its whole answer."""
+    until_ms = pools.clock.now_ms() + timeout_ms
+    connection = pools.take(address, address, timeout_ms=min(timeout_ms, CONNECT_TIMEOUT_MS))
+    if isinstance(connection, Lost):
+        return connection
+    lines = [f"{method} {target} HTTP/1.1".encode(), b"Host: " + address.encode()]
+    lines += [b"%s: %s" % header for header in headers]
+    if body or method in ("POST", "PUT"):
+        lines.append(b"Content-Length: %d" % len(body))
+    try:
+        connection.send(b"\r\n".join(lines) + b"\r\n\r\n", body)
+        head = connection.read_head(until_ms)
+        pieces = []
+        while (piece := connection.read_piece(until_ms)) is not None:
+            pieces.append(piece)
+    except (OSError, BrokenAnswer) as error:
+        connection.close()
+        return Lost(True, f"{type(error).__name__}: {error}")
+    except BaseException:
+        connection.close()
+        raise
+    pools.give_back(address, connection, head)
+    return Answer(head, b"".join(pieces))
--- /dev/null
+++ b/monsoonflow/transport/server.py
@@ -0,0 +1,309 @@
+"""Takes callers' connections and hands whole requests to a handler, one at a time each."""
+
+from __future__ import annotations
+
+import logging
+import socket as native
+from collections.abc import Callable
+from typing import TypeAlias
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from ..core.clock import Clock
+from ..helpers.logfmt import pairs
+from .codec import RequestReader
+from .const import (
+    BACKLOG,
+    LINGER_MS,
+    MAX_BEGUN_BYTES,
+    READ_BYTES,
+    WRITE_TIMEOUT_MS,
+)
+from .models import BadMessage, CallerLeft, Header, MessageLimits, Request
+from .sockets import split_address, tune
+
+_LOGGER = logging.getLogger(__name__)
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+    505: b"HTTP Version Not Supported",
+}
+
+
+class Reply:
+    """Writes the one answer to a request."""
+
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+        self._chunked = False
+        self._left: int | None = None
+        self.started = False
+        self.finished = False
+        self.status = 0
+        self.sent_bytes = 0
+
+    def whole(
+        self, status: int, headers: list[Header], body: bytes = b"", reason: bytes | None = None
+    ) -> None:
+        """Send a whole answer in one write."""
+        self.begin(status, headers, len(body), reason, body)
+        self.finish()
+
+    def begin(
+        self,
+        status: int,
+        headers: list[Header],
+        length: int | None,
+        reason: bytes | None = None,
+        body: bytes = b"",
+    ) -> None:
+        """Send the head, and body bytes that are there already.
+
+        :param length: of the whole body; ``None`` sends it in chunks.
+        """
+        text = REASONS.get(status, b"") if reason is None else reason
+        lines = [b"HTTP/1.1 %d %s" % (status, text)]
+        lines += [b"%s: %s" % header for header in headers]
+        self._chunked = length is None
+        self._left = length
+        if length is None:
+            lines.append(b"Transfer-Encoding: chunked")
+        elif status not in (204, 304):
+            lines.append(b"Content-Length: %d" % length)
+        lines.append(self._connection.kept_header())
+        self.started = True
+        self.status = status
+        self._send(b"\r\n".join(lines) + b"\r\n\r\n" + self._framed(body))
+
+    def write(self, data: bytes) -> None:
+        """Send body bytes."""
+        if data:
+            self._send(self._framed(data))
+
+    def finish(self) -> None:
+        """Mark the answer as whole."""
+        if self._chunked:
+            self._send(b"0\r\n\r\n")
+        elif self._left:
+            raise ValueError("the answer is shorter than told")
+        self.finished = True
+
+    def _framed(self, data: bytes) -> bytes:
+        self.sent_bytes += len(data)
+        if self._left is not None:
+            self._left -= len(data)
+        if self._chunked and data:
+            return b"%x\r\n%s\r\n" % (len(data), data)
+        return data
+
+    def _send(self, data: bytes) -> None:
+        self._connection.send(data)
+
+
+Handler: TypeAlias = Callable[[Request, Reply], None]
+
+
+class Connection:
+    """One caller's connection."""
+
+    def __init__(self, sock: socket.socket, port: Port) -> None:
+        self._sock = sock
+        self._port = port
+        self._reader = RequestReader(port.limits())
+        self._close_after = False
+        self._pending = b""
+        self._ended = False
+
+    def serve(self) -> None:
+        """Serve requests until one side ends the connection."""
+        try:
+            tune(self._sock)
+            while self._serve_one():
+                pass
+        except BadMessage as error:
+            self._refuse(error)
+        except (OSError, CallerLeft):
+            pass
+        finally:
+            self._sock.close()
+
+    def kept_header(self) -> bytes:
+        """Return what the answer says about keeping the connection."""
+        if self._close_after or not self._port.keeps:
+            self._close_after = True
+            return b"Connection: close"
+        return b"Keep-Alive: timeout=%d" % (self._reader.limits.idle_ms // 1000)
+
+    def send(self, data: bytes) -> None:
+        """Send bytes to the caller.
+
+        :raises CallerLeft: when the caller is gone or does not read.
+        """
+        self._sock.settimeout(WRITE_TIMEOUT_MS / 1000)
+        try:
+            self._sock.sendall(data)
+        except OSError as error:
+            raise CallerLeft(str(error)) from None
+
+    def _serve_one(self) -> bool:
+        request = self._next_request()
+        if request is None:
+            return False
+        self._close_after = not request.keep_alive
+        reply = Reply(self)
+        self._port.active += 1
+        try:
+            self._handle(request, reply)
+        finally:
+            self._port.active -= 1
+        if not reply.finished:
+            # Without its proper end the answer can't look complete to the caller.
+            return False
+        if self._close_after:
+            self._end_writing()
+            return False
+        return True
+
+    def _handle(self, request: Request, reply: Reply) -> None:
+        if request.version != "1.1":
+            self._close_after = True
+            reply.whole(505, [])
+            return
+        watcher = gevent.get_hub().loop.io(self._sock.fileno(), 1)
+        watcher.start(self._readable, gevent.getcurrent(), watcher)
+        try:
+            self._port.handler(request, reply)
+        finally:
+            watcher.stop()
+            watcher.close()
+
+    def _readable(self, handler: gevent.Greenlet, watcher: object) -> None:
+        """Notice a caller that leaves while its request is being served."""
+        try:
+            data = self._sock._sock.recv(READ_BYTES, native.MSG_DONTWAIT)  # noqa: SLF001
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if data:
+            self._pending += data
+            if len(self._pending) > MAX_BEGUN_BYTES:
+                watcher.stop()  # type: ignore[attr-defined]
+            return
+        watcher.stop()  # type: ignore[attr-defined]
+        self._ended = True
+        handler.kill(CallerLeft("closed"), block=False)
+
+    def _next_request(self) -> Request | None:
+        reader = self._reader
+        while not reader.ready:
+            data, self._pending = self._pending, b""
+            if not data:
+                data = self._read()
+            if not data:
+                return None
+            reader.feed(data, self._port.clock.now_ms())
+            if reader.wants_continue and not reader.ready:
+                reader.wants_continue = False
+                self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return reader.ready.popleft()
+
+    def _read(self) -> bytes:
+        reader = self._reader
+        begun = reader.begun
+        limit_ms = reader.limits.head_ms if begun else reader.limits.idle_ms + 1_000
+        self._sock.settimeout(limit_ms / 1000)
+        if not begun:
+            self._port.idle.add(self)
+        try:
+            return self._sock.recv(READ_BYTES)
+        except TimeoutError:
+            if begun:
+                raise BadMessage(408, "the request did not come in time") from None
+            return b""
+        finally:
+            self._port.idle.discard(self)
+
+    def _refuse(self, error: BadMessage) -> None:
+        """Answer what can't be taken and close; nothing of it is passed on."""
+        self._close_after = True
+        _LOGGER.info("%s", pairs(event="bad_message", status=error.status, cause=error.reason))
+        try:
+            Reply(self).whole(
+                error.status, [(b"Content-Type", b"text/plain")], error.reason.encode()
+            )
+            self._end_writing()
+        except (CallerLeft, OSError):
+            return
+
+    def _end_writing(self) -> None:
+        """Close in an order that lets the caller read the last answer.
+
+        Closing with unread bytes resets the connection, and the reset may overtake the answer.
+        """
+        self._sock.shutdown(native.SHUT_WR)
+        self._sock.settimeout(LINGER_MS / 1000)
+        try:
+            while self._sock.recv(READ_BYTES):
+                pass
+        except OSError:
+            return
+
+    def close_idle(self) -> None:
+        """End a connection that waits for a next request."""
+        try:
+            self._sock.shutdown(native.SHUT_WR)
+        except OSError:
+            return
+
+
+class Port:
+    """Listens at one address.
+
+    :param limits: returns the limits for new connections.
+    """
+
+    def __init__(
+        self, address: str, handler: Handler, limits: Callable[[], MessageLimits], clock: Clock
+    ) -> None:
+        self.address = address
+        self.handler = handler
+        self.limits = limits
+        self.clock = clock
+        self.keeps = True
+        self.active = 0
+        self.idle: set[Connection] = set()
+        self._server = StreamServer(split_address(address), self._accepted, backlog=BACKLOG)
+
+    def start(self) -> bool:
+        """Listen; return whether the address could be bound."""
+        try:
+            self._server.start()
+        except OSError as error:
+            _LOGGER.error("%s", pairs(event="not_bound", address=self.address, cause=error))
+            return False
+        return True
+
+    def stop_keeping(self) -> None:
+        """Answer from now on with the word that the connection ends."""
+        self.keeps = False
+
+    def stop_listening(self) -> None:
+        """Take no new connections and end those that wait."""
+        self._server.close()
+        for connection in list(self.idle):
+            connection.close_idle()
+
+    def _accepted(self, sock: socket.socket, _peer: tuple) -> None:
+        Connection(sock, self).serve()
--- /dev/null
+++ b/monsoonflow/transport/sockets.py
@@ -0,0 +1,68 @@
+"""Opens sockets that notice a peer that has gone silent."""
+
+from __future__ import annotations
+
+import socket as native
+from functools import lru_cache
+
+from gevent import socket
+
+from .const import (
+    CONNECT_TIMEOUT_MS,
+    KEEPALIVE_EVERY_S,
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_PROBES,
+    SILENCE_MS,
+)
+
+
+@lru_cache(maxsize=4_096)
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``IP:PORT``.
+
+    >>> split_address("10.0.0.1:80")
+    ('10.0.0.1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def tune(sock: socket.socket) -> None:
+    """Set the options of every connection.
+
+    Without the user timeout a machine without power holds a request until its deadline; without the
+    probes a connection that something between forgot stays silent for good.
+    """
+    sock.setsockopt(native.IPPROTO_TCP, native.TCP_NODELAY, 1)
+    sock.setsockopt(native.SOL_SOCKET, native.SO_KEEPALIVE, 1)
+    sock.setsockopt(native.IPPROTO_TCP, native.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(native.IPPROTO_TCP, native.TCP_KEEPINTVL, KEEPALIVE_EVERY_S)
+    sock.setsockopt(native.IPPROTO_TCP, native.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(native.IPPROTO_TCP, native.TCP_USER_TIMEOUT, SILENCE_MS)
+
+
+def connect(address: str, timeout_ms: int = CONNECT_TIMEOUT_MS) -> socket.socket:
+    """Return a new connection.
+
+    :raises OSError: when there is none within the time.
+    """
+    sock = socket.socket(native.AF_INET, native.SOCK_STREAM)
+    try:
+        tune(sock)
+        sock.settimeout(max(0.001, timeout_ms / 1000))
+        sock.connect(split_address(address))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def readable_now(sock: socket.socket) -> bool:
+    """Tell whether bytes, an end or an error wait on a connection that should be quiet."""
+    try:
+        sock._sock.recv(1, native.MSG_PEEK | native.MSG_DONTWAIT)  # noqa: SLF001
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
