--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -31,6 +31,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 LEASE_STEP_MS: Final = 100
+SUMMARY_EVERY_MS: Final = 1_000
 PLAN_EVERY_MS: Final = 100
 """Longest pause between two looks at what is to be ordered; news wakes it at once."""
 
@@ -50,6 +51,7 @@
         self.newest = newest
         self.desk: Desk | None = None
         self.epoch = 0
+        self.summarised_ms = 0
 
 
 class Duties:
@@ -334,6 +336,40 @@
         for step in desk.plan(now_ms, work):
             gevent.spawn(self._order, duty, desk, step)
         self.residency.take(self.told_residency())
+        if now_ms - duty.summarised_ms >= SUMMARY_EVERY_MS:
+            duty.summarised_ms = now_ms
+            self._summarise(duty, desk, now_ms, work)
+
+    def _summarise(self, duty: Duty, desk: Desk, now_ms: int, work: dict[str, ServerWork]) -> None:
+        """Log how full the runners' seats are: the first question when requests wait."""
+        seats = [seat for runner in desk.runners.values() for seat in runner.seats.values()]
+        used = {(server_id, name) for server_id, w in work.items() for name in w.by_adapter}
+        in_use = sum(
+            (runner.server_id, name) in used
+            for runner in desk.runners.values()
+            for name in runner.seats
+        )
+        _LOGGER.info(
+            "%s",
+            pairs(
+                event="seats",
+                cell=duty.service.name,
+                runners=len(desk.runners),
+                known=sum(runner.known() for runner in desk.runners.values()),
+                places=sum(runner.slots for runner in desk.runners.values()),
+                taken=len(seats),
+                in_use=in_use,
+                loading=sum(seat.state is SeatState.LOADING for seat in seats),
+                dropping=sum(seat.state is SeatState.DROPPING for seat in seats),
+                doubtful=sum(r.doubtful is not None for r in desk.runners.values()),
+                waiting=len(desk.waiters),
+                oldest_ms=now_ms - min((w.since_ms for w in desk.waiters), default=now_ms),
+                requests=sum(w.requests for sid, w in work.items() if sid in desk.runners),
+                unread=sum(w.unread_tokens for sid, w in work.items() if sid in desk.runners),
+                loads=desk.loads,
+                cold=desk.cold_loads,
+            ),
+        )
 
     def _report(self, duty: Duty, desk: Desk, server_id: str) -> None:
         server = self._daemon.beliefs.book.by_id.get(server_id)
