Give places first to who can still be on time, refuse the hopeless at once, tell uses at once

Ruled out: order latency; more loads at once (the store's 8 were never reached). Change: urgency (on time, priority, age); refusal from the measured rate of places; uses told to the holder within 15 ms so that a place is free 100 ms after its use, not 500; a holder whose port refuses is replaced at once.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -97,7 +97,7 @@
         self.leaving = False
         self.view = FleetView(settings.name)
         self.beliefs = Beliefs(self.clock)
-        self.in_flight = InFlight()
+        self.in_flight = InFlight(self._adapter_use_changed)
         self.conditions = Conditions()
         self.pools = Pools(self.clock)
         self._sequence = 0
@@ -196,6 +196,13 @@
     def _news(self) -> None:
         self.duties.wake()
 
+    def _adapter_use_changed(self) -> None:
+        """Tell the holders soon: a place whose use has ended is needed by others."""
+        if self.duties.holds_all():
+            self.duties.wake()
+        else:
+            self.gossip.tell_soon(self.duties.other_holders())
+
     def _card(self) -> NodeCard:
         settings = self.settings
         return NodeCard(
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -15,7 +15,7 @@
 from ..gateway.models import Call, Chosen, NoServer
 from ..helpers.logfmt import pairs
 from ..orders.models import Order, RunnerControl, Superseded
-from ..placement.desk import Desk, Waiter
+from ..placement.desk import Desk, NoPlace, Placed, Waiter
 from ..placement.seats import SeatState, Step
 from ..routing.in_flight import ServerWork
 from ..routing.routes import Route, Service
@@ -38,6 +38,9 @@
 WAIT_SHARE: Final = 0.6
 """Share of the time left that a request waits for its adapter; the rest is for its answer."""
 
+USUAL_ANSWER_MS: Final = 250
+"""From a place to the first event: one prompt of the usual size is read in half of that."""
+
 NO_HOLDER_PAUSE_MS: Final = 60
 REFUSED_RETRY_MS: Final = 500
 
@@ -93,6 +96,16 @@
             duty.desk = None
             duty.loop.give_up()
 
+    def holds_all(self) -> bool:
+        """Tell whether all duties are this node's."""
+        return all(duty.desk is not None for duty in self._duty_by_cell.values())
+
+    def other_holders(self) -> list[str]:
+        """Return the other nodes that hold duties."""
+        claims = [self._daemon.view.claim_of(cell) for cell in self._duty_by_cell]
+        own = self._daemon.settings.name
+        return [claim.holder for claim in claims if claim is not None and claim.holder != own]
+
     def claims(self) -> tuple[DutyClaim, ...]:
         """Return the duties that this node holds, for the others."""
         claims = [duty.loop.claim() for duty in self._duty_by_cell.values()]
@@ -146,8 +159,10 @@
             if left_ms <= 0:
                 return NoServer("no place for the adapter in time", REFUSED_RETRY_MS)
             found = self._ask_once(adapter, route, service, job, left_ms)
-            if found is not None:
-                server_id, version = found
+            if isinstance(found, NoPlace):
+                return NoServer("too many wait for a place", found.retry_after_ms)
+            if isinstance(found, Placed):
+                server_id, version = found.server_id, found.version
                 server = self._daemon.beliefs.book.by_id.get(server_id)
                 if server is not None and self._daemon.beliefs.book.takes_work(server_id):
                     self.residency.granted(server_id, AdapterRef(adapter, version))
@@ -181,14 +196,18 @@
 
     def _ask_once(
         self, adapter: str, route: Route, service: Service, job: Job, left_ms: int
-    ) -> tuple[str, int] | None:
+    ) -> Placed | NoPlace | None:
         version = self.wanted_version(adapter) or 1
+        arrived_ms = job.request.arrived_ms
+        on_time_ms = arrived_ms + route.objective_ms - USUAL_ANSWER_MS
+        on_time_ms -= self._daemon.clock.now_ms()
         question = {
             "cell": service.name,
             "adapter": adapter,
             "version": version,
             "priority": route.priority,
             "wait_ms": left_ms,
+            "on_time_ms": on_time_ms,
             "refused_by": job.refused_by,
         }
         duty = self._duty_by_cell.get(service.name)
@@ -202,11 +221,15 @@
         answer = self._daemon.peers.call(
             card.peer_address, PLACE_PATH, orjson.dumps(question), left_ms + 50
         )
-        if isinstance(answer, Lost) or answer.head.status != 200:
+        if isinstance(answer, Lost):
+            if not answer.sent:
+                self._daemon.view.refused(claim.holder)
             return None
         try:
             data = orjson.loads(answer.body)
-            return str(data["server"]), int(data["version"])
+            if answer.head.status == 200:
+                return Placed(str(data["server"]), int(data["version"]))
+            return NoPlace(int(data["retry_after_ms"]))
         except (ValueError, KeyError, TypeError):
             return None
 
@@ -221,12 +244,15 @@
         except (ValueError, KeyError, TypeError):
             reply.whole(400, [])
             return
-        if found is None:
-            reply.whole(503, [])
-            return
-        reply.whole(200, [], orjson.dumps({"server": found[0], "version": found[1]}))
-
-    def _ask_desk(self, duty: Duty, question: dict[str, Any]) -> tuple[str, int] | None:
+        match found:
+            case Placed(server_id=server_id, version=version):
+                reply.whole(200, [], orjson.dumps({"server": server_id, "version": version}))
+            case NoPlace(retry_after_ms=retry_after_ms):
+                reply.whole(429, [], orjson.dumps({"retry_after_ms": retry_after_ms}))
+            case None:
+                reply.whole(503, [], b"{}")
+
+    def _ask_desk(self, duty: Duty, question: dict[str, Any]) -> Placed | NoPlace:
         now_ms = self._daemon.clock.now_ms()
         result: AsyncResult = AsyncResult()
         waiter = Waiter(
@@ -234,18 +260,18 @@
             version=question["version"],
             priority=question["priority"],
             since_ms=now_ms,
+            on_time_until_ms=now_ms + question["on_time_ms"],
             until_ms=now_ms + question["wait_ms"],
             refused_by=frozenset(question["refused_by"]),
-            settle=lambda server_id, version: result.set((server_id, version)),
+            settle=result.set,
         )
         desk = duty.desk
         desk.ask(waiter, now_ms, self._work())
         self.wake()
         try:
-            server_id, version = result.get()
+            return result.get()
         finally:
             desk.forget(waiter)
-        return None if server_id is None else (server_id, version)
 
     def _old_is_over(self, adapter: str) -> bool:
         """Tell whether an older version may no longer begin a request."""
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -25,7 +25,11 @@
 MARGIN_SHARE: Final = 0.1
 """Share of the lease that the holder gives up early and claimants wait on top."""
 
-RANK_DELAY_MS: Final = 250
+HOLDER_SILENT_MS: Final = 700
+"""A holder unheard for so long is replaced where runners check fencing numbers: three reports in a
+row were lost or never sent."""
+
+RANK_DELAY_MS: Final = 120
 """Each node further down in the order of candidates waits so much longer before it claims: one
 claims, the others need not."""
 
@@ -128,7 +132,7 @@
 
     def _claimable(self, now_ms: int) -> bool:
         holder = self._watch.row.holder if self._watch.row is not None else ""
-        silent = holder != "" and not self._view.alive(holder, now_ms)
+        silent = holder != "" and not self._view.alive(holder, now_ms, HOLDER_SILENT_MS)
         others = [name for name in self._view.card_by_name if name not in (self._node, holder)]
         heard = sum(self._view.alive(name, now_ms) for name in others)
         return self._watch.claimable(
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -26,6 +26,9 @@
 EVERY_MS: Final = 200
 """Pause between reports: the age of what nodes know of each other's work."""
 
+SOON_MS: Final = 15
+"""How long news for a holder waits for more of it."""
+
 MAX_PEERS_A_ROUND: Final = 12
 """Nodes told in one round; in a larger fleet the others come in later rounds."""
 
@@ -57,6 +60,8 @@
         self._rng = rng
         self._address = address
         self._socket = socket.socket(native.AF_INET, native.SOCK_DGRAM)
+        self._soon: set[str] = set()
+        self._telling = False
         self.sent_bytes = 0
 
     def start(self) -> None:
@@ -67,17 +72,34 @@
 
     def send_now(self) -> None:
         """Tell the others at once."""
+        self._send(self._peers())
+
+    def _send(self, addresses: list[str]) -> None:
         data = codec.encode(self._report())
         if len(data) > MAX_DATAGRAM_BYTES:
             _LOGGER.warning("%s", pairs(event="report_too_large", bytes=len(data)))
             return
-        for address in self._peers():
+        for address in addresses:
             try:
                 self._socket.sendto(data, split_address(address))
                 self.sent_bytes += len(data)
             except OSError as error:
                 _LOGGER.debug("%s", pairs(event="report_unsent", to=address, cause=error))
 
+    def tell_soon(self, names: list[str]) -> None:
+        """Tell some nodes within a moment; what comes meanwhile goes with it."""
+        self._soon.update(names)
+        if not self._telling:
+            self._telling = True
+            self._tasks.spawn(self._tell)
+
+    def _tell(self) -> None:
+        self._tasks.sleep(SOON_MS)
+        self._telling = False
+        names, self._soon = self._soon, set()
+        cards = [self._view.card_by_name.get(name) for name in names]
+        self._send([card.peer_address for card in cards if card is not None])
+
     def _peers(self) -> list[str]:
         addresses = [
             card.peer_address
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -78,17 +78,29 @@
         """Return the newest claim that is known of a cell."""
         return self._epoch_by_cell.get(cell)
 
-    def alive(self, name: str, now_ms: int) -> bool:
+    def alive(self, name: str, now_ms: int, within_ms: int = ALIVE_MS) -> bool:
         """Tell whether a node was heard lately."""
         heard = self._heard_by_name.get(name)
         if heard is None:
             return False
+        if now_ms - heard.at_ms > within_ms and within_ms < ALIVE_MS:
+            return False
         alive = now_ms - heard.at_ms <= ALIVE_MS
         if heard.alive and not alive:
             heard.alive = False
             _LOGGER.info("%s", pairs(event="peer_silent", peer=name, age_ms=now_ms - heard.at_ms))
         return alive
 
+    def refused(self, name: str) -> None:
+        """Take that a node's port refuses connections: its process is gone.
+
+        Faster than its silence: what it held can be taken over at once. Its next report shows that
+        it lives.
+        """
+        heard = self._heard_by_name.get(name)
+        if heard is not None:
+            heard.at_ms = -1_000_000_000
+
     def age_ms(self, name: str, now_ms: int) -> int | None:
         """Return how long ago a node was heard."""
         heard = self._heard_by_name.get(name)
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 import attrs
@@ -42,12 +44,26 @@
 """Pause between questions whether a load is complete: a question costs a round trip of 3 ms."""
 
 MODEL_CONFIRM_EVERY_MS: Final = 250
-UNSEEN_MS: Final = 300
-"""A use that began so lately may not have been heard of: reports between nodes are 200 ms apart."""
+UNSEEN_MS: Final = 100
+"""A use that began so lately may not have been heard of: nodes tell the holder within 20 ms when a use
+begins or ends. One that is missed all the same is refused by the runner and comes back."""
 
 GRANT_MS: Final = 600
 """How long a grant keeps its adapter until the request shows up in its node's report."""
 
+RATE_WINDOW_MS: Final = 2_000
+"""Window in which places given are counted: longer than a load, shorter than a rush."""
+
+MIN_RATE: Final = 1.0
+"""Places a second that are assumed at least, so that a queue after a quiet time is not refused."""
+
+FEW: Final = 4
+"""So many adapters may always wait, whatever the rate says."""
+
+PATIENCE: Final = 0.5
+"""Share of the time left that a request is let wait; the rest is for its answer."""
+
+MIN_RETRY_MS: Final = 250
 HEAT_HALF_LIFE_MS: Final = 8_000
 REPORT_RETRY_MS: Final = 150
 REPORT_LAG_MS: Final = 500
@@ -66,17 +82,45 @@
     """A request that waits for an adapter.
 
     :param version: the oldest version that may serve it.
-    :param until_ms: when it gives up.
-    :param settle: called once with the runner and the version, or with ``None``.
+    :param on_time_until_ms: until when a place still lets it meet its latency objective.
+    :param until_ms: when its time is over.
+    :param settle: called once.
     """
 
     name: str
     version: int
     priority: int
     since_ms: int
+    on_time_until_ms: int
     until_ms: int
     refused_by: frozenset[str]
-    settle: Callable[[str | None, int], None]
+    settle: Callable[[Placed | NoPlace], None]
+
+    def urgency(self, now_ms: int) -> tuple[bool, int, int]:
+        """Return the order in which places are given.
+
+        Who can still be on time goes first. In the order of arrival a rush would make everybody
+        late: the oldest, whose answer is late already, would take the place of one that is not.
+        """
+        return (now_ms > self.on_time_until_ms, self.priority, self.since_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """A runner can serve the adapter."""
+
+    server_id: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoPlace:
+    """No runner will be able to in time.
+
+    :param retry_after_ms: when the queue has drained.
+    """
+
+    retry_after_ms: int
 
 
 class Desk:
@@ -93,6 +137,8 @@
         self._heat: dict[str, tuple[float, int]] = {}
         self._ticked_ms = 0
         self._model_loads: list[int] = []
+        self._placed_ms: deque[int] = deque()
+        self._placed_late_ms: deque[int] = deque()
         self.loads = 0
         self.cold_loads = 0
 
@@ -146,18 +192,44 @@
             self.waiters.remove(waiter)
 
     def settle_waiters(self, now_ms: int, work: dict[str, ServerWork]) -> None:
-        """Settle those whose adapter can serve, and those whose time is over."""
-        for waiter in list(self.waiters):
+        """Settle those whose adapter can serve, and those that can't be served in time."""
+        left: list[Waiter] = []
+        for waiter in sorted(self.waiters, key=lambda waiter: waiter.urgency(now_ms)):
             held = self._held(waiter, work)
-            if held is not None:
-                runner, seat = held
-                seat.granted_until_ms = now_ms + GRANT_MS
-                seat.used_ms = now_ms
-                self.waiters.remove(waiter)
-                waiter.settle(runner.server_id, seat.ref.version)
-            elif now_ms >= waiter.until_ms:
-                self.waiters.remove(waiter)
-                waiter.settle(None, 0)
+            if held is None:
+                left.append(waiter)
+                continue
+            runner, seat = held
+            seat.granted_until_ms = now_ms + GRANT_MS
+            seat.used_ms = now_ms
+            self._placed_ms.append(now_ms)
+            if now_ms > waiter.on_time_until_ms:
+                self._placed_late_ms.append(now_ms)
+            waiter.settle(Placed(runner.server_id, seat.ref.version))
+        self.waiters = self._refuse_hopeless(left, now_ms)
+
+    def _refuse_hopeless(self, waiters: list[Waiter], now_ms: int) -> list[Waiter]:
+        """Refuse at once who is too far back; return who goes on waiting.
+
+        Holding a request that will not be served costs its caller the time in which it could have
+        come back. Those who are late already only get what those on time leave.
+        """
+        late_rate = _rate(self._placed_late_ms, now_ms)
+        rate = _rate(self._placed_ms, now_ms)
+        kept: list[Waiter] = []
+        ahead: set[str] = set()
+        late_ahead: set[str] = set()
+        for waiter in waiters:
+            late = now_ms > waiter.on_time_until_ms
+            behind = late_ahead if late else ahead
+            wait_ms = 1000 * len(behind) / max(MIN_RATE, late_rate if late else rate)
+            left_ms = waiter.until_ms - now_ms
+            if left_ms <= 0 or (len(behind) > FEW and wait_ms > left_ms * PATIENCE):
+                waiter.settle(NoPlace(max(MIN_RETRY_MS, int(wait_ms))))
+                continue
+            behind.add(waiter.name)
+            kept.append(waiter)
+        return kept
 
     def _held(self, waiter: Waiter, work: dict[str, ServerWork]) -> tuple[RunnerSeats, Seat] | None:
         found = [
@@ -240,7 +312,7 @@
         """Return loads for those who wait, most urgent first, and the unloads they need."""
         steps: list[Step] = []
         cold = self._cold_incoming()
-        wanted = sorted(self.waiters, key=lambda w: (w.priority, w.since_ms))
+        wanted = sorted(self.waiters, key=lambda waiter: waiter.urgency(now_ms))
         seen: set[str] = set()
         for waiter in wanted:
             if waiter.name in seen or self._coming(waiter):
@@ -457,6 +529,13 @@
         return max(0, min(self.traits.adapter_slots, room))
 
 
+def _rate(times_ms: deque[int], now_ms: int) -> float:
+    """Return events a second over the last while."""
+    while times_ms and now_ms - times_ms[0] > RATE_WINDOW_MS:
+        times_ms.popleft()
+    return len(times_ms) * 1000 / RATE_WINDOW_MS
+
+
 _NO_WORK: Final = ServerWork()
 
 
--- a/monsoonflow/routing/in_flight.py
+++ b/monsoonflow/routing/in_flight.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 import attrs
 
@@ -43,10 +44,14 @@
 
 
 class InFlight:
-    """What a node has in progress, by server."""
+    """What a node has in progress, by server.
 
-    def __init__(self) -> None:
+    :param on_adapter_change: called when an adapter begins or ends to be in use at a runner.
+    """
+
+    def __init__(self, on_adapter_change: Callable[[], None] = lambda: None) -> None:
         self.by_server: dict[str, ServerWork] = {}
+        self._on_adapter_change = on_adapter_change
 
     def begin(
         self,
@@ -63,6 +68,8 @@
         work.memory_tokens += memory_tokens
         if adapter is not None:
             work.by_adapter[adapter] += 1
+            if work.by_adapter[adapter] == 1:
+                self._on_adapter_change()
         return Ticket(server_id, adapter, unread_tokens, memory_tokens, now_ms)
 
     def first_event(self, ticket: Ticket) -> None:
@@ -85,6 +92,7 @@
             work.by_adapter[ticket.adapter] -= 1
             if work.by_adapter[ticket.adapter] <= 0:
                 del work.by_adapter[ticket.adapter]
+                self._on_adapter_change()
         if work.requests <= 0:
             del self.by_server[ticket.server_id]
 
