Go on without the store: heirs of a duty, learning from peers, settings read again

Ruled out: memory (18 MB), an exception (no trace), the bench's kill (counted as exits of their own). Change: the duty's row names heirs, each with an epoch of its own; nodes learn rows from peers; SIGHUP and a changed file are read; a frozen process orders nothing until it has heard news.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -26,6 +26,7 @@
 from ..helpers.gevent_tasks import GeventTasks
 from ..helpers.ids import new_id
 from ..helpers.logfmt import pairs
+from ..helpers.settings import SettingError
 from ..orders.models import RunnerControl
 from ..routing.budget import FleetRetryBudget, RetryAllowance
 from ..routing.condition import Conditions
@@ -41,10 +42,14 @@
 from .duties import Duties
 from .following import Decoders, Followed, Following
 from .peers import PeerApi, PeerClient
+from .pulse import Pulse
 from .settings import EntrySettings
 from .stopping import stop_gracefully
 
 _LOGGER = logging.getLogger(__name__)
+LEARN_AFTER_MS = 400
+"""How long a node that starts waits for the store before it asks other nodes: some ten answers."""
+
 SWEEP_EVERY_MS = 500
 """How often resting connections and doubtful servers are looked through."""
 
@@ -88,8 +93,14 @@
 class EntryDaemon:
     """One entry process: its beliefs, its ports and its loops."""
 
-    def __init__(self, settings: EntrySettings, outside: Outside) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        outside: Outside,
+        reread: Callable[[], EntrySettings | SettingError | None],
+    ) -> None:
         self.settings = settings
+        self._reread = reread
         self.boot = new_id("b")
         self.clock: Clock = MonotonicClock()
         self.tasks: Tasks = GeventTasks()
@@ -100,6 +111,7 @@
         self.in_flight = InFlight(self._adapter_use_changed)
         self.conditions = Conditions()
         self.pools = Pools(self.clock)
+        self.pulse = Pulse(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._sequence = 0
         self._stop = Event()
         bounds = settings.bounds
@@ -108,7 +120,7 @@
         )
         self.table = SettlingTable(outside.raw_table(), self.tasks)
         self.gossip = Gossip(
-            settings.peer_address,
+            settings.report_address,
             self.view,
             self.report,
             self.beliefs.take_report,
@@ -136,13 +148,16 @@
         for port in self.ports.all():
             if not port.start():
                 return 1
+        self.tasks.spawn(self.pulse.run)
         self.gossip.start()
         self.followed = self.following.start(self._feed, self.tasks)
         self.tasks.spawn(self.cards.run)
+        self.tasks.spawn(self._learn_from_peers)
         self.tasks.spawn(self._sweep_for_good)
         self.duties.start()
         gevent.signal_handler(signal.SIGTERM, self._stop.set)
         gevent.signal_handler(signal.SIGINT, self._stop.set)
+        gevent.signal_handler(signal.SIGHUP, self.reload)
         # Start-up objects live as long as the process; looking through them again and again costs
         # processor time in the middle of requests.
         gc.collect()
@@ -161,13 +176,32 @@
         stop_gracefully(self)
         return 0
 
+    def reload(self) -> None:
+        """Take changed settings; unusable ones are logged and the last good ones stay in force."""
+        changed = self._reread()
+        if changed is None or changed == self.settings:
+            return
+        if isinstance(changed, SettingError):
+            _LOGGER.error("%s", pairs(event="unusable_settings", cause=changed.line()))
+            return
+        if changed.listens_at() != self.settings.listens_at():
+            _LOGGER.error("%s", pairs(event="unusable_settings", cause="addresses changed"))
+            return
+        self.settings = changed
+        bounds = changed.bounds
+        self.budget.allowance = RetryAllowance(
+            bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_ms
+        )
+        self.duties.bounds_changed(bounds)
+        _LOGGER.info("%s", pairs(event="reloaded", seeds=",".join(changed.seeds)))
+
     def ready(self) -> bool:
         """Tell whether callers should come here: a node that knows no routes refuses all."""
         return (
             not self.leaving
             and self.beliefs.table is not None
             and self.followed is not None
-            and self.followed.servers.loaded
+            and (self.followed.servers.loaded or self.peers.taught)
         )
 
     def report(self) -> NodeReport:
@@ -211,6 +245,7 @@
             settings.data_centre,
             settings.callers_address,
             settings.peer_address,
+            settings.report_address,
         )
 
     def _ports(self, outside: Outside) -> Ports:
@@ -250,9 +285,18 @@
         table = self.beliefs.table
         return table.limits if table is not None else MessageLimits()
 
+    def _learn_from_peers(self) -> None:
+        """Learn what the others know when the store does not answer at the start."""
+        self.tasks.sleep(LEARN_AFTER_MS)
+        while not self.ready() and not self.leaving:
+            self.peers.learn(self.settings.seeds, self.settings.peer_address, self.following)
+            self.tasks.sleep(LEARN_AFTER_MS)
+
     def _sweep_for_good(self) -> None:
         while True:
             self.tasks.sleep(SWEEP_EVERY_MS)
+            # The file may change without a signal.
+            self.reload()
             self.pools.sweep()
             for server_id in self.beliefs.book.settle(self.clock.now_ms()):
                 self.pools.forget(server_id)
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -25,6 +25,7 @@
 from .lease_loop import DUTY_PREFIX, DutyLoop
 from .peers import PLACE_PATH
 from .residency import Residency
+from .settings import PeerBounds
 
 if TYPE_CHECKING:
     from .daemon import EntryDaemon
@@ -56,6 +57,12 @@
         self.epoch = 0
         self.summarised_ms = 0
 
+    def close(self) -> None:
+        """End the desk; who waits there asks again."""
+        desk, self.desk = self.desk, None
+        if desk is not None:
+            desk.close()
+
 
 class Duties:
     """The placement of adapters, by this node or by another."""
@@ -90,11 +97,18 @@
         if duty is not None:
             duty.loop.row_changed(row)
 
+    def bounds_changed(self, bounds: PeerBounds) -> None:
+        """Take changed bounds."""
+        for duty in self._duty_by_cell.values():
+            duty.loop.bounds_changed(bounds.lease_ms, bounds.fenced)
+
     def give_up(self) -> None:
         """Release all duties."""
         for duty in self._duty_by_cell.values():
-            duty.desk = None
-            duty.loop.give_up()
+            duty.close()
+            row = duty.loop.let_go()
+            if row is not None:
+                gevent.spawn(duty.loop.release, *row)
 
     def holds_all(self) -> bool:
         """Tell whether all duties are this node's."""
@@ -252,7 +266,7 @@
             case None:
                 reply.whole(503, [], b"{}")
 
-    def _ask_desk(self, duty: Duty, question: dict[str, Any]) -> Placed | NoPlace:
+    def _ask_desk(self, duty: Duty, question: dict[str, Any]) -> Placed | NoPlace | None:
         now_ms = self._daemon.clock.now_ms()
         result: AsyncResult = AsyncResult()
         waiter = Waiter(
@@ -269,7 +283,9 @@
         desk.ask(waiter, now_ms, self._work())
         self.wake()
         try:
-            return result.get()
+            return result.get(timeout=question["wait_ms"] / 1000)
+        except gevent.Timeout:
+            return NoPlace(REFUSED_RETRY_MS)
         finally:
             desk.forget(waiter)
 
@@ -286,9 +302,11 @@
             self._daemon.tasks.sleep(LEASE_STEP_MS)
             self._match_services()
             for duty in list(self._duty_by_cell.values()):
-                duty.loop.loaded = bool(
-                    self._daemon.followed is not None and self._daemon.followed.own.loaded
+                followed = self._daemon.followed
+                duty.loop.loaded = duty.loop.loaded or (
+                    followed is not None and followed.own.loaded
                 )
+                duty.loop.store_reached = followed is not None and followed.reaches_store()
                 duty.loop.step()
 
     def _match_services(self) -> None:
@@ -319,6 +337,7 @@
             daemon.view,
             daemon.clock,
             daemon.ready,
+            daemon.pulse.steady,
         )
 
     def _plan_for_good(self) -> None:
@@ -337,12 +356,12 @@
     def _keep_desk(self, duty: Duty, now_ms: int) -> bool:
         """Open a desk when the duty is won, close it when it is lost."""
         if not duty.loop.holds(now_ms):
-            if duty.loop.held.row is None and duty.desk is not None:
-                duty.desk = None
+            if duty.loop.held.row is None:
+                duty.close()
             return False
         epoch = duty.loop.held.row.epoch
-        if duty.desk is None or duty.epoch != epoch:
-            duty.epoch = epoch
+        duty.epoch = epoch
+        if duty.desk is None:
             duty.desk = Desk(duty.service.engine, self._daemon.beliefs.version_by_adapter)
         desk = duty.desk
         present = {s.server_id for s in self._daemon.beliefs.book.of_service(duty.service.name)}
@@ -439,7 +458,7 @@
             )
         if not desk.answered(step, answer, now_ms) and isinstance(answer, Superseded):
             duty.loop.superseded()
-            duty.desk = None
+            duty.close()
         self.wake()
 
     def _take_told(self, now_ms: int) -> None:
--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import logging
 from collections.abc import Callable
 from typing import Protocol
@@ -82,6 +83,11 @@
         self._on_own_row = on_own_row
         self._on_server_gone = on_server_gone
         self._on_news = on_news
+        self._body_by_key: dict[str, dict[str, bytes]] = {
+            "operator": {},
+            "servers": {},
+            "own": {},
+        }
 
     def start(self, feed: Callable[[], ChangeFeed], tasks: Tasks) -> Followed:
         """Begin to follow.
@@ -105,7 +111,40 @@
             tasks.spawn(watch.run)
         return followed
 
+    def teach(self) -> bytes:
+        """Return all rows that this node has taken, for a node that can't read them itself."""
+        rows = [
+            [kind, key, base64.b64encode(body).decode()]
+            for kind, bodies in self._body_by_key.items()
+            for key, body in bodies.items()
+        ]
+        return orjson.dumps(rows)
+
+    def taught(self, data: bytes) -> bool:
+        """Take another node's rows; return whether they could be read.
+
+        Versions of rows are not taken with them: what the store says later goes first.
+        """
+        takers = {"operator": self._operator, "servers": self._server, "own": self._own}
+        try:
+            rows = [
+                (takers[kind], ChangedRow(str(key), 0, base64.b64decode(body)))
+                for kind, key, body in orjson.loads(data)
+            ]
+        except (ValueError, KeyError, TypeError):
+            return False
+        for take, row in rows:
+            take(row)
+        return bool(rows)
+
+    def _note(self, kind: str, row: ChangedRow) -> None:
+        if row.body is None:
+            self._body_by_key[kind].pop(row.key, None)
+        else:
+            self._body_by_key[kind][row.key] = row.body
+
     def _operator(self, row: ChangedRow) -> None:
+        self._note("operator", row)
         if row.body is None:
             return
         table = self._decoders.routes(row.key, row.body)
@@ -122,6 +161,7 @@
             _LOGGER.error("%s", pairs(event="unusable_row", row=row.key, cause=ref))
 
     def _server(self, row: ChangedRow) -> None:
+        self._note("servers", row)
         now_ms = self._clock.now_ms()
         book = self._beliefs.book
         if row.body is None:
@@ -143,6 +183,7 @@
         if not row.key.startswith(CARD_PREFIX):
             self._on_own_row(row)
             return
+        self._note("own", row)
         name = row.key.removeprefix(CARD_PREFIX)
         if row.body is None:
             self._view.card_gone(name)
@@ -164,6 +205,7 @@
             str(data["data_centre"]),
             str(data["callers"]),
             str(data["peer"]),
+            str(data["report"]),
         )
     except (ValueError, KeyError, TypeError):
         return None
@@ -177,4 +219,5 @@
         "data_centre": card.data_centre,
         "callers": card.callers_address,
         "peer": card.peer_address,
+        "report": card.report_address,
     }
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -15,7 +15,7 @@
 from ..helpers.hashing import rank
 from ..helpers.ids import new_id
 from ..helpers.logfmt import pairs
-from ..ownership.duty import DutyRow, DutyWatch, HeldDuty
+from ..ownership.duty import MAX_HEIRS, DutyRow, DutyWatch, HeldDuty
 from ..ownership.models import LeaseTiming
 from ..storage.models import ChangedRow, Committed, Conflict, Row, Table, Transaction, Unavailable
 
@@ -38,6 +38,7 @@
     """One node's part in the duty of a cell.
 
     :param may_claim: tells whether this node wants duties now.
+    :param steady: tells whether this process has not just been frozen.
     """
 
     def __init__(
@@ -51,25 +52,40 @@
         view: FleetView,
         clock: Clock,
         may_claim: Callable[[], bool],
+        steady: Callable[[], bool],
     ) -> None:
         timing = LeaseTiming(lease_ms, int(lease_ms * MARGIN_SHARE))
         self.cell = cell
         self.held = HeldDuty(timing, fenced)
         self._watch = DutyWatch(timing, fenced)
+        self._fenced = fenced
         self._node = node
         self._boot = boot
         self._table = table
         self._view = view
         self._clock = clock
         self._may_claim = may_claim
+        self._steady = steady
         self._renew_every_ms = lease_ms // RENEWALS_A_LEASE
         self._renewed_ms = 0
         self._wanted_since_ms: int | None = None
         self.store_lost = False
+        self.store_reached = True
         self.loaded = False
+        self._inherited = False
+
+    def bounds_changed(self, lease_ms: int, fenced: bool) -> None:
+        """Take changed bounds."""
+        timing = LeaseTiming(lease_ms, int(lease_ms * MARGIN_SHARE))
+        self._fenced = fenced
+        self._renew_every_ms = lease_ms // RENEWALS_A_LEASE
+        self.held.bounds_changed(timing, fenced)
+        self._watch.bounds_changed(timing, fenced)
 
     def holds(self, now_ms: int) -> bool:
         """Tell whether this node may send orders at this moment."""
+        if not self._steady():
+            return False
         newest = self._view.claim_of(self.cell)
         heard = [
             age
@@ -78,8 +94,10 @@
         ]
         alone = self._view.nodes() == 1
         peers_heard_ms = None if alone else min(heard, default=1_000_000)
+        overdue = now_ms - self._renewed_ms > 2 * self._renew_every_ms
+        store_lost = self.store_lost or overdue or not self.store_reached
         return self.held.may_order(
-            now_ms, newest.epoch if newest else 0, self.store_lost, peers_heard_ms
+            now_ms, newest.epoch if newest else 0, store_lost, peers_heard_ms
         )
 
     def claim(self) -> DutyClaim | None:
@@ -114,25 +132,79 @@
         if not self.loaded or not self._may_claim() or not self._claimable(now_ms):
             self._wanted_since_ms = None
             return
+        if not self.store_reached:
+            self._inherit(now_ms)
+            return
         if self._wanted_since_ms is None:
             self._wanted_since_ms = now_ms
         if now_ms - self._wanted_since_ms >= self._own_rank(now_ms) * RANK_DELAY_MS:
             self._claim(now_ms)
 
-    def give_up(self) -> None:
-        """Release the duty, so that another node takes it at once."""
-        row = self.held.row
-        if row is None:
-            return
-        version = self.held.row_version
+    def let_go(self) -> tuple[DutyRow, int] | None:
+        """Give no more orders; return what is to be released in the store."""
+        row, version = self.held.row, self.held.row_version
         self.held.lost()
+        return None if row is None else (row, version)
+
+    def release(self, row: DutyRow, version: int) -> None:
+        """Write that the duty is free, so that another node takes it at once."""
         released = attrs.evolve(row, counter=row.counter + 1, released=True)
-        self._commit(released, version)
-        _LOGGER.info("%s", pairs(event="duty_released", cell=self.cell, epoch=row.epoch))
+        result = self._commit(released, version)
+        _LOGGER.info(
+            "%s",
+            pairs(
+                event="duty_released",
+                cell=self.cell,
+                epoch=row.epoch,
+                result=type(result).__name__,
+            ),
+        )
+
+    def _inherit(self, now_ms: int) -> None:
+        """Go on in a silent holder's place while the store can't be asked.
+
+        Each heir has an epoch of its own, set down in the store before: no two nodes can ever use
+        the same one, and runners that check them refuse the holder and the heirs before. Only where
+        they do may an heir act.
+        """
+        row = self._watch.row
+        inherited = row.inherited(self._node, self._boot) if row is not None else None
+        newest = self._view.claim_of(self.cell)
+        if inherited is None or not self._fenced:
+            return
+        if newest is not None and newest.epoch >= inherited.epoch:
+            return
+        before = row.heirs[: row.heirs.index(self._node)]
+        if any(not self._silent(name, now_ms) for name in before):
+            return
+        self.held.inherited(inherited, self._watch.row_version)
+        self.store_lost = True
+        self._inherited = True
+        self._renewed_ms = now_ms
+        self._view.claimed(DutyClaim(self.cell, self._node, inherited.epoch))
+        _LOGGER.info(
+            "%s",
+            pairs(event="duty_inherited", cell=self.cell, epoch=inherited.epoch, before=row.holder),
+        )
+
+    def _silent(self, name: str, now_ms: int) -> bool:
+        """Tell whether a node is unheard, or says that it stops and has let its duties go."""
+        if not self._view.alive(name, now_ms, HOLDER_SILENT_MS):
+            return True
+        report = self._view.report_of(name)
+        return report.leaving and all(claim.cell != self.cell for claim in report.claims)
+
+    def _heirs(self, now_ms: int) -> tuple[str, ...]:
+        names = [
+            report.name
+            for report in self._view.reports(now_ms)
+            if report.ready and not report.leaving
+        ]
+        return tuple(rank(self.cell, names)[:MAX_HEIRS])
 
     def _claimable(self, now_ms: int) -> bool:
         holder = self._watch.row.holder if self._watch.row is not None else ""
-        silent = holder != "" and not self._view.alive(holder, now_ms, HOLDER_SILENT_MS)
+        silent = holder != "" and self._silent(holder, now_ms)
         others = [name for name in self._view.card_by_name if name not in (self._node, holder)]
         heard = sum(self._view.alive(name, now_ms) for name in others)
         return self._watch.claimable(
@@ -150,12 +222,14 @@
     def _claim(self, now_ms: int) -> None:
         known = self._watch.row
         newest = self._view.claim_of(self.cell)
-        epoch = 1 + max(known.epoch if known else 0, newest.epoch if newest else 0)
-        row = DutyRow(self.cell, self._node, self._boot, epoch, 0)
+        epoch = max(known.next_epoch() if known else 1, newest.epoch + 1 if newest else 0)
+        row = DutyRow(self.cell, self._node, self._boot, epoch, 0, self._heirs(now_ms))
         result = self._commit(row, self._watch.row_version if known is not None else 0)
         self._wanted_since_ms = None
         if isinstance(result, Committed):
             self.held.took(row, result.version, now_ms)
+            self.store_lost = False
+            self._inherited = False
             self._renewed_ms = now_ms
             self._view.claimed(DutyClaim(self.cell, self._node, epoch))
             _LOGGER.info(
@@ -168,10 +242,19 @@
                 ),
             )
         elif isinstance(result, Conflict):
+            if self._inherited:
+                self._lost("another node claimed")
             self._read_row()
 
     def _renew(self, now_ms: int) -> None:
-        row = attrs.evolve(self.held.row, counter=self.held.row.counter + 1)
+        if self._inherited:
+            # The row must not go on under an epoch that was an heir's: it is claimed anew.
+            self._renewed_ms = now_ms
+            self._claim(now_ms)
+            return
+        row = attrs.evolve(
+            self.held.row, counter=self.held.row.counter + 1, heirs=self._heirs(now_ms)
+        )
         result = self._commit(row, self.held.row_version)
         match result:
             case Committed(version=version):
@@ -198,6 +281,7 @@
     def _lost(self, cause: str) -> None:
         epoch = self.held.row.epoch if self.held.row is not None else 0
         self.held.lost()
+        self._inherited = False
         _LOGGER.info("%s", pairs(event="duty_lost", cell=self.cell, epoch=epoch, cause=cause))
 
     def _read_row(self) -> None:
@@ -212,6 +296,7 @@
             "boot": row.boot,
             "epoch": row.epoch,
             "counter": row.counter,
+            "heirs": list(row.heirs),
             "released": row.released,
         }
         return self._table.commit(Transaction(new_id("op"), {key: version}, {key: value}))
@@ -235,6 +320,7 @@
             str(value["boot"]),
             int(value["epoch"]),
             int(value["counter"]),
+            tuple(map(str, value.get("heirs", ()))),
             bool(value["released"]),
         )
     except (KeyError, TypeError, ValueError):
--- a/monsoonflow/entry/peers.py
+++ b/monsoonflow/entry/peers.py
@@ -14,12 +14,14 @@
 from ..transport.models import Lost, Request
 from ..transport.server import Reply
 from .beliefs import Beliefs
+from .following import Following
 
 if TYPE_CHECKING:
     from .daemon import EntryDaemon
 
 _LOGGER = logging.getLogger(__name__)
 CONFIGURATION_PATH: Final = "/v1/peer/configuration"
+STATE_PATH: Final = "/v1/peer/state"
 PLACE_PATH: Final = "/v1/peer/place"
 FETCH_TIMEOUT_MS: Final = 1_000
 
@@ -34,6 +36,7 @@
         self._clock = clock
         self._pools = Pools(clock, max_idle=8)
         self._decode = decode
+        self.taught = False
 
     def call(self, address: str, path: str, body: bytes, timeout_ms: int) -> Answer | Lost:
         """Make one call to another node."""
@@ -60,6 +63,23 @@
             beliefs.take_table(table, answer.body, report.name)
             return
 
+    def learn(self, seeds: tuple[str, ...], own_address: str, following: Following) -> None:
+        """Take what another node knows: a node that starts in an outage of the store knows nothing.
+
+        :param seeds: addresses to try, in turn; some may be out of date.
+        """
+        known = [card.peer_address for card in self._view.card_by_name.values()]
+        for address in dict.fromkeys([*seeds, *known]):
+            if address == own_address:
+                continue
+            answer = self.call(address, STATE_PATH, b"", FETCH_TIMEOUT_MS)
+            if isinstance(answer, Lost) or answer.head.status != 200:
+                continue
+            if following.taught(answer.body):
+                self.taught = True
+                _LOGGER.info("%s", pairs(event="learnt_from_peer", address=address))
+                return
+
 
 class PeerApi:
     """Answers other entry nodes."""
@@ -73,6 +93,8 @@
         beliefs = self._daemon.beliefs
         if path == CONFIGURATION_PATH and beliefs.table is not None:
             reply.whole(200, [], beliefs.table_body)
+        elif path == STATE_PATH and beliefs.table is not None:
+            reply.whole(200, [], self._daemon.following.teach())
         elif path == PLACE_PATH:
             self._daemon.duties.answer_placement(request, reply)
         else:
--- /dev/null
+++ b/monsoonflow/entry/pulse.py
@@ -0,0 +1,49 @@
+"""Tells whether this process has been running all the while."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+from ..core.clock import Clock
+from ..core.tasks import Tasks
+from ..helpers.logfmt import pairs
+
+_LOGGER = logging.getLogger(__name__)
+EVERY_MS: Final = 50
+GAP_MS: Final = 400
+"""A pause longer than this is no ordinary delay: the process was frozen or its VM suspended."""
+
+
+class Pulse:
+    """Beats while the process runs; after a freeze, what was believed before counts for nothing.
+
+    :param thaw_ms: how long after a freeze nothing is ordered: by then news has come in.
+    """
+
+    def __init__(self, clock: Clock, tasks: Tasks, thaw_ms: int) -> None:
+        self._clock = clock
+        self._tasks = tasks
+        self._thaw_ms = thaw_ms
+        self._beat_ms = clock.now_ms()
+        self._thawed_until_ms = 0
+
+    def run(self) -> None:
+        """Beat for good."""
+        while True:
+            self.beat()
+            self._tasks.sleep(EVERY_MS)
+
+    def beat(self) -> None:
+        """Note that the process runs."""
+        now_ms = self._clock.now_ms()
+        gap_ms = now_ms - self._beat_ms
+        if gap_ms > GAP_MS:
+            self._thawed_until_ms = now_ms + self._thaw_ms
+            _LOGGER.warning("%s", pairs(event="was_frozen", for_ms=gap_ms))
+        self._beat_ms = now_ms
+
+    def steady(self) -> bool:
+        """Tell whether the process runs and has not just been frozen."""
+        now_ms = self._clock.now_ms()
+        return now_ms - self._beat_ms <= GAP_MS and now_ms >= self._thawed_until_ms
--- a/monsoonflow/entry/settings.py
+++ b/monsoonflow/entry/settings.py
@@ -60,7 +60,9 @@
     :param callers_address: where callers' requests come.
     :param ready_address: where the platform asks whether this process is ready.
     :param directory_address: where callers ask which address to use.
-    :param peer_address: where other entry processes reach this one (UDP and TCP).
+    :param peer_address: where other entry processes call this one (TCP).
+    :param report_address: where their reports come (UDP).
+    :param seeds: peer addresses of some nodes, which may be out of date.
     """
 
     name: str
@@ -71,7 +73,20 @@
     ready_address: str = attrs.field(validator=_address)
     directory_address: str = attrs.field(validator=_address)
     peer_address: str = attrs.field(validator=_address)
+    report_address: str = attrs.field(validator=_address)
     store: StoreBounds
     bounds: PeerBounds = PeerBounds()
+    seeds: tuple[str, ...] = ()
     max_descriptors: int = 1_024
     memory_mb: float = 256.0
+
+    def listens_at(self) -> tuple[str, ...]:
+        """Return what can't change while the process runs."""
+        return (
+            self.name,
+            self.callers_address,
+            self.ready_address,
+            self.directory_address,
+            self.peer_address,
+            self.report_address,
+        )
--- a/monsoonflow/entry/stopping.py
+++ b/monsoonflow/entry/stopping.py
@@ -25,8 +25,8 @@
     started_ms = daemon.clock.now_ms()
     _LOGGER.info("%s", pairs(event="stopping", in_progress=daemon.ports.callers.active))
     daemon.leaving = True
-    daemon.gossip.send_now()
     daemon.duties.give_up()
+    daemon.gossip.send_now()
     daemon.ports.callers.stop_keeping()
     end_ms = started_ms + daemon.settings.bounds.grace_ms - END_MARGIN_MS
     outlast_ms = min(end_ms, started_ms + OUTLAST_ADDRESSES_MS)
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -98,13 +98,13 @@
         self._telling = False
         names, self._soon = self._soon, set()
         cards = [self._view.card_by_name.get(name) for name in names]
-        self._send([card.peer_address for card in cards if card is not None])
+        self._send([card.report_address for card in cards if card is not None])
 
     def _peers(self) -> list[str]:
         addresses = [
-            card.peer_address
+            card.report_address
             for card in self._view.card_by_name.values()
-            if card.peer_address != self._address
+            if card.report_address != self._address
         ]
         if len(addresses) <= MAX_PEERS_A_ROUND:
             return addresses
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -14,6 +14,7 @@
     """How to reach an entry node; kept in the store.
 
     :param boot: names one life of the node's process.
+    :param peer_address: for calls; ``report_address`` for datagrams.
     """
 
     name: str
@@ -21,6 +22,7 @@
     data_centre: str
     callers_address: str
     peer_address: str
+    report_address: str
 
 
 @attrs.frozen(slots=True)
--- a/monsoonflow/ownership/duty.py
+++ b/monsoonflow/ownership/duty.py
@@ -8,6 +8,10 @@
 
 from .models import LeaseTiming
 
+MAX_HEIRS: Final = 3
+"""Nodes that may inherit one after the other; enough for a holder and two heirs to be lost while
+the store is."""
+
 PEERS_HEARD_MS: Final = 700
 """How lately other nodes must have been heard when a holder goes on without the store: three of
 their reports. A holder that was frozen has heard nobody and asks first."""
@@ -19,6 +23,8 @@
 
     :param epoch: rises with each holder; the fencing number of its orders.
     :param counter: rises with each renewal.
+    :param heirs: the nodes that may go on while the store is lost, in this order; the first has the
+        next epoch, the second the one after it.
     :param released: the holder has given the duty up.
     """
 
@@ -27,8 +33,20 @@
     boot: str
     epoch: int
     counter: int
+    heirs: tuple[str, ...] = ()
     released: bool = False
 
+    def next_epoch(self) -> int:
+        """Return the lowest epoch that neither this holder nor an heir of it uses."""
+        return self.epoch + 1 + MAX_HEIRS
+
+    def inherited(self, node: str, boot: str) -> DutyRow | None:
+        """Return the duty as an heir holds it, or ``None`` for a node that is none."""
+        if node not in self.heirs[:MAX_HEIRS]:
+            return None
+        epoch = self.epoch + 1 + self.heirs.index(node)
+        return DutyRow(self.cell, node, boot, epoch, 0)
+
 
 class HeldDuty:
     """Tells a holder whether it may give orders, on its own clock."""
@@ -40,6 +58,11 @@
         self.row: DutyRow | None = None
         self.row_version = 0
 
+    def bounds_changed(self, timing: LeaseTiming, fenced: bool) -> None:
+        """Take changed bounds."""
+        self._timing = timing
+        self._fenced = fenced
+
     def took(self, row: DutyRow, row_version: int, sent_ms: int) -> None:
         """Take a successful claim or renewal.
 
@@ -51,6 +74,12 @@
         until_ms = sent_ms + self._timing.duration_ms - self._timing.margin_ms
         self._valid_until_ms = max(self._valid_until_ms, until_ms)
 
+    def inherited(self, row: DutyRow, row_version: int) -> None:
+        """Take the duty as an heir, without the store: it lasts as long as the store is lost."""
+        self.row = row
+        self.row_version = row_version
+        self._valid_until_ms = 0
+
     def lost(self) -> None:
         """Take that another node holds the duty, or that nobody may know."""
         self.row = None
@@ -88,6 +117,11 @@
         self.row_version = 0
         self._seen_ms = 0
 
+    def bounds_changed(self, timing: LeaseTiming, fenced: bool) -> None:
+        """Take changed bounds."""
+        self._timing = timing
+        self._fenced = fenced
+
     def seen(self, row: DutyRow | None, row_version: int, now_ms: int) -> None:
         """Take the row as the store holds it."""
         if row_version < self.row_version:
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -45,8 +45,8 @@
 
 MODEL_CONFIRM_EVERY_MS: Final = 250
 UNSEEN_MS: Final = 100
-"""A use that began so lately may not have been heard of: nodes tell the holder within 20 ms when a use
-begins or ends. One that is missed all the same is refused by the runner and comes back."""
+"""A use that began so lately may not have been heard of: nodes tell the holder within 20 ms when a
+use begins or ends. One that is missed all the same is refused by the runner and comes back."""
 
 GRANT_MS: Final = 600
 """How long a grant keeps its adapter until the request shows up in its node's report."""
@@ -84,7 +84,7 @@
     :param version: the oldest version that may serve it.
     :param on_time_until_ms: until when a place still lets it meet its latency objective.
     :param until_ms: when its time is over.
-    :param settle: called once.
+    :param settle: called once; with ``None`` when another node must be asked.
     """
 
     name: str
@@ -94,7 +94,7 @@
     on_time_until_ms: int
     until_ms: int
     refused_by: frozenset[str]
-    settle: Callable[[Placed | NoPlace], None]
+    settle: Callable[[Placed | NoPlace | None], None]
 
     def urgency(self, now_ms: int) -> tuple[bool, int, int]:
         """Return the order in which places are given.
@@ -191,6 +191,12 @@
         if waiter in self.waiters:
             self.waiters.remove(waiter)
 
+    def close(self) -> None:
+        """Send all who wait elsewhere: the duty is another node's now."""
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter.settle(None)
+
     def settle_waiters(self, now_ms: int, work: dict[str, ServerWork]) -> None:
         """Settle those whose adapter can serve, and those that can't be served in time."""
         left: list[Waiter] = []
--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -19,6 +19,30 @@
     return os.environ.get(FILE_VARIABLE, DEFAULT_FILE)
 
 
+class SettingsFile:
+    """The settings file, read again when it has changed."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._stamp: tuple[int, int] | None = None
+
+    def read(self) -> EntrySettings | SettingError:
+        """Return the settings as they stand."""
+        self._stamp = self._stamp_now()
+        return read_settings(self._path)
+
+    def reread(self) -> EntrySettings | SettingError | None:
+        """Return the settings when the file has changed, else ``None``."""
+        return None if self._stamp_now() == self._stamp else self.read()
+
+    def _stamp_now(self) -> tuple[int, int] | None:
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            return None
+        return status.st_mtime_ns, status.st_size
+
+
 def read_settings(path: str) -> EntrySettings | SettingError:
     """Return the settings, or what is wrong with them in one line; unknown fields are ignored."""
     try:
@@ -50,7 +74,9 @@
         callers_address=str(listens["front"]),
         ready_address=str(listens["ready"]),
         directory_address=str(listens["directory"]),
-        peer_address=f"{fields['bindIp']}:{int(ports[0])}",
+        peer_address=str(listens["control"]),
+        report_address=f"{fields['bindIp']}:{int(ports[0])}",
+        seeds=tuple(str(seed) for seed in fields.get("seedNodes", ())),
         store=StoreBounds(
             address=str(platform["address"]),
             history_ms=_ms(platform.get("historyS", 20)),
