--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -97,13 +97,14 @@
         self,
         settings: EntrySettings,
         outside: Outside,
-        reread: Callable[[], EntrySettings | SettingError | None],
+        reread: Callable[[], EntrySettings | SettingError | None] = lambda: None,
+        tasks: Tasks | None = None,
     ) -> None:
         self.settings = settings
         self._reread = reread
         self.boot = new_id("b")
         self.clock: Clock = MonotonicClock()
-        self.tasks: Tasks = GeventTasks()
+        self.tasks: Tasks = tasks or GeventTasks()
         self.rng = random.Random()
         self.leaving = False
         self.view = FleetView(settings.name)
@@ -145,9 +146,25 @@
 
     def run(self) -> int:
         """Serve until the word to stop; return the process's exit status."""
+        gevent.signal_handler(signal.SIGTERM, self._stop.set)
+        gevent.signal_handler(signal.SIGINT, self._stop.set)
+        # Without a handler the word that the settings have changed would end the process.
+        gevent.signal_handler(signal.SIGHUP, self.reload)
+        if not self.start():
+            return 1
+        # Start-up objects live as long as the process; looking through them again and again costs
+        # processor time in the middle of requests.
+        gc.collect()
+        gc.freeze()
+        self._stop.wait()
+        stop_gracefully(self)
+        return 0
+
+    def start(self) -> bool:
+        """Listen and begin all loops; return whether all addresses could be bound."""
         for port in self.ports.all():
             if not port.start():
-                return 1
+                return False
         self.tasks.spawn(self.pulse.run)
         self.gossip.start()
         self.followed = self.following.start(self._feed, self.tasks)
@@ -155,13 +172,6 @@
         self.tasks.spawn(self._learn_from_peers)
         self.tasks.spawn(self._sweep_for_good)
         self.duties.start()
-        gevent.signal_handler(signal.SIGTERM, self._stop.set)
-        gevent.signal_handler(signal.SIGINT, self._stop.set)
-        gevent.signal_handler(signal.SIGHUP, self.reload)
-        # Start-up objects live as long as the process; looking through them again and again costs
-        # processor time in the middle of requests.
-        gc.collect()
-        gc.freeze()
         _LOGGER.info(
             "%s",
             pairs(
@@ -172,9 +182,7 @@
                 peer=self.settings.peer_address,
             ),
         )
-        self._stop.wait()
-        stop_gracefully(self)
-        return 0
+        return True
 
     def reload(self) -> None:
         """Take changed settings; unusable ones are logged and the last good ones stay in force."""
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -80,8 +80,8 @@
 
     def start(self) -> None:
         """Begin to look after duties."""
-        gevent.spawn(self._lease_for_good)
-        gevent.spawn(self._plan_for_good)
+        self._daemon.tasks.spawn(self._lease_for_good)
+        self._daemon.tasks.spawn(self._plan_for_good)
 
     def wake(self) -> None:
         """Look at once at what is to be ordered."""
@@ -108,7 +108,11 @@
             duty.close()
             row = duty.loop.let_go()
             if row is not None:
-                gevent.spawn(duty.loop.release, *row)
+                self._daemon.tasks.spawn(duty.loop.release, *row)
+
+    def duty_of(self, cell: str) -> Duty | None:
+        """Return what this node has of a cell's duty."""
+        return self._duty_by_cell.get(cell)
 
     def holds_all(self) -> bool:
         """Tell whether all duties are this node's."""
@@ -195,7 +199,7 @@
             known = [
                 server
                 for server in self._daemon.beliefs.book.of_service(service.name)
-                if server.server_id in held and server.server_id not in job.refused_by
+                if server.server_id in held and server.server_id not in job.avoided
             ]
             if known:
                 server = known[0]
@@ -222,7 +226,7 @@
             "priority": route.priority,
             "wait_ms": left_ms,
             "on_time_ms": on_time_ms,
-            "refused_by": job.refused_by,
+            "avoid": self._avoided(service, job),
         }
         duty = self._duty_by_cell.get(service.name)
         if duty is not None and duty.desk is not None:
@@ -247,6 +251,14 @@
         except (ValueError, KeyError, TypeError):
             return None
 
+    def _avoided(self, service: Service, job: Job) -> list[str]:
+        """Return the runners that a request shall not go to; none when there is no other."""
+        now_ms = self._daemon.clock.now_ms()
+        runners = [s.server_id for s in self._daemon.beliefs.book.of_service(service.name)]
+        paused = [s for s in runners if self._daemon.conditions.paused(s, now_ms)]
+        avoided = {*job.avoided, *paused}
+        return sorted(avoided) if set(runners) - avoided else []
+
     def answer_placement(self, request: Request, reply: Reply) -> None:
         """Answer another node that needs an adapter."""
         try:
@@ -276,7 +288,7 @@
             since_ms=now_ms,
             on_time_until_ms=now_ms + question["on_time_ms"],
             until_ms=now_ms + question["wait_ms"],
-            refused_by=frozenset(question["refused_by"]),
+            avoid=frozenset(question["avoid"]),
             settle=result.set,
         )
         desk = duty.desk
@@ -376,10 +388,10 @@
         desk = duty.desk
         for server_id in desk.wants_report(now_ms):
             desk.runners[server_id].ordering = True
-            gevent.spawn(self._report, duty, desk, server_id)
+            self._daemon.tasks.spawn(self._report, duty, desk, server_id)
         desk.settle_waiters(now_ms, work)
         for step in desk.plan(now_ms, work):
-            gevent.spawn(self._order, duty, desk, step)
+            self._daemon.tasks.spawn(self._order, duty, desk, step)
         self.residency.take(self.told_residency())
         if now_ms - duty.summarised_ms >= SUMMARY_EVERY_MS:
             duty.summarised_ms = now_ms
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -70,6 +70,10 @@
         self._tasks.spawn(self._receive)
         self._tasks.spawn(self._send_for_good)
 
+    def close(self) -> None:
+        """Send and receive no more."""
+        self._socket.close()
+
     def send_now(self) -> None:
         """Tell the others at once."""
         self._send(self._peers())
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -77,7 +77,7 @@
 
     :param until_ms: when it must be answered.
     :param tried: the servers that it was sent to, in order.
-    :param refused_by: the servers that said they did not run it.
+    :param avoided: the servers that refused it, broke off or could not be reached.
     :param may_have_run: whether a try may have run on a server.
     """
 
@@ -88,7 +88,7 @@
     until_ms: int
     deadline_at_ms: int
     tried: list[str] = attrs.Factory(list)
-    refused_by: list[str] = attrs.Factory(list)
+    avoided: list[str] = attrs.Factory(list)
     may_have_run: bool = False
     retry_after_ms: int | None = None
     cutter: EventCutter | None = None
@@ -223,21 +223,27 @@
                 self._log(job, reply, "passed", server=chosen.server_id)
                 return True
             case Whole(head=head, body=body):
+                if head.status >= 500:
+                    job.avoided.append(chosen.server_id)
                 return self._settle_whole(job, reply, result, head.status, body)
             case TimedOut():
                 job.may_have_run = True
                 self._time_over(job, reply)
                 return True
-            case Rejected(reason=reason, retry_after_ms=retry_after_ms):
-                job.refused_by.append(chosen.server_id)
+            case Rejected(reason=reason, retry_after_ms=retry_after_ms, moved=moved):
+                if not moved:
+                    job.avoided.append(chosen.server_id)
                 job.retry_after_ms = retry_after_ms or job.retry_after_ms
                 return self._again_or(job, reply, 503, reason)
             case Unsent(reason=reason):
+                job.avoided.append(chosen.server_id)
                 return self._again_or(job, reply, 503, reason)
             case Unclear(reason=reason):
+                job.avoided.append(chosen.server_id)
                 job.may_have_run = True
                 return self._again_or(job, reply, 502, reason)
             case Cut(reason=reason):
+                job.avoided.append(chosen.server_id)
                 job.may_have_run = True
                 if self._may_try_again(job, ran=True):
                     self._log(job, reply, "resuming", cause=reason, server=chosen.server_id)
--- a/monsoonflow/gateway/plain.py
+++ b/monsoonflow/gateway/plain.py
@@ -51,7 +51,7 @@
             servers = [server for server in servers if server.server_id in job.tried]
         reached = [s for s in servers if not self.conditions.paused(s.server_id, now_ms)]
         fresh = [s for s in reached or servers if s.server_id not in job.tried]
-        candidates = fresh or [s for s in servers if s.server_id not in job.refused_by]
+        candidates = fresh or [s for s in servers if s.server_id not in job.avoided]
         if not candidates:
             return NoServer("no server takes work", job.retry_after_ms or NO_SERVER_RETRY_MS)
         costs = {s.server_id: self._expected_ms(s, now_ms) for s in candidates}
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -54,8 +54,9 @@
 RATE_WINDOW_MS: Final = 2_000
 """Window in which places given are counted: longer than a load, shorter than a rush."""
 
-MIN_RATE: Final = 1.0
-"""Places a second that are assumed at least, so that a queue after a quiet time is not refused."""
+USUAL_USE_MS: Final = 4_000
+"""A place is assumed to be free again after so long at the latest: a load, a prompt and a long
+answer. After a quiet time no rate has been measured, and nobody may be refused for that."""
 
 FEW: Final = 4
 """So many adapters may always wait, whatever the rate says."""
@@ -93,7 +94,7 @@
     since_ms: int
     on_time_until_ms: int
     until_ms: int
-    refused_by: frozenset[str]
+    avoid: frozenset[str]
     settle: Callable[[Placed | NoPlace | None], None]
 
     def urgency(self, now_ms: int) -> tuple[bool, int, int]:
@@ -212,25 +213,31 @@
             if now_ms > waiter.on_time_until_ms:
                 self._placed_late_ms.append(now_ms)
             waiter.settle(Placed(runner.server_id, seat.ref.version))
-        self.waiters = self._refuse_hopeless(left, now_ms)
+        self.waiters = self._refuse_hopeless(left, now_ms, work)
 
-    def _refuse_hopeless(self, waiters: list[Waiter], now_ms: int) -> list[Waiter]:
+    def _refuse_hopeless(
+        self, waiters: list[Waiter], now_ms: int, work: dict[str, ServerWork]
+    ) -> list[Waiter]:
         """Refuse at once who is too far back; return who goes on waiting.
 
         Holding a request that will not be served costs its caller the time in which it could have
         come back. Those who are late already only get what those on time leave.
         """
-        late_rate = _rate(self._placed_late_ms, now_ms)
-        rate = _rate(self._placed_ms, now_ms)
+        places = sum(runner.slots for runner in self.runners.values())
+        least = 1000 * places / USUAL_USE_MS
+        rate = max(least, _rate(self._placed_ms, now_ms))
+        late_rate = max(least, _rate(self._placed_late_ms, now_ms))
+        idle = FEW + sum(self._idle_seats(r, now_ms, work) for r in self.runners.values())
         kept: list[Waiter] = []
         ahead: set[str] = set()
         late_ahead: set[str] = set()
         for waiter in waiters:
             late = now_ms > waiter.on_time_until_ms
             behind = late_ahead if late else ahead
-            wait_ms = 1000 * len(behind) / max(MIN_RATE, late_rate if late else rate)
+            queued = max(0, len(behind) - idle)
+            wait_ms = 1000 * queued / max(1.0, late_rate if late else rate)
             left_ms = waiter.until_ms - now_ms
-            if left_ms <= 0 or (len(behind) > FEW and wait_ms > left_ms * PATIENCE):
+            if left_ms <= 0 or wait_ms > left_ms * PATIENCE:
                 waiter.settle(NoPlace(max(MIN_RETRY_MS, int(wait_ms))))
                 continue
             behind.add(waiter.name)
@@ -241,7 +248,7 @@
         found = [
             (runner, seat)
             for runner in self.runners.values()
-            if runner.server_id not in waiter.refused_by
+            if runner.server_id not in waiter.avoid
             and (seat := runner.ready(waiter.name)) is not None
             and seat.ref.version >= waiter.version
         ]
@@ -359,7 +366,7 @@
     def _coming(self, waiter: Waiter) -> bool:
         """Tell whether an adapter is on its way, or a place is being made for it at its home."""
         return any(
-            runner.server_id not in waiter.refused_by
+            runner.server_id not in waiter.avoid
             and (seat := runner.seats.get(waiter.name)) is not None
             and seat.state is SeatState.LOADING
             and seat.ref.version >= waiter.version
@@ -377,7 +384,7 @@
         """
         choices = []
         for runner in self.runners.values():
-            if runner.server_id in waiter.refused_by or runner.ordering or not runner.known():
+            if runner.server_id in waiter.avoid or runner.ordering or not runner.known():
                 continue
             if runner.model != waiter.name.partition("/")[0] or runner.report_at_ms:
                 continue
@@ -405,8 +412,12 @@
         self, runner: RunnerSeats, now_ms: int, work: dict[str, ServerWork]
     ) -> Seat | None:
         """Return the least valuable seat that nothing uses, or may use unheard."""
+        idle = self._idle(runner, now_ms, work)
+        return min(idle, key=lambda seat: self._value(seat, now_ms), default=None)
+
+    def _idle(self, runner: RunnerSeats, now_ms: int, work: dict[str, ServerWork]) -> list[Seat]:
         used = work.get(runner.server_id, _NO_WORK).by_adapter
-        idle = [
+        return [
             seat
             for seat in runner.seats.values()
             if seat.state is SeatState.READY
@@ -414,7 +425,9 @@
             and now_ms - seat.used_ms >= UNSEEN_MS
             and now_ms >= seat.granted_until_ms
         ]
-        return min(idle, key=lambda seat: self._value(seat, now_ms), default=None)
+
+    def _idle_seats(self, runner: RunnerSeats, now_ms: int, work: dict[str, ServerWork]) -> int:
+        return runner.free() + len(self._idle(runner, now_ms, work))
 
     def _newest_ref(self, waiter: Waiter) -> AdapterRef:
         return AdapterRef(waiter.name, max(waiter.version, self._newest.get(waiter.name, 1)))
@@ -514,7 +527,9 @@
                 self._warm(name, count * span_s, now_ms)
                 seat = runner.seats.get(name)
                 if seat is not None:
+                    # Seen in use: from here on the use itself keeps the place.
                     seat.used_ms = now_ms
+                    seat.granted_until_ms = 0
         if len(self._heat) > 8_000:
             self._heat = {n: h for n, h in self._heat.items() if self.heat(n, now_ms) > 0.001}
 
--- a/monsoonflow/routing/budget.py
+++ b/monsoonflow/routing/budget.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-USED_SHARE: Final = 0.75
-"""Share of the allowance that is used: counts of other nodes are some 200 ms old, and each of them
-may spend a retry in that time."""
+USED_SHARE: Final = 0.85
+"""Share of the allowance that is used: counts of other nodes are some 200 ms old. Besides, one
+retry is left to each of the others, which may spend it in that time."""
 
 UNHEARD_SHARE: Final = 0.15
 """Share of the reserve that one node may use when it hears of no other: seven such nodes together
@@ -102,7 +102,7 @@
         if not others:
             reserve = min(reserve, self.allowance.reserve * UNHEARD_SHARE / USED_SHARE)
         limit = (self.allowance.ratio * firsts + reserve) * USED_SHARE
-        return retries + 1 <= limit
+        return retries + 1 + len(others) <= limit
 
     def _window(self, windows: dict[str, _Window], service: str) -> _Window:
         window = windows.get(service)
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -16,6 +16,10 @@
 """How long one question waits for changes: each costs a read, and a change ends it at once."""
 
 RETRY_PAUSE_MS: Final = 250
+MAX_RETRY_PAUSE_MS: Final = 800
+"""The pause doubles up to this through an outage: all nodes ask, and each refused call costs; news
+after its end comes at most this late, and entries of servers take two seconds to be back."""
+
 STALE_PAUSE_MS: Final = 400
 """Pause before a read that was older than what is known is made again."""
 
@@ -46,6 +50,7 @@
         self._row_version_by_key: dict[str, int] = {}
         self.loaded = False
         self.lost_since_ms: int | None = None
+        self._pause_ms = RETRY_PAUSE_MS
 
     def run(self) -> None:
         """Follow the collection for good."""
@@ -111,6 +116,7 @@
         self._on_change(row)
 
     def _heard(self) -> None:
+        self._pause_ms = RETRY_PAUSE_MS
         if self.lost_since_ms is None:
             return
         out_ms = self._clock.now_ms() - self.lost_since_ms
@@ -126,4 +132,6 @@
             _LOGGER.warning(
                 "%s", pairs(event="store_lost", collection=self._collection, cause=reason)
             )
-        return RETRY_PAUSE_MS
+        pause_ms = self._pause_ms
+        self._pause_ms = min(MAX_RETRY_PAUSE_MS, pause_ms * 2)
+        return pause_ms
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -223,13 +223,14 @@
     body: bytes,
     timeout_ms: int,
     headers: tuple[Header, ...] = (),
+    host: str | None = None,
 ) -> Answer | Lost:
     """Make one control call and read its whole answer."""
     until_ms = pools.clock.now_ms() + timeout_ms
     connection = pools.take(address, address, timeout_ms=min(timeout_ms, CONNECT_TIMEOUT_MS))
     if isinstance(connection, Lost):
         return connection
-    lines = [f"{method} {target} HTTP/1.1".encode(), b"Host: " + address.encode()]
+    lines = [f"{method} {target} HTTP/1.1".encode(), b"Host: " + (host or address).encode()]
     lines += [b"%s: %s" % header for header in headers]
     if body or method in ("POST", "PUT"):
         lines.append(b"Content-Length: %d" % len(body))
--- /dev/null
+++ b/stand_ins/platform_runner.py
@@ -0,0 +1,225 @@
+"""Stands in for the platform's backend servers: model runners and servers of plain services."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import attrs
+import gevent
+import orjson
+
+from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.transport.models import CallerLeft, MessageLimits, Request
+from monsoonflow.transport.server import Port, Reply
+
+
+@attrs.define
+class RunnerFaults:
+    """How a server misbehaves.
+
+    :param fail: how many requests run and end with 500.
+    :param shed: how many requests are refused with the word that nothing ran.
+    :param shed_silently: how many are refused without that word.
+    :param lose: how many requests run and get no answer.
+    :param cut_after: events after which streams break off.
+    :param rot: how many answers carry no signature.
+    :param foreign: how many answers name another request.
+    :param slow_ms: time that a request takes.
+    """
+
+    fail: int = 0
+    shed: int = 0
+    shed_silently: int = 0
+    lose: int = 0
+    cut_after: int | None = None
+    rot: int = 0
+    foreign: int = 0
+    slow_ms: int = 5
+    lose_orders: int = 0
+
+
+class PlatformServer:
+    """A server that notes what it ran."""
+
+    def __init__(self, server_id: str, address: str, service: str, slots: int = 6) -> None:
+        self.server_id = server_id
+        self.address = address
+        self.service = service
+        self.slots = slots
+        self.faults = RunnerFaults()
+        self.ran: Counter[str] = Counter()
+        self.requests: list[Request] = []
+        self.left = 0
+        self._port = Port(address, self._handle, MessageLimits, MonotonicClock())
+
+    def start(self) -> None:
+        """Begin to serve."""
+        assert self._port.start()
+
+    def stop(self) -> None:
+        """Stop to serve."""
+        self._port.stop_listening()
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        """Return its entry in the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "zone-1",
+            "slots": self.slots,
+            "state": "ready",
+            "sequence": 1,
+            **changes,
+        }
+
+    def _handle(self, request: Request, reply: Reply) -> None:
+        expected = request.value(b"x-expect-instance")
+        if expected is not None and expected.decode() != self.server_id:
+            reply.whole(421, self._headers(request, signed=False))
+            return
+        if self._control(request, reply):
+            return
+        self._run(request, reply)
+
+    def _control(self, request: Request, reply: Reply) -> bool:
+        return False
+
+    def _run(self, request: Request, reply: Reply) -> None:
+        faults = self.faults
+        if faults.shed > 0:
+            faults.shed -= 1
+            reply.whole(503, [*self._headers(request, signed=False), (b"X-Not-Executed", b"1")])
+            return
+        if faults.shed_silently > 0:
+            faults.shed_silently -= 1
+            reply.whole(503, self._headers(request, signed=True))
+            return
+        self.ran[request.value(b"x-request-id").decode()] += 1
+        self.requests.append(request)
+        try:
+            gevent.sleep(faults.slow_ms / 1000)
+            self._answer(request, reply)
+        except CallerLeft:
+            self.left += 1
+            raise
+
+    def _answer(self, request: Request, reply: Reply) -> None:
+        faults = self.faults
+        if faults.lose > 0:
+            faults.lose -= 1
+            return
+        if faults.fail > 0:
+            faults.fail -= 1
+            reply.whole(500, self._headers(request, signed=True), b"failed")
+            return
+        if faults.rot > 0:
+            faults.rot -= 1
+            reply.whole(200, self._headers(request, signed=False), b"rotten")
+            return
+        if faults.foreign > 0:
+            faults.foreign -= 1
+            reply.whole(200, self._headers(request, signed=True, request_id=b"other"), b"foreign")
+            return
+        body = b"%s %s %s" % (self.server_id.encode(), request.target, request.body)
+        reply.whole(200, self._headers(request, signed=True), body)
+
+    def _headers(
+        self, request: Request, signed: bool, request_id: bytes | None = None
+    ) -> list[tuple[bytes, bytes]]:
+        told = request_id or request.value(b"x-request-id") or b""
+        headers = [(b"X-Request-Id", told), (b"X-Instance-Id", self.server_id.encode())]
+        if signed:
+            headers.append((b"X-Server-Signature", b"sig-" + self.server_id.encode()))
+        return headers
+
+
+class PlatformRunner(PlatformServer):
+    """A model runner with a few places for adapters."""
+
+    def __init__(
+        self, server_id: str, address: str, service: str, model: str, places: int = 3
+    ) -> None:
+        super().__init__(server_id, address, service, 96)
+        self.model: str | None = model
+        self.places = places
+        self.adapters: dict[str, int] = {}
+        self.newest: dict[str, int] = {}
+        self.sequence = 0
+        self.fence = 0
+        self.holders: list[tuple[int, str]] = []
+        self.overfull = False
+        self.events = 4
+        self.event_ms = 5
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        """Return its entry in the store."""
+        return super().entry(models=self._models(), **changes)
+
+    def _models(self) -> list[dict[str, Any]]:
+        if self.model is None:
+            return []
+        adapters = [f"{name}@{version}" for name, version in self.adapters.items()]
+        return [{"name": self.model, "version": 1, "adapters": adapters}]
+
+    def _control(self, request: Request, reply: Reply) -> bool:
+        if request.target == b"/v1/report":
+            data = {"models": self._models(), "busy": False, "sequence": self.sequence}
+            reply.whole(200, [], orjson.dumps({**data, "incoming": []}))
+            return True
+        if request.target == b"/v1/order":
+            reply.whole(self._order(orjson.loads(request.body)), [])
+            return True
+        return False
+
+    def _order(self, data: dict[str, Any]) -> int:
+        if data["fenceToken"] < self.fence:
+            return 412
+        self.fence = data["fenceToken"]
+        self.holders.append((data["fenceToken"], data["dutyHolder"]))
+        if data.get("expectedRev", self.sequence) != self.sequence:
+            return 409
+        name = data.get("adapter")
+        if name is None:
+            if self.model == data["model"]:
+                return 200
+            self.model = data["model"]
+            self.sequence += 1
+            return 202
+        if data["operation"] == "unload":
+            self.sequence += self.adapters.pop(name, None) is not None
+            return 200
+        version = data.get("version") or self.newest.get(name, 1)
+        if self.adapters.get(name) == version:
+            return 200
+        self.adapters.pop(name, None)
+        if len(self.adapters) >= self.places:
+            self.overfull = True
+        self.sequence += 1
+        self.adapters[name] = version
+        return 202
+
+    def _run(self, request: Request, reply: Reply) -> None:
+        _, _, adapter = (request.value(b"x-model") or b"").decode().partition("/")
+        expected = request.value(b"x-expect-version")
+        held = self.adapters.get(adapter)
+        if adapter and (held is None or (expected is not None and int(expected) != held)):
+            reply.whole(421, self._headers(request, signed=False))
+            return
+        super()._run(request, reply)
+
+    def _answer(self, request: Request, reply: Reply) -> None:
+        if self.faults.fail or self.faults.rot or self.faults.foreign or self.faults.lose:
+            super()._answer(request, reply)
+            return
+        after = int(request.value(b"last-event-id") or 0)
+        headers = [*self._headers(request, signed=True), (b"Content-Type", b"text/event-stream")]
+        reply.begin(200, headers, None)
+        for number in range(after + 1, self.events + 1):
+            event = b"id: %d\ndata: %s-%d\n\n" % (number, request.value(b"x-request-id"), number)
+            if self.faults.cut_after is not None and number > self.faults.cut_after:
+                reply.write(event[: len(event) // 2])
+                return
+            reply.write(event)
+            gevent.sleep(self.event_ms / 1000)
+        reply.finish()
--- /dev/null
+++ b/stand_ins/platform_store.py
@@ -0,0 +1,149 @@
+"""Stands in for the platform's metadata store: rows, transactions under conditions, change feed."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+from urllib.parse import parse_qs
+
+import attrs
+import gevent
+import orjson
+from gevent.event import Event
+
+from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.transport.models import MessageLimits, Request
+from monsoonflow.transport.server import Port, Reply
+
+JSON = [(b"Content-Type", b"application/json")]
+
+
+@attrs.define
+class StoreFaults:
+    """How the store misbehaves.
+
+    :param down: answers 503 to everything.
+    :param silent: answers nothing.
+    :param lose: how many transactions take effect without an answer.
+    :param refused: callers' addresses that get 503.
+    """
+
+    down: bool = False
+    silent: bool = False
+    lose: int = 0
+
+
+class PlatformStore:
+    """Rows of any table with one counter of versions."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.faults = StoreFaults()
+        self.version = 0
+        self.forgotten = 0
+        self.rows: dict[tuple[str, str], tuple[int, str | None]] = {}
+        self.calls = 0
+        self._changed = Event()
+        self._port = Port(address, self._handle, MessageLimits, MonotonicClock())
+
+    def start(self) -> None:
+        """Begin to serve."""
+        assert self._port.start()
+
+    def stop(self) -> None:
+        """Stop to serve."""
+        self._port.stop_listening()
+
+    def put(self, table: str, key: str, value: Any) -> int:
+        """Write a row, as the operator or a server does."""
+        return self._apply([(table, key, base64.b64encode(orjson.dumps(value)).decode())])
+
+    def remove(self, table: str, key: str) -> int:
+        """Remove a row."""
+        return self._apply([(table, key, None)])
+
+    def forget_history(self) -> None:
+        """Drop what has changed so far."""
+        self.forgotten = self.version
+        self._wake()
+
+    def _apply(self, changes: list[tuple[str, str, str | None]]) -> int:
+        self.version += 1
+        for table, key, value in changes:
+            self.rows[table, key] = (self.version, value)
+        self._wake()
+        return self.version
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed.clear()
+
+    def _handle(self, request: Request, reply: Reply) -> None:
+        self.calls += 1
+        if self.faults.silent:
+            gevent.sleep(60)
+        if self.faults.down:
+            reply.whole(503, [])
+            return
+        path, _, text = request.target.decode().partition("?")
+        query = {name: values[0] for name, values in parse_qs(text).items()}
+        match path:
+            case "/v1/rows-tx":
+                self._transact(orjson.loads(request.body), reply)
+            case "/v1/rows-get":
+                rows = self._table(query["table"], query.get("from", ""))
+                self._answer(reply, 200, {"rows": rows[: int(query.get("pageLimit", 500))]})
+            case "/v1/rows-feed":
+                self._feed(query, reply)
+            case _:
+                reply.whole(404, [])
+
+    def _table(self, table: str, start: str) -> list[dict[str, Any]]:
+        return [
+            self._row(name, key)
+            for (name, key), (_, value) in sorted(self.rows.items())
+            if name == table and key >= start and value is not None
+        ]
+
+    def _row(self, table: str, key: str) -> dict[str, Any]:
+        version, value = self.rows[table, key]
+        row = {"table": table, "part": "", "key": key, "rowVersion": version}
+        return {**row, "removed": True} if value is None else {**row, "value": value}
+
+    def _transact(self, data: dict[str, Any], reply: Reply) -> None:
+        for condition in data["expectedRev"]:
+            version, value = self.rows.get((condition["table"], condition["key"]), (0, None))
+            if (version if value is not None else 0) != condition["rowVersion"]:
+                self._answer(reply, 412, {"rows": []})
+                return
+        changes = [(row["table"], row["key"], row["value"]) for row in data["setKeys"]]
+        changes += [(row["table"], row["key"], None) for row in data["remove"]]
+        self._apply(changes)
+        if self.faults.lose > 0:
+            self.faults.lose -= 1
+            gevent.sleep(60)
+        self._answer(reply, 200, {})
+
+    def _feed(self, query: dict[str, str], reply: Reply) -> None:
+        after = int(query["after"])
+        until = gevent.get_hub().loop.now() + int(query["waitMs"]) / 1000
+        while True:
+            if self.faults.down or after < self.forgotten:
+                reply.whole(503 if self.faults.down else 410, [])
+                return
+            rows = [
+                self._row(table, key)
+                for (table, key), (version, _) in sorted(
+                    self.rows.items(), key=lambda item: item[1][0]
+                )
+                if table == query["table"] and version > after
+            ]
+            left = until - gevent.get_hub().loop.now()
+            if rows or left <= 0:
+                self._answer(reply, 200, {"rows": rows})
+                return
+            self._changed.wait(min(left, 0.2))
+            gevent.get_hub().loop.update_now()
+
+    def _answer(self, reply: Reply, status: int, data: dict[str, Any]) -> None:
+        reply.whole(status, JSON, orjson.dumps({**data, "rowVersion": self.version, "nowMs": 0}))
--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,236 @@
+"""A fleet in one process: real entry daemons on loopback, with stand-ins around them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import attrs
+import gevent
+import pytest
+from gevent import config
+
+config.resolver = "block"
+
+from monsoonflow.core.clock import MonotonicClock  # noqa: E402
+from monsoonflow.entry.daemon import EntryDaemon  # noqa: E402
+from monsoonflow.entry.settings import EntrySettings, PeerBounds, StoreBounds  # noqa: E402
+from monsoonflow.helpers.gevent_tasks import GeventTasks  # noqa: E402
+from monsoonflow.platform.outside import PlatformOutside  # noqa: E402
+from monsoonflow.transport.client import Answer, Pools, call  # noqa: E402
+from stand_ins.platform_runner import PlatformRunner, PlatformServer  # noqa: E402
+from stand_ins.platform_store import PlatformStore  # noqa: E402
+from tests.transport.conftest import free_port  # noqa: E402
+
+HOST = "h.example"
+MODEL = "m"
+WAIT_S = 6.0
+
+
+class KillableTasks(GeventTasks):
+    """Tasks that can all be ended at once, as a killed process's are."""
+
+    def __init__(self) -> None:
+        self.spawned: list[gevent.Greenlet] = []
+
+    def spawn(self, function: Callable, *arguments: Any) -> gevent.Greenlet:
+        """Start a task and remember it."""
+        greenlet = super().spawn(function, *arguments)
+        self.spawned.append(greenlet)
+        return greenlet
+
+
+def route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    fields = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 1_000,
+        "service": service,
+        "attempts": 2,
+    }
+    return {**fields, **changes}
+
+
+CONFIG: dict[str, Any] = {
+    "version": 1,
+    "routes": [
+        route("look", "idempotent", "plain"),
+        route("write", "non_idempotent", "plain", attempts=1),
+        route("read", "stream", "llm", resumable=True, gapAimMs=400),
+        route("once", "stream", "llm", resumable=False, attempts=1, gapAimMs=400),
+    ],
+    "services": [
+        {"name": "plain", "healthPath": "/health", "maxConnections": 100},
+        {
+            "name": "llm",
+            "maxConnections": 400,
+            "engineKind": {
+                "slots": 96,
+                "kvCapacity": 100_000,
+                "weightsMb": 35_200,
+                "adapterSlots": 3,
+                "loadPerS": 2.8,
+                "models": [{"name": MODEL, "weightsMb": 34_300, "loadS": 2.0, "adapterMb": 40}],
+            },
+        },
+    ],
+    "limits": {
+        "maxHeaderBytes": 16_384,
+        "maxBodyBytes": 100_000,
+        "headerTimeoutMs": 3_000,
+        "idleTimeoutMs": 15_000,
+    },
+}
+
+
+def wait_for(condition: Callable[[], Any], within_s: float = WAIT_S) -> Any:
+    """Wait until a condition holds, and return it."""
+    with gevent.Timeout(within_s):
+        while not (value := condition()):
+            gevent.sleep(0.01)
+    return value
+
+
+@attrs.define
+class Node:
+    """One entry daemon."""
+
+    daemon: EntryDaemon
+    tasks: KillableTasks
+
+    @property
+    def address(self) -> str:
+        """Return where callers reach it."""
+        return self.daemon.settings.callers_address
+
+    def kill(self) -> None:
+        """End it without a word."""
+        for port in self.daemon.ports.all():
+            port.stop_listening()
+        gevent.killall(self.tasks.spawned, block=False)
+        self.daemon.gossip.close()
+
+
+@attrs.define
+class Fleet:
+    """Stand-ins and nodes."""
+
+    store: PlatformStore
+    bounds: PeerBounds = PeerBounds(lease_ms=900, fenced=True, retry_reserve=54)
+    nodes: list[Node] = attrs.Factory(list)
+    servers: list[PlatformServer] = attrs.Factory(list)
+    ports: tuple[int, ...] = attrs.Factory(lambda: tuple(free_port() for _ in range(5)))
+    numbers: int = 0
+
+    def configure(self, **changes: Any) -> None:
+        """Write the operator's configuration."""
+        self.store.put("op", "config", {**CONFIG, **changes})
+
+    def plain(self, name: str) -> PlatformServer:
+        """Add a server of the plain service."""
+        return self._add(PlatformServer(name, f"127.0.0.1:{free_port()}", "plain"))
+
+    def runner(self, name: str, places: int = 3) -> PlatformRunner:
+        """Add a model runner."""
+        return self._add(PlatformRunner(name, f"127.0.0.1:{free_port()}", "llm", MODEL, places))
+
+    def _add(self, server: Any) -> Any:
+        server.start()
+        self.servers.append(server)
+        self.store.put("servers", server.server_id, server.entry())
+        return server
+
+    def node(self, seeds: tuple[str, ...] = ()) -> Node:
+        """Add an entry node and wait until it is ready."""
+        self.numbers += 1
+        ip = f"127.0.0.{10 + self.numbers}"
+        callers, ready, directory, peers, reports = (f"{ip}:{port}" for port in self.ports)
+        settings = EntrySettings(
+            f"n{self.numbers}",
+            ip,
+            "zone-1",
+            "region",
+            callers,
+            ready,
+            directory,
+            peers,
+            reports,
+            StoreBounds(self.store.address, 20_000),
+            self.bounds,
+            seeds,
+        )
+        tasks = KillableTasks()
+        daemon = EntryDaemon(settings, PlatformOutside(settings, MonotonicClock()), tasks=tasks)
+        assert daemon.start()
+        node = Node(daemon, tasks)
+        self.nodes.append(node)
+        wait_for(daemon.ready)
+        return node
+
+    def holder(self) -> Node:
+        """Wait for a node that holds the duty of the runners, and return it."""
+
+        def holding() -> Node | None:
+            for node in self.nodes:
+                duty = node.daemon.duties.duty_of("llm")
+                if duty is not None and duty.desk is not None:
+                    return node
+            return None
+
+        return wait_for(holding)
+
+    def ask(
+        self,
+        node: Node,
+        target: str,
+        request_id: str,
+        body: bytes = b"",
+        method: str = "POST",
+        deadline_ms: int = 2_000,
+        **headers: str,
+    ) -> Answer:
+        """Send a request to a node."""
+        told = [
+            (b"X-Request-Id", request_id.encode()),
+            (b"X-Deadline-Ms", str(deadline_ms).encode()),
+            *((name.replace("_", "-").encode(), text.encode()) for name, text in headers.items()),
+        ]
+        pools = Pools(MonotonicClock())
+        answer = call(pools, node.address, method, target, body, 5_000, tuple(told), host=HOST)
+        assert isinstance(answer, Answer), answer
+        return answer
+
+    def generate(self, node: Node, adapter: str, request_id: str, path: str = "read") -> Answer:
+        """Ask for a generation on an adapter."""
+        return self.ask(
+            node,
+            f"/{path}/x",
+            request_id,
+            b"prompt",
+            X_Model=f"{MODEL}/{adapter}",
+            X_Token_Count="100,20",
+        )
+
+    def end(self) -> None:
+        """Stop everything."""
+        for node in self.nodes:
+            node.kill()
+        for server in self.servers:
+            server.stop()
+        self.store.stop()
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    """Return a fleet with a store and the usual configuration."""
+    store = PlatformStore(f"127.0.0.1:{free_port()}")
+    store.start()
+    found = Fleet(store)
+    found.configure()
+    with gevent.Timeout(40):
+        yield found
+    found.end()
--- /dev/null
+++ b/tests/entry/test_pass_through.py
@@ -0,0 +1,214 @@
+"""Requests through a real entry node: what reaches a server, what its caller is told."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from gevent import socket
+
+from tests.entry.conftest import HOST, wait_for
+
+
+@pytest.fixture
+def one(fleet):
+    fleet.plain("i-1")
+    fleet.plain("i-2")
+    return fleet.node()
+
+
+def ran(fleet, request_id):
+    return sum(server.ran[request_id] for server in fleet.servers)
+
+
+def test_a_request_reaches_a_server_as_it_was_sent(fleet, one):
+    answer = fleet.ask(one, "/look/a%2Fb//c?x=1", "r1", b"body", X_Custom="v")
+    assert answer.head.status == 200
+    assert answer.body.endswith(b"/look/a%2Fb//c?x=1 body")
+    assert answer.head.value(b"x-server-signature").startswith(b"sig-")
+    request = next(server.requests[0] for server in fleet.servers if server.requests)
+    assert request.value(b"x-custom") == b"v"
+    assert request.value(b"host") == HOST.encode()
+    assert 1_500 < int(request.value(b"x-deadline-ms")) <= 2_000
+
+
+def test_what_only_the_system_sets_is_dropped(fleet, one):
+    """A caller sends orders to servers in its headers: a hold, a pin, another server's memory."""
+    fleet.ask(
+        one,
+        "/look/x",
+        "r1",
+        X_Hold="h",
+        X_Pin_Ms="5",
+        X_Kv_Backup="1.1.1.1:1",
+        Kv_From="1.1.1.1:1/x",
+        X_Request_Priority="0",
+        X_Expect_Version="9",
+        Connection="X-Request-Id, X-Other",
+        X_Other="o",
+    )
+    request = next(server.requests[0] for server in fleet.servers if server.requests)
+    names = {name.lower() for name, _ in request.headers}
+    assert not names & {b"x-hold", b"x-pin-ms", b"x-kv-backup", b"kv-from", b"x-other"}
+    assert not names & {b"x-request-priority", b"x-expect-version"}
+    assert request.value(b"x-request-id") == b"r1"
+
+
+def test_an_unknown_route_is_404_and_no_configuration_is_503(fleet, one):
+    assert fleet.ask(one, "/none/x", "r1").head.status == 404
+    one.daemon.beliefs.table = None
+    answer = fleet.ask(one, "/look/x", "r2")
+    assert answer.head.status == 503
+    assert answer.head.value(b"retry-after") is not None
+
+
+def test_a_request_without_an_id_is_refused(fleet, one):
+    assert fleet.ask(one, "/look/x", "").head.status == 400
+
+
+def test_a_failure_of_an_idempotent_request_is_tried_once_more_elsewhere(fleet, one):
+    for server in fleet.servers:
+        server.faults.fail = 1
+    first, second = fleet.servers
+    answer = fleet.ask(one, "/look/x", "r1")
+    assert answer.head.status == 500
+    assert (first.ran["r1"], second.ran["r1"]) == (1, 1)
+    assert fleet.ask(one, "/look/x", "r2").head.status == 200
+
+
+@pytest.mark.parametrize("fault", ["fail", "lose", "rot", "foreign", "shed_silently"])
+def test_a_request_that_may_run_once_is_sent_once(fleet, one, fault):
+    """A payment runs and its answer is lost, spoilt, or someone else's.
+
+    Sent again it would pay twice. The caller is told a failure that promises nothing.
+    """
+    for server in fleet.servers:
+        setattr(server.faults, fault, 1)
+    answer = fleet.ask(one, "/write/x", "r1", b"pay")
+    assert answer.head.status in (500, 502, 504)
+    assert ran(fleet, "r1") <= 1
+    assert sum(len(server.requests) for server in fleet.servers) <= 1
+
+
+def test_a_refusal_that_says_nothing_ran_is_followed_by_another_try(fleet, one):
+    for server in fleet.servers:
+        server.faults.shed = 1
+    answer = fleet.ask(one, "/write/x", "r1", b"pay")
+    assert answer.head.status in (200, 503)
+    if answer.head.status == 503:
+        assert ran(fleet, "r1") == 0
+        assert answer.head.value(b"retry-after") is not None
+
+
+def test_not_run_is_never_said_of_what_may_have_run(fleet, one):
+    """One server runs the request and loses the answer, the other refuses it unrun.
+
+    The last word is a refusal, but the request has run: 503 would promise that it has not.
+    """
+    first, second = fleet.servers
+    first.faults.lose = second.faults.lose = 1
+    first.faults.shed = second.faults.shed = 0
+
+    def refuse_after_loss():
+        loser, other = (first, second) if first.faults.lose == 0 else (second, first)
+        other.faults.lose, other.faults.shed = 0, 5
+        assert loser.faults.lose == 0
+
+    gevent.spawn(
+        lambda: (wait_for(lambda: first.faults.lose * second.faults.lose == 0), refuse_after_loss())
+    )
+    answer = fleet.ask(one, "/look/x", "r1")
+    assert answer.head.status not in (429, 503, 408, 421) or ran(fleet, "r1") == 0
+
+
+def test_an_answer_without_the_servers_signature_is_no_success(fleet, one):
+    for server in fleet.servers:
+        server.faults.rot = 5
+    assert fleet.ask(one, "/look/x", "r1").head.status == 502
+
+
+def test_a_server_that_took_over_an_address_runs_nothing_for_the_old_one(fleet, one):
+    """A server is gone and its address belongs to another service now.
+
+    The request names the life of the server that was meant; the other one refuses it unrun.
+    """
+    for server in fleet.servers:
+        server.server_id = "i-other"
+    answer = fleet.ask(one, "/write/x", "r1", b"pay")
+    assert answer.head.status == 503
+    assert ran(fleet, "r1") == 0
+
+
+def test_a_server_that_is_gone_is_not_asked_again_and_again(fleet, one):
+    fleet.servers[0].stop()
+    statuses = [fleet.ask(one, "/look/x", f"r{number}").head.status for number in range(20)]
+    assert statuses == [200] * 20
+
+
+def test_a_leaving_server_gets_nothing_new(fleet, one):
+    leaving, staying = fleet.servers
+    fleet.store.put("servers", "i-1", leaving.entry(state="draining"))
+    wait_for(lambda: not one.daemon.beliefs.book.takes_work("i-1"))
+    for number in range(10):
+        fleet.ask(one, "/look/x", f"r{number}")
+    assert not leaving.requests
+    assert len(staying.requests) == 10
+
+
+def test_time_over_is_answered_in_time(fleet, one):
+    """A server is at work for longer than the route allows.
+
+    The caller gets an answer at the route's time; it may have run, so nothing is promised.
+    """
+    fleet.configure(version=2, routes=[{**_write_route(), "timeoutMs": 300}])
+    wait_for(lambda: one.daemon.beliefs.table.version == 2)
+    for server in fleet.servers:
+        server.faults.slow_ms = 2_000
+    began = gevent.get_hub().loop.now()
+    answer = fleet.ask(one, "/write/x", "r1")
+    assert answer.head.status == 504
+    assert gevent.get_hub().loop.now() - began < 0.6
+    wait_for(lambda: sum(server.left for server in fleet.servers) == 1)
+
+
+def _write_route():
+    from tests.entry.conftest import route
+
+    return route("write", "non_idempotent", "plain", attempts=1)
+
+
+def test_a_caller_that_leaves_ends_the_work(fleet, one):
+    """A caller closes its connection while a server works for it.
+
+    The server's connection is closed at once: it would work on for nobody.
+    """
+    for server in fleet.servers:
+        server.faults.slow_ms = 3_000
+    host, port = one.address.split(":")
+    sock = socket.create_connection((host, int(port)))
+    sock.sendall(
+        b"POST /look/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n"
+        b"X-Deadline-Ms: 2900\r\nContent-Length: 0\r\n\r\n"
+    )
+    wait_for(lambda: ran(fleet, "r1"))
+    sock.close()
+    wait_for(lambda: sum(server.left for server in fleet.servers) == 1, 0.3)
+    assert one.daemon.in_flight.by_server == {}
+
+
+def test_an_unusable_configuration_leaves_the_last_good_one_in_force(fleet, one):
+    fleet.store.put("op", "config", {"version": 9, "routes": "none"})
+    fleet.store.put("op", "other", {"x": 1})
+    fleet.store.rows["servers", "i-bad"] = (fleet.store.version, "%%%")
+    fleet.store.put("servers", "i-worse", {"service": 5})
+    gevent.sleep(0.2)
+    assert fleet.ask(one, "/look/x", "r1").head.status == 200
+    assert one.daemon.beliefs.table.version == 1
+
+
+def test_a_lower_version_never_comes_into_force(fleet, one):
+    fleet.configure(version=5)
+    wait_for(lambda: one.daemon.beliefs.table.version == 5)
+    fleet.configure(version=4, routes=[])
+    gevent.sleep(0.2)
+    assert one.daemon.beliefs.table.version == 5
+    assert fleet.ask(one, "/look/x", "r1").head.status == 200
--- /dev/null
+++ b/tests/entry/test_streams.py
@@ -0,0 +1,195 @@
+"""Generations through real entry nodes: adapters, streams, what happens when a runner breaks."""
+
+from __future__ import annotations
+
+import re
+
+import gevent
+import pytest
+
+from tests.entry.conftest import wait_for
+
+
+@pytest.fixture
+def runners(fleet):
+    return [fleet.runner("i-1"), fleet.runner("i-2")]
+
+
+@pytest.fixture
+def one(fleet, runners):
+    node = fleet.node()
+    fleet.holder()
+    return node
+
+
+def event_ids(body: bytes) -> list[int]:
+    return [int(number) for number in re.findall(rb"^id: (\d+)$", body, re.MULTILINE)]
+
+
+def test_a_cold_adapter_is_loaded_and_serves(fleet, one, runners):
+    answer = fleet.generate(one, "a1", "r1")
+    assert answer.head.status == 200
+    assert event_ids(answer.body) == [1, 2, 3, 4]
+    assert sum("a1" in runner.adapters for runner in runners) == 1
+
+
+def test_a_request_for_the_base_model_needs_no_adapter(fleet, one):
+    answer = fleet.ask(one, "/read/x", "r1", X_Model="m", X_Token_Count="10,5")
+    assert event_ids(answer.body) == [1, 2, 3, 4]
+
+
+def test_more_adapters_than_places_are_served_in_turn(fleet, one, runners):
+    for number in range(20):
+        answer = fleet.generate(one, f"a{number}", f"r{number}")
+        assert answer.head.status == 200, number
+    assert not any(runner.overfull for runner in runners)
+
+
+def test_a_broken_stream_goes_on_at_another_runner(fleet, one, runners):
+    """A runner breaks off in the middle of an event; the route may be resumed.
+
+    The caller gets each event once, in order, in one answer with the first runner's signature.
+    """
+    for runner in runners:
+        runner.faults.cut_after = 2
+    gevent.spawn_later(0.3, lambda: [setattr(r.faults, "cut_after", None) for r in runners])
+    fleet.generate(one, "a1", "warm")
+    for runner in runners:
+        runner.faults.cut_after = None
+    holder = next(runner for runner in runners if "a1" in runner.adapters)
+    holder.faults.cut_after = 2
+    answer = fleet.generate(one, "a1", "r1")
+    assert event_ids(answer.body) == [1, 2, 3, 4]
+    assert answer.head.value(b"x-server-signature") == b"sig-" + holder.server_id.encode()
+    assert len(re.findall(rb"data: r1-\d", answer.body)) == 4
+
+
+def test_a_stream_that_may_not_be_resumed_is_cut_where_it_broke(fleet, one, runners):
+    """The route may not be resumed: whether the rest ran is unknown.
+
+    The caller sees whole events only, and that the answer is not complete.
+    """
+    fleet.generate(one, "a1", "warm")
+    for runner in runners:
+        runner.faults.cut_after = 2
+    with pytest.raises(AssertionError, match="ended inside"):
+        fleet.generate(one, "a1", "r1", path="once")
+    assert sum(runner.ran["r1"] for runner in runners) == 1
+
+
+def test_an_adapter_that_was_taken_away_is_found_or_loaded_again(fleet, one, runners):
+    """A runner restarted or another holder unloaded the adapter; this node does not know it yet."""
+    fleet.generate(one, "a1", "r1")
+    for runner in runners:
+        runner.adapters.clear()
+    assert fleet.generate(one, "a1", "r2").head.status == 200
+
+
+def test_a_new_version_answers_soon_after_it_is_named(fleet, one, runners):
+    fleet.generate(one, "a1", "r1")
+    for runner in runners:
+        runner.newest["a1"] = 2
+    fleet.store.put("op", "version/m.a1", {"model": "m", "adapter": "a1", "version": 2})
+    wait_for(lambda: one.daemon.beliefs.version_by_adapter.get("m/a1") == 2)
+    one.daemon.beliefs._named_at_by_adapter["m/a1"] -= 4_000
+    assert fleet.generate(one, "a1", "r2").head.status == 200
+    request = next(
+        r for runner in runners for r in runner.requests if r.value(b"x-request-id") == b"r2"
+    )
+    assert request.value(b"x-expect-version") == b"2"
+
+
+def test_another_node_gets_its_adapter_from_the_holder(fleet, one, runners):
+    other = fleet.node()
+    holder = fleet.holder()
+    asked = other if holder is one else one
+    assert fleet.generate(asked, "a7", "r1").head.status == 200
+    assert len({name for runner in runners for _, name in runner.holders}) == 1
+
+
+def test_a_killed_holder_is_replaced_and_its_number_never_used_again(fleet, one, runners):
+    """The node that gives orders is killed while adapters are asked for.
+
+    Another takes over with a higher fencing number, and generations go on.
+    """
+    others = [fleet.node(), fleet.node()]
+    holder = fleet.holder()
+    fleet.generate(holder, "a1", "r1")
+    holder.kill()
+    fleet.nodes.remove(holder)
+    left = fleet.nodes[0]
+    assert len(others) == 2
+    wait_for(lambda: fleet.generate(left, "a9", "r2").head.status == 200)
+    for runner in runners:
+        numbers = [fence for fence, _ in runner.holders]
+        assert numbers == sorted(numbers)
+        by_number = {(fence, name) for fence, name in runner.holders}
+        assert len(by_number) == len({fence for fence, _ in by_number})
+
+
+def test_generations_go_on_when_the_holder_is_killed_in_an_outage_of_the_store(fleet, one, runners):
+    """The store is down, then the holder is killed; nobody can claim in the store.
+
+    An heir named in the store before goes on with the number kept for it.
+    """
+    for _ in range(2):
+        fleet.node()
+    holder = fleet.holder()
+    gevent.sleep(0.8)
+    fleet.store.faults.down = True
+    gevent.sleep(0.3)
+    holder.kill()
+    fleet.nodes.remove(holder)
+    wait_for(lambda: fleet.generate(fleet.nodes[0], "a9", "r2").head.status == 200)
+    fleet.store.faults.down = False
+    gevent.sleep(1.5)
+    assert fleet.generate(fleet.nodes[0], "a10", "r3").head.status == 200
+    for runner in runners:
+        numbers = [fence for fence, _ in runner.holders]
+        assert numbers == sorted(numbers)
+
+
+def test_a_node_that_starts_in_an_outage_learns_from_the_others(fleet, one):
+    fleet.plain("p-1")
+    wait_for(lambda: one.daemon.beliefs.book.of_service("plain"))
+    fleet.store.faults.down = True
+    late = fleet.node(seeds=(one.daemon.settings.peer_address,))
+    assert fleet.ask(late, "/look/x", "r1").head.status == 200
+
+
+def test_a_node_cut_off_from_the_store_gets_a_newer_configuration_from_the_others(fleet, one):
+    other = fleet.node()
+    wait_for(lambda: other.daemon.view.alive("n1", other.daemon.clock.now_ms()))
+    other.daemon.followed.operator._feed.changes = lambda *_: gevent.sleep(60)
+    gevent.sleep(0.1)
+    fleet.configure(version=7)
+    wait_for(lambda: one.daemon.beliefs.table.version == 7)
+    other.daemon.beliefs.table = one.daemon.beliefs.table.__class__(
+        1, {}, {}, one.daemon.beliefs.table.limits
+    )
+    wait_for(lambda: other.daemon.beliefs.table.version == 7)
+
+
+def test_a_stop_ends_no_request_and_hands_the_duty_on(fleet, one, runners):
+    """A node gets the word to stop while a stream runs through it.
+
+    The stream goes on to its end, the node is no longer named, and another gives the orders.
+    """
+    from monsoonflow.entry import stopping
+
+    other = fleet.node()
+    holder = fleet.holder()
+    for runner in runners:
+        runner.events, runner.event_ms = 20, 40
+    fleet.generate(holder, "a1", "warm")
+    answers = []
+    gevent.spawn(lambda: answers.append(fleet.generate(holder, "a1", "r1")))
+    gevent.sleep(0.2)
+    stopping_now = gevent.spawn(stopping.stop_gracefully, holder.daemon)
+    wait_for(lambda: answers)
+    assert event_ids(answers[0].body) == list(range(1, 21))
+    assert not holder.daemon.ready()
+    rest = other if holder is one else one
+    wait_for(lambda: rest.daemon.duties.duty_of("llm").desk is not None)
+    stopping_now.join(10)
+    assert stopping_now.ready()
--- /dev/null
+++ b/tests/fleet/test_view.py
@@ -0,0 +1,101 @@
+"""Tests of what nodes know of each other."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.fleet import codec
+from monsoonflow.fleet.models import DutyClaim, HeldAdapters, NodeCard, NodeReport
+from monsoonflow.fleet.view import ALIVE_MS, SPENT_FADES_MS, FleetView
+from monsoonflow.routing.budget import Spent
+from monsoonflow.routing.in_flight import ServerWork
+
+REPORT = NodeReport(
+    name="b",
+    boot="b-1",
+    sequence=7,
+    ready=True,
+    leaving=False,
+    config_version=12,
+    store_heard=True,
+    work_by_server={"i-1": ServerWork(2, 100, 300, Counter({"m/a1": 2}))},
+    spent_by_service={"s": Spent(10, 2)},
+    left_servers=("i-9",),
+    versions=(AdapterRef("m/a1", 3),),
+    claims=(DutyClaim("s", "b", 4),),
+    residency=(HeldAdapters("i-1", (AdapterRef("m/a1", 3),)),),
+)
+
+
+@pytest.fixture
+def view():
+    found = FleetView("a")
+    found.heard(REPORT, 0)
+    return found
+
+
+def test_a_report_survives_the_wire():
+    assert codec.decode(codec.encode(REPORT)) == REPORT
+
+
+@given(st.binary(max_size=200))
+@settings(max_examples=200, derandomize=True)
+def test_no_datagram_breaks_the_reader(data):
+    assert codec.decode(data) is None
+
+
+@given(st.recursive(st.none() | st.integers(-9, 9) | st.text(max_size=5), st.lists, max_leaves=12))
+@settings(max_examples=200, derandomize=True)
+def test_no_json_breaks_the_reader(data):
+    codec.decode(orjson.dumps([1, data, data, 1, 1, 1, data, data, data, data, data, data]))
+
+
+def test_an_overtaken_report_is_dropped(view):
+    assert not view.heard(attrs.evolve(REPORT, sequence=6, ready=False), 10)
+    assert view.report_of("b").ready
+    assert view.heard(attrs.evolve(REPORT, boot="b-2", sequence=1), 20)
+
+
+def test_a_node_unheard_is_down(view):
+    assert view.alive("b", ALIVE_MS)
+    assert not view.alive("b", ALIVE_MS + 1)
+    assert view.reports(ALIVE_MS + 1) == []
+
+
+def test_a_node_whose_port_refuses_is_down_at_once(view):
+    view.refused("b")
+    assert not view.alive("b", 1)
+    view.heard(attrs.evolve(REPORT, sequence=8), 5)
+    assert view.alive("b", 6)
+
+
+def test_the_retries_of_a_silent_node_count_until_the_window_has_passed(view):
+    assert view.spent("s", SPENT_FADES_MS) == [Spent(10, 2)]
+    assert view.spent("s", SPENT_FADES_MS + 1) == []
+
+
+def test_work_is_summed_over_the_others(view):
+    view.heard(attrs.evolve(REPORT, name="c"), 0)
+    work = view.work_at("i-1", 10)
+    assert (work.requests, work.by_adapter["m/a1"]) == (4, 4)
+
+
+def test_the_highest_epoch_names_the_holder(view):
+    view.claimed(DutyClaim("s", "c", 3))
+    assert view.claim_of("s").holder == "b"
+    view.claimed(DutyClaim("s", "c", 5))
+    assert view.claim_of("s").holder == "c"
+
+
+def test_nodes_are_counted_by_card_and_by_report(view):
+    view.card(NodeCard("z", "b", "dc", "1.1.1.1:1", "1.1.1.1:2", "1.1.1.1:3"))
+    assert view.nodes() == 3
+    view.card_gone("z")
+    assert view.nodes() == 2
--- /dev/null
+++ b/tests/placement/conftest.py
@@ -0,0 +1,190 @@
+"""Runners that carry out orders in virtual time."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.discovery.models import HeldModel
+from monsoonflow.orders.models import (
+    Accepted,
+    Operation,
+    OrderAnswer,
+    RunnerReport,
+    Stale,
+    Unanswered,
+)
+from monsoonflow.placement.desk import Desk, Placed, Waiter
+from monsoonflow.placement.seats import Step
+from monsoonflow.routing.in_flight import ServerWork
+from monsoonflow.routing.routes import BaseModel, EngineTraits
+
+MODEL = "m"
+TRAITS = EngineTraits(
+    batch=96,
+    memory_tokens=100_000,
+    weights_mb=35_200,
+    adapter_slots=6,
+    loads_per_s=2.8,
+    models=(BaseModel(MODEL, 34_300, 2_000, 1_000, 40, 3_000),),
+)
+
+
+@attrs.define
+class FakeRunner:
+    """A runner as its protocol describes it; it crashes when it is ordered to hold too much."""
+
+    server_id: str
+    slots: int = 6
+    model: str | None = MODEL
+    sequence: int = 0
+    held: dict[str, int] = attrs.Factory(dict)
+    coming: dict[str, tuple[int, int]] = attrs.Factory(dict)
+    known: set = attrs.Factory(set)
+    model_at_ms: int | None = None
+    crashed: bool = False
+
+    def settle(self, now_ms: int) -> None:
+        """Let loads that are due complete."""
+        for name, (version, at_ms) in list(self.coming.items()):
+            if now_ms >= at_ms:
+                self.held[name] = version
+                self.known.add((name, version))
+                del self.coming[name]
+        if self.model_at_ms is not None and now_ms >= self.model_at_ms:
+            self.model, self.model_at_ms = MODEL, None
+
+    def order(self, step: Step, now_ms: int) -> OrderAnswer:
+        """Carry out an order."""
+        self.settle(now_ms)
+        if step.sequence != self.sequence:
+            return Stale("sequence")
+        if "/" not in step.name:
+            return self._load_model(now_ms)
+        if step.operation is Operation.UNLOAD:
+            self.sequence += self.held.pop(step.name, None) is not None
+            return Accepted(complete=True)
+        version = step.version or 1
+        if self.held.get(step.name) == version:
+            return Accepted(complete=True)
+        if step.name in self.coming:
+            return Accepted(complete=False)
+        if len(self.coming) >= 4:
+            return Stale("four on their way")
+        self.held.pop(step.name, None)
+        if len(self.held) + len(self.coming) >= self.slots:
+            self.crashed = True
+        self.sequence += 1
+        took_ms = 25 if (step.name, version) in self.known else 250
+        self.coming[step.name] = (version, now_ms + took_ms)
+        return Accepted(complete=False)
+
+    def _load_model(self, now_ms: int) -> OrderAnswer:
+        if self.model is not None:
+            return Accepted(complete=True)
+        if self.model_at_ms is None:
+            self.sequence += 1
+            self.model_at_ms = now_ms + 2_000
+        return Accepted(complete=False)
+
+    def report(self) -> RunnerReport:
+        """Return what it says of itself."""
+        adapters = tuple(AdapterRef(name, version) for name, version in self.held.items())
+        models = (HeldModel(MODEL, 1, adapters),) if self.model else ()
+        incoming = tuple(AdapterRef(name, version) for name, (version, _) in self.coming.items())
+        return RunnerReport(self.sequence, False, models, incoming)
+
+
+@attrs.define
+class World:
+    """A desk with its runners and requests."""
+
+    desk: Desk
+    runners: dict[str, FakeRunner]
+    now_ms: int = 1_000
+    work: dict[str, ServerWork] = attrs.Factory(dict)
+    settled: dict[str, object] = attrs.Factory(dict)
+    newest: dict[str, int] = attrs.Factory(dict)
+    lose: int = 0
+    late: list = attrs.Factory(list)
+    steps: list[Step] = attrs.Factory(list)
+
+    def ask(self, name: str, tag: str = "", **changes: object) -> Waiter:
+        """Let a request ask for an adapter."""
+        tag = tag or name
+        waiter = Waiter(
+            name=f"{MODEL}/{name}",
+            version=1,
+            priority=1,
+            since_ms=self.now_ms,
+            on_time_until_ms=self.now_ms + 700,
+            until_ms=self.now_ms + 3_000,
+            avoid=frozenset(),
+            settle=lambda result: self.settled.__setitem__(tag, result),
+        )
+        waiter = attrs.evolve(waiter, **changes)
+        self.desk.ask(waiter, self.now_ms, self.work)
+        return waiter
+
+    def run(self, for_ms: int, every_ms: int = 10) -> None:
+        """Let time pass."""
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            self.now_ms += every_ms
+            self.turn()
+
+    def turn(self) -> None:
+        """Let the desk plan once and its orders be answered."""
+        for due_ms, step in list(self.late):
+            if self.now_ms >= due_ms:
+                self.late.remove((due_ms, step))
+                self.runners[step.server_id].order(step, self.now_ms)
+        for server_id in self.desk.wants_report(self.now_ms):
+            runner = self.runners[server_id]
+            runner.settle(self.now_ms)
+            self.desk.reported(server_id, runner.report(), self.now_ms)
+        self.desk.settle_waiters(self.now_ms, self.work)
+        for step in self.desk.plan(self.now_ms, self.work):
+            self.steps.append(step)
+            if self.lose > 0 and not step.confirms:
+                self.lose -= 1
+                self.late.append((self.now_ms + 3_000, step))
+                self.desk.answered(step, Unanswered("lost"), self.now_ms)
+                continue
+            answer = self.runners[step.server_id].order(step, self.now_ms)
+            self.desk.answered(step, answer, self.now_ms)
+        self.desk.settle_waiters(self.now_ms, self.work)
+        assert not any(runner.crashed for runner in self.runners.values())
+
+    def use(self, server_id: str, name: str, requests: int = 1, unread: int = 0) -> None:
+        """Let requests be in progress."""
+        work = self.work.setdefault(server_id, ServerWork())
+        work.requests += requests
+        work.unread_tokens += unread
+        work.by_adapter[f"{MODEL}/{name}"] += requests
+
+    def free(self, server_id: str, name: str) -> None:
+        """Let them end."""
+        self.work[server_id].by_adapter.pop(f"{MODEL}/{name}")
+
+    def placed(self, tag: str) -> str | None:
+        """Return where a request was placed."""
+        result = self.settled.get(tag)
+        return result.server_id if isinstance(result, Placed) else None
+
+
+@pytest.fixture
+def make_world():
+    """Return a function that makes a world with some runners."""
+
+    def make(count: int = 1, traits: EngineTraits = TRAITS, **runner: object) -> World:
+        newest: dict[str, int] = {}
+        world = World(Desk(traits, newest), {}, newest=newest)
+        for number in range(count):
+            server_id = f"i-{number}"
+            world.runners[server_id] = FakeRunner(server_id, **runner)
+            world.desk.came(server_id)
+        return world
+
+    return make
--- /dev/null
+++ b/tests/placement/test_desk.py
@@ -0,0 +1,261 @@
+"""Tests of who loads which adapter, when and for whom."""
+
+from __future__ import annotations
+
+import attrs
+
+from monsoonflow.orders.models import Operation, Superseded
+from monsoonflow.placement.desk import NoPlace
+from tests.placement.conftest import MODEL, TRAITS
+
+
+def test_an_adapter_is_loaded_for_who_asks(make_world):
+    world = make_world()
+    world.ask("a1")
+    world.run(240)
+    assert "a1" not in world.settled
+    world.run(60)
+    assert world.placed("a1") == "i-0"
+
+
+def test_requests_for_one_adapter_share_one_load(make_world):
+    world = make_world(3)
+    for number in range(10):
+        world.ask("a1", f"r{number}")
+    world.run(400)
+    assert len({world.placed(f"r{number}") for number in range(10)}) == 1
+    assert world.desk.loads == 1
+
+
+def test_an_adapter_goes_back_to_the_runner_that_held_it(make_world):
+    """A rare adapter is asked for, pushed out by others, and asked for again.
+
+    Its runner keeps a copy: 25 ms instead of 250, and nothing is fetched from the weight store.
+    """
+    world = make_world(3)
+    world.ask("a1")
+    world.run(400)
+    home = world.placed("a1")
+    for number in range(40):
+        world.ask(f"b{number}")
+        world.run(400)
+    assert not any(runner.held.get(f"{MODEL}/a1") for runner in world.runners.values())
+    cold = world.desk.cold_loads
+    world.ask("a1", "again")
+    world.run(80)
+    assert world.placed("again") == home
+    assert world.desk.cold_loads == cold
+
+
+def test_what_is_in_use_is_never_unloaded(make_world):
+    """All places are taken by running requests, and more adapters are asked for.
+
+    None of them may make way; those who ask wait.
+    """
+    world = make_world()
+    for number in range(6):
+        world.ask(f"a{number}")
+        world.run(300)
+        world.use("i-0", f"a{number}")
+    world.ask("b")
+    world.run(1_000)
+    assert not [step for step in world.steps if step.operation is Operation.UNLOAD]
+    world.free("i-0", "a3")
+    world.run(500)
+    assert world.placed("b") == "i-0"
+    dropped = [s.name for s in world.steps if s.operation is Operation.UNLOAD]
+    assert set(dropped) == {f"{MODEL}/a3"}
+
+
+def test_a_place_that_was_just_granted_is_kept_for_its_request(make_world):
+    """A request is told where its adapter is; its node's report of the use is not here yet.
+
+    Unloaded in between, the adapter would be fetched again for the same request.
+    """
+    world = make_world(slots=6)
+    for number in range(6):
+        world.ask(f"a{number}")
+    world.run(400)
+    world.ask("b")
+    world.run(300)
+    assert world.placed("b") is None
+    world.run(700)
+    assert world.placed("b") == "i-0"
+
+
+def test_who_can_be_on_time_goes_before_who_is_late_already(make_world):
+    """A rush: twenty rare adapters at once, and all places in use but one.
+
+    In the order of arrival the oldest, whose answer is late already, would get the place.
+    """
+    world = make_world()
+    for number in range(5):
+        world.ask(f"a{number}")
+        world.run(300)
+        world.use("i-0", f"a{number}")
+    world.ask("held")
+    world.run(300)
+    world.use("i-0", "held")
+    world.ask("late", on_time_until_ms=world.now_ms - 1)
+    world.run(50)
+    world.ask("fresh")
+    world.free("i-0", "held")
+    world.run(700)
+    assert world.placed("fresh") == "i-0"
+    assert world.placed("late") is None
+
+
+def test_more_urgent_requests_go_first(make_world):
+    world = make_world()
+    for number in range(6):
+        world.ask(f"a{number}")
+        world.run(300)
+        world.use("i-0", f"a{number}")
+    world.ask("bulk", priority=2)
+    world.ask("urgent", priority=0)
+    world.free("i-0", "a0")
+    world.run(500)
+    assert world.placed("urgent") == "i-0"
+    assert world.placed("bulk") is None
+
+
+def test_the_hopeless_are_refused_at_once_with_a_time_to_come_back(make_world):
+    """Nothing ends for seconds and fifty requests come.
+
+    Held until their time is over they would cost their callers the time in which to come back.
+    """
+    world = make_world()
+    for number in range(6):
+        world.ask(f"a{number}")
+        world.run(300)
+        world.use("i-0", f"a{number}")
+    world.run(3_000)
+    for number in range(50):
+        world.ask(f"b{number}")
+    refused = [r for r in world.settled.values() if isinstance(r, NoPlace)]
+    assert len(refused) >= 40
+    assert all(r.retry_after_ms >= 250 for r in refused)
+
+
+def test_a_few_may_always_wait(make_world):
+    world = make_world()
+    for number in range(6):
+        world.ask(f"a{number}")
+        world.run(300)
+        world.use("i-0", f"a{number}")
+    world.run(3_000)
+    world.ask("b")
+    assert "b" not in world.settled
+
+
+def test_no_more_cold_loads_at_once_than_the_store_carries(make_world):
+    """Sixty rare adapters are asked for at the same moment.
+
+    Beyond eight at once each load takes longer in proportion: all would be late.
+    """
+    world = make_world(6)
+    for number in range(60):
+        world.ask(f"a{number}")
+    most = 0
+    for _ in range(100):
+        world.run(10)
+        most = max(most, sum(len(runner.coming) for runner in world.runners.values()))
+    assert most == 8
+
+
+def test_a_lost_answer_is_settled_by_the_same_order_again(make_world):
+    """The answer to an order is lost, and the order is carried out three seconds later.
+
+    Its place stays taken; the order is repeated under the same condition, so that only one of the
+    two takes effect, however late the other comes. The runner would crash if it held one too many.
+    """
+    world = make_world()
+    world.lose = 3
+    for number in range(14):
+        world.ask(f"a{number}", until_ms=world.now_ms + 20_000)
+    world.run(8_000)
+    assert sum(world.placed(f"a{number}") is not None for number in range(14)) == 14
+    assert world.late == []
+
+
+def test_a_runner_that_has_other_orders_is_asked_what_it_holds(make_world):
+    world = make_world()
+    world.ask("a1")
+    world.run(400)
+    runner = world.runners["i-0"]
+    runner.held[f"{MODEL}/other"] = 1
+    runner.sequence += 1
+    world.ask("a2")
+    world.run(600)
+    assert world.placed("a2") == "i-0"
+    assert world.desk.runners["i-0"].ready(f"{MODEL}/other") is not None
+
+
+def test_a_runner_that_lost_its_model_gets_it_again(make_world):
+    world = make_world(model=None)
+    world.ask("a1", until_ms=10_000)
+    world.run(3_500)
+    assert world.runners["i-0"].model == MODEL
+    assert world.placed("a1") == "i-0"
+
+
+def test_models_are_loaded_no_faster_than_the_store_allows(make_world):
+    """All runners crash together.
+
+    The weight store allows a rate over all runners; an older holder may have used part of it.
+    """
+    world = make_world(40, model=None)
+    world.run(300)
+    began = [step for step in world.steps if not step.confirms]
+    assert 1 <= len(began) <= TRAITS.loads_per_s * 5
+
+
+def test_a_new_version_replaces_an_idle_old_one(make_world):
+    world = make_world()
+    world.ask("a1")
+    world.run(400)
+    world.newest[f"{MODEL}/a1"] = 2
+    world.ask("a1", "new", version=2)
+    world.run(600)
+    assert world.placed("new") == "i-0"
+    assert world.settled["new"].version == 2
+
+
+def test_a_new_version_comes_beside_an_old_one_that_is_in_use(make_world):
+    """A version is named while requests run on the old one.
+
+    A replacement in place waits for their end, and all new requests would wait with it.
+    """
+    world = make_world(2)
+    world.ask("a1")
+    world.run(400)
+    old = world.placed("a1")
+    world.use(old, "a1")
+    world.newest[f"{MODEL}/a1"] = 2
+    world.ask("a1", "new", version=2)
+    world.run(600)
+    assert world.placed("new") not in (None, old)
+
+
+def test_the_bound_on_adapters_follows_from_the_weights_too(make_world):
+    traits = attrs.evolve(TRAITS, weights_mb=34_300 + 100)
+    world = make_world(traits=traits, slots=2)
+    for number in range(10):
+        world.ask(f"a{number}", until_ms=world.now_ms + 20_000)
+    world.run(8_000)
+    assert max(len(r.held) + len(r.coming) for r in world.runners.values()) <= 2
+
+
+def test_a_runner_that_knows_a_newer_holder_ends_the_duty(make_world):
+    world = make_world()
+    world.run(50)
+    world.ask("a1")
+    step = world.desk.plan(world.now_ms, {})[0]
+    assert not world.desk.answered(step, Superseded(), world.now_ms)
+
+
+def test_who_waits_is_sent_on_when_the_duty_ends(make_world):
+    world = make_world()
+    world.ask("a1")
+    world.desk.close()
+    assert world.settled == {"a1": None}
--- /dev/null
+++ b/tests/storage/test_watch.py
@@ -0,0 +1,104 @@
+"""Tests of following rows through outages, lost history and stale reads."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import pytest
+
+from monsoonflow.core.clock import ManualClock
+from monsoonflow.storage.models import ChangedRow, Changes, HistoryLost, Unavailable
+from monsoonflow.storage.watch import CollectionWatch
+
+
+class Feed:
+    """Gives prepared answers, in turn."""
+
+    def __init__(self):
+        self.answers = deque()
+        self.asked_after = []
+
+    def read_all(self, collection):
+        """Return the next answer."""
+        return self.answers.popleft()
+
+    def changes(self, collection, after, wait_ms):
+        """Return the next answer and note the question."""
+        self.asked_after.append(after)
+        return self.answers.popleft()
+
+
+@pytest.fixture
+def feed():
+    return Feed()
+
+
+@pytest.fixture
+def seen():
+    return []
+
+
+@pytest.fixture
+def returned():
+    return []
+
+
+@pytest.fixture
+def watch(feed, seen, returned):
+    return CollectionWatch(
+        feed, "t", None, ManualClock(), seen.append, lambda: returned.append(True)
+    )
+
+
+def rows(version, *changed):
+    return Changes(tuple(ChangedRow(key, at, body) for key, at, body in changed), version)
+
+
+def play(watch, feed, *answers):
+    feed.answers.extend(answers)
+    return [watch.step() for _ in answers]
+
+
+def test_everything_is_read_then_changes_follow(watch, feed, seen):
+    play(watch, feed, rows(5, ("a", 3, b"1")), rows(6, ("a", 6, b"2")), rows(7, ("a", 7, None)))
+    assert [row.body for row in seen] == [b"1", b"2", None]
+    assert feed.asked_after == [5, 6]
+
+
+def test_a_stale_read_after_lost_history_is_not_taken(watch, feed, seen):
+    """The history is dropped; the next read comes from a copy that is seconds behind.
+
+    Taken, it would bring back a server that has left and a configuration that was replaced.
+    """
+    play(watch, feed, rows(5, ("a", 3, b"old")), rows(9, ("a", 9, b"new")), HistoryLost())
+    assert play(watch, feed, rows(6, ("a", 3, b"old")))[0] > 0
+    assert [row.body for row in seen] == [b"old", b"new"]
+    play(watch, feed, rows(11, ("a", 9, b"new"), ("b", 11, b"x")))
+    assert [row.body for row in seen] == [b"old", b"new", b"x"]
+
+
+def test_what_is_missing_after_lost_history_is_gone(watch, feed, seen):
+    play(watch, feed, rows(5, ("a", 3, b"1"), ("b", 4, b"1")), HistoryLost())
+    play(watch, feed, rows(9, ("a", 3, b"1")))
+    assert (seen[-1].key, seen[-1].body) == ("b", None)
+
+
+def test_an_outage_is_told_once_and_its_end_before_the_rows(watch, feed, seen, returned):
+    lost = Unavailable("down")
+    pauses = play(watch, feed, rows(5, ("a", 3, b"1")), lost, lost)
+    assert pauses[1] > 0
+    assert watch.lost_since_ms is not None
+    play(watch, feed, rows(6, ("a", 6, b"2")))
+    assert returned == [True]
+    assert watch.lost_since_ms is None
+
+
+def test_pauses_grow_through_an_outage(watch, feed):
+    """Seven nodes ask three times each, every 250 ms of an outage: each refused call costs."""
+    pauses = play(watch, feed, *[Unavailable("down")] * 8)
+    assert pauses[0] < pauses[-1] <= 1_000
+
+
+def test_rows_are_never_taken_backwards(watch, feed, seen):
+    play(watch, feed, rows(5, ("a", 4, b"4")), rows(6, ("a", 3, b"3")))
+    assert [row.body for row in seen] == [b"4"]
