Test the translation; refuse an empty port range and rows that are not base64

Cause: the new tests found both: an empty portRange ended the process with a trace, a malformed row was decoded to bytes. Ruled out: nothing else failed. Before: trace; row taken. After: one line and exit 2; row logged and skipped.

--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -56,7 +56,7 @@
         return _decode(fields)
     except KeyError as error:
         return SettingError(str(error.args[0]), "missing in the settings file")
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError, IndexError) as error:
         return SettingError("settings-file", f"{path}: {error}")
 
 
--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -164,7 +164,7 @@
 def _changed(entry: Any) -> ChangedRow | None:
     """Return a row; a malformed one is logged and skipped, it must never stop a process."""
     try:
-        body = None if entry.get("removed") else base64.b64decode(entry["value"])
+        body = None if entry.get("removed") else base64.b64decode(entry["value"], validate=True)
         return ChangedRow(str(entry["key"]), int(entry["rowVersion"]), body)
     except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
         _LOGGER.warning("%s", pairs(event="malformed_row", row=str(entry)[:120], cause=repr(error)))
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,311 @@
+"""Tests of what the platform's words become in the product."""
+
+from __future__ import annotations
+
+import copy
+
+import attrs
+import gevent
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.gateway.models import Malformed, Onward
+from monsoonflow.helpers.settings import SettingError
+from monsoonflow.orders.models import Accepted, Operation, Order, Stale, Superseded, Unusable
+from monsoonflow.platform.configuration import decode_adapter_version, decode_routes
+from monsoonflow.platform.engine import EngineControl
+from monsoonflow.platform.headers import HeaderDialect
+from monsoonflow.platform.servers import decode_server
+from monsoonflow.platform.settings import SettingsFile, read_settings
+from monsoonflow.platform.store import PlatformStore
+from monsoonflow.routing.routes import RouteKind
+from monsoonflow.storage.models import (
+    Changes,
+    Committed,
+    Conflict,
+    HistoryLost,
+    Transaction,
+    Unavailable,
+)
+from monsoonflow.transport.models import AnswerHead, Request
+from stand_ins.platform_runner import PlatformRunner
+from stand_ins.platform_store import PlatformStore as StoreStandIn
+from tests.entry.conftest import CONFIG
+from tests.transport.conftest import free_port
+
+SETTINGS = """
+nodeName = "n1"
+bindIp = "10.1.0.38"
+zone = "z-1"
+region = "r"
+portRange = [7380, 7395]
+seedNodes = ["10.1.0.38:8144", "10.2.0.40:8144"]
+somethingNew = [1, 2]
+[listenAddrs]
+front = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+control = "10.1.0.38:8144"
+directory = "10.1.0.38:8143"
+[contractParams]
+leaseMs = 3500
+graceS = 8
+requireFence = true
+budgetRatio = 0.25
+[platform]
+address = "10.200.1.7:8142"
+historyS = 20
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    return str(path)
+
+
+def test_settings_become_the_products_own(tmp_path):
+    settings = read_settings(write(tmp_path, SETTINGS))
+    assert (settings.name, settings.data_centre) == ("n1", "z-1")
+    assert settings.callers_address == "10.1.0.38:8149"
+    assert settings.peer_address == "10.1.0.38:8144"
+    assert settings.report_address == "10.1.0.38:7380"
+    assert (settings.bounds.lease_ms, settings.bounds.grace_ms) == (3_500, 8_000)
+    assert settings.bounds.fenced
+    assert settings.bounds.retry_ratio == 0.25
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        ('nodeName = "n1"', ""),
+        ('front = "10.1.0.38:8149"', 'front = "nowhere"'),
+        ("leaseMs = 3500", "leaseMs = 0"),
+        ("leaseMs = 3500", 'leaseMs = "soon"'),
+        ("[platform]", "[platform"),
+        ("portRange = [7380, 7395]", "portRange = []"),
+    ],
+)
+def test_a_wrong_setting_is_told_in_one_line(tmp_path, before, after):
+    error = read_settings(write(tmp_path, SETTINGS.replace(before, after)))
+    assert isinstance(error, SettingError)
+    assert "\n" not in error.line()
+
+
+def test_a_missing_file_is_told_in_one_line(tmp_path):
+    assert isinstance(read_settings(str(tmp_path / "none")), SettingError)
+
+
+def test_settings_are_read_again_only_when_the_file_has_changed(tmp_path):
+    path = write(tmp_path, SETTINGS)
+    file = SettingsFile(path)
+    assert file.read().bounds.lease_ms == 3_500
+    assert file.reread() is None
+    write(tmp_path, SETTINGS.replace("3500", "30000"))
+    assert file.reread().bounds.lease_ms == 30_000
+
+
+def test_routes_and_services_are_decoded():
+    table = decode_routes(orjson.dumps(CONFIG))
+    route = table.match("h.example", "/read/x")
+    assert route.kind is RouteKind.STREAM
+    assert (route.resumable, route.repeatable, route.pause_ms) == (True, True, 400)
+    assert not table.match("h.example", "/once/x").repeatable
+    assert not table.match("h.example", "/write/x").repeatable
+    assert table.service_by_name["llm"].engine.model("m").memory_mb == 34_300
+    assert table.limits.body_bytes == 100_000
+
+
+def test_a_split_route_follows_its_weights():
+    import random
+
+    config = copy.deepcopy(CONFIG)
+    config["routes"][0].pop("service")
+    config["routes"][0]["trafficSplit"] = [
+        {"service": "plain", "weight": 90},
+        {"service": "llm", "weight": 10},
+        {"service": "none", "weight": 0},
+    ]
+    route = decode_routes(orjson.dumps(config)).match("h.example", "/look/x")
+    rng = random.Random(1)
+    chosen = [route.choose_service(rng) for _ in range(1_000)]
+    assert 850 < chosen.count("plain") < 950
+    assert "none" not in chosen
+
+
+@given(
+    st.recursive(
+        st.none() | st.integers(-9, 9) | st.text(max_size=5),
+        lambda inner: st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["routes", "services", "version", "host"]), inner, max_size=3
+        ),
+        max_leaves=10,
+    )
+)
+@settings(max_examples=200, derandomize=True)
+def test_no_row_stops_a_process(value):
+    body = orjson.dumps(value)
+    decode_routes(body)
+    decode_adapter_version(body)
+    decode_server("i", body)
+
+
+def test_an_adapter_version_names_model_and_adapter():
+    body = orjson.dumps({"model": "m", "adapter": "a7", "version": 3})
+    assert decode_adapter_version(body) == AdapterRef("m/a7", 3)
+
+
+def test_a_server_entry_is_decoded():
+    body = orjson.dumps(
+        {
+            "service": "s",
+            "address": "10.0.0.1:80",
+            "zone": "z",
+            "slots": 96,
+            "state": "draining",
+            "remainingMs": 1_500,
+            "models": [{"name": "m", "version": 1, "adapters": ["a1@2"]}],
+        }
+    )
+    server = decode_server("i-1", body)
+    assert server.leaving
+    assert server.leaves_in_ms == 1_500
+    assert server.models[0].adapters == (AdapterRef("m/a1", 2),)
+
+
+def request(*headers, body=b""):
+    told = [(b"Host", b"h"), (b"X-Request-Id", b"r1"), *headers]
+    return Request(b"POST", b"/a/b?c=1", "1.1", told, body, True, 0)
+
+
+def test_a_call_is_read_from_its_headers():
+    call = HeaderDialect().read_call(
+        request(
+            (b"X-Model", b"m/a17"),
+            (b"X-Token-Count", b"1460,80"),
+            (b"X-Prompt-Prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+            (b"X-Deadline-Ms", b"4000"),
+            (b"Last-Event-Id", b"12"),
+        )
+    )
+    assert (call.model, call.adapter) == ("m", "m/a17")
+    assert (call.prompt_tokens, call.output_tokens) == (1_460, 80)
+    assert (call.session, call.deadline_ms, call.last_event) == ("e4402b7d", 4_000, b"12")
+    assert call.path == "/a/b"
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"X-Request-Id", b"r2"),
+        (b"X-Deadline-Ms", b"soon"),
+        (b"X-Token-Count", b"a,b"),
+        (b"X-Model", b"\xff"),
+    ],
+)
+def test_a_call_that_can_not_be_understood_is_malformed(header):
+    assert isinstance(HeaderDialect().read_call(request(header)), Malformed)
+
+
+def test_the_head_to_a_server_keeps_the_callers_and_adds_ours():
+    head = HeaderDialect().onward_head(
+        request((b"X-a", b"1"), (b"Connection", b"close"), (b"Last-Event-Id", b"3"), body=b"xy"),
+        Onward(1_234, "i-1", priority=2, expect_version=4, last_event=b"9"),
+    )
+    lines = head.decode().split("\r\n")
+    assert lines[0] == "POST /a/b?c=1 HTTP/1.1"
+    assert "X-a: 1" in lines
+    assert not [line for line in lines if line.lower().startswith("connection")]
+    for line in ("X-Deadline-Ms: 1234", "X-Expect-Instance: i-1", "X-Request-Priority: 2"):
+        assert line in lines
+    assert "X-Expect-Version: 4" in lines
+    assert [line for line in lines if line.startswith("Last-Event")] == ["Last-Event-Id: 9"]
+    assert "Content-Length: 2" in lines
+
+
+def test_only_the_servers_own_word_means_that_nothing_ran():
+    dialect = HeaderDialect()
+
+    def terms(status, *headers):
+        return dialect.read_answer(AnswerHead(status, b"", list(headers), 0, False))
+
+    assert terms(503, (b"X-Not-Executed", b"1")).not_run
+    assert terms(421).not_run
+    assert not terms(503).not_run
+    assert not terms(429).not_run
+
+
+@pytest.fixture
+def store():
+    found = StoreStandIn(f"127.0.0.1:{free_port()}")
+    found.start()
+    with gevent.Timeout(15):
+        yield found
+    found.stop()
+
+
+def test_a_transaction_under_a_condition(store):
+    client = PlatformStore(store.address, MonotonicClock())
+    first = client.commit_once(Transaction("op-1", {"k": 0}, {"k": {"v": 1}}))
+    assert isinstance(first, Committed)
+    assert isinstance(client.commit_once(Transaction("op-2", {"k": 0}, {"k": {}})), Conflict)
+    row = client.get("k")
+    assert (row.value["v"], row.value["op"], row.version) == (1, "op-1", first.version)
+    assert client.get("other") is None
+    store.faults.down = True
+    result = client.commit_once(Transaction("op-3", {}, {"k": {}}))
+    assert isinstance(result, Unavailable)
+    assert not result.ambiguous
+
+
+def test_a_lost_answer_leaves_it_open_whether_a_write_took_effect(store):
+    client = PlatformStore(store.address, MonotonicClock())
+    store.faults.lose = 1
+    result = client.commit_once(Transaction("op-1", {"k": 0}, {"k": {"v": 1}}))
+    assert isinstance(result, Unavailable)
+    assert result.ambiguous
+
+
+def test_changes_are_followed(store):
+    client = PlatformStore(store.address, MonotonicClock())
+    store.put("op", "a", {"x": 1})
+    whole = client.read_all("op")
+    assert [row.key for row in whole.rows] == ["a"]
+    gevent.spawn_later(0.1, store.remove, "op", "a")
+    changes = client.changes("op", whole.version, 2_000)
+    assert isinstance(changes, Changes)
+    assert [(row.key, row.body) for row in changes.rows] == [("a", None)]
+    store.forget_history()
+    assert isinstance(client.changes("op", 0, 100), HistoryLost)
+
+
+def test_a_malformed_row_is_skipped(store):
+    store.put("op", "good", {"x": 1})
+    store.rows["op", "bad"] = (store.version, "%")
+    whole = PlatformStore(store.address, MonotonicClock()).read_all("op")
+    assert [row.key for row in whole.rows] == ["good"]
+
+
+def test_orders_and_reports():
+    runner = PlatformRunner("i-1", f"127.0.0.1:{free_port()}", "llm", "m")
+    runner.start()
+    control = EngineControl(MonotonicClock())
+    order = Order(Operation.LOAD, "m/a1", None, 0, "n1", 5)
+    try:
+        assert control.order("i-1", runner.address, order) == Accepted(complete=False)
+        assert isinstance(control.order("i-1", runner.address, order), Stale)
+        again = attrs.evolve(order, sequence=1)
+        assert control.order("i-1", runner.address, again) == Accepted(complete=True)
+        old = attrs.evolve(again, fence=4)
+        assert control.order("i-1", runner.address, old) == Superseded()
+        assert isinstance(control.order("i-2", runner.address, again), Unusable)
+        report = control.report("i-1", runner.address)
+        assert report.sequence == 1
+        assert report.models[0].adapters == (AdapterRef("m/a1", 1),)
+        assert control.report("i-2", runner.address) is None
+    finally:
+        runner.stop()
