--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -45,6 +45,11 @@
 SAME_SERVER_PAUSE_MS: Final = 40
 """Pause before a server that was not ready to take a request is asked again."""
 
+LATE_RANKS: Final = 5
+"""How many ranks a request falls back at a runner once its latency objective has passed."""
+
+LAST_RANK: Final = 9
+
 ANSWER_EARLY_MS: Final = 15
 """How long before a request's time is over the answer is written, so that it arrives in time."""
 
@@ -215,11 +220,22 @@
         return Onward(
             left_ms=max(1, job.deadline_at_ms - now_ms),
             server_id=chosen.server_id,
-            priority=min(job.route.priority, 9) if engine else None,
+            priority=self._priority(job, now_ms) if engine else None,
             expect_version=chosen.expect_version,
             last_event=last_event,
         )
 
+    def _priority(self, job: Job, now_ms: int) -> int:
+        """Return the rank at the runner, 0 first.
+
+        Who is late already goes behind who can still be on time: in the order of arrival a backlog
+        would make all of them late. Who has had a part of its answer goes first.
+        """
+        if job.resuming():
+            return 0
+        late = now_ms > job.request.arrived_ms + job.route.objective_ms
+        return min(job.route.priority + (LATE_RANKS if late else 0), LAST_RANK)
+
     def _settled(self, job: Job, reply: Reply, chosen: Chosen, result: Try) -> bool:
         """Answer the caller, or tell that another try follows."""
         match result:
