--- a/monsoonflow/cli/operate.py
+++ b/monsoonflow/cli/operate.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from datetime import datetime
 from pathlib import Path
 from typing import Any, ClassVar
 from urllib.parse import quote
@@ -15,6 +16,7 @@
 from cleo.io.inputs.option import Option
 
 from ..helpers.http import Answer, HttpClient, Lost
+from ..report import timeline
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -175,7 +177,7 @@
 
 
 class ExplainCommand(Remote):
-    """Tells what was decided about a request or a runner."""
+    """Tells what was decided about a request or a runner, from a node or from logs."""
 
     name = "explain"
     description = "Tell in plain words what was decided about a request or a runner, and why."
@@ -185,10 +187,17 @@
     options: ClassVar[list[Option]] = [
         *COMMON,
         option("runner", None, "A runner in place of a request.", flag=False),
+        option(
+            "logs", None, "A node's log file; may be given several times.", False, multiple=True
+        ),
+        option("around", None, "With --logs: a time of day as logged.", flag=False),
+        option("server", None, "With --logs and --around: only this server.", flag=False),
     ]
 
     def handle(self) -> int:
         """Print the explanation."""
+        if self.option("logs"):
+            return self._from_logs()
         runner, request = self.option("runner"), self.argument("request")
         if bool(runner) == bool(request):
             print("name either a request or --runner", file=sys.stderr)
@@ -196,3 +205,32 @@
         kind, subject = ("runners", runner) if runner else ("requests", request)
         data = self.call("GET", f"/v1/explain/{kind}/{quote(subject, safe='')}")
         return EXIT_FAILED if data is None else self.show(data, data["lines"])
+
+    def _from_logs(self) -> int:
+        entries: list[timeline.LogEntry] = []
+        for name in self.option("logs"):
+            try:
+                with open(name, errors="replace") as file:
+                    entries += timeline.read(file, Path(name).stem)
+            except OSError as error:
+                print(f"{name}: {error.strerror}", file=sys.stderr)
+                return EXIT_USAGE
+        request, moment = self.argument("request"), self.option("around")
+        if bool(request) == bool(moment):
+            print("with --logs name either a request or --around", file=sys.stderr)
+            return EXIT_USAGE
+        if request:
+            lines = timeline.of_request(entries, request)
+        else:
+            try:
+                at_ms = int(datetime.fromisoformat(moment).timestamp() * 1000)
+            except ValueError:
+                print(
+                    f"--around {moment!r} is not a time like 2026-04-04T20:09:12", file=sys.stderr
+                )
+                return EXIT_USAGE
+            lines = timeline.around(entries, at_ms, self.option("server"))
+        if not lines:
+            print("nothing of it is in these files", file=sys.stderr)
+            return EXIT_FAILED
+        return self.show(lines, lines)
--- a/monsoonflow/cli/report.py
+++ b/monsoonflow/cli/report.py
@@ -10,6 +10,7 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
+from ..report.entry_burn import burns
 from ..report.merge import Burn, lines, merge
 from .operate import COMMON, EXIT_FAILED, EXIT_USAGE, Remote
 
@@ -21,11 +22,23 @@
     description = "Report how fast each objective's budget burns, over all nodes."
     options: ClassVar[list[Option]] = [
         *COMMON,
+        option(
+            "metrics",
+            None,
+            "Metrics of an entry node in a file, in place of asking nodes; may be repeated.",
+            False,
+            multiple=True,
+        ),
+        option(
+            "share", None, "With --metrics: share that should be on time.", False, default="0.95"
+        ),
         option("plot", None, "Write a plot to this PNG file (needs matplotlib).", flag=False),
     ]
 
     def handle(self) -> int:
         """Gather, merge and print."""
+        if self.option("metrics"):
+            return self._from_metrics()
         status = self.call("GET", "/v1/status")
         if status is None:
             return EXIT_FAILED
@@ -42,6 +55,19 @@
             return EXIT_USAGE
         return self.show([attrs.asdict(burn) for burn in burns], lines(burns))
 
+    def _from_metrics(self) -> int:
+        try:
+            share = float(self.option("share"))
+            texts = [Path(name).read_text() for name in self.option("metrics")]
+        except (OSError, ValueError) as error:
+            print(error, file=sys.stderr)
+            return EXIT_USAGE
+        if not 0 < share < 1:
+            print("--share must be between 0 and 1", file=sys.stderr)
+            return EXIT_USAGE
+        found = burns(texts, share)
+        return self.show([attrs.asdict(burn) for burn in found], [b.line() for b in found])
+
 
 def _plot(burns: list[Burn], path: Path) -> bool:
     try:
--- a/monsoonflow/discovery/book.py
+++ b/monsoonflow/discovery/book.py
@@ -5,7 +5,7 @@
 import logging
 from typing import Final
 
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from .models import BackendServer
 
 _LOGGER = logging.getLogger(__name__)
@@ -39,13 +39,10 @@
         if server.leaving:
             self.left(server.server_id, now_ms, "said so")
         elif known is None:
-            _LOGGER.info(
-                "%s",
-                pairs(
-                    event="server_came",
-                    server=server.server_id,
-                    service=server.service,
-                    address=server.address,
+            log(
+                _LOGGER,
+                events.ServerCame(
+                    server=server.server_id, service=server.service, address=server.address
                 ),
             )
 
@@ -75,7 +72,7 @@
         if server_id not in self._left_at_by_id:
             self._left_at_by_id[server_id] = now_ms
             self.version += 1
-            _LOGGER.info("%s", pairs(event="server_leaves", server=server_id, cause=cause))
+            log(_LOGGER, events.ServerLeaves(server=server_id, cause=cause))
 
     def settle(self, now_ms: int) -> list[str]:
         """Drop what stayed missing; return the ids that are gone."""
--- a/monsoonflow/entry/beliefs.py
+++ b/monsoonflow/entry/beliefs.py
@@ -8,7 +8,7 @@
 from ..core.clock import Clock
 from ..discovery.book import ServerBook
 from ..fleet.models import NodeReport
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from ..routing.routes import RouteTable
 
 _LOGGER = logging.getLogger(__name__)
@@ -34,14 +34,9 @@
             return False
         self.table = table
         self.table_body = body
-        _LOGGER.info(
-            "%s",
-            pairs(
-                event="configuration",
-                version=table.version,
-                routes=len(table.routes()),
-                source=source,
-            ),
+        log(
+            _LOGGER,
+            events.Configuration(version=table.version, routes=len(table.routes()), source=source),
         )
         return True
 
@@ -51,7 +46,7 @@
             return False
         self.version_by_adapter[ref.name] = ref.version
         self._named_at_by_adapter[ref.name] = self._clock.now_ms()
-        _LOGGER.info("%s", pairs(event="adapter_version", adapter=str(ref), source=source))
+        log(_LOGGER, events.AdapterVersion(adapter=str(ref), source=source))
         return True
 
     def named_ms_ago(self, adapter: str) -> int | None:
--- a/monsoonflow/entry/cards.py
+++ b/monsoonflow/entry/cards.py
@@ -10,7 +10,7 @@
 from ..fleet.models import NodeCard
 from ..fleet.view import FleetView
 from ..helpers.ids import new_id
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from ..storage.models import Committed, Table, Transaction
 from .following import CARD_PREFIX, encode_card
 
@@ -50,7 +50,7 @@
         result = self._table.commit(Transaction(new_id("op"), {}, {key: encode_card(self._card)}))
         self.written = isinstance(result, Committed)
         if self.written:
-            _LOGGER.info("%s", pairs(event="card_written", node=self._card.name))
+            log(_LOGGER, events.CardWritten(node=self._card.name))
         return self.written
 
     def _clear_away(self) -> None:
@@ -68,4 +68,4 @@
             if now_ms - since_ms > GONE_AFTER_MS and alive[0] == self._card.name:
                 self._table.commit(Transaction(new_id("op"), {}, {}, (CARD_PREFIX + name,)))
                 self._missing_since_by_name.pop(name)
-                _LOGGER.info("%s", pairs(event="card_removed", node=name))
+                log(_LOGGER, events.CardRemoved(node=name))
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -23,10 +23,11 @@
 from ..gateway.handler import Gateway
 from ..gateway.models import Dialect
 from ..gateway.plain import PlainChooser
+from ..gateway.record import Record
 from ..helpers.gevent_tasks import GeventTasks
 from ..helpers.ids import new_id
-from ..helpers.logfmt import pairs
 from ..helpers.settings import SettingError
+from ..logs import events, log
 from ..orders.models import RunnerControl
 from ..routing.budget import FleetRetryBudget, RetryAllowance
 from ..routing.condition import Conditions
@@ -41,6 +42,7 @@
 from .cards import CardKeeper
 from .duties import Duties
 from .following import Decoders, Followed, Following
+from .metrics import EntryMetrics
 from .peers import PeerApi, PeerClient
 from .pulse import Pulse
 from .settings import EntrySettings
@@ -69,6 +71,9 @@
     def runners(self) -> RunnerControl:
         """Return the way to the runners."""
 
+    def store_calls(self) -> int:
+        """Return how many calls to the store were made."""
+
     def readiness(self, ready: Callable[[], bool]) -> Handler:
         """Return the handler of the readiness address."""
 
@@ -84,10 +89,11 @@
     ready: Port
     directory: Port
     peers: Port
+    metrics: Port
 
     def all(self) -> tuple[Port, ...]:
         """Return all ports; callers are taken last, when everything else answers."""
-        return (self.ready, self.directory, self.peers, self.callers)
+        return (self.ready, self.directory, self.peers, self.metrics, self.callers)
 
 
 class EntryDaemon:
@@ -112,6 +118,7 @@
         self.in_flight = InFlight(self._adapter_use_changed)
         self.conditions = Conditions()
         self.pools = Pools(self.clock)
+        self.metrics = EntryMetrics()
         self.pulse = Pulse(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._sequence = 0
         self._stop = Event()
@@ -143,6 +150,7 @@
         self.followed: Followed | None = None
         self.cards = CardKeeper(self._card(), self.table, self.view, self.tasks, self.clock)
         self.ports = self._ports(outside)
+        self._watch_gauges(outside)
 
     def run(self) -> int:
         """Serve until the word to stop; return the process's exit status."""
@@ -172,10 +180,9 @@
         self.tasks.spawn(self._learn_from_peers)
         self.tasks.spawn(self._sweep_for_good)
         self.duties.start()
-        _LOGGER.info(
-            "%s",
-            pairs(
-                event="started",
+        log(
+            _LOGGER,
+            events.Started(
                 node=self.settings.name,
                 boot=self.boot,
                 callers=self.settings.callers_address,
@@ -190,10 +197,10 @@
         if changed is None or changed == self.settings:
             return
         if isinstance(changed, SettingError):
-            _LOGGER.error("%s", pairs(event="unusable_settings", cause=changed.line()))
+            log(_LOGGER, events.UnusableSettings(cause=changed.line()))
             return
         if changed.listens_at() != self.settings.listens_at():
-            _LOGGER.error("%s", pairs(event="unusable_settings", cause="addresses changed"))
+            log(_LOGGER, events.UnusableSettings(cause="addresses changed"))
             return
         self.settings = changed
         bounds = changed.bounds
@@ -201,7 +208,7 @@
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_ms
         )
         self.duties.bounds_changed(bounds)
-        _LOGGER.info("%s", pairs(event="reloaded", seeds=",".join(changed.seeds)))
+        log(_LOGGER, events.Reloaded(seeds=",".join(changed.seeds)))
 
     def ready(self) -> bool:
         """Tell whether callers should come here: a node that knows no routes refuses all."""
@@ -215,14 +222,13 @@
     def report(self) -> NodeReport:
         """Return this node's word about itself."""
         self._sequence += 1
-        table = self.beliefs.table
         return NodeReport(
             name=self.settings.name,
             boot=self.boot,
             sequence=self._sequence,
             ready=self.ready(),
             leaving=self.leaving,
-            config_version=table.version if table else 0,
+            config_version=self.report_version(),
             store_heard=self.followed is not None and self.followed.reaches_store(),
             work_by_server=self.in_flight.by_server,
             spent_by_service=self.budget.all_spent(self.clock.now_ms()),
@@ -240,6 +246,25 @@
         self.duties.wake()
         self.gossip.send_now()
 
+    def _watch_gauges(self, outside: Outside) -> None:
+        def of(name: str, help_text: str, read: Callable[[], float]) -> None:
+            self.metrics.watch(name, help_text, read)
+
+        beliefs, now_ms = self.beliefs, self.clock.now_ms
+        of("ready", "Whether callers should come here.", lambda: float(self.ready()))
+        of("config_version", "Configuration in force.", lambda: self.report_version())
+        of("servers", "Backend servers known.", lambda: len(beliefs.book.by_id))
+        of("peers", "Other nodes heard.", lambda: len(self.view.reports(now_ms())))
+        of("duties", "Duties held.", lambda: len(self.duties.claims()))
+        of("in_progress", "Requests in progress.", lambda: self.ports.callers.active)
+        of("store_calls", "Calls to the store since the start.", outside.store_calls)
+        of("connections_opened", "Connections to servers opened.", lambda: self.pools.opened)
+        of("report_bytes", "Bytes of reports sent.", lambda: self.gossip.sent_bytes)
+
+    def report_version(self) -> int:
+        """Return the version of the configuration in force; 0 without one."""
+        return self.beliefs.table.version if self.beliefs.table is not None else 0
+
     def _adapter_use_changed(self) -> None:
         """Tell the holders soon: a place whose use has ended is needed by others."""
         if self.duties.holds_all():
@@ -273,6 +298,7 @@
             PlainChooser(*shared, self.rng, settings.data_centre),
             EngineChooser(*shared, self.duties.placement, self.rng, settings.data_centre),
             self.rng,
+            Record(self.clock, self.metrics),
         )
         addresses = AddressBook(
             self.view,
@@ -289,6 +315,7 @@
                 settings.directory_address, outside.directory(addresses.choose), usual, self.clock
             ),
             peers=Port(settings.peer_address, PeerApi(self).handle, usual, self.clock),
+            metrics=Port(settings.metrics_address, self.metrics.handle, usual, self.clock),
         )
 
     def _limits(self) -> MessageLimits:
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -11,9 +11,8 @@
 
 from ..core.adapter import AdapterRef
 from ..fleet.models import DutyClaim, HeldAdapters
-from ..gateway.handler import Job
+from ..gateway.job import Job
 from ..gateway.models import Call, Chosen, NoServer
-from ..helpers.logfmt import pairs
 from ..orders.models import Gone, Order, RunnerControl, Superseded
 from ..placement.desk import Desk, NoPlace, Placed, Waiter
 from ..placement.seats import SeatState, Step
@@ -30,6 +29,8 @@
 if TYPE_CHECKING:
     from .daemon import EntryDaemon
 
+from ..logs import events, log
+
 _LOGGER = logging.getLogger(__name__)
 LEASE_STEP_MS: Final = 100
 SUMMARY_EVERY_MS: Final = 1_000
@@ -172,6 +173,26 @@
 
     def ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
         """Have the adapter loaded somewhere; waits until it is there."""
+        clock = self._daemon.clock
+        began_ms = clock.now_ms()
+        found = self._ask(call, route, service, job)
+        waited_ms = clock.now_ms() - began_ms
+        result = "placed" if isinstance(found, Chosen) else "refused"
+        self._daemon.metrics.place_wait.labels(result).observe(waited_ms / 1000)
+        claim = self._daemon.view.claim_of(service.name)
+        log(
+            _LOGGER,
+            events.RequestWaited(
+                request=call.request_id,
+                adapter=call.adapter or "",
+                holder=claim.holder if claim is not None else None,
+                result=result,
+                waited_ms=waited_ms,
+            ),
+        )
+        return found
+
+    def _ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
         clock = self._daemon.clock
         until_ms = clock.now_ms() + int((job.until_ms - clock.now_ms()) * WAIT_SHARE)
         adapter = call.adapter or ""
@@ -413,10 +434,9 @@
             for runner in desk.runners.values()
             for name in runner.seats
         )
-        _LOGGER.info(
-            "%s",
-            pairs(
-                event="seats",
+        log(
+            _LOGGER,
+            events.Seats(
                 cell=duty.service.name,
                 runners=len(desk.runners),
                 known=sum(runner.known() for runner in desk.runners.values()),
@@ -461,15 +481,17 @@
             daemon.settings.name,
             duty.epoch,
         )
+        sent_ms = daemon.clock.now_ms()
         answer = self._control.order(step.server_id, server.address, order)
         if isinstance(answer, Gone):
             self._gone(desk, step.server_id)
         now_ms = daemon.clock.now_ms()
+        daemon.metrics.orders.labels(step.operation.value, type(answer).__name__.lower()).inc()
+        daemon.metrics.order_time.observe((now_ms - sent_ms) / 1000)
         if not step.confirms:
-            _LOGGER.info(
-                "%s",
-                pairs(
-                    event="order",
+            log(
+                _LOGGER,
+                events.Order(
                     server=step.server_id,
                     operation=step.operation.value,
                     name=step.name,
--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -16,7 +16,7 @@
 from ..discovery.models import BackendServer
 from ..fleet.models import NodeCard
 from ..fleet.view import FleetView
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from ..routing.routes import RouteTable
 from ..storage.models import ChangedRow, ChangeFeed
 from ..storage.watch import CollectionWatch
@@ -174,7 +174,7 @@
                 self._on_news()
         elif ref is not None:
             # The last good one stays in force.
-            _LOGGER.error("%s", pairs(event="unusable_row", row=row.key, cause=ref))
+            log(_LOGGER, events.UnusableRow(row=row.key, cause=ref))
 
     def _server(self, row: ChangedRow) -> None:
         self._note("servers", row)
@@ -185,7 +185,7 @@
         else:
             server = self._decoders.server(row.key, row.body)
             if isinstance(server, str):
-                _LOGGER.warning("%s", pairs(event="unusable_row", row=row.key, cause=server))
+                log(_LOGGER, events.UnusableRow(row=row.key, cause=server))
                 return
             book.put(server, now_ms)
         if not book.takes_work(row.key):
@@ -206,7 +206,7 @@
             return
         card = decode_card(row.body)
         if card is None:
-            _LOGGER.warning("%s", pairs(event="unusable_row", row=row.key))
+            log(_LOGGER, events.UnusableRow(row=row.key))
             return
         self._view.card(card)
 
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -14,7 +14,7 @@
 from ..fleet.view import FleetView
 from ..helpers.hashing import rank
 from ..helpers.ids import new_id
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from ..ownership.duty import MAX_HEIRS, DutyRow, DutyWatch, HeldDuty
 from ..ownership.models import LeaseTiming
 from ..storage.models import ChangedRow, Committed, Conflict, Row, Table, Transaction, Unavailable
@@ -152,14 +152,9 @@
         """Write that the duty is free, so that another node takes it at once."""
         released = attrs.evolve(row, counter=row.counter + 1, released=True)
         result = self._commit(released, version)
-        _LOGGER.info(
-            "%s",
-            pairs(
-                event="duty_released",
-                cell=self.cell,
-                epoch=row.epoch,
-                result=type(result).__name__,
-            ),
+        log(
+            _LOGGER,
+            events.DutyReleased(cell=self.cell, epoch=row.epoch, result=type(result).__name__),
         )
 
     def _inherit(self, now_ms: int) -> None:
@@ -184,10 +179,7 @@
         self._inherited = True
         self._renewed_ms = now_ms
         self._view.claimed(DutyClaim(self.cell, self._node, inherited.epoch))
-        _LOGGER.info(
-            "%s",
-            pairs(event="duty_inherited", cell=self.cell, epoch=inherited.epoch, before=row.holder),
-        )
+        log(_LOGGER, events.DutyInherited(cell=self.cell, epoch=inherited.epoch, before=row.holder))
 
     def _silent(self, name: str, now_ms: int) -> bool:
         """Tell whether a node is unheard, or says that it stops and has let its duties go."""
@@ -234,14 +226,9 @@
             self._inherited = False
             self._renewed_ms = now_ms
             self._view.claimed(DutyClaim(self.cell, self._node, epoch))
-            _LOGGER.info(
-                "%s",
-                pairs(
-                    event="duty_won",
-                    cell=self.cell,
-                    epoch=epoch,
-                    before=known.holder if known else None,
-                ),
+            log(
+                _LOGGER,
+                events.DutyWon(cell=self.cell, epoch=epoch, before=known.holder if known else None),
             )
         elif isinstance(result, Conflict):
             if self._inherited:
@@ -270,9 +257,7 @@
                 self._read_row()
             case Unavailable(reason=reason):
                 if not self.store_lost:
-                    _LOGGER.warning(
-                        "%s", pairs(event="renewal_failed", cell=self.cell, cause=reason)
-                    )
+                    log(_LOGGER, events.RenewalFailed(cell=self.cell, cause=reason))
                 self.store_lost = True
 
     def superseded(self) -> None:
@@ -284,7 +269,7 @@
         epoch = self.held.row.epoch if self.held.row is not None else 0
         self.held.lost()
         self._inherited = False
-        _LOGGER.info("%s", pairs(event="duty_lost", cell=self.cell, epoch=epoch, cause=cause))
+        log(_LOGGER, events.DutyLost(cell=self.cell, epoch=epoch, cause=cause))
 
     def _read_row(self) -> None:
         row = self._table.get(DUTY_PREFIX + self.cell)
--- /dev/null
+++ b/monsoonflow/entry/metrics.py
@@ -0,0 +1,102 @@
+"""The metrics of an entry node; no label takes a value for each adapter, server or caller."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from ..transport.models import Request
+from ..transport.server import Reply
+
+PATH: Final = b"/metrics"
+SECONDS: Final = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0, 8.0, 16.0)
+SMALL_SECONDS: Final = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+PREFIX: Final = "monsoonflow_entry_"
+
+
+class EntryMetrics:
+    """One entry node's metrics in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests",
+            "Requests by kind of route, priority and how they ended.",
+            "kind",
+            "priority",
+            "outcome",
+        )
+        self.objectives = self._counter(
+            "objectives",
+            "Requests by kind of route, priority and latency objective.",
+            "kind",
+            "priority",
+            "result",
+        )
+        self.first_answer = self._histogram(
+            "first_answer_seconds", "Arrival to the first byte of an answer.", SECONDS, "kind"
+        )
+        self.whole_answer = self._histogram(
+            "whole_answer_seconds", "Arrival to the end of an answer.", SECONDS, "kind"
+        )
+        self.place_wait = self._histogram(
+            "place_wait_seconds", "Wait for a place for an adapter.", SECONDS, "result"
+        )
+        self.orders = self._counter(
+            "orders", "Orders to runners by what and how they were answered.", "operation", "answer"
+        )
+        self.order_time = self._histogram(
+            "order_seconds", "Time of an order's answer.", SMALL_SECONDS
+        )
+        self.tries = self._counter("tries", "Tries of requests at servers by result.", "result")
+        self.retries = self._counter(
+            "retries",
+            "Further tries wanted, by whether the budget allowed them.",
+            "allowed",
+        )
+        self.resumes = self._counter("resumes", "Streams that went on at another server.")
+        self.log_lines_dropped = self._counter("log_lines_dropped", "Log lines never written.")
+
+    def ended(
+        self, kind: str, priority: int, outcome: str, objective: str, first_ms: int | None, ms: int
+    ) -> None:
+        """Count a request's end."""
+        self.requests.labels(kind, str(priority), outcome).inc()
+        self.objectives.labels(kind, str(priority), objective).inc()
+        if first_ms is not None:
+            self.first_answer.labels(kind).observe(first_ms / 1000)
+            self.whole_answer.labels(kind).observe(ms / 1000)
+
+    def tried(self, result: str) -> None:
+        """Count a try at a server."""
+        self.tries.labels(result).inc()
+
+    def again(self, allowed: bool) -> None:
+        """Count a wish to try again."""
+        self.retries.labels("yes" if allowed else "no").inc()
+
+    def resumed(self) -> None:
+        """Count a stream that goes on elsewhere."""
+        self.resumes.inc()
+
+    def watch(self, name: str, help_text: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when it is asked for."""
+        Gauge(PREFIX + name, help_text, registry=self.registry).set_function(read)
+
+    def handle(self, request: Request, reply: Reply) -> None:
+        """Answer with all metrics as text."""
+        if request.target.partition(b"?")[0] != PATH:
+            reply.whole(404, [])
+            return
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")]
+        reply.whole(200, headers, generate_latest(self.registry))
+
+    def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
+        return Counter(PREFIX + name, help_text, labels, registry=self.registry)
+
+    def _histogram(
+        self, name: str, help_text: str, buckets: tuple[float, ...], *labels: str
+    ) -> Histogram:
+        return Histogram(PREFIX + name, help_text, labels, buckets=buckets, registry=self.registry)
--- a/monsoonflow/entry/peers.py
+++ b/monsoonflow/entry/peers.py
@@ -8,7 +8,6 @@
 
 from ..core.clock import Clock
 from ..fleet.view import FleetView
-from ..helpers.logfmt import pairs
 from ..routing.routes import RouteTable
 from ..transport.client import Answer, Pools, call
 from ..transport.models import Lost, Request
@@ -19,6 +18,8 @@
 if TYPE_CHECKING:
     from .daemon import EntryDaemon
 
+from ..logs import events, log
+
 _LOGGER = logging.getLogger(__name__)
 CONFIGURATION_PATH: Final = "/v1/peer/configuration"
 STATE_PATH: Final = "/v1/peer/state"
@@ -58,7 +59,7 @@
                 continue
             table = self._decode(answer.body)
             if isinstance(table, str):
-                _LOGGER.error("%s", pairs(event="unusable_peer_configuration", cause=table))
+                log(_LOGGER, events.UnusablePeerConfiguration(cause=table))
                 continue
             beliefs.take_table(table, answer.body, report.name)
             return
@@ -77,7 +78,7 @@
                 continue
             if following.taught(answer.body):
                 self.taught = True
-                _LOGGER.info("%s", pairs(event="learnt_from_peer", address=address))
+                log(_LOGGER, events.LearntFromPeer(address=address))
                 return
 
 
--- a/monsoonflow/entry/pulse.py
+++ b/monsoonflow/entry/pulse.py
@@ -7,7 +7,7 @@
 
 from ..core.clock import Clock
 from ..core.tasks import Tasks
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 
 _LOGGER = logging.getLogger(__name__)
 EVERY_MS: Final = 50
@@ -40,7 +40,7 @@
         gap_ms = now_ms - self._beat_ms
         if gap_ms > GAP_MS:
             self._thawed_until_ms = now_ms + self._thaw_ms
-            _LOGGER.warning("%s", pairs(event="was_frozen", for_ms=gap_ms))
+            log(_LOGGER, events.WasFrozen(for_ms=gap_ms))
         self._beat_ms = now_ms
 
     def steady(self) -> bool:
--- a/monsoonflow/entry/settings.py
+++ b/monsoonflow/entry/settings.py
@@ -62,6 +62,7 @@
     :param directory_address: where callers ask which address to use.
     :param peer_address: where other entry processes call this one (TCP).
     :param report_address: where their reports come (UDP).
+    :param metrics_address: where metrics are read.
     :param seeds: peer addresses of some nodes, which may be out of date.
     """
 
@@ -74,6 +75,7 @@
     directory_address: str = attrs.field(validator=_address)
     peer_address: str = attrs.field(validator=_address)
     report_address: str = attrs.field(validator=_address)
+    metrics_address: str = attrs.field(validator=_address)
     store: StoreBounds
     bounds: PeerBounds = PeerBounds()
     seeds: tuple[str, ...] = ()
@@ -89,4 +91,5 @@
             self.directory_address,
             self.peer_address,
             self.report_address,
+            self.metrics_address,
         )
--- a/monsoonflow/entry/stopping.py
+++ b/monsoonflow/entry/stopping.py
@@ -5,11 +5,11 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from ..helpers.logfmt import pairs
-
 if TYPE_CHECKING:
     from .daemon import EntryDaemon
 
+from ..logs import events, log
+
 _LOGGER = logging.getLogger(__name__)
 OUTLAST_ADDRESSES_MS: Final = 2_500
 """Callers may come for so long after the last address answer that named this node."""
@@ -23,7 +23,7 @@
 def stop_gracefully(daemon: EntryDaemon) -> None:
     """Give up duties, send callers elsewhere, and end when the last request has been answered."""
     started_ms = daemon.clock.now_ms()
-    _LOGGER.info("%s", pairs(event="stopping", in_progress=daemon.ports.callers.active))
+    log(_LOGGER, events.Stopping(in_progress=daemon.ports.callers.active))
     daemon.leaving = True
     daemon.duties.give_up()
     daemon.gossip.send_now()
@@ -38,11 +38,9 @@
     daemon.tasks.sleep(CHECK_EVERY_MS)
     while daemon.clock.now_ms() < end_ms and daemon.ports.callers.active:
         daemon.tasks.sleep(CHECK_EVERY_MS)
-    _LOGGER.info(
-        "%s",
-        pairs(
-            event="stopped",
-            in_progress=daemon.ports.callers.active,
-            took_ms=daemon.clock.now_ms() - started_ms,
+    log(
+        _LOGGER,
+        events.Stopped(
+            in_progress=daemon.ports.callers.active, took_ms=daemon.clock.now_ms() - started_ms
         ),
     )
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -16,7 +16,7 @@
 
 from ..core.clock import Clock
 from ..core.tasks import Tasks
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from ..transport.sockets import split_address
 from . import codec
 from .models import NodeReport
@@ -81,14 +81,14 @@
     def _send(self, addresses: list[str]) -> None:
         data = codec.encode(self._report())
         if len(data) > MAX_DATAGRAM_BYTES:
-            _LOGGER.warning("%s", pairs(event="report_too_large", bytes=len(data)))
+            log(_LOGGER, events.ReportTooLarge(bytes=len(data)))
             return
         for address in addresses:
             try:
                 self._socket.sendto(data, split_address(address))
                 self.sent_bytes += len(data)
             except OSError as error:
-                _LOGGER.debug("%s", pairs(event="report_unsent", to=address, cause=error))
+                log(_LOGGER, events.ReportUnsent(to=address, cause=error))
 
     def tell_soon(self, names: list[str]) -> None:
         """Tell some nodes within a moment; what comes meanwhile goes with it."""
@@ -124,7 +124,7 @@
             try:
                 data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as error:
-                _LOGGER.debug("%s", pairs(event="report_unread", cause=error))
+                log(_LOGGER, events.ReportUnread(cause=error))
                 continue
             report = codec.decode(data)
             if report is not None and self._view.heard(report, self._clock.now_ms()):
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
 from .models import DutyClaim, HeldAdapters, NodeCard, NodeReport
@@ -62,7 +62,7 @@
         ):
             return False
         if known is None or not known.alive:
-            _LOGGER.info("%s", pairs(event="peer_heard", peer=report.name, boot=report.boot))
+            log(_LOGGER, events.PeerHeard(peer=report.name, boot=report.boot))
         self._heard_by_name[report.name] = _Heard(report, now_ms)
         for claim in report.claims:
             self.claimed(claim)
@@ -88,7 +88,7 @@
         alive = now_ms - heard.at_ms <= ALIVE_MS
         if heard.alive and not alive:
             heard.alive = False
-            _LOGGER.info("%s", pairs(event="peer_silent", peer=name, age_ms=now_ms - heard.at_ms))
+            log(_LOGGER, events.PeerSilent(peer=name, age_ms=now_ms - heard.at_ms))
         return alive
 
     def refused(self, name: str) -> None:
--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -13,7 +13,7 @@
 from ..routing.condition import Conditions
 from ..routing.in_flight import InFlight
 from ..routing.routes import Route, Service
-from .handler import Job
+from .job import Job
 from .models import Call, Chosen, Cut, NoServer, Passed, Rejected, Try, Unclear, Unsent, Whole
 
 NO_SERVER_RETRY_MS: Final = 400
@@ -57,13 +57,15 @@
         if call.adapter is None:
             if not usable:
                 return NoServer("no runner holds the model", NO_SERVER_RETRY_MS)
-            return self._chosen(min(usable, key=lambda s: self._cost(s, now_ms)), call, service)
+            return self._chosen(
+                min(usable, key=lambda s: self._cost(s, now_ms)), call, None, now_ms
+            )
         held = self.placement.holders(call.adapter)
         holding = [server for server in usable if server.server_id in held]
-        if holding:
-            best = min(holding, key=lambda s: self._cost(s, now_ms))
-            return self._chosen(best, call, service)
-        return self.placement.ask(call, route, service, job)
+        if not holding:
+            return self.placement.ask(call, route, service, job)
+        best = min(holding, key=lambda s: self._cost(s, now_ms))
+        return self._chosen(best, call, held[best.server_id], now_ms)
 
     def _usable(self, call: Call, service: Service, job: Job, now_ms: int) -> list[BackendServer]:
         servers = [
@@ -78,14 +80,20 @@
         fresh = [s for s in reached if s.server_id not in job.avoided]
         return fresh or reached or servers
 
-    def _chosen(self, server: BackendServer, call: Call, service: Service) -> Chosen:
+    def _chosen(
+        self, server: BackendServer, call: Call, version: int | None, now_ms: int
+    ) -> Chosen:
+        wanted = self.placement.wanted_version(call.adapter) if call.adapter else None
+        current = wanted is not None and version is not None and version >= wanted
         return Chosen(
             server.server_id,
             server.address,
             call.adapter,
             call.prompt_tokens,
             call.prompt_tokens + call.output_tokens,
-            self.placement.wanted_version(call.adapter) if call.adapter else None,
+            # An older version may still begin for a moment after a newer one was named.
+            wanted if current else None,
+            why=f"held, unread_tokens={self._waiting(server, now_ms)}",
         )
 
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
@@ -107,7 +115,12 @@
     def _cost(self, server: BackendServer, now_ms: int) -> float:
         own = self.in_flight.at(server.server_id)
         others = self.view.work_at(server.server_id, now_ms)
-        waiting = own.unread_tokens + others.unread_tokens
         running = own.requests + others.requests
+        waiting = own.unread_tokens + others.unread_tokens
         success = 1.0 - self.conditions.failure_share(server.server_id, now_ms)
         return (waiting + REQUEST_TOKENS * (running + 1)) / max(0.1, success) + self.rng.random()
+
+    def _waiting(self, server: BackendServer, now_ms: int) -> int:
+        """Return the prompt tokens that are still to be read at a runner."""
+        own = self.in_flight.at(server.server_id).unread_tokens
+        return own + self.view.work_at(server.server_id, now_ms).unread_tokens
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -2,21 +2,18 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from collections.abc import Callable
 from typing import Final, Protocol
 
-import attrs
-
 from ..core.clock import Clock
-from ..helpers.logfmt import pairs
 from ..routing.in_flight import InFlight, Ticket
 from ..routing.routes import Route, RouteKind, RouteTable, Service
 from ..transport.client import Pools
 from ..transport.models import CallerLeft, Header, Request
 from ..transport.server import Reply
 from .events import EventCutter
+from .job import Job
 from .models import (
     Call,
     Chosen,
@@ -34,8 +31,8 @@
     Whole,
 )
 from .offer import NOT_RUN_STATUSES, Offer
+from .record import Record
 
-_LOGGER = logging.getLogger(__name__)
 NOT_READY_RETRY_MS: Final = 300
 """When a caller may come back to a node that has no configuration yet: it usually has one then."""
 
@@ -76,37 +73,6 @@
         """Tell whether the budget allows one more arrival, and count it."""
 
 
-@attrs.define(slots=True)
-class Job:
-    """One request of a caller on its way through this node.
-
-    :param until_ms: when it must be answered.
-    :param tried: the servers that it was sent to, in order.
-    :param avoided: the servers that refused it, broke off or could not be reached.
-    :param may_have_run: whether a try may have run on a server.
-    """
-
-    request: Request
-    call: Call
-    route: Route
-    service: Service
-    until_ms: int
-    deadline_at_ms: int
-    tried: list[str] = attrs.Factory(list)
-    avoided: list[str] = attrs.Factory(list)
-    may_have_run: bool = False
-    retry_after_ms: int | None = None
-    cutter: EventCutter | None = None
-
-    def resuming(self) -> bool:
-        """Tell whether parts of the answer have been passed on."""
-        return self.cutter is not None and self.cutter.events > 0
-
-    def servers_used(self) -> int:
-        """Return how many servers it was sent to."""
-        return len(set(self.tried))
-
-
 class Gateway:
     """Handles callers' requests.
 
@@ -124,6 +90,7 @@
         plain: Chooser,
         engines: Chooser,
         rng: random.Random,
+        record: Record,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -134,6 +101,7 @@
         self._plain = plain
         self._engines = engines
         self._rng = rng
+        self._record = record
 
     def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
@@ -154,11 +122,12 @@
             self._own_answer(reply, call, 503, "unknown service", NOT_READY_RETRY_MS)
             return
         job = self._job(request, call, route, service)
+        self._record.accepted(job, table.version)
         self._retries.first(service.name)
         try:
             self._serve(job, reply)
         except CallerLeft:
-            self._log(job, reply, "caller_left")
+            self._record.ended(job, reply, "caller_left")
             raise
 
     def _job(self, request: Request, call: Call, route: Route, service: Service) -> Job:
@@ -181,8 +150,10 @@
             if isinstance(chosen, NoServer):
                 self._give_up(job, reply, chosen.reason, chosen.retry_after_ms)
                 return
+            sent_ms = self._clock.now_ms()
             result = self._try(job, reply, chooser, chosen)
-            if self._settled(job, reply, chosen, result):
+            took_ms = self._clock.now_ms() - sent_ms
+            if self._settled(job, reply, chosen, result, took_ms):
                 return
 
     def _try(self, job: Job, reply: Reply, chooser: Chooser, chosen: Chosen) -> Try:
@@ -191,14 +162,16 @@
         ticket = self._in_flight.begin(
             chosen.server_id, sent_ms, chosen.adapter, chosen.unread_tokens, chosen.memory_tokens
         )
-        head = self._dialect.onward_head(job.request, self._onward(job, chosen, sent_ms))
+        onward = self._onward(job, chosen, sent_ms)
+        self._record.sent(job, chosen, onward)
+        head = self._dialect.onward_head(job.request, onward)
         offer = Offer(
             self._pools,
             self._dialect,
             job.request,
             job.call,
             job.until_ms,
-            lambda: self._in_flight.first_event(ticket),
+            lambda: self._first_event(job, ticket),
         )
         result: Try = Unclear("the caller left")
         try:
@@ -213,6 +186,12 @@
         now_ms = self._clock.now_ms()
         self._in_flight.end(ticket)
         chooser.ended(chosen, result, now_ms - sent_ms, now_ms)
+        self._record.tried(result)
+
+    def _first_event(self, job: Job, ticket: Ticket) -> None:
+        self._in_flight.first_event(ticket)
+        if job.first_ms is None:
+            job.first_ms = self._clock.now_ms()
 
     def _onward(self, job: Job, chosen: Chosen, now_ms: int) -> Onward:
         engine = job.service.engine is not None
@@ -236,16 +215,14 @@
         late = now_ms > job.request.arrived_ms + job.route.objective_ms
         return min(job.route.priority + (LATE_RANKS if late else 0), LAST_RANK)
 
-    def _settled(self, job: Job, reply: Reply, chosen: Chosen, result: Try) -> bool:
+    def _settled(self, job: Job, reply: Reply, chosen: Chosen, result: Try, took_ms: int) -> bool:
         """Answer the caller, or tell that another try follows."""
         match result:
             case Passed():
-                self._log(job, reply, "passed", server=chosen.server_id)
+                self._record.ended(job, reply, "passed")
                 return True
-            case Whole(head=head, body=body):
-                if head.status >= 500:
-                    job.avoided.append(chosen.server_id)
-                return self._settle_whole(job, reply, result, head.status, body)
+            case Whole():
+                return self._settle_whole(job, reply, chosen, result, took_ms)
             case TimedOut():
                 job.may_have_run = True
                 self._time_over(job, reply)
@@ -254,85 +231,78 @@
                 if not moved:
                     job.avoided.append(chosen.server_id)
                 job.retry_after_ms = retry_after_ms or job.retry_after_ms
-                return self._again_or(job, reply, 503, reason)
+                self._record.refused(job, chosen, reason, moved, retry_after_ms)
+                return self._again_or_end(job, reply, chosen, reason, took_ms, ran=False)
             case Unsent(reason=reason):
                 job.avoided.append(chosen.server_id)
-                return self._again_or(job, reply, 503, reason)
-            case Unclear(reason=reason):
-                job.avoided.append(chosen.server_id)
-                job.may_have_run = True
-                return self._again_or(job, reply, 502, reason)
-            case Cut(reason=reason):
+                return self._again_or_end(job, reply, chosen, reason, took_ms, ran=False)
+            case Unclear(reason=reason) | Cut(reason=reason):
                 job.avoided.append(chosen.server_id)
                 job.may_have_run = True
-                if self._may_try_again(job, ran=True):
-                    self._log(job, reply, "resuming", cause=reason, server=chosen.server_id)
-                    return False
-                # The caller's connection ends without the answer's proper end: it sees the cut.
-                self._log(job, reply, "cut", cause=reason, server=chosen.server_id)
-                return True
+                return self._again_or_end(job, reply, chosen, reason, took_ms, ran=True)
 
     def _settle_whole(
-        self, job: Job, reply: Reply, result: Whole, status: int, body: bytes
+        self, job: Job, reply: Reply, chosen: Chosen, result: Whole, took_ms: int
     ) -> bool:
-        if status >= 500 or (status in NOT_RUN_STATUSES):
+        status = result.head.status
+        unclear = status in NOT_RUN_STATUSES
+        if status >= 500 or unclear:
             job.may_have_run = True
-            if self._may_try_again(job, ran=True):
-                self._log(job, reply, "trying_again", cause=f"status {status}")
+            job.avoided.append(chosen.server_id)
+            again = self._may_try_again(job, ran=True)
+            self._record.failed(job, chosen, f"status {status}", again, took_ms)
+            if again:
                 return False
         if reply.started:
-            self._log(job, reply, "cut", cause=f"status {status} while resuming")
-            return True
-        if status in NOT_RUN_STATUSES:
+            self._record.ended(job, reply, "cut", f"status {status} while resuming")
+        elif unclear:
             # The server does not say that nothing ran; passed on, its status would promise it.
             self._own_answer(reply, job.call, 502, f"server's status {status}")
-            self._log(job, reply, "failed", cause=f"status {status} without the word")
-            return True
-        headers = self._dialect.passed_headers(result.head)
-        reply.whole(status, headers, body, result.head.reason)
-        self._log(job, reply, "answered")
+            self._record.ended(job, reply, "failed", f"status {status} without the word")
+        else:
+            headers = self._dialect.passed_headers(result.head)
+            reply.whole(status, headers, result.body, result.head.reason)
+            outcome = "answered" if status < 500 else "server_failed"
+            self._record.ended(job, reply, outcome, f"status {status}" if status >= 500 else None)
         return True
 
-    def _again_or(self, job: Job, reply: Reply, status: int, reason: str) -> bool:
-        if self._may_try_again(job, ran=status != 503):
-            self._log(job, reply, "trying_again", cause=reason)
+    def _again_or_end(
+        self, job: Job, reply: Reply, chosen: Chosen, reason: str, took_ms: int, ran: bool
+    ) -> bool:
+        again = self._may_try_again(job, ran)
+        self._record.failed(job, chosen, reason, again, took_ms)
+        if again:
+            if job.resuming():
+                self._record.resuming()
             return False
-        if reply.started:
-            self._log(job, reply, "cut", cause=reason)
-            return True
-        if job.may_have_run:
-            self._own_answer(reply, job.call, 502, reason)
-            self._log(job, reply, "failed", cause=reason)
-            return True
         self._give_up(job, reply, reason, job.retry_after_ms or NOT_READY_RETRY_MS)
         return True
 
     def _may_try_again(self, job: Job, ran: bool) -> bool:
-        if ran and not job.route.repeatable:
+        if ran and (not job.route.repeatable or job.servers_used() >= job.route.attempts):
             return False
         if job.until_ms - self._clock.now_ms() < MIN_SEND_MS:
             return False
-        if job.servers_used() >= job.route.attempts and ran:
-            return False
-        return self._retries.may_retry(job.service.name)
+        allowed = self._retries.may_retry(job.service.name)
+        self._record.wanted_again(allowed)
+        return allowed
 
     def _time_over(self, job: Job, reply: Reply) -> None:
-        if reply.started:
-            self._log(job, reply, "cut", cause="time over")
-        elif job.may_have_run:
+        if job.may_have_run and not reply.started:
             self._own_answer(reply, job.call, 504, "time over")
-            self._log(job, reply, "failed", cause="time over")
-        else:
-            self._give_up(job, reply, "time over", NOT_READY_RETRY_MS)
+            self._record.ended(job, reply, "failed", "time over")
+            return
+        self._give_up(job, reply, "time over", NOT_READY_RETRY_MS)
 
     def _give_up(self, job: Job, reply: Reply, reason: str, retry_after_ms: int) -> None:
         """Answer at once what can't be served; where nothing ran, with a time to come back."""
         if reply.started:
-            self._log(job, reply, "cut", cause=reason)
+            # The caller's connection ends without the answer's proper end: it sees the cut.
+            self._record.ended(job, reply, "cut", reason)
             return
         status = 502 if job.may_have_run else 503
         self._own_answer(reply, job.call, status, reason, retry_after_ms)
-        self._log(job, reply, "failed" if job.may_have_run else "refused", cause=reason)
+        self._record.ended(job, reply, "failed" if job.may_have_run else "refused", reason)
 
     def _own_answer(
         self,
@@ -345,21 +315,3 @@
         headers: list[Header] = [(b"Content-Type", b"text/plain")]
         headers += self._dialect.own_headers(call, retry_after_ms if status == 503 else None)
         reply.whole(status, headers, reason.encode())
-
-    def _log(self, job: Job, reply: Reply, event: str, **fields: str) -> None:
-        now_ms = self._clock.now_ms()
-        _LOGGER.info(
-            "%s",
-            pairs(
-                event=event,
-                request=job.call.request_id,
-                route=job.route.name,
-                adapter=job.call.adapter,
-                status=reply.status or None,
-                bytes=reply.sent_bytes,
-                took_ms=now_ms - job.request.arrived_ms,
-                left_ms=job.until_ms - now_ms,
-                tried=",".join(job.tried) or None,
-                **fields,
-            ),
-        )
--- /dev/null
+++ b/monsoonflow/gateway/job.py
@@ -0,0 +1,43 @@
+"""One request of a caller on its way through this node."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..routing.routes import Route, Service
+from ..transport.models import Request
+from .events import EventCutter
+from .models import Call
+
+
+@attrs.define(slots=True)
+class Job:
+    """One request of a caller on its way through this node.
+
+    :param until_ms: when it must be answered.
+    :param tried: the servers that it was sent to, in order.
+    :param avoided: the servers that refused it, broke off or could not be reached.
+    :param may_have_run: whether a try may have run on a server.
+    :param first_ms: when the first part of the answer came.
+    """
+
+    request: Request
+    call: Call
+    route: Route
+    service: Service
+    until_ms: int
+    deadline_at_ms: int
+    tried: list[str] = attrs.Factory(list)
+    avoided: list[str] = attrs.Factory(list)
+    may_have_run: bool = False
+    retry_after_ms: int | None = None
+    cutter: EventCutter | None = None
+    first_ms: int | None = None
+
+    def resuming(self) -> bool:
+        """Tell whether parts of the answer have been passed on."""
+        return self.cutter is not None and self.cutter.events > 0
+
+    def servers_used(self) -> int:
+        """Return how many servers it was sent to."""
+        return len(set(self.tried))
--- a/monsoonflow/gateway/plain.py
+++ b/monsoonflow/gateway/plain.py
@@ -13,7 +13,7 @@
 from ..routing.condition import Conditions
 from ..routing.in_flight import InFlight
 from ..routing.routes import Route, Service
-from .handler import Job
+from .job import Job
 from .models import Call, Chosen, Cut, NoServer, Rejected, Try, Unclear, Unsent, Whole
 
 USUAL_MS: Final = 80.0
--- a/monsoonflow/helpers/log_lines.py
+++ b/monsoonflow/logs/lines.py
@@ -7,11 +7,14 @@
 import select
 import sys
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Final
 
 import gevent
 
-from .logfmt import LineFormatter, pairs
+from ..helpers.logfmt import LineFormatter
+from . import events
+from .write import log
 
 MAX_WAITING_LINES: Final = 4_000
 """Lines that wait for a slow reader; about a megabyte."""
@@ -30,6 +33,7 @@
         super().__init__()
         self.lines: deque[bytes] = deque()
         self.dropped_by_level: Counter[str] = Counter()
+        self.on_drop: Callable[[], None] = lambda: None
 
     def createLock(self) -> None:  # noqa: N802
         """Use no lock: all lines come from greenlets of one thread."""
@@ -39,6 +43,7 @@
         """Queue a line."""
         if len(self.lines) >= MAX_WAITING_LINES and record.levelno < logging.ERROR:
             self.dropped_by_level[record.levelname.lower()] += 1
+            self.on_drop()
             return
         self.lines.append((self.format(record) + "\n").encode("utf-8", "replace"))
 
@@ -78,7 +83,8 @@
             continue
         if written and handler.dropped_by_level:
             dropped, handler.dropped_by_level = handler.dropped_by_level, Counter()
-            logger.warning("%s", pairs(event="log_lines_dropped", **dropped))
+            levels = ",".join(f"{level}:{count}" for level, count in sorted(dropped.items()))
+            log(logger, events.LogLinesDropped(sum(dropped.values()), levels))
 
 
 def flush(handler: QueueHandler) -> None:
--- /dev/null
+++ b/monsoonflow/logs/write.py
@@ -0,0 +1,45 @@
+"""Turns an event into a log line."""
+
+from __future__ import annotations
+
+import logging
+import re
+from functools import lru_cache
+
+import attrs
+
+from ..helpers.logfmt import pairs
+from .events import Event
+
+
+@lru_cache(maxsize=256)
+def name_of(event_type: type[Event]) -> str:
+    """Return the name of an event in log lines.
+
+    >>> from .events import ServerCame
+    >>> name_of(ServerCame)
+    'server_came'
+    """
+    return re.sub(r"(?<!^)(?=[A-Z])", "_", event_type.__name__).lower()
+
+
+@lru_cache(maxsize=256)
+def _fields(event_type: type[Event]) -> tuple[str, ...]:
+    return tuple(field.name for field in attrs.fields(event_type))
+
+
+def line(event: Event) -> str:
+    """Return an event as key=value pairs; fields without a value are left out.
+
+    >>> from .events import ServerLeaves
+    >>> line(ServerLeaves("i-1", "said so"))
+    'event=server_leaves server=i-1 cause="said so"'
+    """
+    kind = type(event)
+    return pairs(event=name_of(kind), **{name: getattr(event, name) for name in _fields(kind)})
+
+
+def log(logger: logging.Logger, event: Event) -> None:
+    """Write an event, when its level is asked for."""
+    if logger.isEnabledFor(event.LEVEL):
+        logger.log(event.LEVEL, "%s", line(event))
--- a/monsoonflow/platform/__main__.py
+++ b/monsoonflow/platform/__main__.py
@@ -12,26 +12,38 @@
 
 from ..core.clock import MonotonicClock  # noqa: E402
 from ..entry.daemon import EntryDaemon  # noqa: E402
-from ..helpers import log_lines  # noqa: E402
-from ..helpers.settings import SettingError  # noqa: E402
+from ..helpers.settings import SettingError, resolve  # noqa: E402
+from ..logs import lines  # noqa: E402
 from .outside import PlatformOutside  # noqa: E402
-from .settings import SettingsFile, settings_path  # noqa: E402
+from .settings import SCHEMA, SettingsFile  # noqa: E402
 
 EXIT_USAGE = 2
 
 
-def main() -> int:
+def main(arguments: list[str], environ: dict[str, str]) -> int:
     """Check the settings and run the process until it is told to stop."""
-    file = SettingsFile(settings_path())
+    flags = dict(word.removeprefix("--").partition("=")[::2] for word in arguments)
+    unknown = sorted(flags.keys() - {setting.name for setting in SCHEMA})
+    values = SettingError(unknown[0], "unknown") if unknown else resolve(SCHEMA, flags, environ)
+    if isinstance(values, SettingError):
+        return _refuse(values)
+    file = SettingsFile(values["node-file"].value, values["metrics-port"].value)
     settings = file.read()
     if isinstance(settings, SettingError):
-        print(settings.line(), file=sys.stderr)
-        return EXIT_USAGE
-    handler = log_lines.start(os.environ.get("MONSOONFLOW_LOG_LEVEL", "info"))
-    status = EntryDaemon(settings, PlatformOutside(settings, MonotonicClock()), file.reread).run()
-    log_lines.flush(handler)
+        return _refuse(settings)
+    handler = lines.start(values["log-level"].value)
+    outside = PlatformOutside(settings, MonotonicClock())
+    daemon = EntryDaemon(settings, outside, file.reread)
+    handler.on_drop = daemon.metrics.log_lines_dropped.inc
+    status = daemon.run()
+    lines.flush(handler)
     return status
 
 
+def _refuse(error: SettingError) -> int:
+    print(error.line(), file=sys.stderr)
+    return EXIT_USAGE
+
+
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:], dict(os.environ)))
--- a/monsoonflow/platform/outside.py
+++ b/monsoonflow/platform/outside.py
@@ -48,6 +48,7 @@
     def __init__(self, settings: EntrySettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
+        self._stores: list[store.PlatformStore] = []
         self.dialect = HeaderDialect()
         self.decoders = RowDecoders()
 
@@ -57,7 +58,13 @@
 
     def feed(self) -> store.PlatformStore:
         """Return a change feed with a connection of its own."""
-        return store.PlatformStore(self._settings.store.address, self._clock)
+        found = store.PlatformStore(self._settings.store.address, self._clock)
+        self._stores.append(found)
+        return found
+
+    def store_calls(self) -> int:
+        """Return how many calls to the store were made."""
+        return sum(found.calls for found in self._stores)
 
     def runners(self) -> RunnerControl:
         """Return the way to the runners."""
--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -3,33 +3,48 @@
 from __future__ import annotations
 
 import os
+import re
 import tomllib
 from collections.abc import Mapping
 from typing import Any, Final
 
 from ..entry.settings import EntrySettings, PeerBounds, StoreBounds
-from ..helpers.settings import SettingError
-
-FILE_VARIABLE: Final = "MONSOONFLOW_NODE_FILE"
-DEFAULT_FILE: Final = "/etc/monsoonflow/local.toml"
-
-
-def settings_path() -> str:
-    """Return where the settings file lies."""
-    return os.environ.get(FILE_VARIABLE, DEFAULT_FILE)
+from ..helpers.settings import Setting, SettingError, one_of, pattern, whole
+
+SCHEMA: Final = [
+    Setting(
+        "node-file",
+        *pattern(re.compile(r"/.+"), "an absolute path"),
+        "settings of this process as the platform writes them; read again when they change",
+        "/etc/monsoonflow/local.toml",
+    ),
+    Setting(
+        "metrics-port",
+        *whole(1, 65_535),
+        "port at which metrics are read",
+        "9464",
+    ),
+    Setting(
+        "log-level",
+        *one_of("debug", "info", "warning", "error"),
+        "least level of log lines",
+        "info",
+    ),
+]
 
 
 class SettingsFile:
     """The settings file, read again when it has changed."""
 
-    def __init__(self, path: str) -> None:
+    def __init__(self, path: str, metrics_port: int) -> None:
         self._path = path
+        self._metrics_port = metrics_port
         self._stamp: tuple[int, int] | None = None
 
     def read(self) -> EntrySettings | SettingError:
         """Return the settings as they stand."""
         self._stamp = self._stamp_now()
-        return read_settings(self._path)
+        return read_settings(self._path, self._metrics_port)
 
     def reread(self) -> EntrySettings | SettingError | None:
         """Return the settings when the file has changed, else ``None``."""
@@ -43,7 +58,7 @@
         return status.st_mtime_ns, status.st_size
 
 
-def read_settings(path: str) -> EntrySettings | SettingError:
+def read_settings(path: str, metrics_port: int) -> EntrySettings | SettingError:
     """Return the settings, or what is wrong with them in one line; unknown fields are ignored."""
     try:
         with open(path, "rb") as file:
@@ -53,14 +68,14 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return SettingError("settings-file", f"{path}: {error}")
     try:
-        return _decode(fields)
+        return _decode(fields, metrics_port)
     except KeyError as error:
         return SettingError(str(error.args[0]), "missing in the settings file")
     except (TypeError, ValueError, AttributeError, IndexError) as error:
         return SettingError("settings-file", f"{path}: {error}")
 
 
-def _decode(fields: Mapping[str, Any]) -> EntrySettings:
+def _decode(fields: Mapping[str, Any], metrics_port: int) -> EntrySettings:
     listens = fields["listenAddrs"]
     bounds = fields.get("contractParams", {})
     limits = fields.get("limits", {})
@@ -76,6 +91,7 @@
         directory_address=str(listens["directory"]),
         peer_address=str(listens["control"]),
         report_address=f"{fields['bindIp']}:{int(ports[0])}",
+        metrics_address=f"{fields['bindIp']}:{metrics_port}",
         seeds=tuple(str(seed) for seed in fields.get("seedNodes", ())),
         store=StoreBounds(
             address=str(platform["address"]),
--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -11,7 +11,7 @@
 import orjson
 
 from ..core.clock import Clock
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from ..storage.models import (
     ChangedRow,
     Changes,
@@ -167,7 +167,7 @@
         body = None if entry.get("removed") else base64.b64decode(entry["value"], validate=True)
         return ChangedRow(str(entry["key"]), int(entry["rowVersion"]), body)
     except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
-        _LOGGER.warning("%s", pairs(event="malformed_row", row=str(entry)[:120], cause=repr(error)))
+        log(_LOGGER, events.MalformedRow(row=str(entry)[:120], cause=repr(error)))
         return None
 
 
--- a/monsoonflow/storage/settling.py
+++ b/monsoonflow/storage/settling.py
@@ -5,7 +5,7 @@
 import logging
 
 from ..core.tasks import Tasks
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from .const import COMMIT_TRIES, RETRY_PAUSE_MS
 from .models import (
     CommitResult,
@@ -53,7 +53,7 @@
                 case Unavailable(ambiguous=ambiguous):
                     unclear = unclear or ambiguous
             self._tasks.sleep(RETRY_PAUSE_MS)
-        _LOGGER.warning("%s", pairs(event="commit_unclear", operation=transaction.operation_id))
+        log(_LOGGER, events.CommitUnclear(operation=transaction.operation_id))
         return Unavailable("no answer", ambiguous=unclear)
 
     def _settle(self, transaction: Transaction) -> CommitResult:
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -8,7 +8,7 @@
 
 from ..core.clock import Clock
 from ..core.tasks import Tasks
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from .models import ChangedRow, ChangeFeed, Changes, HistoryLost, Unavailable
 
 _LOGGER = logging.getLogger(__name__)
@@ -75,7 +75,7 @@
                 self._version = max(self._version, version)
                 return self._between_ms
             case HistoryLost():
-                _LOGGER.info("%s", pairs(event="history_lost", collection=self._collection))
+                log(_LOGGER, events.HistoryLost(collection=self._collection))
                 self.loaded = False
                 return 0
             case Unavailable(reason=reason):
@@ -87,13 +87,10 @@
         if result.version < self._version:
             # After a lost history reads may come from a copy that is seconds behind: taken, it
             # would bring back servers that left and configuration that was replaced.
-            _LOGGER.info(
-                "%s",
-                pairs(
-                    event="stale_read",
-                    collection=self._collection,
-                    version=result.version,
-                    known=self._version,
+            log(
+                _LOGGER,
+                events.StaleRead(
+                    collection=self._collection, version=result.version, known=self._version
                 ),
             )
             return STALE_PAUSE_MS
@@ -124,17 +121,13 @@
             return
         out_ms = self._clock.now_ms() - self.lost_since_ms
         self.lost_since_ms = None
-        _LOGGER.info(
-            "%s", pairs(event="store_returned", collection=self._collection, after_ms=out_ms)
-        )
+        log(_LOGGER, events.StoreReturned(collection=self._collection, after_ms=out_ms))
         self._on_return()
 
     def _unavailable(self, reason: str) -> int:
         if self.lost_since_ms is None:
             self.lost_since_ms = self._clock.now_ms()
-            _LOGGER.warning(
-                "%s", pairs(event="store_lost", collection=self._collection, cause=reason)
-            )
+            log(_LOGGER, events.StoreLost(collection=self._collection, cause=reason))
         pause_ms = self._pause_ms
         self._pause_ms = min(MAX_RETRY_PAUSE_MS, pause_ms * 2)
         return pause_ms
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -12,7 +12,7 @@
 from gevent.server import StreamServer
 
 from ..core.clock import Clock
-from ..helpers.logfmt import pairs
+from ..logs import events, log
 from .codec import RequestReader
 from .const import (
     BACKLOG,
@@ -238,7 +238,7 @@
     def _refuse(self, error: BadMessage) -> None:
         """Answer what can't be taken and close; nothing of it is passed on."""
         self._close_after = True
-        _LOGGER.info("%s", pairs(event="bad_message", status=error.status, cause=error.reason))
+        log(_LOGGER, events.BadMessage(status=error.status, cause=error.reason))
         try:
             Reply(self).whole(
                 error.status, [(b"Content-Type", b"text/plain")], error.reason.encode()
@@ -291,7 +291,7 @@
         try:
             self._server.start()
         except OSError as error:
-            _LOGGER.error("%s", pairs(event="not_bound", address=self.address, cause=error))
+            log(_LOGGER, events.NotBound(address=self.address, cause=error))
             return False
         return True
 
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -123,7 +123,7 @@
     bounds: PeerBounds = PeerBounds(lease_ms=900, fenced=True, retry_reserve=54)
     nodes: list[Node] = attrs.Factory(list)
     servers: list[PlatformServer] = attrs.Factory(list)
-    ports: tuple[int, ...] = attrs.Factory(lambda: tuple(free_port() for _ in range(5)))
+    ports: tuple[int, ...] = attrs.Factory(lambda: tuple(free_port() for _ in range(6)))
     numbers: int = 0
 
     def configure(self, **changes: Any) -> None:
@@ -148,7 +148,7 @@
         """Add an entry node and wait until it is ready."""
         self.numbers += 1
         ip = f"127.0.0.{10 + self.numbers}"
-        callers, ready, directory, peers, reports = (f"{ip}:{port}" for port in self.ports)
+        callers, ready, directory, peers, reports, metrics = (f"{ip}:{port}" for port in self.ports)
         settings = EntrySettings(
             f"n{self.numbers}",
             ip,
@@ -159,6 +159,7 @@
             directory,
             peers,
             reports,
+            metrics,
             StoreBounds(self.store.address, 20_000),
             self.bounds,
             seeds,
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -76,7 +76,7 @@
 
 
 def test_settings_become_the_products_own(tmp_path):
-    settings = read_settings(write(tmp_path, SETTINGS))
+    settings = read_settings(write(tmp_path, SETTINGS), 9464)
     assert (settings.name, settings.data_centre) == ("n1", "z-1")
     assert settings.callers_address == "10.1.0.38:8149"
     assert settings.peer_address == "10.1.0.38:8144"
@@ -98,18 +98,18 @@
     ],
 )
 def test_a_wrong_setting_is_told_in_one_line(tmp_path, before, after):
-    error = read_settings(write(tmp_path, SETTINGS.replace(before, after)))
+    error = read_settings(write(tmp_path, SETTINGS.replace(before, after)), 9464)
     assert isinstance(error, SettingError)
     assert "\n" not in error.line()
 
 
 def test_a_missing_file_is_told_in_one_line(tmp_path):
-    assert isinstance(read_settings(str(tmp_path / "none")), SettingError)
+    assert isinstance(read_settings(str(tmp_path / "none"), 9464), SettingError)
 
 
 def test_settings_are_read_again_only_when_the_file_has_changed(tmp_path):
     path = write(tmp_path, SETTINGS)
-    file = SettingsFile(path)
+    file = SettingsFile(path, 9464)
     assert file.read().bounds.lease_ms == 3_500
     assert file.reread() is None
     write(tmp_path, SETTINGS.replace("3500", "30000"))
