Take nothing later than 2.5 s after the word to stop

A node that got SIGTERM at 7.0 s was kept alive by a long stream and went on to take requests; one of 11.3 s was cut by the end of the grace period. Change: after 2.5 s the port is closed and kept connections are answered 503, not run, at once.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -288,7 +288,7 @@
         settings = self.settings
         retries = SharedRetries(self.budget, self.view, self.clock)
         shared = (self.beliefs.book, self.in_flight, self.view, self.conditions)
-        gateway = Gateway(
+        self.gateway = Gateway(
             self.clock,
             outside.dialect,
             lambda: self.beliefs.table,
@@ -309,7 +309,7 @@
         )
         usual = MessageLimits
         return Ports(
-            callers=Port(settings.callers_address, gateway.handle, self._limits, self.clock),
+            callers=Port(settings.callers_address, self.gateway.handle, self._limits, self.clock),
             ready=Port(settings.ready_address, outside.readiness(self.ready), usual, self.clock),
             directory=Port(
                 settings.directory_address, outside.directory(addresses.choose), usual, self.clock
--- a/monsoonflow/entry/stopping.py
+++ b/monsoonflow/entry/stopping.py
@@ -30,10 +30,11 @@
     daemon.ports.callers.stop_keeping()
     end_ms = started_ms + daemon.settings.bounds.grace_ms - END_MARGIN_MS
     outlast_ms = min(end_ms, started_ms + OUTLAST_ADDRESSES_MS)
-    while daemon.clock.now_ms() < end_ms:
-        if daemon.clock.now_ms() >= outlast_ms and daemon.ports.callers.active == 0:
-            break
+    while daemon.clock.now_ms() < outlast_ms:
         daemon.tasks.sleep(CHECK_EVERY_MS)
+    # What came now might not be finished: a long answer would be cut by the end of the grace
+    # period. On connections that callers kept it is refused unrun, new connections are not taken.
+    daemon.gateway.takes_requests = False
     daemon.ports.callers.stop_listening()
     daemon.tasks.sleep(CHECK_EVERY_MS)
     while daemon.clock.now_ms() < end_ms and daemon.ports.callers.active:
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -102,6 +102,7 @@
         self._engines = engines
         self._rng = rng
         self._record = record
+        self.takes_requests = True
 
     def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
@@ -109,6 +110,9 @@
         if isinstance(call, Malformed):
             self._own_answer(reply, None, 400, call.reason)
             return
+        if not self.takes_requests:
+            self._own_answer(reply, call, 503, "this node stops", NOT_READY_RETRY_MS)
+            return
         table = self._table()
         if table is None:
             self._own_answer(reply, call, 503, "no configuration yet", NOT_READY_RETRY_MS)
