Heirs keep their places and are known at once; runs are counted; a live holder is not taken from

Ruled out: two duties at once (fencing numbers rose; the runners refused the older). Change: reports carry the node's card and the heirs; places of heirs are fixed for an epoch; 2 s before a holder that was never heard counts as silent; tries that may have run are counted against the route's attempts, wherever they ran.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -223,8 +223,7 @@
         """Return this node's word about itself."""
         self._sequence += 1
         return NodeReport(
-            name=self.settings.name,
-            boot=self.boot,
+            card=self._card(),
             sequence=self._sequence,
             ready=self.ready(),
             leaving=self.leaving,
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -31,6 +31,10 @@
 """A holder unheard for so long is replaced where runners check fencing numbers: three reports in a
 row were lost or never sent."""
 
+UNHEARD_MS: Final = 2_000
+"""How long a node that has started waits for a holder's first word: processes that start together
+are up within a second of each other, a slow VM within two."""
+
 RANK_DELAY_MS: Final = 120
 """Each node further down in the order of candidates waits so much longer before it claims: one
 claims, the others need not."""
@@ -70,6 +74,7 @@
         self._steady = steady
         self._renew_every_ms = int(lease_ms * RENEW_SHARE)
         self._renewed_ms = 0
+        self._started_ms = clock.now_ms()
         self._wanted_since_ms: int | None = None
         self.store_lost = False
         self.store_reached = True
@@ -105,7 +110,7 @@
     def claim(self) -> DutyClaim | None:
         """Return this node's claim, for the others."""
         row = self.held.row
-        return None if row is None else DutyClaim(self.cell, row.holder, row.epoch)
+        return None if row is None else DutyClaim(self.cell, row.holder, row.epoch, row.heirs)
 
     def row_changed(self, row: ChangedRow | Row) -> None:
         """Take the duty's row as the store holds it."""
@@ -116,7 +121,7 @@
         if duty is None:
             return
         if not duty.released:
-            self._view.claimed(DutyClaim(self.cell, duty.holder, duty.epoch))
+            self._view.claimed(DutyClaim(self.cell, duty.holder, duty.epoch, duty.heirs))
         held = self.held.row
         if held is not None and duty.epoch > held.epoch:
             self._lost(f"taken by {duty.holder}")
@@ -164,12 +169,13 @@
         the same one, and runners that check them refuse the holder and the heirs before. Only where
         they do may an heir act.
         """
-        row = self._watch.row
-        inherited = row.inherited(self._node, self._boot) if row is not None else None
         newest = self._view.claim_of(self.cell)
-        if inherited is None or not self._fenced:
+        if newest is None or not self._fenced:
             return
-        if newest is not None and newest.epoch >= inherited.epoch:
+        # The newest claim may have been heard from its holder only: its row is read seconds later.
+        row = DutyRow(self.cell, newest.holder, "", newest.epoch, 0, newest.heirs)
+        inherited = row.inherited(self._node, self._boot)
+        if inherited is None or not self._silent(row.holder, now_ms):
             return
         before = row.heirs[: row.heirs.index(self._node)]
         if any(not self._silent(name, now_ms) for name in before):
@@ -183,18 +189,26 @@
 
     def _silent(self, name: str, now_ms: int) -> bool:
         """Tell whether a node is unheard, or says that it stops and has let its duties go."""
+        report = self._view.report_of(name)
+        if report is None:
+            # Never heard: it may just not have spoken yet, since both have started together.
+            return now_ms - self._started_ms > UNHEARD_MS
         if not self._view.alive(name, now_ms, HOLDER_SILENT_MS):
             return True
-        report = self._view.report_of(name)
         return report.leaving and all(claim.cell != self.cell for claim in report.claims)
 
-    def _heirs(self, now_ms: int) -> tuple[str, ...]:
+    def _heirs(self, now_ms: int, named: tuple[str, ...] = ()) -> tuple[str, ...]:
+        """Return the heirs of an epoch; those that were named keep their places.
+
+        A place stands for an epoch number. Were it given to another node, two nodes that have read
+        different lists could use the same number.
+        """
         names = [
             report.name
             for report in self._view.reports(now_ms)
-            if report.ready and not report.leaving
+            if report.ready and not report.leaving and report.name not in named
         ]
-        return tuple(rank(self.cell, names)[:MAX_HEIRS])
+        return (*named, *rank(self.cell, names))[:MAX_HEIRS]
 
     def _claimable(self, now_ms: int) -> bool:
         holder = self._watch.row.holder if self._watch.row is not None else ""
@@ -225,7 +239,7 @@
             self.store_lost = False
             self._inherited = False
             self._renewed_ms = now_ms
-            self._view.claimed(DutyClaim(self.cell, self._node, epoch))
+            self._view.claimed(DutyClaim(self.cell, self._node, epoch, row.heirs))
             log(
                 _LOGGER,
                 events.DutyWon(cell=self.cell, epoch=epoch, before=known.holder if known else None),
@@ -242,7 +256,9 @@
             self._claim(now_ms)
             return
         row = attrs.evolve(
-            self.held.row, counter=self.held.row.counter + 1, heirs=self._heirs(now_ms)
+            self.held.row,
+            counter=self.held.row.counter + 1,
+            heirs=self._heirs(now_ms, self.held.row.heirs),
         )
         result = self._commit(row, self.held.row_version)
         match result:
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -6,12 +6,13 @@
 from collections import Counter
 from typing import Any, Final
 
+import attrs
 import orjson
 
 from ..core.adapter import AdapterRef
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
-from .models import DutyClaim, HeldAdapters, NodeReport
+from .models import DutyClaim, HeldAdapters, NodeCard, NodeReport
 
 ZLIB_LEVEL: Final = 1
 """Names repeat within a report: a third of the bytes for some 20 us."""
@@ -19,7 +20,7 @@
 MAX_REPORT_BYTES: Final = 1 << 20
 """A datagram that would unpack to more is no report."""
 
-FORMAT: Final = 1
+FORMAT: Final = 2
 """First field of each report; a node of another version is not understood and is left alone."""
 
 
@@ -33,8 +34,7 @@
     return orjson.dumps(
         [
             FORMAT,
-            report.name,
-            report.boot,
+            attrs.astuple(report.card),
             report.sequence,
             flags,
             report.config_version,
@@ -48,7 +48,7 @@
             },
             report.left_servers,
             [str(ref) for ref in report.versions],
-            [[claim.cell, claim.holder, claim.epoch] for claim in report.claims],
+            [[c.cell, c.holder, c.epoch, c.heirs] for c in report.claims],
             [[held.server_id, [str(ref) for ref in held.adapters]] for held in report.residency],
         ]
     )
@@ -64,30 +64,33 @@
 
 
 def _decode(fields: list[Any]) -> NodeReport:
-    flags = int(fields[4])
+    flags = int(fields[3])
     return NodeReport(
-        name=str(fields[1]),
-        boot=str(fields[2]),
-        sequence=int(fields[3]),
+        card=NodeCard(*map(str, fields[1])),
+        sequence=int(fields[2]),
         ready=bool(flags & 1),
         leaving=bool(flags & 2),
         store_heard=bool(flags & 4),
-        config_version=int(fields[5]),
+        config_version=int(fields[4]),
         work_by_server={
             server_id: ServerWork(work[0], work[1], work[2], Counter(work[3]))
-            for server_id, work in fields[6].items()
+            for server_id, work in fields[5].items()
         },
-        spent_by_service={service: Spent(*spent) for service, spent in fields[7].items()},
-        left_servers=tuple(map(str, fields[8])),
-        versions=tuple(ref_of(text) for text in fields[9]),
-        claims=tuple(DutyClaim(str(c[0]), str(c[1]), int(c[2])) for c in fields[10]),
+        spent_by_service={service: Spent(*spent) for service, spent in fields[6].items()},
+        left_servers=tuple(map(str, fields[7])),
+        versions=tuple(ref_of(text) for text in fields[8]),
+        claims=tuple(_claim(entry) for entry in fields[9]),
         residency=tuple(
             HeldAdapters(str(held[0]), tuple(ref_of(text) for text in held[1]))
-            for held in fields[11]
+            for held in fields[10]
         ),
     )
 
 
+def _claim(entry: list[Any]) -> DutyClaim:
+    return DutyClaim(str(entry[0]), str(entry[1]), int(entry[2]), tuple(map(str, entry[3])))
+
+
 def ref_of(text: str) -> AdapterRef:
     """Return the reference that ``MODEL/NAME@VERSION`` names.
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -30,11 +30,13 @@
     """Who gives orders to the runners of a cell, as a node knows it.
 
     :param epoch: rises with each holder; the fencing number of its orders.
+    :param heirs: who may go on in its place without the store, in this order.
     """
 
     cell: str
     holder: str
     epoch: int
+    heirs: tuple[str, ...] = ()
 
 
 @attrs.frozen(slots=True)
@@ -49,6 +51,7 @@
 class NodeReport:
     """One node's word about itself; a newer one replaces it whole.
 
+    :param card: how to reach it: who hears a node need not have read its card in the store.
     :param sequence: rises with each report of one boot.
     :param store_heard: whether the node reaches the store.
     :param left_servers: servers that the node lately learnt are leaving.
@@ -56,8 +59,7 @@
     :param residency: set by the holder of a cell.
     """
 
-    name: str
-    boot: str
+    card: NodeCard
     sequence: int
     ready: bool
     leaving: bool
@@ -69,3 +71,13 @@
     versions: tuple[AdapterRef, ...] = ()
     claims: tuple[DutyClaim, ...] = ()
     residency: tuple[HeldAdapters, ...] = ()
+
+    @property
+    def name(self) -> str:
+        """Return the node's name."""
+        return self.card.name
+
+    @property
+    def boot(self) -> str:
+        """Return the name of this life of the node's process."""
+        return self.card.boot
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -64,6 +64,7 @@
         if known is None or not known.alive:
             log(_LOGGER, events.PeerHeard(peer=report.name, boot=report.boot))
         self._heard_by_name[report.name] = _Heard(report, now_ms)
+        self.card(report.card)
         for claim in report.claims:
             self.claimed(claim)
         return True
@@ -71,7 +72,10 @@
     def claimed(self, claim: DutyClaim) -> None:
         """Take who holds a cell's duty; a lower epoch is old news."""
         known = self._epoch_by_cell.get(claim.cell)
-        if known is None or claim.epoch > known.epoch:
+        more_heirs = known is not None and (
+            claim.epoch == known.epoch and len(claim.heirs) > len(known.heirs)
+        )
+        if known is None or claim.epoch > known.epoch or more_heirs:
             self._epoch_by_cell[claim.cell] = claim
 
     def claim_of(self, cell: str) -> DutyClaim | None:
--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -73,8 +73,6 @@
             for server in self.book.of_service(service.name)
             if any(held.name == call.model for held in server.models)
         ]
-        if job.servers_used() >= job.route.attempts and job.may_have_run:
-            servers = [server for server in servers if server.server_id in job.tried]
         reached = [s for s in servers if not self.conditions.paused(s.server_id, now_ms)]
         # A stream that broke off goes on elsewhere: where it broke it would break again.
         fresh = [s for s in reached if s.server_id not in job.avoided]
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -228,7 +228,7 @@
             case Whole():
                 return self._settle_whole(job, reply, chosen, result, took_ms)
             case TimedOut():
-                job.may_have_run = True
+                job.runs += 1
                 self._time_over(job, reply)
                 return True
             case Rejected(reason=reason, retry_after_ms=retry_after_ms, moved=moved):
@@ -242,7 +242,7 @@
                 return self._again_or_end(job, reply, chosen, reason, took_ms, ran=False)
             case Unclear(reason=reason) | Cut(reason=reason):
                 job.avoided.append(chosen.server_id)
-                job.may_have_run = True
+                job.runs += 1
                 return self._again_or_end(job, reply, chosen, reason, took_ms, ran=True)
 
     def _settle_whole(
@@ -251,7 +251,7 @@
         status = result.head.status
         unclear = status in NOT_RUN_STATUSES
         if status >= 500 or unclear:
-            job.may_have_run = True
+            job.runs += 1
             job.avoided.append(chosen.server_id)
             again = self._may_try_again(job, ran=True)
             self._record.failed(job, chosen, f"status {status}", again, took_ms)
@@ -283,7 +283,7 @@
         return True
 
     def _may_try_again(self, job: Job, ran: bool) -> bool:
-        if ran and (not job.route.repeatable or job.servers_used() >= job.route.attempts):
+        if ran and not job.may_run_again():
             return False
         if job.until_ms - self._clock.now_ms() < MIN_SEND_MS:
             return False
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -17,7 +17,7 @@
     :param until_ms: when it must be answered.
     :param tried: the servers that it was sent to, in order.
     :param avoided: the servers that refused it, broke off or could not be reached.
-    :param may_have_run: whether a try may have run on a server.
+    :param runs: how many tries may have run on a server.
     :param first_ms: when the first part of the answer came.
     """
 
@@ -29,15 +29,20 @@
     deadline_at_ms: int
     tried: list[str] = attrs.Factory(list)
     avoided: list[str] = attrs.Factory(list)
-    may_have_run: bool = False
+    runs: int = 0
     retry_after_ms: int | None = None
     cutter: EventCutter | None = None
     first_ms: int | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a try may have run on a server."""
+        return self.runs > 0
+
     def resuming(self) -> bool:
         """Tell whether parts of the answer have been passed on."""
         return self.cutter is not None and self.cutter.events > 0
 
-    def servers_used(self) -> int:
-        """Return how many servers it was sent to."""
-        return len(set(self.tried))
+    def may_run_again(self) -> bool:
+        """Tell whether another server may run it, by its kind and the route's attempts."""
+        return self.route.repeatable and self.runs < self.route.attempts
--- a/monsoonflow/gateway/plain.py
+++ b/monsoonflow/gateway/plain.py
@@ -47,11 +47,9 @@
     ) -> Chosen | NoServer:
         """Return the server with the least expected time to a good answer."""
         servers = self.book.of_service(service.name)
-        if job.servers_used() >= route.attempts and job.may_have_run:
-            servers = [server for server in servers if server.server_id in job.tried]
         reached = [s for s in servers if not self.conditions.paused(s.server_id, now_ms)]
         fresh = [s for s in reached or servers if s.server_id not in job.tried]
-        candidates = fresh or [s for s in servers if s.server_id not in job.avoided]
+        candidates = fresh or [s for s in servers if s.server_id not in job.avoided] or servers
         if not candidates:
             return NoServer("no server takes work", job.retry_after_ms or NO_SERVER_RETRY_MS)
         costs = {s.server_id: self._expected_ms(s, now_ms) for s in candidates}
--- a/monsoonflow/ownership/duty.py
+++ b/monsoonflow/ownership/duty.py
@@ -44,8 +44,10 @@
         """Return the duty as an heir holds it, or ``None`` for a node that is none."""
         if node not in self.heirs[:MAX_HEIRS]:
             return None
-        epoch = self.epoch + 1 + self.heirs.index(node)
-        return DutyRow(self.cell, node, boot, epoch, 0)
+        place = self.heirs.index(node)
+        # Who comes after this heir keeps its epoch: its place counts from here on.
+        rest = self.heirs[place + 1 : MAX_HEIRS]
+        return DutyRow(self.cell, node, boot, self.epoch + 1 + place, 0, rest)
 
 
 class HeldDuty:
--- a/tests/entry/test_pass_through.py
+++ b/tests/entry/test_pass_through.py
@@ -212,3 +212,18 @@
     gevent.sleep(0.2)
     assert one.daemon.beliefs.table.version == 5
     assert fleet.ask(one, "/look/x", "r1").head.status == 200
+
+
+def test_with_one_server_left_a_failure_is_tried_again_there(fleet):
+    """Two of three servers are gone and the last one fails one request in seven.
+
+    With nobody else to ask it is asked again; the server's answer is never replaced by our own.
+    """
+    server = fleet.plain("i-1")
+    node = fleet.node()
+    server.faults.fail = 1
+    assert fleet.ask(node, "/look/x", "r1").head.status == 200
+    server.faults.fail = 5
+    answer = fleet.ask(node, "/look/x", "r2")
+    assert answer.head.status == 500
+    assert answer.head.value(b"x-server-signature") is not None
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -18,9 +18,9 @@
 from monsoonflow.routing.budget import Spent
 from monsoonflow.routing.in_flight import ServerWork
 
+CARD = NodeCard("b", "b-1", "dc", "1.1.1.2:1", "1.1.1.2:2", "1.1.1.2:3")
 REPORT = NodeReport(
-    name="b",
-    boot="b-1",
+    card=CARD,
     sequence=7,
     ready=True,
     leaving=False,
@@ -55,14 +55,14 @@
 @given(st.recursive(st.none() | st.integers(-9, 9) | st.text(max_size=5), st.lists, max_leaves=12))
 @settings(max_examples=200, derandomize=True)
 def test_no_json_breaks_the_reader(data):
-    fields = [1, data, data, 1, 1, 1, data, data, data, data, data, data]
+    fields = [2, data, 1, 1, 1, data, data, data, data, data, data]
     codec.decode(zlib.compress(orjson.dumps(fields)))
 
 
 def test_an_overtaken_report_is_dropped(view):
     assert not view.heard(attrs.evolve(REPORT, sequence=6, ready=False), 10)
     assert view.report_of("b").ready
-    assert view.heard(attrs.evolve(REPORT, boot="b-2", sequence=1), 20)
+    assert view.heard(attrs.evolve(REPORT, card=attrs.evolve(CARD, boot="b-2"), sequence=1), 20)
 
 
 def test_a_node_unheard_is_down(view):
@@ -84,7 +84,7 @@
 
 
 def test_work_is_summed_over_the_others(view):
-    view.heard(attrs.evolve(REPORT, name="c"), 0)
+    view.heard(attrs.evolve(REPORT, card=attrs.evolve(CARD, name="c")), 0)
     work = view.work_at("i-1", 10)
     assert (work.requests, work.by_adapter["m/a1"]) == (4, 4)
 
@@ -101,3 +101,11 @@
     assert view.nodes() == 3
     view.card_gone("z")
     assert view.nodes() == 2
+
+
+def test_who_is_heard_can_be_reached(view):
+    """A new node sends reports; the others have not read its card in the store yet.
+
+    Without its addresses nobody would answer, and it would hear of nobody for seconds.
+    """
+    assert view.card_by_name["b"] == CARD
--- a/tests/ownership/test_duty.py
+++ b/tests/ownership/test_duty.py
@@ -119,3 +119,10 @@
     many = DutyRow("cell", "a", "b-a", 5, 0, ("b", "c", "d", "e"))
     assert many.inherited("e", "boot") is None
     assert many.inherited("d", "boot").epoch == 5 + MAX_HEIRS < many.next_epoch()
+
+
+def test_an_heir_of_an_heir_has_the_number_that_it_always_had():
+    """The holder is lost, then its first heir too, and the store is still down."""
+    first = ROW.inherited("b", "boot")
+    assert first.inherited("c", "boot").epoch == ROW.inherited("c", "boot").epoch
+    assert first.inherited("b", "boot") is None
