--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -44,6 +44,7 @@
 from .following import Decoders, Followed, Following
 from .metrics import EntryMetrics
 from .peers import PeerApi, PeerClient
+from .placing import Placing
 from .pulse import Pulse
 from .settings import EntrySettings
 from .stopping import stop_gracefully
@@ -295,7 +296,7 @@
             self.in_flight,
             retries,
             PlainChooser(*shared, self.rng, settings.data_centre),
-            EngineChooser(*shared, self.duties.placement, self.rng, settings.data_centre),
+            EngineChooser(*shared, Placing(self), self.rng, settings.data_centre),
             self.rng,
             Record(self.clock, self.metrics),
         )
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -9,20 +9,17 @@
 import orjson
 from gevent.event import AsyncResult, Event
 
-from ..core.adapter import AdapterRef
 from ..fleet.models import DutyClaim, HeldAdapters
-from ..gateway.job import Job
-from ..gateway.models import Call, Chosen, NoServer
 from ..orders.models import Gone, Order, RunnerControl, Superseded
-from ..placement.desk import Desk, NoPlace, Placed, Waiter
+from ..placement.desk import Desk
 from ..placement.seats import SeatState, Step
+from ..placement.waiting import NoPlace, Placed, Waiter
 from ..routing.in_flight import ServerWork
-from ..routing.routes import Route, Service
+from ..routing.routes import Service
 from ..storage.models import ChangedRow
-from ..transport.models import Lost, Request
+from ..transport.models import Request
 from ..transport.server import Reply
 from .lease_loop import DUTY_PREFIX, DutyLoop
-from .peers import PLACE_PATH
 from .residency import Residency
 from .settings import PeerBounds
 
@@ -37,16 +34,7 @@
 PLAN_EVERY_MS: Final = 100
 """Longest pause between two looks at what is to be ordered; news wakes it at once."""
 
-WAIT_SHARE: Final = 0.6
-"""Share of the time left that a request waits for its adapter; the rest is for its answer."""
 
-USUAL_ANSWER_MS: Final = 250
-"""From a place to the first event: one prompt of the usual size is read in half of that."""
-
-RESUME_PRIORITY: Final = -1
-"""Before the most urgent routes, which have 0."""
-
-NO_HOLDER_PAUSE_MS: Final = 60
 REFUSED_RETRY_MS: Final = 500
 
 
@@ -77,7 +65,6 @@
         self._duty_by_cell: dict[str, Duty] = {}
         self._wake = Event()
         self.residency = Residency(daemon.clock)
-        self.placement = self
         self._rows: dict[str, ChangedRow] = {}
 
     # Life.
@@ -146,147 +133,14 @@
             if runner.known()
         )
 
-    # What the chooser asks.
-
-    def holders(self, adapter: str) -> dict[str, int]:
-        """Return the version of an adapter by the id of the runner that can serve it now."""
-        held = self.residency.holders(adapter)
-        wanted = self.wanted_version(adapter)
-        if wanted is None:
-            return held
-        fresh = {server_id: version for server_id, version in held.items() if version >= wanted}
-        return fresh if fresh or self._old_is_over(adapter) else held
-
-    def wanted_version(self, adapter: str) -> int | None:
-        """Return the version that the operator named; ``None`` where none was."""
-        return self._daemon.beliefs.version_by_adapter.get(adapter)
-
-    def missing(self, adapter: str, server_id: str) -> None:
-        """Take the word of a runner that it does not hold an adapter."""
-        self.residency.missing(server_id, adapter)
+    def doubt(self, server_id: str, adapter: str) -> None:
+        """Take that a runner lacks an adapter: what its desk believes of it is looked at again."""
         for duty in self._duty_by_cell.values():
             runner = duty.desk.runners.get(server_id) if duty.desk is not None else None
             if runner is not None and runner.ready(adapter) is not None:
-                # What the desk believes of this runner is wrong.
                 runner.report_at_ms = self._daemon.clock.now_ms()
                 self.wake()
 
-    def ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
-        """Have the adapter loaded somewhere; waits until it is there."""
-        clock = self._daemon.clock
-        began_ms = clock.now_ms()
-        found = self._ask(call, route, service, job)
-        waited_ms = clock.now_ms() - began_ms
-        result = "placed" if isinstance(found, Chosen) else "refused"
-        self._daemon.metrics.place_wait.labels(result).observe(waited_ms / 1000)
-        claim = self._daemon.view.claim_of(service.name)
-        log(
-            _LOGGER,
-            events.RequestWaited(
-                request=call.request_id,
-                adapter=call.adapter or "",
-                holder=claim.holder if claim is not None else None,
-                result=result,
-                waited_ms=waited_ms,
-            ),
-        )
-        return found
-
-    def _ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
-        clock = self._daemon.clock
-        until_ms = clock.now_ms() + int((job.until_ms - clock.now_ms()) * WAIT_SHARE)
-        adapter = call.adapter or ""
-        while True:
-            left_ms = until_ms - clock.now_ms()
-            if left_ms <= 0:
-                return NoServer("no place for the adapter in time", REFUSED_RETRY_MS)
-            found = self._ask_once(adapter, route, service, job, left_ms)
-            if isinstance(found, NoPlace):
-                return NoServer("too many wait for a place", found.retry_after_ms)
-            if isinstance(found, Placed):
-                server_id, version = found.server_id, found.version
-                server = self._daemon.beliefs.book.by_id.get(server_id)
-                if server is not None and self._daemon.beliefs.book.takes_work(server_id):
-                    self.residency.granted(server_id, AdapterRef(adapter, version))
-                    wanted = self.wanted_version(adapter)
-                    return Chosen(
-                        server_id,
-                        server.address,
-                        adapter,
-                        call.prompt_tokens,
-                        call.prompt_tokens + call.output_tokens,
-                        wanted if wanted is not None and version >= wanted else None,
-                        why="placed",
-                    )
-            self._daemon.tasks.sleep(min(NO_HOLDER_PAUSE_MS, max(1, left_ms)))
-            held = self.holders(adapter)
-            known = [
-                server
-                for server in self._daemon.beliefs.book.of_service(service.name)
-                if server.server_id in held and server.server_id not in job.avoided
-            ]
-            if known:
-                server = known[0]
-                return Chosen(
-                    server.server_id,
-                    server.address,
-                    adapter,
-                    call.prompt_tokens,
-                    call.prompt_tokens + call.output_tokens,
-                    why="held meanwhile",
-                )
-
-    def _ask_once(
-        self, adapter: str, route: Route, service: Service, job: Job, left_ms: int
-    ) -> Placed | NoPlace | None:
-        version = self.wanted_version(adapter) or 1
-        arrived_ms = job.request.arrived_ms
-        on_time_ms = arrived_ms + route.objective_ms - USUAL_ANSWER_MS
-        on_time_ms -= self._daemon.clock.now_ms()
-        priority = route.priority
-        if job.resuming():
-            # Half an answer is worth nothing: who has had a part of it goes before all others.
-            priority, on_time_ms = RESUME_PRIORITY, left_ms
-        question = {
-            "cell": service.name,
-            "adapter": adapter,
-            "version": version,
-            "priority": priority,
-            "wait_ms": left_ms,
-            "on_time_ms": on_time_ms,
-            "avoid": self._avoided(service, job),
-        }
-        duty = self._duty_by_cell.get(service.name)
-        if duty is not None and duty.desk is not None:
-            return self._ask_desk(duty, question)
-        claim = self._daemon.view.claim_of(service.name)
-        card = self._daemon.view.card_by_name.get(claim.holder) if claim is not None else None
-        now_ms = self._daemon.clock.now_ms()
-        if card is None or not self._daemon.view.alive(claim.holder, now_ms):
-            return None
-        answer = self._daemon.peers.call(
-            card.peer_address, PLACE_PATH, orjson.dumps(question), left_ms + 50
-        )
-        if isinstance(answer, Lost):
-            if not answer.sent:
-                self._daemon.view.refused(claim.holder)
-            return None
-        try:
-            data = orjson.loads(answer.body)
-            if answer.head.status == 200:
-                return Placed(str(data["server"]), int(data["version"]))
-            return NoPlace(int(data["retry_after_ms"]))
-        except (ValueError, KeyError, TypeError):
-            return None
-
-    def _avoided(self, service: Service, job: Job) -> list[str]:
-        """Return the runners that a request shall not go to; none when there is no other."""
-        now_ms = self._daemon.clock.now_ms()
-        runners = [s.server_id for s in self._daemon.beliefs.book.of_service(service.name)]
-        paused = [s for s in runners if self._daemon.conditions.paused(s, now_ms)]
-        avoided = {*job.avoided, *paused}
-        return sorted(avoided) if set(runners) - avoided else []
-
     def answer_placement(self, request: Request, reply: Reply) -> None:
         """Answer another node that needs an adapter."""
         try:
@@ -294,7 +148,7 @@
             duty = self._duty_by_cell.get(question["cell"])
             found = None
             if duty is not None and duty.desk is not None:
-                found = self._ask_desk(duty, question)
+                found = self.ask_desk(duty, question)
         except (ValueError, KeyError, TypeError):
             reply.whole(400, [])
             return
@@ -306,14 +160,15 @@
             case None:
                 reply.whole(503, [], b"{}")
 
-    def _ask_desk(self, duty: Duty, question: dict[str, Any]) -> Placed | NoPlace | None:
+    def ask_desk(self, duty: Duty, question: dict[str, Any]) -> Placed | NoPlace | None:
+        """Let a request wait at this node's desk until it has a place or is refused."""
         now_ms = self._daemon.clock.now_ms()
         result: AsyncResult = AsyncResult()
         waiter = Waiter(
             name=question["adapter"],
             version=question["version"],
             priority=question["priority"],
-            since_ms=now_ms,
+            since_ms=now_ms - question["waited_ms"],
             on_time_until_ms=now_ms + question["on_time_ms"],
             until_ms=now_ms + question["wait_ms"],
             avoid=frozenset(question["avoid"]),
@@ -329,12 +184,6 @@
         finally:
             desk.forget(waiter)
 
-    def _old_is_over(self, adapter: str) -> bool:
-        """Tell whether an older version may no longer begin a request."""
-        known_ms = self._daemon.beliefs.named_ms_ago(adapter)
-        bound_ms = self._daemon.settings.bounds.version_ms
-        return known_ms is not None and known_ms > bound_ms * 0.6
-
     # Loops.
 
     def _lease_for_good(self) -> None:
--- /dev/null
+++ b/monsoonflow/entry/placing.py
@@ -0,0 +1,197 @@
+"""Finds or gets a place for an adapter, for the requests of this node."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any, Final
+
+import orjson
+
+from ..core.adapter import AdapterRef
+from ..discovery.models import BackendServer
+from ..gateway.job import Job
+from ..gateway.models import Call, Chosen, NoServer
+from ..logs import events, log
+from ..placement.waiting import NoPlace, Placed
+from ..routing.routes import Route, Service
+from ..transport.models import Lost
+from .peers import PLACE_PATH
+
+if TYPE_CHECKING:
+    from .daemon import EntryDaemon
+
+_LOGGER = logging.getLogger(__name__)
+WAIT_SHARE: Final = 0.6
+"""Share of the time left that a request waits for its adapter; the rest is for its answer."""
+
+USUAL_ANSWER_MS: Final = 250
+"""From a place to the first event: one prompt of the usual size is read in half of that."""
+
+RESUME_PRIORITY: Final = -1
+"""Before the most urgent routes, which have 0."""
+
+NO_HOLDER_PAUSE_MS: Final = 60
+ASK_AGAIN_MS: Final = 800
+"""Longest wait for a holder's answer before it is asked again: one that was frozen meanwhile is
+silent by then, and another is asked."""
+
+OLD_VERSION_SHARE: Final = 0.6
+"""Share of the bound on new versions in which an older one may still begin a request; the rest is
+for requests on their way."""
+
+REFUSED_RETRY_MS: Final = 500
+
+
+class Placing:
+    """Where the adapters are, and the way to get one loaded."""
+
+    def __init__(self, daemon: EntryDaemon) -> None:
+        self._daemon = daemon
+
+    def holders(self, adapter: str) -> dict[str, int]:
+        """Return the version of an adapter by the id of the runner that can serve it now."""
+        held = self._daemon.duties.residency.holders(adapter)
+        wanted = self.wanted_version(adapter)
+        if wanted is None:
+            return held
+        fresh = {server_id: version for server_id, version in held.items() if version >= wanted}
+        return fresh if fresh or self._old_is_over(adapter) else held
+
+    def wanted_version(self, adapter: str) -> int | None:
+        """Return the version that the operator named; ``None`` where none was."""
+        return self._daemon.beliefs.version_by_adapter.get(adapter)
+
+    def missing(self, adapter: str, server_id: str) -> None:
+        """Take the word of a runner that it does not hold an adapter."""
+        self._daemon.duties.residency.missing(server_id, adapter)
+        self._daemon.duties.doubt(server_id, adapter)
+
+    def ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
+        """Have the adapter loaded somewhere; waits until it is there."""
+        clock = self._daemon.clock
+        began_ms = clock.now_ms()
+        found = self._ask(call, route, service, job)
+        waited_ms = clock.now_ms() - began_ms
+        result = "placed" if isinstance(found, Chosen) else "refused"
+        self._daemon.metrics.place_wait.labels(result).observe(waited_ms / 1000)
+        claim = self._daemon.view.claim_of(service.name)
+        log(
+            _LOGGER,
+            events.RequestWaited(
+                request=call.request_id,
+                adapter=call.adapter or "",
+                holder=claim.holder if claim is not None else None,
+                result=result,
+                waited_ms=waited_ms,
+            ),
+        )
+        return found
+
+    def _ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
+        clock = self._daemon.clock
+        began_ms = clock.now_ms()
+        until_ms = began_ms + int((job.until_ms - began_ms) * WAIT_SHARE)
+        while (left_ms := until_ms - clock.now_ms()) > 0:
+            question = self._question(call, route, service, job, left_ms)
+            question["waited_ms"] = clock.now_ms() - began_ms
+            found = self._send(service, question, left_ms)
+            if isinstance(found, NoPlace):
+                return NoServer("too many wait for a place", found.retry_after_ms)
+            chosen = self._chosen(call, found) if isinstance(found, Placed) else None
+            if chosen is None:
+                self._daemon.tasks.sleep(min(NO_HOLDER_PAUSE_MS, left_ms))
+                chosen = self._held_meanwhile(call, service, job)
+            if chosen is not None:
+                return chosen
+        return NoServer("no place for the adapter in time", REFUSED_RETRY_MS)
+
+    def _chosen(self, call: Call, placed: Placed) -> Chosen | None:
+        book = self._daemon.beliefs.book
+        server = book.by_id.get(placed.server_id)
+        if server is None or not book.takes_work(placed.server_id):
+            return None
+        adapter = call.adapter or ""
+        ref = AdapterRef(adapter, placed.version)
+        self._daemon.duties.residency.granted(placed.server_id, ref)
+        wanted = self.wanted_version(adapter)
+        current = wanted is not None and placed.version >= wanted
+        return _to(server, call, wanted if current else None, "placed")
+
+    def _held_meanwhile(self, call: Call, service: Service, job: Job) -> Chosen | None:
+        """Return a runner that was heard to hold the adapter while nobody answered."""
+        held = self.holders(call.adapter or "")
+        for server in self._daemon.beliefs.book.of_service(service.name):
+            if server.server_id in held and server.server_id not in job.avoided:
+                return _to(server, call, None, "held meanwhile")
+        return None
+
+    def _question(
+        self, call: Call, route: Route, service: Service, job: Job, left_ms: int
+    ) -> dict[str, Any]:
+        now_ms = self._daemon.clock.now_ms()
+        on_time_ms = job.request.arrived_ms + route.objective_ms - USUAL_ANSWER_MS - now_ms
+        priority = route.priority
+        if job.resuming():
+            # Half an answer is worth nothing: who has had a part of it goes before all others.
+            priority, on_time_ms = RESUME_PRIORITY, left_ms
+        return {
+            "cell": service.name,
+            "adapter": call.adapter,
+            "version": self.wanted_version(call.adapter or "") or 1,
+            "priority": priority,
+            "wait_ms": left_ms,
+            "on_time_ms": on_time_ms,
+            "avoid": self._avoided(service, job),
+        }
+
+    def _send(
+        self, service: Service, question: dict[str, Any], left_ms: int
+    ) -> Placed | NoPlace | None:
+        """Ask this node's desk, or the holder's; ``None`` when nobody answers."""
+        daemon = self._daemon
+        duty = daemon.duties.duty_of(service.name)
+        if duty is not None and duty.desk is not None:
+            return daemon.duties.ask_desk(duty, question)
+        claim = daemon.view.claim_of(service.name)
+        card = daemon.view.card_by_name.get(claim.holder) if claim is not None else None
+        if card is None or not daemon.view.alive(claim.holder, daemon.clock.now_ms()):
+            return None
+        body = orjson.dumps(question)
+        answer = daemon.peers.call(card.peer_address, PLACE_PATH, body, min(left_ms, ASK_AGAIN_MS))
+        if isinstance(answer, Lost):
+            if not answer.sent:
+                daemon.view.refused(claim.holder)
+            return None
+        try:
+            data = orjson.loads(answer.body)
+            if answer.head.status == 200:
+                return Placed(str(data["server"]), int(data["version"]))
+            return NoPlace(int(data["retry_after_ms"]))
+        except (ValueError, KeyError, TypeError):
+            return None
+
+    def _avoided(self, service: Service, job: Job) -> list[str]:
+        """Return the runners that a request shall not go to; none when there is no other."""
+        now_ms = self._daemon.clock.now_ms()
+        runners = [s.server_id for s in self._daemon.beliefs.book.of_service(service.name)]
+        paused = [s for s in runners if self._daemon.conditions.paused(s, now_ms)]
+        avoided = {*job.avoided, *paused}
+        return sorted(avoided) if set(runners) - avoided else []
+
+    def _old_is_over(self, adapter: str) -> bool:
+        """Tell whether an older version may no longer begin a request."""
+        known_ms = self._daemon.beliefs.named_ms_ago(adapter)
+        bound_ms = self._daemon.settings.bounds.version_ms
+        return known_ms is not None and known_ms > bound_ms * OLD_VERSION_SHARE
+
+
+def _to(server: BackendServer, call: Call, version: int | None, why: str) -> Chosen:
+    return Chosen(
+        server.server_id,
+        server.address,
+        call.adapter,
+        call.prompt_tokens,
+        call.prompt_tokens + call.output_tokens,
+        version,
+        why,
+    )
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -9,13 +9,9 @@
 from __future__ import annotations
 
 import math
-from collections import deque
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable
 from typing import Final
 
-import attrs
-
 from ..core.adapter import AdapterRef
 from ..helpers.hashing import weight
 from ..orders.models import (
@@ -31,7 +27,10 @@
 )
 from ..routing.in_flight import ServerWork
 from ..routing.routes import EngineTraits
+from .heat import Heat
+from .model_loads import ModelLoads
 from .seats import MAX_INCOMING, RunnerSeats, Seat, SeatState, Step
+from .waiting import Pace, Placed, Waiter
 
 COLD_LOADS_AT_ONCE: Final = 8
 """Adapters fetched from the weight store at once over all runners; beyond it each takes longer in
@@ -45,8 +44,6 @@
 """Pause between questions whether a load is complete: a question costs a round trip of 3 ms."""
 
 MODEL_CONFIRM_EVERY_MS: Final = 250
-MODEL_LOAD_WINDOW_MS: Final = 5_000
-"""Window in which loads of base models are counted against the weight store's rate."""
 
 UNSEEN_MS: Final = 100
 """A use that began so lately may not have been heard of: nodes tell the holder within 20 ms when a
@@ -55,21 +52,7 @@
 GRANT_MS: Final = 600
 """How long a grant keeps its adapter until the request shows up in its node's report."""
 
-RATE_WINDOW_MS: Final = 2_000
-"""Window in which places given are counted: longer than a load, shorter than a rush."""
-
-USUAL_USE_MS: Final = 4_000
-"""A place is assumed to be free again after so long at the latest: a load, a prompt and a long
-answer. After a quiet time no rate has been measured, and nobody may be refused for that."""
-
-FEW: Final = 4
-"""So many adapters may always wait, whatever the rate says."""
 
-PATIENCE: Final = 0.5
-"""Share of the time left that a request is let wait; the rest is for its answer."""
-
-MIN_RETRY_MS: Final = 250
-HEAT_HALF_LIFE_MS: Final = 8_000
 REPORT_RETRY_MS: Final = 150
 REPORT_LAG_MS: Final = 500
 """A runner's report is some hundred milliseconds old: one that knows fewer orders than were
@@ -78,55 +61,6 @@
 CROWDED_TOKENS: Final = 6_000
 """Unread prompt tokens at a runner beyond which others are preferred: some 300 ms of reading."""
 
-STALE_HEAT: Final = 0.05
-"""Heat below which an adapter's new version is not fetched ahead of its first request."""
-
-
-@attrs.define(slots=True)
-class Waiter:
-    """A request that waits for an adapter.
-
-    :param version: the oldest version that may serve it.
-    :param on_time_until_ms: until when a place still lets it meet its latency objective.
-    :param until_ms: when its time is over.
-    :param settle: called once; with ``None`` when another node must be asked.
-    """
-
-    name: str
-    version: int
-    priority: int
-    since_ms: int
-    on_time_until_ms: int
-    until_ms: int
-    avoid: frozenset[str]
-    settle: Callable[[Placed | NoPlace | None], None]
-
-    def urgency(self, now_ms: int) -> tuple[bool, int, int]:
-        """Return the order in which places are given.
-
-        Who can still be on time goes first. In the order of arrival a rush would make everybody
-        late: the oldest, whose answer is late already, would take the place of one that is not.
-        """
-        return (now_ms > self.on_time_until_ms, self.priority, self.since_ms)
-
-
-@dataclass(frozen=True, slots=True)
-class Placed:
-    """A runner can serve the adapter."""
-
-    server_id: str
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class NoPlace:
-    """No runner will be able to in time.
-
-    :param retry_after_ms: when the queue has drained.
-    """
-
-    retry_after_ms: int
-
 
 class Desk:
     """The seats of all runners of one cell, and who waits for one.
@@ -139,11 +73,10 @@
         self._newest = newest
         self.runners: dict[str, RunnerSeats] = {}
         self.waiters: list[Waiter] = []
-        self._heat: dict[str, tuple[float, int]] = {}
+        self._heat = Heat()
         self._ticked_ms = 0
-        self._model_loads: list[int] = []
-        self._placed_ms: deque[int] = deque()
-        self._placed_late_ms: deque[int] = deque()
+        self._model_loads = ModelLoads(traits.loads_per_s)
+        self._pace = Pace()
         self.loads = 0
         self.cold_loads = 0
 
@@ -193,7 +126,7 @@
 
     def ask(self, waiter: Waiter, now_ms: int, work: dict[str, ServerWork]) -> None:
         """Take a request that needs an adapter; it is settled now or later."""
-        self._warm(waiter.name, 0.3, now_ms)
+        self._heat.add(waiter.name, 0.3, now_ms)
         self.waiters.append(waiter)
         self.settle_waiters(now_ms, work)
 
@@ -219,40 +152,14 @@
             runner, seat = held
             seat.granted_until_ms = now_ms + GRANT_MS
             seat.used_ms = now_ms
-            self._placed_ms.append(now_ms)
-            if now_ms > waiter.on_time_until_ms:
-                self._placed_late_ms.append(now_ms)
+            self._pace.placed(waiter, now_ms)
             waiter.settle(Placed(runner.server_id, seat.ref.version))
-        self.waiters = self._refuse_hopeless(left, now_ms, work)
-
-    def _refuse_hopeless(
-        self, waiters: list[Waiter], now_ms: int, work: dict[str, ServerWork]
-    ) -> list[Waiter]:
-        """Refuse at once who is too far back; return who goes on waiting.
-
-        Holding a request that will not be served costs its caller the time in which it could have
-        come back. Those who are late already only get what those on time leave.
-        """
         places = sum(runner.slots for runner in self.runners.values())
-        least = 1000 * places / USUAL_USE_MS
-        rate = max(least, _rate(self._placed_ms, now_ms))
-        late_rate = max(least, _rate(self._placed_late_ms, now_ms))
-        idle = FEW + sum(self._idle_seats(r, now_ms, work) for r in self.runners.values())
-        kept: list[Waiter] = []
-        ahead: set[str] = set()
-        late_ahead: set[str] = set()
-        for waiter in waiters:
-            late = now_ms > waiter.on_time_until_ms
-            behind = late_ahead if late else ahead
-            queued = max(0, len(behind) - idle)
-            wait_ms = 1000 * queued / max(1.0, late_rate if late else rate)
-            left_ms = waiter.until_ms - now_ms
-            if left_ms <= 0 or wait_ms > left_ms * PATIENCE:
-                waiter.settle(NoPlace(max(MIN_RETRY_MS, int(wait_ms))))
-                continue
-            behind.add(waiter.name)
-            kept.append(waiter)
-        return kept
+        idle = sum(self._idle_seats(runner, now_ms, work) for runner in self.runners.values())
+        for waiter, refusal in self._pace.hopeless(left, places, idle, now_ms):
+            left.remove(waiter)
+            waiter.settle(refusal)
+        self.waiters = left
 
     def _held(self, waiter: Waiter, work: dict[str, ServerWork]) -> tuple[RunnerSeats, Seat] | None:
         found = [
@@ -305,11 +212,11 @@
             name = runner.model_loading
             return Step(runner.server_id, Operation.LOAD, name, None, runner.sequence or 0, True)
         name = self._model_wanted()
-        if name is None or not self._model_load_allowed(now_ms):
+        if name is None or not self._model_loads.allowed(now_ms):
             return None
         runner.model_loading = name
         runner.model_since_ms = now_ms
-        self._model_loads.append(now_ms)
+        self._model_loads.began(now_ms)
         return Step(runner.server_id, Operation.LOAD, name, None, runner.sequence or 0)
 
     def _model_wanted(self) -> str | None:
@@ -322,16 +229,6 @@
         fits = [m.name for m in self.traits.models if m.memory_mb <= self.traits.weights_mb]
         return min(fits, key=lambda name: held[name], default=None)
 
-    def _model_load_allowed(self, now_ms: int) -> bool:
-        """Keep loads of base models under the rate that the weight store allows.
-
-        Two holders in a row each start with an empty count: each uses half of what a window allows.
-        """
-        window_ms = MODEL_LOAD_WINDOW_MS
-        self._model_loads = [at_ms for at_ms in self._model_loads if now_ms - at_ms < window_ms]
-        allowed = self.traits.loads_per_s * window_ms / 1000 / 2
-        return len(self._model_loads) < max(1, math.floor(allowed))
-
     def _loads(self, now_ms: int, work: dict[str, ServerWork]) -> list[Step]:
         """Return loads for those who wait, most urgent first, and the unloads they need."""
         steps: list[Step] = []
@@ -452,7 +349,7 @@
         if seat.ref.version < self._newest.get(seat.ref.name, 1):
             return 0.0
         copies = sum(runner.ready(seat.ref.name) is not None for runner in self.runners.values())
-        return self.heat(seat.ref.name, now_ms) / max(1, copies)
+        return self._heat.of(seat.ref.name, now_ms) / max(1, copies)
 
     def answered(self, step: Step, answer: OrderAnswer, now_ms: int) -> bool:
         """Take the answer to an order; return whether the duty is still this node's."""
@@ -509,8 +406,7 @@
         seat = runner.seats.get(step.name)
         if "/" not in step.name:
             runner.model_loading = None
-            if self._model_loads:
-                self._model_loads.pop()
+            self._model_loads.undone()
         elif seat is not None and step.operation is Operation.LOAD:
             del runner.seats[step.name]
         elif seat is not None:
@@ -529,29 +425,18 @@
         version = ref.version if operation is Operation.LOAD and ref.version > 1 else None
         return Step(runner.server_id, operation, ref.name, version, runner.sequence or 0, confirms)
 
-    # Heat tells which adapters are worth their seats.
-
-    def heat(self, name: str, now_ms: int) -> float:
-        """Return how much an adapter was used lately."""
-        value, at_ms = self._heat.get(name, (0.0, now_ms))
-        return value * math.exp2((at_ms - now_ms) / HEAT_HALF_LIFE_MS)
-
-    def _warm(self, name: str, by: float, now_ms: int) -> None:
-        self._heat[name] = (self.heat(name, now_ms) + by, now_ms)
-
     def _tick(self, now_ms: int, work: dict[str, ServerWork]) -> None:
         span_s = min(1.0, (now_ms - self._ticked_ms) / 1000)
         self._ticked_ms = now_ms
         for runner in self.runners.values():
             for name, count in work.get(runner.server_id, _NO_WORK).by_adapter.items():
-                self._warm(name, count * span_s, now_ms)
+                self._heat.add(name, count * span_s, now_ms)
                 seat = runner.seats.get(name)
                 if seat is not None:
                     # Seen in use: from here on the use itself keeps the place.
                     seat.used_ms = now_ms
                     seat.granted_until_ms = 0
-        if len(self._heat) > 8_000:
-            self._heat = {n: h for n, h in self._heat.items() if self.heat(n, now_ms) > 0.001}
+        self._heat.forget_cold(now_ms)
 
     def _cold_incoming(self) -> int:
         return sum(
@@ -570,13 +455,6 @@
         return max(0, min(self.traits.adapter_slots, room))
 
 
-def _rate(times_ms: deque[int], now_ms: int) -> float:
-    """Return events a second over the last while."""
-    while times_ms and now_ms - times_ms[0] > RATE_WINDOW_MS:
-        times_ms.popleft()
-    return len(times_ms) * 1000 / RATE_WINDOW_MS
-
-
 _NO_WORK: Final = ServerWork()
 
 
--- /dev/null
+++ b/monsoonflow/placement/waiting.py
@@ -0,0 +1,125 @@
+"""Requests that wait for a place: in which order they get one, and who is refused at once.
+
+The load that it is made for: a rush in which more is asked for than there are places.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+import attrs
+
+RATE_WINDOW_MS: Final = 2_000
+"""Window in which places given are counted: longer than a load, shorter than a rush."""
+
+USUAL_USE_MS: Final = 4_000
+"""A place is assumed to be free again after so long at the latest: a load, a prompt and a long
+answer. After a quiet time no rate has been measured, and nobody may be refused for that."""
+
+FEW: Final = 4
+"""So many adapters may always wait, whatever the rate says."""
+
+PATIENCE: Final = 0.5
+"""Share of the time left that a request is let wait; the rest is for its answer."""
+
+MIN_RETRY_MS: Final = 250
+
+
+@attrs.define(slots=True)
+class Waiter:
+    """A request that waits for an adapter.
+
+    :param version: the oldest version that may serve it.
+    :param on_time_until_ms: until when a place still lets it meet its latency objective.
+    :param until_ms: when its time is over.
+    :param settle: called once; with ``None`` when another node must be asked.
+    """
+
+    name: str
+    version: int
+    priority: int
+    since_ms: int
+    on_time_until_ms: int
+    until_ms: int
+    avoid: frozenset[str]
+    settle: Callable[[Placed | NoPlace | None], None]
+
+    def urgency(self, now_ms: int) -> tuple[bool, int, int]:
+        """Return the order in which places are given.
+
+        Who can still be on time goes first. In the order of arrival a rush would make everybody
+        late: the oldest, whose answer is late already, would take the place of one that is not.
+        """
+        return (now_ms > self.on_time_until_ms, self.priority, self.since_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """A runner can serve the adapter."""
+
+    server_id: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoPlace:
+    """No runner will be able to in time.
+
+    :param retry_after_ms: when the queue has drained.
+    """
+
+    retry_after_ms: int
+
+
+class Pace:
+    """How fast places were given lately, and from it who will not get one in time."""
+
+    def __init__(self) -> None:
+        self._placed_ms: deque[int] = deque()
+        self._placed_late_ms: deque[int] = deque()
+
+    def placed(self, waiter: Waiter, now_ms: int) -> None:
+        """Count a place that was given."""
+        self._placed_ms.append(now_ms)
+        if now_ms > waiter.on_time_until_ms:
+            self._placed_late_ms.append(now_ms)
+
+    def hopeless(
+        self, waiters: list[Waiter], places: int, idle: int, now_ms: int
+    ) -> list[tuple[Waiter, NoPlace]]:
+        """Return who is too far back, with a time to come back.
+
+        Holding a request that will not be served costs its caller the time in which it could have
+        come back. Those who are late already only get what those on time leave.
+
+        :param waiters: in the order in which they get places.
+        :param places: all places for adapters.
+        :param idle: places that nothing uses: so many need not wait for any end.
+        """
+        least = 1000 * places / USUAL_USE_MS
+        rate = max(least, _rate(self._placed_ms, now_ms))
+        late_rate = max(least, _rate(self._placed_late_ms, now_ms))
+        ahead: set[str] = set()
+        late_ahead: set[str] = set()
+        refused = []
+        for waiter in waiters:
+            late = now_ms > waiter.on_time_until_ms
+            behind = late_ahead if late else ahead
+            queued = max(0, len(behind) - idle - FEW)
+            wait_ms = 1000 * queued / max(1.0, late_rate if late else rate)
+            left_ms = waiter.until_ms - now_ms
+            if left_ms <= 0 or wait_ms > left_ms * PATIENCE:
+                refused.append((waiter, NoPlace(max(MIN_RETRY_MS, int(wait_ms)))))
+                continue
+            behind.add(waiter.name)
+        return refused
+
+
+def _rate(times_ms: deque[int], now_ms: int) -> float:
+    """Return events a second over the last while."""
+    while times_ms and now_ms - times_ms[0] > RATE_WINDOW_MS:
+        times_ms.popleft()
+    return len(times_ms) * 1000 / RATE_WINDOW_MS
--- a/tests/placement/conftest.py
+++ b/tests/placement/conftest.py
@@ -15,8 +15,9 @@
     Stale,
     Unanswered,
 )
-from monsoonflow.placement.desk import Desk, Placed, Waiter
+from monsoonflow.placement.desk import Desk
 from monsoonflow.placement.seats import Step
+from monsoonflow.placement.waiting import Placed, Waiter
 from monsoonflow.routing.in_flight import ServerWork
 from monsoonflow.routing.routes import BaseModel, EngineTraits
 
--- a/tests/placement/test_desk.py
+++ b/tests/placement/test_desk.py
@@ -7,7 +7,7 @@
 from monsoonflow.core.adapter import AdapterRef
 from monsoonflow.helpers.hashing import weight
 from monsoonflow.orders.models import Gone, Operation, Superseded, Unusable
-from monsoonflow.placement.desk import NoPlace
+from monsoonflow.placement.waiting import NoPlace
 from tests.placement.conftest import MODEL, TRAITS, FakeRunner
 
 
