Move the checks of callers' words below the nodes that use them

Cause: node/ imported api.parse, an arrow that ran upwards. Ruled out: nothing else of api is imported by node. Change: api/parse.py becomes request/parse.py with its constants and tests; no line of behaviour.

--- a/monsoonflow/api/callers.py
+++ b/monsoonflow/api/callers.py
@@ -15,8 +15,8 @@
 from ..node.relay import HEADER_HOP, HEADER_REQUEST
 from ..node.router import owner_for
 from ..node.served import Served
+from ..request.parse import BadRequest, parse_completion, parse_terms
 from .http import answer, bad, ended_badly, from_node, identify, read_body, refuse
-from .parse import BadRequest, parse_completion, parse_terms
 from .stream import event_stream, head_fields, whole
 
 
--- a/monsoonflow/api/http.py
+++ b/monsoonflow/api/http.py
@@ -13,9 +13,9 @@
 from ..core.outcome import NotRun, Outcome
 from ..node.context import NodeContext
 from ..node.relay import HEADER_CUSTOMER, HEADER_NODE_TOKEN, HEADER_REQUEST
+from ..request.parse import BadRequest
 from .const import MAX_HEADER_BYTES
 from .errors import error_body, outcome_body, outcome_status, retry_headers
-from .parse import BadRequest
 
 READ_PIECE = 65_536
 
--- a/monsoonflow/api/operators.py
+++ b/monsoonflow/api/operators.py
@@ -17,9 +17,9 @@
 from ..node.config_loop import ConfigLoop, unix_ms
 from ..node.context import NodeContext
 from ..node.explain import explain_request, explain_runner
+from ..request.parse import BadRequest
 from ..storage.models import Unavailable
 from .http import answer, bad, bearer, lower_headers, read_body, refuse, same_secret
-from .parse import BadRequest
 
 _LOGGER = logging.getLogger(__name__)
 INTENT_LIMIT_BYTES = 64 << 20
--- a/monsoonflow/api/services.py
+++ b/monsoonflow/api/services.py
@@ -15,9 +15,9 @@
 from ..helpers.ids import new_id
 from ..helpers.logfmt import pairs
 from ..node.context import NodeContext
+from ..request.parse import BadRequest, Terms, parse_terms
 from ..routing.keys import KeyClash, KeysFull, KnownKey
 from .http import READ_PIECE, bad, ended_badly, identify, refuse
-from .parse import BadRequest, Terms, parse_terms
 
 _LOGGER = logging.getLogger(__name__)
 HOP_HEADERS: Final = frozenset(
--- a/monsoonflow/node/intake.py
+++ b/monsoonflow/node/intake.py
@@ -10,13 +10,13 @@
 import orjson
 
 from ..address.choice import order_nodes
-from ..api.parse import Completion, Terms
 from ..core.adapter import AdapterRef
 from ..core.outcome import Failed, NotRun, Unknown
 from ..helpers.ids import new_id
 from ..membership.view import Peer
 from ..request.life import RequestLife
 from ..request.models import Terms as LifeTerms
+from ..request.parse import Completion, Terms
 from ..routing.keys import KeyClash, KeysFull, KnownKey, NewKey
 from .claims import ClaimedBy, ClaimFailed, Claims, NewClaim
 from .context import NodeContext, home_of
--- a/tests/randomised/network.py
+++ b/tests/randomised/network.py
@@ -9,7 +9,6 @@
 import orjson
 
 from monsoonflow.address.choice import order_nodes
-from monsoonflow.api.parse import Completion, parse_completion, parse_terms
 from monsoonflow.backend.models import (
     Began,
     Broken,
@@ -30,6 +29,7 @@
 from monsoonflow.node.router import owner_for
 from monsoonflow.node.served import Served
 from monsoonflow.request.models import Terms
+from monsoonflow.request.parse import Completion, parse_completion, parse_terms
 from monsoonflow.rpc import control_pb2 as pb
 
 from .fakes import CALL_TIMEOUT_MS, KEEP_ALIVE_MS, Channel, Weather
--- a/tests/api/test_parse.py
+++ b/tests/request/test_parse.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from monsoonflow.api.parse import BadRequest, Completion, Terms, parse_completion, parse_terms
+from monsoonflow.request.parse import BadRequest, Completion, Terms, parse_completion, parse_terms
 
 HEADERS = (
     "x-monsoonflow-repeatable",
