--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -321,7 +321,7 @@
     """Exchange heartbeats over gRPC through a counting forwarder; return bytes and time each."""
     from monsoonflow.rpc.client import ControlClient
     from monsoonflow.rpc.server import serve
-    from script.fleet import free_port
+    from script.ports import free_port
 
     class Handler:
         def on_heartbeat(self, _report: pb.NodeReport) -> pb.NodeReport:
--- a/script/fleet.py
+++ b/script/fleet.py
@@ -5,7 +5,6 @@
 import hashlib
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,6 +12,7 @@
 from typing import Any
 
 from monsoonflow.helpers.http import Answer, HttpClient
+from script.ports import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 OPERATOR_TOKEN = "operator-token-0123456789"
@@ -20,13 +20,6 @@
 BASE_MODEL = "base-1"
 
 
-def free_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def wait_until(condition: Any, seconds: float = 20, what: str = "condition") -> Any:
     """Return the condition's first true value; raise when it stays false."""
     deadline = time.monotonic() + seconds
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -40,10 +40,10 @@
     Unavailable,
 )
 from monsoonflow.transport.models import AnswerHead, Request
+from script.ports import free_port
 from stand_ins.platform_runner import PlatformRunner
 from stand_ins.platform_store import PlatformStore as StoreStandIn
 from tests.entry.conftest import CONFIG
-from tests.transport.conftest import free_port
 
 SETTINGS = """
 nodeName = "n1"
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -12,7 +12,8 @@
 
 from monsoonflow.client import Client
 from monsoonflow.core.outcome import Done, NotRun, Unknown
-from script.fleet import Fleet, customer_key, free_port, wait_until
+from script.fleet import Fleet, customer_key, wait_until
+from script.ports import free_port
 from stand_ins.text import expected_text
 
 pytestmark = pytest.mark.processes
