Give up a plain server that hangs for another; a caller that leaves says nothing of the server

Ruled out: the choice among servers (a hanging one was found, but each found it for itself, after its whole time). Change: an idempotent request is tried elsewhere after five usual times of the server (300 ms at least), inside attempts and budget; time over counts against a server; an abandoned try counts for nothing. Before: both new tests fail.

--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -14,9 +14,22 @@
 from ..routing.in_flight import InFlight
 from ..routing.routes import Route, Service
 from .job import Job
-from .models import Call, Chosen, Cut, NoServer, Passed, Rejected, Try, Unclear, Unsent, Whole
+from .models import (
+    Call,
+    Chosen,
+    Cut,
+    NoServer,
+    Passed,
+    Rejected,
+    TimedOut,
+    Try,
+    Unclear,
+    Unsent,
+    Whole,
+)
 
 NO_SERVER_RETRY_MS: Final = 400
+UNBOUNDED_MS: Final = 3_600_000
 REQUEST_TOKENS: Final = 60
 """Tokens of prompt reading that one running request's generation costs its runner in a while."""
 
@@ -94,6 +107,10 @@
             why=f"held, unread_tokens={self._waiting(server, now_ms)}",
         )
 
+    def patience_ms(self, chosen: Chosen) -> int:
+        """Return how long a runner may take: a backlog is no sign of hanging, so all the time."""
+        return UNBOUNDED_MS
+
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
         match result:
@@ -107,7 +124,7 @@
                 self.conditions.unreached(chosen.server_id, now_ms)
             case Unclear(silent=True) | Cut(silent=True):
                 self.conditions.unreached(chosen.server_id, now_ms)
-            case Unclear() | Cut() | Rejected():
+            case Unclear() | Cut() | TimedOut(silent=True) | Rejected():
                 self.conditions.ended(chosen.server_id, False, took_ms, now_ms)
 
     def _cost(self, server: BackendServer, now_ms: int) -> float:
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -15,6 +15,7 @@
 from .events import EventCutter
 from .job import Job
 from .models import (
+    Abandoned,
     Call,
     Chosen,
     Cut,
@@ -59,6 +60,9 @@
     ) -> Chosen | NoServer:
         """Return a server; may wait for one."""
 
+    def patience_ms(self, chosen: Chosen) -> int:
+        """Return how long a server may take before it seems to hang."""
+
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
 
@@ -174,16 +178,26 @@
             self._dialect,
             job.request,
             job.call,
-            job.until_ms,
+            self._try_until(job, chooser, chosen, sent_ms),
             lambda: self._first_event(job, ticket),
         )
-        result: Try = Unclear("the caller left")
+        result: Try = Abandoned()
         try:
             result = offer.send(chosen, head, reply, job.cutter)
         finally:
             self._finish_try(ticket, chooser, chosen, result, sent_ms)
         return result
 
+    def _try_until(self, job: Job, chooser: Chooser, chosen: Chosen, now_ms: int) -> int:
+        """Return when a try is over.
+
+        A server that hangs would use up all the time of a request that another could answer: one
+        that may run again is tried elsewhere once the server is far beyond its usual time.
+        """
+        if job.route.kind is not RouteKind.IDEMPOTENT or job.runs + 1 >= job.route.attempts:
+            return job.until_ms
+        return min(job.until_ms, now_ms + chooser.patience_ms(chosen))
+
     def _finish_try(
         self, ticket: Ticket, chooser: Chooser, chosen: Chosen, result: Try, sent_ms: int
     ) -> None:
@@ -229,8 +243,13 @@
                 return self._settle_whole(job, reply, chosen, result, took_ms)
             case TimedOut():
                 job.runs += 1
+                job.avoided.append(chosen.server_id)
+                if job.until_ms - self._clock.now_ms() >= MIN_SEND_MS:
+                    return self._again_or_end(job, reply, chosen, "hangs", took_ms, ran=True)
                 self._time_over(job, reply)
                 return True
+            case Abandoned():
+                return True
             case Rejected(reason=reason, retry_after_ms=retry_after_ms, moved=moved):
                 if not moved:
                     job.avoided.append(chosen.server_id)
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -135,7 +135,17 @@
 
 @dataclass(frozen=True, slots=True)
 class TimedOut:
-    """The time that the request had is over while the server was at work."""
+    """The time that the request had is over while the server was at work.
+
+    :param silent: the server gave no sign at all.
+    """
+
+    silent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The caller left; that says nothing of the server."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +161,7 @@
     silent: bool = False
 
 
-Try: TypeAlias = Whole | Unsent | Rejected | Unclear | TimedOut | Passed | Cut
+Try: TypeAlias = Whole | Unsent | Rejected | Unclear | TimedOut | Abandoned | Passed | Cut
 
 
 @attrs.frozen(slots=True)
--- a/monsoonflow/gateway/offer.py
+++ b/monsoonflow/gateway/offer.py
@@ -75,7 +75,7 @@
             clean = True
             return result
         except TimeoutError:
-            return TimedOut()
+            return TimedOut(silent=answer_head is None)
         except (OSError, BrokenAnswer) as error:
             reason = f"{type(error).__name__}: {error}"
             silent = answer_head is None
--- a/monsoonflow/gateway/plain.py
+++ b/monsoonflow/gateway/plain.py
@@ -14,7 +14,7 @@
 from ..routing.in_flight import InFlight
 from ..routing.routes import Route, Service
 from .job import Job
-from .models import Call, Chosen, Cut, NoServer, Rejected, Try, Unclear, Unsent, Whole
+from .models import Call, Chosen, Cut, NoServer, Rejected, TimedOut, Try, Unclear, Unsent, Whole
 
 USUAL_MS: Final = 80.0
 """Time of an answer while none was seen yet."""
@@ -22,6 +22,11 @@
 MIN_SUCCESS: Final = 0.1
 """A failing server keeps this share of its weight, so that its recovery is noticed."""
 
+PATIENCE_TIMES: Final = 5
+MIN_PATIENCE_MS: Final = 300
+"""A server seems to hang after so many of its usual times, and never sooner than this: the longest
+of a hundred answers takes some five times the usual one."""
+
 NO_SERVER_RETRY_MS: Final = 400
 QUEUE_RETRY_SHARE: Final = 0.5
 """Come back after half of the expected wait: the queue drains meanwhile."""
@@ -62,6 +67,11 @@
             )
         return Chosen(best.server_id, best.address, why=f"expected_ms={expected_ms:.0f}")
 
+    def patience_ms(self, chosen: Chosen) -> int:
+        """Return how long a server may take before it seems to hang."""
+        usual_ms = self.conditions.latency_ms(chosen.server_id, USUAL_MS)
+        return max(MIN_PATIENCE_MS, int(usual_ms * PATIENCE_TIMES))
+
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
         match result:
@@ -71,7 +81,7 @@
                 self.conditions.unreached(chosen.server_id, now_ms)
             case Unclear(silent=True) | Cut(silent=True):
                 self.conditions.unreached(chosen.server_id, now_ms)
-            case Unclear() | Cut() | Rejected(moved=False):
+            case Unclear() | Cut() | TimedOut() | Rejected(moved=False):
                 self.conditions.ended(chosen.server_id, False, took_ms, now_ms)
 
     def _expected_ms(self, server: BackendServer, now_ms: int) -> float:
--- a/tests/entry/test_pass_through.py
+++ b/tests/entry/test_pass_through.py
@@ -215,3 +215,42 @@
     answer = fleet.ask(node, "/look/x", "r2")
     assert answer.head.status == 500
     assert answer.head.value(b"x-server-signature") is not None
+
+
+def test_a_server_that_hangs_is_given_up_for_another(fleet, one):
+    """One of two servers takes requests and never answers; its health is good.
+
+    A request that may run again is tried at the other one well before its time is over, and new
+    requests go to the other one.
+    """
+    hanging, good = fleet.servers
+    for _ in range(9):
+        one.daemon.conditions.ended("i-1", True, 1, one.daemon.clock.now_ms())
+    hanging.faults.slow_ms = 30_000
+    began = gevent.get_hub().loop.now()
+    answers = [fleet.ask(one, "/look/x", f"r{number}") for number in range(12)]
+    assert [answer.head.status for answer in answers] == [200] * 12
+    assert gevent.get_hub().loop.now() - began < 3
+    assert sum(good.ran[f"r{number}"] for number in range(12)) == 12
+
+
+def test_a_caller_that_leaves_is_not_held_against_the_server(fleet, one):
+    """Callers give up after a moment while a server works as usual.
+
+    Counted as failures, their leaving would take work away from a good server.
+    """
+    for server in fleet.servers:
+        server.faults.slow_ms = 2_000
+    host, port = one.address.split(":")
+    for number in range(5):
+        sock = socket.create_connection((host, int(port)))
+        sock.sendall(
+            b"POST /look/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r%d\r\n"
+            b"Content-Length: 0\r\n\r\n" % number
+        )
+        wait_for(lambda number=number: ran(fleet, f"r{number}"))
+        sock.close()
+    wait_for(lambda: sum(server.left for server in fleet.servers) == 5, 1.0)
+    now_ms = one.daemon.clock.now_ms()
+    shares = [one.daemon.conditions.failure_share(f"i-{number}", now_ms) for number in (1, 2)]
+    assert shares == [0.0, 0.0]
