Give up a runner that hangs for another, where no backlog explains its silence

Change: a first sign within two latency objectives, where less than 10,000 prompt tokens are ahead, else another runner inside attempts and budget; a caller that left after so long without a sign counts against the runner. Test: seen failing before (504).

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -296,7 +296,7 @@
             self.in_flight,
             retries,
             PlainChooser(*shared, self.rng, settings.data_centre),
-            EngineChooser(*shared, Placing(self), self.rng, settings.data_centre),
+            EngineChooser(*shared, Placing(self), self.clock, self.rng, settings.data_centre),
             self.rng,
             Record(self.clock, self.metrics),
         )
--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..core.clock import Clock
 from ..discovery.book import ServerBook
 from ..discovery.models import BackendServer
 from ..fleet.view import FleetView
@@ -15,6 +16,7 @@
 from ..routing.routes import Route, Service
 from .job import Job
 from .models import (
+    Abandoned,
     Call,
     Chosen,
     Cut,
@@ -30,6 +32,12 @@
 
 NO_SERVER_RETRY_MS: Final = 400
 UNBOUNDED_MS: Final = 3_600_000
+BACKLOG_TOKENS: Final = 10_000
+"""Prompt tokens ahead, some half a second of reading, from which a late first event is expected."""
+
+HANG_TIMES: Final = 2
+"""A runner without a backlog seems to hang after so many latency objectives without a sign."""
+
 REQUEST_TOKENS: Final = 60
 """Tokens of prompt reading that one running request's generation costs its runner in a while."""
 
@@ -59,6 +67,7 @@
     view: FleetView
     conditions: Conditions
     placement: Placement
+    clock: Clock
     rng: random.Random
     data_centre: str
 
@@ -107,9 +116,15 @@
             why=f"held, unread_tokens={self._waiting(server, now_ms)}",
         )
 
-    def patience_ms(self, chosen: Chosen) -> int:
-        """Return how long a runner may take: a backlog is no sign of hanging, so all the time."""
-        return UNBOUNDED_MS
+    def patience_ms(self, chosen: Chosen, route: Route) -> int:
+        """Return how long a runner may take to the first event before it seems to hang.
+
+        A backlog is no sign of hanging: where much is to be read, all the time.
+        """
+        server = self.book.by_id.get(chosen.server_id)
+        if server is None or self._waiting(server, self.clock.now_ms()) > BACKLOG_TOKENS:
+            return UNBOUNDED_MS
+        return route.objective_ms * HANG_TIMES
 
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
@@ -124,7 +139,7 @@
                 self.conditions.unreached(chosen.server_id, now_ms)
             case Unclear(silent=True) | Cut(silent=True):
                 self.conditions.unreached(chosen.server_id, now_ms)
-            case Unclear() | Cut() | TimedOut(silent=True) | Rejected():
+            case Unclear() | Cut() | TimedOut(silent=True) | Abandoned(silent=True) | Rejected():
                 self.conditions.ended(chosen.server_id, False, took_ms, now_ms)
 
     def _cost(self, server: BackendServer, now_ms: int) -> float:
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -60,7 +60,7 @@
     ) -> Chosen | NoServer:
         """Return a server; may wait for one."""
 
-    def patience_ms(self, chosen: Chosen) -> int:
+    def patience_ms(self, chosen: Chosen, route: Route) -> int:
         """Return how long a server may take before it seems to hang."""
 
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
@@ -178,25 +178,29 @@
             self._dialect,
             job.request,
             job.call,
-            self._try_until(job, chooser, chosen, sent_ms),
+            job.until_ms,
+            self._sign_until(job, chooser, chosen, sent_ms),
             lambda: self._first_event(job, ticket),
         )
-        result: Try = Abandoned()
+        result: Try | None = None
         try:
             result = offer.send(chosen, head, reply, job.cutter)
+            return result
         finally:
+            if result is None:
+                waited_ms = self._clock.now_ms() - sent_ms
+                result = Abandoned(ticket.unread and waited_ms > job.route.objective_ms * 2)
             self._finish_try(ticket, chooser, chosen, result, sent_ms)
-        return result
 
-    def _try_until(self, job: Job, chooser: Chooser, chosen: Chosen, now_ms: int) -> int:
-        """Return when a try is over.
+    def _sign_until(self, job: Job, chooser: Chooser, chosen: Chosen, now_ms: int) -> int:
+        """Return until when a server must have given a sign.
 
         A server that hangs would use up all the time of a request that another could answer: one
         that may run again is tried elsewhere once the server is far beyond its usual time.
         """
-        if job.route.kind is not RouteKind.IDEMPOTENT or job.runs + 1 >= job.route.attempts:
+        if not job.route.repeatable or job.runs + 1 >= job.route.attempts:
             return job.until_ms
-        return min(job.until_ms, now_ms + chooser.patience_ms(chosen))
+        return min(job.until_ms, now_ms + chooser.patience_ms(chosen, job.route))
 
     def _finish_try(
         self, ticket: Ticket, chooser: Chooser, chosen: Chosen, result: Try, sent_ms: int
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -145,7 +145,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Abandoned:
-    """The caller left; that says nothing of the server."""
+    """The caller left; that says something of the server only when it never gave a sign.
+
+    :param silent: the server gave no sign at all.
+    """
+
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoonflow/gateway/offer.py
+++ b/monsoonflow/gateway/offer.py
@@ -32,10 +32,16 @@
 """Statuses that promise a caller that its request did not run and never will."""
 
 
+class SilentServer(Exception):
+    """No event of a stream has come in time."""
+
+
 class Offer:
     """One try of a request at one server.
 
     :param until_ms: when the request's time is over.
+    :param sign_until_ms: until when the server must have given a sign: an answer, or the first
+        event of a stream.
     :param on_sign: called at the first sign of work (the first event of a stream).
     """
 
@@ -46,6 +52,7 @@
         request: Request,
         call: Call,
         until_ms: int,
+        sign_until_ms: int,
         on_sign: Callable[[], None] = lambda: None,
     ) -> None:
         self._pools = pools
@@ -53,6 +60,7 @@
         self._request = request
         self._call = call
         self._until_ms = until_ms
+        self._sign_until_ms = sign_until_ms
         self._on_sign = on_sign
 
     def send(self, chosen: Chosen, head: bytes, reply: Reply, cutter: EventCutter | None) -> Try:
@@ -74,6 +82,8 @@
                 result = self._stream(connection, answer_head, terms, reply, cutter)
             clean = True
             return result
+        except SilentServer:
+            return TimedOut(silent=True)
         except TimeoutError:
             return TimedOut(silent=answer_head is None)
         except (OSError, BrokenAnswer) as error:
@@ -95,13 +105,13 @@
         is read and dropped.
         """
         for _ in range(MAX_FOREIGN_ANSWERS):
-            head = connection.read_head(self._until_ms)
+            head = connection.read_head(self._sign_until_ms)
             terms = self._dialect.read_answer(head)
             if terms.request_id == self._call.request_id:
                 return head, terms
             if terms.request_id is None:
                 break
-            while connection.read_piece(self._until_ms) is not None:
+            while connection.read_piece(self._sign_until_ms) is not None:
                 pass
         raise BrokenAnswer("the answer belongs to another request")
 
@@ -157,7 +167,7 @@
         cutter.held = b""
         resumed_after = cutter.last_event
         first = True
-        while (piece := connection.read_piece(self._until_ms)) is not None:
+        while (piece := self._next_event(connection, first)) is not None:
             whole = cutter.feed(piece)
             if not whole:
                 continue
@@ -173,6 +183,12 @@
         reply.finish()
         return Passed()
 
+    def _next_event(self, connection: ServerConnection, first: bool) -> bytes | None:
+        try:
+            return connection.read_piece(self._sign_until_ms if first else self._until_ms)
+        except TimeoutError:
+            raise SilentServer if first else TimeoutError from None
+
     def _pass(self, head: AnswerHead, whole: bytes, reply: Reply) -> None:
         if reply.started:
             reply.write(whole)
--- a/monsoonflow/gateway/plain.py
+++ b/monsoonflow/gateway/plain.py
@@ -67,7 +67,7 @@
             )
         return Chosen(best.server_id, best.address, why=f"expected_ms={expected_ms:.0f}")
 
-    def patience_ms(self, chosen: Chosen) -> int:
+    def patience_ms(self, chosen: Chosen, route: Route) -> int:
         """Return how long a server may take before it seems to hang."""
         usual_ms = self.conditions.latency_ms(chosen.server_id, USUAL_MS)
         return max(MIN_PATIENCE_MS, int(usual_ms * PATIENCE_TIMES))
--- a/monsoonflow/routing/in_flight.py
+++ b/monsoonflow/routing/in_flight.py
@@ -33,13 +33,17 @@
 
 @attrs.define(slots=True)
 class Ticket:
-    """One request's share of a server's work."""
+    """One request's share of a server's work.
+
+    :param unread: no sign of work has come yet.
+    """
 
     server_id: str
     adapter: str | None
     unread_tokens: int
     memory_tokens: int
     sent_ms: int
+    unread: bool = True
     ended: bool = False
 
 
@@ -74,6 +78,7 @@
 
     def first_event(self, ticket: Ticket) -> None:
         """Note that a request's prompt has been read."""
+        ticket.unread = False
         if ticket.ended or not ticket.unread_tokens:
             return
         self.by_server[ticket.server_id].unread_tokens -= ticket.unread_tokens
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -9,7 +9,7 @@
 import pytest
 
 from monsoonflow.entry import stopping
-from tests.entry.conftest import wait_for
+from tests.entry.conftest import route, wait_for
 
 
 @pytest.fixture
@@ -203,3 +203,21 @@
     holder.faults.cut_after = 2
     fleet.generate(one, "a1", "r1")
     assert asked == [0, -1]
+
+
+def test_a_runner_that_hangs_is_given_up_for_another(fleet, one, runners):
+    """A runner takes a request and never sends an event; nothing else waits there.
+
+    The route may be resumed: after two latency objectives the request goes to another runner.
+    """
+    fleet.configure(
+        version=2, routes=[route("read", "stream", "llm", resumable=True, targetLatencyMs=200)]
+    )
+    wait_for(lambda: one.daemon.beliefs.table.version == 2)
+    fleet.generate(one, "a1", "warm")
+    hanging = next(runner for runner in runners if "a1" in runner.adapters)
+    hanging.faults.slow_ms = 30_000
+    answer = fleet.generate(one, "a1", "r1")
+    assert event_ids(answer.body) == [1, 2, 3, 4]
+    assert hanging.left == 1
+    assert one.daemon.conditions.failure_share(hanging.server_id, one.daemon.clock.now_ms()) > 0
