--- a/monsoonflow/logs/events.py
+++ b/monsoonflow/logs/events.py
@@ -274,6 +274,15 @@
     cause: str
 
 
+@_event
+class HandlerFailed(Event):
+    """A fault of this program ended a request."""
+
+    LEVEL: ClassVar[int] = logging.ERROR
+    address: str
+    cause: str
+
+
 @_event
 class WasFrozen(Event):
     """The process did not run for a while."""
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -184,6 +184,14 @@
         watcher.start(self._readable, gevent.getcurrent(), watcher)
         try:
             self._port.handler(request, reply)
+        except Exception as error:
+            # A fault of this program must not look like a caller's or a server's: it is told, and
+            # the caller gets an answer that promises nothing.
+            log(_LOGGER, events.HandlerFailed(self._port.address, repr(error)))
+            _LOGGER.exception("event=handler_trace")
+            if not reply.started:
+                self._close_after = True
+                reply.whole(500, [])
         finally:
             watcher.stop()
             watcher.close()
--- a/tests/transport/test_callers_port.py
+++ b/tests/transport/test_callers_port.py
@@ -182,3 +182,19 @@
             reader.feed(data[start : start + step], MonotonicClock().now_ms())
             assert not reader.ready
         raise BadMessage(400, "incomplete")
+
+
+def test_a_fault_of_our_own_is_told_and_answered(listen, caplog):
+    """A handler raises what nobody expects.
+
+    The caller gets an answer that promises nothing, the log tells where, and the port goes on.
+    """
+
+    def faulty(request: Request, reply: Reply) -> None:
+        raise KeyError("a fault")
+
+    port = listen(faulty)
+    for _ in range(2):
+        answer = port.exchange(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 500 ")
+    assert "event=handler_failed" in caplog.text
