Take the window of base-model loads from the settings; drop settings that nothing used

Cause: reading as a newcomer: the operator's window was read and not used (a constant of 5 s stood in its place), and four fields of the settings had no reader. Ruled out: a change on the two sites, where the window is 5 s. Change: ModelLoads takes the window; EntrySettings is what the process uses.

--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -251,7 +251,11 @@
         epoch = duty.loop.held.row.epoch
         duty.epoch = epoch
         if duty.desk is None:
-            duty.desk = Desk(duty.service.engine, self._daemon.beliefs.version_by_adapter)
+            duty.desk = Desk(
+                duty.service.engine,
+                self._daemon.beliefs.version_by_adapter,
+                self._daemon.settings.bounds.load_window_ms,
+            )
         desk = duty.desk
         present = {s.server_id for s in self._daemon.beliefs.book.of_service(duty.service.name)}
         for server_id in present - desk.runners.keys():
--- a/monsoonflow/entry/settings.py
+++ b/monsoonflow/entry/settings.py
@@ -16,14 +16,6 @@
         raise ValueError(f"{field.name}: {value} must be above zero")
 
 
-@attrs.frozen(slots=True)
-class StoreBounds:
-    """Where the store is and how long it remembers changes."""
-
-    address: str = attrs.field(validator=_address)
-    history_ms: int = attrs.field(validator=_positive)
-
-
 @attrs.frozen(slots=True)
 class PeerBounds:
     """Bounds that the operator sets for a deployment.
@@ -69,18 +61,15 @@
     name: str
     ip: str
     data_centre: str
-    region: str
     callers_address: str = attrs.field(validator=_address)
     ready_address: str = attrs.field(validator=_address)
     directory_address: str = attrs.field(validator=_address)
     peer_address: str = attrs.field(validator=_address)
     report_address: str = attrs.field(validator=_address)
     metrics_address: str = attrs.field(validator=_address)
-    store: StoreBounds
+    store_address: str = attrs.field(validator=_address)
     bounds: PeerBounds = PeerBounds()
     seeds: tuple[str, ...] = ()
-    max_descriptors: int = 1_024
-    memory_mb: float = 256.0
 
     def listens_at(self) -> tuple[str, ...]:
         """Return what can't change while the process runs."""
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -66,16 +66,19 @@
     """The seats of all runners of one cell, and who waits for one.
 
     :param newest: the newest version by adapter, where the operator named one.
+    :param load_window_ms: the window in which loads of base models are counted.
     """
 
-    def __init__(self, traits: EngineTraits, newest: dict[str, int]) -> None:
+    def __init__(
+        self, traits: EngineTraits, newest: dict[str, int], load_window_ms: int = 5_000
+    ) -> None:
         self.traits = traits
         self._newest = newest
         self.runners: dict[str, RunnerSeats] = {}
         self.waiters: list[Waiter] = []
         self._heat = Heat()
         self._ticked_ms = 0
-        self._model_loads = ModelLoads(traits.loads_per_s)
+        self._model_loads = ModelLoads(traits.loads_per_s, load_window_ms)
         self._pace = Pace()
         self.loads = 0
         self.cold_loads = 0
--- a/monsoonflow/platform/outside.py
+++ b/monsoonflow/platform/outside.py
@@ -58,7 +58,7 @@
 
     def feed(self) -> store.PlatformStore:
         """Return a change feed with a connection of its own."""
-        found = store.PlatformStore(self._settings.store.address, self._clock)
+        found = store.PlatformStore(self._settings.store_address, self._clock)
         self._stores.append(found)
         return found
 
--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from ..entry.settings import EntrySettings, PeerBounds, StoreBounds
+from ..entry.settings import EntrySettings, PeerBounds
 from ..helpers.settings import Setting, SettingError, one_of, pattern, whole
 
 SCHEMA: Final = [
@@ -18,18 +18,8 @@
         "settings of this process as the platform writes them; read again when they change",
         "/etc/monsoonflow/local.toml",
     ),
-    Setting(
-        "metrics-port",
-        *whole(1, 65_535),
-        "port at which metrics are read",
-        "9464",
-    ),
-    Setting(
-        "log-level",
-        *one_of("debug", "info", "warning", "error"),
-        "least level of log lines",
-        "info",
-    ),
+    Setting("metrics-port", *whole(1, 65_535), "port at which metrics are read", "9464"),
+    Setting("log-level", *one_of("debug", "info", "warning", "error"), "least level", "info"),
 ]
 
 
@@ -78,14 +68,12 @@
 def _decode(fields: Mapping[str, Any], metrics_port: int) -> EntrySettings:
     listens = fields["listenAddrs"]
     bounds = fields.get("contractParams", {})
-    limits = fields.get("limits", {})
     platform = fields["platform"]
     ports = fields["portRange"]
     return EntrySettings(
         name=str(fields["nodeName"]),
         ip=str(fields["bindIp"]),
         data_centre=str(fields["zone"]),
-        region=str(fields["region"]),
         callers_address=str(listens["front"]),
         ready_address=str(listens["ready"]),
         directory_address=str(listens["directory"]),
@@ -93,10 +81,7 @@
         report_address=f"{fields['bindIp']}:{int(ports[0])}",
         metrics_address=f"{fields['bindIp']}:{metrics_port}",
         seeds=tuple(str(seed) for seed in fields.get("seedNodes", ())),
-        store=StoreBounds(
-            address=str(platform["address"]),
-            history_ms=_ms(platform.get("historyS", 20)),
-        ),
+        store_address=str(platform["address"]),
         bounds=PeerBounds(
             lease_ms=int(bounds.get("leaseMs", 3_000)),
             grace_ms=_ms(bounds.get("graceS", 8)),
@@ -110,8 +95,6 @@
             load_window_ms=_ms(bounds.get("ceilingWindowS", 5)),
             thaw_ms=int(bounds.get("thawMs", 300)),
         ),
-        max_descriptors=int(limits.get("maxFds", 1_024)),
-        memory_mb=float(limits.get("memoryMb", 256)),
     )
 
 
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -14,7 +14,7 @@
 
 from monsoonflow.core.clock import MonotonicClock  # noqa: E402
 from monsoonflow.entry.daemon import EntryDaemon  # noqa: E402
-from monsoonflow.entry.settings import EntrySettings, PeerBounds, StoreBounds  # noqa: E402
+from monsoonflow.entry.settings import EntrySettings, PeerBounds  # noqa: E402
 from monsoonflow.helpers.gevent_tasks import GeventTasks  # noqa: E402
 from monsoonflow.platform.outside import PlatformOutside  # noqa: E402
 from monsoonflow.transport.client import Answer, Pools, call  # noqa: E402
@@ -153,14 +153,13 @@
             f"n{self.numbers}",
             ip,
             "zone-1",
-            "region",
             callers,
             ready,
             directory,
             peers,
             reports,
             metrics,
-            StoreBounds(self.store.address, 20_000),
+            self.store.address,
             self.bounds,
             seeds,
         )
