--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -67,8 +67,6 @@
         self.residency = Residency(daemon.clock)
         self._rows: dict[str, ChangedRow] = {}
 
-    # Life.
-
     def start(self) -> None:
         """Begin to look after duties."""
         self._daemon.tasks.spawn(self._lease_for_good)
@@ -184,8 +182,6 @@
         finally:
             desk.forget(waiter)
 
-    # Loops.
-
     def _lease_for_good(self) -> None:
         while True:
             self._daemon.tasks.sleep(LEASE_STEP_MS)
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -53,6 +53,10 @@
 """How long a grant keeps its adapter until the request shows up in its node's report."""
 
 
+ASK_HEAT: Final = 0.3
+"""What being asked for counts: a third of a second of use, so that what is asked for again and again
+is kept though each of its requests is short."""
+
 REPORT_RETRY_MS: Final = 150
 REPORT_LAG_MS: Final = 500
 """A runner's report is some hundred milliseconds old: one that knows fewer orders than were
@@ -83,8 +87,6 @@
         self.loads = 0
         self.cold_loads = 0
 
-    # Runners come, go and report.
-
     def came(self, server_id: str, history: Iterable[AdapterRef] = ()) -> None:
         """Take a runner into the cell.
 
@@ -125,11 +127,9 @@
             and now_ms >= runner.report_at_ms
         ]
 
-    # Requests ask.
-
     def ask(self, waiter: Waiter, now_ms: int, work: dict[str, ServerWork]) -> None:
         """Take a request that needs an adapter; it is settled now or later."""
-        self._heat.add(waiter.name, 0.3, now_ms)
+        self._heat.add(waiter.name, ASK_HEAT, now_ms)
         self.waiters.append(waiter)
         self.settle_waiters(now_ms, work)
 
@@ -176,8 +176,6 @@
             return None
         return min(found, key=lambda pair: _crowd(work, pair[0].server_id))
 
-    # Orders are planned and answered.
-
     def plan(self, now_ms: int, work: dict[str, ServerWork]) -> list[Step]:
         """Return the orders to send now, at most one a runner.
 
