--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -54,8 +54,8 @@
 
 
 ASK_HEAT: Final = 0.3
-"""What being asked for counts: a third of a second of use, so that what is asked for again and again
-is kept though each of its requests is short."""
+"""What being asked for counts: a third of a second of use, so that what is asked for again and
+again is kept though each of its requests is short."""
 
 REPORT_RETRY_MS: Final = 150
 REPORT_LAG_MS: Final = 500
