Give places by who can still be on time, with load, prompt and earlier tries counted

Ruled out: slow turnover of places (an order takes 4 ms; idle places 0.8 to 2.5 of 18); reading of prompts (unread 4 to 20 thousand tokens over three runners). Change: a request is late when load and prompt, at the pace this node measures, end after its objective; the objective counts from the caller's first try, told from the deadline it names (the route's 90 % quantile). `tried_before_ms` stands in the log line. Tests fail with either part switched off (1 of 3, 1 of 2).

--- a/monsoonflow/entry/placing.py
+++ b/monsoonflow/entry/placing.py
@@ -24,9 +24,6 @@
 WAIT_SHARE: Final = 0.6
 """Share of the time left that a request waits for its adapter; the rest is for its answer."""
 
-USUAL_ANSWER_MS: Final = 250
-"""From a place to the first event: one prompt of the usual size is read in half of that."""
-
 RESUME_PRIORITY: Final = -1
 """Before the most urgent routes, which have 0."""
 
@@ -129,7 +126,8 @@
         self, call: Call, route: Route, service: Service, job: Job, left_ms: int
     ) -> dict[str, Any]:
         now_ms = self._daemon.clock.now_ms()
-        on_time_ms = job.request.arrived_ms + route.objective_ms - USUAL_ANSWER_MS - now_ms
+        answer_ms = self._daemon.gateway.first_event_pace.expect_ms(call.prompt_tokens)
+        on_time_ms = job.on_time_until_ms() - answer_ms - now_ms
         priority = route.priority
         if job.resuming():
             # Half an answer is worth nothing: who has had a part of it goes before all others.
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -7,7 +7,9 @@
 from typing import Final, Protocol
 
 from ..core.clock import Clock
+from ..routing.first_event import FirstEventPace
 from ..routing.in_flight import InFlight, Ticket
+from ..routing.patience import UsualDeadlines
 from ..routing.routes import Route, RouteKind, RouteTable, Service
 from ..transport.client import Pools
 from ..transport.models import CallerLeft, Header, Request
@@ -106,6 +108,8 @@
         self._engines = engines
         self._rng = rng
         self._record = record
+        self._usual_deadlines = UsualDeadlines()
+        self.first_event_pace = FirstEventPace()
         self.takes_requests = True
 
     def handle(self, request: Request, reply: Reply) -> None:
@@ -142,7 +146,8 @@
         waits_ms = call.deadline_ms if call.deadline_ms is not None else route.timeout_ms
         deadline_at_ms = request.arrived_ms + waits_ms
         until_ms = min(deadline_at_ms, request.arrived_ms + route.timeout_ms) - ANSWER_EARLY_MS
-        job = Job(request, call, route, service, until_ms, deadline_at_ms)
+        since_ms = request.arrived_ms - self._usual_deadlines.waited_ms(route.name, waits_ms)
+        job = Job(request, call, route, service, since_ms, until_ms, deadline_at_ms)
         if route.kind is RouteKind.STREAM:
             job.cutter = EventCutter(call.last_event)
         return job
@@ -214,6 +219,8 @@
         self._in_flight.first_event(ticket)
         if job.first_ms is None:
             job.first_ms = self._clock.now_ms()
+            took_ms = job.first_ms - ticket.sent_ms
+            self.first_event_pace.observed(job.call.prompt_tokens, took_ms)
 
     def _onward(self, job: Job, chosen: Chosen, now_ms: int) -> Onward:
         engine = job.service.engine is not None
@@ -234,7 +241,7 @@
         """
         if job.resuming():
             return 0
-        late = now_ms > job.request.arrived_ms + job.route.objective_ms
+        late = now_ms > job.on_time_until_ms()
         return min(job.route.priority + (LATE_RANKS if late else 0), LAST_RANK)
 
     def _settled(self, job: Job, reply: Reply, chosen: Chosen, result: Try, took_ms: int) -> bool:
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -14,6 +14,7 @@
 class Job:
     """One request of a caller on its way through this node.
 
+    :param since_ms: when its caller began to try, as far as that can be told.
     :param until_ms: when it must be answered.
     :param tried: the servers that it was sent to, in order.
     :param avoided: the servers that refused it, broke off or could not be reached.
@@ -25,6 +26,7 @@
     call: Call
     route: Route
     service: Service
+    since_ms: int
     until_ms: int
     deadline_at_ms: int
     tried: list[str] = attrs.Factory(list)
@@ -39,6 +41,10 @@
         """Tell whether a try may have run on a server."""
         return self.runs > 0
 
+    def on_time_until_ms(self) -> int:
+        """Return until when the first event meets the route's latency objective."""
+        return self.since_ms + self.route.objective_ms
+
     def resuming(self) -> bool:
         """Tell whether parts of the answer have been passed on."""
         return self.cutter is not None and self.cutter.events > 0
--- a/monsoonflow/gateway/record.py
+++ b/monsoonflow/gateway/record.py
@@ -60,6 +60,7 @@
                 priority=route.priority,
                 deadline_ms=call.deadline_ms,
                 left_ms=job.until_ms - self._clock.now_ms(),
+                tried_before_ms=job.request.arrived_ms - job.since_ms,
             ),
         )
 
--- a/monsoonflow/logs/events.py
+++ b/monsoonflow/logs/events.py
@@ -35,6 +35,7 @@
     priority: int
     deadline_ms: int | None
     left_ms: int
+    tried_before_ms: int = 0
 
 
 @_event
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -130,9 +130,15 @@
     def ask(self, waiter: Waiter, now_ms: int, work: dict[str, ServerWork]) -> None:
         """Take a request that needs an adapter; it is settled now or later."""
         self._heat.add(waiter.name, ASK_HEAT, now_ms)
+        waiter.load_ms = self._load_ms(waiter)
         self.waiters.append(waiter)
         self.settle_waiters(now_ms, work)
 
+    def _load_ms(self, waiter: Waiter) -> int:
+        ref = self._newest_ref(waiter)
+        warm = any(ref in runner.remembered for runner in self.runners.values())
+        return WARM_LOAD_MS if warm else COLD_LOAD_MS
+
     def forget(self, waiter: Waiter) -> None:
         """Drop a request that no longer waits."""
         if waiter in self.waiters:
--- a/monsoonflow/placement/waiting.py
+++ b/monsoonflow/placement/waiting.py
@@ -35,6 +35,7 @@
     :param version: the oldest version that may serve it.
     :param on_time_until_ms: until when a place still lets it meet its latency objective.
     :param until_ms: when its time is over.
+    :param load_ms: how long its adapter takes to load.
     :param settle: called once; with ``None`` when another node must be asked.
     """
 
@@ -46,6 +47,11 @@
     until_ms: int
     avoid: frozenset[str]
     settle: Callable[[Placed | NoPlace | None], None]
+    load_ms: int = 0
+
+    def late(self, now_ms: int) -> bool:
+        """Tell whether the first event would be late even if the adapter were loaded from now."""
+        return now_ms + self.load_ms > self.on_time_until_ms
 
     def urgency(self, now_ms: int) -> tuple[bool, int, int]:
         """Return the order in which places are given.
@@ -53,7 +59,7 @@
         Who can still be on time goes first. In the order of arrival a rush would make everybody
         late: the oldest, whose answer is late already, would take the place of one that is not.
         """
-        return (now_ms > self.on_time_until_ms, self.priority, self.since_ms)
+        return (self.late(now_ms), self.priority, self.since_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +112,7 @@
         late_ahead: set[str] = set()
         refused = []
         for waiter in waiters:
-            late = now_ms > waiter.on_time_until_ms
+            late = waiter.late(now_ms)
             behind = late_ahead if late else ahead
             queued = max(0, len(behind) - idle - FEW)
             wait_ms = 1000 * queued / max(1.0, late_rate if late else rate)
--- /dev/null
+++ b/tests/gateway/test_comes_back.py
@@ -0,0 +1,116 @@
+"""Tests of how a caller that comes back after a refusal is told from one that comes first."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import pytest
+
+from monsoonflow.core.clock import ManualClock
+from monsoonflow.entry.metrics import EntryMetrics
+from monsoonflow.gateway.handler import Gateway
+from monsoonflow.gateway.job import Job
+from monsoonflow.gateway.models import NoServer
+from monsoonflow.gateway.record import Record
+from monsoonflow.platform.headers import HeaderDialect
+from monsoonflow.routing.in_flight import InFlight
+from monsoonflow.routing.patience import UsualDeadlines
+from monsoonflow.routing.routes import Route, RouteKind, RouteTable, Service, Target
+from monsoonflow.transport.client import Pools
+from monsoonflow.transport.models import MessageLimits, Request
+
+ROUTE = Route("r", "h", "/a/", RouteKind.STREAM, (Target("s", 1),), objective_ms=800)
+
+
+@attrs.define
+class NoPlaces:
+    """A chooser that refuses all and keeps what it was asked for."""
+
+    jobs: list[Job] = attrs.Factory(list)
+
+    def choose(self, call, route, service, job, now_ms) -> NoServer:
+        """Refuse a request."""
+        self.jobs.append(job)
+        return NoServer("no place", 300)
+
+
+class NoAnswer:
+    """A caller that drops its answer."""
+
+    started = False
+    status = 0
+    sent_bytes = 0
+
+    def whole(self, *_: object) -> None:
+        """Take an answer."""
+
+
+class NoRetries:
+    """A budget that counts nothing."""
+
+    def first(self, service: str) -> None:
+        """Count a request."""
+
+
+@pytest.fixture
+def chooser() -> NoPlaces:
+    """Return a chooser that refuses all."""
+    return NoPlaces()
+
+
+@pytest.fixture
+def gateway(chooser: NoPlaces) -> Gateway:
+    """Return a gateway at time 10,000."""
+    clock = ManualClock(10_000)
+    table = RouteTable.build(1, [ROUTE], [Service("s")], MessageLimits())
+    return Gateway(
+        clock,
+        HeaderDialect(),
+        lambda: table,
+        Pools(clock),
+        InFlight(),
+        NoRetries(),
+        chooser,
+        chooser,
+        random.Random(1),
+        Record(clock, EntryMetrics()),
+    )
+
+
+def ask(gateway: Gateway, deadline_ms: int) -> None:
+    """Send a request that arrives now."""
+    headers = [
+        (b"Host", b"h"),
+        (b"X-Request-Id", b"r1"),
+        (b"X-Deadline-Ms", b"%d" % deadline_ms),
+    ]
+    request = Request(b"POST", b"/a/", "1.1", headers, b"", True, 10_000)
+    gateway.handle(request, NoAnswer())
+
+
+def test_a_caller_that_comes_back_is_not_taken_for_new(gateway: Gateway, chooser: NoPlaces):
+    """Refused in a rush, a caller comes back with 1 s left of its 4 s: its answer is late already.
+
+    Its latency objective counts from its first try. Counted from its arrival here, it would get a
+    place before callers that can still be answered in time, and they would be late as well.
+    """
+    for _ in range(20):
+        ask(gateway, 4_000)
+    ask(gateway, 1_000)
+    assert [job.on_time_until_ms() for job in chooser.jobs[-2:]] == [10_800, 7_800]
+
+
+def test_many_that_come_back_do_not_pass_for_first_ones():
+    """In a rush nine of ten requests are repetitions: the tenth still tells the usual deadline."""
+    usual = UsualDeadlines()
+    waited = [usual.waited_ms("r", 4_000 if i % 8 == 0 else 1_500) for i in range(200)]
+    assert waited[-1] == 2_500
+
+
+def test_one_caller_with_a_long_deadline_does_not_age_the_others():
+    """A batch job names a minute where all others name 4 s: they are not 56 s old."""
+    usual = UsualDeadlines()
+    for i in range(100):
+        waited_ms = usual.waited_ms("r", 60_000 if i % 25 == 24 else 4_000)
+    assert usual.waited_ms("r", 4_000) == 0 and waited_ms == 0
