Serve the node's own interface over the strict transport; pass calls to plain services on byte for byte

Cause: the node's own port was gevent's pywsgi. Calls to plain services went out through urllib3 with a decoded and tidied path, merged headers, and pooled connections whose left-over bytes nobody looked at. A caller that leaves does not end a handler of this interface: what was admitted goes on, and callers come back for the rest (Last-Event-ID). Limits: bodies of up to 16 MiB, read whole (they were streamed without a bound before). Ruled out: a second codec beside httptools; noticing callers that leave (admission is not made to be ended half-way).

--- a/monsoonflow/api/http.py
+++ b/monsoonflow/api/http.py
@@ -14,6 +14,7 @@
 from ..node.context import NodeContext
 from ..node.relay import HEADER_CUSTOMER, HEADER_NODE_TOKEN, HEADER_REQUEST
 from ..request.parse import BadRequest
+from ..transport.models import BadMessage
 from .const import MAX_HEADER_BYTES
 from .errors import error_body, outcome_body, outcome_status, retry_headers
 
@@ -35,6 +36,11 @@
     return answer(status, body, retry_headers(retry_after_ms))
 
 
+def json_refusal(error: BadMessage) -> tuple[bytes, bytes]:
+    """Return content type and body of the answer to a message that the transport refuses."""
+    return b"application/json", orjson.dumps(error_body(error.reason, "not_run"))
+
+
 def bad(problem: BadRequest) -> bottle.HTTPResponse:
     """Return the answer to a request that is wrong."""
     return refuse(problem.status, problem.reason)
--- a/monsoonflow/api/services.py
+++ b/monsoonflow/api/services.py
@@ -1,4 +1,4 @@
-"""Passes calls to plain services on, bodies streamed both ways."""
+"""Passes calls to plain services on, answers as they come."""
 
 from __future__ import annotations
 
@@ -8,46 +8,52 @@
 from typing import Any, Final
 
 import bottle
-from urllib3.exceptions import HTTPError
 
+from ..backend.plain_http import Onward, OpenAnswer, PlainClient
 from ..core.outcome import NotRun, Outcome, Unknown, tag
-from ..helpers.http import Head, HttpClient, Lost
 from ..helpers.ids import new_id
 from ..helpers.logfmt import pairs
 from ..node.context import NodeContext
+from ..node.relay import HEADER_NODE_TOKEN
 from ..request.parse import BadRequest, Terms, parse_terms
 from ..routing.keys import KeyClash, KeysFull, KnownKey
-from .http import READ_PIECE, bad, ended_badly, identify, refuse
+from ..transport.models import BrokenAnswer, Lost
+from ..transport.wsgi import RAW_HEADERS, RAW_TARGET, AnswerCut
+from .http import bad, ended_badly, identify, refuse
 
 _LOGGER = logging.getLogger(__name__)
-HOP_HEADERS: Final = frozenset(
+ONE_CONNECTION_ONLY: Final = frozenset(
     {
-        "authorization",
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
     }
 )
+NOT_PASSED_ON: Final = ONE_CONNECTION_ONLY | {
+    b"authorization",
+    b"expect",
+    b"host",
+    b"x-request-id",
+    HEADER_NODE_TOKEN.lower().encode(),
+}
+"""A caller's key and the nodes' token are for this node; the request id is this node's own."""
+
 SAFE_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
 METHODS: Final = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"]
 
 
-class BodyCut(Exception):
-    """Ends an answer without its proper end, so that the caller sees that it was cut."""
-
-
 class ServiceApi:
     """Registers the plain services' route."""
 
     def __init__(self, context: NodeContext) -> None:
         self._context = context
-        self._http = HttpClient(context.settings["silence-ms"])
+        self._client = PlainClient(context.clock, context.settings["silence-ms"])
 
     def register(self, app: bottle.Bottle) -> None:
         """Add the route to an application."""
@@ -69,16 +75,19 @@
         if not context.takes_new_work():
             return refuse(503, "this node takes no new work", retry_after_ms=500)
         request_id = new_id("s")
+        onward = _onward(name, request_id)
+        if onward is None:
+            return refuse(404, "unknown service")
         refused = self._admit_key(caller.customer.name, terms, request_id, f"{name}/{path}")
         if refused is not None:
             return ended_badly(refused, request_id)
         method = bottle.request.method
         repeatable = terms.repeatable and method in SAFE_METHODS
         context.service_calls += 1
-        result = self._try_servers(entry.addresses, path, caller.headers, request_id, repeatable)
+        result = self._try_servers(entry.addresses, onward, repeatable)
         self._release_key(caller.customer.name, terms, ran=not isinstance(result, NotRun))
-        if isinstance(result, Head):
-            return result.response
+        if isinstance(result, bottle.HTTPResponse):
+            return result
         context.service_calls -= 1
         _LOGGER.info(
             "%s",
@@ -122,39 +131,25 @@
             self._context.keys.ended(customer, key, self._context.now_ms(), ran)
 
     def _try_servers(
-        self,
-        addresses: tuple[str, ...],
-        path: str,
-        headers: dict[str, str],
-        request_id: str,
-        repeatable: bool,
-    ) -> Any:
+        self, addresses: tuple[str, ...], call: Onward, repeatable: bool
+    ) -> bottle.HTTPResponse | Outcome:
         """Send the call to one server; a repeatable one once more to another.
 
         Without a connection nothing was sent, so even a call that may not be repeated can go to the
         next server then; after the first byte its outcome is unknown.
         """
         context = self._context
-        method = bottle.request.method
-        query = bottle.request.query_string
-        passed = {key: value for key, value in headers.items() if key not in HOP_HEADERS}
-        passed["X-Request-Id"] = request_id
-        has_body = bottle.request.content_length > 0 or bottle.request.chunked
-        if bottle.request.content_length > 0:
-            passed["Content-Length"] = str(bottle.request.content_length)
-        body = _pieces(bottle.request.environ["wsgi.input"]) if has_body else None
         left = [address for address in addresses if context.leaving.takes_new_work(address)]
         reason = "no server of the service takes new work"
         while left:
             address = context.server_choice.pick(left)
             if address is None:
                 break
-            url = f"{address}/{path}" + (f"?{query}" if query else "")
-            result = self._http.open(method, url, body, passed, fresh=not repeatable)
+            result = self._client.open(address, call, fresh=not repeatable)
             match result:
-                case Head():
-                    return self._passed_on(result, address, request_id)
-                case Lost(sent=True) if not repeatable or has_body:
+                case OpenAnswer():
+                    return self._passed_on(result, address, call)
+                case Lost(sent=True) if not repeatable or call.body:
                     context.server_choice.ended(address)
                     return Unknown(result.reason)
                 case Lost():
@@ -164,37 +159,51 @@
                     left.remove(address)
         return NotRun(reason, 1_000)
 
-    def _passed_on(self, head: Head, address: str, request_id: str) -> Head:
-        told = {
-            name: value
-            for name, value in head.response.headers.items()
-            if name.lower() not in HOP_HEADERS
-        }
-        told["X-Request-Id"] = request_id
-        length = head.response.headers.get("Content-Length")
-        if length is not None:
-            told["Content-Length"] = length
-        body = self._body(head, address) if bottle.request.method != "HEAD" else b""
-        if bottle.request.method == "HEAD":
-            self._done(address)
-            head.response.close()
-        return Head(head.status, bottle.HTTPResponse(body, head.status, told))
-
-    def _body(self, head: Head, address: str) -> Iterator[bytes]:
+    def _passed_on(self, answer: OpenAnswer, address: str, call: Onward) -> bottle.HTTPResponse:
+        head = answer.head
+        body = self._body(answer, address)
+        if call.method == b"HEAD":
+            # Nothing follows the head; a body that is never begun would never be counted out.
+            body = b"".join(body)
+        response = bottle.HTTPResponse(body, head.status)
+        for name, value in head.headers:
+            if name.lower() not in ONE_CONNECTION_ONLY:
+                response.add_header(name.decode("latin-1"), value.decode("latin-1"))
+        length = head.value(b"content-length")
+        if length is not None and not head.chunked:
+            response.set_header("Content-Length", length.decode("latin-1"))
+        response.set_header("X-Request-Id", call.request_id)
+        return response
+
+    def _body(self, answer: OpenAnswer, address: str) -> Iterator[bytes]:
         try:
-            yield from head.response.stream(READ_PIECE, decode_content=False)
-            head.response.release_conn()
-        except (HTTPError, OSError) as error:
-            raise BodyCut("the server's answer was cut") from error
+            yield from answer.pieces()
+        except (BrokenAnswer, OSError) as error:
+            raise AnswerCut("the server's answer was cut") from error
         finally:
-            head.response.close()
-            self._done(address)
-
-    def _done(self, address: str) -> None:
-        self._context.server_choice.ended(address)
-        self._context.service_calls -= 1
-
-
-def _pieces(stream: Any) -> Iterator[bytes]:
-    while piece := stream.read(READ_PIECE):
-        yield piece
+            answer.close()
+            self._context.server_choice.ended(address)
+            self._context.service_calls -= 1
+
+
+def _onward(name: str, request_id: str) -> Onward | None:
+    """Return the current call as it goes on; ``None`` where its target only decodes to the service.
+
+    What is not the service's own name, byte for byte, could lead a server elsewhere than the path
+    that was checked here.
+    """
+    environ = bottle.request.environ
+    target: bytes = environ[RAW_TARGET]
+    prefix = f"/services/{name}".encode()
+    rest = target[len(prefix) :]
+    if not target.startswith(prefix) or rest[:1] not in (b"/", b"?", b""):
+        return None
+    return Onward(
+        method=bottle.request.method.encode(),
+        target=rest if rest.startswith(b"/") else b"/" + rest,
+        headers=[
+            header for header in environ[RAW_HEADERS] if header[0].lower() not in NOT_PASSED_ON
+        ],
+        body=environ["wsgi.input"].read(),
+        request_id=request_id,
+    )
--- a/monsoonflow/node/daemon.py
+++ b/monsoonflow/node/daemon.py
@@ -10,10 +10,11 @@
 import bottle
 import gevent
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 
 from ..api.callers import CallerApi
+from ..api.const import MAX_HEADER_BYTES
 from ..api.health import HealthApi
+from ..api.http import json_refusal
 from ..api.operators import OperatorApi
 from ..api.services import ServiceApi
 from ..backend.openai_http import OpenAiEngine
@@ -23,13 +24,15 @@
 from ..helpers.logfmt import pairs
 from ..helpers.memory import give_back
 from ..helpers.tls import TlsContexts
-from ..helpers.wsgi import start_server
 from ..rpc.client import ControlClient
 from ..rpc.server import serve
 from ..storage.objects import HttpObjectStore
 from ..storage.settling import SettlingTable
 from ..storage.table import HttpTable
 from ..storage.vms import HttpVmList
+from ..transport.models import MessageLimits
+from ..transport.server import Port
+from ..transport.wsgi import start_server
 from .assembly import assemble
 from .context import Edges
 from .relay import RelayClient
@@ -41,6 +44,14 @@
 EXIT_BROKEN = 4
 GIVE_BACK_EVERY_S = 15
 RENEW_EVERY_S = 1
+CALLERS_LIMITS = MessageLimits(
+    head_bytes=MAX_HEADER_BYTES, body_bytes=16 << 20, head_ms=10_000, idle_ms=60_000
+)
+"""Bodies are read whole before they are looked at: 16 MiB takes any call of a plain service, and a
+few of them at once stay within a small VM's memory."""
+
+LAST_ANSWERS_MS = 2_000
+"""How long answers that are being written may take after the last request has ended."""
 
 
 class Daemon:
@@ -86,7 +97,10 @@
         rpc = serve(self._settings["rpc"], self._node.control, token, credentials)
         if rpc is None:
             return self._not_bound("rpc")
-        http = start_server(self._settings["http"], self._app, self._tls and self._tls.server)
+        server_tls = self._tls and self._tls.server
+        http = start_server(
+            self._settings["http"], self._app, server_tls, CALLERS_LIMITS, json_refusal
+        )
         if http is None:
             return self._not_bound("http")
         _LOGGER.info(
@@ -139,9 +153,10 @@
                 _LOGGER.exception("%s", pairs(event="loop_failed", loop=loop.__qualname__))
                 gevent.sleep(0.5)
 
-    def _shut_down(self, http: WSGIServer, rpc: Any) -> int:
+    def _shut_down(self, http: Port, rpc: Any) -> int:
         self._node.stopper.run()
-        http.stop(timeout=2)
+        http.stop_listening()
+        http.wait_until_idle(LAST_ANSWERS_MS)
         rpc.stop(grace=0.5)
         return 0
 
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from collections import deque
 from typing import Final
 
@@ -13,7 +14,7 @@
 from .codec import AnswerReader
 from .const import CONNECT_TIMEOUT_MS, READ_BYTES
 from .models import AnswerHead, BrokenAnswer, Header, Lost
-from .sockets import connect, readable_now
+from .sockets import connect, readable_now, split_address
 
 KEPT_MS: Final = 4_000
 """Longest rest of a kept connection where the server names none: under the usual five seconds."""
@@ -170,8 +171,22 @@
             if not connection.stale(now_ms):
                 return connection
             connection.close()
+        return self.open(address, timeout_ms)
+
+    def open(
+        self,
+        address: str,
+        timeout_ms: int = CONNECT_TIMEOUT_MS,
+        tls: ssl.SSLContext | None = None,
+    ) -> ServerConnection | Lost:
+        """Return a new connection; no resting one can have gone silent under the request.
+
+        :param tls: a context, where the server speaks TLS.
+        """
         try:
             sock = connect(address, timeout_ms)
+            if tls is not None:
+                sock = tls.wrap_socket(sock, server_hostname=split_address(address)[0])
         except OSError as error:
             return Lost(False, f"no connection: {type(error).__name__}")
         self.opened += 1
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -4,6 +4,7 @@
 
 import logging
 import socket as native
+import ssl
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -13,7 +14,7 @@
 
 from ..core.clock import Clock
 from ..logs import events, log
-from .codec import RequestReader
+from .codec import BODILESS, RequestReader
 from .const import (
     BACKLOG,
     LINGER_MS,
@@ -25,6 +26,7 @@
 from .sockets import split_address, tune
 
 _LOGGER = logging.getLogger(__name__)
+IDLE_CHECK_S = 0.02
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -73,18 +75,28 @@
         :param length: of the whole body; ``None`` sends it in chunks.
         """
         text = REASONS.get(status, b"") if reason is None else reason
-        lines = [b"HTTP/1.1 %d %s" % (status, text)]
-        lines += [b"%s: %s" % header for header in headers]
+        told = list(headers)
         self._chunked = length is None
         self._left = length
         if length is None:
-            lines.append(b"Transfer-Encoding: chunked")
-        elif status not in (204, 304):
-            lines.append(b"Content-Length: %d" % length)
-        lines.append(self._connection.kept_header())
-        self.started = True
-        self.status = status
-        self._send(b"\r\n".join(lines) + b"\r\n\r\n" + self._framed(body))
+            told.append((b"Transfer-Encoding", b"chunked"))
+        elif status not in BODILESS:
+            told.append((b"Content-Length", b"%d" % length))
+        self._send_head(status, text, told, self._framed(body))
+
+    def without_body(
+        self, status: int, headers: list[Header], length: int | None, reason: bytes | None = None
+    ) -> None:
+        """Send an answer that has no body by its kind: one to a HEAD request, 204 or 304.
+
+        :param length: of the body that a GET request would get; told where it is known.
+        """
+        text = REASONS.get(status, b"") if reason is None else reason
+        told = list(headers)
+        if length is not None and status not in BODILESS:
+            told.append((b"Content-Length", b"%d" % length))
+        self._send_head(status, text, told)
+        self.finished = True
 
     def write(self, data: bytes) -> None:
         """Send body bytes."""
@@ -99,6 +111,16 @@
             raise ValueError("the answer is shorter than told")
         self.finished = True
 
+    def _send_head(
+        self, status: int, reason: bytes, headers: list[Header], rest: bytes = b""
+    ) -> None:
+        lines = [b"HTTP/1.1 %d %s" % (status, reason)]
+        lines += [b"%s: %s" % header for header in headers]
+        lines.append(self._connection.kept_header())
+        self.started = True
+        self.status = status
+        self._send(b"\r\n".join(lines) + b"\r\n\r\n" + rest)
+
     def _framed(self, data: bytes) -> bytes:
         self.sent_bytes += len(data)
         if self._left is not None:
@@ -112,6 +134,12 @@
 
 
 Handler: TypeAlias = Callable[[Request, Reply], None]
+Refusal: TypeAlias = Callable[[BadMessage], tuple[bytes, bytes]]
+
+
+def plain_refusal(error: BadMessage) -> tuple[bytes, bytes]:
+    """Return content type and body of the answer to a message that is not taken."""
+    return b"text/plain", error.reason.encode()
 
 
 class Connection:
@@ -180,8 +208,18 @@
             self._close_after = True
             reply.whole(505, [])
             return
+        if not self._port.ends_with_caller:
+            self._call_handler(request, reply)
+            return
         watcher = gevent.get_hub().loop.io(self._sock.fileno(), 1)
         watcher.start(self._readable, gevent.getcurrent(), watcher)
+        try:
+            self._call_handler(request, reply)
+        finally:
+            watcher.stop()
+            watcher.close()
+
+    def _call_handler(self, request: Request, reply: Reply) -> None:
         try:
             self._port.handler(request, reply)
         except Exception as error:
@@ -192,9 +230,6 @@
             if not reply.started:
                 self._close_after = True
                 reply.whole(500, [])
-        finally:
-            watcher.stop()
-            watcher.close()
 
     def _readable(self, handler: gevent.Greenlet, watcher: object) -> None:
         """Notice a caller that leaves while its request is being served."""
@@ -248,9 +283,8 @@
         self._close_after = True
         log(_LOGGER, events.BadMessage(status=error.status, cause=error.reason))
         try:
-            Reply(self).whole(
-                error.status, [(b"Content-Type", b"text/plain")], error.reason.encode()
-            )
+            content_type, body = self._port.refusal(error)
+            Reply(self).whole(error.status, [(b"Content-Type", content_type)], body)
             self._end_writing()
         except (CallerLeft, OSError):
             return
@@ -280,19 +314,34 @@
     """Listens at one address.
 
     :param limits: returns the limits for new connections.
+    :param tls: a context, where callers speak TLS.
+    :param ends_with_caller: whether a handler is ended when its caller leaves.
+    :param refusal: words the answer to a message that is not taken.
     """
 
     def __init__(
-        self, address: str, handler: Handler, limits: Callable[[], MessageLimits], clock: Clock
+        self,
+        address: str,
+        handler: Handler,
+        limits: Callable[[], MessageLimits],
+        clock: Clock,
+        tls: ssl.SSLContext | None = None,
+        ends_with_caller: bool = True,
+        refusal: Refusal = plain_refusal,
     ) -> None:
         self.address = address
         self.handler = handler
         self.limits = limits
         self.clock = clock
+        self.refusal = refusal
+        self.ends_with_caller = ends_with_caller
         self.keeps = True
         self.active = 0
         self.idle: set[Connection] = set()
-        self._server = StreamServer(split_address(address), self._accepted, backlog=BACKLOG)
+        extra = {"ssl_context": tls} if tls is not None else {}
+        self._server = StreamServer(
+            split_address(address), self._accepted, backlog=BACKLOG, **extra
+        )
 
     def start(self) -> bool:
         """Listen; return whether the address could be bound."""
@@ -313,5 +362,11 @@
         for connection in list(self.idle):
             connection.close_idle()
 
+    def wait_until_idle(self, at_most_ms: int) -> None:
+        """Wait until no request is being served."""
+        until_ms = self.clock.now_ms() + at_most_ms
+        while self.active and self.clock.now_ms() < until_ms:
+            gevent.sleep(IDLE_CHECK_S)
+
     def _accepted(self, sock: socket.socket, _peer: tuple) -> None:
         Connection(sock, self).serve()
--- /dev/null
+++ b/monsoonflow/transport/wsgi.py
@@ -0,0 +1,148 @@
+"""Serves WSGI applications over the strict transport.
+
+Operators' pages and the callers' interface of a node are bottle applications. Served by a lenient
+server they could be handed a request that hides a second one, or another target than was sent; here
+whatever the strict reader refuses never reaches the application.
+"""
+
+from __future__ import annotations
+
+import io
+import ssl
+import sys
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, Final, TypeAlias
+from urllib.parse import unquote_to_bytes
+
+from ..core.clock import MonotonicClock
+from .models import Header, MessageLimits, Request
+from .server import Port, Refusal, Reply, plain_refusal
+from .sockets import split_address
+
+Environ: TypeAlias = dict[str, Any]
+Application: TypeAlias = Callable[..., Iterable[bytes]]
+
+RAW_TARGET: Final = "monsoonflow.raw_target"
+"""Key of the target as sent: the path that WSGI defines is decoded and leads elsewhere."""
+
+RAW_HEADERS: Final = "monsoonflow.raw_headers"
+"""Key of the headers in their order: WSGI merges those of one name."""
+
+BODILESS_STATUSES: Final = frozenset({204, 304})
+USUAL_LIMITS: Final = MessageLimits(head_bytes=32_768, body_bytes=1 << 28, idle_ms=60_000)
+
+
+class AnswerCut(Exception):
+    """Raised inside an answer that can't be ended: its caller must see that it was cut."""
+
+
+def start_server(
+    address: str,
+    app: Application,
+    tls: ssl.SSLContext | None = None,
+    limits: MessageLimits = USUAL_LIMITS,
+    refusal: Refusal = plain_refusal,
+) -> Port | None:
+    """Start to serve an application.
+
+    A caller that leaves does not end its handler: what the application has begun goes on, and the
+    caller may come back for the rest of its answer.
+
+    :returns: the port, or ``None`` when the address can't be bound.
+    """
+    handler = WsgiHandler(app, address, "https" if tls is not None else "http")
+    clock = MonotonicClock()
+    port = Port(address, handler, lambda: limits, clock, tls, False, refusal)
+    return port if port.start() else None
+
+
+class WsgiHandler:
+    """Hands requests to an application and writes what it answers."""
+
+    def __init__(self, app: Application, address: str, scheme: str) -> None:
+        self._app = app
+        self._host, self._number = split_address(address)
+        self._scheme = scheme
+
+    def __call__(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        started: list[tuple[str, list[tuple[str, str]]]] = []
+
+        def start_response(
+            status: str, headers: list[tuple[str, str]], exc_info: object = None
+        ) -> None:
+            started[:] = [(status, headers)]
+
+        pieces = self._app(self._environ(request), start_response)
+        try:
+            source = iter(pieces)
+            first = next(source, b"")
+            status, headers = started[0]
+            self._write(request, reply, status, headers, first, source)
+        except AnswerCut:
+            return
+        finally:
+            close = getattr(pieces, "close", None)
+            if close is not None:
+                close()
+
+    def _write(
+        self,
+        request: Request,
+        reply: Reply,
+        status: str,
+        headers: list[tuple[str, str]],
+        first: bytes,
+        source: Iterator[bytes],
+    ) -> None:
+        code, _, reason = status.partition(" ")
+        told: list[Header] = []
+        length: int | None = None
+        for name, value in headers:
+            if name.lower() == "content-length":
+                length = int(value)
+            else:
+                told.append((name.encode("latin-1"), value.encode("latin-1")))
+        if request.method == b"HEAD" or int(code) in BODILESS_STATUSES:
+            reply.without_body(int(code), told, length, reason.encode("latin-1"))
+            return
+        reply.begin(int(code), told, length, reason.encode("latin-1"), first)
+        for piece in source:
+            reply.write(piece)
+        reply.finish()
+
+    def _environ(self, request: Request) -> Environ:
+        path, _, query = request.target.partition(b"?")
+        environ: Environ = {
+            "REQUEST_METHOD": request.method.decode("latin-1"),
+            "SCRIPT_NAME": "",
+            "PATH_INFO": unquote_to_bytes(path).decode("latin-1"),
+            "QUERY_STRING": query.decode("latin-1"),
+            "SERVER_NAME": self._host,
+            "SERVER_PORT": str(self._number),
+            "SERVER_PROTOCOL": f"HTTP/{request.version}",
+            "CONTENT_LENGTH": str(len(request.body)),
+            "wsgi.version": (1, 0),
+            "wsgi.url_scheme": self._scheme,
+            "wsgi.input": io.BytesIO(request.body),
+            "wsgi.errors": sys.stderr,
+            "wsgi.multithread": True,
+            "wsgi.multiprocess": False,
+            "wsgi.run_once": False,
+            RAW_TARGET: request.target,
+            RAW_HEADERS: request.headers,
+        }
+        for name, value in request.headers:
+            key = name.decode("latin-1")
+            # WSGI writes "-" as "_": a name with "_" would pass for the header that it resembles.
+            if "_" not in key:
+                _add(environ, key.upper().replace("-", "_"), value.decode("latin-1"))
+        return environ
+
+
+def _add(environ: Environ, name: str, value: str) -> None:
+    if name == "CONTENT_TYPE":
+        environ[name] = value
+    elif name not in ("CONTENT_LENGTH", "TRANSFER_ENCODING"):
+        key = f"HTTP_{name}"
+        environ[key] = f"{environ[key]},{value}" if key in environ else value
--- a/stand_ins/base.py
+++ b/stand_ins/base.py
@@ -12,7 +12,7 @@
 import orjson
 from gevent.event import Event
 
-from monsoonflow.helpers.wsgi import start_server
+from monsoonflow.transport.wsgi import start_server
 
 bottle.BaseRequest.MEMFILE_MAX = 64 << 20
 
