Tell a large fleet in turns, holders every time; judge silence by how often a node is told

A node tells a twelfth in turn, and holders and heirs each time; a holder tells all (up to 100 a round, beyond that in turns). Silence of a holder is judged by its own pace, of others by theirs; the silence of a new holder counts from when it became known. What 45 runners hold is told once a second. Fleets of up to 13 nodes do as before. Ruled out: more random peers (500 datagrams a second for every node, not only holders).

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -135,7 +135,6 @@
             self.beliefs.take_report,
             self.tasks,
             self.clock,
-            self.rng,
         )
         self.peers = PeerClient(self.view, self.clock, outside.decoders.table)
         self.duties = Duties(self, outside.runners())
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -76,6 +76,8 @@
         self._renewed_ms = 0
         self._started_ms = clock.now_ms()
         self._wanted_since_ms: int | None = None
+        self._newest_epoch = 0
+        self._newest_since_ms = 0
         self.store_lost = False
         self.store_reached = True
         self.loaded = False
@@ -129,6 +131,7 @@
     def step(self) -> None:
         """Do what is due: renew, or claim what is free."""
         now_ms = self._clock.now_ms()
+        self._note_holder(now_ms)
         if self.held.row is not None:
             newest = self._view.claim_of(self.cell)
             if newest is not None and newest.epoch > self.held.row.epoch:
@@ -187,16 +190,35 @@
         self._view.claimed(DutyClaim(self.cell, self._node, inherited.epoch))
         log(_LOGGER, events.DutyInherited(cell=self.cell, epoch=inherited.epoch, before=row.holder))
 
+    def _note_holder(self, now_ms: int) -> None:
+        newest = self._view.claim_of(self.cell)
+        if newest is not None and newest.epoch != self._newest_epoch:
+            self._newest_epoch = newest.epoch
+            self._newest_since_ms = now_ms
+
     def _silent(self, name: str, now_ms: int) -> bool:
         """Tell whether a node is unheard, or says that it stops and has let its duties go."""
         report = self._view.report_of(name)
         if report is None:
             # Never heard: it may just not have spoken yet, since both have started together.
             return now_ms - self._started_ms > UNHEARD_MS
-        if not self._view.alive(name, now_ms, HOLDER_SILENT_MS):
+        silence_ms = self._view.holder_silence_ms(HOLDER_SILENT_MS)
+        unheard = not self._view.alive(name, now_ms, silence_ms)
+        if unheard and not self._newly_named(name, now_ms, silence_ms):
             return True
         return report.leaving and all(claim.cell != self.cell for claim in report.claims)
 
+    def _newly_named(self, name: str, now_ms: int, silence_ms: int) -> bool:
+        """Tell whether a holder became known so lately that its silence means nothing yet.
+
+        In a large fleet a node without duties is heard every other second. By what was heard of it
+        before, a new holder would be replaced at once, and its successor as well.
+        """
+        newest = self._view.claim_of(self.cell)
+        if newest is None or newest.holder != name or self._view.has_refused(name):
+            return False
+        return now_ms - self._newest_since_ms <= silence_ms
+
     def _heirs(self, now_ms: int, named: tuple[str, ...] = ()) -> tuple[str, ...]:
         """Return the heirs of an epoch; those that were named keep their places.
 
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -20,7 +20,7 @@
 MAX_REPORT_BYTES: Final = 1 << 20
 """A datagram that would unpack to more is no report."""
 
-FORMAT: Final = 2
+FORMAT: Final = 3
 """First field of each report; a node of another version is not understood and is left alone."""
 
 
@@ -49,7 +49,14 @@
             report.left_servers,
             [str(ref) for ref in report.versions],
             [[c.cell, c.holder, c.epoch, c.heirs] for c in report.claims],
-            [[held.server_id, [str(ref) for ref in held.adapters]] for held in report.residency],
+            (
+                None
+                if report.residency is None
+                else [
+                    [held.server_id, [str(ref) for ref in held.adapters]]
+                    for held in report.residency
+                ]
+            ),
         ]
     )
 
@@ -80,13 +87,14 @@
         left_servers=tuple(map(str, fields[7])),
         versions=tuple(ref_of(text) for text in fields[8]),
         claims=tuple(_claim(entry) for entry in fields[9]),
-        residency=tuple(
-            HeldAdapters(str(held[0]), tuple(ref_of(text) for text in held[1]))
-            for held in fields[10]
-        ),
+        residency=None if fields[10] is None else tuple(map(_held, fields[10])),
     )
 
 
+def _held(entry: list[Any]) -> HeldAdapters:
+    return HeldAdapters(str(entry[0]), tuple(ref_of(text) for text in entry[1]))
+
+
 def _claim(entry: list[Any]) -> DutyClaim:
     return DutyClaim(str(entry[0]), str(entry[1]), int(entry[2]), tuple(map(str, entry[3])))
 
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import logging
-import random
 import socket as native
 from collections.abc import Callable
 from typing import Final
 
+import attrs
 from gevent import socket
 
 from ..core.clock import Clock
@@ -20,17 +20,16 @@
 from ..transport.sockets import split_address
 from . import codec
 from .models import NodeReport
+from .rounds import EVERY_MS, PEERS_A_ROUND, Rounds
 from .view import FleetView
 
 _LOGGER = logging.getLogger(__name__)
-EVERY_MS: Final = 200
-"""Pause between reports: the age of what nodes know of each other's work."""
-
 SOON_MS: Final = 15
 """How long news for a holder waits for more of it."""
 
-MAX_PEERS_A_ROUND: Final = 12
-"""Nodes told in one round; in a larger fleet the others come in later rounds."""
+RESIDENCY_ROUNDS: Final = 5
+"""In a large fleet a holder tells what its runners hold in each of so many rounds only, once a
+second: for 45 runners that is most of its report. Who does not know asks the holder."""
 
 MAX_DATAGRAM_BYTES: Final = 60_000
 
@@ -50,15 +49,15 @@
         on_report: Callable[[NodeReport], None],
         tasks: Tasks,
         clock: Clock,
-        rng: random.Random,
     ) -> None:
         self._view = view
         self._report = report
         self._on_report = on_report
         self._tasks = tasks
         self._clock = clock
-        self._rng = rng
         self._address = address
+        self._rounds = Rounds(view.name)
+        self._rounds_until_residency = 0
         self._socket = socket.socket(native.AF_INET, native.SOCK_DGRAM)
         self._soon: set[str] = set()
         self._telling = False
@@ -75,11 +74,16 @@
         self._socket.close()
 
     def send_now(self) -> None:
-        """Tell the others at once."""
+        """Tell the others at once, as many as in any round."""
         self._send(self._peers())
 
     def _send(self, addresses: list[str]) -> None:
-        data = codec.encode(self._report())
+        report = self._report()
+        if report.residency and len(self._others()) > PEERS_A_ROUND:
+            self._rounds_until_residency = (self._rounds_until_residency + 1) % RESIDENCY_ROUNDS
+            if self._rounds_until_residency:
+                report = attrs.evolve(report, residency=None)
+        data = codec.encode(report)
         if len(data) > MAX_DATAGRAM_BYTES:
             log(_LOGGER, events.ReportTooLarge(bytes=len(data)))
             return
@@ -105,14 +109,17 @@
         self._send([card.report_address for card in cards if card is not None])
 
     def _peers(self) -> list[str]:
-        addresses = [
-            card.report_address
-            for card in self._view.card_by_name.values()
+        others = self._others()
+        told = self._rounds.next(others, self._view.duty_names(), self._view.holds_duty())
+        return [others[name] for name in told]
+
+    def _others(self) -> dict[str, str]:
+        """Return where the other nodes take reports, by name."""
+        return {
+            name: card.report_address
+            for name, card in self._view.card_by_name.items()
             if card.report_address != self._address
-        ]
-        if len(addresses) <= MAX_PEERS_A_ROUND:
-            return addresses
-        return self._rng.sample(addresses, MAX_PEERS_A_ROUND)
+        }
 
     def _send_for_good(self) -> None:
         while True:
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -56,7 +56,7 @@
     :param store_heard: whether the node reaches the store.
     :param left_servers: servers that the node lately learnt are leaving.
     :param versions: adapter versions that the node lately learnt.
-    :param residency: set by the holder of a cell.
+    :param residency: set by the holder of a cell; ``None`` where it is as told before.
     """
 
     card: NodeCard
@@ -70,7 +70,7 @@
     left_servers: tuple[str, ...] = ()
     versions: tuple[AdapterRef, ...] = ()
     claims: tuple[DutyClaim, ...] = ()
-    residency: tuple[HeldAdapters, ...] = ()
+    residency: tuple[HeldAdapters, ...] | None = ()
 
     @property
     def name(self) -> str:
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -11,13 +11,17 @@
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
 from .models import DutyClaim, HeldAdapters, NodeCard, NodeReport
+from .rounds import holder_silence_ms, silence_ms
 
 _LOGGER = logging.getLogger(__name__)
 ALIVE_MS: Final = 1_200
-"""A node unheard for so long counts as down: six reports in a row were lost or never sent."""
+"""A node unheard for so long counts as down: six reports in a row were lost or never sent. In a
+large fleet, where each is told more seldom, it is longer."""
 
 WORK_FADES_MS: Final = 2_000
-"""A silent node's work in progress is counted for so long: its requests end with it."""
+"""A silent node's work in progress is counted for so long at least: its requests end with it."""
+
+LONG_AGO_MS: Final = -1_000_000_000
 
 SPENT_FADES_MS: Final = 12_000
 """A silent node's retries count until they have left the budget's window."""
@@ -28,6 +32,8 @@
     report: NodeReport
     at_ms: int
     alive: bool = True
+    refused: bool = False
+    residency: tuple[HeldAdapters, ...] = ()
 
 
 class FleetView:
@@ -37,7 +43,7 @@
     """
 
     def __init__(self, name: str) -> None:
-        self._name = name
+        self.name = name
         self._heard_by_name: dict[str, _Heard] = {}
         self.card_by_name: dict[str, NodeCard] = {}
         self._epoch_by_cell: dict[str, DutyClaim] = {}
@@ -52,7 +58,7 @@
 
     def heard(self, report: NodeReport, now_ms: int) -> bool:
         """Take a report; return whether it is news. An overtaken one is dropped."""
-        if report.name == self._name:
+        if report.name == self.name:
             return False
         known = self._heard_by_name.get(report.name)
         if (
@@ -63,7 +69,10 @@
             return False
         if known is None or not known.alive:
             log(_LOGGER, events.PeerHeard(peer=report.name, boot=report.boot))
-        self._heard_by_name[report.name] = _Heard(report, now_ms)
+        residency = report.residency
+        if residency is None:
+            residency = known.residency if known is not None else ()
+        self._heard_by_name[report.name] = _Heard(report, now_ms, residency=residency)
         self.card(report.card)
         for claim in report.claims:
             self.claimed(claim)
@@ -82,14 +91,30 @@
         """Return the newest claim that is known of a cell."""
         return self._epoch_by_cell.get(cell)
 
-    def alive(self, name: str, now_ms: int, within_ms: int = ALIVE_MS) -> bool:
-        """Tell whether a node was heard lately."""
+    def duty_names(self) -> set[str]:
+        """Return the holders of duties and their heirs."""
+        claims = self._epoch_by_cell.values()
+        return {name for claim in claims for name in (claim.holder, *claim.heirs)}
+
+    def holds_duty(self) -> bool:
+        """Tell whether the newest claim that is known of some cell is this node's."""
+        return any(claim.holder == self.name for claim in self._epoch_by_cell.values())
+
+    def holder_silence_ms(self, least_ms: int) -> int:
+        """Return after how long a holder of a duty counts as silent, by the size of the fleet."""
+        return holder_silence_ms(self.nodes() - 1, least_ms)
+
+    def alive(self, name: str, now_ms: int, within_ms: int | None = None) -> bool:
+        """Tell whether a node was heard lately.
+
+        :param within_ms: a shorter time than usual.
+        """
         heard = self._heard_by_name.get(name)
         if heard is None:
             return False
-        if now_ms - heard.at_ms > within_ms and within_ms < ALIVE_MS:
+        if within_ms is not None and now_ms - heard.at_ms > within_ms:
             return False
-        alive = now_ms - heard.at_ms <= ALIVE_MS
+        alive = now_ms - heard.at_ms <= self._alive_ms()
         if heard.alive and not alive:
             heard.alive = False
             log(_LOGGER, events.PeerSilent(peer=name, age_ms=now_ms - heard.at_ms))
@@ -103,7 +128,13 @@
         """
         heard = self._heard_by_name.get(name)
         if heard is not None:
-            heard.at_ms = -1_000_000_000
+            heard.at_ms = LONG_AGO_MS
+            heard.refused = True
+
+    def has_refused(self, name: str) -> bool:
+        """Tell whether a node's port refused connections since it was last heard."""
+        heard = self._heard_by_name.get(name)
+        return heard is not None and heard.refused
 
     def age_ms(self, name: str, now_ms: int) -> int | None:
         """Return how long ago a node was heard."""
@@ -111,11 +142,15 @@
         return None if heard is None else now_ms - heard.at_ms
 
     def reports(self, now_ms: int, within_ms: int = ALIVE_MS) -> list[NodeReport]:
-        """Return the reports of nodes heard lately."""
+        """Return the reports of nodes heard lately.
+
+        :param within_ms: for a small fleet; in a large one it is longer.
+        """
+        limit_ms = max(within_ms, self._alive_ms())
         return [
             heard.report
             for heard in self._heard_by_name.values()
-            if now_ms - heard.at_ms <= within_ms
+            if now_ms - heard.at_ms <= limit_ms
         ]
 
     def report_of(self, name: str) -> NodeReport | None:
@@ -141,13 +176,16 @@
 
     def nodes(self) -> int:
         """Return how many nodes there are, this one among them."""
-        return len({self._name, *self.card_by_name, *self._heard_by_name})
+        return len({self.name, *self.card_by_name, *self._heard_by_name})
+
+    def _alive_ms(self) -> int:
+        return silence_ms(len(self._heard_by_name), ALIVE_MS)
 
     def residency(self, cell: str, now_ms: int) -> tuple[HeldAdapters, ...] | None:
         """Return what the holder of a cell last told of its runners."""
         claim = self._epoch_by_cell.get(cell)
         heard = self._heard_by_name.get(claim.holder) if claim is not None else None
-        return None if heard is None else heard.report.residency
+        return None if heard is None else heard.residency
 
     def forget_silent(self, now_ms: int, after_ms: int) -> None:
         """Drop nodes that have been silent for long and have no card."""
