Randomised runs of orders to runners; three safeguards seen to be needed

Runs in virtual time of the desk that loads adapters: answers of orders lost and the orders carried out seconds later, runners that crash alone or all at once and come back empty, holders that change in the middle, new versions. Checked at the runners: none holds more than it can, none loads base models faster than allowed, nothing in use is dropped, and when it is calm who asks is served.

--- a/tests/randomised/without.py
+++ b/tests/randomised/without.py
@@ -17,8 +17,12 @@
 from monsoonflow.node import intake, stop, takeover
 from monsoonflow.node.health import HealthLoop
 from monsoonflow.node.lease_loop import LeaseLoop
+from monsoonflow.orders.models import Unanswered
 from monsoonflow.ownership.lease import HeldLease
 from monsoonflow.ownership.quarantine import Quarantine
+from monsoonflow.placement.desk import Desk
+from monsoonflow.placement.idle import IdlePlaces
+from monsoonflow.placement.model_loads import ModelLoads
 from monsoonflow.request import life as life_module
 from monsoonflow.request.const import State
 from monsoonflow.request.models import ChunkVerdict
@@ -27,6 +31,7 @@
 from monsoonflow.runner.const import Permission, SlotState
 from monsoonflow.serving.core import ServingCore
 
+from .orders import OrdersRun
 from .scenario import Scenario
 
 
@@ -169,6 +174,39 @@
     replace(stop.GracefulStop, "_active", lambda _self: 0)
 
 
+def doubtful_orders() -> None:
+    """Give the place of an order without an answer to another adapter."""
+    original = Desk.answered
+
+    def answered(self: Any, step: Any, answer: Any, now_ms: int) -> bool:
+        known = original(self, step, answer, now_ms)
+        runner = self.runners.get(step.server_id)
+        if isinstance(answer, Unanswered) and runner is not None:
+            self._undo(runner, step)
+            runner.sequence += 1
+        return known
+
+    replace(Desk, "answered", answered)
+
+
+def places_in_use() -> None:
+    """Take places from requests that are in progress."""
+    original = IdlePlaces._idle
+
+    def idle(self: Any, runner: Any, now_ms: int, _work: Any) -> Any:
+        return original(self, runner, now_ms + 1_000, {})
+
+    replace(IdlePlaces, "_idle", idle)
+
+
+def model_rate() -> None:
+    """Load base models as soon as a runner lacks one."""
+    replace(ModelLoads, "allowed", lambda _self, _now_ms: True)
+
+
+ORDERS: frozenset[str] = frozenset({"doubtful_orders", "places_in_use", "model_rate"})
+"""Safeguards that the runs of orders need; the others are needed by runs of whole nodes."""
+
 SAFEGUARDS: dict[str, Callable[[], None]] = {
     function.__name__: function
     for function in (
@@ -183,10 +221,17 @@
         chunk_order,
         plan_condition,
         graceful_stop,
+        doubtful_orders,
+        places_in_use,
+        model_rate,
     )
 }
 
 
+def _whole_nodes(seed: int) -> list[str]:
+    return Scenario(seed, intensity=3.0).run()
+
+
 def run_one(name: str, first: int, count: int) -> int:
     """Run seeds without one safeguard and print the first promise that breaks."""
     logging.disable(logging.CRITICAL)
@@ -195,7 +240,7 @@
     example = ""
     for seed in range(first, first + count):
         try:
-            broken = Scenario(seed, intensity=3.0).run()
+            broken = OrdersRun(seed).run() if name in ORDERS else _whole_nodes(seed)
         except InvariantBroken as stopped:
             broken = [f"invariant in the product: {stopped}"]
         if broken:
