--- a/monsoonflow/api/services.py
+++ b/monsoonflow/api/services.py
@@ -17,27 +17,14 @@
 from ..node.relay import HEADER_NODE_TOKEN
 from ..request.parse import BadRequest, Terms, parse_terms
 from ..routing.keys import KeyClash, KeysFull, KnownKey
+from ..transport.const import ONE_CONNECTION_ONLY
 from ..transport.models import BrokenAnswer, Lost
 from ..transport.wsgi import RAW_HEADERS, RAW_TARGET, AnswerCut
 from .http import bad, ended_badly, identify, refuse
 
 _LOGGER = logging.getLogger(__name__)
-ONE_CONNECTION_ONLY: Final = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
 NOT_PASSED_ON: Final = ONE_CONNECTION_ONLY | {
     b"authorization",
-    b"expect",
     b"host",
     b"x-request-id",
     HEADER_NODE_TOKEN.lower().encode(),
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ..gateway.models import AnswerTerms, Call, Malformed, Onward
+from ..transport.const import ONE_CONNECTION_ONLY
 from ..transport.models import AnswerHead, Header, Request
 
 REQUEST_ID: Final = b"x-request-id"
@@ -17,21 +18,6 @@
 SIGNATURE: Final = b"x-server-signature"
 NOT_RUN: Final = b"x-not-executed"
 
-ONE_CONNECTION_ONLY: Final = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-    }
-)
 SET_HERE_ONLY: Final = frozenset(
     {
         b"x-expect-instance",
--- a/monsoonflow/transport/const.py
+++ b/monsoonflow/transport/const.py
@@ -42,3 +42,20 @@
 REPLY_BUFFER_BYTES: Final = 262_144
 """Answers up to this size are read whole before a byte is passed on, so that one that breaks off
 can still be tried again."""
+
+ONE_CONNECTION_ONLY: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+"""Headers that concern one connection, not the message: never passed on. The length is set anew."""
--- /dev/null
+++ b/tests/entry/one_row.py
@@ -0,0 +1,29 @@
+"""A table with one row, for tests of duties."""
+
+from __future__ import annotations
+
+from monsoonflow.storage.models import Committed, Conflict, Row, Unavailable
+
+
+class OneRowTable:
+    """A table with one row."""
+
+    def __init__(self):
+        self.row = None
+        self.version = 0
+        self.down = False
+
+    def get(self, key):
+        """Return the row."""
+        return self.row
+
+    def commit(self, transaction):
+        """Write the row, if its version is as expected."""
+        if self.down:
+            return Unavailable("down")
+        ((key, expected),) = transaction.conditions.items()
+        if expected != (self.row.version if self.row else 0):
+            return Conflict()
+        self.version += 1
+        self.row = Row(key, self.version, transaction.puts[key])
+        return Committed(self.version)
--- a/tests/entry/test_lease_loop.py
+++ b/tests/entry/test_lease_loop.py
@@ -9,7 +9,7 @@
 from monsoonflow.entry.lease_loop import DutyLoop
 from monsoonflow.fleet.models import DutyClaim, NodeCard, NodeReport
 from monsoonflow.fleet.view import FleetView
-from monsoonflow.storage.models import Committed, Conflict, Row, Unavailable
+from tests.entry.one_row import OneRowTable
 
 CARD = NodeCard("b", "b-b", "dc", "1.1.1.1:1", "1.1.1.1:2", "1.1.1.1:3")
 REPORT = NodeReport(CARD, 1, True, False, 1, True)
@@ -20,30 +20,6 @@
     return attrs.evolve(REPORT, card=attrs.evolve(CARD, name=name), sequence=sequence)
 
 
-class Table:
-    """A table with one row."""
-
-    def __init__(self):
-        self.row = None
-        self.version = 0
-        self.down = False
-
-    def get(self, key):
-        """Return the row."""
-        return self.row
-
-    def commit(self, transaction):
-        """Write the row, if its version is as expected."""
-        if self.down:
-            return Unavailable("down")
-        ((key, expected),) = transaction.conditions.items()
-        if expected != (self.row.version if self.row else 0):
-            return Conflict()
-        self.version += 1
-        self.row = Row(key, self.version, transaction.puts[key])
-        return Committed(self.version)
-
-
 @pytest.fixture
 def clock():
     return ManualClock(100_000)
@@ -51,7 +27,7 @@
 
 @pytest.fixture
 def table():
-    return Table()
+    return OneRowTable()
 
 
 @pytest.fixture
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -10,33 +10,12 @@
 from monsoonflow.fleet.models import DutyClaim, HeldAdapters, NodeCard, NodeReport
 from monsoonflow.fleet.rounds import EVERY_MS, Rounds
 from monsoonflow.fleet.view import FleetView
-from monsoonflow.storage.models import Committed, Conflict, Row
+from tests.entry.one_row import OneRowTable
 
 NODES = 89
 STEP_MS = 100
 
 
-class Table:
-    """A table with one row; each node reads it when it changes, a second later."""
-
-    def __init__(self) -> None:
-        self.row: Row | None = None
-        self.version = 0
-
-    def get(self, key: str) -> Row | None:
-        """Return the row."""
-        return self.row
-
-    def commit(self, transaction):
-        """Write the row, if its version is as expected."""
-        ((key, expected),) = transaction.conditions.items()
-        if expected != (self.row.version if self.row else 0):
-            return Conflict()
-        self.version += 1
-        self.row = Row(key, self.version, transaction.puts[key])
-        return Committed(self.version)
-
-
 @attrs.define
 class Node:
     """One node with what it knows of the others."""
@@ -61,7 +40,7 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock(100_000)
-        self.table = Table()
+        self.table = OneRowTable()
         self.nodes = {f"n{i}": self._node(f"n{i}") for i in range(NODES)}
         for node in self.nodes.values():
             for other in self.nodes.values():
