--- a/monsoonflow/placement/copies.py
+++ b/monsoonflow/placement/copies.py
@@ -25,8 +25,7 @@
 CROWD_FACTOR: Final = 1.5
 CROWD_LOAD: Final = 6_000
 """A runner is crowded when its load is so many times the others' mean, and so much above it: 300 ms
-of reading. With a fourth of that, copies were made on quiet days, where each is one fetch too many
-(price of fetches on a quiet day 0.167 to 0.173)."""
+of reading. On two quiet days that makes no copy and one; each is a fetch too many there."""
 
 LEAST_USERS: Final = 4
 """An adapter with fewer requests in progress is not what crowds its runner."""
--- a/monsoonflow/placement/load_limit.py
+++ b/monsoonflow/placement/load_limit.py
@@ -30,7 +30,7 @@
 
 RUSH_MS: Final = 500
 """Requests come in clumps; a limit that binds for less than two loads is not tried out, since half
-too many at once make all of a clump late (2 in 100 of a quiet day's requests)."""
+too many at once make each load of a clump take half longer."""
 
 KEPT_MS: Final = 60_000
 """How long a bound that was found is kept before a higher one is tried again."""
--- a/monsoonflow/placement/waiting.py
+++ b/monsoonflow/placement/waiting.py
@@ -21,7 +21,8 @@
 
 LEAST_LATE_SHARE: Final = 1 / 3
 """Share of the places that those who are late already are taken to get at least; more made them
-wait until their time was over (0.009 of worth a day of rushes; 0.007 with a third)."""
+wait until their time was over (price on one day of rushes 0.009, 0.007 with a third; one run
+each)."""
 
 FEW: Final = 4
 """So many adapters may always wait, whatever the rate says."""
