--- a/monsoonflow/discovery/models.py
+++ b/monsoonflow/discovery/models.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..core.adapter import AdapterRef
+from ..core.server_life import ServerLife
 
 
 @attrs.frozen(slots=True)
@@ -20,12 +21,12 @@
 class BackendServer:
     """One life of a backend server, as it registers itself.
 
-    :param server_id: names this life; another one at the same address has another name.
+    :param life: its id and its birth; after a restart it is another life at the same address.
     :param slots: requests that it works on at once.
     :param leaves_in_ms: how long it goes on, where it says so.
     """
 
-    server_id: str
+    life: ServerLife
     service: str
     address: str
     data_centre: str
--- a/monsoonflow/entry/beliefs.py
+++ b/monsoonflow/entry/beliefs.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import logging
+from typing import Final
+
+import attrs
 
 from ..core.adapter import AdapterRef
 from ..core.clock import Clock
@@ -17,6 +20,19 @@
 this node at the same time on an ordinary day."""
 
 
+MOST_VERSIONS: Final = 16
+"""Versions of one adapter whose naming is remembered: named more than three a second for the whole
+bound of five seconds, only the oldest is forgotten, and it is told by the next."""
+
+
+@attrs.frozen(slots=True)
+class _Named:
+    """When a version became known to this node."""
+
+    version: int
+    at_ms: int
+
+
 class Beliefs:
     """The newest state of the world that this node has learnt, from the store or from peers."""
 
@@ -26,7 +42,7 @@
         self.table_body = b""
         self.book = ServerBook()
         self.version_by_adapter: dict[str, int] = {}
-        self._named_at_by_adapter: dict[str, int] = {}
+        self._named_by_adapter: dict[str, list[_Named]] = {}
 
     def take_table(self, table: RouteTable, body: bytes, source: str) -> bool:
         """Put a configuration in force; never one that is older than what is in force."""
@@ -45,22 +61,28 @@
         if self.version_by_adapter.get(ref.name, 0) >= ref.version:
             return False
         self.version_by_adapter[ref.name] = ref.version
-        self._named_at_by_adapter[ref.name] = self._clock.now_ms()
+        named = self._named_by_adapter.setdefault(ref.name, [])
+        named.append(_Named(ref.version, self._clock.now_ms()))
+        del named[:-MOST_VERSIONS]
         log(_LOGGER, events.AdapterVersion(adapter=str(ref), source=source))
         return True
 
-    def named_ms_ago(self, adapter: str) -> int | None:
-        """Return how long ago the newest version of an adapter became known."""
-        at_ms = self._named_at_by_adapter.get(adapter)
-        return None if at_ms is None else self._clock.now_ms() - at_ms
+    def passed_by_ms(self, adapter: str, version: int) -> int | None:
+        """Return when a version of an adapter ceased to be the newest; ``None``: it has not.
+
+        Each version is judged from its own naming: counted from the newest one, versions named in
+        quick succession would keep the oldest in use for ever.
+        """
+        named = self._named_by_adapter.get(adapter, ())
+        return next((entry.at_ms for entry in named if entry.version > version), None)
 
     def recent_versions(self) -> tuple[AdapterRef, ...]:
         """Return the versions that became known lately."""
         now_ms = self._clock.now_ms()
         return tuple(
             AdapterRef(name, self.version_by_adapter[name])
-            for name, at_ms in self._named_at_by_adapter.items()
-            if now_ms - at_ms <= TELL_MS
+            for name, named in self._named_by_adapter.items()
+            if now_ms - named[-1].at_ms <= TELL_MS
         )
 
     def recent_left(self) -> tuple[str, ...]:
@@ -70,8 +92,8 @@
     def take_report(self, report: NodeReport) -> None:
         """Take what another node says of servers and versions."""
         now_ms = self._clock.now_ms()
-        for server_id in report.left_servers:
-            if server_id in self.book.by_id:
-                self.book.left(server_id, now_ms, f"told by {report.name}")
+        for life in report.left_servers:
+            if life in self.book.by_life:
+                self.book.left(life, now_ms, f"told by {report.name}")
         for ref in report.versions:
             self.take_version(ref, report.name)
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -252,7 +252,7 @@
         beliefs, now_ms = self.beliefs, self.clock.now_ms
         of("ready", "Whether callers should come here.", lambda: float(self.ready()))
         of("config_version", "Configuration in force.", lambda: self.report_version())
-        of("servers", "Backend servers known.", lambda: len(beliefs.book.by_id))
+        of("servers", "Backend servers known.", lambda: len(beliefs.book.by_life))
         of("peers", "Other nodes heard.", lambda: len(self.view.reports(now_ms())))
         of("duties", "Duties held.", lambda: len(self.duties.claims()))
         of("in_progress", "Requests in progress.", lambda: self.ports.callers.active)
@@ -334,7 +334,8 @@
             # The file may change without a signal.
             self.reload()
             self.pools.sweep()
-            for server_id in self.beliefs.book.settle(self.clock.now_ms()):
-                self.pools.forget(server_id)
-                self.conditions.forget(server_id)
+            for life in self.beliefs.book.settle(self.clock.now_ms()):
+                self.duties.residency.forget(life)
+                self.pools.forget(life)
+                self.conditions.forget(life)
             self.peers.fetch_newer(self.beliefs)
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -9,6 +9,7 @@
 import orjson
 from gevent.event import AsyncResult, Event
 
+from ..core.server_life import ServerLife
 from ..fleet.models import DutyClaim, HeldAdapters
 from ..orders.models import Gone, Order, RunnerControl, Superseded
 from ..placement.desk import Desk
@@ -126,7 +127,7 @@
         """Return what the runners of this node's duties hold, for the others."""
         return tuple(
             HeldAdapters(
-                runner.server_id,
+                runner.life,
                 tuple(seat.ref for seat in runner.seats.values() if seat.state is SeatState.READY),
             )
             for duty in self._duty_by_cell.values()
@@ -135,10 +136,10 @@
             if runner.known()
         )
 
-    def doubt(self, server_id: str, adapter: str) -> None:
+    def doubt(self, life: ServerLife, adapter: str) -> None:
         """Take that a runner lacks an adapter: what its desk believes of it is looked at again."""
         for duty in self._duty_by_cell.values():
-            runner = duty.desk.runners.get(server_id) if duty.desk is not None else None
+            runner = duty.desk.runners.get(life) if duty.desk is not None else None
             if runner is not None and runner.ready(adapter) is not None:
                 runner.report_at_ms = self._daemon.clock.now_ms()
                 self.wake()
@@ -155,8 +156,8 @@
             reply.whole(400, [])
             return
         match found:
-            case Placed(server_id=server_id, version=version):
-                reply.whole(200, [], orjson.dumps({"server": server_id, "version": version}))
+            case Placed(life=life, version=version):
+                reply.whole(200, [], orjson.dumps({"server": life, "version": version}))
             case NoPlace(retry_after_ms=retry_after_ms):
                 reply.whole(429, [], orjson.dumps({"retry_after_ms": retry_after_ms}))
             case None:
@@ -234,7 +235,7 @@
             self._wake.wait(PLAN_EVERY_MS / 1000)
             self._wake.clear()
             now_ms = self._daemon.clock.now_ms()
-            work: dict[str, ServerWork] | None = None
+            work: dict[ServerLife, ServerWork] | None = None
             for duty in list(self._duty_by_cell.values()):
                 if not self._keep_desk(duty, now_ms):
                     continue
@@ -262,19 +263,21 @@
                 self._daemon.settings.bounds.load_window_ms,
             )
         desk = duty.desk
-        present = {s.server_id for s in self._daemon.beliefs.book.of_service(duty.service.name)}
-        for server_id in present - desk.runners.keys():
-            desk.came(server_id, self.residency.history(server_id))
-        for server_id in [known for known in desk.runners if known not in present]:
-            desk.gone(server_id)
-            self.residency.forget(server_id)
+        present = {s.life for s in self._daemon.beliefs.book.of_service(duty.service.name)}
+        for life in present - desk.runners.keys():
+            desk.came(
+                life, self.residency.history(life), self._daemon.beliefs.book.restarted_ms(life)
+            )
+        for life in [known for known in desk.runners if known not in present]:
+            desk.gone(life)
+            self.residency.forget(life)
         return True
 
-    def _plan(self, duty: Duty, now_ms: int, work: dict[str, ServerWork]) -> None:
+    def _plan(self, duty: Duty, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
         desk = duty.desk
-        for server_id in desk.wants_report(now_ms):
-            desk.runners[server_id].ordering = True
-            self._daemon.tasks.spawn(self._report, duty, desk, server_id)
+        for life in desk.wants_report(now_ms):
+            desk.runners[life].ordering = True
+            self._daemon.tasks.spawn(self._report, duty, desk, life)
         desk.settle_waiters(now_ms, work)
         for step in desk.plan(now_ms, work):
             self._daemon.tasks.spawn(self._order, duty, desk, step)
@@ -283,14 +286,14 @@
             duty.summarised_ms = now_ms
             self._summarise(duty, desk, now_ms, work)
 
-    def _summarise(self, duty: Duty, desk: Desk, now_ms: int, work: dict[str, ServerWork]) -> None:
+    def _summarise(
+        self, duty: Duty, desk: Desk, now_ms: int, work: dict[ServerLife, ServerWork]
+    ) -> None:
         """Log how full the runners' seats are: the first question when requests wait."""
         seats = [seat for runner in desk.runners.values() for seat in runner.seats.values()]
-        used = {(server_id, name) for server_id, w in work.items() for name in w.by_adapter}
+        used = {(life, name) for life, w in work.items() for name in w.by_adapter}
         in_use = sum(
-            (runner.server_id, name) in used
-            for runner in desk.runners.values()
-            for name in runner.seats
+            (runner.life, name) in used for runner in desk.runners.values() for name in runner.seats
         )
         log(
             _LOGGER,
@@ -314,23 +317,28 @@
             ),
         )
 
-    def _report(self, duty: Duty, desk: Desk, server_id: str) -> None:
-        server = self._daemon.beliefs.book.by_id.get(server_id)
-        report = self._control.report(server_id, server.address) if server is not None else None
+    def _report(self, duty: Duty, desk: Desk, life: ServerLife) -> None:
+        server = self._daemon.beliefs.book.by_life.get(life)
+        report = self._control.report(life, server.address) if server is not None else None
         if isinstance(report, Gone):
-            self._gone(desk, server_id)
+            self._gone(desk, life)
             return
-        desk.reported(server_id, report, self._daemon.clock.now_ms())
+        now_ms = self._daemon.clock.now_ms()
+        book = self._daemon.beliefs.book
+        if report is not None and not book.heard_itself(report.life, report.models, now_ms):
+            # Another life speaks: the one that is known, or one before it, is no more.
+            report = None
+        desk.reported(life, report, now_ms)
         self.wake()
 
     def _order(self, duty: Duty, desk: Desk, step: Step) -> None:
         daemon = self._daemon
-        server = daemon.beliefs.book.by_id.get(step.server_id)
+        server = daemon.beliefs.book.by_life.get(step.life)
         if server is None or desk is not duty.desk:
             return
         # Looked at once more right before the send: the duty may have lapsed since the plan.
         if not duty.loop.holds(daemon.clock.now_ms()):
-            desk.runners[step.server_id].ordering = False
+            desk.runners[step.life].ordering = False
             return
         order = Order(
             step.operation,
@@ -341,9 +349,9 @@
             duty.epoch,
         )
         sent_ms = daemon.clock.now_ms()
-        answer = self._control.order(step.server_id, server.address, order)
+        answer = self._control.order(step.life, server.address, order)
         if isinstance(answer, Gone):
-            self._gone(desk, step.server_id)
+            self._gone(desk, step.life)
         now_ms = daemon.clock.now_ms()
         daemon.metrics.orders.labels(step.operation.value, type(answer).__name__.lower()).inc()
         daemon.metrics.order_time.observe((now_ms - sent_ms) / 1000)
@@ -351,7 +359,7 @@
             log(
                 _LOGGER,
                 events.Order(
-                    server=step.server_id,
+                    server=step.life,
                     operation=step.operation.value,
                     name=step.name,
                     version=step.version,
@@ -366,11 +374,11 @@
             duty.close()
         self.wake()
 
-    def _gone(self, desk: Desk, server_id: str) -> None:
+    def _gone(self, desk: Desk, life: ServerLife) -> None:
         """Take that another server answers at a runner's address."""
         beliefs = self._daemon.beliefs
-        beliefs.book.left(server_id, self._daemon.clock.now_ms(), "another server at its address")
-        desk.gone(server_id)
+        beliefs.book.left(life, self._daemon.clock.now_ms(), "another server at its address")
+        desk.gone(life)
 
     def _take_told(self, now_ms: int) -> None:
         """Take what the holders of other cells told of their runners."""
@@ -381,13 +389,13 @@
             if told is not None:
                 self.residency.take(told)
 
-    def _work(self) -> dict[str, ServerWork]:
+    def _work(self) -> dict[ServerLife, ServerWork]:
         """Return what all nodes have in progress by server."""
         now_ms = self._daemon.clock.now_ms()
-        total: dict[str, ServerWork] = {}
+        total: dict[ServerLife, ServerWork] = {}
         own = self._daemon.in_flight.by_server
         reports = self._daemon.view.reports(now_ms, 2_000)
         for by_server in (own, *(report.work_by_server for report in reports)):
-            for server_id, work in by_server.items():
-                total.setdefault(server_id, ServerWork()).add(work)
+            for life, work in by_server.items():
+                total.setdefault(life, ServerWork()).add(work)
         return total
--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -9,13 +9,17 @@
 
 import attrs
 import orjson
+from msgspec import Struct
+from msgspec.structs import astuple
 
 from ..core.adapter import AdapterRef
 from ..core.clock import Clock
+from ..core.server_life import ServerLife
 from ..core.tasks import Tasks
 from ..discovery.models import BackendServer
 from ..fleet.models import NodeCard
 from ..fleet.view import FleetView
+from ..helpers.strict import read
 from ..logs import events, log
 from ..routing.routes import RouteTable
 from ..storage.models import ChangedRow, ChangeFeed
@@ -80,7 +84,7 @@
         view: FleetView,
         clock: Clock,
         on_own_row: Callable[[ChangedRow], None],
-        on_server_gone: Callable[[str], None],
+        on_server_gone: Callable[[ServerLife], None],
         on_news: Callable[[], None],
     ) -> None:
         self._decoders = decoders
@@ -180,16 +184,17 @@
         self._note("servers", row)
         now_ms = self._clock.now_ms()
         book = self._beliefs.book
+        before = book.life_of(row.key)
         if row.body is None:
             book.removed(row.key, now_ms)
         else:
             server = self._decoders.server(row.key, row.body)
             if isinstance(server, str):
-                log(_LOGGER, events.UnusableRow(row=row.key, cause=server))
-                return
-            book.put(server, now_ms)
-        if not book.takes_work(row.key):
-            self._on_server_gone(row.key)
+                book.unreadable(row.key, server)
+            else:
+                book.put(server, now_ms, row.version)
+        if before is not None and not book.takes_work(before):
+            self._on_server_gone(before)
             self._on_news()
 
     def _store_returned(self) -> None:
@@ -205,26 +210,27 @@
             self._view.card_gone(name)
             return
         card = decode_card(row.body)
-        if card is None:
-            log(_LOGGER, events.UnusableRow(row=row.key))
+        if isinstance(card, str):
+            log(_LOGGER, events.UnusableRow(row=row.key, cause=card))
             return
         self._view.card(card)
 
 
-def decode_card(body: bytes) -> NodeCard | None:
-    """Return a node's card, or ``None`` when it is malformed."""
-    try:
-        data = orjson.loads(body)
-        return NodeCard(
-            str(data["name"]),
-            str(data["boot"]),
-            str(data["data_centre"]),
-            str(data["callers"]),
-            str(data["peer"]),
-            str(data["report"]),
-        )
-    except (ValueError, KeyError, TypeError):
-        return None
+class CardFields(Struct):
+    """The value of a node's row."""
+
+    name: str
+    boot: str
+    data_centre: str
+    callers: str
+    peer: str
+    report: str
+
+
+def decode_card(body: bytes) -> NodeCard | str:
+    """Return a node's card, or why it can't be used."""
+    fields = read(body, CardFields)
+    return fields if isinstance(fields, str) else NodeCard(*astuple(fields))
 
 
 def encode_card(card: NodeCard) -> dict[str, str]:
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -4,16 +4,18 @@
 
 import logging
 from collections.abc import Callable
-from typing import Final
+from typing import Annotated, Final
 
 import attrs
 import orjson
+from msgspec import Meta, Struct
 
 from ..core.clock import Clock
 from ..fleet.models import DutyClaim
 from ..fleet.view import FleetView
 from ..helpers.hashing import rank
 from ..helpers.ids import new_id
+from ..helpers.strict import read
 from ..logs import events, log
 from ..ownership.duty import MAX_HEIRS, DutyRow, DutyWatch, HeldDuty
 from ..ownership.models import LeaseTiming
@@ -117,8 +119,8 @@
     def row_changed(self, row: ChangedRow | Row) -> None:
         """Take the duty's row as the store holds it."""
         now_ms = self._clock.now_ms()
-        value = row.value if isinstance(row, Row) else decode(row.body)
-        duty = to_duty(self.cell, value) if value is not None else None
+        body = orjson.dumps(row.value) if isinstance(row, Row) else row.body
+        duty = to_duty(self.cell, body)
         self._watch.seen(duty, row.version, now_ms)
         if duty is None:
             return
@@ -327,26 +329,28 @@
         return self._table.commit(Transaction(new_id("op"), {key: version}, {key: value}))
 
 
-def decode(body: bytes | None) -> dict | None:
-    """Return a row's value, or ``None`` when it is malformed or gone."""
-    try:
-        value = orjson.loads(body or b"null")
-    except orjson.JSONDecodeError:
-        return None
-    return value if isinstance(value, dict) else None
-
-
-def to_duty(cell: str, value: dict) -> DutyRow | None:
-    """Return a duty's row, or ``None`` when it is malformed."""
-    try:
-        return DutyRow(
-            cell,
-            str(value["holder"]),
-            str(value["boot"]),
-            int(value["epoch"]),
-            int(value["counter"]),
-            tuple(map(str, value.get("heirs", ()))),
-            bool(value["released"]),
-        )
-    except (KeyError, TypeError, ValueError):
+class DutyFields(Struct):
+    """The value of a duty's row."""
+
+    holder: str
+    boot: str
+    epoch: Annotated[int, Meta(ge=0)]
+    counter: Annotated[int, Meta(ge=0)]
+    released: bool
+    heirs: tuple[str, ...] = ()
+
+
+def to_duty(cell: str, body: bytes | None) -> DutyRow | None:
+    """Return a duty's row, or ``None`` when it is malformed or gone."""
+    fields = read(body, DutyFields) if body is not None else "gone"
+    if isinstance(fields, str):
         return None
+    return DutyRow(
+        cell,
+        fields.holder,
+        fields.boot,
+        fields.epoch,
+        fields.counter,
+        fields.heirs,
+        fields.released,
+    )
--- a/monsoonflow/entry/placing.py
+++ b/monsoonflow/entry/placing.py
@@ -8,6 +8,7 @@
 import orjson
 
 from ..core.adapter import AdapterRef
+from ..core.server_life import ServerLife
 from ..discovery.models import BackendServer
 from ..gateway.job import Job
 from ..gateway.models import Call, Chosen, NoServer
@@ -36,6 +37,10 @@
 """Share of the bound on new versions in which an older one may still begin a request; the rest is
 for requests on their way."""
 
+BEGINS_SHARE: Final = 0.8
+"""Share of the bound on new versions after which a request that still waits at a runner for an
+older one is taken back; the rest is for a node that learnt of the version late."""
+
 REFUSED_RETRY_MS: Final = 500
 
 
@@ -46,22 +51,35 @@
         self._daemon = daemon
 
     def holders(self, adapter: str) -> dict[str, int]:
-        """Return the version of an adapter by the id of the runner that can serve it now."""
+        """Return the version of an adapter by the runner that can serve it now."""
         held = self._daemon.duties.residency.holders(adapter)
         wanted = self.wanted_version(adapter)
         if wanted is None:
             return held
-        fresh = {server_id: version for server_id, version in held.items() if version >= wanted}
-        return fresh if fresh or self._old_is_over(adapter) else held
+        fresh = {life: version for life, version in held.items() if version >= wanted}
+        return fresh or {
+            life: version for life, version in held.items() if not self._is_over(adapter, version)
+        }
 
     def wanted_version(self, adapter: str) -> int | None:
         """Return the version that the operator named; ``None`` where none was."""
         return self._daemon.beliefs.version_by_adapter.get(adapter)
 
-    def missing(self, adapter: str, server_id: str) -> None:
+    def begins_until_ms(self, adapter: str, version: int) -> int | None:
+        """Return until when a request may begin on a version; ``None`` while it is the newest.
+
+        A runner's own queue may be seconds long: a request sent before a version was named would
+        begin on the older one after the bound.
+        """
+        passed_ms = self._daemon.beliefs.passed_by_ms(adapter, version)
+        if passed_ms is None:
+            return None
+        return passed_ms + int(self._daemon.settings.bounds.version_ms * BEGINS_SHARE)
+
+    def missing(self, adapter: str, life: ServerLife) -> None:
         """Take the word of a runner that it does not hold an adapter."""
-        self._daemon.duties.residency.missing(server_id, adapter)
-        self._daemon.duties.doubt(server_id, adapter)
+        self._daemon.duties.residency.missing(life, adapter)
+        self._daemon.duties.doubt(life, adapter)
 
     def ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
         """Have the adapter loaded somewhere; waits until it is there."""
@@ -104,22 +122,22 @@
 
     def _chosen(self, call: Call, placed: Placed) -> Chosen | None:
         book = self._daemon.beliefs.book
-        server = book.by_id.get(placed.server_id)
-        if server is None or not book.takes_work(placed.server_id):
+        server = book.by_life.get(placed.life)
+        if server is None or not book.takes_work(placed.life):
             return None
         adapter = call.adapter or ""
         ref = AdapterRef(adapter, placed.version)
-        self._daemon.duties.residency.granted(placed.server_id, ref)
+        self._daemon.duties.residency.granted(placed.life, ref)
         wanted = self.wanted_version(adapter)
         current = wanted is not None and placed.version >= wanted
-        return _to(server, call, wanted if current else None, "placed")
+        return _to(server, call, placed.version, wanted if current else None, "placed")
 
     def _held_meanwhile(self, call: Call, service: Service, job: Job) -> Chosen | None:
         """Return a runner that was heard to hold the adapter while nobody answered."""
         held = self.holders(call.adapter or "")
         for server in self._daemon.beliefs.book.of_service(service.name):
-            if server.server_id in held and server.server_id not in job.avoided:
-                return _to(server, call, None, "held meanwhile")
+            if server.life in held and server.life not in job.avoided:
+                return _to(server, call, held[server.life], None, "held meanwhile")
         return None
 
     def _question(
@@ -163,7 +181,7 @@
         try:
             data = orjson.loads(answer.body)
             if answer.head.status == 200:
-                return Placed(str(data["server"]), int(data["version"]))
+                return Placed(ServerLife(data["server"]), int(data["version"]))
             return NoPlace(int(data["retry_after_ms"]))
         except (ValueError, KeyError, TypeError):
             return None
@@ -171,25 +189,29 @@
     def _avoided(self, service: Service, job: Job) -> list[str]:
         """Return the runners that a request shall not go to; none when there is no other."""
         now_ms = self._daemon.clock.now_ms()
-        runners = [s.server_id for s in self._daemon.beliefs.book.of_service(service.name)]
+        runners = [s.life for s in self._daemon.beliefs.book.of_service(service.name)]
         paused = [s for s in runners if self._daemon.conditions.paused(s, now_ms)]
         avoided = {*job.avoided, *paused}
         return sorted(avoided) if set(runners) - avoided else []
 
-    def _old_is_over(self, adapter: str) -> bool:
-        """Tell whether an older version may no longer begin a request."""
-        known_ms = self._daemon.beliefs.named_ms_ago(adapter)
+    def _is_over(self, adapter: str, version: int) -> bool:
+        """Tell whether a version may no longer get new requests."""
+        passed_ms = self._daemon.beliefs.passed_by_ms(adapter, version)
         bound_ms = self._daemon.settings.bounds.version_ms
-        return known_ms is not None and known_ms > bound_ms * OLD_VERSION_SHARE
+        now_ms = self._daemon.clock.now_ms()
+        return passed_ms is not None and now_ms - passed_ms > bound_ms * OLD_VERSION_SHARE
 
 
-def _to(server: BackendServer, call: Call, version: int | None, why: str) -> Chosen:
+def _to(
+    server: BackendServer, call: Call, version: int, expect_version: int | None, why: str
+) -> Chosen:
     return Chosen(
-        server.server_id,
+        server.life,
         server.address,
         call.adapter,
+        version,
         call.prompt_tokens,
         call.prompt_tokens + call.output_tokens,
-        version,
+        expect_version,
         why,
     )
--- a/monsoonflow/entry/residency.py
+++ b/monsoonflow/entry/residency.py
@@ -7,6 +7,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.clock import Clock
+from ..core.server_life import ServerLife
 from ..fleet.models import HeldAdapters
 
 MISSING_MS: Final = 400
@@ -30,45 +31,45 @@
         """Take a holder's word about its runners; it replaces what was known of them."""
         for held in told:
             self._note(held)
-            self._refs_by_server[held.server_id] = {ref.name: ref.version for ref in held.adapters}
+            self._refs_by_server[held.life] = {ref.name: ref.version for ref in held.adapters}
 
     def _note(self, held: HeldAdapters) -> None:
-        history = self._history_by_server.setdefault(held.server_id, OrderedDict())
+        history = self._history_by_server.setdefault(held.life, OrderedDict())
         for ref in held.adapters:
             history[ref] = None
             history.move_to_end(ref)
         while len(history) > MAX_HISTORY:
             history.popitem(last=False)
 
-    def history(self, server_id: str) -> list[AdapterRef]:
+    def history(self, life: ServerLife) -> list[AdapterRef]:
         """Return what a runner was ever told to hold, oldest first: it keeps copies of that.
 
         A node that takes a duty over would otherwise fetch again what runners have at hand.
         """
-        return list(self._history_by_server.get(server_id, ()))
+        return list(self._history_by_server.get(life, ()))
 
-    def granted(self, server_id: str, ref: AdapterRef) -> None:
+    def granted(self, life: ServerLife, ref: AdapterRef) -> None:
         """Take that a runner was just found to hold an adapter."""
-        self._missing_until.pop((server_id, ref.name), None)
-        self._refs_by_server.setdefault(server_id, {})[ref.name] = ref.version
+        self._missing_until.pop((life, ref.name), None)
+        self._refs_by_server.setdefault(life, {})[ref.name] = ref.version
 
-    def missing(self, server_id: str, name: str) -> None:
+    def missing(self, life: ServerLife, name: str) -> None:
         """Take the runner's word that it does not hold an adapter."""
-        self._refs_by_server.get(server_id, {}).pop(name, None)
-        self._missing_until[server_id, name] = self._clock.now_ms() + MISSING_MS
+        self._refs_by_server.get(life, {}).pop(name, None)
+        self._missing_until[life, name] = self._clock.now_ms() + MISSING_MS
 
     def holders(self, name: str) -> dict[str, int]:
         """Return the version that each runner holds of an adapter."""
         now_ms = self._clock.now_ms()
         return {
-            server_id: refs[name]
-            for server_id, refs in self._refs_by_server.items()
-            if name in refs and self._missing_until.get((server_id, name), 0) <= now_ms
+            life: refs[name]
+            for life, refs in self._refs_by_server.items()
+            if name in refs and self._missing_until.get((life, name), 0) <= now_ms
         }
 
-    def forget(self, server_id: str) -> None:
+    def forget(self, life: ServerLife) -> None:
         """Drop a runner that is gone."""
-        self._refs_by_server.pop(server_id, None)
-        self._history_by_server.pop(server_id, None)
-        for key in [key for key in self._missing_until if key[0] == server_id]:
+        self._refs_by_server.pop(life, None)
+        self._history_by_server.pop(life, None)
+        for key in [key for key in self._missing_until if key[0] == life]:
             del self._missing_until[key]
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -10,6 +10,7 @@
 import orjson
 
 from ..core.adapter import AdapterRef
+from ..core.server_life import ServerLife
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
 from .models import DutyClaim, HeldAdapters, NodeCard, NodeReport
@@ -39,8 +40,8 @@
             flags,
             report.config_version,
             {
-                server_id: [work.requests, work.unread_tokens, work.memory_tokens, work.by_adapter]
-                for server_id, work in report.work_by_server.items()
+                str(life): [work.requests, work.unread_tokens, work.memory_tokens, work.by_adapter]
+                for life, work in report.work_by_server.items()
             },
             {
                 service: [spent.firsts, spent.retries]
@@ -52,10 +53,7 @@
             (
                 None
                 if report.residency is None
-                else [
-                    [held.server_id, [str(ref) for ref in held.adapters]]
-                    for held in report.residency
-                ]
+                else [[held.life, [str(ref) for ref in held.adapters]] for held in report.residency]
             ),
         ]
     )
@@ -80,11 +78,11 @@
         store_heard=bool(flags & 4),
         config_version=int(fields[4]),
         work_by_server={
-            server_id: ServerWork(work[0], work[1], work[2], Counter(work[3]))
-            for server_id, work in fields[5].items()
+            ServerLife(life): ServerWork(work[0], work[1], work[2], Counter(work[3]))
+            for life, work in fields[5].items()
         },
         spent_by_service={service: Spent(*spent) for service, spent in fields[6].items()},
-        left_servers=tuple(map(str, fields[7])),
+        left_servers=tuple(map(ServerLife, fields[7])),
         versions=tuple(ref_of(text) for text in fields[8]),
         claims=tuple(_claim(entry) for entry in fields[9]),
         residency=None if fields[10] is None else tuple(map(_held, fields[10])),
@@ -92,7 +90,7 @@
 
 
 def _held(entry: list[Any]) -> HeldAdapters:
-    return HeldAdapters(str(entry[0]), tuple(ref_of(text) for text in entry[1]))
+    return HeldAdapters(ServerLife(entry[0]), tuple(ref_of(text) for text in entry[1]))
 
 
 def _claim(entry: list[Any]) -> DutyClaim:
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..core.adapter import AdapterRef
+from ..core.server_life import ServerLife
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
 
@@ -43,7 +44,7 @@
 class HeldAdapters:
     """The adapters that a runner can serve now, as the holder of its cell knows it."""
 
-    server_id: str
+    life: ServerLife
     adapters: tuple[AdapterRef, ...]
 
 
@@ -65,9 +66,9 @@
     leaving: bool
     config_version: int
     store_heard: bool
-    work_by_server: dict[str, ServerWork] = attrs.Factory(dict)
+    work_by_server: dict[ServerLife, ServerWork] = attrs.Factory(dict)
     spent_by_service: dict[str, Spent] = attrs.Factory(dict)
-    left_servers: tuple[str, ...] = ()
+    left_servers: tuple[ServerLife, ...] = ()
     versions: tuple[AdapterRef, ...] = ()
     claims: tuple[DutyClaim, ...] = ()
     residency: tuple[HeldAdapters, ...] | None = ()
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..core.server_life import ServerLife
 from ..logs import events, log
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
@@ -159,11 +160,11 @@
         heard = self._heard_by_name.get(name)
         return None if heard is None else heard.report
 
-    def work_at(self, server_id: str, now_ms: int) -> ServerWork:
+    def work_at(self, life: ServerLife, now_ms: int) -> ServerWork:
         """Return what the other nodes have in progress at a server."""
         total = ServerWork()
         for report in self.reports(now_ms, WORK_FADES_MS):
-            work = report.work_by_server.get(server_id)
+            work = report.work_by_server.get(life)
             if work is not None:
                 total.add(work)
         return total
--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..core.clock import Clock
+from ..core.server_life import ServerLife
 from ..discovery.book import ServerBook
 from ..discovery.models import BackendServer
 from ..fleet.view import FleetView
@@ -54,7 +55,10 @@
     def ask(self, call: Call, route: Route, service: Service, job: Job) -> Chosen | NoServer:
         """Have the adapter loaded somewhere; waits until it is there."""
 
-    def missing(self, adapter: str, server_id: str) -> None:
+    def begins_until_ms(self, adapter: str, version: int) -> int | None:
+        """Return until when a request may begin on a version; ``None`` while it is the newest."""
+
+    def missing(self, adapter: str, life: ServerLife) -> None:
         """Take the word of a runner that it does not hold an adapter."""
 
 
@@ -83,11 +87,11 @@
                 min(usable, key=lambda s: self._cost(s, now_ms)), call, None, now_ms
             )
         held = self.placement.holders(call.adapter)
-        holding = [server for server in usable if server.server_id in held]
+        holding = [server for server in usable if server.life in held]
         if not holding:
             return self.placement.ask(call, route, service, job)
         best = min(holding, key=lambda s: self._cost(s, now_ms))
-        return self._chosen(best, call, held[best.server_id], now_ms)
+        return self._chosen(best, call, held[best.life], now_ms)
 
     def _usable(self, call: Call, service: Service, job: Job, now_ms: int) -> list[BackendServer]:
         servers = [
@@ -95,9 +99,9 @@
             for server in self.book.of_service(service.name)
             if any(held.name == call.model for held in server.models)
         ]
-        reached = [s for s in servers if not self.conditions.paused(s.server_id, now_ms)]
+        reached = [s for s in servers if not self.conditions.paused(s.life, now_ms)]
         # A stream that broke off goes on elsewhere: where it broke it would break again.
-        fresh = [s for s in reached if s.server_id not in job.avoided]
+        fresh = [s for s in reached if s.life not in job.avoided]
         return fresh or reached or servers
 
     def _chosen(
@@ -106,9 +110,10 @@
         wanted = self.placement.wanted_version(call.adapter) if call.adapter else None
         current = wanted is not None and version is not None and version >= wanted
         return Chosen(
-            server.server_id,
+            server.life,
             server.address,
             call.adapter,
+            version,
             call.prompt_tokens,
             call.prompt_tokens + call.output_tokens,
             # An older version may still begin for a moment after a newer one was named.
@@ -121,36 +126,42 @@
 
         A backlog is no sign of hanging: where much is to be read, all the time.
         """
-        server = self.book.by_id.get(chosen.server_id)
+        server = self.book.by_life.get(chosen.life)
         if server is None or self._waiting(server, self.clock.now_ms()) > BACKLOG_TOKENS:
             return UNBOUNDED_MS
         return route.objective_ms * HANG_TIMES
 
+    def begins_until_ms(self, chosen: Chosen) -> int | None:
+        """Return until when a request may begin where it was sent; ``None`` without a bound."""
+        if chosen.adapter is None or chosen.version is None:
+            return None
+        return self.placement.begins_until_ms(chosen.adapter, chosen.version)
+
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
         match result:
             case Passed():
-                self.conditions.ended(chosen.server_id, True, took_ms, now_ms)
+                self.conditions.ended(chosen.life, True, took_ms, now_ms)
             case Whole(head=head):
-                self.conditions.ended(chosen.server_id, head.status < 500, took_ms, now_ms)
+                self.conditions.ended(chosen.life, head.status < 500, took_ms, now_ms)
             case Rejected(moved=True) if chosen.adapter is not None:
-                self.placement.missing(chosen.adapter, chosen.server_id)
+                self.placement.missing(chosen.adapter, chosen.life)
             case Unsent():
-                self.conditions.unreached(chosen.server_id, now_ms)
+                self.conditions.unreached(chosen.life, now_ms)
             case Unclear(silent=True) | Cut(silent=True):
-                self.conditions.unreached(chosen.server_id, now_ms)
+                self.conditions.unreached(chosen.life, now_ms)
             case Unclear() | Cut() | TimedOut(silent=True) | Abandoned(silent=True) | Rejected():
-                self.conditions.ended(chosen.server_id, False, took_ms, now_ms)
+                self.conditions.ended(chosen.life, False, took_ms, now_ms)
 
     def _cost(self, server: BackendServer, now_ms: int) -> float:
-        own = self.in_flight.at(server.server_id)
-        others = self.view.work_at(server.server_id, now_ms)
+        own = self.in_flight.at(server.life)
+        others = self.view.work_at(server.life, now_ms)
         running = own.requests + others.requests
         waiting = own.unread_tokens + others.unread_tokens
-        success = 1.0 - self.conditions.failure_share(server.server_id, now_ms)
+        success = 1.0 - self.conditions.failure_share(server.life, now_ms)
         return (waiting + REQUEST_TOKENS * (running + 1)) / max(0.1, success) + self.rng.random()
 
     def _waiting(self, server: BackendServer, now_ms: int) -> int:
         """Return the prompt tokens that are still to be read at a runner."""
-        own = self.in_flight.at(server.server_id).unread_tokens
-        return own + self.view.work_at(server.server_id, now_ms).unread_tokens
+        own = self.in_flight.at(server.life).unread_tokens
+        return own + self.view.work_at(server.life, now_ms).unread_tokens
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -26,6 +26,7 @@
     NoServer,
     Onward,
     Passed,
+    Recalled,
     Rejected,
     TimedOut,
     Try,
@@ -65,6 +66,9 @@
     def patience_ms(self, chosen: Chosen, route: Route) -> int:
         """Return how long a server may take before it seems to hang."""
 
+    def begins_until_ms(self, chosen: Chosen) -> int | None:
+        """Return until when a request may begin where it was sent; ``None`` without a bound."""
+
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
 
@@ -171,9 +175,9 @@
 
     def _try(self, job: Job, reply: Reply, chooser: Chooser, chosen: Chosen) -> Try:
         sent_ms = self._clock.now_ms()
-        job.tried.append(chosen.server_id)
+        job.tried.append(chosen.life)
         ticket = self._in_flight.begin(
-            chosen.server_id, sent_ms, chosen.adapter, chosen.unread_tokens, chosen.memory_tokens
+            chosen.life, sent_ms, chosen.adapter, chosen.unread_tokens, chosen.memory_tokens
         )
         onward = self._onward(job, chosen, sent_ms)
         self._record.sent(job, chosen, onward)
@@ -186,6 +190,7 @@
             job.until_ms,
             self._sign_until(job, chooser, chosen, sent_ms),
             lambda: self._first_event(job, ticket),
+            lambda: chooser.begins_until_ms(chosen),
         )
         result: Try | None = None
         try:
@@ -227,7 +232,7 @@
         last_event = job.cutter.last_event if job.cutter is not None else None
         return Onward(
             left_ms=max(1, job.deadline_at_ms - now_ms),
-            server_id=chosen.server_id,
+            life=chosen.life,
             priority=self._priority(job, now_ms) if engine else None,
             expect_version=chosen.expect_version,
             last_event=last_event,
@@ -254,7 +259,7 @@
                 return self._settle_whole(job, reply, chosen, result, took_ms)
             case TimedOut():
                 job.runs += 1
-                job.avoided.append(chosen.server_id)
+                job.avoided.append(chosen.life)
                 if job.until_ms - self._clock.now_ms() >= MIN_SEND_MS:
                     return self._again_or_end(job, reply, chosen, "hangs", took_ms, ran=True)
                 self._time_over(job, reply)
@@ -263,15 +268,19 @@
                 return True
             case Rejected(reason=reason, retry_after_ms=retry_after_ms, moved=moved):
                 if not moved:
-                    job.avoided.append(chosen.server_id)
+                    job.avoided.append(chosen.life)
                 job.retry_after_ms = retry_after_ms or job.retry_after_ms
                 self._record.refused(job, chosen, reason, moved, retry_after_ms)
                 return self._again_or_end(job, reply, chosen, reason, took_ms, ran=False)
             case Unsent(reason=reason):
-                job.avoided.append(chosen.server_id)
+                job.avoided.append(chosen.life)
                 return self._again_or_end(job, reply, chosen, reason, took_ms, ran=False)
+            case Recalled():
+                job.runs += 1
+                reason = "a newer version of its adapter is named"
+                return self._again_or_end(job, reply, chosen, reason, took_ms, ran=True)
             case Unclear(reason=reason) | Cut(reason=reason):
-                job.avoided.append(chosen.server_id)
+                job.avoided.append(chosen.life)
                 job.runs += 1
                 return self._again_or_end(job, reply, chosen, reason, took_ms, ran=True)
 
@@ -282,7 +291,7 @@
         unclear = status in NOT_RUN_STATUSES
         if status >= 500 or unclear:
             job.runs += 1
-            job.avoided.append(chosen.server_id)
+            job.avoided.append(chosen.life)
             again = self._may_try_again(job, ran=True)
             self._record.failed(job, chosen, f"status {status}", again, took_ms)
             if again:
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..core.server_life import ServerLife
 from ..transport.models import AnswerHead, Header, Request
 
 
@@ -48,13 +49,13 @@
     """What this node says of a request to a server.
 
     :param left_ms: how long the server may work.
-    :param server_id: the life of the server that is meant; another refuses.
+    :param life: the life of the server that is meant; another refuses.
     :param expect_version: the adapter's version that must answer.
     :param last_event: where a stream goes on.
     """
 
     left_ms: int
-    server_id: str
+    life: ServerLife
     priority: int | None = None
     expect_version: int | None = None
     last_event: bytes | None = None
@@ -153,6 +154,11 @@
     silent: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """The request was taken back while it waited at the server, for an old version."""
+
+
 @dataclass(frozen=True, slots=True)
 class Passed:
     """The whole answer has been passed on while it came in."""
@@ -166,16 +172,23 @@
     silent: bool = False
 
 
-Try: TypeAlias = Whole | Unsent | Rejected | Unclear | TimedOut | Abandoned | Passed | Cut
+Try: TypeAlias = (
+    Whole | Unsent | Rejected | Unclear | TimedOut | Abandoned | Recalled | Passed | Cut
+)
 
 
 @attrs.frozen(slots=True)
 class Chosen:
-    """The server that a request is sent to."""
+    """The server that a request is sent to.
+
+    :param version: of the adapter that the server is known to hold.
+    :param expect_version: the version without which the server shall refuse.
+    """
 
-    server_id: str
+    life: ServerLife
     address: str
     adapter: str | None = None
+    version: int | None = None
     unread_tokens: int = 0
     memory_tokens: int = 0
     expect_version: int | None = None
--- a/monsoonflow/gateway/offer.py
+++ b/monsoonflow/gateway/offer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Final
+from typing import Final, TypeVar
 
 from ..transport.client import Pools, ServerConnection
 from ..transport.const import CONNECT_TIMEOUT_MS, REPLY_BUFFER_BYTES
@@ -17,6 +17,7 @@
     Cut,
     Dialect,
     Passed,
+    Recalled,
     Rejected,
     TimedOut,
     Try,
@@ -32,10 +33,21 @@
 """Statuses that promise a caller that its request did not run and never will."""
 
 
+SIGN_CHECK_MS: Final = 250
+"""How often a request that waits for a first sign is looked at: a newer version of its adapter may
+have been named, and it must not begin on the old one."""
+
+Read = TypeVar("Read")
+
+
 class SilentServer(Exception):
     """No event of a stream has come in time."""
 
 
+class BeginsTooLate(Exception):
+    """The request waits for an adapter version that may no longer begin."""
+
+
 class Offer:
     """One try of a request at one server.
 
@@ -43,6 +55,8 @@
     :param sign_until_ms: until when the server must have given a sign: an answer, or the first
         event of a stream.
     :param on_sign: called at the first sign of work (the first event of a stream).
+    :param begins_until: returns until when the request may begin, as it is known at that moment;
+        ``None`` without a bound.
     """
 
     def __init__(
@@ -54,6 +68,7 @@
         until_ms: int,
         sign_until_ms: int,
         on_sign: Callable[[], None] = lambda: None,
+        begins_until: Callable[[], int | None] = lambda: None,
     ) -> None:
         self._pools = pools
         self._dialect = dialect
@@ -62,6 +77,7 @@
         self._until_ms = until_ms
         self._sign_until_ms = sign_until_ms
         self._on_sign = on_sign
+        self._begins_until = begins_until
 
     def send(self, chosen: Chosen, head: bytes, reply: Reply, cutter: EventCutter | None) -> Try:
         """Send the request and pass its answer on.
@@ -72,7 +88,7 @@
         # its caller was answered 115 ms after the route's timeout.
         left_ms = self._until_ms - self._pools.clock.now_ms()
         connect_ms = max(1, min(CONNECT_TIMEOUT_MS, left_ms))
-        connection = self._pools.take(chosen.server_id, chosen.address, connect_ms)
+        connection = self._pools.take(chosen.life, chosen.address, connect_ms)
         if isinstance(connection, Lost):
             return Unsent(connection.reason)
         clean = False
@@ -88,6 +104,8 @@
             return result
         except SilentServer:
             return TimedOut(silent=True)
+        except BeginsTooLate:
+            return Recalled()
         except TimeoutError:
             return TimedOut(silent=answer_head is None)
         except (OSError, BrokenAnswer) as error:
@@ -98,7 +116,7 @@
             # On every other way out, also when the caller leaves, the connection is closed at once:
             # the server stops its work, and no bytes of it can reach another request.
             if clean and answer_head is not None:
-                self._pools.give_back(chosen.server_id, connection, answer_head)
+                self._pools.give_back(chosen.life, connection, answer_head)
             else:
                 connection.close()
 
@@ -109,7 +127,7 @@
         is read and dropped.
         """
         for _ in range(MAX_FOREIGN_ANSWERS):
-            head = connection.read_head(self._sign_until_ms)
+            head = self._await_sign(connection.read_head)
             terms = self._dialect.read_answer(head)
             if terms.request_id == self._call.request_id:
                 return head, terms
@@ -188,10 +206,29 @@
         return Passed()
 
     def _next_event(self, connection: ServerConnection, first: bool) -> bytes | None:
+        if not first:
+            return connection.read_piece(self._until_ms)
         try:
-            return connection.read_piece(self._sign_until_ms if first else self._until_ms)
+            return self._await_sign(connection.read_piece)
         except TimeoutError:
-            raise SilentServer if first else TimeoutError from None
+            raise SilentServer from None
+
+    def _await_sign(self, read: Callable[[int], Read]) -> Read:
+        """Read what shows that the server works on the request.
+
+        :raises TimeoutError: when the server is silent for too long.
+        :raises BeginsTooLate: when the request would begin on a version that is no longer wanted.
+        """
+        while True:
+            now_ms = self._pools.clock.now_ms()
+            begins_until_ms = self._begins_until()
+            if begins_until_ms is not None and now_ms >= begins_until_ms:
+                raise BeginsTooLate
+            try:
+                return read(min(self._sign_until_ms, now_ms + SIGN_CHECK_MS))
+            except TimeoutError:
+                if self._pools.clock.now_ms() >= self._sign_until_ms:
+                    raise
 
     def _pass(self, head: AnswerHead, whole: bytes, reply: Reply) -> None:
         if reply.started:
--- a/monsoonflow/gateway/plain.py
+++ b/monsoonflow/gateway/plain.py
@@ -52,50 +52,54 @@
     ) -> Chosen | NoServer:
         """Return the server with the least expected time to a good answer."""
         servers = self.book.of_service(service.name)
-        reached = [s for s in servers if not self.conditions.paused(s.server_id, now_ms)]
-        fresh = [s for s in reached or servers if s.server_id not in job.tried]
-        candidates = fresh or [s for s in servers if s.server_id not in job.avoided] or servers
+        reached = [s for s in servers if not self.conditions.paused(s.life, now_ms)]
+        fresh = [s for s in reached or servers if s.life not in job.tried]
+        candidates = fresh or [s for s in servers if s.life not in job.avoided] or servers
         if not candidates:
             return NoServer("no server takes work", job.retry_after_ms or NO_SERVER_RETRY_MS)
-        costs = {s.server_id: self._expected_ms(s, now_ms) for s in candidates}
-        best = min(candidates, key=lambda s: (costs[s.server_id], self.rng.random()))
-        expected_ms = costs[best.server_id]
+        costs = {s.life: self._expected_ms(s, now_ms) for s in candidates}
+        best = min(candidates, key=lambda s: (costs[s.life], self.rng.random()))
+        expected_ms = costs[best.life]
         if expected_ms > 2 * (job.until_ms - now_ms) and self._busy(best, now_ms):
             return NoServer(
                 "the queue is longer than the time left",
                 max(NO_SERVER_RETRY_MS, int(expected_ms * QUEUE_RETRY_SHARE)),
             )
-        return Chosen(best.server_id, best.address, why=f"expected_ms={expected_ms:.0f}")
+        return Chosen(best.life, best.address, why=f"expected_ms={expected_ms:.0f}")
 
     def patience_ms(self, chosen: Chosen, route: Route) -> int:
         """Return how long a server may take before it seems to hang."""
-        usual_ms = self.conditions.latency_ms(chosen.server_id, USUAL_MS)
+        usual_ms = self.conditions.latency_ms(chosen.life, USUAL_MS)
         return max(MIN_PATIENCE_MS, int(usual_ms * PATIENCE_TIMES))
 
+    def begins_until_ms(self, chosen: Chosen) -> int | None:
+        """Return ``None``: a plain service has no versions."""
+        return None
+
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
         match result:
             case Whole(head=head):
-                self.conditions.ended(chosen.server_id, head.status < 500, took_ms, now_ms)
+                self.conditions.ended(chosen.life, head.status < 500, took_ms, now_ms)
             case Unsent():
-                self.conditions.unreached(chosen.server_id, now_ms)
+                self.conditions.unreached(chosen.life, now_ms)
             case Unclear(silent=True) | Cut(silent=True):
-                self.conditions.unreached(chosen.server_id, now_ms)
+                self.conditions.unreached(chosen.life, now_ms)
             case Unclear() | Cut() | TimedOut() | Rejected(moved=False):
-                self.conditions.ended(chosen.server_id, False, took_ms, now_ms)
+                self.conditions.ended(chosen.life, False, took_ms, now_ms)
 
     def _expected_ms(self, server: BackendServer, now_ms: int) -> float:
         busy = self._in_progress(server, now_ms)
         rounds = max(1.0, (busy + 1) / max(1, server.slots))
-        usual_ms = self.conditions.latency_ms(server.server_id, USUAL_MS)
-        success = 1.0 - self.conditions.failure_share(server.server_id, now_ms)
+        usual_ms = self.conditions.latency_ms(server.life, USUAL_MS)
+        success = 1.0 - self.conditions.failure_share(server.life, now_ms)
         # The share of a server that is not full also counts a little, so that equal servers share.
         crowd = 1.0 + 0.1 * busy / max(1, server.slots)
         return usual_ms * rounds * crowd / max(MIN_SUCCESS, success) ** 2
 
     def _in_progress(self, server: BackendServer, now_ms: int) -> int:
-        own = self.in_flight.at(server.server_id).requests
-        return own + self.view.work_at(server.server_id, now_ms).requests
+        own = self.in_flight.at(server.life).requests
+        return own + self.view.work_at(server.life, now_ms).requests
 
     def _busy(self, server: BackendServer, now_ms: int) -> bool:
         return self._in_progress(server, now_ms) >= server.slots
--- a/monsoonflow/gateway/record.py
+++ b/monsoonflow/gateway/record.py
@@ -71,7 +71,7 @@
             _LOGGER,
             events.RequestSent(
                 request=job.call.request_id,
-                server=chosen.server_id,
+                server=chosen.life,
                 attempt=len(job.tried),
                 why=chosen.why,
                 left_ms=onward.left_ms,
@@ -87,9 +87,7 @@
         """Note that a server did not run a request."""
         log(
             _LOGGER,
-            events.ServerRefused(
-                job.call.request_id, chosen.server_id, cause, moved, retry_after_ms
-            ),
+            events.ServerRefused(job.call.request_id, chosen.life, cause, moved, retry_after_ms),
         )
 
     def failed(self, job: Job, chosen: Chosen, cause: str, again: bool, took_ms: int) -> None:
@@ -97,7 +95,7 @@
         log(
             _LOGGER,
             events.TryFailed(
-                job.call.request_id, chosen.server_id, cause, job.may_have_run, again, took_ms
+                job.call.request_id, chosen.life, cause, job.may_have_run, again, took_ms
             ),
         )
 
--- a/monsoonflow/logs/events.py
+++ b/monsoonflow/logs/events.py
@@ -137,6 +137,31 @@
     cause: str
 
 
+@_event
+class EarlierLife(Event):
+    """A word of a life that began before the known one; it is left aside unless it goes on."""
+
+    server: str
+    known: str
+
+
+@_event
+class UnusableReport(Event):
+    """A runner's answer about itself can't be read; it is asked again."""
+
+    server: str
+    cause: str
+
+
+@_event
+class AddressTaken(Event):
+    """A server registered an address that another had; that one gets nothing more."""
+
+    address: str
+    server: str
+    before: str
+
+
 @_event
 class AdapterVersion(Event):
     """The operator named a version of an adapter."""
--- a/monsoonflow/orders/models.py
+++ b/monsoonflow/orders/models.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ..core.adapter import AdapterRef
+from ..core.server_life import ServerLife
 from ..discovery.models import HeldModel
 
 
@@ -87,11 +88,13 @@
 class RunnerReport:
     """What a runner says of itself.
 
+    :param life: which of its lives speaks.
     :param sequence: how many orders it has accepted since its start.
     :param busy: whether it is loading or dropping a base model.
     :param incoming: adapters that are on their way to it.
     """
 
+    life: ServerLife
     sequence: int
     busy: bool
     models: tuple[HeldModel, ...]
@@ -105,10 +108,10 @@
 class RunnerControl(Protocol):
     """Reaches runners for orders and reports."""
 
-    def report(self, server_id: str, address: str) -> RunnerReport | Gone | None:
+    def report(self, life: ServerLife, address: str) -> RunnerReport | Gone | None:
         """Return what a runner says of itself; ``None`` when it does not answer."""
 
-    def order(self, server_id: str, address: str, order: Order) -> OrderAnswer:
+    def order(self, life: ServerLife, address: str, order: Order) -> OrderAnswer:
         """Send an order once."""
 
     def forget(self, address: str) -> None:
--- a/monsoonflow/placement/copies.py
+++ b/monsoonflow/placement/copies.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from ..core.server_life import ServerLife
 from ..routing.in_flight import ServerWork
 from .seats import MAX_INCOMING, RunnerSeats, SeatState
 
@@ -40,22 +41,22 @@
     def __init__(self) -> None:
         self._by_id: dict[str, float] = {}
 
-    def note(self, server_id: str, work: ServerWork, span_s: float) -> None:
+    def note(self, life: ServerLife, work: ServerWork, span_s: float) -> None:
         """Take what is in progress at a runner now.
 
         :param span_s: time since the last word.
         """
         now = work.unread_tokens + REQUEST_LOAD * work.requests
-        known = self._by_id.get(server_id, 0.0)
-        self._by_id[server_id] = known + (now - known) * min(1.0, span_s / SMOOTHED_OVER_S)
+        known = self._by_id.get(life, 0.0)
+        self._by_id[life] = known + (now - known) * min(1.0, span_s / SMOOTHED_OVER_S)
 
-    def of(self, server_id: str) -> float:
+    def of(self, life: ServerLife) -> float:
         """Return the load of a runner."""
-        return self._by_id.get(server_id, 0.0)
+        return self._by_id.get(life, 0.0)
 
-    def forget(self, server_id: str) -> None:
+    def forget(self, life: ServerLife) -> None:
         """Drop a runner that is gone."""
-        self._by_id.pop(server_id, None)
+        self._by_id.pop(life, None)
 
 
 @attrs.frozen(slots=True)
@@ -73,15 +74,15 @@
 
 
 def wanted_copy(
-    runners: Iterable[RunnerSeats], loads: RunnerLoads, work: Mapping[str, ServerWork]
+    runners: Iterable[RunnerSeats], loads: RunnerLoads, work: Mapping[ServerLife, ServerWork]
 ) -> WantedCopy | None:
     """Return the adapter that crowds the busiest runner, where another could take a part."""
     usable = [r for r in runners if r.known() and r.model is not None and not r.report_at_ms]
     if len(usable) < 2:
         return None
-    busiest = max(usable, key=lambda runner: loads.of(runner.server_id))
-    top = loads.of(busiest.server_id)
-    rest = sum(loads.of(r.server_id) for r in usable if r is not busiest) / (len(usable) - 1)
+    busiest = max(usable, key=lambda runner: loads.of(runner.life))
+    top = loads.of(busiest.life)
+    rest = sum(loads.of(r.life) for r in usable if r is not busiest) / (len(usable) - 1)
     if top < CROWD_FACTOR * rest + CROWD_LOAD:
         return None
     name = _most_used(busiest, work)
@@ -96,15 +97,15 @@
         if runner.model == busiest.model
         and name not in runner.seats
         and _takes_orders(runner)
-        and loads.of(runner.server_id) < ROOM_SHARE * top
+        and loads.of(runner.life) < ROOM_SHARE * top
     ]
-    targets.sort(key=lambda runner: loads.of(runner.server_id))
+    targets.sort(key=lambda runner: loads.of(runner.life))
     version = max(seat.ref.version for seat in seats)
     return WantedCopy(name, version, len(seats), tuple(targets)) if targets else None
 
 
-def _most_used(runner: RunnerSeats, work: Mapping[str, ServerWork]) -> str | None:
-    at = work.get(runner.server_id)
+def _most_used(runner: RunnerSeats, work: Mapping[ServerLife, ServerWork]) -> str | None:
+    at = work.get(runner.life)
     if at is None or not at.by_adapter:
         return None
     name, users = max(at.by_adapter.items(), key=lambda pair: pair[1])
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -12,6 +12,7 @@
 from typing import Final, TypeAlias
 
 from ..core.adapter import AdapterRef
+from ..core.server_life import ServerLife
 from ..orders.models import (
     Accepted,
     Gone,
@@ -43,6 +44,10 @@
 
 MODEL_CONFIRM_EVERY_MS: Final = 250
 
+LATE_ORDER_MS: Final = 12_000
+"""How long an order without an answer may still be carried out (the sheet of troubles: 2 to 12 s
+later). Given to one life of a runner, it may meet the next one under the same id."""
+
 GRANT_MS: Final = 600
 """How long a grant keeps its adapter until the request shows up in its node's report."""
 
@@ -84,7 +89,7 @@
     ) -> None:
         self.traits = traits
         self._newest = newest
-        self.runners: dict[str, RunnerSeats] = {}
+        self.runners: dict[ServerLife, RunnerSeats] = {}
         self.waiters: list[Waiter] = []
         self._heat = Heat()
         self._idle = IdlePlaces(self.runners, self._heat, newest)
@@ -99,25 +104,33 @@
         self.copies = 0
         self._copied_ms: dict[str, int] = {}
 
-    def came(self, server_id: str, history: Iterable[AdapterRef] = ()) -> None:
+    def came(
+        self,
+        life: ServerLife,
+        history: Iterable[AdapterRef] = (),
+        restarted_ms: int | None = None,
+    ) -> None:
         """Take a runner into the cell.
 
         :param history: what it held before, oldest first.
+        :param restarted_ms: when it was first heard of, where it follows another life of its id.
         """
-        if server_id in self.runners:
+        if life in self.runners:
             return
-        runner = self.runners[server_id] = RunnerSeats(server_id, places(self.traits))
+        runner = self.runners[life] = RunnerSeats(life, places(self.traits))
+        if restarted_ms is not None:
+            runner.spare_until_ms = restarted_ms + LATE_ORDER_MS
         for ref in history:
             runner.remember(ref)
 
-    def gone(self, server_id: str) -> None:
+    def gone(self, life: ServerLife) -> None:
         """Take a runner out of the cell."""
-        self.runners.pop(server_id, None)
-        self._loads_by_runner.forget(server_id)
+        self.runners.pop(life, None)
+        self._loads_by_runner.forget(life)
 
-    def reported(self, server_id: str, report: RunnerReport | None, now_ms: int) -> None:
+    def reported(self, life: ServerLife, report: RunnerReport | None, now_ms: int) -> None:
         """Take a runner's report, asked for because its state was unclear."""
-        runner = self.runners.get(server_id)
+        runner = self.runners.get(life)
         if runner is None:
             return
         runner.ordering = False
@@ -133,14 +146,14 @@
     def wants_report(self, now_ms: int) -> list[str]:
         """Return the runners that must be asked what they hold."""
         return [
-            runner.server_id
+            runner.life
             for runner in self.runners.values()
             if not runner.ordering
             and (not runner.known() or runner.report_at_ms > 0)
             and now_ms >= runner.report_at_ms
         ]
 
-    def ask(self, waiter: Waiter, now_ms: int, work: dict[str, ServerWork]) -> None:
+    def ask(self, waiter: Waiter, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
         """Take a request that needs an adapter; it is settled now or later."""
         self._heat.add(waiter.name, ASK_HEAT, now_ms)
         waiter.load_ms = self._load_ms(waiter)
@@ -163,7 +176,7 @@
         for waiter in waiters:
             waiter.settle(None)
 
-    def settle_waiters(self, now_ms: int, work: dict[str, ServerWork]) -> None:
+    def settle_waiters(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
         """Settle those whose adapter can serve, and those that can't be served in time."""
         left: list[Waiter] = []
         ready = self._seats_by_name(SeatState.READY)
@@ -176,7 +189,7 @@
             seat.granted_until_ms = now_ms + GRANT_MS
             seat.used_ms = now_ms
             self._pace.placed(waiter, now_ms)
-            waiter.settle(Placed(runner.server_id, seat.ref.version))
+            waiter.settle(Placed(runner.life, seat.ref.version))
         places = sum(runner.slots for runner in self.runners.values())
         idle = self._idle.count(now_ms, work)
         for waiter, refusal in self._pace.hopeless(left, places, idle, now_ms):
@@ -193,7 +206,7 @@
                     found.setdefault(name, []).append((runner, seat))
         return found
 
-    def plan(self, now_ms: int, work: dict[str, ServerWork]) -> list[Step]:
+    def plan(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> list[Step]:
         """Return the orders to send now, at most one a runner.
 
         :param work: what all nodes have in progress by runner.
@@ -228,14 +241,14 @@
             if now_ms < runner.model_check_at_ms:
                 return None
             name = runner.model_loading
-            return Step(runner.server_id, Operation.LOAD, name, None, runner.sequence or 0, True)
+            return Step(runner.life, Operation.LOAD, name, None, runner.sequence or 0, True)
         name = self._model_wanted()
         if name is None or not self._model_loads.allowed(now_ms):
             return None
         runner.model_loading = name
         runner.model_since_ms = now_ms
         self._model_loads.began(now_ms)
-        return Step(runner.server_id, Operation.LOAD, name, None, runner.sequence or 0)
+        return Step(runner.life, Operation.LOAD, name, None, runner.sequence or 0)
 
     def _model_wanted(self) -> str | None:
         """Return the base model with the fewest runners."""
@@ -247,7 +260,7 @@
         fits = [m.name for m in self.traits.models if m.memory_mb <= self.traits.weights_mb]
         return min(fits, key=lambda name: held[name], default=None)
 
-    def _loads(self, now_ms: int, work: dict[str, ServerWork]) -> list[Step]:
+    def _loads(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> list[Step]:
         """Return loads for those who wait, most urgent first, and the unloads they need."""
         steps = self._copies(now_ms, work)
         cold = self._cold_incoming()
@@ -277,7 +290,7 @@
             self._load_limit.calm()
         return steps
 
-    def _copies(self, now_ms: int, work: dict[str, ServerWork]) -> list[Step]:
+    def _copies(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> list[Step]:
         """Return the load of an adapter that crowds its runner at a second one.
 
         Only while places are left over: with all places in use a copy would take one from somebody
@@ -292,7 +305,7 @@
             return []
         worth = self._heat.of(wanted.name, now_ms) / (wanted.copies + 1)
         for runner in wanted.targets:
-            if runner.free() <= 0:
+            if runner.room(now_ms) <= 0:
                 seat = self._idle.least_valuable(runner, now_ms, work)
                 if seat is None or self._idle.value(seat, now_ms) > worth:
                     continue
@@ -308,10 +321,10 @@
         return []
 
     def _make_room_or_load(
-        self, runner: RunnerSeats, ref: AdapterRef, now_ms: int, work: dict[str, ServerWork]
+        self, runner: RunnerSeats, ref: AdapterRef, now_ms: int, work: dict[ServerLife, ServerWork]
     ) -> Step | None:
         old = runner.seats.get(ref.name)
-        if runner.free() <= 0 and old is None:
+        if runner.room(now_ms) <= 0 and old is None:
             seat = self._idle.least_valuable(runner, now_ms, work)
             if seat is None:
                 return None
@@ -322,14 +335,14 @@
         self.loads += 1
         self.cold_loads += seat.cold
         version = ref.version if ref.version > 1 else None
-        return Step(runner.server_id, Operation.LOAD, ref.name, version, runner.sequence or 0)
+        return Step(runner.life, Operation.LOAD, ref.name, version, runner.sequence or 0)
 
     def _newest_ref(self, waiter: Waiter) -> AdapterRef:
         return AdapterRef(waiter.name, max(waiter.version, self._newest.get(waiter.name, 1)))
 
     def answered(self, step: Step, answer: OrderAnswer, now_ms: int) -> bool:
         """Take the answer to an order; return whether the duty is still this node's."""
-        runner = self.runners.get(step.server_id)
+        runner = self.runners.get(step.life)
         if runner is None:
             return not isinstance(answer, Superseded)
         runner.ordering = False
@@ -346,7 +359,7 @@
                 self._undo(runner, step)
                 self._unclear(runner, step, now_ms)
             case Gone():
-                self.gone(step.server_id)
+                self.gone(step.life)
             case Superseded():
                 return False
         return True
@@ -401,14 +414,14 @@
         self, runner: RunnerSeats, operation: Operation, ref: AdapterRef, confirms: bool = False
     ) -> Step:
         version = ref.version if operation is Operation.LOAD and ref.version > 1 else None
-        return Step(runner.server_id, operation, ref.name, version, runner.sequence or 0, confirms)
+        return Step(runner.life, operation, ref.name, version, runner.sequence or 0, confirms)
 
-    def _tick(self, now_ms: int, work: dict[str, ServerWork]) -> None:
+    def _tick(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
         span_s = min(1.0, (now_ms - self._ticked_ms) / 1000)
         self._ticked_ms = now_ms
         for runner in self.runners.values():
-            at = work.get(runner.server_id, _NO_WORK)
-            self._loads_by_runner.note(runner.server_id, at, span_s)
+            at = work.get(runner.life, _NO_WORK)
+            self._loads_by_runner.note(runner.life, at, span_s)
             for name, count in at.by_adapter.items():
                 self._heat.add(name, count * span_s, now_ms)
                 seat = runner.seats.get(name)
@@ -429,24 +442,24 @@
 _NO_WORK: Final = ServerWork()
 
 
-def _held(waiter: Waiter, ready: Sequence[Held], work: dict[str, ServerWork]) -> Held | None:
+def _held(waiter: Waiter, ready: Sequence[Held], work: dict[ServerLife, ServerWork]) -> Held | None:
     """Return where a request can be served now, the least crowded of several."""
     found = [
         (runner, seat)
         for runner, seat in ready
-        if runner.server_id not in waiter.avoid and seat.ref.version >= waiter.version
+        if runner.life not in waiter.avoid and seat.ref.version >= waiter.version
     ]
-    return min(found, key=lambda held: _crowd(work, held[0].server_id), default=None)
+    return min(found, key=lambda held: _crowd(work, held[0].life), default=None)
 
 
 def _coming(waiter: Waiter, loading: Sequence[Held]) -> bool:
     """Tell whether an adapter is on its way to a runner that a request may go to."""
     return any(
-        runner.server_id not in waiter.avoid and seat.ref.version >= waiter.version
+        runner.life not in waiter.avoid and seat.ref.version >= waiter.version
         for runner, seat in loading
     )
 
 
-def _crowd(work: dict[str, ServerWork], server_id: str) -> int:
-    at_server = work.get(server_id, _NO_WORK)
+def _crowd(work: dict[ServerLife, ServerWork], life: ServerLife) -> int:
+    at_server = work.get(life, _NO_WORK)
     return at_server.unread_tokens + 60 * at_server.requests
--- a/monsoonflow/placement/idle.py
+++ b/monsoonflow/placement/idle.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..core.server_life import ServerLife
 from ..routing.in_flight import ServerWork
 from .heat import Heat
 from .seats import RunnerSeats, Seat, SeatState
@@ -23,25 +24,27 @@
     :param newest: the newest version by adapter, where the operator named one.
     """
 
-    runners: Mapping[str, RunnerSeats]
+    runners: Mapping[ServerLife, RunnerSeats]
     heat: Heat
     newest: Mapping[str, int]
 
     def least_valuable(
-        self, runner: RunnerSeats, now_ms: int, work: Mapping[str, ServerWork]
+        self, runner: RunnerSeats, now_ms: int, work: Mapping[ServerLife, ServerWork]
     ) -> Seat | None:
         """Return the least valuable seat that nothing uses, or may use unheard."""
         idle = self._idle(runner, now_ms, work)
         return min(idle, key=lambda seat: self.value(seat, now_ms), default=None)
 
-    def has_room(self, runner: RunnerSeats, now_ms: int, work: Mapping[str, ServerWork]) -> bool:
+    def has_room(
+        self, runner: RunnerSeats, now_ms: int, work: Mapping[ServerLife, ServerWork]
+    ) -> bool:
         """Tell whether a runner has a free place, or can make one."""
-        return runner.free() > 0 or bool(self._idle(runner, now_ms, work))
+        return runner.room(now_ms) > 0 or bool(self._idle(runner, now_ms, work))
 
-    def count(self, now_ms: int, work: Mapping[str, ServerWork]) -> int:
+    def count(self, now_ms: int, work: Mapping[ServerLife, ServerWork]) -> int:
         """Return how many places nothing uses."""
         runners = self.runners.values()
-        return sum(r.free() + len(self._idle(r, now_ms, work)) for r in runners)
+        return sum(r.room(now_ms) + len(self._idle(r, now_ms, work)) for r in runners)
 
     def value(self, seat: Seat, now_ms: int) -> float:
         """Return what a seat is worth: the use of its adapter, shared by its copies."""
@@ -51,8 +54,10 @@
         copies = sum(runner.ready(name) is not None for runner in self.runners.values())
         return self.heat.of(name, now_ms) / max(1, copies)
 
-    def _idle(self, runner: RunnerSeats, now_ms: int, work: Mapping[str, ServerWork]) -> list[Seat]:
-        at = work.get(runner.server_id)
+    def _idle(
+        self, runner: RunnerSeats, now_ms: int, work: Mapping[ServerLife, ServerWork]
+    ) -> list[Seat]:
+        at = work.get(runner.life)
         return [
             seat
             for seat in runner.seats.values()
--- a/monsoonflow/placement/runner_choice.py
+++ b/monsoonflow/placement/runner_choice.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..core.adapter import AdapterRef
+from ..core.server_life import ServerLife
 from ..helpers.hashing import weight
 from ..routing.in_flight import ServerWork
 from .idle import IdlePlaces
@@ -24,7 +25,7 @@
 class RunnerChoice:
     """Picks among the runners of a cell."""
 
-    runners: Mapping[str, RunnerSeats]
+    runners: Mapping[ServerLife, RunnerSeats]
     idle: IdlePlaces
 
     def best(
@@ -32,7 +33,7 @@
         waiter: Waiter,
         ref: AdapterRef,
         now_ms: int,
-        work: Mapping[str, ServerWork],
+        work: Mapping[ServerLife, ServerWork],
         cold_allowed: bool,
     ) -> RunnerSeats | None:
         """Return where an adapter is loaded best; ``None`` when nothing can be ordered now.
@@ -54,11 +55,11 @@
             own = runner.seats.get(waiter.name)
             if own is None and not self.idle.has_room(runner, now_ms, work):
                 continue
-            at = work.get(runner.server_id, _NO_WORK)
+            at = work.get(runner.life, _NO_WORK)
             # A replacement waits for the runs on the old version, and new ones wait with it.
             in_use = own is not None and bool(at.by_adapter.get(waiter.name))
             crowded = at.unread_tokens > CROWDED_TOKENS
-            home = -weight(waiter.name, runner.server_id)
+            home = -weight(waiter.name, runner.life)
             choices.append((in_use, crowded, not warm, home, runner))
         if not choices:
             return None
@@ -69,7 +70,7 @@
 
     @staticmethod
     def _takes(runner: RunnerSeats, waiter: Waiter) -> bool:
-        if runner.server_id in waiter.avoid or not runner.known() or runner.report_at_ms:
+        if runner.life in waiter.avoid or not runner.known() or runner.report_at_ms:
             return False
         if runner.model != waiter.name.partition("/")[0]:
             return False
--- a/monsoonflow/placement/seats.py
+++ b/monsoonflow/placement/seats.py
@@ -11,6 +11,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.invariant import require
+from ..core.server_life import ServerLife
 from ..orders.models import Operation, RunnerReport
 from ..routing.routes import EngineTraits
 
@@ -66,7 +67,7 @@
     :param confirms: it only asks whether an order that was accepted is complete.
     """
 
-    server_id: str
+    life: ServerLife
     operation: Operation
     name: str
     version: int | None
@@ -81,9 +82,10 @@
     :param sequence: orders that it has accepted; ``None`` until it was asked.
     :param doubtful: an order without an answer; it is sent again until it is settled.
     :param remembered: adapters that it held, newest last; they load again in a tenth of the time.
+    :param spare_until_ms: until when one place stays free on a runner that has started again.
     """
 
-    server_id: str
+    life: ServerLife
     slots: int
     model: str | None = None
     model_loading: str | None = None
@@ -96,6 +98,7 @@
     sequence_at_ms: int = 0
     seats: dict[str, Seat] = attrs.Factory(dict)
     remembered: OrderedDict[AdapterRef, None] = attrs.Factory(OrderedDict)
+    spare_until_ms: int = 0
 
     def known(self) -> bool:
         """Tell whether orders can be given: the runner was asked what it holds."""
@@ -109,6 +112,16 @@
         """Return how many more adapters fit."""
         return self.slots - len(self.seats)
 
+    def room(self, now_ms: int) -> int:
+        """Return how many more adapters may be ordered there now.
+
+        An order to the life before may be carried out late by this one: it bears the same id, and
+        the numbers of its orders begin anew, so the order's condition may hold again. On a full
+        runner it would be one adapter too many, and the runner would crash; a place kept free until
+        no such order can come takes it.
+        """
+        return self.free() - (now_ms < self.spare_until_ms)
+
     def ready(self, name: str) -> Seat | None:
         """Return an adapter's seat when it can serve."""
         seat = self.seats.get(name)
--- a/monsoonflow/placement/waiting.py
+++ b/monsoonflow/placement/waiting.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from ..core.server_life import ServerLife
+
 RATE_WINDOW_MS: Final = 2_000
 """Window in which places given are counted: longer than a load, shorter than a rush."""
 
@@ -71,7 +73,7 @@
 class Placed:
     """A runner can serve the adapter."""
 
-    server_id: str
+    life: ServerLife
     version: int
 
 
--- a/monsoonflow/platform/configuration.py
+++ b/monsoonflow/platform/configuration.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
-
-import orjson
-
 from ..core.adapter import AdapterRef
+from ..helpers.strict import read
 from ..routing.routes import (
     BaseModel,
     EngineTraits,
@@ -17,6 +14,14 @@
     Target,
 )
 from ..transport.models import MessageLimits
+from .schema import (
+    ConfigurationFields,
+    EngineFields,
+    LimitFields,
+    RouteFields,
+    ServiceFields,
+    VersionFields,
+)
 
 OPERATOR_TABLE = "op"
 ROUTES_KEY = "config"
@@ -25,84 +30,89 @@
 
 def decode_routes(body: bytes) -> RouteTable | str:
     """Return the routes and services, or why they can't be used."""
+    fields = read(body, ConfigurationFields)
+    if isinstance(fields, str):
+        return fields
     try:
-        data = orjson.loads(body)
-        routes = [_route(entry) for entry in data["routes"]]
-        services = [_service(entry) for entry in data["services"]]
-        return RouteTable.build(int(data["version"]), routes, services, _limits(data))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return repr(error)
+        routes = [_route(entry) for entry in fields.routes]
+        services = [_service(entry) for entry in fields.services]
+        return RouteTable.build(fields.version, routes, services, _limits(fields.limits))
+    except ValueError as error:
+        return str(error)
 
 
 def decode_adapter_version(body: bytes) -> AdapterRef | str:
     """Return the adapter version that the operator names, as ``MODEL/ADAPTER@VERSION``."""
-    try:
-        data = orjson.loads(body)
-        name = f"{data['model']}/{data['adapter']}"
-        return AdapterRef(name, int(data["version"]))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return repr(error)
+    fields = read(body, VersionFields)
+    if isinstance(fields, str):
+        return fields
+    return AdapterRef(f"{fields.model}/{fields.adapter}", fields.version)
 
 
-def _route(entry: dict[str, Any]) -> Route:
-    targets = [
-        Target(str(part["service"]), float(part["weight"]))
-        for part in entry.get("trafficSplit") or ()
-    ]
+def _route(entry: RouteFields) -> Route:
+    """Return a route.
+
+    :raises ValueError: when it names no service or no known kind.
+    """
+    targets = [Target(part.service, part.weight) for part in entry.traffic_split]
     if not targets:
-        targets = [Target(str(entry["service"]), 1.0)]
+        if entry.service is None:
+            raise ValueError(f"the route {entry.name} names no service")
+        targets = [Target(entry.service, 1.0)]
+    objective_ms = entry.target_latency_ms
     return Route(
-        name=str(entry.get("name", "")),
-        host=str(entry["host"]),
-        prefix=str(entry["prefix"]),
-        kind=RouteKind(entry["kind"]),
+        name=entry.name,
+        host=entry.host,
+        prefix=entry.prefix,
+        kind=RouteKind(entry.kind),
         targets=tuple(target for target in targets if target.weight > 0) or tuple(targets),
-        timeout_ms=int(entry["timeoutMs"]),
-        objective_ms=int(entry.get("targetLatencyMs", entry["timeoutMs"])),
-        pause_ms=int(entry.get("gapAimMs", 1_000)),
-        attempts=max(1, int(entry.get("attempts", 1))),
-        priority=int(entry.get("priority", 0)),
-        resumable=bool(entry.get("resumable", False)),
+        timeout_ms=int(entry.timeout_ms),
+        objective_ms=int(entry.timeout_ms if objective_ms is None else objective_ms),
+        pause_ms=int(entry.gap_aim_ms),
+        attempts=max(1, entry.attempts),
+        priority=entry.priority,
+        resumable=entry.resumable,
     )
 
 
-def _service(entry: dict[str, Any]) -> Service:
-    traits = entry.get("engineKind")
+def _service(entry: ServiceFields) -> Service:
+    traits = entry.engine_kind
     return Service(
-        name=str(entry["name"]),
-        max_connections=int(entry.get("maxConnections", 100)),
-        engine=_engine(traits) if isinstance(traits, dict) else None,
+        name=entry.name,
+        max_connections=entry.max_connections,
+        engine=None if traits is None else _engine(traits),
     )
 
 
-def _engine(traits: dict[str, Any]) -> EngineTraits:
+def _engine(traits: EngineFields) -> EngineTraits:
     models = [
         BaseModel(
-            name=str(entry["name"]),
-            memory_mb=float(entry["weightsMb"]),
-            load_ms=round(float(entry.get("loadS", 2.0)) * 1000),
-            disk_load_ms=round(float(entry.get("diskS", entry.get("loadS", 2.0))) * 1000),
-            adapter_mb=float(entry.get("adapterMb", 0.0)),
-            adapters=int(entry.get("adapters", 0)),
+            name=entry.name,
+            memory_mb=entry.weights_mb,
+            load_ms=round(entry.load_s * 1000),
+            disk_load_ms=round((entry.load_s if entry.disk_s is None else entry.disk_s) * 1000),
+            adapter_mb=entry.adapter_mb,
+            adapters=entry.adapters,
         )
-        for entry in traits.get("models") or ()
+        for entry in traits.models
     ]
     return EngineTraits(
-        batch=int(traits["slots"]),
-        memory_tokens=int(traits["kvCapacity"]),
-        weights_mb=float(traits.get("weightsMb", 0.0)),
-        adapter_slots=int(traits.get("adapterSlots", 0)),
-        loads_per_s=float(traits.get("loadPerS", 1.0)),
+        batch=traits.slots,
+        memory_tokens=traits.kv_capacity,
+        weights_mb=traits.weights_mb,
+        adapter_slots=traits.adapter_slots,
+        loads_per_s=traits.load_per_s,
         models=tuple(models),
     )
 
 
-def _limits(data: dict[str, Any]) -> MessageLimits:
-    told = data.get("limits") or {}
+def _limits(told: LimitFields | None) -> MessageLimits:
     usual = MessageLimits()
+    if told is None:
+        return usual
     return MessageLimits(
-        head_bytes=int(told.get("maxHeaderBytes", usual.head_bytes)),
-        body_bytes=int(told.get("maxBodyBytes", usual.body_bytes)),
-        head_ms=int(told.get("headerTimeoutMs", usual.head_ms)),
-        idle_ms=int(told.get("idleTimeoutMs", usual.idle_ms)),
+        head_bytes=told.max_header_bytes or usual.head_bytes,
+        body_bytes=told.max_body_bytes or usual.body_bytes,
+        head_ms=told.header_timeout_ms or usual.head_ms,
+        idle_ms=told.idle_timeout_ms or usual.idle_ms,
     )
--- a/monsoonflow/platform/engine.py
+++ b/monsoonflow/platform/engine.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any, Final
 
 import orjson
 
-from ..core.adapter import AdapterRef
 from ..core.clock import Clock
+from ..core.server_life import ServerLife
+from ..helpers.strict import read
+from ..logs import events, log
 from ..orders.models import (
     Accepted,
     Gone,
@@ -21,8 +24,10 @@
 )
 from ..transport.client import Answer, Pools, call
 from ..transport.models import Header, Lost
-from .servers import held_models
+from .schema import ReportFields
+from .servers import adapter_ref, held_models, life_of
 
+_LOGGER = logging.getLogger(__name__)
 ORDER_TIMEOUT_MS: Final = 120
 """Longest wait for the answer to an order: forty round trips. After it the order is sent again
 under the same condition, which is safe; waiting longer stops all other orders to that runner."""
@@ -36,21 +41,22 @@
     def __init__(self, clock: Clock) -> None:
         self._pools = Pools(clock, max_idle=2)
 
-    def report(self, server_id: str, address: str) -> RunnerReport | Gone | None:
+    def report(self, life: ServerLife, address: str) -> RunnerReport | Gone | None:
         """Return what a runner says of itself, some hundred milliseconds old."""
-        answer = self._call("GET", "/v1/report", b"", server_id, address, REPORT_TIMEOUT_MS)
+        answer = self._call("GET", "/v1/report", b"", life, address, REPORT_TIMEOUT_MS)
         if isinstance(answer, Lost):
             return None
         if answer.head.status == 421:
             return Gone()
         if answer.head.status != 200:
             return None
-        try:
-            return _report(orjson.loads(answer.body))
-        except (ValueError, KeyError, TypeError, AttributeError):
+        report = _report(life, answer.body)
+        if isinstance(report, str):
+            log(_LOGGER, events.UnusableReport(server=life, cause=report))
             return None
+        return report
 
-    def order(self, server_id: str, address: str, order: Order) -> OrderAnswer:
+    def order(self, life: ServerLife, address: str, order: Order) -> OrderAnswer:
         """Send an order once."""
         model, _, adapter = order.name.partition("/")
         body: dict[str, Any] = {
@@ -65,7 +71,7 @@
         if order.version is not None:
             body["version"] = order.version
         answer = self._call(
-            "POST", "/v1/order", orjson.dumps(body), server_id, address, ORDER_TIMEOUT_MS
+            "POST", "/v1/order", orjson.dumps(body), life, address, ORDER_TIMEOUT_MS
         )
         if isinstance(answer, Lost):
             return Unanswered(answer.reason) if answer.sent else Unusable(answer.reason)
@@ -90,27 +96,37 @@
         self._pools.forget(address)
 
     def _call(
-        self, method: str, target: str, body: bytes, server_id: str, address: str, timeout_ms: int
+        self, method: str, target: str, body: bytes, life: ServerLife, address: str, timeout_ms: int
     ) -> Answer | Lost:
-        headers: list[Header] = [(b"X-Expect-Instance", server_id.encode("latin-1"))]
+        headers: list[Header] = [(b"X-Expect-Instance", life.server_id.encode("latin-1"))]
         if body:
             headers.append((b"Content-Type", b"application/json"))
         return call(self._pools, address, method, target, body, timeout_ms, tuple(headers))
 
 
-def _report(data: dict[str, Any]) -> RunnerReport:
+def _report(asked: ServerLife, body: bytes) -> RunnerReport | str:
+    """Return what a runner says of itself, or why it can't be used."""
+    fields = read(body, ReportFields)
+    if isinstance(fields, str):
+        return fields
+    life = life_of(asked.server_id, fields.born)
+    if life.born_ms is None and asked.born_ms is not None:
+        return "born is missing"
+    models = held_models(fields.models)
+    if isinstance(models, str):
+        return models
+    incoming = [adapter_ref(text) for text in fields.incoming]
+    unreadable = next((ref for ref in incoming if isinstance(ref, str)), None)
+    if unreadable is not None:
+        return unreadable
     return RunnerReport(
-        sequence=int(data["sequence"]),
-        busy=bool(data.get("busy", False)),
-        models=held_models(data.get("models") or ()),
-        incoming=tuple(_incoming(str(text)) for text in data.get("incoming") or ()),
-        running=int(data.get("active", 0)),
-        waiting=int(data.get("queued", 0)),
-        memory_used=int(data.get("kvUsed", 0)),
-        memory_total=int(data.get("kvTotal", 0)),
+        life=life,
+        sequence=fields.sequence,
+        busy=fields.busy,
+        models=models,
+        incoming=tuple(incoming),
+        running=fields.active,
+        waiting=fields.queued,
+        memory_used=int(fields.kv_used),
+        memory_total=int(fields.kv_total),
     )
-
-
-def _incoming(text: str) -> AdapterRef:
-    name, _, version = text.partition("@")
-    return AdapterRef(name, int(version or 1))
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -91,7 +91,7 @@
         if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
             lines.append(b"Content-Length: %d" % len(request.body))
         lines.append(b"X-Deadline-Ms: %d" % onward.left_ms)
-        lines.append(b"X-Expect-Instance: %s" % onward.server_id.encode("latin-1"))
+        lines.append(b"X-Expect-Instance: %s" % onward.life.server_id.encode("latin-1"))
         if onward.priority is not None:
             lines.append(b"X-Request-Priority: %d" % onward.priority)
         if onward.expect_version is not None:
--- a/monsoonflow/platform/servers.py
+++ b/monsoonflow/platform/servers.py
@@ -1,48 +1,70 @@
-"""Decodes the entries of backend servers."""
+"""Decodes what backend servers say of themselves."""
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Iterable
+from typing import Final
 
-import orjson
+import msgspec
 
 from ..core.adapter import AdapterRef
+from ..core.server_life import ServerLife
 from ..discovery.models import BackendServer, HeldModel
+from ..helpers.strict import read
+from .schema import HeldModelFields, ServerFields
 
 SERVERS_TABLE = "servers"
+MAX_PORT: Final = 65_535
 
 
 def decode_server(server_id: str, body: bytes) -> BackendServer | str:
     """Return a server's entry, or why it can't be used."""
-    try:
-        data = orjson.loads(body)
-        leaves_in = data.get("remainingMs")
-        return BackendServer(
-            server_id=server_id,
-            service=str(data["service"]),
-            address=str(data["address"]),
-            data_centre=str(data.get("zone", "")),
-            slots=int(data.get("slots", 1)),
-            leaving=data.get("state", "ready") != "ready",
-            leaves_in_ms=None if leaves_in is None else int(leaves_in),
-            models=held_models(data.get("models") or ()),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return repr(error)
-
-
-def held_models(entries: Any) -> tuple[HeldModel, ...]:
-    """Return the models that a runner says it holds."""
-    return tuple(
-        HeldModel(
-            str(entry["name"]),
-            int(entry.get("version", 1)),
-            tuple(_adapter(str(entry["name"]), str(text)) for text in entry.get("adapters") or ()),
-        )
-        for entry in entries
+    fields = read(body, ServerFields)
+    if isinstance(fields, str):
+        return fields
+    if int(fields.address.rpartition(":")[2]) > MAX_PORT:
+        return f"no such port: {fields.address}"
+    models = held_models(fields.models)
+    if isinstance(models, str):
+        return models
+    return BackendServer(
+        life=life_of(server_id, fields.born),
+        service=fields.service,
+        address=fields.address,
+        data_centre=fields.zone,
+        slots=fields.slots,
+        leaving=fields.state != "ready",
+        leaves_in_ms=None if fields.remaining_ms is None else round(fields.remaining_ms),
+        models=models,
     )
 
 
-def _adapter(model: str, text: str) -> AdapterRef:
-    name, _, version = text.partition("@")
-    return AdapterRef(f"{model}/{name}", int(version or 1))
+def life_of(server_id: str, born: int | msgspec.UnsetType) -> ServerLife:
+    """Return the life that a server speaks of."""
+    return ServerLife.of(server_id, None if born is msgspec.UNSET else born)
+
+
+def held_models(entries: Iterable[HeldModelFields]) -> tuple[HeldModel, ...] | str:
+    """Return the models that a runner says it holds, or which word can't be read."""
+    models = []
+    for entry in entries:
+        refs = [adapter_ref(f"{entry.name}/{text}") for text in entry.adapters]
+        unreadable = next((ref for ref in refs if isinstance(ref, str)), None)
+        if unreadable is not None:
+            return unreadable
+        models.append(HeldModel(entry.name, entry.version, tuple(refs)))
+    return tuple(models)
+
+
+def adapter_ref(text: str) -> AdapterRef | str:
+    """Return what ``MODEL/NAME@VERSION`` names, version 1 where it names none.
+
+    >>> str(adapter_ref("m/a3")), adapter_ref("m/a3@x")
+    ('m/a3@1', 'no version of an adapter: m/a3@x')
+    """
+    name, mark, version = text.partition("@")
+    if not mark:
+        return AdapterRef(name, 1)
+    if not (version.isascii() and version.isdigit()):
+        return f"no version of an adapter: {text}"
+    return AdapterRef(name, int(version))
--- a/monsoonflow/routing/condition.py
+++ b/monsoonflow/routing/condition.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from ..core.server_life import ServerLife
+
 FAILURE_STEP: Final = 0.2
 """Weight of one ended request in the failure share."""
 
@@ -34,11 +36,11 @@
     """The condition of the servers by id."""
 
     def __init__(self) -> None:
-        self.by_id: dict[str, ServerCondition] = {}
+        self.by_life: dict[ServerLife, ServerCondition] = {}
 
-    def ended(self, server_id: str, good: bool, latency_ms: float, now_ms: int) -> None:
+    def ended(self, life: ServerLife, good: bool, latency_ms: float, now_ms: int) -> None:
         """Take the end of a request."""
-        condition = self._fresh(server_id, now_ms)
+        condition = self._fresh(life, now_ms)
         condition.failure_share += ((0.0 if good else 1.0) - condition.failure_share) * FAILURE_STEP
         if good:
             known = condition.latency_ms or latency_ms
@@ -46,9 +48,9 @@
             condition.unreached = 0
             condition.paused_until_ms = 0
 
-    def unreached(self, server_id: str, now_ms: int) -> None:
+    def unreached(self, life: ServerLife, now_ms: int) -> None:
         """Take that a server gave no sign: no connection, a reset, or silence."""
-        condition = self._fresh(server_id, now_ms)
+        condition = self._fresh(life, now_ms)
         condition.failure_share += (1.0 - condition.failure_share) * FAILURE_STEP
         if now_ms < condition.paused_until_ms:
             return
@@ -56,30 +58,30 @@
         condition.unreached = min(condition.unreached + 1, 8)
         condition.paused_until_ms = now_ms + pause_ms
 
-    def paused(self, server_id: str, now_ms: int) -> bool:
+    def paused(self, life: ServerLife, now_ms: int) -> bool:
         """Tell whether a server should be left alone for now."""
-        condition = self.by_id.get(server_id)
+        condition = self.by_life.get(life)
         return condition is not None and now_ms < condition.paused_until_ms
 
-    def failure_share(self, server_id: str, now_ms: int) -> float:
+    def failure_share(self, life: ServerLife, now_ms: int) -> float:
         """Return the share of requests that failed lately; it fades while nothing is sent."""
-        condition = self.by_id.get(server_id)
+        condition = self.by_life.get(life)
         if condition is None:
             return 0.0
         age = max(0, now_ms - condition.seen_ms)
         return condition.failure_share * math.exp2(-age / FORGET_HALF_LIFE_MS)
 
-    def latency_ms(self, server_id: str, default_ms: float) -> float:
+    def latency_ms(self, life: ServerLife, default_ms: float) -> float:
         """Return the usual time of a good answer."""
-        condition = self.by_id.get(server_id)
+        condition = self.by_life.get(life)
         return (condition.latency_ms if condition else 0.0) or default_ms
 
-    def forget(self, server_id: str) -> None:
+    def forget(self, life: ServerLife) -> None:
         """Drop what is known of a server that is gone."""
-        self.by_id.pop(server_id, None)
+        self.by_life.pop(life, None)
 
-    def _fresh(self, server_id: str, now_ms: int) -> ServerCondition:
-        condition = self.by_id.setdefault(server_id, ServerCondition(seen_ms=now_ms))
-        condition.failure_share = self.failure_share(server_id, now_ms)
+    def _fresh(self, life: ServerLife, now_ms: int) -> ServerCondition:
+        condition = self.by_life.setdefault(life, ServerCondition(seen_ms=now_ms))
+        condition.failure_share = self.failure_share(life, now_ms)
         condition.seen_ms = now_ms
         return condition
--- a/monsoonflow/routing/in_flight.py
+++ b/monsoonflow/routing/in_flight.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from ..core.server_life import ServerLife
+
 
 @attrs.define(slots=True)
 class ServerWork:
@@ -38,7 +40,7 @@
     :param unread: no sign of work has come yet.
     """
 
-    server_id: str
+    life: ServerLife
     adapter: str | None
     unread_tokens: int
     memory_tokens: int
@@ -54,19 +56,19 @@
     """
 
     def __init__(self, on_adapter_change: Callable[[], None] = lambda: None) -> None:
-        self.by_server: dict[str, ServerWork] = {}
+        self.by_server: dict[ServerLife, ServerWork] = {}
         self._on_adapter_change = on_adapter_change
 
     def begin(
         self,
-        server_id: str,
+        life: ServerLife,
         now_ms: int,
         adapter: str | None = None,
         unread_tokens: int = 0,
         memory_tokens: int = 0,
     ) -> Ticket:
         """Count a request that is about to be sent."""
-        work = self.by_server.setdefault(server_id, ServerWork())
+        work = self.by_server.setdefault(life, ServerWork())
         work.requests += 1
         work.unread_tokens += unread_tokens
         work.memory_tokens += memory_tokens
@@ -74,14 +76,14 @@
             work.by_adapter[adapter] += 1
             if work.by_adapter[adapter] == 1:
                 self._on_adapter_change()
-        return Ticket(server_id, adapter, unread_tokens, memory_tokens, now_ms)
+        return Ticket(life, adapter, unread_tokens, memory_tokens, now_ms)
 
     def first_event(self, ticket: Ticket) -> None:
         """Note that a request's prompt has been read."""
         ticket.unread = False
         if ticket.ended or not ticket.unread_tokens:
             return
-        self.by_server[ticket.server_id].unread_tokens -= ticket.unread_tokens
+        self.by_server[ticket.life].unread_tokens -= ticket.unread_tokens
         ticket.unread_tokens = 0
 
     def end(self, ticket: Ticket) -> None:
@@ -90,7 +92,7 @@
             return
         self.first_event(ticket)
         ticket.ended = True
-        work = self.by_server[ticket.server_id]
+        work = self.by_server[ticket.life]
         work.requests -= 1
         work.memory_tokens -= ticket.memory_tokens
         if ticket.adapter is not None:
@@ -99,8 +101,8 @@
                 del work.by_adapter[ticket.adapter]
                 self._on_adapter_change()
         if work.requests <= 0:
-            del self.by_server[ticket.server_id]
+            del self.by_server[ticket.life]
 
-    def at(self, server_id: str) -> ServerWork:
+    def at(self, life: ServerLife) -> ServerWork:
         """Return the work at a server."""
-        return self.by_server.get(server_id) or ServerWork()
+        return self.by_server.get(life) or ServerWork()
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -47,6 +47,7 @@
         self.address = address
         self.service = service
         self.slots = slots
+        self.born: int | None = None
         self.faults = RunnerFaults()
         self.ran: Counter[str] = Counter()
         self.requests: list[Request] = []
@@ -69,10 +70,16 @@
             "zone": "zone-1",
             "slots": self.slots,
             "state": "ready",
+            "version": "v1",
+            "coldRemainingMs": 0,
             "sequence": 1,
+            **self._born(),
             **changes,
         }
 
+    def _born(self) -> dict[str, int]:
+        return {} if self.born is None else {"born": self.born}
+
     def _handle(self, request: Request, reply: Reply) -> None:
         expected = request.value(b"x-expect-instance")
         if expected is not None and expected.decode() != self.server_id:
@@ -156,6 +163,14 @@
         """Return its entry in the store."""
         return super().entry(models=self._models(), **changes)
 
+    def start_again(self, born: int, model: str | None = None) -> None:
+        """Begin another life under the same id: it holds and knows nothing of before."""
+        self.born = born
+        self.model = model
+        self.adapters = {}
+        self.sequence = 0
+        self.fence = 0
+
     def _models(self) -> list[dict[str, Any]]:
         if self.model is None:
             return []
@@ -165,6 +180,7 @@
     def _control(self, request: Request, reply: Reply) -> bool:
         if request.target == b"/v1/report":
             data = {"models": self._models(), "busy": False, "sequence": self.sequence}
+            data |= self._born()
             reply.whole(200, [], orjson.dumps({**data, "incoming": []}))
             return True
         if request.target == b"/v1/order":
--- a/tests/discovery/test_book.py
+++ b/tests/discovery/test_book.py
@@ -5,11 +5,12 @@
 import attrs
 import pytest
 
+from monsoonflow.core.server_life import ServerLife
 from monsoonflow.discovery.book import MISSING_GRACE_MS, ServerBook
 from monsoonflow.discovery.models import BackendServer
 
-ONE = BackendServer("i-1", "s", "10.0.0.1:80", "dc", 4)
-TWO = BackendServer("i-2", "s", "10.0.0.2:80", "dc", 4)
+ONE = BackendServer(ServerLife("i-1"), "s", "10.0.0.1:80", "dc", 4)
+TWO = BackendServer(ServerLife("i-2"), "s", "10.0.0.2:80", "dc", 4)
 
 
 @pytest.fixture
@@ -21,7 +22,7 @@
 
 
 def names(book):
-    return [server.server_id for server in book.of_service("s")]
+    return [server.life for server in book.of_service("s")]
 
 
 def test_a_server_that_says_it_leaves_gets_nothing_new(book):
--- a/tests/entry/test_pass_through.py
+++ b/tests/entry/test_pass_through.py
@@ -6,6 +6,7 @@
 import pytest
 from gevent import socket
 
+from monsoonflow.core.server_life import ServerLife
 from tests.entry.conftest import HOST, route, wait_for
 
 
@@ -140,7 +141,7 @@
 def test_a_leaving_server_gets_nothing_new(fleet, one):
     leaving, staying = fleet.servers
     fleet.store.put("servers", "i-1", leaving.entry(state="draining"))
-    wait_for(lambda: not one.daemon.beliefs.book.takes_work("i-1"))
+    wait_for(lambda: not one.daemon.beliefs.book.takes_work(ServerLife("i-1")))
     for number in range(10):
         fleet.ask(one, "/look/x", f"r{number}")
     assert not leaving.requests
@@ -225,7 +226,7 @@
     """
     hanging, good = fleet.servers
     for _ in range(9):
-        one.daemon.conditions.ended("i-1", True, 1, one.daemon.clock.now_ms())
+        one.daemon.conditions.ended(ServerLife("i-1"), True, 1, one.daemon.clock.now_ms())
     hanging.faults.slow_ms = 30_000
     began = gevent.get_hub().loop.now()
     answers = [fleet.ask(one, "/look/x", f"r{number}") for number in range(12)]
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -8,6 +8,7 @@
 import gevent
 import pytest
 
+from monsoonflow.core.server_life import ServerLife
 from monsoonflow.entry import stopping
 from tests.entry.conftest import route, wait_for
 
@@ -88,7 +89,8 @@
         runner.newest["a1"] = 2
     fleet.store.put("op", "version/m.a1", {"model": "m", "adapter": "a1", "version": 2})
     wait_for(lambda: one.daemon.beliefs.version_by_adapter.get("m/a1") == 2)
-    one.daemon.beliefs._named_at_by_adapter["m/a1"] -= 4_000
+    named = one.daemon.beliefs._named_by_adapter["m/a1"]
+    named[:] = [attrs.evolve(entry, at_ms=entry.at_ms - 4_000) for entry in named]
     assert fleet.generate(one, "a1", "r2").head.status == 200
     request = next(
         r for runner in runners for r in runner.requests if r.value(b"x-request-id") == b"r2"
@@ -220,4 +222,9 @@
     answer = fleet.generate(one, "a1", "r1")
     assert event_ids(answer.body) == [1, 2, 3, 4]
     assert hanging.left == 1
-    assert one.daemon.conditions.failure_share(hanging.server_id, one.daemon.clock.now_ms()) > 0
+    assert (
+        one.daemon.conditions.failure_share(
+            ServerLife(hanging.server_id), one.daemon.clock.now_ms()
+        )
+        > 0
+    )
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -6,6 +6,7 @@
 import pytest
 
 from monsoonflow.core.clock import ManualClock
+from monsoonflow.core.server_life import ServerLife
 from monsoonflow.entry.lease_loop import DutyLoop
 from monsoonflow.fleet.models import DutyClaim, HeldAdapters, NodeCard, NodeReport
 from monsoonflow.fleet.rounds import EVERY_MS, Rounds
@@ -142,7 +143,7 @@
     """A holder of many runners tells what they hold once a second, its work each 200 ms."""
     view = FleetView("a")
     card = NodeCard("b", "b-1", "dc", "b", "b", "b")
-    held = (HeldAdapters("i-1", ()),)
+    held = (HeldAdapters(ServerLife("i-1"), ()),)
     view.heard(NodeReport(card, 1, True, False, 1, True, residency=held), 0)
     view.heard(NodeReport(card, 2, True, False, 1, True, residency=None), 200)
     view.claimed(DutyClaim("llm", "b", 1))
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.core.server_life import ServerLife
 from monsoonflow.fleet import codec
 from monsoonflow.fleet.models import DutyClaim, HeldAdapters, NodeCard, NodeReport
 from monsoonflow.fleet.view import ALIVE_MS, SPENT_FADES_MS, FleetView
@@ -26,12 +27,12 @@
     leaving=False,
     config_version=12,
     store_heard=True,
-    work_by_server={"i-1": ServerWork(2, 100, 300, Counter({"m/a1": 2}))},
+    work_by_server={ServerLife("i-1"): ServerWork(2, 100, 300, Counter({"m/a1": 2}))},
     spent_by_service={"s": Spent(10, 2)},
     left_servers=("i-9",),
     versions=(AdapterRef("m/a1", 3),),
     claims=(DutyClaim("s", "b", 4),),
-    residency=(HeldAdapters("i-1", (AdapterRef("m/a1", 3),)),),
+    residency=(HeldAdapters(ServerLife("i-1"), (AdapterRef("m/a1", 3),)),),
 )
 
 
@@ -85,7 +86,7 @@
 
 def test_work_is_summed_over_the_others(view):
     view.heard(attrs.evolve(REPORT, card=attrs.evolve(CARD, name="c")), 0)
-    work = view.work_at("i-1", 10)
+    work = view.work_at(ServerLife("i-1"), 10)
     assert (work.requests, work.by_adapter["m/a1"]) == (4, 4)
 
 
--- a/tests/placement/conftest.py
+++ b/tests/placement/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.core.server_life import ServerLife
 from monsoonflow.discovery.models import HeldModel
 from monsoonflow.orders.models import (
     Accepted,
@@ -36,7 +37,7 @@
 class FakeRunner:
     """A runner as its protocol describes it; it crashes when it is ordered to hold too much."""
 
-    server_id: str
+    life: ServerLife
     slots: int = 6
     model: str | None = MODEL
     sequence: int = 0
@@ -105,7 +106,7 @@
         adapters = tuple(AdapterRef(name, version) for name, version in self.held.items())
         models = (HeldModel(MODEL, 1, adapters),) if self.model else ()
         incoming = tuple(AdapterRef(name, version) for name, (version, _) in self.coming.items())
-        return RunnerReport(self.sequence, False, models, incoming)
+        return RunnerReport(self.life, self.sequence, False, models, incoming)
 
 
 @attrs.define
@@ -151,11 +152,11 @@
         for due_ms, step in list(self.late):
             if self.now_ms >= due_ms:
                 self.late.remove((due_ms, step))
-                self.runners[step.server_id].order(step, self.now_ms)
-        for server_id in self.desk.wants_report(self.now_ms):
-            runner = self.runners[server_id]
+                self.runners[step.life].order(step, self.now_ms)
+        for life in self.desk.wants_report(self.now_ms):
+            runner = self.runners[life]
             runner.settle(self.now_ms)
-            self.desk.reported(server_id, runner.report(), self.now_ms)
+            self.desk.reported(life, runner.report(), self.now_ms)
         self.desk.settle_waiters(self.now_ms, self.work)
         for step in self.desk.plan(self.now_ms, self.work):
             self.steps.append(step)
@@ -164,26 +165,26 @@
                 self.late.append((self.now_ms + 3_000, step))
                 self.desk.answered(step, Unanswered("lost"), self.now_ms)
                 continue
-            answer = self.runners[step.server_id].order(step, self.now_ms)
+            answer = self.runners[step.life].order(step, self.now_ms)
             self.desk.answered(step, answer, self.now_ms)
         self.desk.settle_waiters(self.now_ms, self.work)
         assert not any(runner.crashed for runner in self.runners.values())
 
-    def use(self, server_id: str, name: str, requests: int = 1, unread: int = 0) -> None:
+    def use(self, life: ServerLife, name: str, requests: int = 1, unread: int = 0) -> None:
         """Let requests be in progress."""
-        work = self.work.setdefault(server_id, ServerWork())
+        work = self.work.setdefault(life, ServerWork())
         work.requests += requests
         work.unread_tokens += unread
         work.by_adapter[f"{MODEL}/{name}"] += requests
 
-    def free(self, server_id: str, name: str) -> None:
+    def free(self, life: ServerLife, name: str) -> None:
         """Let them end."""
-        self.work[server_id].by_adapter.pop(f"{MODEL}/{name}")
+        self.work[life].by_adapter.pop(f"{MODEL}/{name}")
 
     def placed(self, tag: str) -> str | None:
         """Return where a request was placed."""
         result = self.settled.get(tag)
-        return result.server_id if isinstance(result, Placed) else None
+        return result.life if isinstance(result, Placed) else None
 
 
 @pytest.fixture
@@ -195,9 +196,9 @@
         world = World(Desk(traits, newest), {}, newest=newest)
         in_progress: list[int] = []
         for number in range(count):
-            server_id = f"i-{number}"
-            world.runners[server_id] = FakeRunner(server_id, in_progress=in_progress, **runner)
-            world.desk.came(server_id)
+            life = ServerLife(f"i-{number}")
+            world.runners[life] = FakeRunner(life, in_progress=in_progress, **runner)
+            world.desk.came(life)
         return world
 
     return make
--- a/tests/placement/test_copies.py
+++ b/tests/placement/test_copies.py
@@ -8,7 +8,7 @@
 
 def holders(world, name: str) -> list[str]:
     """Return the runners that hold an adapter."""
-    return [r.server_id for r in world.runners.values() if f"{MODEL}/{name}" in r.held]
+    return [r.life for r in world.runners.values() if f"{MODEL}/{name}" in r.held]
 
 
 def test_an_adapter_that_crowds_its_runner_gets_a_second_one(make_world):
@@ -28,11 +28,11 @@
 
 def test_runners_that_are_loaded_alike_need_no_copies(make_world):
     world = make_world(3)
-    for number, server_id in enumerate(world.runners):
-        world.ask(f"a{number}", avoid=frozenset(world.runners) - {server_id})
+    for number, life in enumerate(world.runners):
+        world.ask(f"a{number}", avoid=frozenset(world.runners) - {life})
     world.run(400)
-    for number, server_id in enumerate(world.runners):
-        world.use(server_id, f"a{number}", requests=12, unread=16_000)
+    for number, life in enumerate(world.runners):
+        world.use(life, f"a{number}", requests=12, unread=16_000)
     world.run(1_500)
     assert world.desk.copies == 0
 
@@ -40,11 +40,11 @@
 def test_a_copy_takes_no_place_from_who_has_none(make_world):
     """In a rush all places are in use and others wait for one: they come first."""
     world = make_world(2)
-    for server_id in world.runners:
+    for life in world.runners:
         for number in range(6):
-            world.ask(f"{server_id}-{number}", avoid=frozenset(world.runners) - {server_id})
+            world.ask(f"{life}-{number}", avoid=frozenset(world.runners) - {life})
             world.run(300)
-            world.use(server_id, f"{server_id}-{number}")
+            world.use(life, f"{life}-{number}")
     world.use("i-0", "i-0-0", requests=10, unread=20_000)
     world.free("i-1", "i-1-3")
     world.ask("waits", until_ms=world.now_ms + 60_000)
--- a/tests/placement/test_desk.py
+++ b/tests/placement/test_desk.py
@@ -291,7 +291,7 @@
     world.ask("a1")
     step = world.desk.plan(world.now_ms, {})[0]
     assert world.desk.answered(step, Gone(), world.now_ms)
-    assert step.server_id not in world.desk.runners
+    assert step.life not in world.desk.runners
 
 
 def test_a_new_holder_knows_what_runners_held_before(make_world):
@@ -301,13 +301,13 @@
     """
     world = make_world(0)
     for number in range(3):
-        server_id = f"i-{number}"
-        world.runners[server_id] = FakeRunner(server_id)
+        life = f"i-{number}"
+        world.runners[life] = FakeRunner(life)
     ref = AdapterRef(f"{MODEL}/a1", 1)
-    away = min(world.runners, key=lambda server_id: weight(ref.name, server_id))
+    away = min(world.runners, key=lambda life: weight(ref.name, life))
     world.runners[away].known.add((ref.name, 1))
-    for server_id in world.runners:
-        world.desk.came(server_id, [ref] if server_id == away else [])
+    for life in world.runners:
+        world.desk.came(life, [ref] if life == away else [])
     world.run(20)
     world.ask("a1")
     world.run(80)
@@ -326,7 +326,7 @@
     world.ask("a1", "again")
     assert world.desk.plan(world.now_ms, {}) == []
     world.desk.runners[home].ordering = False
-    assert [step.server_id for step in world.desk.plan(world.now_ms, {})] == [home]
+    assert [step.life for step in world.desk.plan(world.now_ms, {})] == [home]
 
 
 def test_a_store_that_sends_more_at_once_is_used_in_full(make_world):
--- /dev/null
+++ b/tests/placement/test_restarts.py
@@ -0,0 +1,97 @@
+"""Runners that start again under their id, as the desk that orders them sees it."""
+
+from __future__ import annotations
+
+from monsoonflow.core.server_life import ServerLife
+from monsoonflow.orders.models import Accepted, Operation, Unanswered
+from monsoonflow.placement.desk import LATE_ORDER_MS
+from monsoonflow.placement.seats import Step
+from tests.placement.conftest import MODEL, FakeRunner
+
+OLD, NEW = ServerLife.of("i-9", 1_000), ServerLife.of("i-9", 2_000)
+
+
+def start_again(world):
+    """Let the runner start again: it holds its base model and nothing else."""
+    world.runners[NEW] = FakeRunner(NEW)
+    world.desk.gone(OLD)
+    world.desk.came(NEW, restarted_ms=world.now_ms)
+
+
+def test_a_new_life_is_asked_what_it_holds_and_nothing_of_before_is_believed(make_world):
+    world = make_world(0)
+    world.runners[OLD] = FakeRunner(OLD)
+    world.desk.came(OLD)
+    world.ask("a1")
+    world.run(400)
+    assert world.placed("a1") == OLD
+    start_again(world)
+    world.ask("a1", "again")
+    world.run(400)
+    assert world.placed("again") == NEW
+    assert world.runners[NEW].held == {f"{MODEL}/a1": 1}
+
+
+def test_an_order_without_answer_takes_no_place_of_the_next_life(make_world):
+    """The answer to a load is lost and its runner starts again: what it was ordered is gone."""
+    world = make_world(0)
+    world.runners[OLD] = FakeRunner(OLD)
+    world.desk.came(OLD)
+    world.run(50)
+    world.lose = 1
+    world.ask("a1")
+    world.turn()
+    assert world.desk.runners[OLD].doubtful is not None
+    start_again(world)
+    world.late.clear()
+    world.run(50)
+    assert world.desk.runners[NEW].doubtful is None
+    assert world.desk.runners[NEW].seats == {} or "m/a1" in world.desk.runners[NEW].seats
+
+
+def test_a_late_order_to_the_life_before_finds_a_place_on_the_next_one(make_world):
+    """An order is unanswered, its runner starts again under the same id and fills up.
+
+    The late order's condition, the number of orders before it, holds again for the new life when
+    that has taken as many. On a full runner it would be one adapter too many: the runner crashes.
+    """
+    world = make_world(0)
+    world.runners[OLD] = FakeRunner(OLD)
+    world.desk.came(OLD)
+    start_again(world)
+    for number in range(12):
+        world.ask(f"b{number}", until_ms=world.now_ms + 20_000)
+    world.run(1_500)
+    runner = world.runners[NEW]
+    assert len(runner.held) == runner.slots - 1
+    late = Step(OLD, Operation.LOAD, f"{MODEL}/late", None, runner.sequence)
+    assert isinstance(runner.order(late, world.now_ms), Accepted)
+    assert not runner.crashed
+    world.run(1_500)
+    assert not runner.crashed
+
+
+def test_the_spare_place_is_used_once_no_order_of_before_can_come(make_world):
+    world = make_world(0)
+    world.runners[OLD] = FakeRunner(OLD)
+    world.desk.came(OLD)
+    start_again(world)
+    for number in range(12):
+        world.ask(f"b{number}", until_ms=world.now_ms + 20_000)
+    world.run(LATE_ORDER_MS + 1_000)
+    world.ask("c")
+    world.run(400)
+    assert len(world.runners[NEW].held) == world.runners[NEW].slots
+
+
+def test_an_answer_of_the_life_before_changes_nothing(make_world):
+    """An order is on its way when its runner starts again; then its answer is lost."""
+    world = make_world(0)
+    world.runners[OLD] = FakeRunner(OLD)
+    world.desk.came(OLD)
+    world.run(50)
+    start_again(world)
+    world.run(50)
+    step = Step(OLD, Operation.LOAD, f"{MODEL}/a1", None, 0)
+    assert world.desk.answered(step, Unanswered("lost"), world.now_ms)
+    assert world.desk.runners[NEW].doubtful is None
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -13,6 +13,7 @@
 
 from monsoonflow.core.adapter import AdapterRef
 from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.core.server_life import ServerLife
 from monsoonflow.gateway.models import Malformed, Onward
 from monsoonflow.helpers.settings import SettingError
 from monsoonflow.orders.models import (
@@ -175,6 +176,9 @@
             "zone": "z",
             "slots": 96,
             "state": "draining",
+            "version": "v1",
+            "coldRemainingMs": 0,
+            "sequence": 3,
             "remainingMs": 1_500,
             "models": [{"name": "m", "version": 1, "adapters": ["a1@2"]}],
         }
@@ -222,7 +226,7 @@
 def test_the_head_to_a_server_keeps_the_callers_and_adds_ours():
     head = HeaderDialect().onward_head(
         request((b"X-a", b"1"), (b"Connection", b"close"), (b"Last-Event-Id", b"3"), body=b"xy"),
-        Onward(1_234, "i-1", priority=2, expect_version=4, last_event=b"9"),
+        Onward(1_234, ServerLife("i-1"), priority=2, expect_version=4, last_event=b"9"),
     )
     lines = head.decode().split("\r\n")
     assert lines[0] == "POST /a/b?c=1 HTTP/1.1"
@@ -304,18 +308,18 @@
     control = EngineControl(MonotonicClock())
     order = Order(Operation.LOAD, "m/a1", None, 0, "n1", 5)
     try:
-        assert control.order("i-1", runner.address, order) == Accepted(complete=False)
-        assert isinstance(control.order("i-1", runner.address, order), Stale)
+        assert control.order(ServerLife("i-1"), runner.address, order) == Accepted(complete=False)
+        assert isinstance(control.order(ServerLife("i-1"), runner.address, order), Stale)
         again = attrs.evolve(order, sequence=1)
-        assert control.order("i-1", runner.address, again) == Accepted(complete=True)
+        assert control.order(ServerLife("i-1"), runner.address, again) == Accepted(complete=True)
         old = attrs.evolve(again, fence=4)
-        assert control.order("i-1", runner.address, old) == Superseded()
-        assert control.order("i-2", runner.address, again) == Gone()
-        assert isinstance(control.order("i-2", "127.0.0.1:1", again), Unusable)
-        report = control.report("i-1", runner.address)
+        assert control.order(ServerLife("i-1"), runner.address, old) == Superseded()
+        assert control.order(ServerLife("i-2"), runner.address, again) == Gone()
+        assert isinstance(control.order(ServerLife("i-2"), "127.0.0.1:1", again), Unusable)
+        report = control.report(ServerLife("i-1"), runner.address)
         assert report.sequence == 1
         assert report.models[0].adapters == (AdapterRef("m/a1", 1),)
-        assert control.report("i-2", runner.address) == Gone()
-        assert control.report("i-1", "127.0.0.1:1") is None
+        assert control.report(ServerLife("i-2"), runner.address) == Gone()
+        assert control.report(ServerLife("i-1"), "127.0.0.1:1") is None
     finally:
         runner.stop()
--- a/tests/randomised/orders.py
+++ b/tests/randomised/orders.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from monsoonflow.core.server_life import ServerLife
 from monsoonflow.orders.models import Operation, OrderAnswer, Superseded, Unanswered
 from monsoonflow.placement.desk import Desk
 from monsoonflow.placement.seats import Step
@@ -45,7 +46,7 @@
 class Use:
     """A request that runs at a runner."""
 
-    server_id: str
+    life: ServerLife
     name: str
     until_ms: int
 
@@ -92,8 +93,8 @@
         if draw < 0.002 and len(self.runners) > 1:
             self._crash(self.rng.choice(list(self.runners)))
         elif draw < 0.0025:
-            for server_id in list(self.runners):
-                self._crash(server_id)
+            for life in list(self.runners):
+                self._crash(life)
         elif draw < 0.0035:
             self._change_holder()
         elif draw < 0.0065:
@@ -102,22 +103,22 @@
 
     def _add_runner(self, model: str | None) -> None:
         self.count += 1
-        server_id = f"i-{self.count}"
-        self.runners[server_id] = Runner(server_id, self.slots, model)
-        self.desk.came(server_id)
-
-    def _crash(self, server_id: str) -> None:
-        del self.runners[server_id]
-        self.desk.gone(server_id)
-        self.uses = [use for use in self.uses if use.server_id != server_id]
+        life = ServerLife(f"i-{self.count}")
+        self.runners[life] = Runner(life, self.slots, model)
+        self.desk.came(life)
+
+    def _crash(self, life: ServerLife) -> None:
+        del self.runners[life]
+        self.desk.gone(life)
+        self.uses = [use for use in self.uses if use.life != life]
         self._add_runner(None)
 
     def _change_holder(self) -> None:
         self.desk.close()
         self.fence += 1
         self.desk = Desk(self.traits, self.newest, LOAD_WINDOW_MS)
-        for server_id in self.runners:
-            self.desk.came(server_id)
+        for life in self.runners:
+            self.desk.came(life)
 
     def _turn(self, asks: float, lost: float) -> None:
         self.now_ms += STEP_MS
@@ -128,10 +129,10 @@
             self._ask(work)
         for waiter in [w for w in self.desk.waiters if w.until_ms <= self.now_ms]:
             self.desk.forget(waiter)
-        for server_id in self.desk.wants_report(self.now_ms):
-            runner = self.runners[server_id]
+        for life in self.desk.wants_report(self.now_ms):
+            runner = self.runners[life]
             runner.settle(self.now_ms)
-            self.desk.reported(server_id, runner.report(), self.now_ms)
+            self.desk.reported(life, runner.report(), self.now_ms)
         self.desk.settle_waiters(self.now_ms, work)
         for step in self.desk.plan(self.now_ms, self._work()):
             self._send(step, lost)
@@ -157,23 +158,23 @@
         if isinstance(result, Placed):
             self.served += 1
             took_ms = self.rng.randint(100, 2_000)
-            self.uses.append(Use(result.server_id, name, self.now_ms + took_ms))
+            self.uses.append(Use(result.life, name, self.now_ms + took_ms))
 
     def _work(self) -> dict[str, ServerWork]:
         work: dict[str, ServerWork] = {}
         for use in self.uses:
-            at = work.setdefault(use.server_id, ServerWork())
+            at = work.setdefault(use.life, ServerWork())
             at.requests += 1
             at.by_adapter[use.name] += 1
         return work
 
     def _send(self, step: Step, lost: float) -> None:
         self._check(step)
-        runner = self.runners[step.server_id]
+        runner = self.runners[step.life]
         if not step.confirms and self.rng.random() < lost:
             if self.rng.random() < 0.6:
                 due_ms = self.now_ms + self.rng.randint(200, 4_000)
-                self.late.append((due_ms, step.server_id, step, self.fence))
+                self.late.append((due_ms, step.life, step, self.fence))
             self.desk.answered(step, Unanswered("lost"), self.now_ms)
             return
         self._apply(runner, step, self.fence, answered=True)
@@ -184,7 +185,7 @@
         if step.name == MODEL and runner.sequence > sequence:
             self._model_load()
         if runner.crashed:
-            self.broken.append(f"{runner.server_id} was ordered to hold more than it can")
+            self.broken.append(f"{runner.life} was ordered to hold more than it can")
             runner.crashed = False
         if answered:
             self.desk.answered(step, answer, self.now_ms)
@@ -192,14 +193,14 @@
     def _carry_out_late(self) -> None:
         due = [entry for entry in self.late if entry[0] <= self.now_ms]
         self.late = [entry for entry in self.late if entry[0] > self.now_ms]
-        for _, server_id, step, fence in due:
-            if server_id in self.runners:
-                self._apply(self.runners[server_id], step, fence, answered=False)
+        for _, life, step, fence in due:
+            if life in self.runners:
+                self._apply(self.runners[life], step, fence, answered=False)
 
     def _check(self, step: Step) -> None:
-        used = any(u.server_id == step.server_id and u.name == step.name for u in self.uses)
+        used = any(u.life == step.life and u.name == step.name for u in self.uses)
         if step.operation is Operation.UNLOAD and used and not step.confirms:
-            self.broken.append(f"{step.name} is dropped at {step.server_id} while in use")
+            self.broken.append(f"{step.name} is dropped at {step.life} while in use")
 
     def _model_load(self) -> None:
         self.model_loads.append(self.now_ms)
--- a/tests/randomised/without.py
+++ b/tests/randomised/without.py
@@ -180,7 +180,7 @@
 
     def answered(self: Any, step: Any, answer: Any, now_ms: int) -> bool:
         known = original(self, step, answer, now_ms)
-        runner = self.runners.get(step.server_id)
+        runner = self.runners.get(step.life)
         if isinstance(answer, Unanswered) and runner is not None:
             self._undo(runner, step)
             runner.sequence += 1
