Without fences a holder goes on by its claimants' promises, and a silent one is replaced in two seconds

Heirs as before fenced runners: two nodes could order one runner. Claiming on a refused connection: a connection that times out looks the same here. A holder names the nodes that may claim first (all others of a small fleet). Each tells with its reports the newest report of the holder that it has heard, and does not claim for 1.5 s after it; the holder counts from its sending, so while all claimants answer, it goes on without the store, for 8 s at most; nodes that are not named wait that much longer. So the lease itself can be short (0.4 of the deployment's), and claimants read the row as soon as the holder is silent, counting its lease from when the holder told it. A duty does not come back to a node within the time of a lease. A holder that stops keeps its duty while the store can't take the word, until its process ends. Where fences are checked nothing changes but the last. The wait from a node's own start was not seen to matter: the lease of a row read then is as long.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -222,6 +222,8 @@
     def report(self) -> NodeReport:
         """Return this node's word about itself."""
         self._sequence += 1
+        claims = self.duties.claims()
+        self.view.sent(self._sequence, claims, self.clock.now_ms())
         return NodeReport(
             card=self._card(),
             sequence=self._sequence,
@@ -233,8 +235,9 @@
             spent_by_service=self.budget.all_spent(self.clock.now_ms()),
             left_servers=self.beliefs.recent_left(),
             versions=self.beliefs.recent_versions(),
-            claims=self.duties.claims(),
+            claims=claims,
             residency=self.duties.told_residency(),
+            heard=self.view.heard_holders(),
         )
 
     def _feed(self) -> ChangeFeed:
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -36,6 +36,7 @@
 """Longest pause between two looks at what is to be ordered; news wakes it at once."""
 
 
+GIVE_UP_STEP_MS: Final = 50
 LONG_PLAN_MS: Final = 5
 """A plan that takes so long is followed by a pause as long as itself; with 20 waiting before six
 runners one takes 1.6 ms."""
@@ -96,13 +97,32 @@
         for duty in self._duty_by_cell.values():
             duty.loop.bounds_changed(bounds.lease_ms, bounds.fenced)
 
-    def give_up(self) -> None:
-        """Release all duties."""
+    def give_up(self, by_ms: int) -> None:
+        """Release all duties, each when the store can take the word.
+
+        A duty let go while the store is lost is nobody's until the store is back: nobody could
+        claim it. Its holder goes on as long as it may.
+
+        :param by_ms: when the process ends.
+        """
         for duty in self._duty_by_cell.values():
-            duty.close()
-            row = duty.loop.let_go()
-            if row is not None:
-                self._daemon.tasks.spawn(duty.loop.release, *row)
+            self._daemon.tasks.spawn(self._give_up, duty, by_ms)
+
+    def _give_up(self, duty: Duty, by_ms: int) -> None:
+        clock = self._daemon.clock
+        while duty.loop.holds(clock.now_ms()) and clock.now_ms() < by_ms:
+            if not duty.loop.store_lost and duty.loop.store_reached:
+                break
+            self._daemon.tasks.sleep(GIVE_UP_STEP_MS)
+        duty.close()
+        row = duty.loop.let_go()
+        if row is not None:
+            duty.loop.release(*row)
+            self._daemon.gossip.send_now()
+
+    def holds_any(self) -> bool:
+        """Tell whether some duty is still this node's."""
+        return any(duty.loop.held.row is not None for duty in self._duty_by_cell.values())
 
     def duty_of(self, cell: str) -> Duty | None:
         """Return what this node has of a cell's duty."""
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -17,7 +17,15 @@
 from ..helpers.ids import new_id
 from ..helpers.strict import read
 from ..logs import events, log
-from ..ownership.duty import MAX_HEIRS, DutyRow, DutyWatch, HeldDuty
+from ..ownership.duty import (
+    LONE_MS,
+    MAX_CLAIMANTS,
+    MAX_HEIRS,
+    PROMISE_MS,
+    DutyRow,
+    DutyWatch,
+    HeldDuty,
+)
 from ..ownership.models import LeaseTiming
 from ..storage.models import ChangedRow, Committed, Conflict, Row, Table, Transaction, Unavailable
 
@@ -26,6 +34,13 @@
 RENEW_SHARE: Final = 0.4
 """A lease is renewed after this share: two renewals may be lost before it lapses."""
 
+UNFENCED_SHARE: Final = 0.4
+"""Share of a deployment's lease that a holder before unfenced runners takes at a time."""
+
+LOOK_AFTER_MS: Final = 500
+LOOK_EVERY_MS: Final = 250
+"""A holder unheard for so long makes its claimants read the duty's row, and again as often."""
+
 MARGIN_SHARE: Final = 0.1
 """Share of the lease that the holder gives up early and claimants wait on top."""
 
@@ -63,10 +78,10 @@
         steady: Callable[[], bool],
         on_won: Callable[[], None] = lambda: None,
     ) -> None:
-        timing = LeaseTiming(lease_ms, int(lease_ms * MARGIN_SHARE))
+        timing = _timing(lease_ms, fenced)
         self.cell = cell
         self.held = HeldDuty(timing, fenced)
-        self._watch = DutyWatch(timing, fenced)
+        self._watch = DutyWatch(timing, fenced, lease_ms)
         self._fenced = fenced
         self._node = node
         self._boot = boot
@@ -76,8 +91,11 @@
         self._may_claim = may_claim
         self._steady = steady
         self._on_won = on_won
-        self._renew_every_ms = int(lease_ms * RENEW_SHARE)
+        self._renew_every_ms = int(timing.duration_ms * RENEW_SHARE)
         self._renewed_ms = 0
+        self._held_since_ms = 0
+        self._read_ms = 0
+        self._claimants: set[str] = set()
         self._started_ms = clock.now_ms()
         self._wanted_since_ms: int | None = None
         self._newest_epoch = 0
@@ -89,9 +107,9 @@
 
     def bounds_changed(self, lease_ms: int, fenced: bool) -> None:
         """Take changed bounds."""
-        timing = LeaseTiming(lease_ms, int(lease_ms * MARGIN_SHARE))
+        timing = _timing(lease_ms, fenced)
         self._fenced = fenced
-        self._renew_every_ms = int(lease_ms * RENEW_SHARE)
+        self._renew_every_ms = int(timing.duration_ms * RENEW_SHARE)
         self.held.bounds_changed(timing, fenced)
         self._watch.bounds_changed(timing, fenced)
 
@@ -110,20 +128,48 @@
         overdue = now_ms - self._renewed_ms > 2 * self._renew_every_ms
         store_lost = self.store_lost or overdue or not self.store_reached
         return self.held.may_order(
-            now_ms, newest.epoch if newest else 0, store_lost, peers_heard_ms
+            now_ms,
+            newest.epoch if newest else 0,
+            store_lost,
+            peers_heard_ms,
+            self._promised_until_ms(),
         )
 
+    def _promised_until_ms(self) -> int:
+        """Return until when no other node will claim, by what the claimants say they have heard.
+
+        Counted from the sending of what a claimant has heard: it counts from the hearing, which was
+        later. Claimants of a renewal without answer count as well: it may have been written.
+        """
+        if self._fenced or self.held.row is None:
+            return 0
+        until_ms = self._renewed_ms + self.held.lease_ms() + LONE_MS
+        for name in self._claimants:
+            sent_ms = self._view.heard_claim_of_mine_ms(name, self._boot, self.cell)
+            if sent_ms is None or sent_ms < self._held_since_ms:
+                return 0
+            until_ms = min(until_ms, sent_ms + PROMISE_MS)
+        return until_ms - int(PROMISE_MS * MARGIN_SHARE)
+
     def claim(self) -> DutyClaim | None:
-        """Return this node's claim, for the others."""
+        """Return this node's claim, for the others.
+
+        A holder that may not order must not seem to be one: the others would wait for it.
+        """
         row = self.held.row
-        return None if row is None else DutyClaim(self.cell, row.holder, row.epoch, row.heirs)
+        if row is None or (not self._fenced and not self.holds(self._clock.now_ms())):
+            return None
+        return DutyClaim(self.cell, row.holder, row.epoch, row.heirs, row.counter)
 
     def row_changed(self, row: ChangedRow | Row) -> None:
         """Take the duty's row as the store holds it."""
         now_ms = self._clock.now_ms()
         body = orjson.dumps(row.value) if isinstance(row, Row) else row.body
         duty = to_duty(self.cell, body)
-        self._watch.seen(duty, row.version, now_ms)
+        heard = self._view.claim_heard(self.cell)
+        told = duty is not None and heard is not None
+        same = told and (heard.epoch, heard.counter) == (duty.epoch, duty.counter)
+        self._watch.seen(duty, row.version, now_ms, heard.first_ms if same else None)
         if duty is None:
             return
         if not duty.released:
@@ -143,6 +189,9 @@
             elif now_ms - self._renewed_ms >= self._renew_every_ms:
                 self._renew(now_ms)
             return
+        if not self._fenced and self._should_look(now_ms):
+            self._read_ms = now_ms
+            self._read_row()
         if not self.loaded or not self._may_claim() or not self._claimable(now_ms):
             self._wanted_since_ms = None
             return
@@ -164,6 +213,11 @@
         """Write that the duty is free, so that another node takes it at once."""
         released = attrs.evolve(row, counter=row.counter + 1, released=True)
         result = self._commit(released, version)
+        if isinstance(result, Conflict):
+            # A renewal was on its way; left as it is, the row would keep all others waiting.
+            now = self._table.get(DUTY_PREFIX + self.cell)
+            if isinstance(now, Row) and now.value.get("boot") == self._boot:
+                result = self._commit(released, now.version)
         log(
             _LOGGER,
             events.DutyReleased(cell=self.cell, epoch=row.epoch, result=type(result).__name__),
@@ -194,6 +248,20 @@
         self._view.claimed(DutyClaim(self.cell, self._node, inherited.epoch))
         log(_LOGGER, events.DutyInherited(cell=self.cell, epoch=inherited.epoch, before=row.holder))
 
+    def _should_look(self, now_ms: int) -> bool:
+        """Tell whether the row is to be read at once: the holder seems to be gone or has released.
+
+        The row is followed at leisure, seconds late; a claim needs its newest version.
+        """
+        row = self._watch.row
+        if row is None or self._node not in row.heirs or not self.store_reached:
+            return False
+        heard = self._view.claim_heard(self.cell)
+        report = self._view.report_of(row.holder)
+        gives_up = report is not None and report.leaving and not report.claims
+        silent = gives_up or heard is None or now_ms - heard.last_ms > LOOK_AFTER_MS
+        return silent and now_ms - self._read_ms >= LOOK_EVERY_MS
+
     def _note_holder(self, now_ms: int) -> None:
         newest = self._view.claim_of(self.cell)
         if newest is not None and newest.epoch != self._newest_epoch:
@@ -202,6 +270,10 @@
 
     def _silent(self, name: str, now_ms: int) -> bool:
         """Tell whether a node is unheard, or says that it stops and has let its duties go."""
+        if not self._fenced:
+            heard = self._view.claim_heard(self.cell)
+            heard_ms = max(self._started_ms, heard.last_ms if heard is not None else 0)
+            return now_ms - heard_ms > PROMISE_MS
         report = self._view.report_of(name)
         if report is None:
             # Never heard: it may just not have spoken yet, since both have started together.
@@ -234,6 +306,10 @@
             for report in self._view.reports(now_ms)
             if report.ready and not report.leaving and report.name not in named
         ]
+        if not self._fenced:
+            # No epoch number hangs on their places: the list follows who is there.
+            others = [report.name for report in self._view.reports(now_ms) if report.ready]
+            return tuple(rank(self.cell, others))[:MAX_CLAIMANTS]
         return (*named, *rank(self.cell, names))[:MAX_HEIRS]
 
     def _claimable(self, now_ms: int) -> bool:
@@ -265,7 +341,13 @@
         known = self._watch.row
         newest = self._view.claim_of(self.cell)
         epoch = max(known.next_epoch() if known else 1, newest.epoch + 1 if newest else 0)
-        row = DutyRow(self.cell, self._node, self._boot, epoch, 0, self._heirs(now_ms))
+        before = known.holder if known is not None else ""
+        if known is not None and before == self._node:
+            before = known.before
+        row = DutyRow(
+            self.cell, self._node, self._boot, epoch, 0, self._heirs(now_ms), before=before
+        )
+        self._claimants = set(row.heirs)
         result = self._commit(row, self._watch.row_version if known is not None else 0)
         self._wanted_since_ms = None
         if isinstance(result, Committed):
@@ -273,6 +355,7 @@
             self.store_lost = False
             self._inherited = False
             self._renewed_ms = now_ms
+            self._held_since_ms = self._clock.now_ms()
             self._view.claimed(DutyClaim(self.cell, self._node, epoch, row.heirs))
             log(
                 _LOGGER,
@@ -295,9 +378,11 @@
             counter=self.held.row.counter + 1,
             heirs=self._heirs(now_ms, self.held.row.heirs),
         )
+        self._claimants |= set(row.heirs)
         result = self._commit(row, self.held.row_version)
         match result:
             case Committed(version=version):
+                self._claimants = set(row.heirs)
                 # Lost meanwhile by what was heard: the renewal must not revive it.
                 if self.held.row is not None and self.held.row.epoch == row.epoch:
                     self.held.took(row, version, now_ms)
@@ -336,6 +421,7 @@
             "counter": row.counter,
             "heirs": list(row.heirs),
             "released": row.released,
+            "before": row.before,
         }
         return self._table.commit(Transaction(new_id("op"), {key: version}, {key: value}))
 
@@ -349,6 +435,19 @@
     counter: Annotated[int, Meta(ge=0)]
     released: bool
     heirs: tuple[str, ...] = ()
+    before: str = ""
+
+
+def _timing(lease_ms: int, fenced: bool) -> LeaseTiming:
+    """Return how long leases last.
+
+    :param lease_ms: as the deployment names it.
+    """
+    if not fenced:
+        # Without fences nobody acts before the lease is over: a short one ends the wait sooner, and
+        # through a slow or lost store the claimants' promises carry the holder.
+        lease_ms = int(lease_ms * UNFENCED_SHARE)
+    return LeaseTiming(lease_ms, int(lease_ms * MARGIN_SHARE))
 
 
 def to_duty(cell: str, body: bytes | None) -> DutyRow | None:
@@ -364,4 +463,5 @@
         fields.counter,
         fields.heirs,
         fields.released,
+        fields.before,
     )
--- a/monsoonflow/entry/stopping.py
+++ b/monsoonflow/entry/stopping.py
@@ -25,10 +25,10 @@
     started_ms = daemon.clock.now_ms()
     log(_LOGGER, events.Stopping(in_progress=daemon.ports.callers.active))
     daemon.leaving = True
-    daemon.duties.give_up()
+    end_ms = started_ms + daemon.settings.bounds.grace_ms - END_MARGIN_MS
+    daemon.duties.give_up(end_ms - CHECK_EVERY_MS)
     daemon.gossip.send_now()
     daemon.ports.callers.stop_keeping()
-    end_ms = started_ms + daemon.settings.bounds.grace_ms - END_MARGIN_MS
     outlast_ms = min(end_ms, started_ms + OUTLAST_ADDRESSES_MS)
     while daemon.clock.now_ms() < outlast_ms:
         daemon.tasks.sleep(CHECK_EVERY_MS)
@@ -37,7 +37,9 @@
     daemon.gateway.takes_requests = False
     daemon.ports.callers.stop_listening()
     daemon.tasks.sleep(CHECK_EVERY_MS)
-    while daemon.clock.now_ms() < end_ms and daemon.ports.callers.active:
+    while daemon.clock.now_ms() < end_ms and (
+        daemon.ports.callers.active or daemon.duties.holds_any()
+    ):
         daemon.tasks.sleep(CHECK_EVERY_MS)
     log(
         _LOGGER,
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -13,7 +13,7 @@
 from ..core.server_life import ServerLife
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
-from .models import DutyClaim, HeldAdapters, NodeCard, NodeReport
+from .models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
 
 ZLIB_LEVEL: Final = 1
 """Names repeat within a report: a third of the bytes for some 20 us."""
@@ -21,7 +21,7 @@
 MAX_REPORT_BYTES: Final = 1 << 20
 """A datagram that would unpack to more is no report."""
 
-FORMAT: Final = 3
+FORMAT: Final = 4
 """First field of each report; a node of another version is not understood and is left alone."""
 
 
@@ -49,12 +49,13 @@
             },
             report.left_servers,
             [str(ref) for ref in report.versions],
-            [[c.cell, c.holder, c.epoch, c.heirs] for c in report.claims],
+            [[c.cell, c.holder, c.epoch, c.heirs, c.counter] for c in report.claims],
             (
                 None
                 if report.residency is None
                 else [[held.life, [str(ref) for ref in held.adapters]] for held in report.residency]
             ),
+            [attrs.astuple(heard) for heard in report.heard],
         ]
     )
 
@@ -86,6 +87,7 @@
         versions=tuple(ref_of(text) for text in fields[8]),
         claims=tuple(_claim(entry) for entry in fields[9]),
         residency=None if fields[10] is None else tuple(map(_held, fields[10])),
+        heard=tuple(Heard(str(name), str(boot), int(seq)) for name, boot, seq in fields[11]),
     )
 
 
@@ -94,7 +96,9 @@
 
 
 def _claim(entry: list[Any]) -> DutyClaim:
-    return DutyClaim(str(entry[0]), str(entry[1]), int(entry[2]), tuple(map(str, entry[3])))
+    return DutyClaim(
+        str(entry[0]), str(entry[1]), int(entry[2]), tuple(map(str, entry[3])), int(entry[4])
+    )
 
 
 def ref_of(text: str) -> AdapterRef:
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -32,12 +32,23 @@
 
     :param epoch: rises with each holder; the fencing number of its orders.
     :param heirs: who may go on in its place without the store, in this order.
+    :param counter: of the holder's last renewal.
     """
 
     cell: str
     holder: str
     epoch: int
     heirs: tuple[str, ...] = ()
+    counter: int = 0
+
+
+@attrs.frozen(slots=True)
+class Heard:
+    """The newest report that a node has heard of a holder of a duty."""
+
+    name: str
+    boot: str
+    sequence: int
 
 
 @attrs.frozen(slots=True)
@@ -58,6 +69,8 @@
     :param left_servers: servers that the node lately learnt are leaving.
     :param versions: adapter versions that the node lately learnt.
     :param residency: set by the holder of a cell; ``None`` where it is as told before.
+    :param heard: the newest reports of holders that this node has heard: for a while after each it
+        does not claim their duties.
     """
 
     card: NodeCard
@@ -72,6 +85,7 @@
     versions: tuple[AdapterRef, ...] = ()
     claims: tuple[DutyClaim, ...] = ()
     residency: tuple[HeldAdapters, ...] | None = ()
+    heard: tuple[Heard, ...] = ()
 
     @property
     def name(self) -> str:
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from typing import Final
 
 import attrs
@@ -11,7 +12,7 @@
 from ..logs import events, log
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
-from .models import DutyClaim, HeldAdapters, NodeCard, NodeReport
+from .models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
 from .rounds import holder_silence_ms, silence_ms
 
 _LOGGER = logging.getLogger(__name__)
@@ -22,6 +23,9 @@
 WORK_FADES_MS: Final = 2_000
 """A silent node's work in progress is counted for so long at least: its requests end with it."""
 
+MOST_SENT: Final = 512
+"""Reports of this node whose time of sending is remembered: some seconds of a busy holder."""
+
 LONG_AGO_MS: Final = -1_000_000_000
 
 SPENT_FADES_MS: Final = 12_000
@@ -37,6 +41,27 @@
     residency: tuple[HeldAdapters, ...] = ()
 
 
+@attrs.frozen(slots=True)
+class _Sent:
+    """When a report of this node was sent, and the cells that it claimed."""
+
+    at_ms: int
+    cells: frozenset[str]
+
+
+@attrs.frozen(slots=True)
+class ClaimHeard:
+    """When a holder was heard to claim its duty.
+
+    :param first_ms: with this counter; ``last_ms`` at all.
+    """
+
+    epoch: int
+    counter: int
+    first_ms: int
+    last_ms: int
+
+
 class FleetView:
     """The reports and cards of the other nodes.
 
@@ -48,6 +73,8 @@
         self._heard_by_name: dict[str, _Heard] = {}
         self.card_by_name: dict[str, NodeCard] = {}
         self._epoch_by_cell: dict[str, DutyClaim] = {}
+        self._claim_heard_by_cell: dict[str, ClaimHeard] = {}
+        self._sent_by_sequence: OrderedDict[int, _Sent] = OrderedDict()
 
     def card(self, card: NodeCard) -> None:
         """Take how a node can be reached."""
@@ -77,8 +104,49 @@
         self.card(report.card)
         for claim in report.claims:
             self.claimed(claim)
+            if claim.holder == report.name:
+                self._heard_claim(claim, now_ms)
         return True
 
+    def _heard_claim(self, claim: DutyClaim, now_ms: int) -> None:
+        known = self._claim_heard_by_cell.get(claim.cell)
+        told = (claim.epoch, claim.counter)
+        if known is not None and told < (known.epoch, known.counter):
+            return
+        same = known is not None and told == (known.epoch, known.counter)
+        first_ms = known.first_ms if same else now_ms
+        self._claim_heard_by_cell[claim.cell] = ClaimHeard(*told, first_ms, now_ms)
+
+    def claim_heard(self, cell: str) -> ClaimHeard | None:
+        """Return when the newest holder of a cell was heard to claim it."""
+        return self._claim_heard_by_cell.get(cell)
+
+    def sent(self, sequence: int, claims: tuple[DutyClaim, ...], now_ms: int) -> None:
+        """Note that a report of this node is being sent, with these claims."""
+        self._sent_by_sequence[sequence] = _Sent(now_ms, frozenset(c.cell for c in claims))
+        while len(self._sent_by_sequence) > MOST_SENT:
+            self._sent_by_sequence.popitem(last=False)
+
+    def heard_holders(self) -> tuple[Heard, ...]:
+        """Return the newest reports of holders that this node has heard."""
+        holders = {claim.holder for claim in self._epoch_by_cell.values()}
+        found = [heard.report for name in holders if (heard := self._heard_by_name.get(name))]
+        return tuple(Heard(report.name, report.boot, report.sequence) for report in found)
+
+    def heard_claim_of_mine_ms(self, name: str, boot: str, cell: str) -> int | None:
+        """Return when the report was sent that a node says it has heard newest of this one.
+
+        :param boot: of this node's process.
+        :param cell: ``None`` is returned where that report did not claim it: who heard no claim
+            has promised nothing.
+        """
+        report = self.report_of(name)
+        for heard in report.heard if report is not None else ():
+            if (heard.name, heard.boot) == (self.name, boot):
+                sent = self._sent_by_sequence.get(heard.sequence)
+                return sent.at_ms if sent is not None and cell in sent.cells else None
+        return None
+
     def claimed(self, claim: DutyClaim) -> None:
         """Take who holds a cell's duty; a lower epoch is old news."""
         known = self._epoch_by_cell.get(claim.cell)
--- a/monsoonflow/ownership/duty.py
+++ b/monsoonflow/ownership/duty.py
@@ -12,6 +12,18 @@
 """Nodes that may inherit one after the other; enough for a holder and two heirs to be lost while
 the store is."""
 
+MAX_CLAIMANTS: Final = 7
+"""Nodes whose promise a holder before unfenced runners needs to go on without the store: all others
+of a small fleet. Each must be heard, so more of them would end its right sooner."""
+
+PROMISE_MS: Final = 1_500
+"""How long a named claimant does not claim after it has heard the holder: seven reports. A node
+that starts again is heard within it: a rolling stop does not end the holder's right."""
+
+LONE_MS: Final = 8_000
+"""How much longer a node that is no named claimant waits before it claims, and how long the holder
+goes on by the claimants' promises at most. It is waited for only when all of these are lost."""
+
 PEERS_HEARD_MS: Final = 700
 """How lately other nodes must have been heard when a holder goes on without the store: three of
 their reports. A holder that was frozen has heard nobody and asks first."""
@@ -23,9 +35,11 @@
 
     :param epoch: rises with each holder; the fencing number of its orders.
     :param counter: rises with each renewal.
-    :param heirs: the nodes that may go on while the store is lost, in this order; the first has the
-        next epoch, the second the one after it.
+    :param heirs: where runners check fencing numbers, the nodes that may go on while the store is
+        lost, in this order; the first has the next epoch, the second the one after it. Where they
+        don't, the nodes that may claim first once the holder is silent.
     :param released: the holder has given the duty up.
+    :param before: who held it before.
     """
 
     cell: str
@@ -35,6 +49,7 @@
     counter: int
     heirs: tuple[str, ...] = ()
     released: bool = False
+    before: str = ""
 
     def next_epoch(self) -> int:
         """Return the lowest epoch that neither this holder nor an heir of it uses."""
@@ -65,6 +80,10 @@
         self._timing = timing
         self._fenced = fenced
 
+    def lease_ms(self) -> int:
+        """Return how long a renewal is good for."""
+        return self._timing.duration_ms
+
     def took(self, row: DutyRow, row_version: int, sent_ms: int) -> None:
         """Take a successful claim or renewal.
 
@@ -89,47 +108,69 @@
         self._valid_until_ms = 0
 
     def may_order(
-        self, now_ms: int, newest_epoch: int, store_lost: bool, peers_heard_ms: int | None
+        self,
+        now_ms: int,
+        newest_epoch: int,
+        store_lost: bool,
+        peers_heard_ms: int | None,
+        promised_until_ms: int = 0,
     ) -> bool:
         """Tell whether an order may be sent at this moment.
 
         Without the store nobody can claim. Where runners refuse old fencing numbers, a holder that
         still hears the others, and hears of no newer claim, goes on: stopping all loads for the
-        length of an outage would help nobody. Where they don't, the lease alone counts.
+        length of an outage would help nobody. Where they don't, only a promise of every node that
+        may claim takes the place of the lease.
 
         :param newest_epoch: the highest epoch that any node was heard to name.
         :param peers_heard_ms: how long ago another node was heard; ``None`` where there is none.
+        :param promised_until_ms: until when no node that may claim will.
         """
         if self.row is None or newest_epoch > self.row.epoch:
             return False
         if now_ms < self._valid_until_ms:
             return True
-        if not self._fenced or not store_lost:
+        if not self._fenced:
+            return now_ms < promised_until_ms
+        if not store_lost:
             return False
         return peers_heard_ms is None or peers_heard_ms <= PEERS_HEARD_MS
 
 
 class DutyWatch:
-    """Tells a claimant whether a duty is free, on the claimant's own clock."""
+    """Tells a claimant whether a duty is free, on the claimant's own clock.
 
-    def __init__(self, timing: LeaseTiming, fenced: bool) -> None:
+    :param turn_ms: how long a duty stays away from a node that has lost it, without fences.
+    """
+
+    def __init__(self, timing: LeaseTiming, fenced: bool, turn_ms: int = 0) -> None:
         self._timing = timing
         self._fenced = fenced
+        self._turn_ms = turn_ms
         self.row: DutyRow | None = None
         self.row_version = 0
         self._seen_ms = 0
+        self._epoch_seen_ms = 0
 
     def bounds_changed(self, timing: LeaseTiming, fenced: bool) -> None:
         """Take changed bounds."""
         self._timing = timing
         self._fenced = fenced
 
-    def seen(self, row: DutyRow | None, row_version: int, now_ms: int) -> None:
-        """Take the row as the store holds it."""
+    def seen(
+        self, row: DutyRow | None, row_version: int, now_ms: int, told_ms: int | None = None
+    ) -> None:
+        """Take the row as the store holds it.
+
+        :param told_ms: when the holder was first heard to tell this row: after it had written it,
+            so its lease can be counted from there though the row is read only now.
+        """
         if row_version < self.row_version:
             return
         if row_version != self.row_version:
-            self._seen_ms = now_ms
+            self._seen_ms = now_ms if told_ms is None else told_ms
+        if row is not None and (self.row is None or row.epoch != self.row.epoch):
+            self._epoch_seen_ms = now_ms
         self.row = row
         self.row_version = row_version
 
@@ -141,12 +182,29 @@
         :param holder_silent: the holder's reports have stopped.
         :param others_heard: most other nodes are heard, so the silence is not this node's own.
         """
-        if self.row is None or self.row.released:
+        if self.row is None:
             return True
+        unchanged_ms = now_ms - self._seen_ms
+        lapsed = unchanged_ms > self._timing.claim_after_ms
         if self.row.holder == node:
             # A former life of this node's process, or a claim whose answer was lost.
-            return self.row.boot != boot or now_ms - self._seen_ms > self._timing.claim_after_ms
-        if now_ms - self._seen_ms > self._timing.claim_after_ms:
+            return self.row.released or self.row.boot != boot or lapsed
+        if not self._fenced and self._back_too_soon(node, now_ms):
+            return False
+        if self.row.released:
             return True
-        # Runners that check fencing numbers stop the old holder by themselves.
-        return self._fenced and holder_silent and others_heard
+        if self._fenced:
+            # Runners that check fencing numbers stop the old holder by themselves.
+            return lapsed or (holder_silent and others_heard)
+        if node in self.row.heirs:
+            return lapsed and holder_silent
+        return unchanged_ms > self._timing.claim_after_ms + LONE_MS
+
+    def _back_too_soon(self, node: str, now_ms: int) -> bool:
+        """Tell whether a duty would come back to a node within the time of a lease.
+
+        Two holders that take turns can each have orders on their way to one runner; where runners
+        check no fencing numbers, the older ones would be carried out after the newer.
+        """
+        back = self.row is not None and self.row.before == node
+        return back and now_ms - self._epoch_seen_ms <= self._turn_ms
--- a/monsoonflow/routing/patience.py
+++ b/monsoonflow/routing/patience.py
@@ -9,8 +9,8 @@
 """Deadlines remembered of each route: some seconds of a busy one."""
 
 USUAL_SHARE: Final = 0.1
-"""So many name the usual deadline, to the millisecond: even in a rush a tenth are first tries. A few
-callers with a much longer deadline must not make all others look as if they had come back."""
+"""So many name the usual deadline, to the millisecond: even in a rush a tenth are first tries. A
+few callers with a much longer deadline must not make all others look as if they had come back."""
 
 
 class UsualDeadlines:
