--- a/monsoonflow/discovery/book.py
+++ b/monsoonflow/discovery/book.py
@@ -58,6 +58,7 @@
         self._births_told = 0
         self._doubtful_until_by_life: dict[ServerLife, int] = {}
         self._left_at_by_life: dict[ServerLife, int] = {}
+        self._came_at_by_life: dict[ServerLife, int] = {}
         self._grace_until_ms = 0
         self.version = 0
 
@@ -82,7 +83,7 @@
         known = self.by_life.get(server.life)
         if known == server:
             return
-        self._remember(server)
+        self._remember(server, now_ms)
         if server.leaving:
             self.left(server.life, now_ms, "said so")
         elif known is None:
@@ -186,6 +187,16 @@
             life for life, at_ms in self._left_at_by_life.items() if now_ms - at_ms <= within_ms
         ]
 
+    def recently_came(self, now_ms: int, within_ms: int) -> list[ServerLife]:
+        """Return who came lately, for other nodes."""
+        return [
+            life for life, at_ms in self._came_at_by_life.items() if now_ms - at_ms <= within_ms
+        ]
+
+    def knows(self, life: ServerLife) -> bool:
+        """Tell whether a life is known, or has been."""
+        return life in self.by_life or life in self._left_at_by_life
+
     def _usable(self, server: BackendServer) -> bool:
         if server.life in self._left_at_by_life or self._lacks_birth(server.life):
             return False
@@ -246,8 +257,9 @@
             return life.born_ms > owner.life.born_ms
         return row_version >= owner.row_version
 
-    def _remember(self, server: BackendServer) -> None:
+    def _remember(self, server: BackendServer, now_ms: int) -> None:
         if server.life not in self.by_life:
+            self._came_at_by_life[server.life] = now_ms
             self._births_told += server.life.born_ms is not None
         self.by_life[server.life] = server
         self._life_by_id[server.life.server_id] = server.life
@@ -260,6 +272,7 @@
     def _forget(self, life: ServerLife) -> None:
         self._doubtful_until_by_life.pop(life, None)
         self._restarted_at_by_life.pop(life, None)
+        self._came_at_by_life.pop(life, None)
         server = self.by_life.pop(life, None)
         if server is None:
             return
--- a/monsoonflow/entry/beliefs.py
+++ b/monsoonflow/entry/beliefs.py
@@ -9,6 +9,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.clock import Clock
+from ..core.server_life import ServerLife
 from ..discovery.book import ServerBook
 from ..fleet.models import NodeReport
 from ..logs import events, log
@@ -85,15 +86,20 @@
             if now_ms - named[-1].at_ms <= TELL_MS
         )
 
-    def recent_left(self) -> tuple[str, ...]:
+    def recent_left(self) -> tuple[ServerLife, ...]:
         """Return the servers that lately said, or were said, to be leaving."""
         return tuple(self.book.recently_left(self._clock.now_ms(), TELL_MS))
 
-    def take_report(self, report: NodeReport) -> None:
-        """Take what another node says of servers and versions."""
+    def recent_came(self) -> tuple[ServerLife, ...]:
+        """Return the servers that lately came."""
+        return tuple(self.book.recently_came(self._clock.now_ms(), TELL_MS))
+
+    def take_report(self, report: NodeReport) -> bool:
+        """Take what another node says of servers and versions; return whether it knows of more."""
         now_ms = self._clock.now_ms()
         for life in report.left_servers:
             if life in self.book.by_life:
                 self.book.left(life, now_ms, f"told by {report.name}")
         for ref in report.versions:
             self.take_version(ref, report.name)
+        return any(not self.book.knows(life) for life in report.came_servers)
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -132,7 +132,7 @@
             settings.report_address,
             self.view,
             self.report,
-            self.beliefs.take_report,
+            self._take_report,
             self.tasks,
             self.clock,
         )
@@ -238,8 +238,13 @@
             claims=claims,
             residency=self.duties.told_residency(),
             heard=self.view.heard_holders(),
+            came_servers=self.beliefs.recent_came(),
         )
 
+    def _take_report(self, report: NodeReport) -> None:
+        if self.beliefs.take_report(report) and self.followed is not None:
+            self.followed.servers.poke()
+
     def _feed(self) -> ChangeFeed:
         return self._outside.feed()
 
--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -33,6 +33,12 @@
 each node made four calls a second. Asked again after this share of the time in which a leaving
 server must be known; nodes ask at different moments and tell each other, so it is known sooner."""
 
+WATCHERS = 7
+"""So many nodes ask the store at their own pace. In a larger fleet each pauses longer, so that all
+together ask as often as these: 90 nodes made 98 calls a second, most of them for servers. Whoever
+finds news tells the others, which then ask at once; a node that hears nobody goes back to its own
+pace."""
+
 OWN_PAUSE_MS = 2_500
 """A holder renews its duty every second; who holds it is told by reports between nodes."""
 
@@ -116,7 +122,7 @@
                 self._clock,
                 self._server,
                 self._store_returned,
-                int(drain_ms * SERVERS_PAUSE_SHARE),
+                lambda: self._shared(int(drain_ms * SERVERS_PAUSE_SHARE)),
             ),
             CollectionWatch(
                 feed(),
@@ -124,13 +130,21 @@
                 tasks,
                 self._clock,
                 self._own,
-                pause_ms=OWN_PAUSE_MS,
+                pause_ms=lambda: self._shared(OWN_PAUSE_MS),
             ),
         )
         for watch in (followed.operator, followed.servers, followed.own):
             tasks.spawn(watch.run)
         return followed
 
+    def _shared(self, pause_ms: int) -> int:
+        """Return a pause with which this node does its part of the asking.
+
+        :param pause_ms: of a node in a small fleet.
+        """
+        heard = len(self._view.reports(self._clock.now_ms()))
+        return int(pause_ms * max(1.0, (heard + 1) / WATCHERS))
+
     def teach(self) -> bytes:
         """Return all rows that this node has taken, for a node that can't read them itself."""
         rows = [
@@ -196,6 +210,8 @@
         if before is not None and not book.takes_work(before):
             self._on_server_gone(before)
             self._on_news()
+        elif before != book.life_of(row.key):
+            self._on_news()
 
     def _store_returned(self) -> None:
         self._beliefs.book.store_returned(self._clock.now_ms())
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -56,6 +56,7 @@
                 else [[held.life, [str(ref) for ref in held.adapters]] for held in report.residency]
             ),
             [attrs.astuple(heard) for heard in report.heard],
+            report.came_servers,
         ]
     )
 
@@ -88,6 +89,7 @@
         claims=tuple(_claim(entry) for entry in fields[9]),
         residency=None if fields[10] is None else tuple(map(_held, fields[10])),
         heard=tuple(Heard(str(name), str(boot), int(seq)) for name, boot, seq in fields[11]),
+        came_servers=tuple(map(ServerLife, fields[12])),
     )
 
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -71,6 +71,7 @@
     :param residency: set by the holder of a cell; ``None`` where it is as told before.
     :param heard: the newest reports of holders that this node has heard: for a while after each it
         does not claim their duties.
+    :param came_servers: servers that the node lately learnt of.
     """
 
     card: NodeCard
@@ -86,6 +87,7 @@
     claims: tuple[DutyClaim, ...] = ()
     residency: tuple[HeldAdapters, ...] | None = ()
     heard: tuple[Heard, ...] = ()
+    came_servers: tuple[ServerLife, ...] = ()
 
     @property
     def name(self) -> str:
--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -79,25 +79,28 @@
         self, call: Call, route: Route, service: Service, job: Job, now_ms: int
     ) -> Chosen | NoServer:
         """Return a runner that holds what the request needs, or have it loaded."""
-        usable = self._usable(call, service, job, now_ms)
+        held = self.placement.holders(call.adapter) if call.adapter is not None else {}
+        usable = self._usable(call, held, service, job, now_ms)
         if call.adapter is None:
             if not usable:
                 return NoServer("no runner holds the model", NO_SERVER_RETRY_MS)
             return self._chosen(
                 min(usable, key=lambda s: self._cost(s, now_ms)), call, None, now_ms
             )
-        held = self.placement.holders(call.adapter)
         holding = [server for server in usable if server.life in held]
         if not holding:
             return self.placement.ask(call, route, service, job)
         best = min(holding, key=lambda s: self._cost(s, now_ms))
         return self._chosen(best, call, held[best.life], now_ms)
 
-    def _usable(self, call: Call, service: Service, job: Job, now_ms: int) -> list[BackendServer]:
+    def _usable(
+        self, call: Call, held: dict[ServerLife, int], service: Service, job: Job, now_ms: int
+    ) -> list[BackendServer]:
         servers = [
             server
             for server in self.book.of_service(service.name)
-            if any(held.name == call.model for held in server.models)
+            # The holder's word on an adapter is newer than the entry's on the base model.
+            if server.life in held or any(model.name == call.model for model in server.models)
         ]
         reached = [s for s in servers if not self.conditions.paused(s.life, now_ms)]
         # A stream that broke off goes on elsewhere: where it broke it would break again.
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ..core.clock import Clock
-from ..core.tasks import Tasks
+from ..core.tasks import Flag, Tasks
 from ..logs import events, log
 from .models import ChangedRow, ChangeFeed, Changes, HistoryLost, Unavailable
 
@@ -20,6 +20,9 @@
 """The pause doubles up to this through an outage: all nodes ask, and each refused call costs; news
 after its end comes at most this late, and entries of servers take two seconds to be back."""
 
+LEAST_PAUSE_MS: Final = 500
+"""A poke ends no pause sooner: many servers that come at once are read together."""
+
 STALE_PAUSE_MS: Final = 400
 """Pause before a read that was older than what is known is made again."""
 
@@ -28,7 +31,7 @@
     """Keeps the rows of one collection as the service holds them.
 
     :param on_change: takes a row that is new, changed or gone (then its body is ``None``).
-    :param pause_ms: between questions; changes of that time come in one answer.
+    :param pause_ms: returns the pause between questions; changes of that time come in one answer.
     :param on_return: called when the service answers again after an outage, before its rows.
     """
 
@@ -40,7 +43,7 @@
         clock: Clock,
         on_change: Callable[[ChangedRow], None],
         on_return: Callable[[], None] = lambda: None,
-        pause_ms: int = 0,
+        pause_ms: Callable[[], int] = lambda: 0,
     ) -> None:
         self._feed = feed
         self._collection = collection
@@ -49,6 +52,7 @@
         self._on_change = on_change
         self._on_return = on_return
         self._between_ms = pause_ms
+        self._poked: Flag | None = None
         self._version = 0
         self._row_version_by_key: dict[str, int] = {}
         self.loaded = False
@@ -57,10 +61,23 @@
 
     def run(self) -> None:
         """Follow the collection for good."""
+        self._poked = self._tasks.flag()
         while True:
             pause_ms = self.step()
             if pause_ms:
-                self._tasks.sleep(pause_ms)
+                self._rest(pause_ms)
+
+    def _rest(self, pause_ms: int) -> None:
+        """Let the pause pass; one that was made longer is ended by a poke."""
+        self._tasks.sleep(min(pause_ms, LEAST_PAUSE_MS))
+        if pause_ms > LEAST_PAUSE_MS:
+            self._poked.wait(pause_ms - LEAST_PAUSE_MS)
+        self._poked.clear()
+
+    def poke(self) -> None:
+        """Ask soon: somebody has told that there is news."""
+        if self._poked is not None:
+            self._poked.set()
 
     def step(self) -> int:
         """Ask once; return how long to pause before the next question."""
@@ -73,7 +90,7 @@
                 for row in rows:
                     self._take(row)
                 self._version = max(self._version, version)
-                return self._between_ms
+                return self._between_ms()
             case HistoryLost():
                 log(_LOGGER, events.HistoryLost(collection=self._collection))
                 self.loaded = False
--- /dev/null
+++ b/tests/entry/test_following.py
@@ -0,0 +1,112 @@
+"""How often a node asks the store, and how it hears of servers that it did not read itself."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from monsoonflow.core.clock import ManualClock
+from monsoonflow.core.server_life import ServerLife
+from monsoonflow.discovery.models import BackendServer
+from monsoonflow.entry.beliefs import TELL_MS, Beliefs
+from monsoonflow.entry.following import OWN_PAUSE_MS, WATCHERS, Following
+from monsoonflow.fleet.models import NodeCard, NodeReport
+from monsoonflow.fleet.view import FleetView
+from monsoonflow.platform.outside import RowDecoders
+from monsoonflow.storage.models import Changes
+
+CARD = NodeCard("n0", "b", "dc", "1:1", "1:2", "1:3")
+SERVER = BackendServer(ServerLife.of("i-1", 5), "s", "10.0.0.1:80", "dc")
+
+
+class Feed:
+    """A feed without rows."""
+
+    def read_all(self, collection):
+        """Return no rows."""
+        return Changes((), 1)
+
+    def changes(self, collection, after, wait_ms):
+        """Return no changes."""
+        return Changes((), 1)
+
+
+class NoTasks:
+    """Tasks that never run."""
+
+    def spawn(self, *_):
+        """Start nothing."""
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(100_000)
+
+
+@pytest.fixture
+def view():
+    return FleetView("me")
+
+
+@pytest.fixture
+def followed(clock, view):
+    following = Following(
+        RowDecoders(),
+        Beliefs(clock),
+        view,
+        clock,
+        lambda _: None,
+        lambda _: None,
+        lambda: None,
+    )
+    return following.start(Feed, NoTasks(), 2_000)
+
+
+def hear(view, count, now_ms):
+    for number in range(count):
+        card = attrs.evolve(CARD, name=f"n{number}")
+        view.heard(NodeReport(card, 1, True, False, 1, True), now_ms)
+
+
+def pause(watch):
+    watch.step()
+    return watch.step()
+
+
+def test_a_node_of_a_small_fleet_asks_at_its_own_pace(view, clock, followed):
+    hear(view, WATCHERS - 1, clock.now_ms())
+    assert pause(followed.own) == OWN_PAUSE_MS
+    assert pause(followed.servers) == 1_000
+
+
+def test_ninety_nodes_ask_together_as_often_as_seven(view, clock, followed):
+    """Each entry of a server changes every second: 90 nodes made 98 calls a second to the store."""
+    hear(view, 90 - 1, clock.now_ms())
+    assert 90 / pause(followed.servers) == pytest.approx(WATCHERS / 1_000, rel=0.01)
+    assert 90 / pause(followed.own) == pytest.approx(WATCHERS / OWN_PAUSE_MS, rel=0.01)
+
+
+def test_a_node_that_hears_nobody_asks_for_itself(view, clock, followed):
+    """A node is cut off from all others: nobody would tell it that a server leaves."""
+    hear(view, 90 - 1, clock.now_ms())
+    clock.advance(30_000)
+    assert pause(followed.servers) == 1_000
+
+
+def test_the_configuration_is_followed_without_a_pause(view, clock, followed):
+    hear(view, 90 - 1, clock.now_ms())
+    assert pause(followed.operator) == 0
+
+
+def test_a_server_that_a_peer_has_met_is_asked_for(clock):
+    """One node reads that a server came; the others would read it many seconds later."""
+    teller, hearer = Beliefs(clock), Beliefs(clock)
+    teller.book.put(SERVER, clock.now_ms())
+    report = NodeReport(CARD, 1, True, False, 1, True, came_servers=teller.recent_came())
+    assert hearer.take_report(report)
+    hearer.book.put(SERVER, clock.now_ms())
+    assert not hearer.take_report(report)
+    hearer.book.removed("i-1", clock.now_ms())
+    assert not hearer.take_report(report)
+    clock.advance(TELL_MS + 1)
+    assert teller.recent_came() == ()
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -14,7 +14,7 @@
 from monsoonflow.core.adapter import AdapterRef
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.fleet import codec
-from monsoonflow.fleet.models import DutyClaim, HeldAdapters, NodeCard, NodeReport
+from monsoonflow.fleet.models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
 from monsoonflow.fleet.view import ALIVE_MS, SPENT_FADES_MS, FleetView
 from monsoonflow.routing.budget import Spent
 from monsoonflow.routing.in_flight import ServerWork
@@ -29,10 +29,12 @@
     store_heard=True,
     work_by_server={ServerLife("i-1"): ServerWork(2, 100, 300, Counter({"m/a1": 2}))},
     spent_by_service={"s": Spent(10, 2)},
-    left_servers=("i-9",),
+    left_servers=(ServerLife("i-9"),),
     versions=(AdapterRef("m/a1", 3),),
     claims=(DutyClaim("s", "b", 4),),
     residency=(HeldAdapters(ServerLife("i-1"), (AdapterRef("m/a1", 3),)),),
+    heard=(Heard("a", "a-1", 12),),
+    came_servers=(ServerLife.of("i-2", 1_764_718_000_123),),
 )
 
 
@@ -56,7 +58,7 @@
 @given(st.recursive(st.none() | st.integers(-9, 9) | st.text(max_size=5), st.lists, max_leaves=12))
 @settings(max_examples=200, derandomize=True)
 def test_no_json_breaks_the_reader(data):
-    fields = [2, data, 1, 1, 1, data, data, data, data, data, data]
+    fields = [codec.FORMAT, data, 1, 1, 1, *[data] * 8]
     codec.decode(zlib.compress(orjson.dumps(fields)))
 
 
--- a/tests/storage/test_watch.py
+++ b/tests/storage/test_watch.py
@@ -8,7 +8,7 @@
 
 from monsoonflow.core.clock import ManualClock
 from monsoonflow.storage.models import ChangedRow, Changes, HistoryLost, Unavailable
-from monsoonflow.storage.watch import CollectionWatch
+from monsoonflow.storage.watch import LEAST_PAUSE_MS, CollectionWatch
 
 
 class Feed:
@@ -102,3 +102,65 @@
 def test_rows_are_never_taken_backwards(watch, feed, seen):
     play(watch, feed, rows(5, ("a", 4, b"4")), rows(6, ("a", 3, b"3")))
     assert [row.body for row in seen] == [b"4"]
+
+
+class Flag:
+    """A flag that notes how long it was waited for."""
+
+    def __init__(self, waits):
+        self.waits = waits
+        self.raised = False
+
+    def set(self):
+        """Raise the flag."""
+        self.raised = True
+
+    def clear(self):
+        """Lower the flag."""
+        self.raised = False
+
+    def wait(self, timeout_ms=None):
+        """Note the time, unless the flag is up."""
+        self.waits.append(0 if self.raised else timeout_ms)
+        return self.raised
+
+
+class Ended(Exception):
+    """The watch has run as long as it should."""
+
+
+class Tasks:
+    """Tasks whose time is only noted."""
+
+    def __init__(self, sleeps, waits, on_sleep):
+        self.sleeps = sleeps
+        self.on_sleep = on_sleep
+        self.made = Flag(waits)
+
+    def flag(self):
+        """Return the flag."""
+        return self.made
+
+    def sleep(self, wait_ms):
+        """Note a time."""
+        self.sleeps.append(wait_ms)
+        self.on_sleep()
+
+
+def test_a_poke_ends_a_long_pause_and_never_the_least_one(feed, seen):
+    """A peer tells that there is news; many such words must not make a question each."""
+    sleeps, waits = [], []
+    feed.answers.extend([rows(1), rows(2), rows(3), rows(4)])
+
+    def on_sleep():
+        if len(sleeps) == 2:
+            watch.poke()
+        if len(sleeps) == 3:
+            raise Ended
+
+    tasks = Tasks(sleeps, waits, on_sleep)
+    watch = CollectionWatch(feed, "t", tasks, ManualClock(), seen.append, pause_ms=lambda: 9_000)
+    with pytest.raises(Ended):
+        watch.run()
+    assert sleeps == [LEAST_PAUSE_MS] * 3
+    assert waits == [9_000 - LEAST_PAUSE_MS, 0]
