A request waits for a place no longer than its caller waits for a first event

A shorter share of the deadline: deadlines are 6 to 19 objectives long, by kind. The platform's rule becomes a route's first_event_by_ms; a request waits until a place still gives a first event before it. Test: tests/entry/test_streams.py, failing without it.

--- a/monsoonflow/entry/placing.py
+++ b/monsoonflow/entry/placing.py
@@ -106,6 +106,8 @@
         clock = self._daemon.clock
         began_ms = clock.now_ms()
         until_ms = began_ms + int((job.until_ms - began_ms) * WAIT_SHARE)
+        if not job.resuming():
+            until_ms = min(until_ms, self._stays_until_ms(call, route, job))
         while (left_ms := until_ms - clock.now_ms()) > 0:
             question = self._question(call, route, service, job, left_ms)
             question["waited_ms"] = clock.now_ms() - began_ms
@@ -121,6 +123,18 @@
                 return chosen
         return NoServer("no place for the adapter in time", REFUSED_RETRY_MS)
 
+    def _stays_until_ms(self, call: Call, route: Route, job: Job) -> int:
+        """Return until when a place still gives the caller a first event before it leaves.
+
+        Callers of a stream leave long before their deadline when nothing comes: held beyond that,
+        one in nine of the most urgent kind left unanswered in a rush, and was not told when to come
+        back.
+        """
+        if route.first_event_by_ms is None:
+            return job.until_ms
+        answer_ms = self._daemon.gateway.first_event_pace.expect_ms(call.prompt_tokens)
+        return job.request.arrived_ms + route.first_event_by_ms - answer_ms
+
     def _chosen(self, call: Call, job: Job, placed: Placed) -> Chosen | None:
         book = self._daemon.beliefs.book
         server = book.by_life.get(placed.life)
--- a/monsoonflow/platform/configuration.py
+++ b/monsoonflow/platform/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from ..core.adapter import AdapterRef
 from ..helpers.strict import read
 from ..routing.routes import (
@@ -26,6 +28,7 @@
 OPERATOR_TABLE = "op"
 ROUTES_KEY = "config"
 VERSION_PREFIX = "version/"
+LEAST_WAIT_MS: Final = 2_000
 
 
 def decode_routes(body: bytes) -> RouteTable | str:
@@ -59,7 +62,8 @@
         if entry.service is None:
             raise ValueError(f"the route {entry.name} names no service")
         targets = [Target(entry.service, 1.0)]
-    objective_ms = entry.target_latency_ms
+    told_ms = entry.target_latency_ms
+    objective_ms = int(entry.timeout_ms if told_ms is None else told_ms)
     return Route(
         name=entry.name,
         host=entry.host,
@@ -67,7 +71,8 @@
         kind=RouteKind(entry.kind),
         targets=tuple(target for target in targets if target.weight > 0) or tuple(targets),
         timeout_ms=int(entry.timeout_ms),
-        objective_ms=int(entry.timeout_ms if objective_ms is None else objective_ms),
+        objective_ms=objective_ms,
+        first_event_by_ms=_first_event_by_ms(objective_ms, int(entry.gap_aim_ms)),
         pause_ms=int(entry.gap_aim_ms),
         attempts=max(1, entry.attempts),
         priority=entry.priority,
@@ -75,6 +80,11 @@
     )
 
 
+def _first_event_by_ms(objective_ms: int, pause_ms: int) -> int:
+    """Return how long callers of a stream wait for its first event: the page's rule."""
+    return max(LEAST_WAIT_MS, 4 * objective_ms, 8 * pause_ms)
+
+
 def _service(entry: ServiceFields) -> Service:
     traits = entry.engine_kind
     return Service(
--- a/monsoonflow/routing/routes.py
+++ b/monsoonflow/routing/routes.py
@@ -33,6 +33,8 @@
     :param timeout_ms: the longest time that a caller is kept waiting.
     :param objective_ms: the latency objective.
     :param pause_ms: the longest pause between a stream's events that is still on time.
+    :param first_event_by_ms: how long callers of a stream wait for its first event; ``None`` where
+        that is not known.
     :param attempts: how many servers one request may be sent to.
     :param priority: 0 is the most urgent.
     :param resumable: whether a broken stream may go on at another server.
@@ -49,6 +51,7 @@
     attempts: int = 1
     priority: int = 0
     resumable: bool = False
+    first_event_by_ms: int | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -228,3 +228,25 @@
         )
         > 0
     )
+
+
+def test_a_request_waits_for_a_place_no_longer_than_its_caller_does(fleet, one, runners):
+    """Callers of a stream leave after four latency objectives without an event, here 2.4 s of 8.
+
+    Held for a share of its deadline, the request would be worked on for a caller that has left, and
+    the caller would not be told when to come back.
+    """
+    quick = route("read", "stream", "llm", resumable=True, targetLatencyMs=600, gapAimMs=100)
+    fleet.configure(version=2, routes=[{**quick, "timeoutMs": 8_000}])
+    wait_for(lambda: one.daemon.beliefs.table.version == 2)
+    for runner in runners:
+        runner.start_again(1_000)
+    one.daemon.duties.duty_of("llm").loop.let_go()
+    one.daemon.duties.duty_of("llm").loop._may_claim = lambda: False
+    began_ms = one.daemon.clock.now_ms()
+    told = {"X_Model": "m/a1", "X_Token_Count": "100,20"}
+    answer = fleet.ask(one, "/read/x", "r1", b"prompt", deadline_ms=8_000, **told)
+    took_ms = one.daemon.clock.now_ms() - began_ms
+    assert answer.head.status == 503
+    assert answer.head.value(b"retry-after") is not None
+    assert 1_500 < took_ms < 2_400
