--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -314,6 +314,7 @@
             self.ready,
             settings.bounds.address_ttl_ms,
         )
+        peer_api = PeerApi(self.beliefs, self.following.teach, self.duties.answer_placement)
         usual = MessageLimits
         return Ports(
             callers=Port(settings.callers_address, self.gateway.handle, self._limits, self.clock),
@@ -321,7 +322,7 @@
             directory=Port(
                 settings.directory_address, outside.directory(addresses.choose), usual, self.clock
             ),
-            peers=Port(settings.peer_address, PeerApi(self).handle, usual, self.clock),
+            peers=Port(settings.peer_address, peer_api.handle, usual, self.clock),
             metrics=Port(settings.metrics_address, self.metrics.handle, usual, self.clock),
         )
 
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -111,7 +111,7 @@
         self._fenced = fenced
         self._renew_every_ms = int(timing.duration_ms * RENEW_SHARE)
         self.held.bounds_changed(timing, fenced)
-        self._watch.bounds_changed(timing, fenced)
+        self._watch.bounds_changed(timing, fenced, lease_ms)
 
     def holds(self, now_ms: int) -> bool:
         """Tell whether this node may send orders at this moment."""
--- a/monsoonflow/entry/peers.py
+++ b/monsoonflow/entry/peers.py
@@ -4,10 +4,11 @@
 
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from ..core.clock import Clock
 from ..fleet.view import FleetView
+from ..logs import events, log
 from ..routing.routes import RouteTable
 from ..transport.client import Answer, Pools, call
 from ..transport.models import Lost, Request
@@ -15,11 +16,6 @@
 from .beliefs import Beliefs
 from .following import Following
 
-if TYPE_CHECKING:
-    from .daemon import EntryDaemon
-
-from ..logs import events, log
-
 _LOGGER = logging.getLogger(__name__)
 CONFIGURATION_PATH: Final = "/v1/peer/configuration"
 STATE_PATH: Final = "/v1/peer/state"
@@ -83,20 +79,31 @@
 
 
 class PeerApi:
-    """Answers other entry nodes."""
+    """Answers other entry nodes.
 
-    def __init__(self, daemon: EntryDaemon) -> None:
-        self._daemon = daemon
+    :param teach: returns all rows that this node has taken.
+    :param answer_placement: answers a request for a place.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        teach: Callable[[], bytes],
+        answer_placement: Callable[[Request, Reply], None],
+    ) -> None:
+        self._beliefs = beliefs
+        self._teach = teach
+        self._answer_placement = answer_placement
 
     def handle(self, request: Request, reply: Reply) -> None:
         """Answer one call."""
         path = request.target.partition(b"?")[0].decode("latin-1")
-        beliefs = self._daemon.beliefs
+        beliefs = self._beliefs
         if path == CONFIGURATION_PATH and beliefs.table is not None:
             reply.whole(200, [], beliefs.table_body)
         elif path == STATE_PATH and beliefs.table is not None:
-            reply.whole(200, [], self._daemon.following.teach())
+            reply.whole(200, [], self._teach())
         elif path == PLACE_PATH:
-            self._daemon.duties.answer_placement(request, reply)
+            self._answer_placement(request, reply)
         else:
             reply.whole(404, [])
--- a/monsoonflow/ownership/duty.py
+++ b/monsoonflow/ownership/duty.py
@@ -152,10 +152,11 @@
         self._seen_ms = 0
         self._epoch_seen_ms = 0
 
-    def bounds_changed(self, timing: LeaseTiming, fenced: bool) -> None:
+    def bounds_changed(self, timing: LeaseTiming, fenced: bool, turn_ms: int = 0) -> None:
         """Take changed bounds."""
         self._timing = timing
         self._fenced = fenced
+        self._turn_ms = turn_ms
 
     def seen(
         self, row: DutyRow | None, row_version: int, now_ms: int, told_ms: int | None = None
