Tests that fail: a version's time counted from a node's own reading gives an old one a new term

Cause, seen in the record and the code: each node counts the bound on an old version from when it read the new one itself. Nodes were being stopped and started in turn; one that starts seconds after the naming, reads it after an outage or a lost history, or hears it late from a peer, grants the old version a whole term anew.

--- /dev/null
+++ b/tests/entry/test_versions.py
@@ -0,0 +1,119 @@
+"""Old versions of adapters: until when a request may begin on one, whoever knows what."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import orjson
+import pytest
+
+from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.core.clock import ManualClock
+from monsoonflow.entry.beliefs import Beliefs
+from monsoonflow.entry.following import Following
+from monsoonflow.fleet.models import NodeCard, NodeReport
+from monsoonflow.fleet.view import FleetView
+from monsoonflow.platform.outside import RowDecoders
+from monsoonflow.storage.models import ChangedRow, Changes, HistoryLost, Unavailable
+from tests.entry.conftest import MODEL
+
+NAME = f"{MODEL}/a1"
+CARD = NodeCard("n0", "b", "dc", "1:1", "1:2", "1:3")
+
+
+def row(version: int, row_version: int) -> ChangedRow:
+    """Return the operator's word that a version is named."""
+    body = {"model": MODEL, "adapter": "a1", "version": version}
+    return ChangedRow(f"version/{MODEL}.a1", row_version, orjson.dumps(body))
+
+
+class Feed:
+    """A feed that gives the answers it was told to give."""
+
+    def __init__(self) -> None:
+        self.all = Changes((), 1)
+        self.next: Changes | HistoryLost | Unavailable = Changes((), 1)
+
+    def read_all(self, collection: str) -> Changes | Unavailable:
+        """Return all rows."""
+        return self.all
+
+    def changes(
+        self, collection: str, after: int, wait_ms: int
+    ) -> Changes | HistoryLost | Unavailable:
+        """Return the next answer."""
+        return self.next
+
+
+class NoTasks:
+    """Tasks that never run."""
+
+    def spawn(self, *_: object) -> None:
+        """Start nothing."""
+
+
+@attrs.define
+class Node:
+    """What a node knows, and its watch of the operator's rows."""
+
+    clock: ManualClock
+    feed: Feed
+    beliefs: Beliefs
+    step: Callable[[], int]
+
+
+@pytest.fixture
+def node() -> Node:
+    clock, feed = ManualClock(100_000), Feed()
+    beliefs = Beliefs(clock)
+    nothing = [lambda *_: None] * 3
+    following = Following(RowDecoders(), beliefs, FleetView("me"), clock, *nothing)
+    followed = following.start(lambda: feed, NoTasks(), 3_000)
+    return Node(clock, feed, beliefs, followed.operator.step)
+
+
+def test_a_version_that_a_follower_reads_counts_from_now(node):
+    node.step()
+    node.clock.advance(10_000)
+    node.feed.next = Changes((row(2, 2),), 2)
+    node.step()
+    assert node.beliefs.passed_by_ms(NAME, 1) == node.clock.now_ms()
+
+
+def test_a_node_that_starts_after_a_version_was_named_gives_the_old_one_no_new_term(node):
+    """Nodes are stopped and started in turn while version 2 is named.
+
+    Each counted the bound on version 1 from its own reading: one that started four seconds after
+    the naming sent requests on version 1 for three seconds more, and left them in a runner's queue
+    for four, of the five that all have together.
+    """
+    node.feed.all = Changes((row(2, 2),), 2)
+    node.step()
+    assert node.beliefs.passed_by_ms(NAME, 1) <= node.clock.now_ms() - 60_000
+
+
+@pytest.mark.parametrize("gap", [Unavailable("down"), HistoryLost()])
+def test_a_version_named_in_a_gap_counts_from_the_last_answer_before_it(node, gap):
+    node.step()
+    node.step()
+    heard_ms = node.clock.now_ms()
+    node.clock.advance(1_000)
+    node.feed.next = gap
+    node.step()
+    node.clock.advance(2_000)
+    node.feed.next = node.feed.all = Changes((row(2, 9),), 9)
+    node.step()
+    assert node.beliefs.passed_by_ms(NAME, 1) == heard_ms
+
+
+def test_a_version_that_a_peer_tells_counts_from_when_the_peer_knew_it():
+    """A report repeats news for ten seconds; whoever hears it late may not start the count anew."""
+    clock = ManualClock(100_000)
+    teller, hearer = Beliefs(clock), Beliefs(clock)
+    teller.take_version(AdapterRef(NAME, 2), "store")
+    named_ms = clock.now_ms()
+    clock.advance(4_000)
+    report = NodeReport(CARD, 1, True, False, 1, True, versions=teller.recent_versions())
+    hearer.take_report(report)
+    assert hearer.passed_by_ms(NAME, 1) == named_ms
