A version's time counts from its naming, whoever hears of it when

Cause: each node counted the bound on an old version from its own reading of the new one. Ruled out: that reports repeat old news (versions only rise). Change: reports tell a version's age; a node takes the earliest word; what it finds at its first reading was named at an unknown time before, and what it finds after a gap as early as the last answer before the gap. Reports have format 5.

--- a/monsoonflow/entry/beliefs.py
+++ b/monsoonflow/entry/beliefs.py
@@ -11,7 +11,7 @@
 from ..core.clock import Clock
 from ..core.server_life import ServerLife
 from ..discovery.book import ServerBook
-from ..fleet.models import NodeReport
+from ..fleet.models import NamedVersion, NodeReport
 from ..logs import events, log
 from ..routing.routes import RouteTable
 
@@ -26,9 +26,13 @@
 bound of five seconds, only the oldest is forgotten, and it is told by the next."""
 
 
+LONG_AGO_MS: Final = -1_000_000_000
+"""When something happened of which only this is known: before this node began to follow."""
+
+
 @attrs.frozen(slots=True)
 class _Named:
-    """When a version became known to this node."""
+    """When a version was named, at the earliest."""
 
     version: int
     at_ms: int
@@ -57,15 +61,24 @@
         )
         return True
 
-    def take_version(self, ref: AdapterRef, source: str) -> bool:
-        """Take that a version of an adapter is named; return whether it is news."""
+    def take_version(self, ref: AdapterRef, source: str, at_ms: int | None = None) -> bool:
+        """Take that a version of an adapter is named; return whether it is news.
+
+        :param at_ms: when it was named at the earliest; ``None``: just now. All nodes have one term
+            for an old version, from the naming: counted from its own reading, a node that starts or
+            hears late would begin another.
+        """
+        now_ms = self._clock.now_ms()
+        at_ms = now_ms if at_ms is None else min(at_ms, now_ms)
+        named = self._named_by_adapter.setdefault(ref.name, [])
         if self.version_by_adapter.get(ref.name, 0) >= ref.version:
+            _named_earlier(named, ref.version, at_ms)
             return False
         self.version_by_adapter[ref.name] = ref.version
-        named = self._named_by_adapter.setdefault(ref.name, [])
-        named.append(_Named(ref.version, self._clock.now_ms()))
+        named.append(_Named(ref.version, at_ms))
         del named[:-MOST_VERSIONS]
-        log(_LOGGER, events.AdapterVersion(adapter=str(ref), source=source))
+        age_ms = now_ms - at_ms if at_ms > LONG_AGO_MS else None
+        log(_LOGGER, events.AdapterVersion(adapter=str(ref), source=source, age_ms=age_ms))
         return True
 
     def passed_by_ms(self, adapter: str, version: int) -> int | None:
@@ -77,11 +90,11 @@
         named = self._named_by_adapter.get(adapter, ())
         return next((entry.at_ms for entry in named if entry.version > version), None)
 
-    def recent_versions(self) -> tuple[AdapterRef, ...]:
-        """Return the versions that became known lately."""
+    def recent_versions(self) -> tuple[NamedVersion, ...]:
+        """Return the versions that were named lately."""
         now_ms = self._clock.now_ms()
         return tuple(
-            AdapterRef(name, self.version_by_adapter[name])
+            NamedVersion(AdapterRef(name, named[-1].version), now_ms - named[-1].at_ms)
             for name, named in self._named_by_adapter.items()
             if now_ms - named[-1].at_ms <= TELL_MS
         )
@@ -100,6 +113,13 @@
         for life in report.left_servers:
             if life in self.book.by_life:
                 self.book.left(life, now_ms, f"told by {report.name}")
-        for ref in report.versions:
-            self.take_version(ref, report.name)
+        for told in report.versions:
+            self.take_version(told.ref, report.name, now_ms - told.age_ms)
         return any(not self.book.knows(life) for life in report.came_servers)
+
+
+def _named_earlier(named: list[_Named], version: int, at_ms: int) -> None:
+    """Take the word that a version that is known was named earlier than was thought."""
+    for place, known in enumerate(named):
+        if known.version == version and at_ms < known.at_ms:
+            named[place] = _Named(version, at_ms)
--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -24,7 +24,7 @@
 from ..routing.routes import RouteTable
 from ..storage.models import ChangedRow, ChangeFeed
 from ..storage.watch import CollectionWatch
-from .beliefs import Beliefs
+from .beliefs import LONG_AGO_MS, Beliefs
 
 _LOGGER = logging.getLogger(__name__)
 CARD_PREFIX = "node/"
@@ -100,6 +100,7 @@
         self._on_own_row = on_own_row
         self._on_server_gone = on_server_gone
         self._on_news = on_news
+        self._followed: Followed | None = None
         self._body_by_key: dict[str, dict[str, bytes]] = {
             "operator": {},
             "servers": {},
@@ -133,6 +134,7 @@
                 pause_ms=lambda: self._shared(OWN_PAUSE_MS),
             ),
         )
+        self._followed = followed
         for watch in (followed.operator, followed.servers, followed.own):
             tasks.spawn(watch.run)
         return followed
@@ -188,12 +190,17 @@
             return
         ref = self._decoders.adapter_version(row.key, row.body) if table is None else table
         if isinstance(ref, AdapterRef):
-            if self._beliefs.take_version(ref, "store"):
+            if self._beliefs.take_version(ref, "store", self._named_after_ms()):
                 self._on_news()
         elif ref is not None:
             # The last good one stays in force.
             log(_LOGGER, events.UnusableRow(row=row.key, cause=ref))
 
+    def _named_after_ms(self) -> int:
+        """Return when the version that is being taken was named, at the earliest."""
+        at_ms = self._followed.operator.changed_after_ms() if self._followed is not None else None
+        return LONG_AGO_MS if at_ms is None else at_ms
+
     def _server(self, row: ChangedRow) -> None:
         self._note("servers", row)
         now_ms = self._clock.now_ms()
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -13,7 +13,7 @@
 from ..core.server_life import ServerLife
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
-from .models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
+from .models import DutyClaim, Heard, HeldAdapters, NamedVersion, NodeCard, NodeReport
 
 ZLIB_LEVEL: Final = 1
 """Names repeat within a report: a third of the bytes for some 20 us."""
@@ -21,7 +21,7 @@
 MAX_REPORT_BYTES: Final = 1 << 20
 """A datagram that would unpack to more is no report."""
 
-FORMAT: Final = 4
+FORMAT: Final = 5
 """First field of each report; a node of another version is not understood and is left alone."""
 
 
@@ -48,7 +48,7 @@
                 for service, spent in report.spent_by_service.items()
             },
             report.left_servers,
-            [str(ref) for ref in report.versions],
+            [[str(named.ref), named.age_ms] for named in report.versions],
             [[c.cell, c.holder, c.epoch, c.heirs, c.counter] for c in report.claims],
             (
                 None
@@ -85,7 +85,7 @@
         },
         spent_by_service={service: Spent(*spent) for service, spent in fields[6].items()},
         left_servers=tuple(map(ServerLife, fields[7])),
-        versions=tuple(ref_of(text) for text in fields[8]),
+        versions=tuple(NamedVersion(ref_of(text), max(0, int(age))) for text, age in fields[8]),
         claims=tuple(_claim(entry) for entry in fields[9]),
         residency=None if fields[10] is None else tuple(map(_held, fields[10])),
         heard=tuple(Heard(str(name), str(boot), int(seq)) for name, boot, seq in fields[11]),
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -59,6 +59,17 @@
     adapters: tuple[AdapterRef, ...]
 
 
+@attrs.frozen(slots=True)
+class NamedVersion:
+    """A version of an adapter that was named lately.
+
+    :param age_ms: how long before the report it was named, at least as far as its node knows.
+    """
+
+    ref: AdapterRef
+    age_ms: int
+
+
 @attrs.frozen(slots=True)
 class NodeReport:
     """One node's word about itself; a newer one replaces it whole.
@@ -83,7 +94,7 @@
     work_by_server: dict[ServerLife, ServerWork] = attrs.Factory(dict)
     spent_by_service: dict[str, Spent] = attrs.Factory(dict)
     left_servers: tuple[ServerLife, ...] = ()
-    versions: tuple[AdapterRef, ...] = ()
+    versions: tuple[NamedVersion, ...] = ()
     claims: tuple[DutyClaim, ...] = ()
     residency: tuple[HeldAdapters, ...] | None = ()
     heard: tuple[Heard, ...] = ()
--- a/monsoonflow/logs/events.py
+++ b/monsoonflow/logs/events.py
@@ -164,10 +164,11 @@
 
 @_event
 class AdapterVersion(Event):
-    """The operator named a version of an adapter."""
+    """The operator named a version of an adapter, so long ago at the longest."""
 
     adapter: str
     source: str
+    age_ms: int | None = None
 
 
 @_event
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -58,6 +58,8 @@
         self.loaded = False
         self.lost_since_ms: int | None = None
         self._pause_ms = RETRY_PAUSE_MS
+        self._answered_ms: int | None = None
+        self._gap = True
 
     def run(self) -> None:
         """Follow the collection for good."""
@@ -74,6 +76,14 @@
             self._poked.wait(pause_ms - LEAST_PAUSE_MS)
         self._poked.clear()
 
+    def changed_after_ms(self) -> int | None:
+        """Return after when what is being taken has changed at the earliest.
+
+        ``None``: nothing is known of that, it is the first answer. Changes come as they are made
+        while questions are answered; in a gap they may be as old as the last answer before it.
+        """
+        return self._answered_ms if self._gap else self._clock.now_ms()
+
     def poke(self) -> None:
         """Ask soon: somebody has told that there is news."""
         if self._poked is not None:
@@ -90,10 +100,12 @@
                 for row in rows:
                     self._take(row)
                 self._version = max(self._version, version)
+                self._gap_over()
                 return self._between_ms()
             case HistoryLost():
                 log(_LOGGER, events.HistoryLost(collection=self._collection))
                 self.loaded = False
+                self._gap = True
                 return 0
             case Unavailable(reason=reason):
                 return self._unavailable(reason)
@@ -119,8 +131,13 @@
             self._take(ChangedRow(key, result.version, None))
         self._version = result.version
         self.loaded = True
+        self._gap_over()
         return 0
 
+    def _gap_over(self) -> None:
+        self._answered_ms = self._clock.now_ms()
+        self._gap = False
+
     def _take(self, row: ChangedRow) -> None:
         if row.version < self._row_version_by_key.get(row.key, 0):
             return
@@ -142,6 +159,7 @@
         self._on_return()
 
     def _unavailable(self, reason: str) -> int:
+        self._gap = True
         if self.lost_since_ms is None:
             self.lost_since_ms = self._clock.now_ms()
             log(_LOGGER, events.StoreLost(collection=self._collection, cause=reason))
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -14,7 +14,14 @@
 from monsoonflow.core.adapter import AdapterRef
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.fleet import codec
-from monsoonflow.fleet.models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
+from monsoonflow.fleet.models import (
+    DutyClaim,
+    Heard,
+    HeldAdapters,
+    NamedVersion,
+    NodeCard,
+    NodeReport,
+)
 from monsoonflow.fleet.view import ALIVE_MS, SPENT_FADES_MS, FleetView
 from monsoonflow.routing.budget import Spent
 from monsoonflow.routing.in_flight import ServerWork
@@ -30,7 +37,7 @@
     work_by_server={ServerLife("i-1"): ServerWork(2, 100, 300, Counter({"m/a1": 2}))},
     spent_by_service={"s": Spent(10, 2)},
     left_servers=(ServerLife("i-9"),),
-    versions=(AdapterRef("m/a1", 3),),
+    versions=(NamedVersion(AdapterRef("m/a1", 3), 1_200),),
     claims=(DutyClaim("s", "b", 4),),
     residency=(HeldAdapters(ServerLife("i-1"), (AdapterRef("m/a1", 3),)),),
     heard=(Heard("a", "a-1", 12),),
