A test that fails: a runner that keeps what waits begins it on an old version

A caller's time is over while its request waits in a runner's queue; the connection is closed, the runner lets go of nothing, and the request begins on version 1 after the bound. Nobody tells the runner itself. The stand-in runner has a queue now, which refuses what has not begun when its adapter is unloaded, as the platform's page says of orders.

--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -26,6 +26,8 @@
     :param rot: how many answers carry no signature.
     :param foreign: how many answers name another request.
     :param slow_ms: time that a request takes.
+    :param queue_ms: time that a request waits at a model runner before it begins.
+    :param keeps_left: a model runner keeps what waits there when its caller has gone.
     """
 
     fail: int = 0
@@ -37,6 +39,8 @@
     foreign: int = 0
     slow_ms: int = 5
     lose_orders: int = 0
+    queue_ms: int = 0
+    keeps_left: bool = False
 
 
 class PlatformServer:
@@ -158,6 +162,7 @@
         self.overfull = False
         self.events = 4
         self.event_ms = 5
+        self.begun: list[tuple[str, int | None]] = []
 
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Return its entry in the store."""
@@ -222,8 +227,33 @@
         if adapter and (held is None or (expected is not None and int(expected) != held)):
             reply.whole(421, self._headers(request, signed=False))
             return
+        if not self._waits_its_turn(request, adapter):
+            reply.whole(503, [*self._headers(request, signed=False), (b"X-Not-Executed", b"1")])
+            return
         super()._run(request, reply)
 
+    def _waits_its_turn(self, request: Request, adapter: str) -> bool:
+        """Wait in the runner's queue; return whether the request has begun.
+
+        What has not begun is refused when its adapter is unloaded or replaced meanwhile.
+        """
+        waits = gevent.spawn(self._begin_later, request, adapter, self.adapters.get(adapter))
+        try:
+            return waits.get()
+        except CallerLeft:
+            self.left += 1
+            if not self.faults.keeps_left:
+                waits.kill(block=False)
+            raise
+
+    def _begin_later(self, request: Request, adapter: str, version: int | None) -> bool:
+        gevent.sleep(self.faults.queue_ms / 1000)
+        begins = self.adapters.get(adapter) == version
+        if begins:
+            name = (request.value(b"x-request-id") or b"").decode()
+            self.begun.append((name, version))
+        return begins
+
     def _answer(self, request: Request, reply: Reply) -> None:
         if self.faults.fail or self.faults.rot or self.faults.foreign or self.faults.lose:
             super()._answer(request, reply)
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import attrs
+import gevent
 import orjson
 import pytest
 
@@ -117,3 +118,35 @@
     report = NodeReport(CARD, 1, True, False, 1, True, versions=teller.recent_versions())
     hearer.take_report(report)
     assert hearer.passed_by_ms(NAME, 1) == named_ms
+
+
+@pytest.fixture
+def one(fleet):
+    fleet.runner("i-1")
+    node = fleet.node()
+    fleet.holder()
+    return node
+
+
+def test_what_waits_at_a_runner_that_keeps_it_never_begins_on_an_old_version(fleet, one):
+    """A request waits in its runner's own queue, four seconds long, when version 2 is named.
+
+    Its caller's time is over and its node closes the connection, but not every runner lets go of
+    what waits for a caller that has gone: one began it on version 1 at 18.108 s, 5,093 ms after
+    version 2 was confirmed and 230 ms after the caller's time. The runner itself has to be told.
+    """
+    (runner,) = fleet.servers
+    fleet.generate(one, "a1", "r0")
+    settings = one.daemon.settings
+    bounds = attrs.evolve(settings.bounds, version_ms=1_000)
+    one.daemon.settings = attrs.evolve(settings, bounds=bounds)
+    runner.faults.queue_ms, runner.faults.keeps_left = 2_000, True
+    told = {"X_Model": NAME, "X_Token_Count": "100,20"}
+    waiting = gevent.spawn(fleet.ask, one, "/read/x", "r1", b"prompt", deadline_ms=900, **told)
+    gevent.sleep(0.2)
+    runner.newest["a1"] = 2
+    fleet.store.put("op", f"version/{MODEL}.a1", {"model": MODEL, "adapter": "a1", "version": 2})
+    waiting.get()
+    gevent.sleep(1.5)
+    assert ("r1", 1) not in runner.begun
+    assert runner.adapters.get("a1") != 1
