Runners are told to drop a version whose time is over

Cause: a request that waits in a runner's queue is only ours to take back by closing its connection, and a runner may keep it and begin it after the bound. Change: the holder orders the unload of a version that has not been the newest for 0.65 of the bound, in use or not; what runs there ends, what has not begun is refused unrun and goes to the new version. An unload that waits for its runs is asked for ever more seldom (every 20 ms before).

--- a/monsoonflow/entry/beliefs.py
+++ b/monsoonflow/entry/beliefs.py
@@ -90,6 +90,11 @@
         named = self._named_by_adapter.get(adapter, ())
         return next((entry.at_ms for entry in named if entry.version > version), None)
 
+    def passed_for(self, ref: AdapterRef, longer_than_ms: float) -> bool:
+        """Tell whether a version has not been the newest for longer than a time."""
+        passed_ms = self.passed_by_ms(ref.name, ref.version)
+        return passed_ms is not None and self._clock.now_ms() - passed_ms > longer_than_ms
+
     def recent_versions(self) -> tuple[NamedVersion, ...]:
         """Return the versions that were named lately."""
         now_ms = self._clock.now_ms()
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -9,6 +9,7 @@
 import orjson
 from gevent.event import AsyncResult, Event
 
+from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
 from ..fleet.models import DutyClaim, HeldAdapters
 from ..orders.models import Gone, Order, RunnerControl, Superseded
@@ -36,6 +37,11 @@
 """Longest pause between two looks at what is to be ordered; news wakes it at once."""
 
 
+CLOSE_SHARE: Final = 0.65
+"""Share of the bound on new versions after which runners are told to drop an older one: shortly
+after nodes send nothing more for it, and early enough that a lost order is repeated or a new holder
+gives it."""
+
 GIVE_UP_STEP_MS: Final = 50
 """How often a stopping holder looks whether the store is back: a quarter of a round of reports."""
 
@@ -293,6 +299,7 @@
                 duty.service.engine,
                 self._daemon.beliefs.version_by_adapter,
                 self._daemon.settings.bounds.load_window_ms,
+                self._version_over,
             )
         desk = duty.desk
         present = {s.life for s in self._daemon.beliefs.book.of_service(duty.service.name)}
@@ -305,6 +312,10 @@
             self.residency.forget(life)
         return True
 
+    def _version_over(self, ref: AdapterRef) -> bool:
+        after_ms = self._daemon.settings.bounds.version_ms * CLOSE_SHARE
+        return self._daemon.beliefs.passed_for(ref, after_ms)
+
     def _plan(self, duty: Duty, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
         desk = duty.desk
         for life in desk.wants_report(now_ms):
--- a/monsoonflow/entry/placing.py
+++ b/monsoonflow/entry/placing.py
@@ -216,10 +216,8 @@
 
     def _is_over(self, adapter: str, version: int) -> bool:
         """Tell whether a version may no longer get new requests."""
-        passed_ms = self._daemon.beliefs.passed_by_ms(adapter, version)
-        bound_ms = self._daemon.settings.bounds.version_ms
-        now_ms = self._daemon.clock.now_ms()
-        return passed_ms is not None and now_ms - passed_ms > bound_ms * OLD_VERSION_SHARE
+        after_ms = self._daemon.settings.bounds.version_ms * OLD_VERSION_SHARE
+        return self._daemon.beliefs.passed_for(AdapterRef(adapter, version), after_ms)
 
 
 def _to(
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final, TypeAlias
 
 from ..core.adapter import AdapterRef
@@ -43,6 +43,10 @@
 CONFIRM_EVERY_MS: Final = 20
 """Pause between questions whether a load is complete: a question costs a round trip of 3 ms."""
 
+UNLOAD_PAUSE_SHARE: Final = 0.25
+"""Share of the time that an unload has taken after which it is asked for again: its place is free a
+quarter later than it could be, at the most."""
+
 MODEL_CONFIRM_EVERY_MS: Final = 250
 
 LATE_ORDER_MS: Final = 12_000
@@ -83,13 +87,19 @@
 
     :param newest: the newest version by adapter, where the operator named one.
     :param load_window_ms: the window in which loads of base models are counted.
+    :param over: tells whether a version may soon begin no more, so that its runners must drop it.
     """
 
     def __init__(
-        self, traits: EngineTraits, newest: dict[str, int], load_window_ms: int = 5_000
+        self,
+        traits: EngineTraits,
+        newest: dict[str, int],
+        load_window_ms: int = 5_000,
+        over: Callable[[AdapterRef], bool] = lambda ref: False,
     ) -> None:
         self.traits = traits
         self._newest = newest
+        self._over = over
         self.runners: dict[ServerLife, RunnerSeats] = {}
         self.waiters: list[Waiter] = []
         self._heat = Heat()
@@ -268,8 +278,24 @@
                 return self._step(runner, Operation.LOAD, seat.ref, confirms=True)
             if seat.state is SeatState.DROPPING and now_ms >= seat.check_at_ms:
                 return self._step(runner, Operation.UNLOAD, seat.ref, confirms=True)
+        return self._closing(runner, now_ms)
+
+    def _closing(self, runner: RunnerSeats, now_ms: int) -> Step | None:
+        """Return the unload of a version whose time is over.
+
+        A runner may keep what waits in its queue for seconds, also when its node has closed the
+        connection, and begin it on the old version; told to unload, it refuses what has not begun.
+        """
+        for seat in runner.seats.values():
+            if seat.state is SeatState.READY and self._over(seat.ref):
+                return self._drop(runner, seat, now_ms)
         return None
 
+    def _drop(self, runner: RunnerSeats, seat: Seat, now_ms: int) -> Step:
+        seat.state = SeatState.DROPPING
+        seat.since_ms = now_ms
+        return self._step(runner, Operation.UNLOAD, seat.ref)
+
     def _model_step(self, runner: RunnerSeats, now_ms: int) -> Step | None:
         if runner.model_loading is not None:
             if now_ms < runner.model_check_at_ms:
@@ -362,8 +388,7 @@
             seat = self._idle.least_valuable(runner, now_ms, work)
             if seat is None:
                 return None
-            seat.state = SeatState.DROPPING
-            return self._step(runner, Operation.UNLOAD, seat.ref)
+            return self._drop(runner, seat, now_ms)
         seat = runner.begin_load(ref, now_ms)
         seat.among = self._cold_incoming()
         self.loads += 1
@@ -420,8 +445,12 @@
                 runner.dropped(step.name)
             return
         usual_ms = COLD_LOAD_MS if seat.cold else WARM_LOAD_MS
-        first = not step.confirms and step.operation is Operation.LOAD
-        seat.check_at_ms = now_ms + (usual_ms if first else CONFIRM_EVERY_MS)
+        if step.operation is Operation.UNLOAD:
+            # It waits for its runs, seconds if they are long: asked again ever more seldom.
+            usual_ms = CONFIRM_EVERY_MS + int((now_ms - seat.since_ms) * UNLOAD_PAUSE_SHARE)
+        elif step.confirms:
+            usual_ms = CONFIRM_EVERY_MS
+        seat.check_at_ms = now_ms + usual_ms
 
     def _undo(self, runner: RunnerSeats, step: Step) -> None:
         """Take back what was believed of an order that was never carried out."""
--- a/tests/placement/conftest.py
+++ b/tests/placement/conftest.py
@@ -48,6 +48,7 @@
     crashed: bool = False
     shared_store: int | None = None
     in_progress: list[int] = attrs.Factory(list)
+    unloads_wait: bool = False
 
     def settle(self, now_ms: int) -> None:
         """Let loads that are due complete."""
@@ -66,6 +67,9 @@
             return Stale("sequence")
         if "/" not in step.name:
             return self._load_model(now_ms)
+        if step.operation is Operation.UNLOAD and self.unloads_wait:
+            self.sequence += not step.confirms
+            return Accepted(complete=False)
         if step.operation is Operation.UNLOAD:
             self.sequence += self.held.pop(step.name, None) is not None
             return Accepted(complete=True)
--- a/tests/placement/test_desk.py
+++ b/tests/placement/test_desk.py
@@ -243,6 +243,43 @@
     assert world.placed("new") not in (None, old)
 
 
+def test_a_version_whose_time_is_over_is_dropped_while_it_is_used(make_world):
+    """Requests run and wait at a runner on version 1, whose time is over; nobody asks for more.
+
+    What runs there ends; what has not begun is refused by the runner, which has to be told. A lost
+    order is given again.
+    """
+    world = make_world()
+    world.ask("a1")
+    world.run(400)
+    life = world.placed("a1")
+    world.use(life, "a1", requests=3)
+    world.run(1_000)
+    assert not any(step.operation is Operation.UNLOAD for step in world.steps)
+    world.desk._over = lambda ref: ref.version < 2
+    world.lose = 1
+    world.run(100)
+    assert world.runners[life].held == {}
+    assert not world.desk.runners[life].seats
+
+
+def test_an_unload_that_waits_for_its_runs_is_asked_for_ever_more_seldom(make_world):
+    """A long answer holds an old version for three seconds; each question goes to its runner."""
+    world = make_world()
+    world.ask("a1")
+    world.run(400)
+    life = world.placed("a1")
+    runner = world.runners[life]
+    runner.unloads_wait = True
+    world.desk._over = lambda ref: ref.version < 2
+    before = len(world.steps)
+    world.run(3_000)
+    assert 5 < len(world.steps) - before < 40
+    runner.unloads_wait = False
+    world.run(1_000)
+    assert not world.desk.runners[life].seats
+
+
 def test_the_bound_on_adapters_follows_from_the_weights_too(make_world):
     traits = attrs.evolve(TRAITS, weights_mb=34_300 + 100)
     world = make_world(traits=traits, slots=2)
