--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -357,6 +357,8 @@
                 loads=desk.loads,
                 cold=desk.cold_loads,
                 copies=desk.copies,
+                fetch_limit=desk.load_limit.limit,
+                fetch_ms=desk.load_limit.full_speed_ms,
             ),
         )
 
--- a/monsoonflow/logs/events.py
+++ b/monsoonflow/logs/events.py
@@ -205,6 +205,8 @@
     loads: int
     cold: int
     copies: int
+    fetch_limit: int = 0
+    fetch_ms: int | None = None
 
 
 @_event
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -106,7 +106,7 @@
         self._idle = IdlePlaces(self.runners, self._heat, newest)
         self._choice = RunnerChoice(self.runners, self._idle)
         self._loads_by_runner = RunnerLoads()
-        self._load_limit = LoadLimit()
+        self.load_limit = LoadLimit()
         self._ticked_ms = 0
         self._model_loads = ModelLoads(traits.loads_per_s, load_window_ms)
         self._pace = Pace()
@@ -334,7 +334,7 @@
             if len(seen) >= MOST_LOOKED_AT:
                 break
             seen.add(waiter.name)
-            may_fetch = self._load_limit.allows(cold, now_ms)
+            may_fetch = self.load_limit.allows(cold, now_ms)
             held_back = held_back or not may_fetch
             ref = self._newest_ref(waiter)
             runner = self._choice.best(waiter, ref, now_ms, work, may_fetch)
@@ -347,7 +347,7 @@
             runner.ordering = True
             steps.append(step)
         if not held_back:
-            self._load_limit.calm()
+            self.load_limit.calm()
         return steps
 
     def _copies(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> list[Step]:
@@ -439,7 +439,7 @@
         if complete:
             if step.operation is Operation.LOAD:
                 if seat.cold and seat.state is SeatState.LOADING and seat.among:
-                    self._load_limit.complete(now_ms - seat.since_ms, seat.among, now_ms)
+                    self.load_limit.complete(now_ms - seat.since_ms, seat.among, now_ms)
                 runner.loaded(step.name, now_ms)
             else:
                 runner.dropped(step.name)
--- a/monsoonflow/placement/load_limit.py
+++ b/monsoonflow/placement/load_limit.py
@@ -66,6 +66,16 @@
         self._refused_since_ms: int | None = None
         self._found_until_ms = 0
 
+    @property
+    def limit(self) -> int:
+        """Return how many may be fetched at once now."""
+        return int(self._limit)
+
+    @property
+    def full_speed_ms(self) -> int | None:
+        """Return how long a load takes at full speed; ``None`` before the first."""
+        return self._shortest_ms
+
     def allows(self, in_progress: int, now_ms: int) -> bool:
         """Tell whether one more may begin."""
         if in_progress < int(self._limit):
