The bound on fetches follows what the store sends, not what else delays loads

Cause: each four loads in a row that took 1.3 times the shortest lowered the bound, for a minute, and nothing but a faster store raised it. Lost orders, slow runners and ends seen late do that all the time. Class: a learner that takes one explanation for all evidence, and only one way. Ruled out: the store (full speed did not change), the holder's processor (not charged there), places (94 of 212 idle). Change: loads are judged in groups by the quicker ones; the bound falls after two slow groups and is tried again after 10 s; loads that are three times too late are not counted as on their way.

--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -323,7 +323,7 @@
     def _loads(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> list[Step]:
         """Return loads for those who wait, most urgent first, and the unloads they need."""
         steps = self._copies(now_ms, work)
-        cold = self._cold_incoming()
+        cold = self._cold_incoming(now_ms)
         wanted = sorted(self.waiters, key=lambda waiter: waiter.urgency(now_ms))
         seen: set[str] = set()
         held_back = False
@@ -390,7 +390,7 @@
                 return None
             return self._drop(runner, seat, now_ms)
         seat = runner.begin_load(ref, now_ms)
-        seat.among = self._cold_incoming()
+        seat.among = self._cold_incoming(now_ms)
         self.loads += 1
         self.cold_loads += seat.cold
         version = ref.version if ref.version > 1 else None
@@ -494,9 +494,12 @@
                     seat.granted_until_ms = 0
         self._heat.forget_cold(now_ms)
 
-    def _cold_incoming(self) -> int:
+    def _cold_incoming(self, now_ms: int) -> int:
+        """Return how many adapters are on their way from the weight store."""
         return sum(
-            seat.state is SeatState.LOADING and seat.cold
+            seat.state is SeatState.LOADING
+            and seat.cold
+            and self.load_limit.on_its_way(now_ms - seat.since_ms)
             for runner in self.runners.values()
             for seat in runner.seats.values()
         )
--- a/monsoonflow/placement/load_limit.py
+++ b/monsoonflow/placement/load_limit.py
@@ -2,7 +2,11 @@
 
 The load that it is made for: a rush for rare adapters. Beyond its limit the store sends each one
 more slowly, in proportion; what is urgent then waits for what is not. The limit is told nowhere and
-differs between deployments (8 beside 6 runners, 48 beside 45), but the time of a load shows it.
+differs between deployments (8 beside 6 runners, 48 beside 45), but the times of loads show it.
+
+Loads end late for other reasons too: lost orders, slow runners, ends that are seen late. Those
+delay some; a full store delays all. So loads are judged in groups, by the quicker ones of each.
+Too high a limit makes loads wait for each other; too low a one leaves places idle.
 """
 
 from __future__ import annotations
@@ -11,32 +15,47 @@
 from collections import deque
 from typing import Final
 
-FIRST_LIMIT: Final = 8.0
-LEAST_LIMIT: Final = 4.0
+FIRST_LIMIT: Final = 8
+"""First guess. One that grew with the runners was eleven times too high before a slow store, and no
+load ever showed what full speed is."""
+
+LEAST_LIMIT: Final = 4
+
+GROUP: Final = 8
+"""Fewest loads that are judged together, and never fewer than the limit: a round of them or two."""
+
+QUICK_SHARE: Final = 0.25
+"""The load that stands for its group comes after this share, quickest first: a full store delays
+even that one; lost orders and slow runners delayed a third."""
+
+SLOWED: Final = 1.35
+"""The store is full when even the quicker loads take so many times what they take at full speed."""
 
-SLOWED: Final = 1.3
-SAMPLE: Final = 4
-"""The store slows loads down when so many in a row all take so many times the shortest one. A
-single one may be seen late: a runner is asked about one load after the other (330 ms for 250 on a
-quiet day). Half too many at once make 1.5 for all of them."""
+SLOW_GROUPS: Final = 2
+"""Groups in a row that must be slow before the limit falls: one may be so by chance."""
+
+STUCK: Final = 3
+"""A load that has taken so many times as long as one at full speed is not on its way: its order was
+lost, or its runner is gone. It takes nothing of what the store sends."""
 
 USED_SHARE: Final = 0.75
-"""A load that is slow beside fewer than this share of the limit is slow for another reason (a lost
-order, a slow runner)."""
+"""A load beside fewer than this share of the limit tells nothing about it."""
+
+REMEMBERED: Final = 32
+"""Groups of which the second quickest tells what full speed is: in the quickest several runners may
+have had adapters at hand."""
 
 STEP_UP: Final = 1.5
-"""A limit that keeps somebody waiting while loads run at full speed is raised by half: from 8 to 48
-in 1.3 s. A store that is full already gets half too many once, and those take half longer."""
+"""A limit that keeps somebody waiting while loads run at full speed is raised by half. A store that
+is full already gets half too many once, and those take half longer."""
 
 RUSH_MS: Final = 500
 """Requests come in clumps; a limit that binds for less than two loads is not tried out, since half
 too many at once make each load of a clump take half longer."""
 
-KEPT_MS: Final = 60_000
-"""How long a bound that was found is kept before a higher one is tried again."""
-
-GROWTH: Final = 0.5
-"""What one load at full speed adds on the way there."""
+KEPT_MS: Final = 10_000
+"""How long a bound that was found is kept before a higher one is tried again: a trial delays two
+rounds of loads by half, a bound that is too low all who wait."""
 
 
 class LoadLimit:
@@ -45,26 +64,24 @@
     >>> limit = LoadLimit()
     >>> limit.allows(7, now_ms=0), limit.allows(8, now_ms=0)
     (True, False)
-    >>> for _ in range(9):
+    >>> for _ in range(8):
     ...     limit.complete(took_ms=250, among=8, now_ms=1_000)
     >>> limit.allows(11, now_ms=1_000), limit.allows(12, now_ms=1_000)
     (True, False)
-    >>> for _ in range(4):
+    >>> for _ in range(24):
     ...     limit.complete(took_ms=375, among=12, now_ms=1_400)
     >>> limit.allows(7, now_ms=1_400), limit.allows(8, now_ms=1_400)
     (True, False)
-    >>> limit.complete(took_ms=900, among=2, now_ms=1_500)
-    >>> limit.allows(7, now_ms=1_500)
-    True
     """
 
     def __init__(self) -> None:
-        self._limit = FIRST_LIMIT
-        self._target = FIRST_LIMIT
-        self._shortest_ms: int | None = None
-        self._recent: deque[tuple[float, int]] = deque(maxlen=SAMPLE)
+        self._limit = float(FIRST_LIMIT)
+        self._group: list[tuple[int, int]] = []
+        self._quick_ms: deque[int] = deque(maxlen=REMEMBERED)
+        self._full_speed_ms: int | None = None
+        self._slow_groups = 0
         self._refused_since_ms: int | None = None
-        self._found_until_ms = 0
+        self._kept_until_ms = 0
 
     @property
     def limit(self) -> int:
@@ -73,45 +90,56 @@
 
     @property
     def full_speed_ms(self) -> int | None:
-        """Return how long a load takes at full speed; ``None`` before the first."""
-        return self._shortest_ms
+        """Return how long a load takes at full speed; ``None`` before it was seen."""
+        return self._full_speed_ms
+
+    def on_its_way(self, for_ms: int) -> bool:
+        """Tell whether a load that began so long ago may still be on its way from the store."""
+        return self._full_speed_ms is None or for_ms <= self._full_speed_ms * STUCK
 
     def allows(self, in_progress: int, now_ms: int) -> bool:
         """Tell whether one more may begin."""
-        if in_progress < int(self._limit):
+        if in_progress < self.limit:
             return True
         if self._refused_since_ms is None:
             self._refused_since_ms = now_ms
         return False
 
+    def calm(self) -> None:
+        """Take that nobody waits because of the limit."""
+        self._refused_since_ms = None
+
     def complete(self, took_ms: int, among: int, now_ms: int) -> None:
         """Take how long a load took.
 
         :param among: how many were in progress when it began, itself among them.
         """
-        if self._shortest_ms is None or took_ms < self._shortest_ms:
-            self._shortest_ms = max(1, took_ms)
-        if among >= self._limit * USED_SHARE:
-            self._recent.append((took_ms / self._shortest_ms, among))
-        ratio = min((ratio for ratio, _ in self._recent), default=1.0)
-        if len(self._recent) == SAMPLE and ratio > SLOWED:
-            found = math.ceil(max(among for _, among in self._recent) / ratio)
-            self._limit = self._target = max(LEAST_LIMIT, min(self._limit, found))
-            self._found_until_ms = now_ms + KEPT_MS
-            self._recent.clear()
+        if among < self._limit * USED_SHARE:
             return
-        if now_ms < self._found_until_ms:
+        self._group.append((max(1, took_ms), among))
+        if len(self._group) < max(GROUP, self.limit):
             return
-        # Only a load beside as many as are allowed shows that there may be more.
-        full = self._limit >= self._target and among >= int(self._limit) - 1
-        if full and self._rushed(now_ms):
-            self._target = self._limit * STEP_UP
-        if self._limit < self._target:
-            self._limit = min(self._target, self._limit + GROWTH)
-
-    def calm(self) -> None:
-        """Take that nobody waits because of the limit."""
-        self._refused_since_ms = None
+        quick_ms = sorted(took for took, _ in self._group)[int(len(self._group) * QUICK_SHARE)]
+        among = max(among for _, among in self._group)
+        self._group.clear()
+        self._judge(quick_ms, among, now_ms)
+
+    def _judge(self, quick_ms: int, among: int, now_ms: int) -> None:
+        """Take a group of loads."""
+        self._quick_ms.append(quick_ms)
+        passed_over = min(1, len(self._quick_ms) * 4 // REMEMBERED)
+        self._full_speed_ms = sorted(self._quick_ms)[passed_over]
+        slower = quick_ms / self._full_speed_ms
+        if slower <= SLOWED:
+            self._slow_groups = 0
+            if now_ms >= self._kept_until_ms and self._rushed(now_ms):
+                self._limit *= STEP_UP
+            return
+        self._slow_groups += 1
+        if self._slow_groups >= SLOW_GROUPS:
+            self._slow_groups = 0
+            self._limit = max(LEAST_LIMIT, min(self._limit, math.ceil(among / slower)))
+            self._kept_until_ms = now_ms + KEPT_MS
 
     def _rushed(self, now_ms: int) -> bool:
         since_ms = self._refused_since_ms
