A node's card tells how much processor time its machine has

The duty is given by hash alone, also to the weakest machine of a fleet: nothing that nodes know of each other says which machine has what. Absent or unreadable it is 1.0; what is told is bounded, since a card comes from outside. In a report it stands at the end, where a node of the version before does not look: within the card such a node would take the whole report for none.

No decision rests on it yet.

--- a/monsoonflow/entry/cards.py
+++ b/monsoonflow/entry/cards.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 from ..core.clock import Clock
@@ -22,10 +23,18 @@
 
 
 class CardKeeper:
-    """Writes this node's card and removes those of nodes that are gone."""
+    """Writes this node's card and removes those of nodes that are gone.
+
+    :param card: returns this node's card as of now: changed settings may change it.
+    """
 
     def __init__(
-        self, card: NodeCard, table: Table, view: FleetView, tasks: Tasks, clock: Clock
+        self,
+        card: Callable[[], NodeCard],
+        table: Table,
+        view: FleetView,
+        tasks: Tasks,
+        clock: Clock,
     ) -> None:
         self._card = card
         self._table = table
@@ -41,31 +50,31 @@
             self._tasks.sleep(RETRY_PAUSE_MS)
         while True:
             self._tasks.sleep(CHECK_EVERY_MS)
-            if self._view.card_by_name.get(self._card.name) != self._card:
+            if self._view.card_by_name.get(self._view.name) != self._card():
                 self._write()
             self._clear_away()
 
     def _write(self) -> bool:
-        key = CARD_PREFIX + self._card.name
-        result = self._table.commit(Transaction(new_id("op"), {}, {key: encode_card(self._card)}))
+        card = self._card()
+        key = CARD_PREFIX + card.name
+        result = self._table.commit(Transaction(new_id("op"), {}, {key: encode_card(card)}))
         self.written = isinstance(result, Committed)
         if self.written:
-            log(_LOGGER, events.CardWritten(node=self._card.name))
+            log(_LOGGER, events.CardWritten(node=card.name))
         return self.written
 
     def _clear_away(self) -> None:
         now_ms = self._clock.now_ms()
-        names = sorted({self._card.name, *self._view.card_by_name})
-        alive = [
-            name for name in names if name == self._card.name or self._view.alive(name, now_ms)
-        ]
+        own = self._view.name
+        names = sorted({own, *self._view.card_by_name})
+        alive = [name for name in names if name == own or self._view.alive(name, now_ms)]
         for name in names:
             if name in alive:
                 self._missing_since_by_name.pop(name, None)
                 continue
             since_ms = self._missing_since_by_name.setdefault(name, now_ms)
             # Only the first of the living does it: the others would only repeat the write.
-            if now_ms - since_ms > GONE_AFTER_MS and alive[0] == self._card.name:
+            if now_ms - since_ms > GONE_AFTER_MS and alive[0] == own:
                 self._table.commit(Transaction(new_id("op"), {}, {}, (CARD_PREFIX + name,)))
                 self._missing_since_by_name.pop(name)
                 log(_LOGGER, events.CardRemoved(node=name))
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -114,7 +114,7 @@
         self.tasks: Tasks = tasks or GeventTasks()
         self.rng = random.Random()
         self.leaving = False
-        self.view = FleetView(settings.name)
+        self.view = FleetView(settings.name, settings.cores)
         self.beliefs = Beliefs(self.clock)
         self.in_flight = InFlight(self._adapter_use_changed)
         self.conditions = Conditions()
@@ -148,7 +148,7 @@
             self._news,
         )
         self.followed: Followed | None = None
-        self.cards = CardKeeper(self._card(), self.table, self.view, self.tasks, self.clock)
+        self.cards = CardKeeper(self._card, self.table, self.view, self.tasks, self.clock)
         self.ports = self._ports(outside)
         self._watch_gauges(outside)
 
@@ -187,6 +187,7 @@
                 boot=self.boot,
                 callers=self.settings.callers_address,
                 peer=self.settings.peer_address,
+                cores=self.settings.cores,
             ),
         )
         return True
@@ -203,6 +204,7 @@
             log(_LOGGER, events.UnusableSettings(cause="addresses changed"))
             return
         self.settings = changed
+        self.view.cores = changed.cores
         bounds = changed.bounds
         self.budget.allowance = RetryAllowance(
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_ms
@@ -288,6 +290,7 @@
             settings.callers_address,
             settings.peer_address,
             settings.report_address,
+            settings.cores,
         )
 
     def _ports(self, outside: Outside) -> Ports:
--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -5,19 +5,18 @@
 import base64
 import logging
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 import orjson
 from msgspec import Struct
-from msgspec.structs import astuple
 
 from ..core.adapter import AdapterRef
 from ..core.clock import Clock
 from ..core.server_life import ServerLife
 from ..core.tasks import Tasks
 from ..discovery.models import BackendServer
-from ..fleet.models import NodeCard
+from ..fleet.models import NodeCard, told_cores
 from ..fleet.view import FleetView
 from ..helpers.strict import read
 from ..logs import events, log
@@ -241,15 +240,26 @@
     callers: str
     peer: str
     report: str
+    cores: Any = None
 
 
 def decode_card(body: bytes) -> NodeCard | str:
     """Return a node's card, or why it can't be used."""
     fields = read(body, CardFields)
-    return fields if isinstance(fields, str) else NodeCard(*astuple(fields))
-
-
-def encode_card(card: NodeCard) -> dict[str, str]:
+    if isinstance(fields, str):
+        return fields
+    return NodeCard(
+        fields.name,
+        fields.boot,
+        fields.data_centre,
+        fields.callers,
+        fields.peer,
+        fields.report,
+        told_cores(fields.cores),
+    )
+
+
+def encode_card(card: NodeCard) -> dict[str, str | float]:
     """Return the value of a node's row."""
     return {
         "name": card.name,
@@ -258,4 +268,5 @@
         "callers": card.callers_address,
         "peer": card.peer_address,
         "report": card.report_address,
+        "cores": card.cores,
     }
--- a/monsoonflow/entry/settings.py
+++ b/monsoonflow/entry/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..fleet.models import USUAL_CORES
+
 
 def _address(_instance: object, field: attrs.Attribute, value: str) -> None:
     host, mark, port = value.rpartition(":")
@@ -56,6 +58,7 @@
     :param report_address: where their reports come (UDP).
     :param metrics_address: where metrics are read.
     :param seeds: peer addresses of some nodes, which may be out of date.
+    :param cores: how much processor time this process has, as its card tells it.
     """
 
     name: str
@@ -70,6 +73,7 @@
     store_address: str = attrs.field(validator=_address)
     bounds: PeerBounds = PeerBounds()
     seeds: tuple[str, ...] = ()
+    cores: float = USUAL_CORES
 
     def listens_at(self) -> tuple[str, ...]:
         """Return what can't change while the process runs."""
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -13,7 +13,7 @@
 from ..core.server_life import ServerLife
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
-from .models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
+from .models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport, told_cores
 
 ZLIB_LEVEL: Final = 1
 """Names repeat within a report: a third of the bytes for some 20 us."""
@@ -35,7 +35,7 @@
     return orjson.dumps(
         [
             FORMAT,
-            attrs.astuple(report.card),
+            _addresses(report.card),
             report.sequence,
             flags,
             report.config_version,
@@ -57,6 +57,7 @@
             ),
             [attrs.astuple(heard) for heard in report.heard],
             report.came_servers,
+            report.card.cores,
         ]
     )
 
@@ -73,7 +74,7 @@
 def _decode(fields: list[Any]) -> NodeReport:
     flags = int(fields[3])
     return NodeReport(
-        card=NodeCard(*map(str, fields[1])),
+        card=NodeCard(*map(str, fields[1]), cores=told_cores(_after(fields, 13))),
         sequence=int(fields[2]),
         ready=bool(flags & 1),
         leaving=bool(flags & 2),
@@ -93,6 +94,27 @@
     )
 
 
+def _addresses(card: NodeCard) -> tuple[str, ...]:
+    """Return a card without what was added to it later.
+
+    That stands at the end of a report, where a node of an older version does not look: it would
+    take a card with one field more for no report.
+    """
+    return (
+        card.name,
+        card.boot,
+        card.data_centre,
+        card.callers_address,
+        card.peer_address,
+        card.report_address,
+    )
+
+
+def _after(fields: list[Any], place: int) -> Any:
+    """Return a field that a node of an older version does not tell, or ``None``."""
+    return fields[place] if len(fields) > place else None
+
+
 def _held(entry: list[Any]) -> HeldAdapters:
     return HeldAdapters(ServerLife(entry[0]), tuple(ref_of(text) for text in entry[1]))
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from typing import Final
+
 import attrs
 
 from ..core.adapter import AdapterRef
@@ -9,6 +12,27 @@
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
 
+USUAL_CORES: Final = 1.0
+"""Taken for a machine that tells nothing, or nothing that could be meant."""
+
+LEAST_CORES: Final = 1 / 64
+MOST_CORES: Final = 1_024.0
+"""Bounds of what is believed: beyond any machine that runs an entry node."""
+
+
+def told_cores(value: object) -> float:
+    """Return a machine's processor as somebody told it, within bounds.
+
+    A wrong word only moves the node's place among the candidates for a duty: the rest of what was
+    told with it is good all the same.
+
+    >>> told_cores(2.15), told_cores(None), told_cores("4"), told_cores(-1), told_cores(10**400)
+    (2.15, 1.0, 1.0, 1.0, 1024.0)
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        return USUAL_CORES
+    return float(min(max(value, LEAST_CORES), MOST_CORES))
+
 
 @attrs.frozen(slots=True)
 class NodeCard:
@@ -16,6 +40,8 @@
 
     :param boot: names one life of the node's process.
     :param peer_address: for calls; ``report_address`` for datagrams.
+    :param cores: how much processor time the node has, in seconds of one usual core a second: its
+        share of a core times that core's speed.
     """
 
     name: str
@@ -24,6 +50,7 @@
     callers_address: str
     peer_address: str
     report_address: str
+    cores: float = USUAL_CORES
 
 
 @attrs.frozen(slots=True)
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -12,7 +12,7 @@
 from ..logs import events, log
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
-from .models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
+from .models import USUAL_CORES, DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
 from .rounds import holder_silence_ms, silence_ms
 
 _LOGGER = logging.getLogger(__name__)
@@ -66,10 +66,12 @@
     """The reports and cards of the other nodes.
 
     :param name: of this node.
+    :param cores: of this node, as its card tells it.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, cores: float = USUAL_CORES) -> None:
         self.name = name
+        self.cores = cores
         self._heard_by_name: dict[str, _Heard] = {}
         self.card_by_name: dict[str, NodeCard] = {}
         self._epoch_by_cell: dict[str, DutyClaim] = {}
@@ -80,6 +82,13 @@
         """Take how a node can be reached."""
         self.card_by_name[card.name] = card
 
+    def cores_of(self, name: str) -> float:
+        """Return how much processor time a node has, as far as it has told."""
+        if name == self.name:
+            return self.cores
+        card = self.card_by_name.get(name)
+        return USUAL_CORES if card is None else card.cores
+
     def card_gone(self, name: str) -> None:
         """Forget how a node can be reached."""
         self.card_by_name.pop(name, None)
--- a/monsoonflow/logs/events.py
+++ b/monsoonflow/logs/events.py
@@ -260,6 +260,7 @@
     boot: str
     callers: str
     peer: str
+    cores: float
 
 
 @_event
--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 from ..entry.settings import EntrySettings, PeerBounds
+from ..fleet.models import USUAL_CORES, told_cores
 from ..helpers.settings import Setting, SettingError, one_of, pattern, whole
 
 SCHEMA: Final = [
@@ -82,6 +83,7 @@
         metrics_address=f"{fields['bindIp']}:{metrics_port}",
         seeds=tuple(str(seed) for seed in fields.get("seedNodes", ())),
         store_address=str(platform["address"]),
+        cores=_cores(fields.get("limits")),
         bounds=PeerBounds(
             lease_ms=int(bounds.get("leaseMs", 3_000)),
             grace_ms=_ms(bounds.get("graceS", 8)),
@@ -98,5 +100,16 @@
     )
 
 
+def _cores(limits: object) -> float:
+    """Return the processor time that the process gets; a guess where it is not told.
+
+    ``cpuCores`` is no number of cores: it is how many times as fast the one core is.
+    """
+    if not isinstance(limits, Mapping):
+        return USUAL_CORES
+    share, speed = (told_cores(limits.get(name)) for name in ("cpuShare", "cpuCores"))
+    return told_cores(share * speed)
+
+
 def _ms(seconds: float) -> int:
     return round(float(seconds) * 1000)
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -47,6 +47,32 @@
 
 def test_a_report_survives_the_wire():
     assert codec.decode(codec.encode(REPORT)) == REPORT
+    faster = attrs.evolve(REPORT, card=attrs.evolve(CARD, cores=2.151))
+    assert codec.decode(codec.encode(faster)) == faster
+
+
+def test_reports_are_understood_between_nodes_of_two_versions():
+    """Nodes are replaced one after the other; one that tells no cores is heard, and hears.
+
+    An older node takes the card's six texts and the first thirteen fields as they stand.
+    """
+    fields = orjson.loads(zlib.decompress(codec.encode(REPORT)))
+    assert fields[1] == ["b", "b-1", "dc", "1.1.1.2:1", "1.1.1.2:2", "1.1.1.2:3"]
+    older = fields[:13]
+    assert codec.decode(zlib.compress(orjson.dumps(older))) == REPORT
+
+
+@pytest.mark.parametrize(("told", "cores"), [("4", 1.0), (None, 1.0), (-1, 1.0), (1e300, 1_024.0)])
+def test_a_report_is_good_whatever_it_tells_of_its_machine(told, cores):
+    fields = orjson.loads(zlib.decompress(codec.encode(REPORT)))
+    fields[13] = told
+    assert codec.decode(zlib.compress(orjson.dumps(fields))).card.cores == cores
+
+
+def test_a_view_knows_what_machines_have(view):
+    view.card(attrs.evolve(CARD, name="fast", cores=4.0))
+    assert (view.cores_of("fast"), view.cores_of("b"), view.cores_of("unheard")) == (4.0, 1.0, 1.0)
+    assert FleetView("a", 2.0).cores_of("a") == 2.0
 
 
 @given(st.binary(max_size=200))
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from monsoonflow.discovery.models import BackendServer
-from monsoonflow.entry.following import decode_card
+from monsoonflow.entry.following import decode_card, encode_card
 from monsoonflow.entry.lease_loop import to_duty
 from monsoonflow.fleet.models import NodeCard
 from monsoonflow.ownership.duty import DutyRow
@@ -197,3 +197,28 @@
     good = {key: "x" for key in ("name", "boot", "data_centre", "callers", "peer", "report")}
     assert isinstance(decode_card(orjson.dumps(good)), NodeCard)
     assert isinstance(decode_card(orjson.dumps({**good, **changes})), str)
+
+
+@pytest.mark.parametrize(
+    ("told", "cores"),
+    [
+        ({}, 1.0),
+        ({"cores": 2.5}, 2.5),
+        ({"cores": "4"}, 1.0),
+        ({"cores": None}, 1.0),
+        ({"cores": True}, 1.0),
+        ({"cores": [4]}, 1.0),
+        ({"cores": -4}, 1.0),
+        ({"cores": 1e300}, 1_024.0),
+        ({"cores": 1e-300}, 1 / 64),
+    ],
+)
+def test_a_card_is_good_whatever_it_tells_of_its_machine(told, cores):
+    """Cards of nodes of an older version tell nothing of it; others may tell anything."""
+    good = {key: "x" for key in ("name", "boot", "data_centre", "callers", "peer", "report")}
+    assert decode_card(orjson.dumps({**good, **told})).cores == cores
+
+
+def test_a_card_survives_its_row():
+    card = NodeCard("n", "b", "dc", "1:1", "1:2", "1:3", 2.151)
+    assert decode_card(orjson.dumps(encode_card(card))) == card
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -104,6 +104,23 @@
     assert "\n" not in error.line()
 
 
+@pytest.mark.parametrize(
+    ("limits", "cores"),
+    [
+        ("", 1.0),
+        ("[limits]\ncpuShare = 0.5\ncpuCores = 3", 1.5),
+        ("[limits]\ncpuShare = 0.5", 0.5),
+        ("[limits]\ncpuShare = 'much'\ncpuCores = 2", 2.0),
+        ("[limits]\ncpuShare = nan\ncpuCores = -2", 1.0),
+        ("[limits]\ncpuShare = inf\ncpuCores = true", 1.0),
+        ("[limits]\ncpuShare = 1e300\ncpuCores = 1e300", 1_024.0),
+    ],
+)
+def test_what_the_machine_has_is_read_and_nothing_there_stops_a_start(tmp_path, limits, cores):
+    settings = read_settings(write(tmp_path, SETTINGS + limits), 9464)
+    assert settings.cores == cores
+
+
 def test_a_missing_file_is_told_in_one_line(tmp_path):
     assert isinstance(read_settings(str(tmp_path / "none"), 9464), SettingError)
 
