The duty goes to the fastest class of machine that is heard

Ruled out: one value a node instead of classes (equal machines would no longer be ranked by hash, so all cells' duties would fall to one node; a tenth of a core more would change the order). Change: candidates are ranked by class of machine (factors of two of what their cards tell), by hash within one. Places among heirs that were given stay given; only the order in which new ones are named follows the class.

--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -13,7 +13,6 @@
 from ..core.clock import Clock
 from ..fleet.models import DutyClaim
 from ..fleet.view import FleetView
-from ..helpers.hashing import rank
 from ..helpers.ids import new_id
 from ..helpers.strict import read
 from ..logs import events, log
@@ -25,6 +24,8 @@
     DutyRow,
     DutyWatch,
     HeldDuty,
+    candidates,
+    machine_class,
 )
 from ..ownership.models import LeaseTiming
 from ..storage.models import ChangedRow, Committed, Conflict, Row, Table, Transaction, Unavailable
@@ -309,8 +310,8 @@
         if not self._fenced:
             # No epoch number hangs on their places: the list follows who is there.
             others = [report.name for report in self._view.reports(now_ms) if report.ready]
-            return tuple(rank(self.cell, others))[:MAX_CLAIMANTS]
-        return (*named, *rank(self.cell, names))[:MAX_HEIRS]
+            return tuple(self._ranked(others))[:MAX_CLAIMANTS]
+        return (*named, *self._ranked(names))[:MAX_HEIRS]
 
     def _claimable(self, now_ms: int) -> bool:
         holder = self._watch.row.holder if self._watch.row is not None else ""
@@ -335,7 +336,23 @@
             for report in self._view.reports(now_ms)
             if report.ready and not report.leaving and report.store_heard
         ]
-        return rank(self.cell, [*names, self._node]).index(self._node)
+        return self._ranked([*names, *self._faster_unheard(now_ms), self._node]).index(self._node)
+
+    def _faster_unheard(self, now_ms: int) -> list[str]:
+        """Return faster nodes that this one, just started, knows by their cards only.
+
+        It has heard a node or two in its first moments: by these alone it would be the first of all
+        and take a duty that faster ones are about to take.
+        """
+        if now_ms - self._started_ms > UNHEARD_MS:
+            return []
+        own = machine_class(self._view.cores)
+        unheard = [name for name in self._view.card_by_name if self._view.report_of(name) is None]
+        return [name for name in unheard if machine_class(self._view.cores_of(name)) > own]
+
+    def _ranked(self, names: list[str]) -> list[str]:
+        """Return nodes in the order in which they should hold the duty."""
+        return candidates(self.cell, {name: self._view.cores_of(name) for name in names})
 
     def _claim(self, now_ms: int) -> None:
         known = self._watch.row
--- a/monsoonflow/ownership/duty.py
+++ b/monsoonflow/ownership/duty.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
 
+from ..helpers.hashing import rank
 from .models import LeaseTiming
 
 MAX_HEIRS: Final = 3
@@ -28,6 +31,30 @@
 """How lately other nodes must have been heard when a holder goes on without the store: three of
 their reports. A holder that was frozen has heard nobody and asks first."""
 
+CLASS_FACTOR: Final = 2.0
+"""Machines within this factor count as equal: the duty need not go round for less, and among equals
+the hash spreads the duties of several cells."""
+
+
+def candidates(cell: str, cores_by_name: Mapping[str, float]) -> list[str]:
+    """Return who should hold a cell's duty, best first: by class of machine, by hash within one.
+
+    A holder plans for all runners of its cell. On a machine with a quarter of the processor it
+    can't keep up with the rush that takes half of a faster one, and requests wait for it.
+
+    >>> candidates("c", {"a": 0.5, "b": 0.5}) == rank("c", ["a", "b"])
+    True
+    >>> candidates("c", {"a": 0.5, "b": 2.1, "d": 0.5})[0]
+    'b'
+    """
+    ranked = rank(cell, cores_by_name)
+    return sorted(ranked, key=lambda name: -machine_class(cores_by_name[name]))
+
+
+def machine_class(cores: float) -> int:
+    """Return the class of a machine; a higher one is faster."""
+    return math.floor(math.log(cores, CLASS_FACTOR))
+
 
 @attrs.frozen(slots=True)
 class DutyRow:
