--- a/tests/entry/test_duty_among_unequal_machines.py
+++ b/tests/entry/test_duty_among_unequal_machines.py
@@ -17,7 +17,7 @@
 
 FAST, SLOW = 2.15, 0.516
 CORES = {f"n{i}": FAST if i % 15 == 7 else SLOW for i in range(89)}
-"""Six fast machines; by the hash of the names the first fast one comes after fourteen slow ones."""
+"""Six fast machines; by the hash of the names the first fast one comes after seven slow ones."""
 
 
 @pytest.fixture(params=[True, False], ids=["with fences", "without fences"])
