Who has heard of a newer renewal does not claim by an older row

Cause: in a large fleet a node reads the duty's row every 31 s (2.5 s times 89 / 7), and counts the lease from there; what the holder tells with each report (its counter) was not looked at. So each node claims every few seconds what is held, is refused by the store and reads the row. At a real change of holder the same happens once more: claim, refusal, reading, the wait for one's turn from the beginning. Change: a row that is older than what the holder told, and was not read since, is no ground for a claim; it is read when the holder is silent, gives up, or its lease is over by what was heard (every 250 ms at most).

--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -95,6 +95,7 @@
         self._renew_every_ms = int(timing.duration_ms * RENEW_SHARE)
         self._renewed_ms = 0
         self._held_since_ms = 0
+        self._looked_ms = 0
         self._read_ms = 0
         self._claimants: set[str] = set()
         self._started_ms = clock.now_ms()
@@ -190,8 +191,8 @@
             elif now_ms - self._renewed_ms >= self._renew_every_ms:
                 self._renew(now_ms)
             return
-        if not self._fenced and self._should_look(now_ms):
-            self._read_ms = now_ms
+        if self._should_look(now_ms):
+            self._looked_ms = now_ms
             self._read_row()
         if not self.loaded or not self._may_claim() or not self._claimable(now_ms):
             self._wanted_since_ms = None
@@ -255,13 +256,35 @@
         The row is followed at leisure, seconds late; a claim needs its newest version.
         """
         row = self._watch.row
-        if row is None or self._node not in row.heirs or not self.store_reached:
+        if row is None or not self.store_reached or now_ms - self._looked_ms < LOOK_EVERY_MS:
+            return False
+        may_claim_first = not self._fenced and self._node in row.heirs
+        if not may_claim_first and not self._outdated():
             return False
         heard = self._view.claim_heard(self.cell)
-        report = self._view.report_of(row.holder)
-        gives_up = report is not None and report.leaving and not report.claims
-        silent = gives_up or heard is None or now_ms - heard.last_ms > LOOK_AFTER_MS
-        return silent and now_ms - self._read_ms >= LOOK_EVERY_MS
+        if heard is None or self._gives_up(row.holder):
+            return True
+        newest = self._view.claim_of(self.cell)
+        if newest is not None and self._gives_up(newest.holder):
+            return True
+        silent_ms = self._view.holder_silence_ms(LOOK_AFTER_MS)
+        return now_ms - heard.last_ms > silent_ms or self._watch.lapsed(now_ms, heard.first_ms)
+
+    def _gives_up(self, name: str) -> bool:
+        """Tell whether a node says that it stops and holds no duty."""
+        report = self._view.report_of(name)
+        return report is not None and report.leaving and not report.claims
+
+    def _outdated(self) -> bool:
+        """Tell whether the holder has told a newer row than was read, and none was read since.
+
+        The store would refuse a claim on the row that was read. One that was read since and is
+        still older counts: an heir may hold the duty by a row that it could not write.
+        """
+        row, heard = self._watch.row, self._view.claim_heard(self.cell)
+        if row is None or heard is None or self._read_ms > heard.first_ms:
+            return False
+        return (heard.epoch, heard.counter) > (row.epoch, row.counter)
 
     def _note_holder(self, now_ms: int) -> None:
         newest = self._view.claim_of(self.cell)
@@ -314,6 +337,10 @@
         return (*named, *self._ranked(names))[:MAX_HEIRS]
 
     def _claimable(self, now_ms: int) -> bool:
+        if self.store_reached and self._outdated():
+            # Counted from a reading half a minute ago, each node of a large fleet would claim what
+            # is held and be refused every few seconds: a sixth of all calls to the store.
+            return False
         holder = self._watch.row.holder if self._watch.row is not None else ""
         silent = holder != "" and self._silent(holder, now_ms)
         others = [name for name in self._view.card_by_name if name not in (self._node, holder)]
@@ -427,6 +454,7 @@
     def _read_row(self) -> None:
         row = self._table.get(DUTY_PREFIX + self.cell)
         if isinstance(row, Row):
+            self._read_ms = self._clock.now_ms()
             self.row_changed(row)
 
     def _commit(self, row: DutyRow, version: int) -> Committed | Conflict | Unavailable:
--- a/monsoonflow/ownership/duty.py
+++ b/monsoonflow/ownership/duty.py
@@ -202,6 +202,10 @@
         self.row = row
         self.row_version = row_version
 
+    def lapsed(self, now_ms: int, since_ms: int) -> bool:
+        """Tell whether a lease that was seen renewed at some moment is over."""
+        return now_ms - since_ms > self._timing.claim_after_ms
+
     def claimable(
         self, node: str, boot: str, now_ms: int, holder_silent: bool, others_heard: bool
     ) -> bool:
@@ -213,7 +217,7 @@
         if self.row is None:
             return True
         unchanged_ms = now_ms - self._seen_ms
-        lapsed = unchanged_ms > self._timing.claim_after_ms
+        lapsed = self.lapsed(now_ms, self._seen_ms)
         if self.row.holder == node:
             # A former life of this node's process, or a claim whose answer was lost.
             return self.row.released or self.row.boot != boot or lapsed
--- a/tests/entry/test_duty_among_unequal_machines.py
+++ b/tests/entry/test_duty_among_unequal_machines.py
@@ -22,8 +22,13 @@
 
 @pytest.fixture(params=[True, False], ids=["with fences", "without fences"])
 def fleet(request: pytest.FixtureRequest) -> UnequalFleet:
-    """Return a fleet whose nodes all hear each other, with a duty that has just become free."""
-    fleet = UnequalFleet(CORES, request.param, seed=3)
+    """Return a fleet of either kind of deployment."""
+    return begun(request.param)
+
+
+def begun(fenced: bool) -> UnequalFleet:
+    """Return a fleet whose nodes all hear each other, and whose first holder has just stopped."""
+    fleet = UnequalFleet(CORES, fenced, seed=3)
     fleet.start_all()
     fleet.run(6_000)
     fleet.stop(fleet.holder())
@@ -42,24 +47,22 @@
 def test_one_fast_machine_follows_the_other(fleet, how):
     """Holder after holder stops or dies, and starts again a few seconds later.
 
-    The next one is there about as soon as among equal machines, where it takes up to 0.15 s after a
-    stop, and after a death 1.45 s with fences (eight seeds) and 2.15 s without (three).
+    The next one is there as soon as among equal machines, or sooner.
     """
     for _ in range(4):
         getattr(fleet, how)(fleet.holder())
         fleet.run(3_000)
     assert len(fleet.holders) == 4
     assert fleet.weak_ms == 0
-    dead_ms = 1_450 if fleet.fenced else 2_150
-    assert fleet.longest_without_ms <= {"stop": 250, "die": dead_ms}[how]
+    dead_ms = 1_050 if fleet.fenced else 2_150
+    assert fleet.longest_without_ms <= {"stop": 100, "die": dead_ms}[how]
 
 
 def test_a_rolling_stop_of_all_nodes_leaves_the_duty_at_fast_machines(fleet):
     """Nodes stop eight at a time, and start again.
 
     A slow node that had started 0.3 s before had heard one other. It took the duty that was
-    released at this moment, and kept it, while two fast ones were ready. Its wait for the faster
-    ones that it knows by their cards leaves the fleet without a holder for 0.55 s at most.
+    released at this moment, and kept it, while two fast ones were ready.
     """
     names = list(CORES)
     for first in range(0, len(names), 8):
@@ -69,7 +72,7 @@
     fleet.run(1_000)
     assert len(fleet.holders) >= 2
     assert fleet.weak_ms == 0
-    assert fleet.longest_without_ms <= 550
+    assert fleet.longest_without_ms <= 100
 
 
 def test_nobody_claims_a_duty_whose_holder_tells_that_it_has_renewed_it(fleet):
@@ -85,6 +88,25 @@
     assert fleet.table.refused == 0
 
 
+def test_an_heir_goes_on_when_the_store_is_lost_and_its_holder_dies():
+    """The heir read the row half a minute ago and can't read it now; then the store is back.
+
+    A wait for a newer row before it goes on would last as long as the store is lost.
+    """
+    fleet = begun(fenced=True)
+    fleet.run(2_000)
+    fleet.store(down=True)
+    fleet.run(1_000)
+    fleet.die(fleet.holder())
+    fleet.run(2_500)
+    heir = fleet.holder()
+    assert heir is not None
+    fleet.store(down=False)
+    fleet.run(2_000)
+    assert fleet.holder() == heir
+    assert fleet.table.row.value["holder"] == heir
+
+
 def test_equal_machines_are_ranked_as_by_hash_alone():
     names = [f"n{i}" for i in range(20)]
     assert candidates("llm", dict.fromkeys(names, 0.516)) == rank("llm", names)
--- a/tests/entry/unequal_fleet.py
+++ b/tests/entry/unequal_fleet.py
@@ -126,6 +126,12 @@
         self.members[name].up = False
         self.agenda.append((self.clock.now_ms() + AWAY_MS, "start", name))
 
+    def store(self, down: bool) -> None:
+        """Let the store be lost for all, or be back."""
+        self.table.down = down
+        for member in self.members.values():
+            member.loop.store_reached = not down
+
     def run(self, for_ms: int) -> None:
         """Let time pass, and note who holds the duty."""
         for _ in range(for_ms // STEP_MS):
