--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -452,9 +452,10 @@
         log(_LOGGER, events.DutyLost(cell=self.cell, epoch=epoch, cause=cause))
 
     def _read_row(self) -> None:
+        asked_ms = self._clock.now_ms()
         row = self._table.get(DUTY_PREFIX + self.cell)
         if isinstance(row, Row):
-            self._read_ms = self._clock.now_ms()
+            self._read_ms = asked_ms
             self.row_changed(row)
 
     def _commit(self, row: DutyRow, version: int) -> Committed | Conflict | Unavailable:
