--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -13,7 +13,7 @@
 from ..core.server_life import ServerLife
 from ..routing.budget import Spent
 from ..routing.in_flight import ServerWork
-from .models import DutyClaim, Heard, HeldAdapters, NamedVersion, NodeCard, NodeReport
+from .models import DutyClaim, Heard, HeldAdapters, NamedVersion, NodeCard, NodeReport, told_cores
 
 ZLIB_LEVEL: Final = 1
 """Names repeat within a report: a third of the bytes for some 20 us."""
@@ -21,7 +21,7 @@
 MAX_REPORT_BYTES: Final = 1 << 20
 """A datagram that would unpack to more is no report."""
 
-FORMAT: Final = 5
+FORMAT: Final = 4
 """First field of each report; a node of another version is not understood and is left alone."""
 
 
@@ -35,7 +35,7 @@
     return orjson.dumps(
         [
             FORMAT,
-            attrs.astuple(report.card),
+            _addresses(report.card),
             report.sequence,
             flags,
             report.config_version,
@@ -48,7 +48,7 @@
                 for service, spent in report.spent_by_service.items()
             },
             report.left_servers,
-            [[str(named.ref), named.age_ms] for named in report.versions],
+            [str(named.ref) for named in report.versions],
             [[c.cell, c.holder, c.epoch, c.heirs, c.counter] for c in report.claims],
             (
                 None
@@ -57,6 +57,8 @@
             ),
             [attrs.astuple(heard) for heard in report.heard],
             report.came_servers,
+            report.card.cores,
+            [named.age_ms for named in report.versions],
         ]
     )
 
@@ -73,7 +75,7 @@
 def _decode(fields: list[Any]) -> NodeReport:
     flags = int(fields[3])
     return NodeReport(
-        card=NodeCard(*map(str, fields[1])),
+        card=NodeCard(*map(str, fields[1]), cores=told_cores(_after(fields, 13))),
         sequence=int(fields[2]),
         ready=bool(flags & 1),
         leaving=bool(flags & 2),
@@ -85,7 +87,7 @@
         },
         spent_by_service={service: Spent(*spent) for service, spent in fields[6].items()},
         left_servers=tuple(map(ServerLife, fields[7])),
-        versions=tuple(NamedVersion(ref_of(text), max(0, int(age))) for text, age in fields[8]),
+        versions=_versions(fields[8], _after(fields, 14)),
         claims=tuple(_claim(entry) for entry in fields[9]),
         residency=None if fields[10] is None else tuple(map(_held, fields[10])),
         heard=tuple(Heard(str(name), str(boot), int(seq)) for name, boot, seq in fields[11]),
@@ -93,6 +95,36 @@
     )
 
 
+def _addresses(card: NodeCard) -> tuple[str, ...]:
+    """Return a card without what was added to it later.
+
+    That stands at the end of a report, where a node of an older version does not look: it would
+    take a card with one field more for no report.
+    """
+    return (
+        card.name,
+        card.boot,
+        card.data_centre,
+        card.callers_address,
+        card.peer_address,
+        card.report_address,
+    )
+
+
+def _after(fields: list[Any], place: int) -> Any:
+    """Return a field that a node of an older version does not tell, or ``None``."""
+    return fields[place] if len(fields) > place else None
+
+
+def _versions(refs: list[Any], ages_ms: list[Any] | None) -> tuple[NamedVersion, ...]:
+    """Return versions; a node of an older version tells no ages, and means just now."""
+    ages = ages_ms if ages_ms is not None else [0] * len(refs)
+    return tuple(
+        NamedVersion(ref_of(text), max(0, int(age_ms)))
+        for text, age_ms in zip(refs, ages, strict=True)
+    )
+
+
 def _held(entry: list[Any]) -> HeldAdapters:
     return HeldAdapters(ServerLife(entry[0]), tuple(ref_of(text) for text in entry[1]))
 
