What other nodes have in progress is a running total, not a sum made for each question

Cause: each question and each plan of a holder added up the reports of all nodes. Ruled out as the larger part: reading reports (18 ms a second).

--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -15,7 +15,7 @@
 from ..placement.desk import Desk
 from ..placement.seats import SeatState, Step
 from ..placement.waiting import NoPlace, Placed, Waiter
-from ..routing.in_flight import ServerWork
+from ..routing.in_flight import ServerWork, joined
 from ..routing.routes import Service
 from ..storage.models import ChangedRow
 from ..transport.models import Request
@@ -422,12 +422,6 @@
                 self.residency.take(told)
 
     def _work(self) -> dict[ServerLife, ServerWork]:
-        """Return what all nodes have in progress by server."""
-        now_ms = self._daemon.clock.now_ms()
-        total: dict[ServerLife, ServerWork] = {}
-        own = self._daemon.in_flight.by_server
-        reports = self._daemon.view.reports(now_ms, 2_000)
-        for by_server in (own, *(report.work_by_server for report in reports)):
-            for life, work in by_server.items():
-                total.setdefault(life, ServerWork()).add(work)
-        return total
+        """Return what all nodes have in progress by server, to be read at once."""
+        others = self._daemon.view.work_by_server(self._daemon.clock.now_ms())
+        return joined(others, self._daemon.in_flight.by_server)
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections import OrderedDict
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
@@ -14,6 +15,7 @@
 from ..routing.in_flight import ServerWork
 from .models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
 from .rounds import holder_silence_ms, silence_ms
+from .work_sum import WorkSum
 
 _LOGGER = logging.getLogger(__name__)
 ALIVE_MS: Final = 1_200
@@ -75,6 +77,8 @@
         self._epoch_by_cell: dict[str, DutyClaim] = {}
         self._claim_heard_by_cell: dict[str, ClaimHeard] = {}
         self._sent_by_sequence: OrderedDict[int, _Sent] = OrderedDict()
+        self._work = WorkSum()
+        self._work_within_ms = WORK_FADES_MS
 
     def card(self, card: NodeCard) -> None:
         """Take how a node can be reached."""
@@ -101,6 +105,7 @@
         if residency is None:
             residency = known.residency if known is not None else ()
         self._heard_by_name[report.name] = _Heard(report, now_ms, residency=residency)
+        self._work.take(report.name, report.work_by_server, now_ms)
         self.card(report.card)
         for claim in report.claims:
             self.claimed(claim)
@@ -200,6 +205,7 @@
         if heard is not None:
             heard.at_ms = LONG_AGO_MS
             heard.refused = True
+            self._work.drop(name)
 
     def has_refused(self, name: str) -> bool:
         """Tell whether a node's port refused connections since it was last heard."""
@@ -228,14 +234,27 @@
         heard = self._heard_by_name.get(name)
         return None if heard is None else heard.report
 
+    def work_by_server(self, now_ms: int) -> Mapping[ServerLife, ServerWork]:
+        """Return what the other nodes have in progress, by server.
+
+        It is the running total itself, and changes with the next report.
+        """
+        within_ms = max(WORK_FADES_MS, self._alive_ms())
+        if within_ms > self._work_within_ms:
+            # Nodes of a fleet that has grown are told more seldom: who was too old may count again.
+            self._add_up_anew()
+        self._work_within_ms = within_ms
+        self._work.drop_before(now_ms - within_ms)
+        return self._work.by_server
+
+    def _add_up_anew(self) -> None:
+        self._work = WorkSum()
+        for name, heard in sorted(self._heard_by_name.items(), key=lambda item: item[1].at_ms):
+            self._work.take(name, heard.report.work_by_server, heard.at_ms)
+
     def work_at(self, life: ServerLife, now_ms: int) -> ServerWork:
-        """Return what the other nodes have in progress at a server."""
-        total = ServerWork()
-        for report in self.reports(now_ms, WORK_FADES_MS):
-            work = report.work_by_server.get(life)
-            if work is not None:
-                total.add(work)
-        return total
+        """Return what the other nodes have in progress at a server; it is not to be changed."""
+        return self.work_by_server(now_ms).get(life) or ServerWork()
 
     def spent(self, service: str, now_ms: int) -> list[Spent]:
         """Return the others' requests and retries of a service."""
@@ -262,3 +281,4 @@
         for name, heard in list(self._heard_by_name.items()):
             if now_ms - heard.at_ms > after_ms and name not in self.card_by_name:
                 del self._heard_by_name[name]
+                self._work.drop(name)
--- /dev/null
+++ b/monsoonflow/fleet/work_sum.py
@@ -0,0 +1,78 @@
+"""Keeps the sum of what other nodes have in progress at each server.
+
+The load that it is made for: a holder of a duty before 89 nodes needs the sum for each of some
+hundred questions a second, and for each plan.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Mapping
+
+import attrs
+
+from ..core.server_life import ServerLife
+from ..routing.in_flight import ServerWork
+
+
+@attrs.frozen(slots=True)
+class _Share:
+    """What one node told last, and when."""
+
+    at_ms: int
+    work_by_server: Mapping[ServerLife, ServerWork]
+
+
+class WorkSum:
+    """A running total: a report's predecessor is taken off, and the report is added.
+
+    Added up anew for each question, the reports of 89 nodes took a seventh of a core at 280
+    questions a second.
+
+    >>> total = WorkSum()
+    >>> total.take("a", {ServerLife("i-1"): ServerWork(2, 90)}, at_ms=0)
+    >>> total.take("b", {ServerLife("i-1"): ServerWork(1, 10)}, at_ms=5)
+    >>> total.take("b", {ServerLife("i-1"): ServerWork(3, 20)}, at_ms=9)
+    >>> total.by_server["i-1"].requests, total.by_server["i-1"].unread_tokens
+    (5, 110)
+    >>> total.drop_before(6)
+    >>> total.by_server["i-1"].requests
+    3
+    """
+
+    def __init__(self) -> None:
+        self.by_server: dict[ServerLife, ServerWork] = {}
+        self._share_by_node: OrderedDict[str, _Share] = OrderedDict()
+
+    def take(self, node: str, work_by_server: Mapping[ServerLife, ServerWork], at_ms: int) -> None:
+        """Take what a node has in progress now, in place of what it told before.
+
+        :param work_by_server: isn't changed afterwards: it is what will be taken off.
+        :param at_ms: when it was heard; not before any time given earlier.
+        """
+        self.drop(node)
+        self._share_by_node[node] = _Share(at_ms, work_by_server)
+        for life, work in work_by_server.items():
+            total = self.by_server.get(life)
+            if total is None:
+                total = self.by_server[life] = ServerWork()
+            total.add(work)
+
+    def drop(self, node: str) -> None:
+        """Count a node no longer."""
+        share = self._share_by_node.pop(node, None)
+        if share is None:
+            return
+        for life, work in share.work_by_server.items():
+            total = self.by_server[life]
+            total.remove(work)
+            if total.is_nothing():
+                del self.by_server[life]
+
+    def drop_before(self, at_ms: int) -> None:
+        """Count no longer who was last heard before a time."""
+        while self._share_by_node:
+            node, share = next(iter(self._share_by_node.items()))
+            if share.at_ms >= at_ms:
+                return
+            self.drop(node)
--- a/monsoonflow/routing/in_flight.py
+++ b/monsoonflow/routing/in_flight.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -30,7 +30,44 @@
         self.requests += other.requests
         self.unread_tokens += other.unread_tokens
         self.memory_tokens += other.memory_tokens
-        self.by_adapter.update(other.by_adapter)
+        for name, requests in other.by_adapter.items():
+            self.by_adapter[name] += requests
+
+    def remove(self, other: ServerWork) -> None:
+        """Take off a share that was added before."""
+        self.requests -= other.requests
+        self.unread_tokens -= other.unread_tokens
+        self.memory_tokens -= other.memory_tokens
+        for name, requests in other.by_adapter.items():
+            left = self.by_adapter[name] - requests
+            if left:
+                self.by_adapter[name] = left
+            else:
+                del self.by_adapter[name]
+
+    def is_nothing(self) -> bool:
+        """Tell whether no work is left."""
+        counts = (self.requests, self.unread_tokens, self.memory_tokens)
+        return not any(counts) and not self.by_adapter
+
+
+def joined(
+    others: Mapping[ServerLife, ServerWork], own: Mapping[ServerLife, ServerWork]
+) -> dict[ServerLife, ServerWork]:
+    """Return the sum of two tables of work.
+
+    What stands in one table only is not copied: it is to be read at once, and not changed.
+    """
+    total = dict(others)
+    for life, work in own.items():
+        known = total.get(life)
+        if known is None:
+            total[life] = work
+            continue
+        both = total[life] = ServerWork()
+        both.add(known)
+        both.add(work)
+    return total
 
 
 @attrs.define(slots=True)
