Plans look at all runners once, and news that comes in a rush is planned for together

Cause: each news woke a plan, and each plan looked at all runners again for each of 64 adapters waited for, for each load, and told itself anew what all runners hold. Now a plan makes one table of who takes orders, with room and copies by adapter; the hash of an adapter's home is made only among equals; a runner's word is kept until it changes; use is added up each 40 ms; all who wait are looked at each 30 ms, and who waits for an adapter that has just come is placed by the answer itself.

--- a/measure/desk.py
+++ b/measure/desk.py
@@ -20,6 +20,7 @@
 from measure.desk_load import HolderLoad, Size  # noqa: E402
 from measure.output import show  # noqa: E402
 from monsoonflow.entry.duties import Duties  # noqa: E402
+from monsoonflow.entry.own_word import OwnWord  # noqa: E402
 from monsoonflow.entry.residency import Residency  # noqa: E402
 from monsoonflow.fleet import codec  # noqa: E402
 from monsoonflow.fleet.rounds import EVERY_MS  # noqa: E402
@@ -39,6 +40,7 @@
     ("settling", Desk, "settle_waiters"),
     ("planning", Desk, "plan"),
     ("telling what runners hold", Duties, "told_residency"),
+    ("telling what runners hold", OwnWord, "news"),
     ("telling what runners hold", Residency, "take"),
 )
 """The holder's parts: none of them gives way to other tasks."""
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -11,7 +11,7 @@
 
 from ..core.server_life import ServerLife
 from ..fleet.models import DutyClaim, HeldAdapters
-from ..orders.models import Gone, Order, RunnerControl, Superseded
+from ..orders.models import Accepted, Gone, Order, RunnerControl, Superseded
 from ..placement.desk import Desk
 from ..placement.seats import SeatState, Step
 from ..placement.waiting import NoPlace, Placed, Waiter
@@ -21,6 +21,8 @@
 from ..transport.models import Request
 from ..transport.server import Reply
 from .lease_loop import DUTY_PREFIX, DutyLoop
+from .own_word import OwnWord
+from .plan_pause import pause_after_plan_ms
 from .residency import Residency
 from .settings import PeerBounds
 
@@ -35,14 +37,13 @@
 PLAN_EVERY_MS: Final = 100
 """Longest pause between two looks at what is to be ordered; news wakes it at once."""
 
+SETTLE_EVERY_MS: Final = 30
+"""How often all who wait are looked at. Who waits for an adapter that has just come is answered at
+once; this finds who is out of hope, a tenth of the shortest wait that is given to a caller."""
 
 GIVE_UP_STEP_MS: Final = 50
 """How often a stopping holder looks whether the store is back: a quarter of a round of reports."""
 
-LONG_PLAN_MS: Final = 5
-"""A plan that takes so long is followed by a pause as long as itself; with 20 waiting before six
-runners one takes 1.6 ms."""
-
 REFUSED_RETRY_MS: Final = 500
 
 
@@ -56,6 +57,8 @@
         self.desk: Desk | None = None
         self.epoch = 0
         self.summarised_ms = 0
+        self.settled_ms = 0
+        self.own_word = OwnWord()
 
     def close(self) -> None:
         """End the desk; who waits there asks again."""
@@ -148,14 +151,10 @@
     def told_residency(self) -> tuple[HeldAdapters, ...]:
         """Return what the runners of this node's duties hold, for the others."""
         return tuple(
-            HeldAdapters(
-                runner.life,
-                tuple(seat.ref for seat in runner.seats.values() if seat.state is SeatState.READY),
-            )
+            held
             for duty in self._duty_by_cell.values()
             if duty.desk is not None
-            for runner in duty.desk.runners.values()
-            if runner.known()
+            for held in duty.own_word.of(duty.desk)
         )
 
     def doubt(self, life: ServerLife, adapter: str) -> None:
@@ -274,11 +273,11 @@
                 work = self._work() if work is None else work
                 self._plan(duty, now_ms, work)
             self._take_told(now_ms)
-            # Each news wakes the plan. In a rush before many runners it would take all of the
-            # processor, and the answers to its own orders would wait for it.
+            # What is news meanwhile is planned for together: in a rush a plan for each would take
+            # all of the processor, and the answers to its own orders would wait for it.
             took_ms = self._daemon.clock.now_ms() - now_ms
-            if took_ms >= LONG_PLAN_MS:
-                self._daemon.tasks.sleep(min(took_ms, PLAN_EVERY_MS))
+            if took_ms:
+                self._daemon.tasks.sleep(pause_after_plan_ms(took_ms))
 
     def _keep_desk(self, duty: Duty, now_ms: int) -> bool:
         """Open a desk when the duty is won, close it when it is lost."""
@@ -310,10 +309,12 @@
         for life in desk.wants_report(now_ms):
             desk.runners[life].ordering = True
             self._daemon.tasks.spawn(self._report, duty, desk, life)
-        desk.settle_waiters(now_ms, work)
+        if now_ms - duty.settled_ms >= SETTLE_EVERY_MS:
+            duty.settled_ms = now_ms
+            desk.settle_waiters(now_ms, work)
         for step in desk.plan(now_ms, work):
             self._daemon.tasks.spawn(self._order, duty, desk, step)
-        self.residency.take(self.told_residency())
+        self.residency.take(duty.own_word.news(desk, now_ms))
         if now_ms - duty.summarised_ms >= SUMMARY_EVERY_MS:
             duty.summarised_ms = now_ms
             self._summarise(duty, desk, now_ms, work)
@@ -361,6 +362,7 @@
             # Another life speaks: the one that is known, or one before it, is no more.
             report = None
         desk.reported(life, report, now_ms)
+        duty.settled_ms = 0
         self.wake()
 
     def _order(self, duty: Duty, desk: Desk, step: Step) -> None:
@@ -404,6 +406,8 @@
         if not desk.answered(step, answer, now_ms) and isinstance(answer, Superseded):
             duty.loop.superseded()
             duty.close()
+        elif isinstance(answer, Accepted) and answer.complete:
+            desk.settle_adapter(step.name, now_ms, self._work())
         self.wake()
 
     def _gone(self, desk: Desk, life: ServerLife) -> None:
--- /dev/null
+++ b/monsoonflow/entry/own_word.py
@@ -0,0 +1,50 @@
+"""What a holder's desk knows of its runners, as it is told to other nodes and to itself."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..core.server_life import ServerLife
+from ..fleet.models import HeldAdapters
+from ..placement.desk import Desk
+from ..placement.seats import RunnerSeats, SeatState
+
+ALL_EVERY_MS: Final = 100
+"""How often this node is told all again, as often as a quiet holder plans: that mends what its own
+requests have noted of runners meanwhile."""
+
+
+class OwnWord:
+    """The word about each runner, kept while it is the same.
+
+    Made and taken anew after each plan, that of 45 runners took a tenth of all that a busy holder
+    does.
+    """
+
+    def __init__(self) -> None:
+        self._word_by_life: dict[ServerLife, HeldAdapters] = {}
+        self._taken_by_life: dict[ServerLife, HeldAdapters] = {}
+        self._all_ms: int | None = None
+
+    def of(self, desk: Desk) -> tuple[HeldAdapters, ...]:
+        """Return what all known runners of a desk can serve now."""
+        words = {r.life: self._word(r) for r in desk.runners.values() if r.known()}
+        self._word_by_life = words
+        return tuple(words.values())
+
+    def news(self, desk: Desk, now_ms: int) -> tuple[HeldAdapters, ...]:
+        """Return what has changed since this was last asked, and all of it at times."""
+        words = self.of(desk)
+        taken, self._taken_by_life = self._taken_by_life, self._word_by_life
+        if self._all_ms is None or now_ms - self._all_ms >= ALL_EVERY_MS:
+            self._all_ms = now_ms
+            return words
+        return tuple(word for word in words if taken.get(word.life) is not word)
+
+    def _word(self, runner: RunnerSeats) -> HeldAdapters:
+        ready = SeatState.READY
+        refs = tuple([seat.ref for seat in runner.seats.values() if seat.state is ready])
+        known = self._word_by_life.get(runner.life)
+        if known is not None and known.adapters == refs:
+            return known
+        return HeldAdapters(runner.life, refs)
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from typing import Final, TypeAlias
+from typing import Final
 
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
@@ -29,12 +29,14 @@
 from .copies import RunnerLoads, wanted_copy
 from .heat import Heat
 from .idle import IdlePlaces
+from .kept_copies import KeptCopies
 from .load_limit import LoadLimit
 from .model_loads import ModelLoads
 from .returners import Returners
 from .runner_choice import RunnerChoice
-from .seats import RunnerSeats, Seat, SeatState, Step, places
-from .waiting import NoPlace, Pace, Placed, Waiter
+from .seats import RunnerSeats, SeatState, Step, places
+from .takers import Held, Takers
+from .waiting import NoPlace, Pace, Placed, Waiter, in_order
 
 COLD_LOAD_MS: Final = 250
 WARM_LOAD_MS: Final = 25
@@ -71,6 +73,9 @@
 sends at once. With 400 waiting before 44 runners a plan took 81 ms, and orders waited for it; 14 ms
 now."""
 
+TICK_MS: Final = 40
+"""How often use is added up: a fifth of the time for which nodes' word of it is good."""
+
 SETTLED_MS: Final = 100
 """A look at all who wait is good for a newcomer so long: the longest pause between two plans."""
 
@@ -78,9 +83,6 @@
 """Places that stay for who comes next while copies are made."""
 
 
-Held: TypeAlias = tuple[RunnerSeats, Seat]
-
-
 class Desk:
     """The seats of all runners of one cell, and who waits for one.
 
@@ -98,7 +100,8 @@
         self._settled_ms: int | None = None
         self._heat = Heat()
         self._idle = IdlePlaces(self.runners, self._heat, newest)
-        self._choice = RunnerChoice(self.runners, self._idle)
+        self._kept = KeptCopies()
+        self._choice = RunnerChoice(self._kept)
         self._loads_by_runner = RunnerLoads()
         self._load_limit = LoadLimit()
         self._ticked_ms = 0
@@ -128,7 +131,7 @@
         """
         if life in self.runners:
             return
-        runner = self.runners[life] = RunnerSeats(life, places(self.traits))
+        runner = self.runners[life] = RunnerSeats(life, places(self.traits), kept=self._kept)
         if restarted_ms is not None:
             runner.spare_until_ms = restarted_ms + LATE_ORDER_MS
         for ref in history:
@@ -136,7 +139,9 @@
 
     def gone(self, life: ServerLife) -> None:
         """Take a runner out of the cell."""
-        self.runners.pop(life, None)
+        runner = self.runners.pop(life, None)
+        if runner is not None:
+            runner.forget_all()
         self._loads_by_runner.forget(life)
 
     def doubt(self, life: ServerLife, name: str, now_ms: int) -> None:
@@ -244,9 +249,7 @@
             self._returners.refused((waiter.name, waiter.session), waiter.since_ms, now_ms)
 
     def _load_ms(self, waiter: Waiter) -> int:
-        ref = self._newest_ref(waiter)
-        warm = any(ref in runner.remembered for runner in self.runners.values())
-        return WARM_LOAD_MS if warm else COLD_LOAD_MS
+        return WARM_LOAD_MS if self._kept.of(self._newest_ref(waiter)) else COLD_LOAD_MS
 
     def forget(self, waiter: Waiter, now_ms: int) -> None:
         """Drop a request that no longer waits."""
@@ -264,8 +267,9 @@
         """Settle those whose adapter can serve, and those that can't be served in time."""
         left: dict[Waiter, None] = {}
         ready = self._seats_by_name(SeatState.READY)
-        for waiter in sorted(self._waiters, key=lambda waiter: waiter.urgency(now_ms)):
-            if not self._place(waiter, ready.get(waiter.name, ()), now_ms, work):
+        for waiter in in_order(self._waiters, now_ms):
+            seats = ready.get(waiter.name)
+            if seats is None or not self._place(waiter, seats, now_ms, work):
                 left[waiter] = None
         places = sum(runner.slots for runner in self.runners.values())
         idle = self._idle.count(now_ms, work)
@@ -275,6 +279,13 @@
         self._waiters = left
         self._settled_ms = now_ms
 
+    def settle_adapter(self, name: str, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
+        """Settle those who wait for an adapter that has just come."""
+        waiting = [waiter for waiter in self._waiters if waiter.name == name]
+        for waiter in waiting:
+            if self._place(waiter, self._ready_seats(name), now_ms, work):
+                del self._waiters[waiter]
+
     def _seats_by_name(self, state: SeatState) -> dict[str, list[Held]]:
         """Return the seats in a state by adapter: looked for by each of hundreds who wait."""
         found: dict[str, list[Held]] = {}
@@ -296,7 +307,9 @@
             if step is not None:
                 runner.ordering = True
                 steps.append(step)
-        steps += self._loads(now_ms, work)
+        takers = Takers(self._idle, now_ms, work)
+        steps += self._copies(now_ms, work, takers)
+        steps += self._loads(now_ms, work, takers)
         return steps
 
     def _overdue(self, runner: RunnerSeats, now_ms: int) -> Step | None:
@@ -338,43 +351,39 @@
         fits = [m.name for m in self.traits.models if m.memory_mb <= self.traits.weights_mb]
         return min(fits, key=lambda name: held[name], default=None)
 
-    def _loads(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> list[Step]:
+    def _loads(self, now_ms: int, work: dict[ServerLife, ServerWork], takers: Takers) -> list[Step]:
         """Return loads for those who wait, most urgent first, and the unloads they need."""
-        steps = self._copies(now_ms, work)
-        cold = self._cold_incoming()
-        wanted = sorted(self._waiters, key=lambda waiter: waiter.urgency(now_ms))
+        steps = []
         seen: set[str] = set()
         held_back = False
-        loading = self._seats_by_name(SeatState.LOADING)
-        for waiter in wanted:
-            if waiter.name in seen or _coming(waiter, loading.get(waiter.name, ())):
+        for waiter in in_order(self._waiters, now_ms):
+            if waiter.name in seen or _coming(waiter, takers.loading(waiter.name)):
                 continue
             if len(seen) >= MOST_LOOKED_AT:
                 break
             seen.add(waiter.name)
-            may_fetch = self._load_limit.allows(cold, now_ms)
+            may_fetch = self._load_limit.allows(takers.cold_incoming, now_ms)
             held_back = held_back or not may_fetch
             ref = self._newest_ref(waiter)
-            runner = self._choice.best(waiter, ref, now_ms, work, may_fetch)
+            runner = self._choice.best(waiter, ref, takers, may_fetch)
             if runner is None:
                 continue
-            step = self._make_room_or_load(runner, ref, now_ms, work)
-            if step is None:
-                continue
-            cold += step.operation is Operation.LOAD and runner.seats[waiter.name].cold
-            runner.ordering = True
-            steps.append(step)
+            step = self._make_room_or_load(runner, ref, now_ms, work, takers)
+            if step is not None:
+                steps.append(step)
         if not held_back:
             self._load_limit.calm()
         return steps
 
-    def _copies(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> list[Step]:
+    def _copies(
+        self, now_ms: int, work: dict[ServerLife, ServerWork], takers: Takers
+    ) -> list[Step]:
         """Return the load of an adapter that crowds its runner at a second one.
 
         Only while places are left over: with all places in use a copy would take one from somebody
         who has none at all.
         """
-        left_over = self._idle.count(now_ms, work) - len({w.name for w in self._waiters})
+        left_over = takers.idle_places - len({w.name for w in self._waiters})
         if left_over < PLACES_KEPT_FREE:
             return []
         wanted = wanted_copy(self.runners.values(), self._loads_by_runner, work)
@@ -388,28 +397,39 @@
                 if seat is None or self._idle.value(seat, now_ms) > worth:
                     continue
             ref = AdapterRef(wanted.name, wanted.version)
-            step = self._make_room_or_load(runner, ref, now_ms, work)
+            step = self._make_room_or_load(runner, ref, now_ms, work, takers)
             if step is None:
                 continue
             if step.operation is Operation.LOAD:
                 self.copies += 1
                 self._copied_ms[wanted.name] = now_ms
-            runner.ordering = True
             return [step]
         return []
 
     def _make_room_or_load(
-        self, runner: RunnerSeats, ref: AdapterRef, now_ms: int, work: dict[ServerLife, ServerWork]
+        self,
+        runner: RunnerSeats,
+        ref: AdapterRef,
+        now_ms: int,
+        work: dict[ServerLife, ServerWork],
+        takers: Takers,
     ) -> Step | None:
         old = runner.seats.get(ref.name)
         if runner.room(now_ms) <= 0 and old is None:
-            seat = self._idle.least_valuable(runner, now_ms, work)
-            if seat is None:
+            unused = self._idle.least_valuable(runner, now_ms, work)
+            if unused is None:
                 return None
-            seat.state = SeatState.DROPPING
-            return self._step(runner, Operation.UNLOAD, seat.ref)
+            unused.state = SeatState.DROPPING
+            step = self._step(runner, Operation.UNLOAD, unused.ref)
+        else:
+            step = self._load(runner, ref, now_ms, takers.cold_incoming)
+        runner.ordering = True
+        takers.changed(runner)
+        return step
+
+    def _load(self, runner: RunnerSeats, ref: AdapterRef, now_ms: int, cold_incoming: int) -> Step:
         seat = runner.begin_load(ref, now_ms)
-        seat.among = self._cold_incoming()
+        seat.among = cold_incoming + seat.cold
         self.loads += 1
         self.cold_loads += seat.cold
         version = ref.version if ref.version > 1 else None
@@ -495,26 +515,26 @@
         return Step(runner.life, operation, ref.name, version, runner.sequence or 0, confirms)
 
     def _tick(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
+        self._note_use(now_ms, work)
+        if now_ms - self._ticked_ms < TICK_MS:
+            return
         span_s = min(1.0, (now_ms - self._ticked_ms) / 1000)
         self._ticked_ms = now_ms
-        for runner in self.runners.values():
-            at = work.get(runner.life, _NO_WORK)
-            self._loads_by_runner.note(runner.life, at, span_s)
+        for life in self.runners:
+            at = work.get(life, _NO_WORK)
+            self._loads_by_runner.note(life, at, span_s)
             for name, count in at.by_adapter.items():
                 self._heat.add(name, count * span_s, now_ms)
+        self._heat.forget_cold(now_ms)
+
+    def _note_use(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
+        """Note which seats are seen in use: from here on the use itself keeps the place."""
+        for life, runner in self.runners.items():
+            for name in work.get(life, _NO_WORK).by_adapter:
                 seat = runner.seats.get(name)
                 if seat is not None:
-                    # Seen in use: from here on the use itself keeps the place.
                     seat.used_ms = now_ms
                     seat.granted_until_ms = 0
-        self._heat.forget_cold(now_ms)
-
-    def _cold_incoming(self) -> int:
-        return sum(
-            seat.state is SeatState.LOADING and seat.cold
-            for runner in self.runners.values()
-            for seat in runner.seats.values()
-        )
 
 
 _NO_WORK: Final = ServerWork()
--- a/monsoonflow/placement/idle.py
+++ b/monsoonflow/placement/idle.py
@@ -16,6 +16,8 @@
 """A use that began so lately may not have been heard of: nodes tell the holder within 20 ms when a
 use begins or ends. One that is missed all the same is refused by the runner and comes back."""
 
+_NOTHING: Final[Mapping[str, int]] = {}
+
 
 @attrs.define(slots=True)
 class IdlePlaces:
@@ -32,19 +34,19 @@
         self, runner: RunnerSeats, now_ms: int, work: Mapping[ServerLife, ServerWork]
     ) -> Seat | None:
         """Return the least valuable seat that nothing uses, or may use unheard."""
-        idle = self._idle(runner, now_ms, work)
+        idle = self.of(runner, now_ms, work)
         return min(idle, key=lambda seat: self.value(seat, now_ms), default=None)
 
     def has_room(
         self, runner: RunnerSeats, now_ms: int, work: Mapping[ServerLife, ServerWork]
     ) -> bool:
         """Tell whether a runner has a free place, or can make one."""
-        return runner.room(now_ms) > 0 or bool(self._idle(runner, now_ms, work))
+        return runner.room(now_ms) > 0 or bool(self.of(runner, now_ms, work))
 
     def count(self, now_ms: int, work: Mapping[ServerLife, ServerWork]) -> int:
         """Return how many places nothing uses."""
         runners = self.runners.values()
-        return sum(r.room(now_ms) + len(self._idle(r, now_ms, work)) for r in runners)
+        return sum(r.room(now_ms) + len(self.of(r, now_ms, work)) for r in runners)
 
     def value(self, seat: Seat, now_ms: int) -> float:
         """Return what a seat is worth: the use of its adapter, shared by its copies."""
@@ -54,15 +56,19 @@
         copies = sum(runner.ready(name) is not None for runner in self.runners.values())
         return self.heat.of(name, now_ms) / max(1, copies)
 
-    def _idle(
+    def of(
         self, runner: RunnerSeats, now_ms: int, work: Mapping[ServerLife, ServerWork]
     ) -> list[Seat]:
+        """Return the seats of a runner that nothing uses, or may use unheard."""
         at = work.get(runner.life)
+        used = at.by_adapter if at is not None else _NOTHING
+        unseen_ms = now_ms - UNSEEN_MS
+        ready = SeatState.READY
         return [
             seat
-            for seat in runner.seats.values()
-            if seat.state is SeatState.READY
-            and not (at is not None and at.by_adapter.get(seat.ref.name))
-            and now_ms - seat.used_ms >= UNSEEN_MS
-            and now_ms >= seat.granted_until_ms
+            for name, seat in runner.seats.items()
+            if seat.used_ms <= unseen_ms
+            and seat.state is ready
+            and seat.granted_until_ms <= now_ms
+            and not used.get(name)
         ]
--- a/monsoonflow/placement/runner_choice.py
+++ b/monsoonflow/placement/runner_choice.py
@@ -2,39 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import Final
-
 import attrs
 
 from ..core.adapter import AdapterRef
-from ..core.server_life import ServerLife
 from ..helpers.hashing import weight
-from ..routing.in_flight import ServerWork
-from .idle import IdlePlaces
-from .seats import MAX_INCOMING, RunnerSeats, SeatState
+from .kept_copies import KeptCopies
+from .seats import RunnerSeats, SeatState
+from .takers import Taker, Takers
 from .waiting import Waiter
 
-CROWDED_TOKENS: Final = 6_000
-"""Unread prompt tokens at a runner beyond which others are preferred: some 300 ms of reading."""
-
-_NO_WORK: Final = ServerWork()
-
 
 @attrs.define(slots=True)
 class RunnerChoice:
     """Picks among the runners of a cell."""
 
-    runners: Mapping[ServerLife, RunnerSeats]
-    idle: IdlePlaces
+    kept: KeptCopies
 
     def best(
-        self,
-        waiter: Waiter,
-        ref: AdapterRef,
-        now_ms: int,
-        work: Mapping[ServerLife, ServerWork],
-        cold_allowed: bool,
+        self, waiter: Waiter, ref: AdapterRef, takers: Takers, cold_allowed: bool
     ) -> RunnerSeats | None:
         """Return where an adapter is loaded best; ``None`` when nothing can be ordered now.
 
@@ -45,36 +30,32 @@
         :param ref: the adapter at the version that is to be loaded.
         :param cold_allowed: whether one more may be fetched from the weight store now.
         """
-        choices = []
-        for runner in self.runners.values():
-            warm = ref in runner.remembered
-            if not warm and not cold_allowed:
+        warm = self.kept.of(ref)
+        found = takers.for_adapter(waiter.name) if cold_allowed else takers.of(warm)
+        least: tuple[bool, bool, bool] | None = None
+        equals: list[RunnerSeats] = []
+        for taker in found:
+            if not _takes(taker, waiter):
                 continue
-            if not self._takes(runner, waiter):
-                continue
-            own = runner.seats.get(waiter.name)
-            if own is None and not self.idle.has_room(runner, now_ms, work):
-                continue
-            at = work.get(runner.life, _NO_WORK)
+            runner = taker.runner
             # A replacement waits for the runs on the old version, and new ones wait with it.
-            in_use = own is not None and bool(at.by_adapter.get(waiter.name))
-            crowded = at.unread_tokens > CROWDED_TOKENS
-            home = -weight(waiter.name, runner.life)
-            choices.append((in_use, crowded, not warm, home, runner))
-        if not choices:
+            in_use = waiter.name in runner.seats and taker.work.by_adapter.get(waiter.name, 0) > 0
+            rank = (in_use, taker.crowded, runner.life not in warm)
+            if least is None or rank < least:
+                least, equals = rank, []
+            if rank == least:
+                equals.append(runner)
+        if not equals:
             return None
-        best = min(choices, key=lambda choice: choice[:4])[4]
+        best = max(equals, key=lambda runner: weight(waiter.name, runner.life))
         # An order takes a few milliseconds. Passed over for that, the runner that has a copy would
         # lose the adapter to one that must fetch it: a seventh of all fetches were such.
         return None if best.ordering else best
 
-    @staticmethod
-    def _takes(runner: RunnerSeats, waiter: Waiter) -> bool:
-        if runner.life in waiter.avoid or not runner.known() or runner.report_at_ms:
-            return False
-        if runner.model != waiter.name.partition("/")[0]:
-            return False
-        if runner.doubtful is not None or runner.incoming() >= MAX_INCOMING:
-            return False
-        own = runner.seats.get(waiter.name)
-        return own is None or own.state is SeatState.READY
+
+def _takes(taker: Taker, waiter: Waiter) -> bool:
+    runner = taker.runner
+    if runner.life in waiter.avoid or runner.model != waiter.name.partition("/")[0]:
+        return False
+    own = runner.seats.get(waiter.name)
+    return taker.room if own is None else own.state is SeatState.READY
--- a/monsoonflow/placement/seats.py
+++ b/monsoonflow/placement/seats.py
@@ -14,6 +14,7 @@
 from ..core.server_life import ServerLife
 from ..orders.models import Operation, RunnerReport
 from ..routing.routes import EngineTraits
+from .kept_copies import KeptCopies
 
 MAX_REMEMBERED: Final = 64
 """Adapters that a runner is thought to keep copies of after they were unloaded."""
@@ -82,6 +83,7 @@
     :param sequence: orders that it has accepted; ``None`` until it was asked.
     :param doubtful: an order without an answer; it is sent again until it is settled.
     :param remembered: adapters that it held, newest last; they load again in a tenth of the time.
+    :param kept: the same of all runners, by adapter.
     :param spare_until_ms: until when one place stays free on a runner that has started again.
     """
 
@@ -98,6 +100,7 @@
     sequence_at_ms: int = 0
     seats: dict[str, Seat] = attrs.Factory(dict)
     remembered: OrderedDict[AdapterRef, None] = attrs.Factory(OrderedDict)
+    kept: KeptCopies = attrs.field(factory=KeptCopies, repr=False, eq=False)
     spare_until_ms: int = 0
 
     def known(self) -> bool:
@@ -106,7 +109,12 @@
 
     def incoming(self) -> int:
         """Return how many adapters are on their way."""
-        return sum(seat.state is SeatState.LOADING for seat in self.seats.values())
+        return len(self.loading())
+
+    def loading(self) -> list[Seat]:
+        """Return the seats of adapters that are on their way."""
+        loading = SeatState.LOADING
+        return [seat for seat in self.seats.values() if seat.state is loading]
 
     def free(self) -> int:
         """Return how many more adapters fit."""
@@ -158,8 +166,16 @@
         """Note that the runner keeps a copy of an adapter."""
         self.remembered[ref] = None
         self.remembered.move_to_end(ref)
+        self.kept.add(ref, self.life)
         if len(self.remembered) > MAX_REMEMBERED:
-            self.remembered.popitem(last=False)
+            forgotten, _ = self.remembered.popitem(last=False)
+            self.kept.remove(forgotten, self.life)
+
+    def forget_all(self) -> None:
+        """Note that the runner is gone, with its copies."""
+        for ref in self.remembered:
+            self.kept.remove(ref, self.life)
+        self.remembered.clear()
 
     def adopt(self, report: RunnerReport, now_ms: int) -> None:
         """Take what the runner says it holds in place of what was believed."""
--- a/monsoonflow/placement/waiting.py
+++ b/monsoonflow/placement/waiting.py
@@ -7,7 +7,7 @@
 
 from bisect import bisect_left, bisect_right, insort
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final, TypeAlias
 
@@ -83,6 +83,17 @@
         return (self.priority, self.since_ms)
 
 
+def in_order(waiters: Iterable[Waiter], now_ms: int) -> list[Waiter]:
+    """Return requests by :meth:`Waiter.urgency`: those on time first, then those who are late."""
+    on_time: list[Waiter] = []
+    late: list[Waiter] = []
+    for waiter in waiters:
+        (late if waiter.late(now_ms) else on_time).append(waiter)
+    on_time.sort(key=Waiter.turn)
+    late.sort(key=Waiter.turn)
+    return on_time + late
+
+
 @dataclass(frozen=True, slots=True)
 class Placed:
     """A runner can serve the adapter.
@@ -112,10 +123,20 @@
         self._turns: list[Turn] = []
         self._turn_by_name: dict[str, Turn] = {}
 
+    def all(self) -> int:
+        """Return how many adapters there are."""
+        return len(self._turns)
+
     def count(self, waiter: Waiter) -> int:
         """Return how many adapters come before a request has its turn."""
         return bisect_right(self._turns, waiter.turn())
 
+    def add_last(self, waiter: Waiter) -> None:
+        """Count the adapter of a request whose turn comes after all that are counted."""
+        if waiter.name not in self._turn_by_name:
+            turn = self._turn_by_name[waiter.name] = waiter.turn()
+            self._turns.append(turn)
+
     def add(self, waiter: Waiter) -> None:
         """Count a request's adapter."""
         turn = waiter.turn()
@@ -161,8 +182,12 @@
         rates = self._rates(now_ms)
         refused = []
         for waiter in waiters:
-            refusal = self._refusal(waiter, rates, now_ms)
-            if refusal is not None:
+            late = waiter.late(now_ms)
+            ahead = self._ahead[late]
+            refusal = self._refusal(waiter, ahead.all(), rates[late], now_ms)
+            if refusal is None:
+                ahead.add_last(waiter)
+            else:
                 refused.append((waiter, refusal))
         return refused
 
@@ -172,7 +197,13 @@
         It is judged by who was ahead when all were last looked at, and by who has come since. A
         look at all of 300 who wait, for each of 280 questions a second, took half of a core.
         """
-        return self._refusal(waiter, self._rates(now_ms), now_ms)
+        late = waiter.late(now_ms)
+        ahead = self._ahead[late]
+        rate = self._rates(now_ms)[late]
+        refusal = self._refusal(waiter, ahead.count(waiter), rate, now_ms)
+        if refusal is None:
+            ahead.add(waiter)
+        return refusal
 
     def _rates(self, now_ms: int) -> dict[bool, float]:
         """Return places a second for those on time, and for those who are late."""
@@ -182,15 +213,12 @@
             True: max(least * LEAST_LATE_SHARE, _rate(self._placed_late_ms, now_ms)),
         }
 
-    def _refusal(self, waiter: Waiter, rates: dict[bool, float], now_ms: int) -> NoPlace | None:
-        late = waiter.late(now_ms)
-        ahead = self._ahead[late]
-        queued = max(0, ahead.count(waiter) - self._idle - FEW)
-        wait_ms = 1000 * queued / max(1.0, rates[late])
+    def _refusal(self, waiter: Waiter, ahead: int, rate: float, now_ms: int) -> NoPlace | None:
+        queued = max(0, ahead - self._idle - FEW)
+        wait_ms = 1000 * queued / max(1.0, rate)
         left_ms = waiter.until_ms - now_ms
         if left_ms <= 0 or wait_ms > left_ms * PATIENCE:
             return NoPlace(max(MIN_RETRY_MS, int(wait_ms)))
-        ahead.add(waiter)
         return None
 
 
--- a/tests/entry/test_holder_work.py
+++ b/tests/entry/test_holder_work.py
@@ -171,14 +171,33 @@
 
 
 def test_who_waits_for_what_comes_ready_is_told(make_holder):
-    """A question waits, its adapter is loaded elsewhere, and the next plan answers it."""
+    """A question waits and its adapter is there by other means; it is told within 30 ms."""
     holder = make_holder(7, 20)
     desk = holder.load.duty.desk
     waiter = gevent.spawn(holder.ask, f"{MODEL}/comes", FOREVER_MS)
     gevent.sleep(0.05)
     runner = desk.runners[next(iter(holder.load.runners))]
     runner.seats[f"{MODEL}/comes"] = runner.seats.pop(f"{MODEL}/held0-0")
+    holder.clock.advance(30)
     holder.load.duties.wake()
     gevent.sleep(0.2)
     assert waiter.value == 200
     assert holder.load.duties.duty_of(CELL).desk is desk
+
+
+def test_who_waits_for_what_an_order_has_loaded_is_told_at_once(make_holder, monkeypatch):
+    """All who wait are looked at now and then only; the answer to an order places its own at once.
+
+    Both who wait for the adapter get it, though no look at all who wait comes in between.
+    """
+    holder = make_holder(7, 0)
+    desk = holder.load.duty.desk
+    runner = next(iter(holder.load.runners.values()))
+    del runner.held[f"{MODEL}/held0-0"], desk.runners[runner.life].seats[f"{MODEL}/held0-0"]
+    monkeypatch.setattr(desk, "settle_waiters", lambda *_: None)
+    both = [gevent.spawn(holder.ask, f"{MODEL}/comes", FOREVER_MS) for _ in range(2)]
+    for _ in range(60):
+        holder.clock.advance(10)
+        holder.load.duties.wake()
+        gevent.sleep(0.01)
+    assert [one.value for one in both] == [200, 200]
