A load's time is counted to when its question was due, not to when a busy holder asked it

Cause: the limit of loads at once is learned from how long loads seem to take. A holder that is busy asks late, sees 360 ms for 250, takes the weight store for slow, and keeps the limit at 4 for a minute: fewer places for the same demand, more who wait, more work. Ruled out: the stand-in store (48 at full speed, never reached).

--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -478,7 +478,10 @@
         if complete:
             if step.operation is Operation.LOAD:
                 if seat.cold and seat.state is SeatState.LOADING and seat.among:
-                    self._load_limit.complete(now_ms - seat.since_ms, seat.among, now_ms)
+                    # Counted to when the question was due: a busy holder that asks late would take
+                    # the store for slow, and let a third of the loads come that it carries.
+                    seen_ms = seat.check_at_ms if step.confirms else now_ms
+                    self._load_limit.complete(seen_ms - seat.since_ms, seat.among, now_ms)
                 runner.loaded(step.name, now_ms)
             else:
                 runner.dropped(step.name)
