--- a/measure/desk_load.py
+++ b/measure/desk_load.py
@@ -143,6 +143,9 @@
     status = 0
     body = b""
 
+    def caller_left(self) -> bool:
+        return False
+
     def whole(self, status: int, headers: list, body: bytes = b"") -> None:
         self.status, self.body = status, body
 
--- a/tests/entry/test_holder_work.py
+++ b/tests/entry/test_holder_work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 
 import gevent
@@ -10,6 +11,9 @@
 
 from measure.desk_load import CELL, HolderLoad, Size
 from monsoonflow.core.clock import ManualClock
+from monsoonflow.transport.models import MessageLimits
+from monsoonflow.transport.server import Port
+from script.ports import free_port
 from tests.placement.conftest import MODEL
 
 RUNNERS = 45
@@ -23,6 +27,10 @@
 
     status = 0
 
+    def caller_left(self) -> bool:
+        """Tell whether who asked has given up."""
+        return False
+
     def whole(self, status: int, headers: list, body: bytes = b"") -> None:
         """Take the answer."""
         self.status = status
@@ -201,3 +209,41 @@
         holder.load.duties.wake()
         gevent.sleep(0.01)
     assert [one.value for one in both] == [200, 200]
+
+
+def test_a_question_whose_node_has_given_up_takes_no_place(make_holder, monkeypatch):
+    """A holder is busy for a second, and reads a question that its node no longer waits for.
+
+    A node asks again after 0.8 s and closes the connection of the first question. Granted all the
+    same, the place stayed taken for 0.6 s for nobody, and the adapter's own callers went without.
+    """
+    holder = make_holder(7, 0)
+    desk = holder.load.duty.desk
+    asked: list[str] = []
+    ask = desk.ask
+
+    def noting(waiter, *rest):
+        asked.append(waiter.name)
+        ask(waiter, *rest)
+
+    monkeypatch.setattr(desk, "ask", noting)
+    address = f"127.0.0.1:{free_port()}"
+    port = Port(address, holder.load.duties.answer_placement, MessageLimits, holder.clock)
+    assert port.start()
+    body = orjson.dumps(holder.load.question(f"{MODEL}/held0-0"))
+    head = f"POST /place HTTP/1.1\r\nHost: n0\r\nContent-Length: {len(body)}\r\n\r\n"
+    try:
+        # The holder's loop stands still from the connect to the close.
+        host, number = address.split(":")
+        with socket.create_connection((host, int(number))) as asking:
+            asking.sendall(head.encode() + body)
+        gevent.sleep(0.2)
+        assert asked == []
+        # One whose node still waits is answered.
+        with socket.create_connection((host, int(number))) as asking:
+            asking.sendall(head.encode() + body)
+            gevent.sleep(0.2)
+            assert asking.recv(1_000).startswith(b"HTTP/1.1 200")
+        assert len(asked) == 1
+    finally:
+        port.stop_listening()
