The test of plans in a rush counts the pauses that fit, not 60 plans

On a slow machine the 400 news of the test come in 0.7 s instead of 0.5, and 67 plans are right then. The bound is one plan each 10 ms of the time that passed.

--- a/tests/entry/test_holder_work.py
+++ b/tests/entry/test_holder_work.py
@@ -4,6 +4,7 @@
 
 import socket
 import sys
+import time
 
 import gevent
 import orjson
@@ -11,6 +12,7 @@
 
 from measure.desk_load import CELL, HolderLoad, Size
 from monsoonflow.core.clock import ManualClock
+from monsoonflow.entry.plan_pause import MOST_PAUSE_MS
 from monsoonflow.transport.models import MessageLimits
 from monsoonflow.transport.server import Port
 from script.ports import free_port
@@ -172,10 +174,12 @@
         return plan(now_ms, work)
 
     monkeypatch.setattr(desk, "plan", slow_plan)
+    began_s = time.monotonic()
     for _ in range(400):
         holder.load.duties.wake()
         gevent.sleep(0.001)
-    assert 4 <= len(plans) <= 60, len(plans)
+    pauses = (time.monotonic() - began_s) * 1000 / MOST_PAUSE_MS
+    assert 4 <= len(plans) <= pauses + 1, (len(plans), pauses)
 
 
 def test_who_waits_for_what_comes_ready_is_told(make_holder):
