A report whose counts are no whole numbers is no report

The running total is made when a report is taken: a count of another type in a datagram from elsewhere would have ended the task that takes all reports. Before, it ended the holder's plans. Four cases fail before, pass after.

--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -79,10 +79,7 @@
         leaving=bool(flags & 2),
         store_heard=bool(flags & 4),
         config_version=int(fields[4]),
-        work_by_server={
-            ServerLife(life): ServerWork(work[0], work[1], work[2], Counter(work[3]))
-            for life, work in fields[5].items()
-        },
+        work_by_server={ServerLife(life): _work(entry) for life, entry in fields[5].items()},
         spent_by_service={service: Spent(*spent) for service, spent in fields[6].items()},
         left_servers=tuple(map(ServerLife, fields[7])),
         versions=tuple(ref_of(text) for text in fields[8]),
@@ -93,6 +90,12 @@
     )
 
 
+def _work(entry: list[Any]) -> ServerWork:
+    """Return work whose counts are whole: a running total is made of them."""
+    by_adapter = Counter({str(name): int(count) for name, count in entry[3].items()})
+    return ServerWork(int(entry[0]), int(entry[1]), int(entry[2]), by_adapter)
+
+
 def _held(entry: list[Any]) -> HeldAdapters:
     return HeldAdapters(ServerLife(entry[0]), tuple(ref_of(text) for text in entry[1]))
 
--- a/tests/fleet/test_work_sum.py
+++ b/tests/fleet/test_work_sum.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import random
+import zlib
 from collections import Counter
 
 import attrs
+import orjson
 import pytest
 
 from monsoonflow.core.server_life import ServerLife
+from monsoonflow.fleet import codec
 from monsoonflow.fleet.models import NodeCard, NodeReport
 from monsoonflow.fleet.view import WORK_FADES_MS, FleetView
 from monsoonflow.routing.in_flight import ServerWork, joined
@@ -99,3 +102,19 @@
     assert _told(both[life]) == (3, 15, 25, {"a": 3})
     assert (both[other].requests, both[third].requests) == (1, 4)
     assert (others[life].requests, own[life].requests) == (2, 1)
+
+
+@pytest.mark.parametrize(
+    "told", [["2", [], 3, {}], [2, 3, None, {}], [2, 3, 4, {"m/a": "x"}], [2, 3, 4, {"m/a": None}]]
+)
+def test_work_that_can_not_be_added_up_is_no_report(told):
+    """A datagram from elsewhere names counts that are none.
+
+    Taken into the running total it would end the task that takes all reports: the node would hear
+    nobody from then on.
+    """
+    data = codec.encode(_Node("n1").report(random.Random(1)))
+    fields = orjson.loads(zlib.decompress(data))
+    assert codec.decode(zlib.compress(orjson.dumps(fields))) is not None
+    fields[5] = {"i-1": told}
+    assert codec.decode(zlib.compress(orjson.dumps(fields))) is None
