--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -12,16 +12,18 @@
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
 from ..fleet.models import DutyClaim, HeldAdapters
-from ..orders.models import Gone, Order, RunnerControl, Superseded
+from ..orders.models import Accepted, Gone, Order, RunnerControl, Superseded
 from ..placement.desk import Desk
 from ..placement.seats import SeatState, Step
 from ..placement.waiting import NoPlace, Placed, Waiter
-from ..routing.in_flight import ServerWork
+from ..routing.in_flight import ServerWork, joined
 from ..routing.routes import Service
 from ..storage.models import ChangedRow
 from ..transport.models import Request
 from ..transport.server import Reply
 from .lease_loop import DUTY_PREFIX, DutyLoop
+from .own_word import OwnWord
+from .plan_pause import pause_after_plan_ms
 from .residency import Residency
 from .settings import PeerBounds
 
@@ -36,6 +38,9 @@
 PLAN_EVERY_MS: Final = 100
 """Longest pause between two looks at what is to be ordered; news wakes it at once."""
 
+SETTLE_EVERY_MS: Final = 30
+"""How often all who wait are looked at. Who waits for an adapter that has just come is answered at
+once; this finds who is out of hope, a tenth of the shortest wait that is given to a caller."""
 
 CLOSE_SHARE: Final = 0.65
 """Share of the bound on new versions after which runners are told to drop an older one: shortly
@@ -45,10 +50,6 @@
 GIVE_UP_STEP_MS: Final = 50
 """How often a stopping holder looks whether the store is back: a quarter of a round of reports."""
 
-LONG_PLAN_MS: Final = 5
-"""A plan that takes so long is followed by a pause as long as itself; with 20 waiting before six
-runners one takes 1.6 ms."""
-
 REFUSED_RETRY_MS: Final = 500
 
 
@@ -62,6 +63,8 @@
         self.desk: Desk | None = None
         self.epoch = 0
         self.summarised_ms = 0
+        self.settled_ms = 0
+        self.own_word = OwnWord()
 
     def close(self) -> None:
         """End the desk; who waits there asks again."""
@@ -154,14 +157,10 @@
     def told_residency(self) -> tuple[HeldAdapters, ...]:
         """Return what the runners of this node's duties hold, for the others."""
         return tuple(
-            HeldAdapters(
-                runner.life,
-                tuple(seat.ref for seat in runner.seats.values() if seat.state is SeatState.READY),
-            )
+            held
             for duty in self._duty_by_cell.values()
             if duty.desk is not None
-            for runner in duty.desk.runners.values()
-            if runner.known()
+            for held in duty.own_word.of(duty.desk)
         )
 
     def doubt(self, life: ServerLife, adapter: str) -> None:
@@ -173,6 +172,9 @@
 
     def answer_placement(self, request: Request, reply: Reply) -> None:
         """Answer another node that needs an adapter."""
+        if reply.caller_left():
+            # Read late by a busy holder: a place would be kept for nobody.
+            return
         try:
             question = orjson.loads(request.body)
             duty = self._duty_by_cell.get(question["cell"])
@@ -280,11 +282,11 @@
                 work = self._work() if work is None else work
                 self._plan(duty, now_ms, work)
             self._take_told(now_ms)
-            # Each news wakes the plan. In a rush before many runners it would take all of the
-            # processor, and the answers to its own orders would wait for it.
+            # What is news meanwhile is planned for together: in a rush a plan for each would take
+            # all of the processor, and the answers to its own orders would wait for it.
             took_ms = self._daemon.clock.now_ms() - now_ms
-            if took_ms >= LONG_PLAN_MS:
-                self._daemon.tasks.sleep(min(took_ms, PLAN_EVERY_MS))
+            if took_ms:
+                self._daemon.tasks.sleep(pause_after_plan_ms(took_ms))
 
     def _keep_desk(self, duty: Duty, now_ms: int) -> bool:
         """Open a desk when the duty is won, close it when it is lost."""
@@ -321,10 +323,12 @@
         for life in desk.wants_report(now_ms):
             desk.runners[life].ordering = True
             self._daemon.tasks.spawn(self._report, duty, desk, life)
-        desk.settle_waiters(now_ms, work)
+        if now_ms - duty.settled_ms >= SETTLE_EVERY_MS:
+            duty.settled_ms = now_ms
+            desk.settle_waiters(now_ms, work)
         for step in desk.plan(now_ms, work):
             self._daemon.tasks.spawn(self._order, duty, desk, step)
-        self.residency.take(self.told_residency())
+        self.residency.take(duty.own_word.news(desk, now_ms))
         if now_ms - duty.summarised_ms >= SUMMARY_EVERY_MS:
             duty.summarised_ms = now_ms
             self._summarise(duty, desk, now_ms, work)
@@ -374,6 +378,7 @@
             # Another life speaks: the one that is known, or one before it, is no more.
             report = None
         desk.reported(life, report, now_ms)
+        duty.settled_ms = 0
         self.wake()
 
     def _order(self, duty: Duty, desk: Desk, step: Step) -> None:
@@ -417,6 +422,8 @@
         if not desk.answered(step, answer, now_ms) and isinstance(answer, Superseded):
             duty.loop.superseded()
             duty.close()
+        elif isinstance(answer, Accepted) and answer.complete:
+            desk.settle_adapter(step.name, now_ms, self._work())
         self.wake()
 
     def _gone(self, desk: Desk, life: ServerLife) -> None:
@@ -435,12 +442,6 @@
                 self.residency.take(told)
 
     def _work(self) -> dict[ServerLife, ServerWork]:
-        """Return what all nodes have in progress by server."""
-        now_ms = self._daemon.clock.now_ms()
-        total: dict[ServerLife, ServerWork] = {}
-        own = self._daemon.in_flight.by_server
-        reports = self._daemon.view.reports(now_ms, 2_000)
-        for by_server in (own, *(report.work_by_server for report in reports)):
-            for life, work in by_server.items():
-                total.setdefault(life, ServerWork()).add(work)
-        return total
+        """Return what all nodes have in progress by server, to be read at once."""
+        others = self._daemon.view.work_by_server(self._daemon.clock.now_ms())
+        return joined(others, self._daemon.in_flight.by_server)
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
-from typing import Final, TypeAlias
+from typing import Final
 
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
@@ -29,12 +29,14 @@
 from .copies import RunnerLoads, wanted_copy
 from .heat import Heat
 from .idle import IdlePlaces
+from .kept_copies import KeptCopies
 from .load_limit import LoadLimit
 from .model_loads import ModelLoads
 from .returners import Returners
 from .runner_choice import RunnerChoice
 from .seats import RunnerSeats, Seat, SeatState, Step, places
-from .waiting import Pace, Placed, Waiter
+from .takers import Held, Takers
+from .waiting import NoPlace, Pace, Placed, Waiter, in_order
 
 COLD_LOAD_MS: Final = 250
 WARM_LOAD_MS: Final = 25
@@ -75,11 +77,14 @@
 sends at once. With 400 waiting before 44 runners a plan took 81 ms, and orders waited for it; 14 ms
 now."""
 
-PLACES_KEPT_FREE: Final = 2
-"""Places that stay for who comes next while copies are made."""
+TICK_MS: Final = 40
+"""How often use is added up: a fifth of the time for which nodes' word of it is good."""
 
+SETTLED_MS: Final = 100
+"""A look at all who wait is good for a newcomer so long: the longest pause between two plans."""
 
-Held: TypeAlias = tuple[RunnerSeats, Seat]
+PLACES_KEPT_FREE: Final = 2
+"""Places that stay for who comes next while copies are made."""
 
 
 class Desk:
@@ -101,10 +106,12 @@
         self._newest = newest
         self._over = over
         self.runners: dict[ServerLife, RunnerSeats] = {}
-        self.waiters: list[Waiter] = []
+        self._waiters: dict[Waiter, None] = {}
+        self._settled_ms: int | None = None
         self._heat = Heat()
         self._idle = IdlePlaces(self.runners, self._heat, newest)
-        self._choice = RunnerChoice(self.runners, self._idle)
+        self._kept = KeptCopies()
+        self._choice = RunnerChoice(self._kept)
         self._loads_by_runner = RunnerLoads()
         self.load_limit = LoadLimit()
         self._ticked_ms = 0
@@ -116,6 +123,11 @@
         self.copies = 0
         self._copied_ms: dict[str, int] = {}
 
+    @property
+    def waiters(self) -> list[Waiter]:
+        """Return who waits."""
+        return list(self._waiters)
+
     def came(
         self,
         life: ServerLife,
@@ -129,7 +141,7 @@
         """
         if life in self.runners:
             return
-        runner = self.runners[life] = RunnerSeats(life, places(self.traits))
+        runner = self.runners[life] = RunnerSeats(life, places(self.traits), kept=self._kept)
         if restarted_ms is not None:
             runner.spare_until_ms = restarted_ms + LATE_ORDER_MS
         for ref in history:
@@ -137,7 +149,9 @@
 
     def gone(self, life: ServerLife) -> None:
         """Take a runner out of the cell."""
-        self.runners.pop(life, None)
+        runner = self.runners.pop(life, None)
+        if runner is not None:
+            runner.forget_all()
         self._loads_by_runner.forget(life)
 
     def doubt(self, life: ServerLife, name: str, now_ms: int) -> None:
@@ -180,12 +194,54 @@
         ]
 
     def ask(self, waiter: Waiter, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
-        """Take a request that needs an adapter; it is settled now or later."""
+        """Take a request that needs an adapter; it is settled now or later.
+
+        Only its own adapter's seats are looked at; the others who wait have their turn in the next
+        plan.
+        """
         self._heat.add(waiter.name, ASK_HEAT, now_ms)
         self._recognise(waiter, now_ms)
         waiter.load_ms = self._load_ms(waiter)
-        self.waiters.append(waiter)
-        self.settle_waiters(now_ms, work)
+        if self._settled_ms is None or now_ms - self._settled_ms > SETTLED_MS:
+            self._waiters[waiter] = None
+            self.settle_waiters(now_ms, work)
+            return
+        if self._place(waiter, self._ready_seats(waiter.name), now_ms, work):
+            return
+        refusal = self._pace.newcomer(waiter, now_ms)
+        if refusal is None:
+            self._waiters[waiter] = None
+        else:
+            self._refuse(waiter, refusal, now_ms)
+
+    def _ready_seats(self, name: str) -> list[Held]:
+        return [
+            (runner, seat)
+            for runner in self.runners.values()
+            if (seat := runner.seats.get(name)) is not None and seat.state is SeatState.READY
+        ]
+
+    def _place(
+        self,
+        waiter: Waiter,
+        ready: Sequence[Held],
+        now_ms: int,
+        work: dict[ServerLife, ServerWork],
+    ) -> bool:
+        """Give a request a place where its adapter can serve now; return whether there is one."""
+        held = _held(waiter, ready, work)
+        if held is None:
+            return False
+        runner, seat = held
+        seat.granted_until_ms = now_ms + GRANT_MS
+        seat.used_ms = now_ms
+        self._pace.placed(waiter, now_ms)
+        waiter.settle(Placed(runner.life, seat.ref.version, waiter.tried_ms))
+        return True
+
+    def _refuse(self, waiter: Waiter, refusal: NoPlace, now_ms: int) -> None:
+        self._sent_away(waiter, now_ms)
+        waiter.settle(refusal)
 
     def _recognise(self, waiter: Waiter, now_ms: int) -> None:
         """Count the time of a caller that was sent away and comes back from its first try."""
@@ -203,43 +259,42 @@
             self._returners.refused((waiter.name, waiter.session), waiter.since_ms, now_ms)
 
     def _load_ms(self, waiter: Waiter) -> int:
-        ref = self._newest_ref(waiter)
-        warm = any(ref in runner.remembered for runner in self.runners.values())
-        return WARM_LOAD_MS if warm else COLD_LOAD_MS
+        return WARM_LOAD_MS if self._kept.of(self._newest_ref(waiter)) else COLD_LOAD_MS
 
     def forget(self, waiter: Waiter, now_ms: int) -> None:
         """Drop a request that no longer waits."""
-        if waiter in self.waiters:
-            self.waiters.remove(waiter)
+        if waiter in self._waiters:
+            del self._waiters[waiter]
             self._sent_away(waiter, now_ms)
 
     def close(self) -> None:
         """Send all who wait elsewhere: the duty is another node's now."""
-        waiters, self.waiters = self.waiters, []
+        waiters, self._waiters = self._waiters, {}
         for waiter in waiters:
             waiter.settle(None)
 
     def settle_waiters(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
         """Settle those whose adapter can serve, and those that can't be served in time."""
-        left: list[Waiter] = []
+        left: dict[Waiter, None] = {}
         ready = self._seats_by_name(SeatState.READY)
-        for waiter in sorted(self.waiters, key=lambda waiter: waiter.urgency(now_ms)):
-            held = _held(waiter, ready.get(waiter.name, ()), work)
-            if held is None:
-                left.append(waiter)
-                continue
-            runner, seat = held
-            seat.granted_until_ms = now_ms + GRANT_MS
-            seat.used_ms = now_ms
-            self._pace.placed(waiter, now_ms)
-            waiter.settle(Placed(runner.life, seat.ref.version, waiter.tried_ms))
+        for waiter in in_order(self._waiters, now_ms):
+            seats = ready.get(waiter.name)
+            if seats is None or not self._place(waiter, seats, now_ms, work):
+                left[waiter] = None
         places = sum(runner.slots for runner in self.runners.values())
         idle = self._idle.count(now_ms, work)
-        for waiter, refusal in self._pace.hopeless(left, places, idle, now_ms):
-            left.remove(waiter)
-            self._sent_away(waiter, now_ms)
-            waiter.settle(refusal)
-        self.waiters = left
+        for waiter, refusal in self._pace.hopeless(list(left), places, idle, now_ms):
+            del left[waiter]
+            self._refuse(waiter, refusal, now_ms)
+        self._waiters = left
+        self._settled_ms = now_ms
+
+    def settle_adapter(self, name: str, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
+        """Settle those who wait for an adapter that has just come."""
+        waiting = [waiter for waiter in self._waiters if waiter.name == name]
+        for waiter in waiting:
+            if self._place(waiter, self._ready_seats(name), now_ms, work):
+                del self._waiters[waiter]
 
     def _seats_by_name(self, state: SeatState) -> dict[str, list[Held]]:
         """Return the seats in a state by adapter: looked for by each of hundreds who wait."""
@@ -262,9 +317,19 @@
             if step is not None:
                 runner.ordering = True
                 steps.append(step)
-        steps += self._loads(now_ms, work)
+        takers = Takers(self._idle, now_ms, work, self.load_limit.on_its_way)
+        steps += self._copies(now_ms, work, takers)
+        steps += self._loads(now_ms, work, takers)
+        self._note_among(steps, takers.cold_incoming)
         return steps
 
+    def _note_among(self, steps: list[Step], cold_incoming: int) -> None:
+        """Note beside how many others loads began: those of one plan begin together."""
+        for step in steps:
+            seat = self.runners[step.life].seats.get(step.name)
+            if step.operation is Operation.LOAD and not step.confirms and seat is not None:
+                seat.among = cold_incoming
+
     def _overdue(self, runner: RunnerSeats, now_ms: int) -> Step | None:
         """Return what a runner is to be told before anything new."""
         if runner.ordering or not runner.known() or runner.report_at_ms:
@@ -320,43 +385,39 @@
         fits = [m.name for m in self.traits.models if m.memory_mb <= self.traits.weights_mb]
         return min(fits, key=lambda name: held[name], default=None)
 
-    def _loads(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> list[Step]:
+    def _loads(self, now_ms: int, work: dict[ServerLife, ServerWork], takers: Takers) -> list[Step]:
         """Return loads for those who wait, most urgent first, and the unloads they need."""
-        steps = self._copies(now_ms, work)
-        cold = self._cold_incoming(now_ms)
-        wanted = sorted(self.waiters, key=lambda waiter: waiter.urgency(now_ms))
+        steps = []
         seen: set[str] = set()
         held_back = False
-        loading = self._seats_by_name(SeatState.LOADING)
-        for waiter in wanted:
-            if waiter.name in seen or _coming(waiter, loading.get(waiter.name, ())):
+        for waiter in in_order(self._waiters, now_ms):
+            if waiter.name in seen or _coming(waiter, takers.loading(waiter.name)):
                 continue
             if len(seen) >= MOST_LOOKED_AT:
                 break
             seen.add(waiter.name)
-            may_fetch = self.load_limit.allows(cold, now_ms)
+            may_fetch = self.load_limit.allows(takers.cold_incoming, now_ms)
             held_back = held_back or not may_fetch
             ref = self._newest_ref(waiter)
-            runner = self._choice.best(waiter, ref, now_ms, work, may_fetch)
+            runner = self._choice.best(waiter, ref, takers, may_fetch)
             if runner is None:
                 continue
-            step = self._make_room_or_load(runner, ref, now_ms, work)
-            if step is None:
-                continue
-            cold += step.operation is Operation.LOAD and runner.seats[waiter.name].cold
-            runner.ordering = True
-            steps.append(step)
+            step = self._make_room_or_load(runner, ref, now_ms, work, takers)
+            if step is not None:
+                steps.append(step)
         if not held_back:
             self.load_limit.calm()
         return steps
 
-    def _copies(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> list[Step]:
+    def _copies(
+        self, now_ms: int, work: dict[ServerLife, ServerWork], takers: Takers
+    ) -> list[Step]:
         """Return the load of an adapter that crowds its runner at a second one.
 
         Only while places are left over: with all places in use a copy would take one from somebody
         who has none at all.
         """
-        left_over = self._idle.count(now_ms, work) - len({w.name for w in self.waiters})
+        left_over = takers.idle_places - len({w.name for w in self._waiters})
         if left_over < PLACES_KEPT_FREE:
             return []
         wanted = wanted_copy(self.runners.values(), self._loads_by_runner, work)
@@ -370,27 +431,37 @@
                 if seat is None or self._idle.value(seat, now_ms) > worth:
                     continue
             ref = AdapterRef(wanted.name, wanted.version)
-            step = self._make_room_or_load(runner, ref, now_ms, work)
+            step = self._make_room_or_load(runner, ref, now_ms, work, takers)
             if step is None:
                 continue
             if step.operation is Operation.LOAD:
                 self.copies += 1
                 self._copied_ms[wanted.name] = now_ms
-            runner.ordering = True
             return [step]
         return []
 
     def _make_room_or_load(
-        self, runner: RunnerSeats, ref: AdapterRef, now_ms: int, work: dict[ServerLife, ServerWork]
+        self,
+        runner: RunnerSeats,
+        ref: AdapterRef,
+        now_ms: int,
+        work: dict[ServerLife, ServerWork],
+        takers: Takers,
     ) -> Step | None:
         old = runner.seats.get(ref.name)
         if runner.room(now_ms) <= 0 and old is None:
-            seat = self._idle.least_valuable(runner, now_ms, work)
-            if seat is None:
+            unused = self._idle.least_valuable(runner, now_ms, work)
+            if unused is None:
                 return None
-            return self._drop(runner, seat, now_ms)
+            step = self._drop(runner, unused, now_ms)
+        else:
+            step = self._load(runner, ref, now_ms)
+        runner.ordering = True
+        takers.changed(runner)
+        return step
+
+    def _load(self, runner: RunnerSeats, ref: AdapterRef, now_ms: int) -> Step:
         seat = runner.begin_load(ref, now_ms)
-        seat.among = self._cold_incoming(now_ms)
         self.loads += 1
         self.cold_loads += seat.cold
         version = ref.version if ref.version > 1 else None
@@ -439,7 +510,10 @@
         if complete:
             if step.operation is Operation.LOAD:
                 if seat.cold and seat.state is SeatState.LOADING and seat.among:
-                    self.load_limit.complete(now_ms - seat.since_ms, seat.among, now_ms)
+                    # Counted to when the question was due: a busy holder that asks late would take
+                    # the store for slow.
+                    seen_ms = seat.check_at_ms if step.confirms else now_ms
+                    self.load_limit.complete(seen_ms - seat.since_ms, seat.among, now_ms)
                 runner.loaded(step.name, now_ms)
             else:
                 runner.dropped(step.name)
@@ -480,29 +554,26 @@
         return Step(runner.life, operation, ref.name, version, runner.sequence or 0, confirms)
 
     def _tick(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
+        self._note_use(now_ms, work)
+        if now_ms - self._ticked_ms < TICK_MS:
+            return
         span_s = min(1.0, (now_ms - self._ticked_ms) / 1000)
         self._ticked_ms = now_ms
-        for runner in self.runners.values():
-            at = work.get(runner.life, _NO_WORK)
-            self._loads_by_runner.note(runner.life, at, span_s)
+        for life in self.runners:
+            at = work.get(life, _NO_WORK)
+            self._loads_by_runner.note(life, at, span_s)
             for name, count in at.by_adapter.items():
                 self._heat.add(name, count * span_s, now_ms)
+        self._heat.forget_cold(now_ms)
+
+    def _note_use(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
+        """Note which seats are seen in use: from here on the use itself keeps the place."""
+        for life, runner in self.runners.items():
+            for name in work.get(life, _NO_WORK).by_adapter:
                 seat = runner.seats.get(name)
                 if seat is not None:
-                    # Seen in use: from here on the use itself keeps the place.
                     seat.used_ms = now_ms
                     seat.granted_until_ms = 0
-        self._heat.forget_cold(now_ms)
-
-    def _cold_incoming(self, now_ms: int) -> int:
-        """Return how many adapters are on their way from the weight store."""
-        return sum(
-            seat.state is SeatState.LOADING
-            and seat.cold
-            and self.load_limit.on_its_way(now_ms - seat.since_ms)
-            for runner in self.runners.values()
-            for seat in runner.seats.values()
-        )
 
 
 _NO_WORK: Final = ServerWork()
--- a/monsoonflow/placement/load_limit.py
+++ b/monsoonflow/placement/load_limit.py
@@ -24,7 +24,7 @@
 GROUP: Final = 8
 """Fewest loads that are judged together, and never fewer than the limit: a round of them or two."""
 
-QUICK_SHARE: Final = 0.25
+QUICK_SHARE: Final = 0.375
 """The load that stands for its group comes after this share, quickest first: a full store delays
 even that one; lost orders and slow runners delayed a third."""
 
@@ -36,7 +36,7 @@
 
 STUCK: Final = 3
 """A load that has taken so many times as long as one at full speed is not on its way: its order was
-lost, or its runner is gone. It takes nothing of what the store sends."""
+lost, or its runner is gone. It takes nothing of what the store sends, and tells nothing of it."""
 
 USED_SHARE: Final = 0.75
 """A load beside fewer than this share of the limit tells nothing about it."""
@@ -53,7 +53,7 @@
 """Requests come in clumps; a limit that binds for less than two loads is not tried out, since half
 too many at once make each load of a clump take half longer."""
 
-KEPT_MS: Final = 10_000
+KEPT_MS: Final = 5_000
 """How long a bound that was found is kept before a higher one is tried again: a trial delays two
 rounds of loads by half, a bound that is too low all who wait."""
 
@@ -114,7 +114,7 @@
 
         :param among: how many were in progress when it began, itself among them.
         """
-        if among < self._limit * USED_SHARE:
+        if among < self._limit * USED_SHARE or not self.on_its_way(took_ms):
             return
         self._group.append((max(1, took_ms), among))
         if len(self._group) < max(GROUP, self.limit):
