request_sent tells the version, the queue before it and the expected first event

Cause of the change: a request that waited seconds in its runner's queue could not be told from one that was sent to the wrong runner: the line gave unread tokens within a text, and only for places that were known without asking.

Change: version, unread_tokens and expected_ms are fields of their own for every way that a runner is chosen (held, placed, held meanwhile). Requests that met an idle runner tell nothing of reading and are left out; a prompt that was not read when it was due counts.

Ruled out: the pace of first events by prompt length (routing/first_event.py): it does not know what waits before the prompt.

No decision is changed by it.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -18,6 +18,7 @@
 from ..fleet.gossip import Gossip
 from ..fleet.models import NodeCard, NodeReport
 from ..fleet.view import FleetView
+from ..gateway.backlog import Backlog
 from ..gateway.budget import SharedRetries
 from ..gateway.engines import EngineChooser
 from ..gateway.handler import Gateway
@@ -117,6 +118,7 @@
         self.view = FleetView(settings.name)
         self.beliefs = Beliefs(self.clock)
         self.in_flight = InFlight(self._adapter_use_changed)
+        self.backlog = Backlog(self.in_flight, self.view)
         self.conditions = Conditions()
         self.pools = Pools(self.clock)
         self.metrics = EntryMetrics()
@@ -294,16 +296,29 @@
         self._outside = outside
         settings = self.settings
         retries = SharedRetries(self.budget, self.view, self.clock)
-        shared = (self.beliefs.book, self.in_flight, self.view, self.conditions)
+        book, conditions = self.beliefs.book, self.conditions
+        plain = PlainChooser(
+            book, self.in_flight, self.view, conditions, self.rng, settings.data_centre
+        )
+        engines = EngineChooser(
+            book,
+            self.backlog,
+            conditions,
+            Placing(self),
+            self.clock,
+            self.rng,
+            settings.data_centre,
+        )
         self.gateway = Gateway(
             self.clock,
             outside.dialect,
             lambda: self.beliefs.table,
             self.pools,
             self.in_flight,
+            self.backlog,
             retries,
-            PlainChooser(*shared, self.rng, settings.data_centre),
-            EngineChooser(*shared, Placing(self), self.clock, self.rng, settings.data_centre),
+            plain,
+            engines,
             self.rng,
             Record(self.clock, self.metrics),
         )
@@ -347,4 +362,5 @@
                 self.duties.residency.forget(life)
                 self.pools.forget(life)
                 self.conditions.forget(life)
+                self.backlog.pace.forget(life)
             self.peers.fetch_newer(self.beliefs)
--- a/monsoonflow/entry/placing.py
+++ b/monsoonflow/entry/placing.py
@@ -146,14 +146,14 @@
         self._daemon.duties.residency.granted(placed.life, ref)
         wanted = self.wanted_version(adapter)
         current = wanted is not None and placed.version >= wanted
-        return _to(server, call, placed.version, wanted if current else None, "placed")
+        return self._to(server, call, placed.version, wanted if current else None, "placed")
 
     def _held_meanwhile(self, call: Call, service: Service, job: Job) -> Chosen | None:
         """Return a runner that was heard to hold the adapter while nobody answered."""
         held = self.holders(call.adapter or "")
         for server in self._daemon.beliefs.book.of_service(service.name):
             if server.life in held and server.life not in job.avoided:
-                return _to(server, call, held[server.life], None, "held meanwhile")
+                return self._to(server, call, held[server.life], None, "held meanwhile")
         return None
 
     def _question(
@@ -221,17 +221,23 @@
         now_ms = self._daemon.clock.now_ms()
         return passed_ms is not None and now_ms - passed_ms > bound_ms * OLD_VERSION_SHARE
 
-
-def _to(
-    server: BackendServer, call: Call, version: int, expect_version: int | None, why: str
-) -> Chosen:
-    return Chosen(
-        server.life,
-        server.address,
-        call.adapter,
-        version,
-        call.prompt_tokens,
-        call.prompt_tokens + call.output_tokens,
-        expect_version,
-        why,
-    )
+    def _to(
+        self,
+        server: BackendServer,
+        call: Call,
+        version: int,
+        expect_version: int | None,
+        why: str,
+    ) -> Chosen:
+        now_ms = self._daemon.clock.now_ms()
+        return Chosen(
+            server.life,
+            server.address,
+            call.adapter,
+            version,
+            call.prompt_tokens,
+            call.prompt_tokens + call.output_tokens,
+            expect_version,
+            why,
+            self._daemon.backlog.ahead(server.life, call.prompt_tokens, now_ms),
+        )
--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -11,10 +11,9 @@
 from ..core.server_life import ServerLife
 from ..discovery.book import ServerBook
 from ..discovery.models import BackendServer
-from ..fleet.view import FleetView
 from ..routing.condition import Conditions
-from ..routing.in_flight import InFlight
 from ..routing.routes import Route, Service
+from .backlog import Backlog
 from .job import Job
 from .models import (
     Abandoned,
@@ -67,8 +66,7 @@
     """Picks a runner for a generation."""
 
     book: ServerBook
-    in_flight: InFlight
-    view: FleetView
+    backlog: Backlog
     conditions: Conditions
     placement: Placement
     clock: Clock
@@ -121,7 +119,8 @@
             call.prompt_tokens + call.output_tokens,
             # An older version may still begin for a moment after a newer one was named.
             wanted if current else None,
-            why=f"held, unread_tokens={self._waiting(server, now_ms)}",
+            why="held",
+            queue=self.backlog.ahead(server.life, call.prompt_tokens, now_ms),
         )
 
     def patience_ms(self, chosen: Chosen, route: Route) -> int:
@@ -157,14 +156,11 @@
                 self.conditions.ended(chosen.life, False, took_ms, now_ms)
 
     def _cost(self, server: BackendServer, now_ms: int) -> float:
-        own = self.in_flight.at(server.life)
-        others = self.view.work_at(server.life, now_ms)
-        running = own.requests + others.requests
-        waiting = own.unread_tokens + others.unread_tokens
+        work = self.backlog.work_at(server.life, now_ms)
+        running, waiting = work.requests, work.unread_tokens
         success = 1.0 - self.conditions.failure_share(server.life, now_ms)
         return (waiting + REQUEST_TOKENS * (running + 1)) / max(0.1, success) + self.rng.random()
 
     def _waiting(self, server: BackendServer, now_ms: int) -> int:
         """Return the prompt tokens that are still to be read at a runner."""
-        own = self.in_flight.at(server.life).unread_tokens
-        return own + self.view.work_at(server.life, now_ms).unread_tokens
+        return self.backlog.work_at(server.life, now_ms).unread_tokens
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -14,6 +14,7 @@
 from ..transport.client import Pools
 from ..transport.models import CallerLeft, Header, Request
 from ..transport.server import Reply
+from .backlog import Backlog
 from .events import EventCutter
 from .job import Job
 from .models import (
@@ -96,6 +97,7 @@
         table: Callable[[], RouteTable | None],
         pools: Pools,
         in_flight: InFlight,
+        backlog: Backlog,
         retries: RetryGate,
         plain: Chooser,
         engines: Chooser,
@@ -107,6 +109,7 @@
         self._table = table
         self._pools = pools
         self._in_flight = in_flight
+        self._backlog = backlog
         self._retries = retries
         self._plain = plain
         self._engines = engines
@@ -189,7 +192,7 @@
             job.call,
             job.until_ms,
             self._sign_until(job, chooser, chosen, sent_ms),
-            lambda: self._first_event(job, ticket),
+            lambda: self._first_event(job, chosen, ticket),
             lambda: chooser.begins_until_ms(chosen),
         )
         result: Try | None = None
@@ -216,15 +219,19 @@
         self, ticket: Ticket, chooser: Chooser, chosen: Chosen, result: Try, sent_ms: int
     ) -> None:
         now_ms = self._clock.now_ms()
+        if ticket.unread and isinstance(result, Abandoned | TimedOut | Recalled):
+            self._backlog.no_first_event(chosen, now_ms - sent_ms, now_ms)
         self._in_flight.end(ticket)
         chooser.ended(chosen, result, now_ms - sent_ms, now_ms)
         self._record.tried(result)
 
-    def _first_event(self, job: Job, ticket: Ticket) -> None:
+    def _first_event(self, job: Job, chosen: Chosen, ticket: Ticket) -> None:
         self._in_flight.first_event(ticket)
+        now_ms = self._clock.now_ms()
+        took_ms = now_ms - ticket.sent_ms
+        self._backlog.first_event(chosen, took_ms, now_ms)
         if job.first_ms is None:
-            job.first_ms = self._clock.now_ms()
-            took_ms = job.first_ms - ticket.sent_ms
+            job.first_ms = now_ms
             self.first_event_pace.observed(job.call.prompt_tokens, took_ms)
 
     def _onward(self, job: Job, chosen: Chosen, now_ms: int) -> Onward:
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -177,12 +177,26 @@
 )
 
 
+@attrs.frozen(slots=True)
+class QueueAhead:
+    """What a request waits for at a model runner.
+
+    :param unread_tokens: prompt tokens that are read before its own.
+    :param expect_ms: time until its first event.
+    """
+
+    unread_tokens: int
+    expect_ms: int
+
+
 @attrs.frozen(slots=True)
 class Chosen:
     """The server that a request is sent to.
 
     :param version: of the adapter that the server is known to hold.
     :param expect_version: the version without which the server shall refuse.
+    :param unread_tokens: that the request itself adds to what is to be read there.
+    :param queue: what is before it there; ``None`` at servers of plain services.
     """
 
     life: ServerLife
@@ -193,6 +207,7 @@
     memory_tokens: int = 0
     expect_version: int | None = None
     why: str = ""
+    queue: QueueAhead | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoonflow/gateway/record.py
+++ b/monsoonflow/gateway/record.py
@@ -67,6 +67,7 @@
     def sent(self, job: Job, chosen: Chosen, onward: Onward) -> None:
         """Note that a request goes to a server."""
         after = onward.last_event
+        queue = chosen.queue
         log(
             _LOGGER,
             events.RequestSent(
@@ -76,7 +77,10 @@
                 why=chosen.why,
                 left_ms=onward.left_ms,
                 rank=onward.priority,
+                version=chosen.version,
                 expect_version=onward.expect_version,
+                unread_tokens=queue.unread_tokens if queue is not None else None,
+                expected_ms=queue.expect_ms if queue is not None else None,
                 after_event=after.decode("latin-1") if after is not None else None,
             ),
         )
--- a/monsoonflow/logs/events.py
+++ b/monsoonflow/logs/events.py
@@ -42,13 +42,20 @@
 class RequestSent(Event):
     """A request goes to a server."""
 
+    # At a model runner ``version`` is the adapter's that it is believed to hold, ``expect_version``
+    # the one without which it shall refuse; ``unread_tokens`` are to be read there before the
+    # request's own, and ``expected_ms`` is the time until its first event.
+
     request: str
     server: str
     attempt: int
     why: str
     left_ms: int
     rank: int | None = None
+    version: int | None = None
     expect_version: int | None = None
+    unread_tokens: int | None = None
+    expected_ms: int | None = None
     after_event: str | None = None
 
 
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -275,3 +275,19 @@
     answer = fleet.generate(other if fleet.holder() is one else one, "a1", "r2")
     assert answer.head.status == 200
     assert asked.count(b"r2") <= 3
+
+
+def test_the_line_of_a_sent_generation_tells_what_is_before_it(fleet, one, runners, caplog):
+    """Where a request waited for seconds, its line tells what was known of the queue at the send.
+
+    The version that the runner is believed to hold, what is to be read there and for how long, for
+    a place that was asked for as well as for one that was known.
+    """
+    caplog.set_level("INFO")
+    fleet.generate(one, "a1", "r1")
+    wait_for(lambda: one.daemon.duties.residency.holders("m/a1"))
+    fleet.generate(one, "a1", "r2")
+    lines = [line for line in caplog.messages if "event=request_sent" in line]
+    assert [re.search(r"why=(\w+)", line)[1] for line in lines] == ["placed", "held"]
+    for line in lines:
+        assert " version=1 " in line and " unread_tokens=0 expected_ms=" in line, line
--- a/tests/gateway/test_comes_back.py
+++ b/tests/gateway/test_comes_back.py
@@ -9,6 +9,8 @@
 
 from monsoonflow.core.clock import ManualClock
 from monsoonflow.entry.metrics import EntryMetrics
+from monsoonflow.fleet.view import FleetView
+from monsoonflow.gateway.backlog import Backlog
 from monsoonflow.gateway.handler import Gateway
 from monsoonflow.gateway.job import Job
 from monsoonflow.gateway.models import NoServer
@@ -63,13 +65,15 @@
 def gateway(chooser: NoPlaces) -> Gateway:
     """Return a gateway at time 10,000."""
     clock = ManualClock(10_000)
+    in_flight = InFlight()
     table = RouteTable.build(1, [ROUTE], [Service("s")], MessageLimits())
     return Gateway(
         clock,
         HeaderDialect(),
         lambda: table,
         Pools(clock),
-        InFlight(),
+        in_flight,
+        Backlog(in_flight, FleetView("n")),
         NoRetries(),
         chooser,
         chooser,
