Tests that fail: requests are sent behind a queue that outlasts them

Replayed in virtual time: forty nodes, one adapter at one runner, 30 requests a second where it reads eight: 479 sent, 21 read, 429 lost. With real entry nodes: a runner with 500,000 unread tokens is used though another is idle.

--- /dev/null
+++ b/tests/gateway/test_crowded_runners.py
@@ -0,0 +1,46 @@
+"""Requests are not sent to a runner that can't read them before their callers leave."""
+
+from __future__ import annotations
+
+from monsoonflow.core.server_life import ServerLife
+from tests.gateway.crowd import TOKENS_PER_MS, Crowd, NoPlaces
+
+HOT, OTHER = ServerLife("i-1"), ServerLife("i-2")
+
+
+def arrivals(crowd: Crowd, adapter: str, a_second: float):
+    """Return what lets requests for an adapter arrive, each at some node."""
+
+    def step(_now_ms: int) -> None:
+        if crowd.rng.random() < a_second / 100:
+            crowd.arrive(crowd.rng.choice(crowd.nodes), adapter)
+
+    return step
+
+
+def test_nobody_is_sent_behind_a_queue_that_outlasts_it():
+    """Forty nodes get 30 requests a second for one adapter; its one runner reads eight of them.
+
+    Each node sent all of its requests to the runner that held the adapter, however much waited
+    there: the median of unread tokens at the send was 32,933, the 90th percentile 245,510, 12.8 s
+    of reading, while callers leave after 4 s. Of 237 that met more than 100,000 only 13 got a first
+    event, all others behind them waited longer, and nobody was told when to come back.
+    """
+    crowd = Crowd(NoPlaces({"a": {HOT: 1}}), 40, (HOT,))
+    crowd.run(4_000, arrivals(crowd, "a", 30))
+    before = (crowd.sent, crowd.read, crowd.lost)
+    crowd.run(16_000, arrivals(crowd, "a", 30))
+    sent, read, lost = (
+        now - then for now, then in zip((crowd.sent, crowd.read, crowd.lost), before, strict=True)
+    )
+    assert lost <= sent * 0.1, (sent, read, lost)
+    assert crowd.refused > 100
+    # The runner itself is not left idle for it.
+    assert read * 2_368 >= 16_000 * TOKENS_PER_MS * 0.85, (sent, read, lost)
+
+
+def test_another_holder_is_used_in_time():
+    """Two runners hold the adapter: while one of them can read a request in time it is not lost."""
+    crowd = Crowd(NoPlaces({"a": {HOT: 1, OTHER: 1}}), 12, (HOT, OTHER))
+    crowd.run(10_000, arrivals(crowd, "a", 12))
+    assert (crowd.lost, crowd.refused) == (0, 0)
