A queue may take four fifths of the time until a caller leaves

Cause: what other nodes send to a runner is heard of 0.2 to 1.6 s later, and a queue that was just short enough is too long when the request gets there.

Ruled out: that a share alone is enough in a large fleet. With 89 nodes and 60 requests a second 62 of 139 sent are lost, whatever the queue may take: that test comes with this commit and stays red until nodes hear of long queues sooner.

--- a/monsoonflow/entry/placing.py
+++ b/monsoonflow/entry/placing.py
@@ -11,6 +11,7 @@
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
 from ..discovery.models import BackendServer
+from ..gateway.backlog import Backlog
 from ..gateway.job import Job
 from ..gateway.models import Call, Chosen, NoServer
 from ..logs import events, log
@@ -196,7 +197,7 @@
         crowded: frozenset[ServerLife],
     ) -> dict[str, Any]:
         now_ms = self._daemon.clock.now_ms()
-        read_ms = None if job.resuming() else job.first_event_until_ms() - now_ms
+        read_ms = None if job.resuming() else Backlog.patience_ms(job, now_ms)
         answer_ms = self._daemon.gateway.first_event_pace.expect_ms(call.prompt_tokens)
         on_time_ms = job.on_time_until_ms() - answer_ms - now_ms
         priority = route.priority
--- a/monsoonflow/gateway/backlog.py
+++ b/monsoonflow/gateway/backlog.py
@@ -14,6 +14,11 @@
 from .job import Job
 from .models import Chosen, QueueAhead
 
+QUEUE_SHARE: Final = 0.8
+"""Share of the time until a caller leaves that a queue may take: what other nodes send meanwhile is
+not heard of yet. With all of the time 16 of 136 requests sent to a runner from 40 nodes were lost,
+none of 129 with this share, and the runner read as many."""
+
 LEAST_DRAIN_MS: Final = 500
 """Shortest time after which a caller that was sent away for a queue may come back: sooner, the
 nodes' knowledge of the queue is as it was."""
@@ -47,11 +52,16 @@
         """
         if job.resuming():
             return True
-        return now_ms + self.ahead(life, job, now_ms).expect_ms <= job.first_event_until_ms()
+        return self.ahead(life, job, now_ms).expect_ms <= self.patience_ms(job, now_ms)
+
+    @staticmethod
+    def patience_ms(job: Job, now_ms: int) -> int:
+        """Return how long a queue may take to be read before a request."""
+        return int((job.first_event_until_ms() - now_ms) * QUEUE_SHARE)
 
     def drained_ms(self, lives: Collection[ServerLife], job: Job, now_ms: int) -> int:
         """Return in how long one of some runners would read such a request in time."""
-        left_ms = job.first_event_until_ms() - now_ms
+        left_ms = self.patience_ms(job, now_ms)
         waits = [self.ahead(life, job, now_ms).expect_ms - left_ms for life in lives]
         return max(LEAST_DRAIN_MS, min(waits, default=0))
 
--- a/tests/gateway/test_crowded_runners.py
+++ b/tests/gateway/test_crowded_runners.py
@@ -42,6 +42,21 @@
     assert read * 2_368 >= 16_000 * TOKENS_PER_MS * 0.85, (sent, read, lost)
 
 
+def test_many_nodes_do_not_overrun_a_runner_between_two_reports():
+    """Eighty-nine nodes get 60 requests a second for one adapter; its runner reads eight of them.
+
+    Each node hears each other every 1.6 s. Judged by that alone, all of them find the room that is
+    left at the same time: 62 of 139 sent were lost. The holder of the runners' duty hears all of
+    them each 200 ms, and is heard by all as often.
+    """
+    crowd = Crowd(NoPlaces({"a": {HOT: 1}}), 89, (HOT,))
+    crowd.run(4_000, arrivals(crowd, "a", 60))
+    before = (crowd.sent, crowd.lost)
+    crowd.run(12_000, arrivals(crowd, "a", 60))
+    sent, lost = crowd.sent - before[0], crowd.lost - before[1]
+    assert lost <= sent * 0.1, (sent, lost)
+
+
 def test_another_holder_is_used_in_time():
     """Two runners hold the adapter: while one of them can read a request in time it is not lost."""
     crowd = Crowd(NoPlaces({"a": {HOT: 1, OTHER: 1}}), 12, (HOT, OTHER))
