The holder tells which runners have long queues

Cause: among 89 nodes each hears each other every 1.6 s; all of them find the room that is left at a runner at the same time. The holder of its duty hears all each 200 ms and is heard as often.

Change: the holder's report names the runners that need more than a second to read what they have, with the tokens by rank; a node takes that word while it is fresh, with what it has sent since, in place of the sums of what it heard. What it sent itself counts whatever is told. The field is the report's last and may be missing.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -241,6 +241,7 @@
             residency=self.duties.told_residency(),
             heard=self.view.heard_holders(),
             came_servers=self.beliefs.recent_came(),
+            crowded=self.duties.crowded(),
         )
 
     def _take_report(self, report: NodeReport) -> None:
@@ -362,5 +363,5 @@
                 self.duties.residency.forget(life)
                 self.pools.forget(life)
                 self.conditions.forget(life)
-                self.backlog.pace.forget(life)
+                self.backlog.forget(life)
             self.peers.fetch_newer(self.beliefs)
--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -15,6 +15,7 @@
 from ..placement.desk import Desk
 from ..placement.seats import SeatState, Step
 from ..placement.waiting import NoPlace, Placed, Waiter
+from ..routing.crowded import CrowdedRunners, crowded_runners
 from ..routing.in_flight import ServerWork
 from ..routing.routes import Service
 from ..storage.models import ChangedRow
@@ -74,6 +75,7 @@
         self._wake = Event()
         self.residency = Residency(daemon.clock)
         self._rows: dict[str, ChangedRow] = {}
+        self._planned_work: dict[ServerLife, ServerWork] = {}
 
     def start(self) -> None:
         """Begin to look after duties."""
@@ -158,6 +160,18 @@
             if runner.known()
         )
 
+    def crowded(self) -> CrowdedRunners | None:
+        """Return the runners of this node's duties with long queues, for the others.
+
+        As of the last plan: to add up all nodes' work once more for each report costs as much as a
+        plan does.
+        """
+        if all(duty.desk is None for duty in self._duty_by_cell.values()):
+            return None
+        now_ms = self._daemon.clock.now_ms()
+        pace = self._daemon.backlog.pace.tokens_per_ms(None, now_ms)
+        return crowded_runners(self._planned_work, pace)
+
     def doubt(self, life: ServerLife, adapter: str) -> None:
         """Take that a runner lacks an adapter: what its desk believes of it is looked at again."""
         for duty in self._duty_by_cell.values():
@@ -276,6 +290,7 @@
                 if not self._keep_desk(duty, now_ms):
                     continue
                 work = self._work() if work is None else work
+                self._planned_work = work
                 self._plan(duty, now_ms, work)
             self._take_told(now_ms)
             # Each news wakes the plan. In a rush before many runners it would take all of the
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -12,6 +12,7 @@
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
 from ..routing.budget import Spent
+from ..routing.crowded import CrowdedRunners
 from ..routing.in_flight import ServerWork
 from .models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
 
@@ -54,6 +55,7 @@
             ),
             [attrs.astuple(heard) for heard in report.heard],
             report.came_servers,
+            _crowded_fields(report.crowded),
         ]
     )
 
@@ -84,9 +86,25 @@
         residency=None if fields[10] is None else tuple(map(_held, fields[10])),
         heard=tuple(Heard(str(name), str(boot), int(seq)) for name, boot, seq in fields[11]),
         came_servers=tuple(map(ServerLife, fields[12])),
+        crowded=_crowded(fields[13] if len(fields) > 13 else None),
     )
 
 
+def _crowded_fields(crowded: CrowdedRunners | None) -> dict[str, Any] | None:
+    if crowded is None:
+        return None
+    return {str(life): list(ranks.items()) for life, ranks in crowded.items()}
+
+
+def _crowded(fields: dict[str, Any] | None) -> CrowdedRunners | None:
+    if fields is None:
+        return None
+    return {
+        ServerLife(life): {int(rank): int(tokens) for rank, tokens in ranks}
+        for life, ranks in fields.items()
+    }
+
+
 def _work_fields(work: ServerWork) -> list[Any]:
     fields = [work.requests, work.unread_tokens, work.memory_tokens, work.by_adapter]
     ranks = [[rank, tokens] for rank, tokens in work.unread_by_rank.items()]
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -7,6 +7,7 @@
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
 from ..routing.budget import Spent
+from ..routing.crowded import CrowdedRunners
 from ..routing.in_flight import ServerWork
 
 
@@ -72,6 +73,8 @@
     :param heard: the newest reports of holders that this node has heard: for a while after each it
         does not claim their duties.
     :param came_servers: servers that the node lately learnt of.
+    :param crowded: set by the holder of a cell: its runners with long queues, newer than what other
+        nodes hear of each other; ``None`` at others.
     """
 
     card: NodeCard
@@ -88,6 +91,7 @@
     residency: tuple[HeldAdapters, ...] | None = ()
     heard: tuple[Heard, ...] = ()
     came_servers: tuple[ServerLife, ...] = ()
+    crowded: CrowdedRunners | None = None
 
     @property
     def name(self) -> str:
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -11,6 +11,7 @@
 from ..core.server_life import ServerLife
 from ..logs import events, log
 from ..routing.budget import Spent
+from ..routing.crowded import CrowdedRunners
 from ..routing.in_flight import ServerWork
 from .models import DutyClaim, Heard, HeldAdapters, NodeCard, NodeReport
 from .rounds import holder_silence_ms, silence_ms
@@ -23,6 +24,10 @@
 WORK_FADES_MS: Final = 2_000
 """A silent node's work in progress is counted for so long at least: its requests end with it."""
 
+CROWDED_FADES_MS: Final = 700
+"""A holder's word on its runners' queues is used for so long: three of its rounds. Older, it says
+no more than what the other nodes told of themselves."""
+
 MOST_SENT: Final = 512
 """Reports of this node whose time of sending is remembered: some seconds of a busy holder."""
 
@@ -237,6 +242,14 @@
                 total.add(work)
         return total
 
+    def crowded(self, cell: str, now_ms: int) -> CrowdedRunners | None:
+        """Return the runners with long queues, by the fresh word of their cell's holder."""
+        claim = self._epoch_by_cell.get(cell)
+        heard = self._heard_by_name.get(claim.holder) if claim is not None else None
+        if heard is None or now_ms - heard.at_ms > CROWDED_FADES_MS:
+            return None
+        return heard.report.crowded
+
     def spent(self, service: str, now_ms: int) -> list[Spent]:
         """Return the others' requests and retries of a service."""
         return [
--- a/monsoonflow/gateway/backlog.py
+++ b/monsoonflow/gateway/backlog.py
@@ -9,19 +9,26 @@
 
 from ..core.server_life import ServerLife
 from ..fleet.view import FleetView
+from ..routing.crowded import as_told
 from ..routing.in_flight import InFlight, ServerWork
+from ..routing.lately_sent import LatelySent
 from ..routing.reading import ReadingPace
 from .job import Job
 from .models import Chosen, QueueAhead
 
+LEAST_DRAIN_MS: Final = 500
+"""Shortest time after which a caller that was sent away for a queue may come back: sooner, the
+nodes' knowledge of the queue is as it was."""
+
+
 QUEUE_SHARE: Final = 0.8
 """Share of the time until a caller leaves that a queue may take: what other nodes send meanwhile is
 not heard of yet. With all of the time 16 of 136 requests sent to a runner from 40 nodes were lost,
 none of 129 with this share, and the runner read as many."""
 
-LEAST_DRAIN_MS: Final = 500
-"""Shortest time after which a caller that was sent away for a queue may come back: sooner, the
-nodes' knowledge of the queue is as it was."""
+UNTOLD_MS: Final = 400
+"""After so long the holder's word counts a request of this node: its report takes 200 ms at most,
+and the holder's next one as long again."""
 
 
 @attrs.define(slots=True)
@@ -31,16 +38,28 @@
     in_flight: InFlight
     view: FleetView
     pace: ReadingPace = attrs.Factory(ReadingPace)
+    lately_sent: LatelySent = attrs.Factory(lambda: LatelySent(UNTOLD_MS))
 
-    def work_at(self, life: ServerLife, now_ms: int) -> ServerWork:
-        """Return what all nodes have in progress at a runner."""
+    def work_at(self, life: ServerLife, cell: str, now_ms: int) -> ServerWork:
+        """Return what all nodes have in progress at a runner of a cell."""
         total = self.view.work_at(life, now_ms)
-        total.add(self.in_flight.at(life))
-        return total
+        own = self.in_flight.at(life)
+        total.add(own)
+        crowded = self.view.crowded(cell, now_ms)
+        if crowded is None:
+            return total
+        pace = self.pace.tokens_per_ms(None, now_ms)
+        lately_sent = self.lately_sent.tokens(life, now_ms)
+        return as_told(total, own, crowded.get(life), lately_sent, pace)
+
+    def sent(self, chosen: Chosen, now_ms: int) -> None:
+        """Take that a request goes to a runner."""
+        if chosen.queue is not None:
+            self.lately_sent.add(chosen.life, chosen.unread_tokens, now_ms)
 
     def ahead(self, life: ServerLife, job: Job, now_ms: int) -> QueueAhead:
         """Return what a request would wait for at a runner."""
-        unread = self.work_at(life, now_ms).unread_ahead(job.rank_at(now_ms))
+        unread = self.work_at(life, job.service.name, now_ms).unread_ahead(job.rank_at(now_ms))
         expect_ms = self.pace.expect_ms(life, unread + job.call.prompt_tokens, now_ms)
         return QueueAhead(unread, expect_ms)
 
@@ -76,3 +95,8 @@
         if chosen.queue is not None:
             tokens = chosen.queue.unread_tokens + chosen.unread_tokens
             self.pace.unread(chosen.life, tokens, chosen.unread_tokens, waited_ms, now_ms)
+
+    def forget(self, life: ServerLife) -> None:
+        """Drop a runner that is gone."""
+        self.pace.forget(life)
+        self.lately_sent.forget(life)
--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -178,11 +178,11 @@
                 self.conditions.ended(chosen.life, False, took_ms, now_ms)
 
     def _cost(self, server: BackendServer, now_ms: int) -> float:
-        work = self.backlog.work_at(server.life, now_ms)
+        work = self.backlog.work_at(server.life, server.service, now_ms)
         running, waiting = work.requests, work.unread_tokens
         success = 1.0 - self.conditions.failure_share(server.life, now_ms)
         return (waiting + REQUEST_TOKENS * (running + 1)) / max(0.1, success) + self.rng.random()
 
     def _waiting(self, server: BackendServer, now_ms: int) -> int:
         """Return the prompt tokens that are still to be read at a runner."""
-        return self.backlog.work_at(server.life, now_ms).unread_tokens
+        return self.backlog.work_at(server.life, server.service, now_ms).unread_tokens
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -183,6 +183,7 @@
             chosen.memory_tokens,
             onward.priority,
         )
+        self._backlog.sent(chosen, sent_ms)
         self._record.sent(job, chosen, onward)
         head = self._dialect.onward_head(job.request, onward)
         offer = Offer(
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -25,9 +25,9 @@
     Unusable,
 )
 from ..routing.in_flight import ServerWork
+from ..routing.lately_sent import LatelySent
 from ..routing.routes import EngineTraits
 from .copies import RunnerLoads, wanted_copy
-from .grants import Grants
 from .heat import Heat
 from .idle import IdlePlaces
 from .load_limit import LoadLimit
@@ -72,6 +72,9 @@
 sends at once. With 400 waiting before 44 runners a plan took 81 ms, and orders waited for it; 14 ms
 now."""
 
+UNREPORTED_MS: Final = 250
+"""A request shows up in its node's next report, 200 ms later at most, and a moment on the way."""
+
 LEAST_DRAIN_MS: Final = 500
 """Shortest time after which a caller that was sent away for the queues may come back."""
 
@@ -104,7 +107,7 @@
         self._ticked_ms = 0
         self._model_loads = ModelLoads(traits.loads_per_s, load_window_ms)
         self._pace = Pace()
-        self._grants = Grants()
+        self._grants = LatelySent(UNREPORTED_MS)
         self._returners = Returners()
         self.loads = 0
         self.cold_loads = 0
--- a/monsoonflow/placement/grants.py
+++ b/monsoonflow/routing/lately_sent.py
@@ -3,27 +3,26 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Final
 
 from ..core.server_life import ServerLife
 
-UNREPORTED_MS: Final = 250
-"""A request shows up in its node's next report, 200 ms later at most, and a moment on the way."""
 
+class LatelySent:
+    """The prompt tokens of requests that were lately sent to runners.
 
-class Grants:
-    """The prompt tokens of requests that were lately granted a runner.
-
-    The load that it is made for: a hot adapter's runner takes ten grants between two reports. Each
+    The load that it is made for: a hot adapter's runner gets ten requests between two reports. Each
     judged by the last report alone, all of them find the same room there.
 
-    >>> grants = Grants()
-    >>> grants.add("i-1", 2_000, 0)
-    >>> grants.tokens("i-1", 100), grants.tokens("i-1", 400)
+    :param unreported_ms: after how long reports tell of a request.
+
+    >>> sent = LatelySent(250)
+    >>> sent.add("i-1", 2_000, 0)
+    >>> sent.tokens("i-1", 100), sent.tokens("i-1", 400)
     (2000, 0)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, unreported_ms: int) -> None:
+        self._unreported_ms = unreported_ms
         self._by_life: dict[ServerLife, deque[tuple[int, int]]] = {}
 
     def add(self, life: ServerLife, tokens: int, now_ms: int) -> None:
@@ -32,12 +31,12 @@
 
     def tokens(self, life: ServerLife, now_ms: int) -> int:
         """Return what is on its way to a runner unreported."""
-        granted = self._by_life.get(life)
-        if not granted:
+        sent = self._by_life.get(life)
+        if not sent:
             return 0
-        while granted and now_ms - granted[0][0] > UNREPORTED_MS:
-            granted.popleft()
-        return sum(tokens for _, tokens in granted)
+        while sent and now_ms - sent[0][0] > self._unreported_ms:
+            sent.popleft()
+        return sum(tokens for _, tokens in sent)
 
     def forget(self, life: ServerLife) -> None:
         """Drop a runner that is gone."""
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -37,6 +37,7 @@
     residency=(HeldAdapters(ServerLife("i-1"), (AdapterRef("m/a1", 3),)),),
     heard=(Heard("a", "a-1", 12),),
     came_servers=(ServerLife.of("i-2", 1_764_718_000_123),),
+    crowded={ServerLife("i-1"): {0: 2_000, 1: 30_000}},
 )
 
 
--- a/tests/gateway/crowd.py
+++ b/tests/gateway/crowd.py
@@ -11,7 +11,7 @@
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.discovery.book import ServerBook
 from monsoonflow.discovery.models import BackendServer, HeldModel
-from monsoonflow.fleet.models import NodeCard, NodeReport
+from monsoonflow.fleet.models import DutyClaim, NodeCard, NodeReport
 from monsoonflow.fleet.rounds import EVERY_MS, Rounds
 from monsoonflow.fleet.view import FleetView
 from monsoonflow.gateway.backlog import Backlog
@@ -19,10 +19,12 @@
 from monsoonflow.gateway.job import Job
 from monsoonflow.gateway.models import Call, Chosen, NoServer
 from monsoonflow.routing.condition import Conditions
+from monsoonflow.routing.crowded import crowded_runners
 from monsoonflow.routing.in_flight import InFlight, ServerWork, Ticket
 from monsoonflow.routing.routes import EngineTraits, Route, RouteKind, Service, Target
 from monsoonflow.transport.models import Request
 
+HOLDER = "n0"
 STEP_MS = 10
 TOKENS_PER_MS = 19.2
 PROMPT = 2_368
@@ -90,14 +92,25 @@
     rounds: Rounds
     sequence: int = 0
 
-    def report(self) -> NodeReport:
+    def report(self, now_ms: int) -> NodeReport:
         """Return its word about itself, as it would arrive: a copy."""
         self.sequence += 1
         work = {}
         for life, at in self.in_flight.by_server.items():
             work[life] = ServerWork()
             work[life].add(at)
-        return NodeReport(self.card, self.sequence, True, False, 1, True, work_by_server=work)
+        report = NodeReport(self.card, self.sequence, True, False, 1, True, work_by_server=work)
+        return self._as_holder(report, now_ms) if self.card.name == HOLDER else report
+
+    def _as_holder(self, report: NodeReport, now_ms: int) -> NodeReport:
+        """Return a report with what the holder of the runners' duty tells beside."""
+        claim = DutyClaim("s", HOLDER, 1)
+        self.view.claimed(claim)
+        total = dict(report.work_by_server)
+        for life in {life for r in self.view.reports(now_ms, 2_000) for life in r.work_by_server}:
+            total[life] = self.backlog.work_at(life, "s", now_ms)
+        pace = self.backlog.pace.tokens_per_ms(None, now_ms)
+        return attrs.evolve(report, claims=(claim,), crowded=crowded_runners(total, pace))
 
 
 @attrs.define
@@ -150,6 +163,7 @@
             self.refused += 1
             return found
         self.sent += 1
+        node.backlog.sent(found, now_ms)
         ticket = node.in_flight.begin(
             found.life,
             now_ms,
@@ -178,9 +192,9 @@
                 self._read(life, now_ms)
 
     def _tell(self, node: Node, now_ms: int) -> None:
-        report = node.report()
+        report = node.report(now_ms)
         by_name = {other.card.name: other for other in self.nodes if other is not node}
-        for name in node.rounds.next(by_name, {"n0"}, node.card.name == "n0"):
+        for name in node.rounds.next(by_name, {HOLDER}, node.card.name == HOLDER):
             by_name[name].view.heard(report, now_ms)
 
     def _read(self, life: ServerLife, now_ms: int) -> None:
