Reading: one copy of its constants; a question of an earlier release tells no prompt

A node of another release asks for a place without telling its prompt: its question was answered with 400, and it would have found no place during an update. Such a question is judged without the queue, as before. Sums of work are made in a table of their own: what a view returns is not changed.

--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -47,6 +47,18 @@
 REFUSED_RETRY_MS: Final = 500
 
 
+def _reading(question: dict[str, Any], now_ms: int) -> dict[str, Any]:
+    """Return what a question tells of its prompt; a node of an earlier release tells nothing."""
+    if question.get("read_ms") is None:
+        return {}
+    return {
+        "rank": question["rank"],
+        "prompt_tokens": question["prompt_tokens"],
+        "read_by_ms": now_ms + question["read_ms"],
+        "tokens_per_ms": question["tokens_per_ms"],
+    }
+
+
 class Duty:
     """The duty of one cell: all runners of one service."""
 
@@ -214,10 +226,7 @@
             settle=result.set,
             session=question["session"],
             tried_ms=question["tried_ms"],
-            rank=question["rank"],
-            prompt_tokens=question["prompt_tokens"],
-            read_by_ms=None if question["read_ms"] is None else now_ms + question["read_ms"],
-            tokens_per_ms=question["tokens_per_ms"],
+            **_reading(question, now_ms),
         )
         desk = duty.desk
         for life in question["lacking"]:
--- a/monsoonflow/gateway/backlog.py
+++ b/monsoonflow/gateway/backlog.py
@@ -12,15 +12,10 @@
 from ..routing.crowded import as_told
 from ..routing.in_flight import InFlight, ServerWork
 from ..routing.lately_sent import LatelySent
-from ..routing.reading import ReadingPace
+from ..routing.reading import LEAST_DRAIN_MS, ReadingPace
 from .job import Job
 from .models import Chosen, QueueAhead
 
-LEAST_DRAIN_MS: Final = 500
-"""Shortest time after which a caller that was sent away for a queue may come back: sooner, the
-nodes' knowledge of the queue is as it was."""
-
-
 QUEUE_SHARE: Final = 0.8
 """Share of the time until a caller leaves that a queue may take: what other nodes send meanwhile is
 not heard of yet. With all of the time 16 of 136 requests sent to a runner from 40 nodes were lost,
@@ -42,7 +37,8 @@
 
     def work_at(self, life: ServerLife, cell: str, now_ms: int) -> ServerWork:
         """Return what all nodes have in progress at a runner of a cell."""
-        total = self.view.work_at(life, now_ms)
+        total = ServerWork()
+        total.add(self.view.work_at(life, now_ms))
         own = self.in_flight.at(life)
         total.add(own)
         crowded = self.view.crowded(cell, now_ms)
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -26,6 +26,7 @@
 )
 from ..routing.in_flight import ServerWork
 from ..routing.lately_sent import LatelySent
+from ..routing.reading import LEAST_DRAIN_MS
 from ..routing.routes import EngineTraits
 from .copies import RunnerLoads, wanted_copy
 from .heat import Heat
@@ -75,9 +76,6 @@
 UNREPORTED_MS: Final = 250
 """A request shows up in its node's next report, 200 ms later at most, and a moment on the way."""
 
-LEAST_DRAIN_MS: Final = 500
-"""Shortest time after which a caller that was sent away for the queues may come back."""
-
 PLACES_KEPT_FREE: Final = 2
 """Places that stay for who comes next while copies are made."""
 
--- a/monsoonflow/placement/waiting.py
+++ b/monsoonflow/placement/waiting.py
@@ -13,8 +13,9 @@
 import attrs
 
 from ..core.server_life import ServerLife
+from ..routing.first_event import BASE_MS
 from ..routing.in_flight import ServerWork
-from ..routing.reading import BASE_MS, FIRST_TOKENS_PER_MS
+from ..routing.reading import FIRST_TOKENS_PER_MS
 
 RATE_WINDOW_MS: Final = 2_000
 """Window in which places given are counted: longer than a load, shorter than a rush."""
--- a/monsoonflow/routing/reading.py
+++ b/monsoonflow/routing/reading.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..core.server_life import ServerLife
+from .first_event import BASE_MS
 
 FIRST_TOKENS_PER_MS: Final = 20.0
 """First guess: an engine of the usual size reads 10,000 tokens in half a second."""
@@ -21,8 +22,9 @@
 HALVES_MS: Final = 12_000
 """After so long an observation counts half: a runner that turned slow is soon known to be."""
 
-BASE_MS: Final = 50
-"""Part that does not grow with the queue: the way there and back, and one step of the engine."""
+LEAST_DRAIN_MS: Final = 500
+"""Shortest time after which a caller that was sent away for a queue may come back: sooner, what is
+known of the queue is as it was."""
 
 QUEUE_SHARE: Final = 0.5
 """Only a request with at least this share of what was to be read ahead of itself tells of reading:
--- a/tests/routing/test_reading.py
+++ b/tests/routing/test_reading.py
@@ -5,7 +5,8 @@
 import pytest
 
 from monsoonflow.core.server_life import ServerLife
-from monsoonflow.routing.reading import BASE_MS, FIRST_TOKENS_PER_MS, ReadingPace
+from monsoonflow.routing.first_event import BASE_MS
+from monsoonflow.routing.reading import FIRST_TOKENS_PER_MS, ReadingPace
 
 ONE, OTHER = ServerLife("i-1"), ServerLife("i-2")
 
