--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -273,13 +273,17 @@
         """
         if waiter.read_by_ms is None:
             return None
-        late_ms = [
-            waiter.read_at_ms(work.get(runner.life, _NO_WORK), 0, now_ms) - waiter.read_by_ms
-            for runner in self.runners.values()
-            if runner.life not in waiter.avoid
-        ]
-        least_ms = min(late_ms, default=0)
-        return least_ms if least_ms > 0 else None
+        least_ms: int | None = None
+        for runner in self.runners.values():
+            if runner.life in waiter.avoid:
+                continue
+            read_at_ms = waiter.read_at_ms(work.get(runner.life, _NO_WORK), 0, now_ms)
+            late_ms = read_at_ms - waiter.read_by_ms
+            if late_ms <= 0:
+                # Usually the first one that is looked at.
+                return None
+            least_ms = late_ms if least_ms is None else min(least_ms, late_ms)
+        return least_ms
 
     def _seats_by_name(self, state: SeatState) -> dict[str, list[Held]]:
         """Return the seats in a state by adapter: looked for by each of hundreds who wait."""
