--- a/tests/gateway/test_crowded_runners.py
+++ b/tests/gateway/test_crowded_runners.py
@@ -77,3 +77,33 @@
     urgent = crowd.arrive(node, "a", attrs.evolve(ROUTE, priority=0))
     assert isinstance(urgent, Chosen)
     assert urgent.queue.unread_tokens == 0
+
+
+@attrs.define
+class OldVersion(NoPlaces):
+    """A placement whose adapter has an old version, with a bound on its beginnings."""
+
+    until_ms: int = 0
+
+    def begins_until_ms(self, adapter: str, version: int) -> int | None:
+        """Return the bound."""
+        return self.until_ms
+
+
+def test_nobody_is_sent_to_an_old_version_behind_a_queue_that_outlasts_its_term():
+    """A runner holds version 1, version 2 was just named, and two seconds of reading wait there.
+
+    Its caller would wait so long, but the term of version 1 is over in one second. Sent there, the
+    request begins on it too late or has to be taken back: two nodes sent such requests 0.8 and 1.7
+    s after version 2 was confirmed, and they began 5.1 and 5.7 s after it.
+    """
+    placement = OldVersion({"a": {HOT: 1}})
+    crowd = Crowd(placement, 1, (HOT,))
+    (node,) = crowd.nodes
+    now_ms = crowd.clock.now_ms()
+    node.in_flight.begin(HOT, now_ms, None, int(2_000 * TOKENS_PER_MS), rank=0)
+    placement.until_ms = now_ms + 3_000
+    assert isinstance(crowd.arrive(node, "a"), Chosen)
+    placement.until_ms = now_ms + 1_000
+    assert isinstance(crowd.arrive(node, "a"), NoServer)
+    assert placement.asked == 1
