Nobody is sent to an old version behind a queue that outlasts its term

Cause: a request waits at its runner, where only closing its connection takes it back, and that may not; the rule for queues held them against the caller's patience, not against the end of the old version's term. Change: the expected first event must come before that too, for resumed streams as well. Before: the test of the commit before sends behind 2.2 s of reading with 1 s left; after: asks for another place.

--- a/monsoonflow/gateway/backlog.py
+++ b/monsoonflow/gateway/backlog.py
@@ -59,15 +59,23 @@
         expect_ms = self.pace.expect_ms(life, unread + job.call.prompt_tokens, now_ms)
         return QueueAhead(unread, expect_ms)
 
-    def in_time(self, life: ServerLife, job: Job, now_ms: int) -> bool:
+    def in_time(
+        self, life: ServerLife, job: Job, now_ms: int, begins_until_ms: int | None = None
+    ) -> bool:
         """Tell whether a runner will have read a request before its caller leaves.
 
         One that will not have can't be served there: it uses up its caller's time, and all behind
         it wait longer. Who has had a part of its answer is read first everywhere.
+
+        :param begins_until_ms: the end of the term of an old version. A request that waits beyond
+            it at the runner is not ours any more to keep from beginning.
         """
-        if job.resuming():
+        if job.resuming() and begins_until_ms is None:
             return True
-        return self.ahead(life, job, now_ms).expect_ms <= self.patience_ms(job, now_ms)
+        expect_ms = self.ahead(life, job, now_ms).expect_ms
+        if begins_until_ms is not None and now_ms + expect_ms > begins_until_ms:
+            return False
+        return job.resuming() or expect_ms <= self.patience_ms(job, now_ms)
 
     @staticmethod
     def patience_ms(job: Job, now_ms: int) -> int:
--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -95,13 +95,17 @@
                 return NoServer("no runner holds the model", NO_SERVER_RETRY_MS)
             return self._of_the_model(usable, call, job, now_ms)
         holding = [server for server in usable if server.life in held]
-        timely = [s for s in holding if self.backlog.in_time(s.life, job, now_ms)]
+        timely = [s for s in holding if self._timely(s.life, held[s.life], job, now_ms)]
         if not timely:
             crowded = [server.life for server in holding]
             return self.placement.ask(call, route, service, job, crowded)
         best = min(timely, key=lambda s: self._cost(s, now_ms))
         return self._chosen(best, call, held[best.life], job, now_ms)
 
+    def _timely(self, life: ServerLife, version: int, job: Job, now_ms: int) -> bool:
+        begins_until_ms = self.placement.begins_until_ms(job.call.adapter, version)
+        return self.backlog.in_time(life, job, now_ms, begins_until_ms)
+
     def _of_the_model(
         self, usable: list[BackendServer], call: Call, job: Job, now_ms: int
     ) -> Chosen | NoServer:
