Tests that fail: ninety nodes learn too late that a server leaves

Each node pauses 19 s between two questions; a server that comes makes all ask at once, and then nobody asks.

--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -91,6 +91,7 @@
         on_own_row: Callable[[ChangedRow], None],
         on_server_gone: Callable[[ServerLife], None],
         on_news: Callable[[], None],
+        on_left: Callable[[], None] = lambda: None,
     ) -> None:
         self._decoders = decoders
         self._beliefs = beliefs
@@ -99,6 +100,7 @@
         self._on_own_row = on_own_row
         self._on_server_gone = on_server_gone
         self._on_news = on_news
+        self._on_left = on_left
         self._followed: Followed | None = None
         self._body_by_key: dict[str, dict[str, bytes]] = {
             "operator": {},
@@ -216,6 +218,7 @@
         if before is not None and not book.takes_work(before):
             self._on_server_gone(before)
             self._on_news()
+            self._on_left()
         elif before != book.life_of(row.key):
             self._on_news()
 
