Six nodes watch servers; who reads of a leave tells everybody at once

Ruled out: lost datagrams (all nodes learn within 0.2 s once one knows). Change: nodes rank each other by hash; the first six of those that reach the store ask at their own pace (half of the bound), the others as a last resort; a silent one is replaced by what is heard. Calls stay under those of before.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -148,6 +148,7 @@
             self.duties.own_row,
             self.pools.forget,
             self._news,
+            self.gossip.send_to_all,
         )
         self.followed: Followed | None = None
         self.cards = CardKeeper(self._card, self.table, self.view, self.tasks, self.clock)
@@ -362,6 +363,7 @@
             # The file may change without a signal.
             self.reload()
             self.pools.sweep()
+            self.followed.servers.look_again()
             for life in self.beliefs.book.settle(self.clock.now_ms()):
                 self.duties.residency.forget(life)
                 self.pools.forget(life)
--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -18,6 +18,7 @@
 from ..discovery.models import BackendServer
 from ..fleet.models import NodeCard, told_cores
 from ..fleet.view import FleetView
+from ..helpers.hashing import weight
 from ..helpers.strict import read
 from ..logs import events, log
 from ..routing.routes import RouteTable
@@ -27,6 +28,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 CARD_PREFIX = "node/"
+WATCH = "watch servers"
+"""By this key nodes are ranked that watch servers."""
+
 SERVERS_PAUSE_SHARE = 0.5
 """Servers write their entries every second or so, nearly always without news: asked at once again,
 each node made four calls a second. Asked again after this share of the time in which a leaving
@@ -38,6 +42,14 @@
 finds news tells the others, which then ask at once; a node that hears nobody goes back to its own
 pace."""
 
+SERVER_WATCHERS = 6
+"""So many nodes ask for servers at their own pace; a leave is known within one pause of theirs, and
+they tell everybody at once. Of 90 nodes that each asked now and then, all had asked together and
+nobody for 13 s when a server left. Fifty of ninety dead at once leave none of six in 3 of 100."""
+
+LAST_RESORT = 7
+"""The others ask so many times more seldom than if all did their part: they are told."""
+
 OWN_PAUSE_MS = 2_500
 """A holder renews its duty every second; who holds it is told by reports between nodes."""
 
@@ -124,7 +136,7 @@
                 self._clock,
                 self._server,
                 self._store_returned,
-                lambda: self._shared(int(drain_ms * SERVERS_PAUSE_SHARE)),
+                lambda: self._servers_pause_ms(int(drain_ms * SERVERS_PAUSE_SHARE)),
             ),
             CollectionWatch(
                 feed(),
@@ -140,6 +152,23 @@
             tasks.spawn(watch.run)
         return followed
 
+    def _servers_pause_ms(self, pause_ms: int) -> int:
+        """Return the pause between questions for servers: a watcher's, or a last resort's.
+
+        Who watches follows from who is heard, so that a silent one is replaced without a word.
+        """
+        shared_ms = self._shared(pause_ms)
+        if shared_ms == pause_ms:
+            return pause_ms
+        candidates = [
+            report.name
+            for report in self._view.reports(self._clock.now_ms())
+            if report.store_heard and not report.leaving
+        ]
+        own = weight(WATCH, self._view.name)
+        before = sum(weight(WATCH, name) > own for name in candidates)
+        return pause_ms if before < SERVER_WATCHERS else shared_ms * LAST_RESORT
+
     def _shared(self, pause_ms: int) -> int:
         """Return a pause with which this node does its part of the asking.
 
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -77,6 +77,10 @@
         """Tell the others at once, as many as in any round."""
         self._send(self._peers())
 
+    def send_to_all(self) -> None:
+        """Tell all others at once what none of them may learn too late."""
+        self._send(list(self._others().values()))
+
     def _send(self, addresses: list[str]) -> None:
         report = self._report()
         if report.residency and len(self._others()) > PEERS_A_ROUND:
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -60,6 +60,7 @@
         self._pause_ms = RETRY_PAUSE_MS
         self._answered_ms: int | None = None
         self._gap = True
+        self._given_ms = 0
 
     def run(self) -> None:
         """Follow the collection for good."""
@@ -71,11 +72,16 @@
 
     def _rest(self, pause_ms: int) -> None:
         """Let the pause pass; one that was made longer is ended by a poke."""
+        self._given_ms = pause_ms
         self._tasks.sleep(min(pause_ms, LEAST_PAUSE_MS))
         if pause_ms > LEAST_PAUSE_MS:
             self._poked.wait(pause_ms - LEAST_PAUSE_MS)
         self._poked.clear()
 
+    def pause_ms(self) -> int:
+        """Return the pause between two questions as things stand."""
+        return self._between_ms()
+
     def changed_after_ms(self) -> int | None:
         """Return after when what is being taken has changed at the earliest.
 
@@ -84,6 +90,11 @@
         """
         return self._answered_ms if self._gap else self._clock.now_ms()
 
+    def look_again(self) -> None:
+        """End a pause that has become too long: this node's part in the asking has grown."""
+        if self._between_ms() < self._given_ms:
+            self.poke()
+
     def poke(self) -> None:
         """Ask soon: somebody has told that there is news."""
         if self._poked is not None:
