--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -61,6 +61,7 @@
         self._socket = socket.socket(native.AF_INET, native.SOCK_DGRAM)
         self._soon: set[str] = set()
         self._telling = False
+        self._telling_all = False
         self.sent_bytes = 0
 
     def start(self) -> None:
@@ -78,7 +79,18 @@
         self._send(self._peers())
 
     def send_to_all(self) -> None:
-        """Tell all others at once what none of them may learn too late."""
+        """Tell all others within a moment what none of them may learn too late.
+
+        What comes meanwhile goes with it: 22 servers that crash are read in one answer, and a
+        report to 88 nodes for each would take a slow link of 10 Mbit/s for two seconds.
+        """
+        if not self._telling_all:
+            self._telling_all = True
+            self._tasks.spawn(self._tell_all)
+
+    def _tell_all(self) -> None:
+        self._tasks.sleep(SOON_MS)
+        self._telling_all = False
         self._send(list(self._others().values()))
 
     def _send(self, addresses: list[str]) -> None:
