How old each node's newest answer of the store is: gauges, and a field of store_lost

The logs of the incident show no server_leaves at any node, and nothing of why: a question in progress leaves no line until it is given up.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -271,9 +271,20 @@
         of("duties", "Duties held.", lambda: len(self.duties.claims()))
         of("in_progress", "Requests in progress.", lambda: self.ports.callers.active)
         of("store_calls", "Calls to the store since the start.", outside.store_calls)
+        for kind in ("operator", "servers", "own"):
+            of(
+                f"{kind}_answer_age_seconds",
+                f"Since the store last answered a question about rows of the {kind}; -1: never.",
+                lambda kind=kind: self._answer_age_s(kind),
+            )
         of("connections_opened", "Connections to servers opened.", lambda: self.pools.opened)
         of("report_bytes", "Bytes of reports sent.", lambda: self.gossip.sent_bytes)
 
+    def _answer_age_s(self, kind: str) -> float:
+        watch = getattr(self.followed, kind, None)
+        age_ms = watch.answer_age_ms() if watch is not None else None
+        return -1.0 if age_ms is None else age_ms / 1000
+
     def report_version(self) -> int:
         """Return the version of the configuration in force; 0 without one."""
         return self.beliefs.table.version if self.beliefs.table is not None else 0
--- a/monsoonflow/logs/events.py
+++ b/monsoonflow/logs/events.py
@@ -449,6 +449,7 @@
     LEVEL: ClassVar[int] = logging.WARNING
     collection: str
     cause: str
+    answered_ago_ms: int | None = None
 
 
 @_event
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -90,6 +90,10 @@
         """
         return self._answered_ms if self._gap else self._clock.now_ms()
 
+    def answer_age_ms(self) -> int | None:
+        """Return how long ago the service last answered; ``None``: it never has."""
+        return None if self._answered_ms is None else self._clock.now_ms() - self._answered_ms
+
     def look_again(self) -> None:
         """End a pause that has become too long: this node's part in the asking has grown."""
         if self._between_ms() < self._given_ms:
@@ -173,7 +177,14 @@
         self._gap = True
         if self.lost_since_ms is None:
             self.lost_since_ms = self._clock.now_ms()
-            log(_LOGGER, events.StoreLost(collection=self._collection, cause=reason))
+            log(
+                _LOGGER,
+                events.StoreLost(
+                    collection=self._collection,
+                    cause=reason,
+                    answered_ago_ms=self.answer_age_ms(),
+                ),
+            )
         pause_ms = self._pause_ms
         self._pause_ms = min(MAX_RETRY_PAUSE_MS, pause_ms * 2)
         return pause_ms
