A question that waits is asked anew once the store was found silent

Cause: the same as with leaves, a bound that rests on a pause plus a call's time, and a call's time that nothing bounds: 20 s of waiting and 1.5 s more.

Polling instead would make ninety nodes ask some thirty times a second for what changes once in two. The questions that must be answered soon tell for the others: when one finds the store silent, all that wait are given up and asked anew without a wait. In a large fleet, where most nodes ask seldom, those that ask often tell by their reports (store_heard), which now count what was found last: a watch that rests, or waits, no longer speaks for the store.

Tests: the one that was red; cards; a silence that only six of ninety nodes notice (fails without their word); hanging up at a real connection and in a watch.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -248,6 +248,7 @@
         )
 
     def _take_report(self, report: NodeReport) -> None:
+        self.following.take_report(report)
         if self.beliefs.take_report(report) and self.followed is not None:
             self.followed.servers.poke()
 
--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -16,7 +16,7 @@
 from ..core.server_life import ServerLife
 from ..core.tasks import Tasks
 from ..discovery.models import BackendServer
-from ..fleet.models import NodeCard, told_cores
+from ..fleet.models import NodeCard, NodeReport, told_cores
 from ..fleet.view import FleetView
 from ..helpers.hashing import weight
 from ..helpers.strict import read
@@ -52,6 +52,11 @@
 late the end of a silence is noticed: what is missing then stays in use for a moment, and a server
 that leaves after it must still be known in time."""
 
+PEERS_DOUBT_EVERY_MS = 3_000
+"""How often other nodes' word that they have lost the store makes this one ask anew, at most: a
+store that turns a third of the machines away, one after the other, costs the others two calls each
+in that time."""
+
 LAPSING_MS = 500
 """An outage that was noticed for less is no reason to doubt that an entry is gone: entries lapse
 after two seconds or more, and a silence is noticed within one and a half."""
@@ -106,9 +111,27 @@
         """Tell whether everything has been read once."""
         return self.operator.loaded and self.servers.loaded
 
+    def all(self) -> tuple[CollectionWatch, ...]:
+        """Return all watches."""
+        return (self.operator, self.servers, self.own)
+
     def reaches_store(self) -> bool:
-        """Tell whether the store answers this node."""
-        return any(watch.lost_since_ms is None for watch in (self.operator, self.servers, self.own))
+        """Tell whether the store answers this node.
+
+        A watch that rests, or whose question waits, says nothing of a store that another one has
+        found silent since.
+        """
+        lost_ms = [w.lost_since_ms for w in self.all() if w.lost_since_ms is not None]
+        return not lost_ms or any(watch.answered_since(min(lost_ms)) for watch in self.all())
+
+    def doubt(self) -> None:
+        """Ask anew whatever waits for changes: the store may have been silent since it was asked.
+
+        Questions about the operator's rows wait for 20 s. Asked at the beginning of a silence of
+        six seconds, they left a node without new routes and versions for 12 s after its end.
+        """
+        for watch in self.all():
+            watch.doubt()
 
 
 class Following:
@@ -134,6 +157,8 @@
         self._on_news = on_news
         self._on_left = on_left
         self._followed: Followed | None = None
+        self._without_store: set[str] = set()
+        self._doubts_from_ms = 0
         self._body_by_key: dict[str, dict[str, bytes]] = {
             "operator": {},
             "servers": {},
@@ -148,7 +173,14 @@
         """
         names = self._decoders
         followed = Followed(
-            CollectionWatch(feed(), names.operator_collection, tasks, self._clock, self._operator),
+            CollectionWatch(
+                feed(),
+                names.operator_collection,
+                tasks,
+                self._clock,
+                self._operator,
+                on_lost=self._doubt,
+            ),
             CollectionWatch(
                 feed(),
                 names.server_collection,
@@ -164,6 +196,7 @@
                     int(drain_ms * SERVERS_PATIENCE_SHARE),
                     int(drain_ms * SERVERS_MOST_PATIENCE_SHARE),
                 ),
+                self._doubt,
             ),
             CollectionWatch(
                 feed(),
@@ -172,13 +205,33 @@
                 self._clock,
                 self._own,
                 pause_ms=lambda: self._shared(OWN_PAUSE_MS),
+                on_lost=self._doubt,
             ),
         )
         self._followed = followed
-        for watch in (followed.operator, followed.servers, followed.own):
+        for watch in followed.all():
             tasks.spawn(watch.run)
         return followed
 
+    def _doubt(self) -> None:
+        self._followed.doubt()
+
+    def take_report(self, report: NodeReport) -> None:
+        """Take what another node says of the store: one that has lost it makes this one ask.
+
+        Of a large fleet only some nodes ask often; the others would not notice a silence.
+        """
+        lost = not report.store_heard
+        news = lost and report.name not in self._without_store
+        if lost:
+            self._without_store.add(report.name)
+        else:
+            self._without_store.discard(report.name)
+        now_ms = self._clock.now_ms()
+        if news and now_ms >= self._doubts_from_ms and self._followed is not None:
+            self._doubts_from_ms = now_ms + PEERS_DOUBT_EVERY_MS
+            self._followed.doubt()
+
     def _servers_pause_ms(self, pause_ms: int) -> int:
         """Return the pause between questions for servers: a watcher's, or a last resort's.
 
--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import logging
+from collections.abc import Callable
 from typing import Any, Final
 from urllib.parse import urlencode
 
@@ -23,7 +24,7 @@
     Transaction,
     Unavailable,
 )
-from ..transport.client import Answer, Pools, call
+from ..transport.client import Answer, Pools, ServerConnection, call
 from ..transport.models import Lost
 
 _LOGGER = logging.getLogger(__name__)
@@ -47,6 +48,8 @@
         self._address = address
         self._pools = Pools(clock, max_idle=4)
         self.calls = 0
+        self._asked: ServerConnection | None = None
+        self._hung_up = False
 
     def get(self, key: str) -> Row | None | Unavailable:
         """Return a row; ``None`` means that the store said there is none."""
@@ -102,8 +105,10 @@
         self, collection: str, after: int, wait_ms: int, answer_ms: int = CALL_TIMEOUT_MS
     ) -> Changes | HistoryLost | Unavailable:
         """Return what changed in a table after a version, as soon as there is something."""
+        self._hung_up = False
         query = urlencode({"table": collection, "after": after, "waitMs": wait_ms})
-        answer = self._call("GET", f"/v1/rows-feed?{query}", b"", wait_ms + answer_ms)
+        answer = self._call("GET", f"/v1/rows-feed?{query}", b"", wait_ms + answer_ms, self._asks)
+        self._asked = None
         if isinstance(answer, Lost):
             return Unavailable(answer.reason)
         if answer.head.status == 410:
@@ -114,6 +119,17 @@
         rows = [row for entry in data.get("rows", ()) if (row := _changed(entry)) is not None]
         return Changes(tuple(rows), int(data["rowVersion"]))
 
+    def hang_up(self) -> None:
+        """End the question for changes in progress, also one that still has no connection."""
+        self._hung_up = True
+        if self._asked is not None:
+            self._asked.close()
+
+    def _asks(self, connection: ServerConnection) -> None:
+        self._asked = connection
+        if self._hung_up:
+            connection.close()
+
     def _all(self, table: str) -> Changes | Unavailable:
         rows: list[ChangedRow] = []
         start = ""
@@ -139,10 +155,26 @@
             return Unavailable(f"status {answer.head.status}")
         return data
 
-    def _call(self, method: str, target: str, body: bytes, timeout_ms: int) -> Answer | Lost:
+    def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_ms: int,
+        on_taken: Callable[[ServerConnection], None] = lambda _: None,
+    ) -> Answer | Lost:
         self.calls += 1
         headers = JSON_HEADERS if body else ()
-        return call(self._pools, self._address, method, target, body, timeout_ms, headers)
+        return call(
+            self._pools,
+            self._address,
+            method,
+            target,
+            body,
+            timeout_ms,
+            headers,
+            on_taken=on_taken,
+        )
 
 
 def _encoded(value: dict[str, Any]) -> str:
--- a/monsoonflow/storage/models.py
+++ b/monsoonflow/storage/models.py
@@ -140,3 +140,6 @@
 
         :param answer_ms: how much longer than it may wait for changes the answer may take.
         """
+
+    def hang_up(self) -> None:
+        """Give the question in progress up; it ends as if it had got no answer."""
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -25,6 +25,10 @@
 LEAST_PAUSE_MS: Final = 500
 """A poke ends no pause sooner: many servers that come at once are read together."""
 
+LEAST_PATIENCE_MS: Final = 500
+"""How much longer than it may wait for changes a question's answer may take while answers come
+soon: a store that is sixty times as slow as usual answers within 240 ms."""
+
 STALE_PAUSE_MS: Final = 400
 """Pause before a read that was older than what is known is made again."""
 
@@ -36,6 +40,7 @@
     :param pause_ms: returns the pause between questions; changes of that time come in one answer.
     :param wait_ms: how long a question waits for changes.
     :param patience: how much longer than that its answer is waited for.
+    :param on_lost: called when a question has found that the service does not answer.
     :param on_return: called when the service answers again after an outage, before its rows.
     """
 
@@ -50,6 +55,7 @@
         pause_ms: Callable[[], int] = lambda: 0,
         wait_ms: int = WAIT_MS,
         patience: Patience | None = None,
+        on_lost: Callable[[], None] = lambda: None,
     ) -> None:
         self._feed = feed
         self._collection = collection
@@ -59,7 +65,10 @@
         self._on_return = on_return
         self._between_ms = pause_ms
         self._wait_ms = wait_ms
-        self._patience = patience or Patience(CALL_TIMEOUT_MS, CALL_TIMEOUT_MS)
+        self._patience = patience or Patience(LEAST_PATIENCE_MS, CALL_TIMEOUT_MS)
+        self._on_lost = on_lost
+        self._waits = False
+        self._doubted = False
         self._poked: Flag | None = None
         self._version = 0
         self._row_version_by_key: dict[str, int] = {}
@@ -108,6 +117,21 @@
         if self._between_ms() < self._given_ms:
             self.poke()
 
+    def answered_since(self, since_ms: int) -> bool:
+        """Tell whether the service answers, and has since some moment."""
+        answered_ms = self._answered_ms
+        return self.lost_since_ms is None and answered_ms is not None and answered_ms >= since_ms
+
+    def doubt(self) -> None:
+        """Give a question that waits up and ask anew: the service may have been silent since.
+
+        What it was to answer on that connection may be lost, and nothing would tell so before the
+        end of the wait.
+        """
+        if self._waits:
+            self._doubted = True
+            self._feed.hang_up()
+
     def poke(self) -> None:
         """Ask soon: somebody has told that there is news."""
         if self._poked is not None:
@@ -118,10 +142,13 @@
         if not self.loaded:
             return self._take_all(self._feed.read_all(self._collection))
         asked_ms = self._clock.now_ms()
-        # While the service is lost there is nothing to wait for but its first word.
-        wait_ms = 0 if self.lost_since_ms is not None else self._wait_ms
+        # Of a service that is lost, or may be, there is nothing to wait for but its first word.
+        wait_ms = 0 if self._doubted or self.lost_since_ms is not None else self._wait_ms
+        self._doubted = False
         patience_ms = self._patience.ms
+        self._waits = wait_ms > 0
         result = self._feed.changes(self._collection, self._version, wait_ms, patience_ms)
+        self._waits = False
         took_ms = self._clock.now_ms() - asked_ms
         match result:
             case Changes(rows=rows, version=version):
@@ -137,14 +164,17 @@
                 self.loaded = False
                 self._gap = True
                 return 0
+            case Unavailable() if self._doubted:
+                self._gap = True
+                return 0
             case Unavailable(reason=reason):
-                if took_ms < wait_ms + patience_ms:
-                    return self._unavailable(reason)
-                self._patience.unanswered()
+                unanswered = took_ms >= wait_ms + patience_ms
+                if unanswered:
+                    self._patience.unanswered()
                 first = self.lost_since_ms is None
                 pause_ms = self._unavailable(reason)
                 # One lost answer alone must not make news late: asked again at once.
-                return 0 if first else pause_ms
+                return 0 if first and unanswered else pause_ms
 
     def _take_all(self, result: Changes | Unavailable) -> int:
         if isinstance(result, Unavailable):
@@ -206,6 +236,7 @@
                     answered_ago_ms=self.answer_age_ms(),
                 ),
             )
+            self._on_lost()
         pause_ms = self._pause_ms
         self._pause_ms = min(MAX_RETRY_PAUSE_MS, pause_ms * 2)
         return pause_ms
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -4,6 +4,7 @@
 
 import ssl
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -237,12 +238,17 @@
     timeout_ms: int,
     headers: tuple[Header, ...] = (),
     host: str | None = None,
+    on_taken: Callable[[ServerConnection], None] = lambda _: None,
 ) -> Answer | Lost:
-    """Make one control call and read its whole answer."""
+    """Make one control call and read its whole answer.
+
+    :param on_taken: takes the connection, which another task may close to end the call.
+    """
     until_ms = pools.clock.now_ms() + timeout_ms
     connection = pools.take(address, address, timeout_ms=min(timeout_ms, CONNECT_TIMEOUT_MS))
     if isinstance(connection, Lost):
         return connection
+    on_taken(connection)
     lines = [f"{method} {target} HTTP/1.1".encode(), b"Host: " + (host or address).encode()]
     lines += [b"%s: %s" % header for header in headers]
     if body or method in ("POST", "PUT"):
--- a/tests/entry/silent_store.py
+++ b/tests/entry/silent_store.py
@@ -298,7 +298,10 @@
                 self.world.later(2, lambda other=self.by_name[name]: self._hear(other, report))
 
     def _hear(self, node: Node, report: NodeReport) -> None:
-        if node.view.heard(report, self.world.now_ms()) and node.beliefs.take_report(report):
+        if not node.view.heard(report, self.world.now_ms()):
+            return
+        node.following.take_report(report)
+        if node.beliefs.take_report(report):
             node.followed.servers.poke()
 
 
--- a/tests/entry/test_silent_store.py
+++ b/tests/entry/test_silent_store.py
@@ -4,11 +4,12 @@
 
 import pytest
 
-from tests.entry.silent_store import Fleet, configured, left, named
+from tests.entry.silent_store import Fleet, carded, configured, left, named
 
 DRAIN_MS = 2_000
 CONFIG_MS = 2_000
 VERSION_MS = 5_000
+LEASE_MS = 3_000
 CALM_MS = 3_000
 """After the end of a silence the bounds hold again once so much time has passed."""
 
@@ -49,7 +50,8 @@
     """The configuration changes, all nodes read it and ask for the next: the store falls silent.
 
     Routes that are changed after the silence must be in force within their bound, and versions of
-    adapters that are named then.
+    adapters that are named then. Each question that had been asked in the silence was waited for to
+    the end of its 21.5 s: routes were known 12.5 s after their confirmation, at all nodes at once.
     """
     fleet = Fleet(count, DRAIN_MS, forgets=forgets)
     fleet.run(10_000)
@@ -108,3 +110,24 @@
     fleet.run(10_000)
     assert fleet.leave("i-1")
     assert fleet.last_after_ms(left("i-1"), 30_000) < 2 * DRAIN_MS
+
+
+@pytest.mark.parametrize("for_ms", [1_500, 6_000])
+def test_a_node_that_starts_after_a_silence_is_known_in_time(for_ms: int):
+    """A duty goes to a node within a lease's time; its card tells where to ask it."""
+    fleet = Fleet(7, DRAIN_MS)
+    fleet.run(7_000)
+    fleet.store.fall_silent(for_ms)
+    fleet.run(for_ms + CALM_MS)
+    assert fleet.add_card("n9")
+    assert fleet.last_after_ms(carded("n9"), 30_000) < LEASE_MS
+
+
+def test_nodes_that_seldom_ask_hear_of_a_silence_from_those_that_do():
+    """Of ninety nodes six ask for servers; a silence that ends in between is theirs to notice."""
+    fleet = Fleet(90, DRAIN_MS, forgets=True)
+    fleet.run(30_000)
+    fleet.store.fall_silent(2_500)
+    fleet.run(2_500 + CALM_MS)
+    assert fleet.configure()
+    assert fleet.last_after_ms(configured(fleet.config_version), 30_000) < CONFIG_MS
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -312,6 +312,19 @@
     assert isinstance(client.changes("op", 0, 100), HistoryLost)
 
 
+def test_a_question_that_waits_can_be_given_up_and_asked_anew(store):
+    """A question asked of a silent store would wait for 20 s, with the store long back."""
+    client = PlatformStore(store.address, MonotonicClock())
+    store.faults.silent = True
+    gevent.spawn_later(0.1, client.hang_up)
+    began_ms = MonotonicClock().now_ms()
+    assert isinstance(client.changes("op", 0, 20_000, 1_500), Unavailable)
+    assert MonotonicClock().now_ms() - began_ms < 1_000
+    store.faults.silent = False
+    store.put("op", "a", {"x": 1})
+    assert [row.key for row in client.changes("op", 0, 0, 1_500).rows] == ["a"]
+
+
 def test_a_malformed_row_is_skipped(store):
     store.put("op", "good", {"x": 1})
     store.rows["op", "bad"] = (store.version, "%")
--- a/tests/storage/test_watch.py
+++ b/tests/storage/test_watch.py
@@ -8,7 +8,7 @@
 
 from monsoonflow.core.clock import ManualClock
 from monsoonflow.storage.models import ChangedRow, Changes, HistoryLost, Unavailable
-from monsoonflow.storage.watch import LEAST_PAUSE_MS, CollectionWatch
+from monsoonflow.storage.watch import LEAST_PAUSE_MS, WAIT_MS, CollectionWatch
 
 
 class Feed:
@@ -104,6 +104,58 @@
     assert [row.body for row in seen] == [b"4"]
 
 
+class Waiting(Feed):
+    """A feed whose question waits until it is given up."""
+
+    def __init__(self):
+        super().__init__()
+        self.waits = []
+        self.meanwhile = lambda: None
+        self.hung_up = False
+
+    def changes(self, collection, after, wait_ms, answer_ms):
+        """Let something happen while the question waits."""
+        self.waits.append(wait_ms)
+        self.meanwhile()
+        if self.hung_up:
+            self.hung_up = False
+            return Unavailable("given up")
+        return super().changes(collection, after, wait_ms, answer_ms)
+
+    def hang_up(self):
+        """Give the question up."""
+        self.hung_up = True
+
+
+def test_a_question_that_is_doubted_is_asked_anew_without_a_wait(seen, returned):
+    """Another watch finds the service silent: what this one waits for may be lost for 20 s.
+
+    That it was given up is no outage: nothing is told of one, and the next question waits again.
+    """
+    feed = Waiting()
+    watch = CollectionWatch(
+        feed, "t", None, ManualClock(), seen.append, lambda: returned.append(True)
+    )
+    play(watch, feed, rows(5, ("a", 3, b"1")))
+    feed.meanwhile = watch.doubt
+    assert watch.step() == 0
+    feed.meanwhile = lambda: None
+    play(watch, feed, rows(6, ("a", 6, b"2")), rows(7))
+    assert feed.waits == [WAIT_MS, 0, WAIT_MS]
+    assert [row.body for row in seen] == [b"1", b"2"]
+    assert not returned and watch.lost_since_ms is None
+
+
+def test_a_question_that_does_not_wait_is_not_given_up(seen):
+    feed = Waiting()
+    watch = CollectionWatch(feed, "t", None, ManualClock(), seen.append)
+    watch.doubt()
+    feed.answers.append(rows(5))
+    feed.meanwhile = watch.doubt
+    watch.step()
+    assert not feed.hung_up
+
+
 class Flag:
     """A flag that notes how long it was waited for."""
 
