A test that fails: a server that leaves while its connection is waited for still gets the request

A connection is waited for up to 500 ms between the choice of a server and the send. Offer takes may_send, unused so far.

--- a/monsoonflow/gateway/offer.py
+++ b/monsoonflow/gateway/offer.py
@@ -69,6 +69,7 @@
         sign_until_ms: int,
         on_sign: Callable[[], None] = lambda: None,
         begins_until: Callable[[], int | None] = lambda: None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         self._pools = pools
         self._dialect = dialect
--- a/tests/gateway/test_offer.py
+++ b/tests/gateway/test_offer.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 import pytest
 
 from monsoonflow.core.clock import ManualClock
+from monsoonflow.core.server_life import ServerLife
+from monsoonflow.discovery.book import ServerBook
+from monsoonflow.discovery.models import BackendServer
 from monsoonflow.gateway.models import Call, Chosen, Unsent
 from monsoonflow.gateway.offer import Offer
 from monsoonflow.platform.headers import HeaderDialect
@@ -13,6 +18,7 @@
 from monsoonflow.transport.models import Lost, Request
 
 REQUEST = Request(b"GET", b"/a/", "1.1", [], b"", True, 0)
+LIFE = ServerLife("i-1")
 
 
 @attrs.define
@@ -28,6 +34,75 @@
         return Lost(False, "no connection")
 
 
+@attrs.define
+class SlowConnection:
+    """A connection that is there after a while; notes what is sent over it."""
+
+    clock: ManualClock
+    meanwhile: Callable[[], None]
+    sent: list[bytes] = attrs.Factory(list)
+    closed: bool = False
+
+    def take(self, key: str, address: str, timeout_ms: int = CONNECT_TIMEOUT_MS) -> SlowConnection:
+        """Return the connection after a lost packet has been repeated."""
+        self.clock.advance(450)
+        self.meanwhile()
+        return self
+
+    def send(self, head: bytes, body: bytes, no_answer_body: bool = False) -> None:
+        """Note what is sent."""
+        self.sent.append(head)
+        raise OSError("nothing more is needed")
+
+    def close(self) -> None:
+        """End the connection."""
+        self.closed = True
+
+
+class Caller:
+    """A caller that stays."""
+
+    started = False
+
+    def check_caller(self) -> None:
+        """Tell that the caller is there."""
+
+
+def offer_over(pools: SlowConnection, book: ServerBook) -> Offer:
+    return Offer(
+        pools,
+        HeaderDialect(),
+        REQUEST,
+        Call("r", "h", "/a/"),
+        4_000,
+        4_000,
+        may_send=lambda: book.takes_work(LIFE),
+    )
+
+
+def test_a_server_that_leaves_while_its_connection_is_waited_for_gets_nothing():
+    """A node chooses a server and waits for a connection, up to 500 ms when a packet is lost.
+
+    Meanwhile it learns that the server leaves. What was chosen 1.9 s after that word of the server
+    reached it 2.4 s after, 0.4 s beyond the bound.
+    """
+    book = ServerBook()
+    book.put(BackendServer(LIFE, "s", "10.0.0.1:80", "dc"), 0)
+    pools = SlowConnection(ManualClock(1_000), lambda: book.left(LIFE, 1_400, "said so"))
+    result = offer_over(pools, book).send(Chosen(LIFE, "10.0.0.1:80"), b"head", Caller(), None)
+    assert isinstance(result, Unsent)
+    assert pools.sent == []
+    assert pools.closed
+
+
+def test_a_server_that_stays_gets_what_was_chosen_for_it():
+    book = ServerBook()
+    book.put(BackendServer(LIFE, "s", "10.0.0.1:80", "dc"), 0)
+    pools = SlowConnection(ManualClock(1_000), lambda: None)
+    offer_over(pools, book).send(Chosen(LIFE, "10.0.0.1:80"), b"head", Caller(), None)
+    assert pools.sent == [b"head"]
+
+
 @pytest.mark.parametrize(("left_ms", "waits_ms"), [(3_000, CONNECT_TIMEOUT_MS), (385, 385), (0, 1)])
 def test_a_connection_is_not_waited_for_beyond_the_requests_time(left_ms, waits_ms):
     """A server's machine loses power; its entry is still listed, and 385 ms of a request are left.
