What was chosen is looked at once more when its connection is there

Cause: the choice was checked before the wait for a connection, the send after it was not. Now the last thing before the send is the look at whether the server still takes work; nothing waits in between.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -65,6 +65,9 @@
     def begins_until_ms(self, chosen: Chosen) -> int | None:
         """Return until when a request may begin where it was sent; ``None`` without a bound."""
 
+    def may_send(self, chosen: Chosen) -> bool:
+        """Tell whether a server that was chosen still takes work."""
+
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
 
@@ -196,6 +199,7 @@
             self._sign_until(job, chooser, chosen, sent_ms),
             lambda: self._first_event(job, chosen, ticket),
             lambda: chooser.begins_until_ms(chosen),
+            lambda: chooser.may_send(chosen),
         )
         result: Try | None = None
         try:
--- a/monsoonflow/gateway/offer.py
+++ b/monsoonflow/gateway/offer.py
@@ -57,6 +57,7 @@
     :param on_sign: called at the first sign of work (the first event of a stream).
     :param begins_until: returns until when the request may begin, as it is known at that moment;
         ``None`` without a bound.
+    :param may_send: tells whether the server still takes work.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self._sign_until_ms = sign_until_ms
         self._on_sign = on_sign
         self._begins_until = begins_until
+        self._may_send = may_send
 
     def send(self, chosen: Chosen, head: bytes, reply: Reply, cutter: EventCutter | None) -> Try:
         """Send the request and pass its answer on.
@@ -98,6 +100,10 @@
             # After a pause of the process, the connection that was waited for may be taken before
             # the end of the caller's: the request would be sent for nobody.
             reply.check_caller()
+            # The wait for the connection may be long: a server that was chosen 1.9 s after its word
+            # that it leaves was sent to 0.4 s beyond the bound of 2 s.
+            if not self._may_send():
+                return Unsent("the server leaves")
             connection.send(head, self._request.body, self._request.method == b"HEAD")
             answer_head, terms = self._own_answer(connection)
             if cutter is None or answer_head.status != 200:
--- a/monsoonflow/gateway/plain.py
+++ b/monsoonflow/gateway/plain.py
@@ -76,6 +76,10 @@
         """Return ``None``: a plain service has no versions."""
         return None
 
+    def may_send(self, chosen: Chosen) -> bool:
+        """Tell whether a server that was chosen still takes work."""
+        return self.book.takes_work(chosen.life)
+
     def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
         match result:
