Other nodes' silence holds up nothing but the asking of them

Cause: one loop read changed settings, dropped servers that stayed missing, closed resting connections, and asked each node that had told of a newer configuration for it, one second each where it was silent: 4 s with four of them, where settings must be in force within 2. The asking has a loop of its own, and asks who was heard last first.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -182,6 +182,7 @@
         self.tasks.spawn(self.cards.run)
         self.tasks.spawn(self._learn_from_peers)
         self.tasks.spawn(self._sweep_for_good)
+        self.tasks.spawn(self._fetch_for_good)
         self.duties.start()
         log(
             _LOGGER,
@@ -381,4 +382,13 @@
                 self.pools.forget(life)
                 self.conditions.forget(life)
                 self.backlog.forget(life)
+
+    def _fetch_for_good(self) -> None:
+        """Fetch newer configurations from other nodes.
+
+        Beside everything else: nodes that have fallen silent hold it up for a second each, and
+        settings that had changed were read 4 s late.
+        """
+        while True:
+            self.tasks.sleep(SWEEP_EVERY_MS)
             self.peers.fetch_newer(self.beliefs)
--- a/monsoonflow/entry/peers.py
+++ b/monsoonflow/entry/peers.py
@@ -46,7 +46,14 @@
         A node that can't reach the store would otherwise go on with the old one.
         """
         own = beliefs.table.version if beliefs.table is not None else 0
-        for report in self._view.reports(self._clock.now_ms()):
+        now_ms = self._clock.now_ms()
+        # Who was heard last first: a node that has just fallen silent still counts as heard, and an
+        # answer is waited for in vain for a second.
+        reports = sorted(
+            self._view.reports(now_ms),
+            key=lambda report: self._view.age_ms(report.name, now_ms) or 0,
+        )
+        for report in reports:
             card = self._view.card_by_name.get(report.name)
             if report.config_version <= own or card is None:
                 continue
