--- a/tests/entry/silent_store.py
+++ b/tests/entry/silent_store.py
@@ -183,6 +183,9 @@
         self.leaving: set[str] = set()
         self.gone: set[str] = set()
         self.config_version = 0
+        self.mute: set[str] = set()
+        self.lost = LOST
+        self.told_everybody = 0
         for server_id in ("i-1", "i-2", "i-3"):
             self._beat(server_id)
         self.configure()
@@ -269,7 +272,15 @@
         self.world.later(SWEEP_EVERY_MS, lambda: self._sweep_for_good(node))
         return node
 
+    def add_node(self) -> Node:
+        """Start one more node."""
+        node = self._node(f"n{len(self.nodes)}")
+        self.nodes.append(node)
+        self.by_name[node.card.name] = node
+        return node
+
     def _sweep_for_good(self, node: Node) -> None:
+        node.followed.servers.look_again()
         node.beliefs.book.settle(self.world.now_ms())
         self.world.later(SWEEP_EVERY_MS, lambda: self._sweep_for_good(node))
 
@@ -293,8 +304,9 @@
             versions=node.beliefs.recent_versions(),
         )
         others = [name for name in self.by_name if name != node.card.name]
+        self.told_everybody += everybody
         for name in others if everybody else node.rounds.next(others, (), False):
-            if self.rng.random() >= LOST:
+            if name not in self.mute and self.rng.random() >= self.lost:
                 self.world.later(2, lambda other=self.by_name[name]: self._hear(other, report))
 
     def _hear(self, node: Node, report: NodeReport) -> None:
