--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -316,6 +316,7 @@
         now_ms = self._clock.now_ms()
         book = self._beliefs.book
         before = book.life_of(row.key)
+        took_work = before is not None and book.takes_work(before)
         if row.body is None:
             book.removed(row.key, now_ms)
         else:
@@ -324,7 +325,8 @@
                 book.unreadable(row.key, server)
             else:
                 book.put(server, now_ms, row.version)
-        if before is not None and not book.takes_work(before):
+        # Told once: a server that leaves writes its entry every second for many more.
+        if took_work and not book.takes_work(before):
             self._on_server_gone(before)
             self._on_news()
             self._on_left()
