A node that nobody tells any more asks for itself

In any fleet a node is told by a dozen others in each round of 0.2 s: unheard for three rounds it asks at its own pace.

--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -17,6 +17,7 @@
 from ..core.tasks import Tasks
 from ..discovery.models import BackendServer
 from ..fleet.models import NodeCard, NodeReport, told_cores
+from ..fleet.rounds import EVERY_MS, MISSED
 from ..fleet.view import FleetView
 from ..helpers.hashing import weight
 from ..helpers.strict import read
@@ -237,12 +238,15 @@
 
         Who watches follows from who is heard, so that a silent one is replaced without a word.
         """
+        now_ms = self._clock.now_ms()
         shared_ms = self._shared(pause_ms)
-        if shared_ms == pause_ms:
+        # A node is told by a dozen others in each round: unheard for three it relies on nobody,
+        # though each of them may still be alive and have told others.
+        if shared_ms == pause_ms or not self._view.heard_within(now_ms, MISSED * EVERY_MS):
             return pause_ms
         candidates = [
             report.name
-            for report in self._view.reports(self._clock.now_ms())
+            for report in self._view.reports(now_ms)
             if report.store_heard and not report.leaving
         ]
         own = weight(WATCH, self._view.name)
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -80,6 +80,7 @@
         self.name = name
         self.cores = cores
         self._heard_by_name: dict[str, _Heard] = {}
+        self._newest_ms = LONG_AGO_MS
         self.card_by_name: dict[str, NodeCard] = {}
         self._epoch_by_cell: dict[str, DutyClaim] = {}
         self._claim_heard_by_cell: dict[str, ClaimHeard] = {}
@@ -119,6 +120,7 @@
         if residency is None:
             residency = known.residency if known is not None else ()
         self._heard_by_name[report.name] = _Heard(report, now_ms, residency=residency)
+        self._newest_ms = now_ms
         self._work.take(report.name, report.work_by_server, now_ms)
         self.card(report.card)
         for claim in report.claims:
@@ -231,6 +233,10 @@
         heard = self._heard_by_name.get(name)
         return None if heard is None else now_ms - heard.at_ms
 
+    def heard_within(self, now_ms: int, within_ms: int) -> bool:
+        """Tell whether any other node was heard lately."""
+        return now_ms - self._newest_ms <= within_ms
+
     def reports(self, now_ms: int, within_ms: int = ALIVE_MS) -> list[NodeReport]:
         """Return the reports of nodes heard lately.
 
