--- a/tests/entry/silent_store.py
+++ b/tests/entry/silent_store.py
@@ -209,6 +209,10 @@
         value = {"model": MODEL, "adapter": "a1", "version": version}
         return self.store.put(OPERATOR, f"version/{MODEL}.a1", value)
 
+    def start(self, server_id: str) -> None:
+        """Let a server come."""
+        self._beat(server_id)
+
     def remove(self, server_id: str) -> None:
         """Remove a server's entry without a word before."""
         self.gone.add(server_id)
