--- a/tests/gateway/crowd.py
+++ b/tests/gateway/crowd.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -121,6 +122,9 @@
     node_count: int
     lives: tuple[ServerLife, ...]
     tokens_per_ms: float = TOKENS_PER_MS
+    slow: dict[ServerLife, float] = attrs.Factory(dict)
+    read_by_life: Counter[ServerLife] = attrs.Factory(Counter)
+    lost_by_life: Counter[ServerLife] = attrs.Factory(Counter)
     clock: ManualClock = attrs.Factory(lambda: ManualClock(100_000))
     rng: random.Random = attrs.Factory(lambda: random.Random(5))
     nodes: list[Node] = attrs.Factory(list)
@@ -206,7 +210,8 @@
                 waits.node.in_flight.end(waits.ticket)
                 queue.remove(waits)
                 self.lost += 1
-        budget = self.tokens_per_ms * STEP_MS
+                self.lost_by_life[life] += 1
+        budget = self.tokens_per_ms * STEP_MS / self.slow.get(life, 1.0)
         for waits in sorted(queue, key=lambda waits: waits.job.route.priority):
             taken = min(budget, waits.left)
             waits.left -= taken
@@ -217,6 +222,7 @@
 
     def _first_event(self, waits: Sent, now_ms: int) -> None:
         self.read += 1
+        self.read_by_life[waits.chosen.life] += 1
         self.waits_ms.append(now_ms - waits.job.request.arrived_ms)
         waits.node.backlog.first_event(waits.chosen, now_ms - waits.ticket.sent_ms, now_ms)
         waits.node.in_flight.end(waits.ticket)
