Reports that are cut, or name a server that nobody knows, change nothing

A datagram that lacked up to four bytes was taken; what can't be read is logged once for each sender. A report that goes on naming a server that the store does not hold made its hearer ask every half a second; it asks once.

--- a/monsoonflow/entry/beliefs.py
+++ b/monsoonflow/entry/beliefs.py
@@ -48,6 +48,7 @@
         self.book = ServerBook()
         self.version_by_adapter: dict[str, int] = {}
         self._named_by_adapter: dict[str, list[_Named]] = {}
+        self._asked_for: dict[ServerLife, int] = {}
 
     def take_table(self, table: RouteTable, body: bytes, source: str) -> bool:
         """Put a configuration in force; never one that is older than what is in force."""
@@ -120,7 +121,15 @@
                 self.book.left(life, now_ms, f"told by {report.name}")
         for told in report.versions:
             self.take_version(told.ref, report.name, now_ms - told.age_ms)
-        return any(not self.book.knows(life) for life in report.came_servers)
+        # Asked for once: a report that goes on naming what the store does not hold would make each
+        # node ask twice a second.
+        unknown = {life for life in report.came_servers if not self.book.knows(life)}
+        news = unknown - self._asked_for.keys()
+        self._asked_for.update(dict.fromkeys(news, now_ms))
+        for life, at_ms in list(self._asked_for.items()):
+            if now_ms - at_ms > TELL_MS:
+                del self._asked_for[life]
+        return bool(news)
 
 
 def _named_earlier(named: list[_Named], version: int, at_ms: int) -> None:
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -65,7 +65,11 @@
 def decode(data: bytes) -> NodeReport | None:
     """Return a report, or ``None`` for bytes that are none."""
     try:
-        fields = orjson.loads(zlib.decompressobj().decompress(data, MAX_REPORT_BYTES))
+        unpacker = zlib.decompressobj()
+        fields = orjson.loads(unpacker.decompress(data, MAX_REPORT_BYTES))
+        # Cut within its checksum it could hold anything.
+        if not unpacker.eof:
+            return None
         return _decode(fields) if fields[0] == FORMAT else None
     except (zlib.error, ValueError, TypeError, KeyError, IndexError, AttributeError):
         return None
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -63,6 +63,7 @@
         self._telling = False
         self._telling_all = False
         self.sent_bytes = 0
+        self._unreadable_from: set[str] = set()
 
     def start(self) -> None:
         """Begin to send and to receive."""
@@ -145,10 +146,13 @@
     def _receive(self) -> None:
         while True:
             try:
-                data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+                data, (host, _port) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as error:
                 log(_LOGGER, events.ReportUnread(cause=error))
                 continue
             report = codec.decode(data)
+            if report is None and host not in self._unreadable_from:
+                self._unreadable_from.add(host)
+                log(_LOGGER, events.UnreadableDatagram(sender=host, bytes=len(data)))
             if report is not None and self._view.heard(report, self._clock.now_ms()):
                 self._on_report(report)
--- a/monsoonflow/logs/events.py
+++ b/monsoonflow/logs/events.py
@@ -442,6 +442,15 @@
     known: int
 
 
+@_event
+class UnreadableDatagram(Event):
+    """A datagram from another node could not be read; told once for each sender."""
+
+    LEVEL: ClassVar[int] = logging.WARNING
+    sender: str
+    bytes: int
+
+
 @_event
 class StoreLost(Event):
     """The store does not answer this node."""
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -124,3 +124,15 @@
     assert not hearer.take_report(report)
     clock.advance(TELL_MS + 1)
     assert teller.recent_came() == ()
+
+
+def test_a_server_that_the_store_does_not_hold_is_asked_for_once(clock):
+    """A report names a server that nobody knows, five times a second for ten seconds."""
+    hearer = Beliefs(clock)
+    report = NodeReport(CARD, 1, True, False, 1, True, came_servers=(SERVER.life,))
+    asked = []
+    for _ in range(40):
+        asked.append(hearer.take_report(report))
+        clock.advance(200)
+    assert asked.count(True) == 1
+    assert not hearer.book.by_life
