--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -63,6 +63,7 @@
         self._telling = False
         self._telling_all = False
         self.sent_bytes = 0
+        self._closed = False
         self._unreadable_from: set[str] = set()
 
     def start(self) -> None:
@@ -73,6 +74,7 @@
 
     def close(self) -> None:
         """Send and receive no more."""
+        self._closed = True
         self._socket.close()
 
     def send_now(self) -> None:
@@ -139,12 +141,13 @@
         }
 
     def _send_for_good(self) -> None:
-        while True:
+        while not self._closed:
             self.send_now()
             self._tasks.sleep(EVERY_MS)
 
     def _receive(self) -> None:
-        while True:
+        # A closed socket fails at once each time: the loop would never give way again.
+        while not self._closed:
             try:
                 data, (host, _port) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as error:
