One way to tell that a caller has left

Left over from an earlier change: two methods of a caller's connection peeked for its end, one of them without looking whether the end had been read already.

--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -57,7 +57,7 @@
 
     def caller_left(self) -> bool:
         """Tell whether the caller has closed its connection since it asked."""
-        return self._connection.caller_left()
+        return self._connection.has_ended()
 
     def whole(
         self, status: int, headers: list[Header], body: bytes = b"", reason: bytes | None = None
@@ -185,16 +185,6 @@
             return b"Connection: close"
         return b"Keep-Alive: timeout=%d" % (self._reader.limits.idle_ms // 1000)
 
-    def caller_left(self) -> bool:
-        """Tell whether the caller has closed the connection; reads nothing and doesn't wait."""
-        try:
-            flags = native.MSG_PEEK | native.MSG_DONTWAIT
-            return not self._sock._sock.recv(1, flags)  # noqa: SLF001
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
     def send(self, data: bytes) -> None:
         """Send bytes to the caller.
 
@@ -271,7 +261,7 @@
         handler.kill(CallerLeft("closed"), block=False)
 
     def has_ended(self) -> bool:
-        """Tell whether the caller has closed the connection, as of this moment."""
+        """Tell whether the caller has closed the connection; reads nothing and doesn't wait."""
         if self._ended:
             return True
         try:
