--- a/tests/entry/test_pass_through.py
+++ b/tests/entry/test_pass_through.py
@@ -255,3 +255,19 @@
     now_ms = one.daemon.clock.now_ms()
     shares = [one.daemon.conditions.failure_share(f"i-{number}", now_ms) for number in (1, 2)]
     assert shares == [0.0, 0.0]
+
+
+def test_a_server_that_refuses_is_not_asked_again_at_once(fleet):
+    """One server of a service is left, and it refuses what it has no room for.
+
+    A request was sent there every 2 ms until its time, or the retries of the whole fleet, were used
+    up: ninety nodes made 490 further arrivals in ten seconds, 454 allowed. What nobody takes now is
+    refused at once, with a time to come back.
+    """
+    server = fleet.plain("i-1")
+    node = fleet.node()
+    server.faults.shed = 1_000
+    answer = fleet.ask(node, "/look/x", "r1", method="GET", deadline_ms=1_000)
+    assert answer.head.status == 503
+    assert answer.head.value(b"retry-after") is not None
+    assert 1_000 - server.faults.shed <= 2
