--- a/tests/gateway/crowd.py
+++ b/tests/gateway/crowd.py
@@ -209,6 +209,7 @@
                 waits.node.in_flight.end(waits.ticket)
                 queue.remove(waits)
                 self.taken_back += 1
+                self.lost += 1
             elif now_ms >= waits.job.request.arrived_ms + LEAVES_MS:
                 waited_ms = now_ms - waits.ticket.sent_ms
                 waits.node.backlog.no_first_event(waits.chosen, waited_ms, now_ms)
