A holder's word that was taken is not taken again

Cause: the plan loop of each node looks ten times a second for the holder's word on what runners hold, and took it whole each time; it is told once a second. Besides, what a node had learnt of a runner meanwhile was overwritten by an older word. Change: the same word is taken once (Residency.take_told). Test: tests/entry/test_residency.py, fails before.

--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -467,7 +467,7 @@
                 continue
             told = self._daemon.view.residency(cell, now_ms)
             if told is not None:
-                self.residency.take(told)
+                self.residency.take_told(cell, told)
 
     def _work(self) -> dict[ServerLife, ServerWork]:
         """Return what all nodes have in progress by server, to be read at once."""
--- a/monsoonflow/entry/residency.py
+++ b/monsoonflow/entry/residency.py
@@ -26,6 +26,18 @@
         self._refs_by_server: dict[str, dict[str, int]] = {}
         self._missing_until: dict[tuple[str, str], int] = {}
         self._history_by_server: dict[str, OrderedDict[AdapterRef, None]] = {}
+        self._told_by_cell: dict[str, tuple[HeldAdapters, ...]] = {}
+
+    def take_told(self, cell: str, told: tuple[HeldAdapters, ...]) -> None:
+        """Take the word of the holder of a cell, once.
+
+        It is looked for ten times a second and told once a second in a large fleet: taken each
+        time, it costs as much as the reports of all other nodes, and overwrites what this node has
+        learnt of a runner meanwhile.
+        """
+        if self._told_by_cell.get(cell) is not told:
+            self._told_by_cell[cell] = told
+            self.take(told)
 
     def take(self, told: tuple[HeldAdapters, ...]) -> None:
         """Take a holder's word about its runners; it replaces what was known of them."""
--- /dev/null
+++ b/tests/entry/test_residency.py
@@ -0,0 +1,37 @@
+"""What a node takes to be held by runners, between two words of their holder."""
+
+from __future__ import annotations
+
+from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.core.clock import ManualClock
+from monsoonflow.core.server_life import ServerLife
+from monsoonflow.entry.residency import MISSING_MS, Residency
+from monsoonflow.fleet.models import HeldAdapters
+
+LIFE = ServerLife("i-1")
+REF = AdapterRef("m/a1", 2)
+
+
+def test_a_word_that_was_taken_is_not_taken_again():
+    """A holder tells once a second what its runners hold; its word is looked for each 100 ms.
+
+    A request is granted an adapter that the last word does not name. Taken again, that word hid the
+    adapter from the next request, which asked the holder for what was there.
+    """
+    residency = Residency(ManualClock(0))
+    told = (HeldAdapters(LIFE, ()),)
+    residency.take_told("s", told)
+    residency.granted(LIFE, REF)
+    residency.take_told("s", told)
+    assert residency.holders("m/a1") == {LIFE: 2}
+
+
+def test_a_newer_word_is_taken():
+    clock = ManualClock(0)
+    residency = Residency(clock)
+    residency.take_told("s", (HeldAdapters(LIFE, (REF,)),))
+    residency.missing(LIFE, "m/a1")
+    clock.advance(MISSING_MS + 1)
+    assert residency.holders("m/a1") == {}
+    residency.take_told("s", (HeldAdapters(LIFE, (REF,)),))
+    assert residency.holders("m/a1") == {LIFE: 2}
