A node that gets its first callers looks for servers

Cause: nodes without callers are not told which servers came; placed at one of those by the holder, a newcomer would not know it and ask again until its time was over. Change: when a node becomes active it asks the store for servers at once. Whether it is active is judged in a room of its own (entry/activity.py). Test: test_a_node_that_gets_callers_looks_for_servers_once.

--- /dev/null
+++ b/monsoonflow/entry/activity.py
@@ -0,0 +1,59 @@
+"""Tells whether this node is active: whether other nodes need its word fresh."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from ..core.clock import Clock
+from ..fleet.view import FleetView
+from ..routing.budget import FleetRetryBudget
+from ..routing.in_flight import InFlight
+
+YOUNG_MS: Final = 10_000
+"""So long after its start a node tells the others as often as one with callers: nobody knows yet
+who there is, and duties are claimed by who is heard."""
+
+
+class Activity:
+    """Whether a node has callers or a part in duties.
+
+    :param watches: tells whether the others rely on this node to ask for servers.
+    :param on_begin: called when a node that had none gets callers: it was told of no servers that
+        came meanwhile.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        in_flight: InFlight,
+        budget: FleetRetryBudget,
+        clock: Clock,
+        watches: Callable[[], bool],
+        on_begin: Callable[[], None],
+    ) -> None:
+        self._view = view
+        self._in_flight = in_flight
+        self._budget = budget
+        self._clock = clock
+        self._watches = watches
+        self._on_begin = on_begin
+        self._started_ms = clock.now_ms()
+        self._active = True
+
+    def look(self) -> bool:
+        """Return whether this node is active now."""
+        before, self._active = self._active, self._is_active()
+        if self._active and not before:
+            self._on_begin()
+        return self._active
+
+    def _is_active(self) -> bool:
+        now_ms = self._clock.now_ms()
+        return (
+            now_ms - self._started_ms < YOUNG_MS
+            or bool(self._in_flight.by_server)
+            or self._budget.busy(now_ms)
+            or self._watches()
+            or self._view.name in self._view.duty_names()
+        )
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -38,6 +38,7 @@
 from ..transport.client import Pools
 from ..transport.models import MessageLimits
 from ..transport.server import Handler, Port
+from .activity import Activity
 from .address import AddressBook
 from .beliefs import Beliefs
 from .cards import CardKeeper
@@ -54,10 +55,6 @@
 LEARN_AFTER_MS = 400
 """How long a node that starts waits for the store before it asks other nodes: some ten answers."""
 
-YOUNG_MS = 10_000
-"""So long after its start a node tells the others as often as one with callers: nobody knows yet
-who there is, and duties are claimed by who is heard."""
-
 SWEEP_EVERY_MS = 500
 """How often resting connections and doubtful servers are looked through."""
 
@@ -131,7 +128,6 @@
         self.metrics = EntryMetrics()
         self.pulse = Pulse(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._sequence = 0
-        self._started_ms = self.clock.now_ms()
         self._stop = Event()
         bounds = settings.bounds
         self.budget = FleetRetryBudget(
@@ -158,6 +154,14 @@
             self._news,
             self.gossip.send_to_all,
         )
+        self.activity = Activity(
+            self.view,
+            self.in_flight,
+            self.budget,
+            self.clock,
+            lambda: self.following.watches,
+            self._look_for_servers,
+        )
         self.followed: Followed | None = None
         self.cards = CardKeeper(self._card, self.table, self.view, self.tasks, self.clock)
         self.ports = self._ports(outside)
@@ -255,18 +259,12 @@
             came_servers=self.beliefs.recent_came(),
             crowded=self.duties.crowded(),
             lag_ms=round(self.pulse.lag_ms),
-            active=self._active(),
+            active=self.activity.look(),
         )
 
-    def _active(self) -> bool:
-        """Tell whether others need this node's word fresh: it has callers or a part in duties."""
-        return (
-            self.clock.now_ms() - self._started_ms < YOUNG_MS
-            or bool(self.in_flight.by_server)
-            or self.budget.busy(self.clock.now_ms())
-            or self.following.watches
-            or self.settings.name in self.view.duty_names()
-        )
+    def _look_for_servers(self) -> None:
+        if self.followed is not None:
+            self.followed.servers.poke()
 
     def _take_report(self, report: NodeReport) -> None:
         self.following.take_report(report)
--- /dev/null
+++ b/tests/entry/test_activity.py
@@ -0,0 +1,95 @@
+"""When a node counts as one whose word the others need fresh."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from monsoonflow.core.clock import ManualClock
+from monsoonflow.core.server_life import ServerLife
+from monsoonflow.entry.activity import YOUNG_MS, Activity
+from monsoonflow.fleet.models import DutyClaim
+from monsoonflow.fleet.view import FleetView
+from monsoonflow.routing.budget import BUSY_REQUESTS, FleetRetryBudget, RetryAllowance
+from monsoonflow.routing.in_flight import InFlight
+
+WINDOW_MS = 10_000
+
+
+@attrs.define
+class Node:
+    """What one node's activity is judged by."""
+
+    clock: ManualClock
+    view: FleetView
+    in_flight: InFlight
+    budget: FleetRetryBudget
+    watches: bool = False
+    begun: int = 0
+    activity: Activity | None = None
+
+    def begin(self) -> None:
+        """Count a beginning."""
+        self.begun += 1
+
+
+@pytest.fixture
+def node() -> Node:
+    """Return a node that has been up for a while without callers."""
+    budget = FleetRetryBudget(RetryAllowance(0.2, 10, WINDOW_MS))
+    node = Node(ManualClock(0), FleetView("a"), InFlight(), budget)
+    node.activity = Activity(
+        node.view, node.in_flight, budget, node.clock, lambda: node.watches, node.begin
+    )
+    assert node.activity.look()
+    node.clock.advance(YOUNG_MS)
+    assert not node.activity.look()
+    return node
+
+
+def test_a_request_now_and_then_makes_no_node_active(node: Node):
+    for _ in range(BUSY_REQUESTS - 1):
+        node.budget.first("s", node.clock.now_ms())
+    assert not node.activity.look()
+
+
+def test_a_node_with_callers_is_active_while_its_requests_count(node: Node):
+    for _ in range(BUSY_REQUESTS):
+        node.budget.first("s", node.clock.now_ms())
+    assert node.activity.look()
+    node.clock.advance(WINDOW_MS + 1)
+    assert not node.activity.look()
+
+
+def test_a_retry_is_told(node: Node):
+    node.budget.first("s", node.clock.now_ms())
+    node.budget.retried("s", node.clock.now_ms())
+    assert node.activity.look()
+
+
+def test_a_long_answer_is_told_until_it_ends(node: Node):
+    ticket = node.in_flight.begin(ServerLife("i-1"), node.clock.now_ms())
+    node.clock.advance(WINDOW_MS * 2)
+    assert node.activity.look()
+    node.in_flight.end(ticket)
+    assert not node.activity.look()
+
+
+def test_watchers_holders_and_heirs_are_active(node: Node):
+    node.watches = True
+    assert node.activity.look()
+    node.watches = False
+    node.view.claimed(DutyClaim("s", "b", 1, ("c", "a")))
+    assert node.activity.look()
+
+
+def test_a_node_that_gets_callers_looks_for_servers_once(node: Node):
+    """A server came twenty seconds ago; nodes without callers were not told.
+
+    Its first callers' requests were placed at that server by the holder, and the node knew no such
+    server: it would have learnt of it minutes later.
+    """
+    node.in_flight.begin(ServerLife("i-1"), node.clock.now_ms())
+    for _ in range(3):
+        assert node.activity.look()
+    assert node.begun == 1
