One machine of many that has lost the store is no silence of the store

Cause: a report that its node has lost the store made each other node give its questions up and ask anew, which is needed when the store is silent. One machine cut off from it for six seconds cost each of 195 nodes two or three calls. Change: in a fleet of more than 13 nodes three must say so; all six that watch the store notice a silence. The tests of silences at 90 nodes hold (tests/entry/test_silent_store.py, test_watchers.py).

--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -58,6 +58,13 @@
 store that turns a third of the machines away, one after the other, costs the others two calls each
 in that time."""
 
+LONE_DOUBT_UP_TO = 13
+"""In a fleet of so many nodes one that has lost the store makes the others ask anew."""
+
+DOUBTERS = 3
+"""In a larger one so many: all six that watch the store notice its silence, and one machine that is
+cut off from it would cost each of the others two calls."""
+
 LAPSING_MS = 500
 """An outage that was noticed for less is no reason to doubt that an entry is gone: entries lapse
 after two seconds or more, and a silence is noticed within one and a half."""
@@ -233,7 +240,8 @@
         else:
             self._without_store.discard(report.name)
         now_ms = self._clock.now_ms()
-        if news and now_ms >= self._doubts_from_ms and self._followed is not None:
+        alike = self._view.nodes() <= LONE_DOUBT_UP_TO or len(self._without_store) >= DOUBTERS
+        if news and alike and now_ms >= self._doubts_from_ms and self._followed is not None:
             self._doubts_from_ms = now_ms + PEERS_DOUBT_EVERY_MS
             self._followed.doubt()
 
