A holder is told what changes of a node's work, not all of it each time

Cause: each begin and end of an adapter's use sent the whole report to the holder, some 1,200 a second before 195 nodes, each now with the work of forty requests a second in it; and in its first ten seconds each node told whole words to 24 others a round. Change: such a word names the servers where work has changed, each whole, so that one lost is mended by the next report (WorkChange, WorkSum.change). Young nodes speak as often as active ones, but signs of life. Active nodes tell each other eight a round.

--- a/monsoonflow/entry/activity.py
+++ b/monsoonflow/entry/activity.py
@@ -3,17 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Final
 
 from ..core.clock import Clock
 from ..fleet.view import FleetView
 from ..routing.budget import FleetRetryBudget
 from ..routing.in_flight import InFlight
 
-YOUNG_MS: Final = 10_000
-"""So long after its start a node tells the others as often as one with callers: nobody knows yet
-who there is, and duties are claimed by who is heard."""
-
 
 class Activity:
     """Whether a node has callers or a part in duties.
@@ -38,8 +33,7 @@
         self._clock = clock
         self._watches = watches
         self._on_begin = on_begin
-        self._started_ms = clock.now_ms()
-        self._active = True
+        self._active = False
 
     def look(self) -> bool:
         """Return whether this node is active now."""
@@ -49,11 +43,9 @@
         return self._active
 
     def _is_active(self) -> bool:
-        now_ms = self._clock.now_ms()
         return (
-            now_ms - self._started_ms < YOUNG_MS
-            or bool(self._in_flight.by_server)
-            or self._budget.busy(now_ms)
+            bool(self._in_flight.by_server)
+            or self._budget.busy(self._clock.now_ms())
             or self._watches()
             or self._view.name in self._view.duty_names()
         )
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -16,7 +16,7 @@
 from ..core.clock import Clock, MonotonicClock
 from ..core.tasks import Tasks
 from ..fleet.gossip import Gossip
-from ..fleet.models import NodeCard, NodeReport
+from ..fleet.models import NodeCard, NodeReport, WorkChange
 from ..fleet.view import FleetView
 from ..gateway.backlog import Backlog
 from ..gateway.budget import SharedRetries
@@ -141,6 +141,7 @@
             self._take_report,
             self.tasks,
             self.clock,
+            self._work_change,
         )
         self.peers = PeerClient(self.view, self.clock, outside.decoders.table)
         self.duties = Duties(self, outside.runners())
@@ -262,6 +263,12 @@
             active=self.activity.look(),
         )
 
+    def _work_change(self) -> WorkChange:
+        """Return what has changed of this node's work since this was last asked."""
+        self._sequence += 1
+        changed = self.in_flight.take_changed()
+        return WorkChange(self.settings.name, self.boot, self._sequence, changed)
+
     def _look_for_servers(self) -> None:
         if self.followed is not None:
             self.followed.servers.poke()
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -22,6 +22,7 @@
     NamedVersion,
     NodeCard,
     NodeReport,
+    WorkChange,
     told_cores,
 )
 
@@ -37,6 +38,9 @@
 SIGN_FORMAT: Final = "s1"
 """First field of each sign of life; a node of an older version leaves it alone."""
 
+CHANGE_FORMAT: Final = "w1"
+"""First field of each change of work."""
+
 ASK: Final = b"?"
 """Asks a node whose sign of life was heard for its whole report."""
 
@@ -89,35 +93,47 @@
     return orjson.dumps([*named, sign.config_version, sign.lag_ms, claims, heard, card])
 
 
-def decode(data: bytes) -> NodeReport | LifeSign | None:
-    """Return a report or a sign of life, or ``None`` for bytes that are neither."""
-    return _decode_sign(data) if data[:1] == b"[" else _decode_report(data)
+def encode_change(change: WorkChange) -> bytes:
+    """Return the bytes of a change of work."""
+    work = {str(life): _work_fields(work) for life, work in change.work_by_server.items()}
+    return orjson.dumps([CHANGE_FORMAT, change.name, change.boot, change.sequence, work])
 
 
-def _decode_sign(data: bytes) -> LifeSign | None:
+def decode(data: bytes) -> NodeReport | LifeSign | WorkChange | None:
+    """Return what another node tells, or ``None`` for bytes that can't be read."""
+    if data[:1] != b"[":
+        return _decode_report(data)
     try:
         fields = orjson.loads(data)
-        if fields[0] != SIGN_FORMAT:
-            return None
-        flags = int(fields[4])
-        return LifeSign(
-            name=str(fields[1]),
-            boot=str(fields[2]),
-            sequence=int(fields[3]),
-            ready=bool(flags & 1),
-            leaving=bool(flags & 2),
-            store_heard=bool(flags & 4),
-            active=bool(flags & 8),
-            config_version=int(fields[5]),
-            lag_ms=max(0, int(fields[6])),
-            claims=tuple(_claim(entry) for entry in fields[7]),
-            heard=_heard(fields[8]),
-            card=None if fields[9] is None else _sign_card(fields[9]),
-        )
+        read = {SIGN_FORMAT: _sign, CHANGE_FORMAT: _change}.get(fields[0])
+        return None if read is None else read(fields)
     except (ValueError, TypeError, KeyError, IndexError, AttributeError):
         return None
 
 
+def _change(fields: list[Any]) -> WorkChange:
+    work = {ServerLife(life): _work(work) for life, work in fields[4].items()}
+    return WorkChange(str(fields[1]), str(fields[2]), int(fields[3]), work)
+
+
+def _sign(fields: list[Any]) -> LifeSign:
+    flags = int(fields[4])
+    return LifeSign(
+        name=str(fields[1]),
+        boot=str(fields[2]),
+        sequence=int(fields[3]),
+        ready=bool(flags & 1),
+        leaving=bool(flags & 2),
+        store_heard=bool(flags & 4),
+        active=bool(flags & 8),
+        config_version=int(fields[5]),
+        lag_ms=max(0, int(fields[6])),
+        claims=tuple(_claim(entry) for entry in fields[7]),
+        heard=_heard(fields[8]),
+        card=None if fields[9] is None else _sign_card(fields[9]),
+    )
+
+
 def _sign_card(fields: list[Any]) -> NodeCard:
     *addresses, cores = fields
     return NodeCard(*map(str, addresses), cores=told_cores(cores))
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -19,7 +19,7 @@
 from ..logs import events, log
 from ..transport.sockets import split_address
 from . import codec
-from .models import LifeSign, NodeReport
+from .models import LifeSign, NodeReport, WorkChange
 from .rounds import EVERY_MS, PEERS_A_ROUND, Rounds
 from .view import FleetView
 
@@ -31,6 +31,10 @@
 """In a large fleet a holder tells what its runners hold in each of so many rounds only, once a
 second: for 45 runners that is most of its report. Who does not know asks the holder."""
 
+EAGER_MS: Final = 6_000
+"""So long after its start a node without callers speaks as often as one with callers: nobody knows
+yet who there is, and duties are claimed by who is heard."""
+
 YOUNG_MS: Final = 60_000
 """So long after its start a node's signs of life tell how it is reached: nobody knows it yet."""
 
@@ -49,6 +53,7 @@
 
     :param report: returns this node's report as of now.
     :param on_report: takes each report that is news.
+    :param change: returns what has changed of this node's work since it was last asked.
     """
 
     def __init__(
@@ -59,7 +64,9 @@
         on_report: Callable[[NodeReport], None],
         tasks: Tasks,
         clock: Clock,
+        change: Callable[[], WorkChange],
     ) -> None:
+        self._change = change
         self._view = view
         self._report = report
         self._on_report = on_report
@@ -95,8 +102,13 @@
         report = self._report()
         others = self._others()
         view = self._view
+        eager = self._clock.now_ms() - self._started_ms < EAGER_MS
         told = self._rounds.next(
-            others, view.duty_names(), view.holds_duty(), self._choosing(others), not report.active
+            others,
+            view.duty_names(),
+            view.holds_duty(),
+            self._choosing(others) if report.active else (),
+            not report.active and not eager,
         )
         # A leave must reach everybody, also who has missed the first word of it.
         whole = told if report.left_servers else view.need_whole(told)
@@ -150,7 +162,10 @@
                 log(_LOGGER, events.ReportUnsent(to=address, cause=error))
 
     def tell_soon(self, names: list[str]) -> None:
-        """Tell some nodes within a moment; what comes meanwhile goes with it."""
+        """Tell some nodes within a moment what changes of this node's work.
+
+        What comes meanwhile goes with it. A whole report each time was most of what a holder reads.
+        """
         self._soon.update(names)
         if not self._telling:
             self._telling = True
@@ -161,7 +176,8 @@
         self._telling = False
         names, self._soon = self._soon, set()
         cards = [self._view.card_by_name.get(name) for name in names]
-        self._send(self._report(), [card.report_address for card in cards if card is not None])
+        addresses = [card.report_address for card in cards if card is not None]
+        self._send_data(codec.encode_change(self._change()), addresses)
 
     def _others(self) -> dict[str, str]:
         """Return where the other nodes take reports, by name."""
@@ -189,7 +205,9 @@
             else:
                 self._take(codec.decode(data), host, port, len(data))
 
-    def _take(self, told: NodeReport | LifeSign | None, host: str, port: int, size: int) -> None:
+    def _take(
+        self, told: NodeReport | LifeSign | WorkChange | None, host: str, port: int, size: int
+    ) -> None:
         now_ms = self._clock.now_ms()
         match told:
             case None:
@@ -202,6 +220,8 @@
                 report = self._view.heard_sign(told, now_ms)
                 if report is not None:
                     self._on_report(report)
+            case WorkChange():
+                self._view.heard_change(told, now_ms)
             case NodeReport():
                 if self._view.heard(told, now_ms):
                     self._on_report(told)
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -147,6 +147,19 @@
         return self.card.boot
 
 
+@attrs.frozen(slots=True)
+class WorkChange:
+    """What has changed of a node's work in progress, for the holders of duties.
+
+    :param work_by_server: at the servers where it has changed, whole; empty where none is left.
+    """
+
+    name: str
+    boot: str
+    sequence: int
+    work_by_server: dict[ServerLife, ServerWork]
+
+
 @attrs.frozen(slots=True)
 class LifeSign:
     """The part of a node's report for those that need no more than to know that it lives.
--- a/monsoonflow/fleet/rounds.py
+++ b/monsoonflow/fleet/rounds.py
@@ -23,6 +23,10 @@
 PEERS_A_ROUND: Final = 12
 """Other nodes told in one round by a node without duties."""
 
+ACTIVE_PEERS_A_ROUND: Final = 8
+"""Other nodes with callers told in one round besides: thirty know each other's work of 0.8 s ago.
+Each such report is a kilobyte."""
+
 IDLE_PEERS_A_ROUND: Final = 4
 """Other nodes told in one round by a node without callers and duties: among 195 each hears it every
 ten seconds. It is named to nobody, so nobody waits for it."""
@@ -135,7 +139,7 @@
             return _slice(ring, self._count, idle_turns(len(ring)))
         told = _slice(ring, self._count, turns(len(ring)))
         near = self._active.of(active)
-        soon = _slice(near, self._count, turns(len(near)))
+        soon = _slice(near, self._count, math.ceil(len(near) / ACTIVE_PEERS_A_ROUND) or 1)
         told += [other for other in soon if other not in told]
         if self._count % holder_turns(len(ring)) == 0:
             told += [other for other in ring if other in fresh and other not in told]
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -22,6 +22,7 @@
     LifeSign,
     NodeCard,
     NodeReport,
+    WorkChange,
 )
 from .rounds import holder_silence_ms, idle_silence_ms, silence_ms, turns
 from .work_sum import WorkSum
@@ -58,6 +59,8 @@
     """When its whole word was heard last: ``at_ms`` may be that of a sign of life."""
     residency_ms: int = LONG_AGO_MS
     """When it last told what runners hold."""
+    change_sequence: int = 0
+    """Of the last change of its work that was heard since its report."""
 
 
 @attrs.frozen(slots=True)
@@ -146,6 +149,18 @@
             self._work.drop(sign.name)
         return report
 
+    def heard_change(self, change: WorkChange, now_ms: int) -> None:
+        """Take a change of a node's work; without its report before it says nothing."""
+        known = self._heard_by_name.get(change.name)
+        if known is None or known.report.boot != change.boot:
+            return
+        if _overtaken(known, change.boot, change.sequence):
+            return
+        known.change_sequence = change.sequence
+        known.at_ms = self._newest_ms = now_ms
+        work = self._work.change(change.name, change.work_by_server, now_ms)
+        known.report = attrs.evolve(known.report, work_by_server=work)
+
     def _card_of(self, sign: LifeSign) -> NodeCard | None:
         known = self._heard_by_name.get(sign.name)
         if sign.card is not None:
@@ -303,13 +318,12 @@
     def need_whole(self, names: Iterable[str]) -> list[str]:
         """Return the nodes that need this one's whole report rather than a sign of life.
 
-        In a small fleet all do. In a large one those that choose by it do, and whoever is unheard.
+        In a small fleet all do, in a large one those that choose by it.
         """
-        if turns(len(self._heard_by_name)) == 1:
+        if turns(self.nodes() - 1) == 1:
             return list(names)
-        idle = {name for name, heard in self._heard_by_name.items() if not heard.report.active}
-        idle -= self.duty_names()
-        return [name for name in names if name not in idle]
+        choosing = {*self.active_names(), *self.duty_names()}
+        return [name for name in names if name in choosing]
 
     def residency_age_ms(self, name: str, now_ms: int) -> int | None:
         """Return how long ago a holder told this node what runners hold."""
@@ -394,4 +408,4 @@
 def _overtaken(known: _Heard | None, boot: str, sequence: int) -> bool:
     """Tell whether a word of a node is older than what is known of it."""
     same = known is not None and known.report.boot == boot
-    return same and sequence <= known.report.sequence
+    return same and sequence <= max(known.report.sequence, known.change_sequence)
--- a/monsoonflow/fleet/work_sum.py
+++ b/monsoonflow/fleet/work_sum.py
@@ -58,6 +58,37 @@
                 total = self.by_server[life] = ServerWork()
             total.add(work)
 
+    def change(
+        self, node: str, work_by_server: Mapping[ServerLife, ServerWork], at_ms: int
+    ) -> Mapping[ServerLife, ServerWork]:
+        """Take what has changed of a node's work; return all of it.
+
+        :param work_by_server: at the servers where it has changed, whole.
+
+        >>> total = WorkSum()
+        >>> total.take("a", {"i-1": ServerWork(2), "i-2": ServerWork(1)}, at_ms=0)
+        >>> sorted(total.change("a", {"i-1": ServerWork(5), "i-2": ServerWork()}, at_ms=3))
+        ['i-1']
+        >>> total.by_server["i-1"].requests, "i-2" in total.by_server
+        (5, False)
+        """
+        share = self._share_by_node.pop(node, None)
+        whole = dict(share.work_by_server) if share is not None else {}
+        for life, work in work_by_server.items():
+            self._replace(life, whole.pop(life, None), work)
+            if not work.is_nothing():
+                whole[life] = work
+        self._share_by_node[node] = _Share(at_ms, whole)
+        return whole
+
+    def _replace(self, life: ServerLife, before: ServerWork | None, work: ServerWork) -> None:
+        total = self.by_server.setdefault(life, ServerWork())
+        if before is not None:
+            total.remove(before)
+        total.add(work)
+        if total.is_nothing():
+            del self.by_server[life]
+
     def drop(self, node: str) -> None:
         """Count a node no longer."""
         share = self._share_by_node.pop(node, None)
--- a/monsoonflow/routing/in_flight.py
+++ b/monsoonflow/routing/in_flight.py
@@ -119,6 +119,12 @@
     def __init__(self, on_adapter_change: Callable[[], None] = lambda: None) -> None:
         self.by_server: dict[ServerLife, ServerWork] = {}
         self._on_adapter_change = on_adapter_change
+        self._changed: set[ServerLife] = set()
+
+    def take_changed(self) -> dict[ServerLife, ServerWork]:
+        """Return the work at the servers where it has changed since this was last asked."""
+        changed, self._changed = self._changed, set()
+        return {life: self.at(life) for life in changed}
 
     def begin(
         self,
@@ -130,6 +136,7 @@
         rank: int | None = None,
     ) -> Ticket:
         """Count a request that is about to be sent."""
+        self._changed.add(life)
         work = self.by_server.setdefault(life, ServerWork())
         work.requests += 1
         work.unread_tokens += unread_tokens
@@ -147,6 +154,7 @@
         ticket.unread = False
         if ticket.ended or not ticket.unread_tokens:
             return
+        self._changed.add(ticket.life)
         work = self.by_server[ticket.life]
         work.unread_tokens -= ticket.unread_tokens
         if ticket.rank is not None:
@@ -161,6 +169,7 @@
             return
         self.first_event(ticket)
         ticket.ended = True
+        self._changed.add(ticket.life)
         work = self.by_server[ticket.life]
         work.requests -= 1
         work.memory_tokens -= ticket.memory_tokens
