--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -60,10 +60,7 @@
             flags,
             report.config_version,
             {str(life): _work_fields(work) for life, work in report.work_by_server.items()},
-            {
-                service: [spent.firsts, spent.retries]
-                for service, spent in report.spent_by_service.items()
-            },
+            _spent_fields(report.spent_by_service),
             report.left_servers,
             [str(named.ref) for named in report.versions],
             _claim_fields(report.claims),
@@ -89,8 +86,9 @@
     card = None if sign.card is None else [*_addresses(sign.card), sign.card.cores]
     heard = [attrs.astuple(heard) for heard in sign.heard]
     claims = _claim_fields(sign.claims)
+    spent = _spent_fields(sign.spent_by_service)
     named = [SIGN_FORMAT, sign.name, sign.boot, sign.sequence, flags]
-    return orjson.dumps([*named, sign.config_version, sign.lag_ms, claims, heard, card])
+    return orjson.dumps([*named, sign.config_version, sign.lag_ms, claims, heard, card, spent])
 
 
 def encode_change(change: WorkChange) -> bytes:
@@ -131,6 +129,7 @@
         claims=tuple(_claim(entry) for entry in fields[7]),
         heard=_heard(fields[8]),
         card=None if fields[9] is None else _sign_card(fields[9]),
+        spent_by_service=_spent(fields[10]),
     )
 
 
@@ -161,7 +160,7 @@
         store_heard=bool(flags & 4),
         config_version=int(fields[4]),
         work_by_server={ServerLife(life): _work(work) for life, work in fields[5].items()},
-        spent_by_service={service: Spent(*spent) for service, spent in fields[6].items()},
+        spent_by_service=_spent(fields[6]),
         left_servers=tuple(map(ServerLife, fields[7])),
         versions=_versions(fields[8], _after(fields, 14)),
         claims=tuple(_claim(entry) for entry in fields[9]),
@@ -175,6 +174,14 @@
     )
 
 
+def _spent_fields(spent_by_service: dict[str, Spent]) -> dict[str, list[int]]:
+    return {service: [spent.firsts, spent.retries] for service, spent in spent_by_service.items()}
+
+
+def _spent(fields: dict[str, Any]) -> dict[str, Spent]:
+    return {service: Spent(*spent) for service, spent in fields.items()}
+
+
 def _claim_fields(claims: tuple[DutyClaim, ...]) -> list[Any]:
     return [[c.cell, c.holder, c.epoch, c.heirs, c.counter] for c in claims]
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -164,6 +164,7 @@
 class LifeSign:
     """The part of a node's report for those that need no more than to know that it lives.
 
+    :param spent_by_service: where it has retries: requests alone change little in the budget.
     :param card: told while the node is young; later it is known, or asked for.
     """
 
@@ -178,6 +179,7 @@
     lag_ms: int = 0
     claims: tuple[DutyClaim, ...] = ()
     heard: tuple[Heard, ...] = ()
+    spent_by_service: dict[str, Spent] = attrs.Factory(dict)
     card: NodeCard | None = None
 
     @classmethod
@@ -195,6 +197,7 @@
             report.lag_ms,
             report.claims,
             report.heard,
+            {name: spent for name, spent in report.spent_by_service.items() if spent.retries},
             report.card if with_card else None,
         )
 
@@ -215,7 +218,7 @@
             config_version=self.config_version,
             store_heard=self.store_heard,
             work_by_server=known.work_by_server if keeps else {},
-            spent_by_service=known.spent_by_service if keeps else {},
+            spent_by_service=known.spent_by_service if keeps else self.spent_by_service,
             claims=self.claims,
             residency=None,
             heard=self.heard,
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -366,22 +366,18 @@
         return heard.report.crowded
 
     def spent(self, service: str, now_ms: int) -> list[Spent]:
-        """Return the requests and retries of a service of the others that told any."""
+        """Return the requests and retries of a service of the others that told them lately."""
         within_ms = max(SPENT_FADES_MS, self._alive_ms())
+        idle_within_ms = max(SPENT_FADES_MS, self._alive_ms(active=False))
         return [
             heard.report.spent_by_service.get(service, Spent())
             for heard in self._heard_by_name.values()
-            if heard.report.active and now_ms - heard.told_ms <= within_ms
+            if now_ms - heard.told_ms <= (within_ms if heard.report.active else idle_within_ms)
         ]
 
-    def spenders(self, now_ms: int) -> int:
-        """Return how many nodes may have retries: all but those that are known to have none."""
-        idle_ms = self._alive_ms(active=False)
-        idle = sum(
-            not heard.report.active and now_ms - heard.at_ms <= idle_ms
-            for heard in self._heard_by_name.values()
-        )
-        return self.nodes() - idle
+    def idle(self) -> int:
+        """Return how many of the others are known to have no callers."""
+        return sum(not heard.report.active for heard in self._heard_by_name.values())
 
     def nodes(self) -> int:
         """Return how many nodes there are, this one among them."""
--- a/monsoonflow/gateway/budget.py
+++ b/monsoonflow/gateway/budget.py
@@ -23,7 +23,7 @@
         """Tell whether the budget allows one more arrival, and count it."""
         now_ms = self._clock.now_ms()
         others = self._view.spent(service, now_ms)
-        if not self._budget.allows(service, others, self._view.spenders(now_ms), now_ms):
+        if not self._budget.allows(service, others, self._view.nodes(), now_ms, self._view.idle()):
             return False
         self._budget.retried(service, now_ms)
         return True
--- a/monsoonflow/routing/budget.py
+++ b/monsoonflow/routing/budget.py
@@ -15,8 +15,9 @@
 """Share of the reserve that one node may use when it hears of no other: seven such nodes together
 stay inside the reserve."""
 
-BUSY_REQUESTS: Final = 4
-"""So many requests of a window are more than a question now and then."""
+BUSY_REQUESTS: Final = 20
+"""So many requests of a window are more than questions now and then, as operators and checks ask
+each node once a second."""
 
 
 @attrs.frozen(slots=True)
@@ -90,29 +91,36 @@
         return {service: self.spent(service, now_ms) for service in self._firsts_by_service}
 
     def busy(self, now_ms: int) -> bool:
-        """Tell whether this node has requests or retries that others should count."""
-        return any(
-            spent.firsts >= BUSY_REQUESTS or spent.retries
-            for spent in self.all_spent(now_ms).values()
-        )
-
-    def allows(self, service: str, others: list[Spent], nodes: int, now_ms: int) -> bool:
+        """Tell whether this node has callers."""
+        return any(spent.firsts >= BUSY_REQUESTS for spent in self.all_spent(now_ms).values())
+
+    def allows(
+        self,
+        service: str,
+        others: list[Spent],
+        nodes: int,
+        now_ms: int,
+        idle: int = 0,
+    ) -> bool:
         """Tell whether one more arrival fits.
 
         :param others: what other nodes last told; silent ones count with their last word.
         :param nodes: how many nodes share the budget, as far as known.
+        :param idle: how many of the others have no callers: they share the budget with nobody, and
+            what they spend now and then is counted all the same.
         """
         own = self.spent(service, now_ms)
         firsts = own.firsts + sum(spent.firsts for spent in others)
         retries = own.retries + sum(spent.retries for spent in others)
         reserve = self.allowance.reserve
-        if len(others) + 1 < nodes:
+        heard, sharers = max(0, len(others) - idle), max(1, nodes - idle)
+        if heard + 1 < sharers:
             # Nodes that were never heard may spend as much as this one.
-            reserve = reserve * (len(others) + 1) / nodes
+            reserve = reserve * (heard + 1) / sharers
         if not others:
             reserve = min(reserve, self.allowance.reserve * UNHEARD_SHARE / USED_SHARE)
         limit = (self.allowance.ratio * firsts + reserve) * USED_SHARE
-        return retries + 1 + len(others) <= limit
+        return retries + 1 + heard <= limit
 
     def _window(self, windows: dict[str, _Window], service: str) -> _Window:
         window = windows.get(service)
