--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -136,3 +136,32 @@
         clock.advance(200)
     assert asked.count(True) == 1
     assert not hearer.book.by_life
+
+
+@attrs.define
+class Doubts:
+    """Counts how often all that waits is asked anew."""
+
+    count: int = 0
+
+    def doubt(self) -> None:
+        """Ask anew."""
+        self.count += 1
+
+
+@pytest.mark.parametrize(("nodes", "lost", "doubts"), [(6, 1, 1), (194, 1, 0), (194, 3, 1)])
+def test_one_machine_of_many_that_has_lost_the_store_is_no_silence(clock, nodes, lost, doubts):
+    """One machine is cut off from the store for six seconds.
+
+    Each of the 194 others gave up its questions and asked anew: some 400 calls, each of which is
+    paid for. When the store itself is silent all six that watch it say so.
+    """
+    view = FleetView("me")
+    nothing = [lambda *_: None] * 3
+    following = Following(RowDecoders(), Beliefs(clock), view, clock, *nothing)
+    following._followed = counted = Doubts()
+    hear(view, nodes, clock.now_ms())
+    for number in range(lost):
+        card = attrs.evolve(CARD, name=f"n{number}")
+        following.take_report(NodeReport(card, 2, True, False, 1, store_heard=False))
+    assert counted.count == doubts
