Servers that come are told to nodes without callers too

Told by signs of life alone they would not ask the store again for minutes. Change: a report with servers that came goes whole to everybody, as one with servers that left. Test: test_servers_that_come_and_leave_are_told_to_nodes_without_callers.

--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -110,8 +110,10 @@
             self._choosing(others) if report.active else (),
             not report.active and not eager,
         )
-        # A leave must reach everybody, also who has missed the first word of it.
-        whole = told if report.left_servers else view.need_whole(told)
+        # Servers that come and leave must be known to everybody: a node without callers that had
+        # missed one answered its first with "no server takes work".
+        news = report.left_servers or report.came_servers
+        whole = told if news else view.need_whole(told)
         self._send(report, [others[name] for name in whole])
         signs = set(told).difference(whole)
         if signs:
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -9,6 +9,7 @@
 import pytest
 
 from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.core.server_life import ServerLife
 from monsoonflow.fleet import codec
 from monsoonflow.fleet.gossip import Gossip
 from monsoonflow.fleet.models import NodeCard, NodeReport, WorkChange
@@ -57,3 +58,43 @@
     assert [report.name for report in heard] == ["n1"]
     lines = [r.getMessage() for r in caplog.records if "unreadable_datagram" in r.getMessage()]
     assert len(lines) == 1
+
+
+@pytest.mark.parametrize(
+    ("news", "whole"),
+    [
+        ({}, False),
+        ({"left_servers": (ServerLife("i-1"),)}, True),
+        ({"came_servers": (ServerLife("i-1"),)}, True),
+    ],
+)
+def test_servers_that_come_and_leave_are_told_to_nodes_without_callers(news, whole):
+    """Thirty nodes without callers; a server of a plain service came before they had read of it.
+
+    Told by signs of life alone they did not ask the store for minutes, and answered 98 of 2,346
+    checks and some callers with "no server takes work".
+    """
+    view, listener = FleetView("me"), socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    listener.bind(("127.0.0.1", 0))
+    listener.settimeout(5)
+    where = f"127.0.0.1:{listener.getsockname()[1]}"
+    for number in range(30):
+        card = NodeCard(f"n{number}", "b", "dc", "1:1", "1:2", where)
+        view.heard(NodeReport(card, 1, True, False, 1, True, active=False), 0)
+    own = NodeCard("me", "b", "dc", "1:1", "1:2", "127.0.0.1:9")
+    report = NodeReport(own, 1, True, False, 1, True, **news)
+    nothing = WorkChange("me", "b", 1, {})
+    gossip = Gossip(
+        "127.0.0.1:9",
+        view,
+        lambda: report,
+        lambda _: None,
+        GeventTasks(),
+        MonotonicClock(),
+        lambda: nothing,
+    )
+    gossip.send_now()
+    told = codec.decode(listener.recv(60_000))
+    gossip.close()
+    listener.close()
+    assert isinstance(told, NodeReport) == whole
