--- a/monsoonflow/entry/activity.py
+++ b/monsoonflow/entry/activity.py
@@ -11,7 +11,7 @@
 
 
 class Activity:
-    """Whether a node has callers or a part in duties.
+    """Whether a node has callers or a part in duties; in a small fleet all count as such.
 
     :param watches: tells whether the others rely on this node to ask for servers.
     :param on_begin: called when a node that had none gets callers: it was told of no servers that
@@ -44,7 +44,8 @@
 
     def _is_active(self) -> bool:
         return (
-            bool(self._in_flight.by_server)
+            self._view.is_small()
+            or bool(self._in_flight.by_server)
             or self._budget.busy(self._clock.now_ms())
             or self._watches()
             or self._view.name in self._view.duty_names()
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -320,7 +320,7 @@
 
         In a small fleet all do, in a large one those that choose by it.
         """
-        if turns(self.nodes() - 1) == 1:
+        if self.is_small():
             return list(names)
         choosing = {*self.active_names(), *self.duty_names()}
         return [name for name in names if name in choosing]
@@ -383,6 +383,10 @@
         """Return how many nodes there are, this one among them."""
         return len({self.name, *self.card_by_name, *self._heard_by_name})
 
+    def is_small(self) -> bool:
+        """Tell whether the fleet is so small that each node tells all others each time."""
+        return turns(self.nodes() - 1) == 1
+
     def _alive_ms(self, active: bool = True) -> int:
         others = len(self._heard_by_name)
         return silence_ms(others, ALIVE_MS) if active else idle_silence_ms(others, ALIVE_MS)
--- a/tests/entry/test_activity.py
+++ b/tests/entry/test_activity.py
@@ -8,12 +8,13 @@
 from monsoonflow.core.clock import ManualClock
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.entry.activity import Activity
-from monsoonflow.fleet.models import DutyClaim
+from monsoonflow.fleet.models import DutyClaim, NodeCard
 from monsoonflow.fleet.view import FleetView
 from monsoonflow.routing.budget import BUSY_REQUESTS, FleetRetryBudget, RetryAllowance
 from monsoonflow.routing.in_flight import InFlight
 
 WINDOW_MS = 10_000
+CARD = NodeCard("n", "b", "dc", "1:1", "1:2", "1:3")
 
 
 @attrs.define
@@ -35,12 +36,14 @@
 
 @pytest.fixture
 def node() -> Node:
-    """Return a node without callers."""
+    """Return a node without callers in a fleet of many."""
     budget = FleetRetryBudget(RetryAllowance(0.2, 10, WINDOW_MS))
     node = Node(ManualClock(0), FleetView("a"), InFlight(), budget)
     node.activity = Activity(
         node.view, node.in_flight, budget, node.clock, lambda: node.watches, node.begin
     )
+    for number in range(30):
+        node.view.card(attrs.evolve(CARD, name=f"n{number}"))
     assert not node.activity.look()
     return node
 
@@ -90,3 +93,11 @@
     for _ in range(3):
         assert node.activity.look()
     assert node.begun == 1
+
+
+def test_in_a_small_fleet_all_are_active():
+    view, budget = FleetView("a"), FleetRetryBudget(RetryAllowance(0.2, 10, WINDOW_MS))
+    for number in range(6):
+        view.card(attrs.evolve(CARD, name=f"n{number}"))
+    activity = Activity(view, InFlight(), budget, ManualClock(0), lambda: False, lambda: None)
+    assert activity.look()
