--- /dev/null
+++ b/monsoonflow/logs/events/__init__.py
@@ -0,0 +1,123 @@
+"""Every event that entry nodes log, with its fields; the one place that knows them.
+
+Times are in milliseconds. ``cause`` tells in words why; ``left_ms`` is the time that a request
+still has, ``took_ms`` the time since it arrived.
+"""
+
+from .duties import (
+    DutyInherited,
+    DutyLost,
+    DutyReleased,
+    DutyWon,
+    RenewalFailed,
+)
+from .event import Event
+from .fleet import (
+    CallersNamed,
+    CardRemoved,
+    CardWritten,
+    LearntFromPeer,
+    PeerHeard,
+    PeerSilent,
+    ReportTooLarge,
+    ReportUnread,
+    ReportUnsent,
+    UnreadableDatagram,
+)
+from .process import (
+    Reloaded,
+    Started,
+    Stopped,
+    Stopping,
+    UnusableSettings,
+    WasFrozen,
+)
+from .requests import (
+    RequestAccepted,
+    RequestEnded,
+    RequestSent,
+    RequestWaited,
+    ServerRefused,
+    TryFailed,
+)
+from .servers import (
+    AdapterVersion,
+    AddressTaken,
+    EarlierLife,
+    Order,
+    Seats,
+    ServerCame,
+    ServerLeaves,
+    UnusableReport,
+)
+from .store import (
+    CommitUnclear,
+    Configuration,
+    HistoryLost,
+    MalformedRow,
+    StaleRead,
+    StoreLost,
+    StoreReturned,
+    UnusablePeerConfiguration,
+    UnusableRow,
+)
+from .transport import (
+    BadMessage,
+    HandlerFailed,
+    LinesSuppressed,
+    LogLinesDropped,
+    NotBound,
+)
+
+__all__ = [
+    "AdapterVersion",
+    "AddressTaken",
+    "BadMessage",
+    "CallersNamed",
+    "CardRemoved",
+    "CardWritten",
+    "CommitUnclear",
+    "Configuration",
+    "DutyInherited",
+    "DutyLost",
+    "DutyReleased",
+    "DutyWon",
+    "EarlierLife",
+    "Event",
+    "HandlerFailed",
+    "HistoryLost",
+    "LearntFromPeer",
+    "LinesSuppressed",
+    "LogLinesDropped",
+    "MalformedRow",
+    "NotBound",
+    "Order",
+    "PeerHeard",
+    "PeerSilent",
+    "Reloaded",
+    "RenewalFailed",
+    "ReportTooLarge",
+    "ReportUnread",
+    "ReportUnsent",
+    "RequestAccepted",
+    "RequestEnded",
+    "RequestSent",
+    "RequestWaited",
+    "Seats",
+    "ServerCame",
+    "ServerLeaves",
+    "ServerRefused",
+    "StaleRead",
+    "Started",
+    "Stopped",
+    "Stopping",
+    "StoreLost",
+    "StoreReturned",
+    "TryFailed",
+    "UnreadableDatagram",
+    "UnusablePeerConfiguration",
+    "UnusableReport",
+    "UnusableRow",
+    "UnusableSettings",
+    "WasFrozen",
+]
