--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -5,14 +5,16 @@
 import logging
 import socket
 
+import attrs
 import gevent
 import pytest
+from gevent import socket as green
 
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.fleet import codec
 from monsoonflow.fleet.gossip import Gossip
-from monsoonflow.fleet.models import NodeCard, NodeReport, WorkChange
+from monsoonflow.fleet.models import LifeSign, NodeCard, NodeReport, WorkChange
 from monsoonflow.fleet.view import FleetView
 from monsoonflow.helpers.gevent_tasks import GeventTasks
 from monsoonflow.transport.sockets import split_address
@@ -98,3 +100,35 @@
     gossip.close()
     listener.close()
     assert isinstance(told, NodeReport) == whole
+
+
+def test_a_node_known_by_a_sign_of_life_only_is_asked_for_its_report(address, heard):
+    """A datagram with a node's address is lost; later ones tell no more than that it lives.
+
+    It is asked once a second, not once for each sign; and who asks is told all in the same way.
+    """
+    sender = green.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.bind(("127.0.0.1", 0))
+    sender.settimeout(2)
+    sign = LifeSign.of(REPORT, False)
+    for sequence in range(2, 7):
+        sender.sendto(
+            codec.encode_sign(attrs.evolve(sign, sequence=sequence)), split_address(address)
+        )
+    assert sender.recv(100) == codec.ASK
+    sender.settimeout(0.2)
+    with pytest.raises(TimeoutError):
+        sender.recv(100)
+    assert heard == []
+    sender.sendto(codec.encode(attrs.evolve(REPORT, sequence=7)), split_address(address))
+    sender.sendto(codec.encode_sign(attrs.evolve(sign, sequence=8)), split_address(address))
+    gevent.sleep(0.1)
+    assert [report.sequence for report in heard] == [7, 8]
+    sender.settimeout(2)
+    for _ in range(5):
+        sender.sendto(codec.ASK, split_address(address))
+    assert codec.decode(sender.recv(60_000)) == REPORT
+    sender.settimeout(0.2)
+    with pytest.raises(TimeoutError):
+        sender.recv(100)
+    sender.close()
