Log what a node knows of the retry budget at each further try

More retries than allowed arrived at a service; the log told that a try was made again (again=true) but not what the node believed of the budget, so that a burst, a forgotten count and a late arrival looked alike. try_failed now carries retries_known and retries_limit.

--- a/monsoonflow/gateway/budget.py
+++ b/monsoonflow/gateway/budget.py
@@ -4,7 +4,7 @@
 
 from ..core.clock import Clock
 from ..fleet.view import FleetView
-from ..routing.budget import FleetRetryBudget
+from ..routing.budget import FleetRetryBudget, Headroom
 
 
 class SharedRetries:
@@ -19,11 +19,12 @@
         """Count a request for a service."""
         self._budget.first(service, self._clock.now_ms())
 
-    def may_retry(self, service: str) -> bool:
-        """Tell whether the budget allows one more arrival, and count it."""
+    def may_retry(self, service: str) -> Headroom:
+        """Return whether the budget allows one more arrival, and count it if so."""
         now_ms = self._clock.now_ms()
         others = self._view.spent(service, now_ms)
-        if not self._budget.allows(service, others, self._view.nodes(), now_ms, self._view.idle()):
-            return False
-        self._budget.retried(service, now_ms)
-        return True
+        view = self._view
+        headroom = self._budget.headroom(service, others, view.nodes(), now_ms, view.idle())
+        if headroom.allowed:
+            self._budget.retried(service, now_ms)
+        return headroom
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -7,6 +7,7 @@
 from typing import Final, Protocol
 
 from ..core.clock import Clock
+from ..routing.budget import Headroom
 from ..routing.first_event import FirstEventPace
 from ..routing.in_flight import InFlight, Ticket
 from ..routing.patience import UsualDeadlines
@@ -79,8 +80,8 @@
     def first(self, service: str) -> None:
         """Count a request for a service."""
 
-    def may_retry(self, service: str) -> bool:
-        """Tell whether the budget allows one more arrival, and count it."""
+    def may_retry(self, service: str) -> Headroom:
+        """Return whether the budget allows one more arrival, and count it if so."""
 
 
 class Gateway:
@@ -184,6 +185,7 @@
         reply.check_caller()
         sent_ms = self._clock.now_ms()
         job.tried.append(chosen.life)
+        job.headroom = None
         onward = self._onward(job, chosen, sent_ms)
         ticket = self._in_flight.begin(
             chosen.life,
@@ -358,9 +360,9 @@
             return False
         if job.until_ms - self._clock.now_ms() < MIN_SEND_MS:
             return False
-        allowed = self._retries.may_retry(job.service.name)
-        self._record.wanted_again(allowed)
-        return allowed
+        job.headroom = self._retries.may_retry(job.service.name)
+        self._record.wanted_again(job.headroom.allowed)
+        return job.headroom.allowed
 
     def _time_over(self, job: Job, reply: Reply) -> None:
         if job.may_have_run and not reply.started:
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..routing.budget import Headroom
 from ..routing.routes import Route, Service
 from ..transport.models import Request
 from .events import EventCutter
@@ -32,6 +33,7 @@
     :param avoided: the servers that refused it, broke off or could not be reached.
     :param refused_ms_by_life: when a server last refused it unrun, though it holds what it needs.
     :param runs: how many tries may have run on a server.
+    :param headroom: what the retry budget said last; ``None`` where it was not asked.
     :param first_ms: when the first part of the answer came.
     """
 
@@ -48,6 +50,7 @@
     refused_ms_by_life: dict[str, int] = attrs.Factory(dict)
     retry_after_ms: int | None = None
     cutter: EventCutter | None = None
+    headroom: Headroom | None = None
     first_ms: int | None = None
 
     @property
--- a/monsoonflow/gateway/record.py
+++ b/monsoonflow/gateway/record.py
@@ -96,10 +96,18 @@
 
     def failed(self, job: Job, chosen: Chosen, cause: str, again: bool, took_ms: int) -> None:
         """Note that a try did not end well."""
+        headroom = job.headroom
         log(
             _LOGGER,
             events.TryFailed(
-                job.call.request_id, chosen.life, cause, job.may_have_run, again, took_ms
+                job.call.request_id,
+                chosen.life,
+                cause,
+                job.may_have_run,
+                again,
+                took_ms,
+                retries_known=headroom.known if headroom is not None else None,
+                retries_limit=round(headroom.limit) if headroom is not None else None,
             ),
         )
 
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -56,12 +56,17 @@
 class TryFailed(Event):
     """A try of a request did not end well."""
 
+    # ``retries_known`` are the service's further arrivals that this node knows of in the window,
+    # ``retries_limit`` what it takes the budget to be.
+
     request: str
     server: str
     cause: str
     may_have_run: bool
     again: bool
     took_ms: int
+    retries_known: int | None = None
+    retries_limit: int | None = None
 
 
 @event
--- a/monsoonflow/routing/budget.py
+++ b/monsoonflow/routing/budget.py
@@ -42,6 +42,20 @@
     retries: int = 0
 
 
+@attrs.frozen(slots=True)
+class Headroom:
+    """What is left of the budget of a service, as this node knows it.
+
+    :param known: arrivals beyond the first that are counted in the window.
+    :param limit: how many there may be.
+    :param allowed: whether one more fits.
+    """
+
+    known: int
+    limit: float
+    allowed: bool
+
+
 class _Window:
     """Counts events in a sliding window."""
 
@@ -94,15 +108,15 @@
         """Tell whether this node has callers."""
         return any(spent.firsts >= BUSY_REQUESTS for spent in self.all_spent(now_ms).values())
 
-    def allows(
+    def headroom(
         self,
         service: str,
         others: list[Spent],
         nodes: int,
         now_ms: int,
         idle: int = 0,
-    ) -> bool:
-        """Tell whether one more arrival fits.
+    ) -> Headroom:
+        """Return whether one more arrival fits, and what that rests on.
 
         :param others: what other nodes last told; silent ones count with their last word.
         :param nodes: how many nodes share the budget, as far as known.
@@ -120,7 +134,7 @@
         if not others:
             reserve = min(reserve, self.allowance.reserve * UNHEARD_SHARE / USED_SHARE)
         limit = (self.allowance.ratio * firsts + reserve) * USED_SHARE
-        return retries + 1 + heard <= limit
+        return Headroom(retries, limit, retries + 1 + heard <= limit)
 
     def _window(self, windows: dict[str, _Window], service: str) -> _Window:
         window = windows.get(service)
--- a/tests/fleet/test_signs.py
+++ b/tests/fleet/test_signs.py
@@ -217,7 +217,7 @@
     newcomer = fleet.idle()[-1]
     budget = FleetRetryBudget(RetryAllowance(0.2, 430, 10_000))
     retries = SharedRetries(budget, newcomer.view, fleet.clock)
-    allowed = sum(retries.may_retry("s") for _ in range(430))
+    allowed = sum(retries.may_retry("s").allowed for _ in range(430))
     assert 1 <= allowed <= 430 / 30
 
 
@@ -228,7 +228,7 @@
     fleet.run(4_000)
     budget = FleetRetryBudget(RetryAllowance(0.2, 430, 10_000))
     retries = SharedRetries(budget, fleet.active()[0].view, fleet.clock)
-    allowed = sum(retries.may_retry("s") for _ in range(430))
+    allowed = sum(retries.may_retry("s").allowed for _ in range(430))
     assert 430 * 0.85 - 40 <= allowed <= 430 * 0.85
 
 
--- a/tests/routing/test_fleet_budget.py
+++ b/tests/routing/test_fleet_budget.py
@@ -11,7 +11,7 @@
 
 def retries_allowed(budget, others, nodes, now_ms=0):
     count = 0
-    while budget.allows("s", others, nodes, now_ms) and count < 1_000:
+    while budget.headroom("s", others, nodes, now_ms).allowed and count < 1_000:
         budget.retried("s", now_ms)
         count += 1
     return count
@@ -29,7 +29,7 @@
         spent = [budget.spent("s", 0) for budget in budgets]
         for index, budget in enumerate(budgets):
             others = spent[:index] + spent[index + 1 :]
-            if budget.allows("s", others, nodes, 0):
+            if budget.headroom("s", others, nodes, 0).allowed:
                 budget.retried("s", 0)
                 total += 1
     assert 5 <= total <= 54
@@ -58,4 +58,4 @@
 def test_services_do_not_share():
     budget = FleetRetryBudget(ALLOWANCE)
     retries_allowed(budget, [Spent()], 2)
-    assert budget.allows("other", [Spent()], 2, 0)
+    assert budget.headroom("other", [Spent()], 2, 0).allowed
