Bound what each node spends of the shared retry budget

Cause: the budget was a sum of what nodes had told of themselves, and everything that was not in the sum was taken for zero: what others spend before the next report, what a process had spent that is gone, what nodes beyond a cut spend, what has been granted and not been sent yet. Class: a limit that a fleet keeps together by beliefs which each err in the same direction.

Change: what is left is split among the nodes that hear each other, so that none spends more than its part before the others have heard of that; a node that is silent, or does not hear this one, keeps its share of the reserve and its last word counts for a window; the last count of a process that ended stays, with a share for what it may have spent unheard; a process that remembers nothing has hardly any retries until another node remembers for it or a window has passed; a retry is counted from its grant until a window after it was sent.

Two tests changed with a reason: the retries of a silent node count for the budget's window, not for 12 s, which other windows would have outlasted; and idle nodes are shown to keep no retries from thirty nodes that want them at once, where one node was allowed to take all in one moment, which is the fault. The bounds are the same.

--- a/monsoonflow/entry/activity.py
+++ b/monsoonflow/entry/activity.py
@@ -14,6 +14,7 @@
     """Whether a node has callers or a part in duties; in a small fleet all count as such.
 
     :param watches: tells whether the others rely on this node to ask for servers.
+    :ivar active: as it was told to the others last.
     :param on_begin: called when a node that had none gets callers: it was told of no servers that
         came meanwhile.
     """
@@ -33,14 +34,14 @@
         self._clock = clock
         self._watches = watches
         self._on_begin = on_begin
-        self._active = False
+        self.active = False
 
     def look(self) -> bool:
         """Return whether this node is active now."""
-        before, self._active = self._active, self._is_active()
-        if self._active and not before:
+        before, self.active = self.active, self._is_active()
+        if self.active and not before:
             self._on_begin()
-        return self._active
+        return self.active
 
     def _is_active(self) -> bool:
         return (
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -131,7 +131,11 @@
         self._stop = Event()
         bounds = settings.bounds
         self.budget = FleetRetryBudget(
-            RetryAllowance(bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_ms)
+            RetryAllowance(bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_ms),
+            None if settings.first_start else self.clock.now_ms(),
+        )
+        self.retries = SharedRetries(
+            self.budget, self.view, self.clock, lambda: self.activity.active
         )
         self.table = SettlingTable(outside.raw_table(), self.tasks)
         self.gossip = Gossip(
@@ -261,6 +265,7 @@
             crowded=self.duties.crowded(),
             lag_ms=round(self.pulse.lag_ms),
             active=self.activity.look(),
+            retries=self.retries.memory(),
         )
 
     def _work_change(self) -> WorkChange:
@@ -343,7 +348,6 @@
     def _ports(self, outside: Outside) -> Ports:
         self._outside = outside
         settings = self.settings
-        retries = SharedRetries(self.budget, self.view, self.clock)
         book, conditions = self.beliefs.book, self.conditions
         plain = PlainChooser(
             book, self.in_flight, self.view, conditions, self.rng, settings.data_centre
@@ -364,7 +368,7 @@
             self.pools,
             self.in_flight,
             self.backlog,
-            retries,
+            self.retries,
             plain,
             engines,
             self.rng,
--- a/monsoonflow/entry/settings.py
+++ b/monsoonflow/entry/settings.py
@@ -59,6 +59,7 @@
     :param metrics_address: where metrics are read.
     :param seeds: peer addresses of some nodes, which may be out of date.
     :param cores: how much processor time this process has, as its card tells it.
+    :param first_start: whether the whole system starts for the first time: nothing came before.
     """
 
     name: str
@@ -74,6 +75,7 @@
     bounds: PeerBounds = PeerBounds()
     seeds: tuple[str, ...] = ()
     cores: float = USUAL_CORES
+    first_start: bool = True
 
     def listens_at(self) -> tuple[str, ...]:
         """Return what can't change while the process runs."""
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -22,6 +22,7 @@
     NamedVersion,
     NodeCard,
     NodeReport,
+    RetryMemory,
     WorkChange,
     told_cores,
 )
@@ -76,6 +77,7 @@
             _crowded_fields(report.crowded),
             report.lag_ms,
             report.active,
+            _memory_fields(report.retries),
         ]
     )
 
@@ -171,6 +173,7 @@
         lag_ms=max(0, int(_after(fields, 16) or 0)),
         # A node of an older version does not tell, and is told all as one that has requests.
         active=_after(fields, 17) is not False,
+        retries=_memory(_after(fields, 18)),
     )
 
 
@@ -182,6 +185,20 @@
     return {service: Spent(*spent) for service, spent in fields.items()}
 
 
+def _memory_fields(memory: RetryMemory) -> list[Any]:
+    hears = sorted(memory.hears)
+    return [memory.counts_ms, hears, memory.past_by_service, memory.ended]
+
+
+def _memory(fields: list[Any] | None) -> RetryMemory:
+    """Return what a node remembers; one of an older version remembers nothing for others."""
+    if fields is None:
+        return RetryMemory()
+    counts_ms, hears, past_by_service, ended = fields
+    past = {str(service): max(0, int(count)) for service, count in past_by_service.items()}
+    return RetryMemory(int(counts_ms), frozenset(map(str, hears)), past, max(0, int(ended)))
+
+
 def _claim_fields(claims: tuple[DutyClaim, ...]) -> list[Any]:
     return [[c.cell, c.holder, c.epoch, c.heirs, c.counter] for c in claims]
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -98,6 +98,22 @@
     age_ms: int
 
 
+@attrs.frozen(slots=True)
+class RetryMemory:
+    """What a node remembers of retries besides its own count.
+
+    :param counts_ms: for how long its process has counted, at most the budget's window.
+    :param hears: the nodes with callers whose word it takes for fresh.
+    :param past_by_service: retries of processes that ended within the window.
+    :param ended: how many such processes there were.
+    """
+
+    counts_ms: int = 0
+    hears: frozenset[str] = frozenset()
+    past_by_service: dict[str, int] = attrs.Factory(dict)
+    ended: int = 0
+
+
 @attrs.frozen(slots=True)
 class NodeReport:
     """One node's word about itself; a newer one replaces it whole.
@@ -116,6 +132,7 @@
     :param lag_ms: how late the node usually runs what is due.
     :param active: whether the node has requests or a part in duties, so that others need its word
         fresh; of one that has not they need little more than that it lives.
+    :param retries: what the node remembers of retries.
     """
 
     card: NodeCard
@@ -135,6 +152,7 @@
     crowded: CrowdedRunners | None = None
     lag_ms: int = 0
     active: bool = True
+    retries: RetryMemory = RetryMemory()
 
     @property
     def name(self) -> str:
@@ -225,4 +243,5 @@
             crowded=known.crowded if keeps else None,
             lag_ms=self.lag_ms,
             active=self.active,
+            retries=known.retries if keeps else RetryMemory(),
         )
--- a/monsoonflow/fleet/rounds.py
+++ b/monsoonflow/fleet/rounds.py
@@ -50,6 +50,15 @@
     return max(1, math.ceil(others / PEERS_A_ROUND))
 
 
+def active_turns(active: int) -> int:
+    """Return in how many rounds a node with callers tells all others with callers once.
+
+    >>> active_turns(6), active_turns(29)
+    (1, 4)
+    """
+    return max(1, math.ceil(active / ACTIVE_PEERS_A_ROUND))
+
+
 def idle_turns(others: int) -> int:
     """Return in how many rounds a node without callers and duties tells all others once.
 
@@ -139,7 +148,7 @@
             return _slice(ring, self._count, idle_turns(len(ring)))
         told = _slice(ring, self._count, turns(len(ring)))
         near = self._active.of(active)
-        soon = _slice(near, self._count, math.ceil(len(near) / ACTIVE_PEERS_A_ROUND) or 1)
+        soon = _slice(near, self._count, active_turns(len(near)))
         told += [other for other in soon if other not in told]
         if self._count % holder_turns(len(ring)) == 0:
             told += [other for other in ring if other in fresh and other not in told]
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -11,9 +11,9 @@
 
 from ..core.server_life import ServerLife
 from ..logs import events, log
-from ..routing.budget import Spent
 from ..routing.crowded import CrowdedRunners
 from ..routing.in_flight import ServerWork
+from .ended import EndedProcesses
 from .models import (
     USUAL_CORES,
     DutyClaim,
@@ -24,7 +24,15 @@
     NodeReport,
     WorkChange,
 )
-from .rounds import holder_silence_ms, idle_silence_ms, silence_ms, turns
+from .rounds import (
+    EVERY_MS,
+    MISSED,
+    active_turns,
+    holder_silence_ms,
+    idle_silence_ms,
+    silence_ms,
+    turns,
+)
 from .work_sum import WorkSum
 
 _LOGGER = logging.getLogger(__name__)
@@ -44,9 +52,6 @@
 
 LONG_AGO_MS: Final = -1_000_000_000
 
-SPENT_FADES_MS: Final = 12_000
-"""A silent node's retries count until they have left the budget's window."""
-
 
 @attrs.define(slots=True)
 class _Heard:
@@ -71,6 +76,14 @@
     cells: frozenset[str]
 
 
+@attrs.frozen(slots=True)
+class Word:
+    """What a node told of itself, and how long ago."""
+
+    report: NodeReport
+    age_ms: int
+
+
 @attrs.frozen(slots=True)
 class ClaimHeard:
     """When a holder was heard to claim its duty.
@@ -102,6 +115,7 @@
         self._sent_by_sequence: OrderedDict[int, _Sent] = OrderedDict()
         self._work = WorkSum()
         self._work_within_ms = WORK_FADES_MS
+        self._ended = EndedProcesses()
 
     def card(self, card: NodeCard) -> None:
         """Take how a node can be reached."""
@@ -173,6 +187,8 @@
     def _take(self, report: NodeReport, known: _Heard | None, now_ms: int, told_ms: int) -> None:
         if known is None or not known.alive:
             log(_LOGGER, events.PeerHeard(peer=report.name, boot=report.boot))
+        if known is not None and known.report.boot != report.boot:
+            self._ended.add(known.report, now_ms)
         heard = _Heard(report, now_ms, told_ms=told_ms)
         if report.residency is not None:
             heard.residency, heard.residency_ms = report.residency, now_ms
@@ -365,19 +381,26 @@
             return None
         return heard.report.crowded
 
-    def spent(self, service: str, now_ms: int) -> list[Spent]:
-        """Return the requests and retries of a service of the others that told them lately."""
-        within_ms = max(SPENT_FADES_MS, self._alive_ms())
-        idle_within_ms = max(SPENT_FADES_MS, self._alive_ms(active=False))
+    def words(self, now_ms: int, within_ms: int) -> list[Word]:
+        """Return what others told of themselves within a time, each with its age.
+
+        What a node with callers tells in a sign of life only is not its whole word.
+        """
         return [
-            heard.report.spent_by_service.get(service, Spent())
+            Word(heard.report, now_ms - heard.told_ms)
             for heard in self._heard_by_name.values()
-            if now_ms - heard.told_ms <= (within_ms if heard.report.active else idle_within_ms)
+            if now_ms - heard.told_ms <= within_ms
         ]
 
-    def idle(self) -> int:
-        """Return how many of the others are known to have no callers."""
-        return sum(not heard.report.active for heard in self._heard_by_name.values())
+    def word_fades_ms(self, active: bool) -> int:
+        """Return how old a node's word may be so that it counts as fresh."""
+        if not active:
+            return self._alive_ms(active=False)
+        return MISSED * active_turns(len(self.active_names())) * EVERY_MS
+
+    def ended(self, window_ms: int, now_ms: int) -> list[NodeReport]:
+        """Return the last reports of processes that ended within a window."""
+        return self._ended.within(window_ms, now_ms)
 
     def nodes(self) -> int:
         """Return how many nodes there are, this one among them."""
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -81,7 +81,13 @@
         """Count a request for a service."""
 
     def may_retry(self, service: str) -> Headroom:
-        """Return whether the budget allows one more arrival, and count it if so."""
+        """Return whether the budget allows one more arrival, and keep a place for it if so."""
+
+    def sent(self, service: str) -> None:
+        """Count a further try that was allowed: it goes to a server now."""
+
+    def unused(self, service: str) -> None:
+        """Give back a further try that was allowed and will not be sent."""
 
 
 class Gateway:
@@ -148,6 +154,9 @@
         except CallerLeft:
             self._record.ended(job, reply, "caller_left")
             raise
+        finally:
+            if job.retry_granted:
+                self._retries.unused(service.name)
 
     def _job(self, request: Request, call: Call, route: Route, service: Service) -> Job:
         waits_ms = call.deadline_ms if call.deadline_ms is not None else route.timeout_ms
@@ -207,6 +216,7 @@
             lambda: self._first_event(job, chosen, ticket),
             lambda: chooser.begins_until_ms(chosen),
             lambda: chooser.may_send(chosen),
+            lambda: self._spend_retry(job),
         )
         result: Try | None = None
         try:
@@ -216,8 +226,16 @@
             if result is None:
                 waited_ms = self._clock.now_ms() - sent_ms
                 result = Abandoned(ticket.unread and waited_ms > job.route.objective_ms * 2)
+            # A try that never arrived costs its retry as well: a dead server would be asked again
+            # and again.
+            self._spend_retry(job)
             self._finish_try(ticket, chooser, chosen, result, sent_ms)
 
+    def _spend_retry(self, job: Job) -> None:
+        if job.retry_granted:
+            job.retry_granted = False
+            self._retries.sent(job.service.name)
+
     def _sign_until(self, job: Job, chooser: Chooser, chosen: Chosen, now_ms: int) -> int:
         """Return until when a server must have given a sign.
 
@@ -361,6 +379,7 @@
         if job.until_ms - self._clock.now_ms() < MIN_SEND_MS:
             return False
         job.headroom = self._retries.may_retry(job.service.name)
+        job.retry_granted = job.headroom.allowed
         self._record.wanted_again(job.headroom.allowed)
         return job.headroom.allowed
 
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -34,6 +34,7 @@
     :param refused_ms_by_life: when a server last refused it unrun, though it holds what it needs.
     :param runs: how many tries may have run on a server.
     :param headroom: what the retry budget said last; ``None`` where it was not asked.
+    :param retry_granted: whether the budget keeps a place for its next try.
     :param first_ms: when the first part of the answer came.
     """
 
@@ -51,6 +52,7 @@
     retry_after_ms: int | None = None
     cutter: EventCutter | None = None
     headroom: Headroom | None = None
+    retry_granted: bool = False
     first_ms: int | None = None
 
     @property
--- a/monsoonflow/gateway/offer.py
+++ b/monsoonflow/gateway/offer.py
@@ -58,6 +58,7 @@
     :param begins_until: returns until when the request may begin, as it is known at that moment;
         ``None`` without a bound.
     :param may_send: tells whether the server still takes work.
+    :param on_send: called just before the request goes out.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         on_sign: Callable[[], None] = lambda: None,
         begins_until: Callable[[], int | None] = lambda: None,
         may_send: Callable[[], bool] = lambda: True,
+        on_send: Callable[[], None] = lambda: None,
     ) -> None:
         self._pools = pools
         self._dialect = dialect
@@ -81,6 +83,7 @@
         self._on_sign = on_sign
         self._begins_until = begins_until
         self._may_send = may_send
+        self._on_send = on_send
 
     def send(
         self,
@@ -111,6 +114,7 @@
             # that it leaves was sent to 0.4 s beyond the bound of 2 s.
             if not self._may_send():
                 return Unsent("the server leaves")
+            self._on_send()
             # Made now: a server that was told the time left before a connection of half a second
             # would work on for a caller that has gone.
             connection.send(head(), self._request.body, self._request.method == b"HEAD")
--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -84,6 +84,7 @@
         seeds=tuple(str(seed) for seed in fields.get("seedNodes", ())),
         store_address=str(platform["address"]),
         cores=_cores(fields.get("limits")),
+        first_start=fields.get("bootstrap") is True,
         bounds=PeerBounds(
             lease_ms=int(bounds.get("leaseMs", 3_000)),
             grace_ms=_ms(bounds.get("graceS", 8)),
--- a/tests/fleet/retry_fleet.py
+++ b/tests/fleet/retry_fleet.py
@@ -9,6 +9,7 @@
 import attrs
 
 from monsoonflow.core.clock import ManualClock
+from monsoonflow.fleet.gossip import EAGER_MS
 from monsoonflow.fleet.models import NodeCard, NodeReport
 from monsoonflow.fleet.rounds import EVERY_MS, Rounds
 from monsoonflow.fleet.view import FleetView
@@ -19,6 +20,7 @@
 STEP_MS = 20
 ALLOWANCE = RetryAllowance(0.2, 52, 10_000)
 LINK_MS = 5
+WORK_MS = 300
 SOCKET_DATAGRAMS = 300
 """So many wait for a node that does not read."""
 
@@ -61,7 +63,9 @@
     budget: FleetRetryBudget
     retries: SharedRetries
     rounds: Rounds
+    started_ms: int
     sequence: int = 0
+    busy_until_ms: int = 0
     waiting: list[int] = attrs.Factory(list)
     """When the further tries that were granted go out."""
 
@@ -74,6 +78,7 @@
     per_s: float
     phase_ms: int
     process: _Process | None = None
+    active: bool = False
     boots: int = 0
     up_at_ms: int = 0
     frozen_until_ms: int = 0
@@ -114,14 +119,16 @@
 
     def _start(self, node: Node) -> None:
         node.boots += 1
+        node.active = False
         name = node.name
         card = NodeCard(name, f"{name}-{node.boots}", "dc", f"{name}:1", f"{name}:2", f"{name}:3")
-        view, budget = FleetView(name), FleetRetryBudget(ALLOWANCE)
+        started_ms = None if node.boots == 1 else self.clock.now_ms()
+        view, budget = FleetView(name), FleetRetryBudget(ALLOWANCE, started_ms)
         for other in self.nodes:
             if other.process is not None and other is not node:
                 view.card(other.process.card)
-        retries = SharedRetries(budget, view, self.clock)
-        node.process = _Process(card, view, budget, retries, Rounds(name))
+        retries = SharedRetries(budget, view, self.clock, lambda: node.active)
+        node.process = _Process(card, view, budget, retries, Rounds(name), self.clock.now_ms())
         node.inbox.clear()
 
     def kill(self, names: Collection[int], back_ms: int = 500) -> None:
@@ -174,6 +181,7 @@
         if process is None:
             return
         process.retries.first(SERVICE)
+        process.busy_until_ms = now_ms + WORK_MS
         self._failed_or_not(process, now_ms)
 
     def _failed_or_not(self, process: _Process, now_ms: int) -> None:
@@ -185,6 +193,7 @@
         due = [at_ms for at_ms in process.waiting if at_ms <= now_ms]
         process.waiting = [at_ms for at_ms in process.waiting if at_ms > now_ms]
         for _ in due:
+            process.retries.sent(SERVICE)
             insort(self.judge.again_ms, now_ms)
             self._failed_or_not(process, now_ms)
 
@@ -207,7 +216,9 @@
     def _tell(self, node: Node, process: _Process, now_ms: int) -> None:
         process.sequence += 1
         view = process.view
-        active = view.is_small() or process.budget.busy(now_ms)
+        in_progress = bool(process.waiting) or now_ms < process.busy_until_ms
+        active = view.is_small() or in_progress or process.budget.busy(now_ms)
+        node.active = active
         report = NodeReport(
             process.card,
             process.sequence,
@@ -217,10 +228,12 @@
             True,
             spent_by_service=process.budget.all_spent(now_ms),
             active=active,
+            retries=process.retries.memory(),
         )
         others = {other.name: other for other in self.nodes if other is not node}
         near = view.active_names() if active else ()
-        for name in process.rounds.next(others, (), False, near, not active):
+        idle = not active and now_ms - process.started_ms >= EAGER_MS
+        for name in process.rounds.next(others, (), False, near, idle):
             other = others[name]
             if other.side != node.side or other.process is None or self.rng.random() < self.lost:
                 continue
--- a/tests/fleet/test_signs.py
+++ b/tests/fleet/test_signs.py
@@ -39,6 +39,8 @@
     rounds: Rounds
     active: bool
     phase_ms: int
+    budget: FleetRetryBudget
+    retries: SharedRetries
     sequence: int = 0
     up: bool = True
     requests: int = 0
@@ -62,6 +64,7 @@
             claims=(claim,) if claim is not None and claim.holder == name else (),
             residency=None,
             active=self.active or name in self.view.duty_names(),
+            retries=self.retries.memory(),
         )
 
 
@@ -82,7 +85,9 @@
     def _node(self, name: str, active: bool) -> Node:
         card = NodeCard(name, f"b-{name}", "dc", f"{name}:1", f"{name}:2", f"{name}:3")
         phase_ms = self.rng.randrange(0, EVERY_MS, STEP_MS)
-        return Node(card, FleetView(name), Rounds(name), active, phase_ms)
+        view, budget = FleetView(name), FleetRetryBudget(RetryAllowance(0.2, 430, 10_000))
+        retries = SharedRetries(budget, view, self.clock)
+        return Node(card, view, Rounds(name), active, phase_ms, budget, retries)
 
     def run(self, for_ms: int) -> None:
         """Let time pass."""
@@ -222,13 +227,13 @@
 
 
 def test_idle_nodes_keep_no_retries_from_those_that_need_them(fleet: Fleet):
-    """One retry is left to each other node that may spend it unheard: of 430 not 194, but 29."""
+    """All thirty with callers may spend all that is used, before they hear of each other."""
     for node in fleet.active():
         node.requests = 1
     fleet.run(4_000)
-    budget = FleetRetryBudget(RetryAllowance(0.2, 430, 10_000))
-    retries = SharedRetries(budget, fleet.active()[0].view, fleet.clock)
-    allowed = sum(retries.may_retry("s").allowed for _ in range(430))
+    allowed = sum(
+        node.retries.may_retry("s").allowed for node in fleet.active() for _ in range(430)
+    )
     assert 430 * 0.85 - 40 <= allowed <= 430 * 0.85
 
 
@@ -286,8 +291,10 @@
     view = FleetView("a")
     view.card(CARD)
     view.heard_sign(attrs.evolve(SIGN, spent_by_service={"s": Spent(9, 2)}), 0)
-    assert view.spent("s", 100) == [Spent(9, 2)]
-    assert view.idle() == 1
+    budget = FleetRetryBudget(RetryAllowance(0.2, 430, 10_000))
+    others = SharedRetries(budget, view, ManualClock(100)).others("s")
+    assert others.told == (Spent(9, 2),)
+    assert (others.sharers, others.counted) == (1, 1)
 
 
 def test_an_overtaken_sign_is_dropped():
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.core.clock import ManualClock
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.fleet import codec
 from monsoonflow.fleet.models import (
@@ -21,9 +22,11 @@
     NamedVersion,
     NodeCard,
     NodeReport,
+    RetryMemory,
 )
-from monsoonflow.fleet.view import ALIVE_MS, SPENT_FADES_MS, FleetView
-from monsoonflow.routing.budget import Spent
+from monsoonflow.fleet.view import ALIVE_MS, FleetView
+from monsoonflow.gateway.budget import SharedRetries
+from monsoonflow.routing.budget import FleetRetryBudget, RetryAllowance, Spent
 from monsoonflow.routing.in_flight import ServerWork
 
 CARD = NodeCard("b", "b-1", "dc", "1.1.1.2:1", "1.1.1.2:2", "1.1.1.2:3")
@@ -45,6 +48,7 @@
     heard=(Heard("a", "a-1", 12),),
     came_servers=(ServerLife.of("i-2", 1_764_718_000_123),),
     crowded={ServerLife("i-1"): {0: 2_000, 1: 30_000}},
+    retries=RetryMemory(9_000, frozenset({"a", "c"}), {"s": 3}, 2),
 )
 
 
@@ -71,7 +75,7 @@
     assert fields[1] == ["b", "b-1", "dc", "1.1.1.2:1", "1.1.1.2:2", "1.1.1.2:3"]
     older = fields[:13]
     heard = tuple(attrs.evolve(named, age_ms=0) for named in REPORT.versions)
-    expected = attrs.evolve(REPORT, versions=heard, crowded=None)
+    expected = attrs.evolve(REPORT, versions=heard, crowded=None, retries=RetryMemory())
     assert codec.decode(zlib.compress(orjson.dumps(older))) == expected
 
 
@@ -121,8 +125,48 @@
 
 
 def test_the_retries_of_a_silent_node_count_until_the_window_has_passed(view):
-    assert view.spent("s", SPENT_FADES_MS) == [Spent(10, 2)]
-    assert view.spent("s", SPENT_FADES_MS + 1) == []
+    clock = ManualClock()
+    budget = FleetRetryBudget(RetryAllowance(0.2, 54, 10_000))
+    retries = SharedRetries(budget, view, clock)
+    clock.advance(10_000)
+    assert retries.others("s").past == 2
+    clock.advance(1)
+    assert retries.others("s").past == 0
+
+
+def test_the_word_of_a_node_that_does_not_hear_this_one_is_no_share_of_it(view):
+    """Packets are lost one way: the other spends by what it heard before, and so would this one."""
+    clock = ManualClock()
+    retries = SharedRetries(FleetRetryBudget(RetryAllowance(0.2, 54, 10_000)), view, clock)
+    others = retries.others("s")
+    assert (others.counted, others.sharers, others.past) == (2, 2, 0)
+    assert others.told == (Spent(10, 2),)
+    deaf = RetryMemory(10_000, frozenset({"c"}))
+    view.heard(attrs.evolve(REPORT, sequence=8, retries=deaf), 0)
+    others = retries.others("s")
+    assert (others.counted, others.sharers, others.past) == (1, 2, 2)
+
+
+def test_a_process_that_starts_again_takes_over_what_others_remember():
+    """The retries of the process before were forgotten at once, by itself and by the others."""
+    clock = ManualClock(5_000)
+    view = FleetView("a")
+    budget = FleetRetryBudget(RetryAllowance(0.2, 54, 10_000), started_ms=5_000)
+    retries = SharedRetries(budget, view, clock)
+    assert not retries.others("s").entitled
+    memory = RetryMemory(10_000, frozenset({"a"}), {"s": 40}, 1)
+    view.heard(attrs.evolve(REPORT, retries=memory), 5_000)
+    others = retries.others("s")
+    assert (others.entitled, others.past, others.ended) == (True, 40, 1)
+
+
+def test_the_retries_of_a_process_that_has_ended_stay_in_the_window(view):
+    view.heard(attrs.evolve(REPORT, card=attrs.evolve(CARD, boot="b-2"), sequence=1), 500)
+    clock = ManualClock(10_499)
+    retries = SharedRetries(FleetRetryBudget(RetryAllowance(0.2, 54, 10_000)), view, clock)
+    assert (retries.memory().past_by_service, retries.memory().ended) == ({"s": 2}, 1)
+    clock.advance(1)
+    assert retries.memory().past_by_service == {}
 
 
 def test_work_is_summed_over_the_others(view):
