Log a request's fingerprint: who comes again under another id is the same request

Servers ended again and again, and the log could not tell whether one request that came again was on each of them: each try of a caller has an id of its own. request_accepted now carries a fingerprint of method, host, target and body; the body itself stays out of the log.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -7,6 +7,7 @@
 from typing import Final, Protocol
 
 from ..core.clock import Clock
+from ..quarantine.fingerprint import fingerprint
 from ..routing.budget import Headroom
 from ..routing.first_event import FirstEventPace
 from ..routing.in_flight import InFlight, Ticket
@@ -163,7 +164,8 @@
         deadline_at_ms = request.arrived_ms + waits_ms
         until_ms = min(deadline_at_ms, request.arrived_ms + route.timeout_ms) - ANSWER_EARLY_MS
         since_ms = request.arrived_ms - self._usual_deadlines.waited_ms(route.name, waits_ms)
-        job = Job(request, call, route, service, since_ms, until_ms, deadline_at_ms)
+        same = fingerprint(request.method, call.host, request.target, request.body)
+        job = Job(request, call, route, service, since_ms, until_ms, deadline_at_ms, same)
         if route.kind is RouteKind.STREAM:
             job.cutter = EventCutter(call.last_event)
         return job
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -29,6 +29,7 @@
 
     :param since_ms: when its caller began to try, as far as that can be told.
     :param until_ms: when it must be answered.
+    :param fingerprint: the same for all requests that ask for the same.
     :param tried: the servers that it was sent to, in order.
     :param avoided: the servers that refused it, broke off or could not be reached.
     :param refused_ms_by_life: when a server last refused it unrun, though it holds what it needs.
@@ -45,6 +46,7 @@
     since_ms: int
     until_ms: int
     deadline_at_ms: int
+    fingerprint: str = ""
     tried: list[str] = attrs.Factory(list)
     avoided: list[str] = attrs.Factory(list)
     runs: int = 0
--- a/monsoonflow/gateway/record.py
+++ b/monsoonflow/gateway/record.py
@@ -61,6 +61,7 @@
                 deadline_ms=call.deadline_ms,
                 left_ms=job.until_ms - self._clock.now_ms(),
                 tried_before_ms=job.request.arrived_ms - job.since_ms,
+                fingerprint=job.fingerprint,
             ),
         )
 
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -18,6 +18,7 @@
     deadline_ms: int | None
     left_ms: int
     tried_before_ms: int = 0
+    fingerprint: str | None = None
 
 
 @event
--- /dev/null
+++ b/monsoonflow/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which servers end: how they are recognised and kept away from servers."""
