Failing test: a request under which servers end is sent to server after server

What callers saw: one request that comes again under other ids ended eighteen and twenty servers, one after the other; what ran there with it broke off. Three nodes before five runners that end as they begin to run it and are back after half a second: all of them end again and again.

--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -27,6 +27,7 @@
     :param foreign: how many answers name another request.
     :param slow_ms: time that a request takes.
     :param queue_ms: time that a request waits at a model runner before it begins.
+    :param poison: a body under which the server ends as it begins to run it.
     :param keeps_left: a model runner keeps what waits there when its caller has gone.
     """
 
@@ -41,6 +42,7 @@
     lose_orders: int = 0
     queue_ms: int = 0
     keeps_left: bool = False
+    poison: bytes | None = None
 
 
 class PlatformServer:
@@ -56,6 +58,8 @@
         self.ran: Counter[str] = Counter()
         self.requests: list[Request] = []
         self.left = 0
+        self.crashes = 0
+        self._running: set[gevent.Greenlet] = set()
         self._port = Port(address, self._handle, MessageLimits, MonotonicClock())
 
     def start(self) -> None:
@@ -66,6 +70,12 @@
         """Stop to serve."""
         self._port.stop_listening()
 
+    def crash(self) -> None:
+        """End without a word, with all that is in progress."""
+        self.crashes += 1
+        self._port.stop_listening()
+        gevent.killall([task for task in self._running if task is not gevent.getcurrent()])
+
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Return its entry in the store."""
         return {
@@ -91,7 +101,11 @@
             return
         if self._control(request, reply):
             return
-        self._run(request, reply)
+        self._running.add(gevent.getcurrent())
+        try:
+            self._run(request, reply)
+        finally:
+            self._running.discard(gevent.getcurrent())
 
     def _control(self, request: Request, reply: Reply) -> bool:
         return False
@@ -106,6 +120,9 @@
             faults.shed_silently -= 1
             reply.whole(503, self._headers(request, signed=True))
             return
+        if request.body == faults.poison:
+            self.crash()
+            raise CallerLeft("crashed")
         self.ran[request.value(b"x-request-id").decode()] += 1
         self.requests.append(request)
         try:
