Quarantine requests under which servers end

What callers saw: one request that comes again under other ids ended up to twenty servers in a row, and with each of them all that ran beside it.

Cause: a try that breaks off was a failure of its server only. Nothing tied the tries of one request together: each try of its caller has an id of its own and comes to any node, so each began with a clean record, and every retry handed it to the next server. Class: a fault of the request that is charged to whoever serves it.

Change: a request is known by a fingerprint of method, host, target and body. When a connection breaks, the server's port is asked whether the server has ended, before the request is tried again. What was on three servers as each of them ended, and was never answered whole by any, is sent to no server any more; its callers are told so at once. From the second on, suspects of a node go one after the other, so that bystanders do not follow the culprit to the next server. Nodes tell each other which endings they have seen and what is quarantined; a row of the store keeps it over restarts of all nodes. Removing the row, an answer, or an hour lifts it.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -30,10 +30,12 @@
 from ..helpers.settings import SettingError
 from ..logs import events, log
 from ..orders.models import RunnerControl
+from ..quarantine.ended import ServerEnds
+from ..quarantine.keeper import QuarantineKeeper
 from ..routing.budget import FleetRetryBudget, RetryAllowance
 from ..routing.condition import Conditions
 from ..routing.in_flight import InFlight
-from ..storage.models import ChangeFeed, RawTable
+from ..storage.models import ChangedRow, ChangeFeed, RawTable
 from ..storage.settling import SettlingTable
 from ..transport.client import Pools
 from ..transport.models import MessageLimits
@@ -147,6 +149,14 @@
             self.clock,
             self._work_change,
         )
+        self.quarantine = QuarantineKeeper(
+            settings.name,
+            ServerEnds(self.pools, self.clock),
+            self.table,
+            self.tasks,
+            self.clock,
+            self.gossip.send_to_all,
+        )
         self.peers = PeerClient(self.view, self.clock, outside.decoders.table)
         self.duties = Duties(self, outside.runners())
         self.following = Following(
@@ -154,7 +164,7 @@
             self.beliefs,
             self.view,
             self.clock,
-            self.duties.own_row,
+            self._own_row,
             self.pools.forget,
             self._news,
             self.gossip.send_to_all,
@@ -197,6 +207,7 @@
         self.gossip.start()
         self.followed = self.following.start(self._feed, self.tasks, self.settings.bounds.drain_ms)
         self.tasks.spawn(self.cards.run)
+        self.tasks.spawn(self.quarantine.run)
         self.tasks.spawn(self._learn_from_peers)
         self.tasks.spawn(self._sweep_for_good)
         self.tasks.spawn(self._fetch_for_good)
@@ -266,6 +277,8 @@
             lag_ms=round(self.pulse.lag_ms),
             active=self.activity.look(),
             retries=self.retries.memory(),
+            endings=self.quarantine.own_endings(),
+            quarantined=self.quarantine.told_quarantined(),
         )
 
     def _work_change(self) -> WorkChange:
@@ -278,8 +291,13 @@
         if self.followed is not None:
             self.followed.servers.poke()
 
+    def _own_row(self, row: ChangedRow) -> None:
+        if not self.quarantine.take_row(row):
+            self.duties.own_row(row)
+
     def _take_report(self, report: NodeReport) -> None:
         self.following.take_report(report)
+        self.quarantine.take_told(report.name, report.endings, report.quarantined)
         if self.beliefs.take_report(report) and self.followed is not None:
             self.followed.servers.poke()
 
@@ -305,6 +323,11 @@
             "Nodes last named to callers, of all data centres.",
             lambda: sum(self.addresses.named_by_data_centre().values()),
         )
+        of(
+            "quarantined",
+            "Requests that reach no server, since servers ended under them.",
+            lambda: len(self.quarantine.suspects.quarantined()),
+        )
         of("duties", "Duties held.", lambda: len(self.duties.claims()))
         of("in_progress", "Requests in progress.", lambda: self.ports.callers.active)
         of("store_calls", "Calls to the store since the start.", outside.store_calls)
@@ -369,6 +392,7 @@
             self.in_flight,
             self.backlog,
             self.retries,
+            self.quarantine,
             plain,
             engines,
             self.rng,
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -11,6 +11,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
+from ..quarantine.models import Ending
 from ..routing.budget import Spent
 from ..routing.crowded import CrowdedRunners
 from ..routing.in_flight import ServerWork
@@ -78,6 +79,8 @@
             report.lag_ms,
             report.active,
             _memory_fields(report.retries),
+            [[ending.fingerprint, ending.life] for ending in report.endings],
+            report.quarantined,
         ]
     )
 
@@ -90,7 +93,9 @@
     claims = _claim_fields(sign.claims)
     spent = _spent_fields(sign.spent_by_service)
     named = [SIGN_FORMAT, sign.name, sign.boot, sign.sequence, flags]
-    return orjson.dumps([*named, sign.config_version, sign.lag_ms, claims, heard, card, spent])
+    return orjson.dumps(
+        [*named, sign.config_version, sign.lag_ms, claims, heard, card, spent, sign.quarantined]
+    )
 
 
 def encode_change(change: WorkChange) -> bytes:
@@ -132,6 +137,7 @@
         heard=_heard(fields[8]),
         card=None if fields[9] is None else _sign_card(fields[9]),
         spent_by_service=_spent(fields[10]),
+        quarantined=tuple(map(str, _after(fields, 11) or ())),
     )
 
 
@@ -174,6 +180,10 @@
         # A node of an older version does not tell, and is told all as one that has requests.
         active=_after(fields, 17) is not False,
         retries=_memory(_after(fields, 18)),
+        endings=tuple(
+            [Ending(str(name), ServerLife(life)) for name, life in _after(fields, 19) or ()]
+        ),
+        quarantined=tuple(map(str, _after(fields, 20) or ())),
     )
 
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -9,6 +9,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
+from ..quarantine.models import Ending
 from ..routing.budget import Spent
 from ..routing.crowded import CrowdedRunners
 from ..routing.in_flight import ServerWork
@@ -133,6 +134,8 @@
     :param active: whether the node has requests or a part in duties, so that others need its word
         fresh; of one that has not they need little more than that it lives.
     :param retries: what the node remembers of retries.
+    :param endings: servers that the node has lately seen end, with the requests that they had.
+    :param quarantined: requests that must reach no server.
     """
 
     card: NodeCard
@@ -153,6 +156,8 @@
     lag_ms: int = 0
     active: bool = True
     retries: RetryMemory = RetryMemory()
+    endings: tuple[Ending, ...] = ()
+    quarantined: tuple[str, ...] = ()
 
     @property
     def name(self) -> str:
@@ -199,6 +204,7 @@
     heard: tuple[Heard, ...] = ()
     spent_by_service: dict[str, Spent] = attrs.Factory(dict)
     card: NodeCard | None = None
+    quarantined: tuple[str, ...] = ()
 
     @classmethod
     def of(cls, report: NodeReport, with_card: bool) -> LifeSign:
@@ -217,6 +223,7 @@
             report.heard,
             {name: spent for name, spent in report.spent_by_service.items() if spent.retries},
             report.card if with_card else None,
+            report.quarantined,
         )
 
     def report(self, known: NodeReport | None, card: NodeCard) -> NodeReport:
@@ -244,4 +251,5 @@
             lag_ms=self.lag_ms,
             active=self.active,
             retries=known.retries if keeps else RetryMemory(),
+            quarantined=self.quarantined,
         )
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -7,7 +7,9 @@
 from typing import Final, Protocol
 
 from ..core.clock import Clock
+from ..core.server_life import ServerLife
 from ..quarantine.fingerprint import fingerprint
+from ..quarantine.models import Turn
 from ..routing.budget import Headroom
 from ..routing.first_event import FirstEventPace
 from ..routing.in_flight import InFlight, Ticket
@@ -50,6 +52,9 @@
 """A server that refused a request is not asked again sooner, about half of the work of one request:
 sent there every 2 ms, a few requests used up the retries of ninety nodes (490 of 454)."""
 
+QUARANTINE_RETRY_MS: Final = 60_000
+"""When a caller may come back with a request under which servers end: not soon."""
+
 ANSWER_EARLY_MS: Final = 15
 """How long before a request's time is over the answer is written, so that it arrives in time."""
 
@@ -91,6 +96,28 @@
         """Give back a further try that was allowed and will not be sent."""
 
 
+class Quarantine(Protocol):
+    """Knows the requests under which servers end."""
+
+    def refuses(self, fingerprint: str) -> bool:
+        """Tell whether a request must reach no server."""
+
+    def take_turn(self, fingerprint: str, at_most_ms: int) -> Turn:
+        """Wait until a request may be sent."""
+
+    def end_turn(self) -> None:
+        """Let the next suspect go."""
+
+    def broke(self, fingerprint: str, life: ServerLife, address: str) -> None:
+        """Take that a server's connection broke while it had a request."""
+
+    def server_ended(self, life: ServerLife) -> None:
+        """Take that a server's port refuses connections."""
+
+    def completed(self, fingerprint: str) -> None:
+        """Take that a server has answered a request whole."""
+
+
 class Gateway:
     """Handles callers' requests.
 
@@ -106,6 +133,7 @@
         in_flight: InFlight,
         backlog: Backlog,
         retries: RetryGate,
+        quarantine: Quarantine,
         plain: Chooser,
         engines: Chooser,
         rng: random.Random,
@@ -118,6 +146,7 @@
         self._in_flight = in_flight
         self._backlog = backlog
         self._retries = retries
+        self._quarantine = quarantine
         self._plain = plain
         self._engines = engines
         self._rng = rng
@@ -156,6 +185,7 @@
             self._record.ended(job, reply, "caller_left")
             raise
         finally:
+            self._end_turn(job)
             if job.retry_granted:
                 self._retries.unused(service.name)
 
@@ -177,21 +207,40 @@
             if job.until_ms - now_ms < MIN_SEND_MS:
                 self._time_over(job, reply)
                 return
+            if self._refused_for_good(job, reply):
+                return
             chosen = chooser.choose(job.call, job.route, job.service, job, now_ms)
             if isinstance(chosen, NoServer):
                 self._give_up(job, reply, chosen.reason, chosen.retry_after_ms)
                 return
+            # A place is waited for for seconds: what others have found out meanwhile counts.
+            if self._refused_for_good(job, reply):
+                return
             sent_ms = self._clock.now_ms()
             refused_ms = job.refused_ms_by_life.get(chosen.life)
             if refused_ms is not None and sent_ms - refused_ms < SAME_SERVER_PAUSE_MS:
                 retry_after_ms = job.retry_after_ms or NOT_READY_RETRY_MS
                 self._give_up(job, reply, "every server refused it", retry_after_ms)
                 return
+            turn = self._quarantine.take_turn(job.fingerprint, job.until_ms - sent_ms)
+            if turn is Turn.LOST:
+                self._give_up(job, reply, "others that are suspected go first", NOT_READY_RETRY_MS)
+                return
+            job.turn_held = turn is Turn.HELD
+            if job.turn_held and self._refused_for_good(job, reply):
+                return
             result = self._try(job, reply, chooser, chosen)
             took_ms = self._clock.now_ms() - sent_ms
             if self._settled(job, reply, chosen, result, took_ms):
                 return
 
+    def _refused_for_good(self, job: Job, reply: Reply) -> bool:
+        """Answer a request under which servers end, and tell whether it is one."""
+        if not self._quarantine.refuses(job.fingerprint):
+            return False
+        self._give_up(job, reply, "servers end under this request", QUARANTINE_RETRY_MS)
+        return True
+
     def _try(self, job: Job, reply: Reply, chooser: Chooser, chosen: Chosen) -> Try:
         reply.check_caller()
         sent_ms = self._clock.now_ms()
@@ -231,8 +280,14 @@
             # A try that never arrived costs its retry as well: a dead server would be asked again
             # and again.
             self._spend_retry(job)
+            self._end_turn(job)
             self._finish_try(ticket, chooser, chosen, result, sent_ms)
 
+    def _end_turn(self, job: Job) -> None:
+        if job.turn_held:
+            job.turn_held = False
+            self._quarantine.end_turn()
+
     def _spend_retry(self, job: Job) -> None:
         if job.retry_granted:
             job.retry_granted = False
@@ -261,6 +316,7 @@
 
     def _first_event(self, job: Job, chosen: Chosen, ticket: Ticket) -> None:
         self._in_flight.first_event(ticket)
+        self._end_turn(job)
         now_ms = self._clock.now_ms()
         took_ms = now_ms - ticket.sent_ms
         self._backlog.first_event(chosen, took_ms, now_ms)
@@ -285,6 +341,7 @@
 
     def _settled(self, job: Job, reply: Reply, chosen: Chosen, result: Try, took_ms: int) -> bool:
         """Answer the caller, or tell that another try follows."""
+        self._learn(job, chosen, result)
         match result:
             case Passed():
                 self._record.ended(job, reply, "passed")
@@ -309,6 +366,18 @@
                 job.runs += 1
                 return self._again_or_end(job, reply, chosen, reason, took_ms, ran=True)
 
+    def _learn(self, job: Job, chosen: Chosen, result: Try) -> None:
+        """Take what a try tells of its request and of its server's life."""
+        match result:
+            case Whole(head=head) if head.status in NOT_RUN_STATUSES:
+                pass
+            case Passed() | Whole():
+                self._quarantine.completed(job.fingerprint)
+            case Unclear() | Cut():
+                self._quarantine.broke(job.fingerprint, chosen.life, chosen.address)
+            case Unsent(refused=True):
+                self._quarantine.server_ended(chosen.life)
+
     def _settle_timed_out(self, job: Job, reply: Reply, chosen: Chosen, took_ms: int) -> bool:
         job.runs += 1
         job.avoided.append(chosen.life)
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -35,6 +35,7 @@
     :param refused_ms_by_life: when a server last refused it unrun, though it holds what it needs.
     :param runs: how many tries may have run on a server.
     :param headroom: what the retry budget said last; ``None`` where it was not asked.
+    :param turn_held: whether other suspected requests wait until it has begun.
     :param retry_granted: whether the budget keeps a place for its next try.
     :param first_ms: when the first part of the answer came.
     """
@@ -54,6 +55,7 @@
     retry_after_ms: int | None = None
     cutter: EventCutter | None = None
     headroom: Headroom | None = None
+    turn_held: bool = False
     retry_granted: bool = False
     first_ms: int | None = None
 
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -106,9 +106,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Unsent:
-    """Nothing reached the server."""
+    """Nothing reached the server.
+
+    :param refused: its port refused the connection.
+    """
 
     reason: str
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoonflow/gateway/offer.py
+++ b/monsoonflow/gateway/offer.py
@@ -103,7 +103,7 @@
         connect_ms = max(1, min(CONNECT_TIMEOUT_MS, left_ms))
         connection = self._pools.take(chosen.life, chosen.address, connect_ms)
         if isinstance(connection, Lost):
-            return Unsent(connection.reason)
+            return Unsent(connection.reason, connection.refused)
         clean = False
         answer_head = None
         try:
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -32,6 +32,11 @@
     UnusableSettings,
     WasFrozen,
 )
+from .quarantine import (
+    QuarantineLifted,
+    RequestQuarantined,
+    ServerEnded,
+)
 from .requests import (
     RequestAccepted,
     RequestEnded,
@@ -94,6 +99,7 @@
     "Order",
     "PeerHeard",
     "PeerSilent",
+    "QuarantineLifted",
     "Reloaded",
     "RenewalFailed",
     "ReportTooLarge",
@@ -101,10 +107,12 @@
     "ReportUnsent",
     "RequestAccepted",
     "RequestEnded",
+    "RequestQuarantined",
     "RequestSent",
     "RequestWaited",
     "Seats",
     "ServerCame",
+    "ServerEnded",
     "ServerLeaves",
     "ServerRefused",
     "StaleRead",
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -189,7 +189,8 @@
             if tls is not None:
                 sock = tls.wrap_socket(sock, server_hostname=split_address(address)[0])
         except OSError as error:
-            return Lost(False, f"no connection: {type(error).__name__}")
+            refused = isinstance(error, ConnectionRefusedError)
+            return Lost(False, f"no connection: {type(error).__name__}", refused)
         self.opened += 1
         return ServerConnection(sock, self.clock)
 
--- a/monsoonflow/transport/models.py
+++ b/monsoonflow/transport/models.py
@@ -94,10 +94,12 @@
     """No whole answer came.
 
     :param sent: whether the server may have received the request.
+    :param refused: whether the server's port refused the connection: no process listens there.
     """
 
     sent: bool
     reason: str
+    refused: bool = False
 
 
 class BadMessage(Exception):
--- a/tests/fleet/test_signs.py
+++ b/tests/fleet/test_signs.py
@@ -246,7 +246,8 @@
 def test_a_sign_of_life_survives_the_wire():
     with_card = attrs.evolve(SIGN, card=CARD)
     spent = attrs.evolve(SIGN, spent_by_service={"s": Spent(9, 2)})
-    for sign in (SIGN, with_card, spent, attrs.evolve(SIGN, active=True, leaving=True)):
+    held = attrs.evolve(SIGN, quarantined=("f1", "f2"))
+    for sign in (SIGN, with_card, spent, held, attrs.evolve(SIGN, active=True, leaving=True)):
         assert codec.decode(codec.encode_sign(sign)) == sign
 
 
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -26,6 +26,7 @@
 )
 from monsoonflow.fleet.view import ALIVE_MS, FleetView
 from monsoonflow.gateway.budget import SharedRetries
+from monsoonflow.quarantine.models import Ending
 from monsoonflow.routing.budget import FleetRetryBudget, RetryAllowance, Spent
 from monsoonflow.routing.in_flight import ServerWork
 
@@ -49,6 +50,8 @@
     came_servers=(ServerLife.of("i-2", 1_764_718_000_123),),
     crowded={ServerLife("i-1"): {0: 2_000, 1: 30_000}},
     retries=RetryMemory(9_000, frozenset({"a", "c"}), {"s": 3}, 2),
+    endings=(Ending("f1", ServerLife("i-7")),),
+    quarantined=("f9",),
 )
 
 
@@ -76,6 +79,7 @@
     older = fields[:13]
     heard = tuple(attrs.evolve(named, age_ms=0) for named in REPORT.versions)
     expected = attrs.evolve(REPORT, versions=heard, crowded=None, retries=RetryMemory())
+    expected = attrs.evolve(expected, endings=(), quarantined=())
     assert codec.decode(zlib.compress(orjson.dumps(older))) == expected
 
 
