A try that reaches no server costs no retry

What callers saw: when servers had just ended, requests whose first try found a closed port were refused at once (again=False, nothing had run), while the budget was spent by tries that had reached nobody.

Cause: each try after the first asked the budget for a retry. The budget is kept where servers count arrivals beyond the first of a request; a try that finds a closed port is none. Change: such a try costs nothing, once at each server; at the same server again it costs a retry, so that tries do not go from port to port without end.

Evidence: test_a_request_that_reached_no_server_needs_no_retry, before: 503 for two of six requests with three of four ports closed and no retries left, now none; test_a_request_that_finds_every_port_closed_is_answered_at_once holds before and after.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -277,9 +277,6 @@
             if result is None:
                 waited_ms = self._clock.now_ms() - sent_ms
                 result = Abandoned(ticket.unread and waited_ms > job.route.objective_ms * 2)
-            # A try that never arrived costs its retry as well: a dead server would be asked again
-            # and again.
-            self._spend_retry(job)
             self._end_turn(job)
             self._finish_try(ticket, chooser, chosen, result, sent_ms)
 
@@ -355,8 +352,7 @@
             case Rejected():
                 return self._settle_rejected(job, reply, chosen, result, took_ms)
             case Unsent(reason=reason):
-                job.avoided.append(chosen.life)
-                return self._again_or_end(job, reply, chosen, reason, took_ms, ran=False)
+                return self._settle_unsent(job, reply, chosen, reason, took_ms)
             case Recalled():
                 job.runs += 1
                 reason = "a newer version of its adapter is named"
@@ -407,6 +403,18 @@
         self._record.refused(job, chosen, reason, result.moved, result.retry_after_ms)
         return self._again_or_end(job, reply, chosen, reason, took_ms, ran=False)
 
+    def _settle_unsent(
+        self, job: Job, reply: Reply, chosen: Chosen, reason: str, took_ms: int
+    ) -> bool:
+        # Nothing has arrived, so nothing is counted where the budget is kept. The second time at
+        # one server costs a retry all the same: tries would go from port to port without end.
+        if chosen.life in job.avoided:
+            self._spend_retry(job)
+            return self._again_or_end(job, reply, chosen, reason, took_ms, ran=False)
+        job.avoided.append(chosen.life)
+        self._record.failed(job, chosen, reason, True, took_ms)
+        return False
+
     def _settle_whole(
         self, job: Job, reply: Reply, chosen: Chosen, result: Whole, took_ms: int
     ) -> bool:
--- a/tests/entry/test_pass_through.py
+++ b/tests/entry/test_pass_through.py
@@ -7,6 +7,7 @@
 from gevent import socket
 
 from monsoonflow.core.server_life import ServerLife
+from monsoonflow.entry.settings import PeerBounds
 from tests.entry.conftest import HOST, route, wait_for
 
 
@@ -271,3 +272,28 @@
     assert answer.head.status == 503
     assert answer.head.value(b"retry-after") is not None
     assert 1_000 - server.faults.shed <= 2
+
+
+def test_a_request_that_reached_no_server_needs_no_retry(fleet):
+    """Several servers have ended; a request found one port closed and was refused for that."""
+    fleet.bounds = PeerBounds(lease_ms=900, fenced=True, retry_ratio=0.0, retry_reserve=0.0)
+    servers = [fleet.plain(f"i-{number}") for number in range(4)]
+    node = fleet.node()
+    wait_for(lambda: len(node.daemon.beliefs.book.of_service("plain")) == 4)
+    for server in servers[:3]:
+        server.stop()
+    answers = [fleet.ask(node, "/write/x", f"r{number}") for number in range(6)]
+    assert [answer.head.status for answer in answers] == [200] * 6
+
+
+def test_a_request_that_finds_every_port_closed_is_answered_at_once(fleet):
+    """Tries that cost no retry would go on from port to port until the request's time is over."""
+    fleet.plain("i-1").stop()
+    fleet.plain("i-2").stop()
+    node = fleet.node()
+    wait_for(lambda: len(node.daemon.beliefs.book.of_service("plain")) == 2)
+    begun_ms = node.daemon.clock.now_ms()
+    answer = fleet.ask(node, "/write/x", "r1")
+    assert answer.head.status == 503
+    assert node.daemon.clock.now_ms() - begun_ms < 500
+    assert node.daemon.budget.spent("plain", begun_ms).retries <= 12
