A server that fails a request does not clear it of suspicion

A request under which servers end was taken for harmless as soon as a server answered it with a failure of its own, as servers do that fail a share of what they get: three more servers could end before it was quarantined.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -305,9 +305,9 @@
     def _learn(self, job: Job, chosen: Chosen, result: Try) -> None:
         """Take what a try tells of its request and of its server's life."""
         match result:
-            case Whole(head=head) if head.status in NOT_RUN_STATUSES:
-                pass
-            case Passed() | Whole():
+            case Passed():
+                self._quarantine.completed(job.fingerprint)
+            case Whole(head=head) if head.status < 500 and head.status not in NOT_RUN_STATUSES:
                 self._quarantine.completed(job.fingerprint)
             case Unclear() | Cut():
                 self._quarantine.broke(job.fingerprint, chosen.life, chosen.address)
--- a/tests/entry/test_poison.py
+++ b/tests/entry/test_poison.py
@@ -6,6 +6,7 @@
 import pytest
 
 from monsoonflow.transport.client import Answer, Pools, call
+from stand_ins.platform_runner import RunnerFaults
 from tests.entry.conftest import HOST, MODEL, wait_for
 
 POISON = b"poison"
@@ -18,6 +19,7 @@
     def __init__(self, fleet) -> None:
         self._fleet = fleet
         self.ended: list[str] = []
+        self.faults = RunnerFaults(poison=POISON)
         self._task = gevent.spawn(self._run)
 
     def _run(self) -> None:
@@ -32,7 +34,7 @@
         self._fleet.store.remove("servers", server.server_id)
         self._fleet.servers.remove(server)
         runner = type(server)(f"{server.server_id}x", server.address, server.service, MODEL)
-        runner.faults.poison = POISON
+        runner.faults = self.faults
         runner.start()
         self._fleet.servers.append(runner)
         self._fleet.store.put("servers", runner.server_id, runner.entry())
@@ -45,12 +47,12 @@
 @pytest.fixture
 def poisoned(fleet):
     """Return three nodes before five runners that end under the poison and come back."""
+    supervisor = Supervisor(fleet)
     for number in range(5):
-        fleet.runner(f"i-{number}").faults.poison = POISON
+        fleet.runner(f"i-{number}").faults = supervisor.faults
     for _ in range(3):
         fleet.node()
     fleet.holder()
-    supervisor = Supervisor(fleet)
     yield supervisor
     supervisor.stop()
 
@@ -117,3 +119,20 @@
         send(fleet, newcomer, f"p-new{number}", POISON)
         gevent.sleep(0.2)
     assert len(poisoned.ended) == ended
+
+
+def test_a_server_that_fails_a_request_does_not_clear_it(fleet, poisoned):
+    """One server fails part of what it gets; it has not run the request whole."""
+    for node in fleet.nodes[1:]:
+        node.kill()
+    node = fleet.nodes[0]
+    fleet.holder()
+    send(fleet, node, "p0", POISON)
+    wait_for(lambda: len(poisoned.ended) == 2)
+    poisoned.faults.poison, poisoned.faults.fail = None, 9
+    answer = send(fleet, node, "p1", POISON)
+    assert answer.head.status == 500
+    poisoned.faults.poison, poisoned.faults.fail = POISON, 0
+    send(fleet, node, "p2", POISON)
+    wait_for(lambda: node.daemon.quarantine.suspects.quarantined())
+    assert len(poisoned.ended) <= 4
