--- a/monsoonflow/report/timeline.py
+++ b/monsoonflow/report/timeline.py
@@ -23,6 +23,7 @@
         "peer_silent",
         "renewal_failed",
         "server_came",
+        "server_ended",
         "server_leaves",
         "started",
         "stopping",
@@ -99,6 +100,7 @@
     lines = [f"request {request}, {ended_ms - began_ms} ms on {', '.join(sorted(nodes))}"]
     lines += ["", "believed when it came:"]
     lines += _beliefs(ordered, nodes, began_ms)
+    lines += _quarantine(ordered, own, ended_ms)
     lines += ["", "what happened:"]
     lines += [
         entry.text(began_ms)
@@ -108,6 +110,22 @@
     return [*lines, "", f"cause: {cause(own)}"]
 
 
+def _quarantine(ordered: list[LogEntry], own: list[LogEntry], until_ms: int) -> list[str]:
+    """Return which servers ended before under what the request asks for, and what followed."""
+    names = {entry.fields["fingerprint"] for entry in own if "fingerprint" in entry.fields}
+    return [
+        entry.text(own[0].at_ms)
+        for entry in ordered
+        if entry.at_ms <= until_ms
+        and (
+            entry.fields.get("fingerprint") in names
+            and entry.event in ("request_quarantined", "quarantine_lifted")
+            or entry.event == "server_ended"
+            and names & set(entry.fields.get("requests", "").split(","))
+        )
+    ]
+
+
 def around(entries: list[LogEntry], at_ms: int, server: str | None = None) -> list[str]:
     """Return what nodes learnt and decided around a moment, or about a server."""
     ordered = sorted(entries, key=lambda entry: entry.at_ms)
