--- a/tests/fleet/test_signs.py
+++ b/tests/fleet/test_signs.py
@@ -4,6 +4,7 @@
 
 import copy
 import random
+from functools import partial
 
 import attrs
 import pytest
@@ -86,7 +87,7 @@
         card = NodeCard(name, f"b-{name}", "dc", f"{name}:1", f"{name}:2", f"{name}:3")
         phase_ms = self.rng.randrange(0, EVERY_MS, STEP_MS)
         view, budget = FleetView(name), FleetRetryBudget(RetryAllowance(0.2, 430, 10_000))
-        retries = SharedRetries(budget, view, self.clock, lambda: self._is_active(name))
+        retries = SharedRetries(budget, view, self.clock, partial(self._is_active, name))
         return Node(card, view, Rounds(name), active, phase_ms, budget, retries)
 
     def _is_active(self, name: str) -> bool:
