Processes without callers that end take nothing of the retry reserve

Each process that ended left its share of the reserve unused for a window, for what it may have spent after its last report. What a node has seen of endings is looked through from the newest, up to what is told.

--- a/monsoonflow/gateway/budget.py
+++ b/monsoonflow/gateway/budget.py
@@ -114,5 +114,8 @@
 
 
 def _cut_short(ended: list[NodeReport]) -> list[NodeReport]:
-    """Return the processes that may have spent something after their last report."""
-    return [report for report in ended if not report.leaving]
+    """Return the processes that may have spent their share after their last report.
+
+    One that stopped in order has told all, and one without callers had no share.
+    """
+    return [report for report in ended if report.active and not report.leaving]
--- a/monsoonflow/quarantine/suspects.py
+++ b/monsoonflow/quarantine/suspects.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from itertools import islice
 from typing import Final
 
 import attrs
@@ -185,8 +186,9 @@
 
     def own_endings(self, now_ms: int, within_ms: int, most: int) -> tuple[Ending, ...]:
         """Return the newest of what this node has lately seen itself."""
-        recent = [ending for ending, at_ms in self._own.items() if now_ms - at_ms <= within_ms]
-        return tuple(recent[-most:])
+        newest_first = islice(reversed(self._own.items()), most)
+        recent = [ending for ending, at_ms in newest_first if now_ms - at_ms <= within_ms]
+        return tuple(reversed(recent))
 
     def quarantined(self, most: int | None = None) -> list[Quarantined]:
         """Return the quarantined requests, the newest last."""
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -164,6 +164,18 @@
     assert (others.entitled, others.past, others.ended) == (True, 40, 1)
 
 
+@pytest.mark.parametrize("change", [{"active": False}, {"leaving": True}])
+def test_processes_that_end_without_a_share_take_none_of_the_reserve(change):
+    """A hundred nodes without callers start again: nothing of the reserve was left for the rest."""
+    view = FleetView("a")
+    for number in range(100):
+        card = attrs.evolve(CARD, name=f"n{number}")
+        view.heard(attrs.evolve(REPORT, card=card, **change), 0)
+        view.heard(attrs.evolve(REPORT, card=attrs.evolve(card, boot="b-2"), sequence=1), 500)
+    budget = FleetRetryBudget(RetryAllowance(0.2, 54, 10_000))
+    assert SharedRetries(budget, view, ManualClock(600)).others("s").ended == 0
+
+
 def test_the_retries_of_a_process_that_has_ended_stay_in_the_window(view):
     view.heard(attrs.evolve(REPORT, card=attrs.evolve(CARD, boot="b-2"), sequence=1), 500)
     clock = ManualClock(10_499)
