Suspicion: what broke off long ago is forgotten

A break long after a server's end counted as one under it, where a server that starts again bears the same name. Both tests failed before.

--- a/monsoonflow/quarantine/suspects.py
+++ b/monsoonflow/quarantine/suspects.py
@@ -78,10 +78,15 @@
 
         :return: what is quarantined by that, where the server is known to have ended.
         """
-        broken = self._broken_by_life.setdefault(life, {})
+        known = self._broken_by_life.get(life, {})
+        # A server that loses answers for days would otherwise be remembered with all of them.
+        broken = {name: at_ms for name, at_ms in known.items() if now_ms - at_ms <= DOUBT_MS}
         broken[fingerprint] = now_ms
+        self._broken_by_life[life] = broken
         _trim(self._broken_by_life, MOST_LIVES)
-        return self._blame(life, now_ms) if life in self._ended_ms_by_life else []
+        ended_ms = self._ended_ms_by_life.get(life)
+        just_ended = ended_ms is not None and now_ms - ended_ms <= DOUBT_MS
+        return self._blame(life, now_ms) if just_ended else []
 
     def server_ended(self, life: ServerLife, now_ms: int) -> list[Quarantined]:
         """Take that a server has ended; return what is quarantined by that."""
--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -60,6 +60,21 @@
     assert suspects.server_ended(LIVES[0], DOUBT_MS + 1) == []
 
 
+def test_a_server_that_loses_answers_for_long_is_not_remembered_with_all_of_them():
+    suspects = Suspects("a")
+    for number in range(10_000):
+        suspects.broke(f"f{number}", LIVES[0], number * 100)
+    assert len(suspects.broken_at(LIVES[0])) <= DOUBT_MS // 100 + 1
+
+
+def test_a_break_long_after_an_end_is_another_lifes():
+    """Where births are not told, a server that starts again may bear the name of the one before."""
+    suspects = Suspects("a")
+    for life in LIVES[:3]:
+        suspects.server_ended(life, 0)
+        assert suspects.broke("f", life, DOUBT_MS + 1) == []
+
+
 def test_a_break_that_is_noticed_after_the_end_counts():
     suspects = Suspects("a")
     for life in LIVES[:3]:
