A suspect's turn lasts as long as its try

What callers saw: a request that had been on two servers that ended was quarantined with the culprit, when it was still being answered as the culprit came to the same server. Cause: a suspect's turn ended with its first event, and the next suspect of the node, the culprit, was sent while the bystander's stream went on.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -253,7 +253,6 @@
 
     def _first_event(self, job: Job, chosen: Chosen, ticket: Ticket) -> None:
         self._in_flight.first_event(ticket)
-        self._end_turn(job)
         now_ms = self._clock.now_ms()
         took_ms = now_ms - ticket.sent_ms
         self._backlog.first_event(chosen, took_ms, now_ms)
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -35,7 +35,7 @@
     :param refused_ms_by_life: when a server last refused it unrun, though it holds what it needs.
     :param runs: how many tries may have run on a server.
     :param headroom: what the retry budget said last; ``None`` where it was not asked.
-    :param turn_held: whether other suspected requests wait until it has begun.
+    :param turn_held: whether other suspected requests wait until its try has ended.
     :param retry_granted: whether the budget keeps a place for its next try.
     :param first_ms: when the first part of the answer came.
     """
--- a/monsoonflow/quarantine/keeper.py
+++ b/monsoonflow/quarantine/keeper.py
@@ -74,8 +74,8 @@
     def take_turn(self, fingerprint: str, at_most_ms: int) -> Turn:
         """Wait until a request may be sent; ``Turn.LOST``: it is not soon enough.
 
-        Suspects go one after the other. A culprit ends its server as it begins, so that the next
-        may go as soon as the one before has begun or ended.
+        Suspects go one after the other, each when the one before has ended: joined by the culprit
+        while it is still being answered, a bystander would be on a third server that ends.
         """
         if not self.suspects.runs_apart(fingerprint):
             return Turn.FREE
--- a/tests/entry/test_poison.py
+++ b/tests/entry/test_poison.py
@@ -20,6 +20,7 @@
         self._fleet = fleet
         self.ended: list[str] = []
         self.faults = RunnerFaults(poison=POISON)
+        self.event_ms = 5
         self._task = gevent.spawn(self._run)
 
     def _run(self) -> None:
@@ -35,6 +36,7 @@
         self._fleet.servers.remove(server)
         runner = type(server)(f"{server.server_id}x", server.address, server.service, MODEL)
         runner.faults = self.faults
+        runner.event_ms = self.event_ms
         runner.start()
         self._fleet.servers.append(runner)
         self._fleet.store.put("servers", runner.server_id, runner.entry())
@@ -91,6 +93,24 @@
     assert served >= 0.9 * len(answers[16:])
 
 
+def test_a_suspect_that_has_begun_is_not_joined_by_the_next(fleet, poisoned):
+    """Bystanders that were still being answered were on the third server with the culprit."""
+    poisoned.event_ms = 80
+    for server in fleet.servers:
+        server.event_ms = 80
+    node = fleet.nodes[0]
+    bodies = (b"good 1", b"good 2", POISON)
+    for number in range(3):
+        tasks = [
+            gevent.spawn(send, fleet, node, f"r{number}-{place}", body)
+            for place, body in enumerate(bodies)
+        ]
+        gevent.joinall(tasks)
+        wait_for(lambda: len(fleet.servers) == 5)
+    suspects = [one.daemon.quarantine.suspects for one in fleet.nodes]
+    assert max(len(found.quarantined()) for found in suspects) <= 1
+
+
 def test_a_node_that_starts_knows_which_requests_reach_no_server(fleet, poisoned):
     for number in range(6):
         send(fleet, fleet.nodes[number % 3], f"p{number}", POISON)
