A rig of real processes that judges what reaches servers after their leave

Entry nodes, store, servers, callers and links are processes on loopback; the store's and the servers' own records decide what is late, the nodes' logs tell what the sender knew.

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,96 @@
+"""Runs seeds of the soak of real processes; ``script/soak --processes`` calls it."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Final
+
+import attrs
+
+from .faults import KINDS, Weather
+from .fleet import Fleet
+from .judge import Late
+from .outcome import answers_of, late_of
+from .processes import ROOT
+
+SETTLE_S: Final = 2.0
+"""Traffic before the first trouble."""
+
+AFTER_S: Final = 3.0
+"""Traffic after the last one."""
+
+SHOWN: Final = 12
+
+
+@attrs.frozen(slots=True)
+class Run:
+    """What came of one seed."""
+
+    late: list[Late]
+    statuses: Counter[int]
+    troubles: dict[str, int]
+
+
+def run_seed(seed: int, seconds: float, folder: Path, given: argparse.Namespace) -> Run:
+    """Run one seed and judge it."""
+    fleet = Fleet(folder, Path(given.nodes_of))
+    weather = Weather(fleet, random.Random(seed), tuple(given.kinds))
+    try:
+        fleet.start(given.nodes, given.plain, given.engines, given.per_s, seed)
+        time.sleep(SETTLE_S)
+        weather.blow(time.monotonic() + seconds)
+        time.sleep(AFTER_S)
+    finally:
+        fleet.close()
+    late = late_of(fleet, weather.disturbances)
+    return Run(late, answers_of(fleet), weather.counts)
+
+
+def main() -> int:
+    """Run seeds until the time or the seeds are over."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--count", type=int, default=1, help="seeds")
+    parser.add_argument("--minutes", type=float, default=0.0, help="go on for so long instead")
+    parser.add_argument("--seconds", type=float, default=30.0, help="of trouble in each seed")
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--plain", type=int, default=3, help="servers of the plain service")
+    parser.add_argument("--engines", type=int, default=3, help="model runners")
+    parser.add_argument("--per-s", type=float, default=60.0, help="requests a second")
+    parser.add_argument("--kinds", nargs="*", default=[], choices=sorted(KINDS))
+    parser.add_argument("--nodes-of", default=str(ROOT), help="checkout whose code the nodes run")
+    parser.add_argument("--folder", default="run/soak", help="takes logs and records")
+    given = parser.parse_args()
+    until = time.monotonic() + given.minutes * 60
+    seeds = failed = 0
+    while seeds < given.count if not given.minutes else time.monotonic() < until:
+        failed += _report(given.seed + seeds, given)
+        seeds += 1
+    print(f"{seeds} seeds, {failed} failed")
+    return 1 if failed else 0
+
+
+def _report(seed: int, given: argparse.Namespace) -> bool:
+    """Run a seed and print what came of it; return whether a promise was broken."""
+    folder = Path(given.folder) / f"{seed}-{time.time_ns() // 1_000_000}"
+    run = run_seed(seed, given.seconds, folder, given)
+    broken = [late for late in run.late if not late.excused]
+    print(
+        f"seed {seed}: {len(broken)} late, {len(run.late) - len(broken)} excused; "
+        f"answers {dict(sorted(run.statuses.items()))}; troubles {run.troubles}; {folder}",
+        flush=True,
+    )
+    for cause, count in Counter(late.cause for late in broken).items():
+        print(f"  {count} {cause}")
+    for late in broken[:SHOWN]:
+        print(f"    {late.line()}")
+    return bool(broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,213 @@
+"""A fleet of entry nodes with everything around them, each a process of its own."""
+
+from __future__ import annotations
+
+import signal
+import time
+import urllib.request
+from pathlib import Path
+from typing import Final
+
+import orjson
+
+from script.ports import free_port
+from stand_ins.links import Mode
+
+from .const import (
+    CALLER_ROUTES,
+    CONFIGURATION,
+    DRAIN_MS,
+    ENGINES,
+    HEARTBEAT_MS,
+    HOST,
+    MODEL,
+    PLAIN,
+    ZONES,
+)
+from .processes import ROOT, Processes
+
+STORE: Final = "store"
+LINKS: Final = "links"
+READY_WITHIN_S: Final = 20
+NODE_SETTINGS: Final = """
+nodeName = "{name}"
+role = "entry"
+bindIp = "{ip}"
+zone = "{zone}"
+region = "r"
+portRange = [{reports}, {reports}]
+seedNodes = {seeds}
+bootstrap = {bootstrap}
+[listenAddrs]
+front = "{front}"
+ready = "{ready}"
+control = "{control}"
+directory = "{directory}"
+[limits]
+cpuShare = 0.537
+cpuCores = 2
+[contractParams]
+leaseMs = 3000
+graceS = 8
+drainMs = {drain_ms}
+requireFence = true
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetExtraRetries = 54
+version_ms = 5000
+ttl_max_s = 5
+ceilingWindowS = 5
+thawMs = 300
+[platform]
+address = "{store}"
+"""
+
+
+class Fleet:
+    """Store, servers, callers, links and nodes.
+
+    :param folder: takes logs, records and settings.
+    :param node_root: the checkout whose code the nodes run.
+    """
+
+    def __init__(self, folder: Path, node_root: Path = ROOT) -> None:
+        self.processes = Processes(folder)
+        self.nodes: list[str] = []
+        self.servers: list[str] = []
+        self.callers: list[str] = []
+        self.service_by_server: dict[str, str] = {}
+        self._folder = folder
+        self._node_root = node_root
+        self._numbers = 0
+        self._store_address = f"127.0.0.1:{free_port()}"
+        self._ports = tuple(free_port() for _ in range(6))
+        self._directories: list[str] = []
+
+    def start(self, nodes: int, plain: int, engines: int, per_s: float, seed: int) -> None:
+        """Start everything and wait until all nodes are ready."""
+        self.processes.start(LINKS, "stand_ins.links")
+        self.processes.start(
+            STORE,
+            "stand_ins.store_process",
+            *("--listen", self._store_address, "--heartbeat-ms", str(HEARTBEAT_MS)),
+        )
+        self.processes.command(STORE, "put", table="op", key="config", value=CONFIGURATION)
+        self._await_record(STORE, "started")
+        for _ in range(plain):
+            self.add_server(PLAIN)
+        for _ in range(engines):
+            self.add_server(ENGINES)
+        for number in range(nodes):
+            self._add_node(number)
+        for node in self.nodes:
+            self._await_ready(node)
+        for zone in ZONES:
+            self._add_callers(zone, per_s / len(ZONES), seed)
+
+    def add_server(self, service: str) -> str:
+        """Start a server behind a link of its own; return its id."""
+        self._numbers += 1
+        name = f"i-{service}-{self._numbers}"
+        own, told = (f"127.0.0.1:{free_port()}" for _ in range(2))
+        self.processes.command(LINKS, "add", name=name, listen=told, target=own)
+        model = ("--model", MODEL) if service == ENGINES else ()
+        self.processes.start(
+            name,
+            "stand_ins.server_process",
+            *("--id", name, "--listen", own, "--told-address", told, "--service", service),
+            *("--zone", ZONES[self._numbers % len(ZONES)], "--store", self._store_address),
+            *("--heartbeat-ms", str(HEARTBEAT_MS), *model),
+        )
+        self.servers.append(name)
+        self.service_by_server[name] = service
+        return name
+
+    def leave(self, server: str, serves_ms: int, without_word: bool = False) -> None:
+        """Let a server leave, and start another one of its service."""
+        self.processes.command(server, "leave", serves_ms=serves_ms, without_word=without_word)
+        self.servers.remove(server)
+        self.add_server(self.service_by_server[server])
+
+    def stop(self, name: str) -> None:
+        """Let a process stand still."""
+        self.processes.signal(name, signal.SIGSTOP)
+
+    def go_on(self, name: str) -> None:
+        """Let a process that stands still go on."""
+        self.processes.signal(name, signal.SIGCONT)
+
+    def set_link(self, name: str, mode: Mode) -> None:
+        """Change what the link of a server, or of a node to the store, does."""
+        self.processes.command(LINKS, "set", name=name, mode=mode)
+
+    def reset_link(self, name: str) -> None:
+        """Reset the open connections of a link."""
+        self.processes.command(LINKS, "reset", name=name)
+
+    def close(self) -> None:
+        """End everything."""
+        self.processes.close()
+
+    def _add_node(self, number: int) -> None:
+        name = f"node-{number + 1}"
+        ip = f"127.0.0.{11 + number}"
+        front, ready, control, directory, reports, metrics = self._ports
+        store = f"127.0.0.1:{free_port()}"
+        self.processes.command(LINKS, "add", name=name, listen=store, target=self._store_address)
+        self._directories.append(f"{ip}:{directory}")
+        settings = NODE_SETTINGS.format(
+            name=name,
+            ip=ip,
+            zone=ZONES[number % len(ZONES)],
+            reports=reports,
+            seeds=orjson.dumps([f"127.0.0.{11 + n}:{control}" for n in range(3)]).decode(),
+            bootstrap="true",
+            front=f"{ip}:{front}",
+            ready=f"{ip}:{ready}",
+            control=f"{ip}:{control}",
+            directory=f"{ip}:{directory}",
+            drain_ms=DRAIN_MS,
+            store=store,
+        )
+        path = self._folder.resolve() / f"{name}.toml"
+        path.write_text(settings)
+        self.processes.start(
+            name,
+            "monsoonflow.platform",
+            root=self._node_root,
+            environment={
+                "MONSOONFLOW_NODE_FILE": str(path),
+                "MONSOONFLOW_METRICS_PORT": str(metrics),
+            },
+        )
+        self.nodes.append(name)
+
+    def _add_callers(self, zone: str, per_s: float, seed: int) -> None:
+        name = f"callers-{zone}"
+        self.callers.append(name)
+        self.processes.start(
+            name,
+            "stand_ins.callers",
+            *("--name", name, "--zone", zone, "--host", HOST, "--seed", str(seed)),
+            *("--directories", ",".join(self._directories), "--per-s", str(per_s)),
+            *("--routes", orjson.dumps(CALLER_ROUTES).decode()),
+        )
+
+    def _await_ready(self, node: str) -> None:
+        url = f"http://127.0.0.{10 + int(node.rpartition('-')[2])}:{self._ports[1]}/v1/readiness"
+        until = time.monotonic() + READY_WITHIN_S
+        while time.monotonic() < until:
+            try:
+                with urllib.request.urlopen(url, timeout=1):
+                    return
+            except OSError:
+                time.sleep(0.05)
+        raise TimeoutError(f"{node} is not ready")
+
+    def _await_record(self, name: str, event: str) -> None:
+        until = time.monotonic() + READY_WITHIN_S
+        while time.monotonic() < until:
+            if any(found.event == event for found in self.processes.records(name)):
+                return
+            time.sleep(0.02)
+        raise TimeoutError(f"{name} did not write {event}")
--- /dev/null
+++ b/stand_ins/links.py
@@ -0,0 +1,137 @@
+"""Runs links as a process: each passes connections on, and can reset, silence or hold them."""
+
+from __future__ import annotations
+
+import argparse
+import socket as native
+import struct
+from enum import StrEnum
+from typing import Final
+
+import attrs
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from stand_ins.commands import follow, record
+
+READ_BYTES: Final = 65_536
+RESET: Final = struct.pack("ii", 1, 0)
+"""Option that makes closing a connection reset it."""
+
+
+class Mode(StrEnum):
+    """What a link does with connections.
+
+    ``OLD_SILENT``: those that are open pass nothing more, for good; new ones work.
+    ``SILENT``: nothing passes, also on new ones, until the link works again; what came is lost.
+    ``REFUSES``: open ones are reset and new ones too.
+    """
+
+    WORKS = "works"
+    OLD_SILENT = "old_silent"
+    SILENT = "silent"
+    REFUSES = "refuses"
+
+
+@attrs.define(eq=False)
+class Passage:
+    """One connection through a link."""
+
+    caller: socket.socket
+    server: socket.socket
+    silent: bool = False
+
+    def close(self, reset: bool) -> None:
+        """End both sides."""
+        for sock in (self.caller, self.server):
+            if reset:
+                sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+            sock.close()
+
+
+class Link:
+    """Passes the connections that come to one address on to another."""
+
+    def __init__(self, listen: str, target: str) -> None:
+        self._target = target
+        self._mode = Mode.WORKS
+        self._passages: set[Passage] = set()
+        host, _, port = listen.rpartition(":")
+        listener = socket.socket()
+        listener.setsockopt(native.SOL_SOCKET, native.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(1_024)
+        StreamServer(listener, self._accept).start()
+
+    def set(self, mode: Mode) -> None:
+        """Change what the link does."""
+        self._mode = Mode.WORKS if mode is Mode.OLD_SILENT else mode
+        for passage in list(self._passages):
+            match mode:
+                case Mode.OLD_SILENT | Mode.SILENT:
+                    passage.silent = True
+                case Mode.REFUSES:
+                    passage.close(reset=True)
+
+    def reset(self) -> None:
+        """Reset what is open; new connections work."""
+        for passage in list(self._passages):
+            passage.close(reset=True)
+
+    def _accept(self, caller: socket.socket, _: object) -> None:
+        if self._mode is Mode.REFUSES:
+            caller.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+            caller.close()
+            return
+        host, _, port = self._target.rpartition(":")
+        try:
+            server = socket.create_connection((host, int(port)))
+        except OSError:
+            caller.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+            caller.close()
+            return
+        for sock in (caller, server):
+            sock.setsockopt(native.IPPROTO_TCP, native.TCP_NODELAY, 1)
+        passage = Passage(caller, server, self._mode is Mode.SILENT)
+        self._passages.add(passage)
+        pumps = [
+            gevent.spawn(self._pump, passage, caller, server),
+            gevent.spawn(self._pump, passage, server, caller),
+        ]
+        gevent.joinall(pumps)
+        self._passages.discard(passage)
+        passage.close(reset=False)
+
+    def _pump(self, passage: Passage, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while data := source.recv(READ_BYTES):
+                if not passage.silent:
+                    sink.sendall(data)
+            if not passage.silent:
+                sink.shutdown(native.SHUT_WR)
+        except OSError:
+            passage.close(reset=False)
+
+
+def main() -> None:
+    """Pass connections on until the commands end."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.parse_args()
+    links: dict[str, Link] = {}
+
+    def add(name: str, listen: str, target: str) -> None:
+        links[name] = Link(listen, target)
+        record("link", name=name)
+
+    follow(
+        {
+            "add": add,
+            "set": lambda name, mode: links[name].set(Mode(mode)),
+            "reset": lambda name: links[name].reset(),
+        }
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stand_ins/server_process.py
@@ -0,0 +1,140 @@
+"""Runs a backend server as a process: it registers, notes what reaches it, and leaves when told."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import time
+from typing import Any, Final
+
+import gevent
+import orjson
+from gevent import config
+
+config.resolver = "block"
+
+from monsoonflow.core.clock import MonotonicClock  # noqa: E402
+from monsoonflow.transport.client import Answer, Pools, call  # noqa: E402
+from monsoonflow.transport.models import Request  # noqa: E402
+from monsoonflow.transport.server import Reply  # noqa: E402
+from stand_ins.commands import follow, record  # noqa: E402
+from stand_ins.platform_runner import PlatformRunner, PlatformServer  # noqa: E402
+
+REGISTER_TIMEOUT_MS: Final = 1_000
+AGAIN_S: Final = 0.1
+MOVED: Final = 421
+
+
+class NotesArrivals:
+    """Notes each request that reaches a server, and those that it turns away as not its own."""
+
+    def _run(self, request: Request, reply: Reply) -> None:
+        name = (request.value(b"x-request-id") or b"").decode()
+        record("reached", request=name)
+        try:
+            super()._run(request, reply)
+        finally:
+            if reply.status == MOVED:
+                record("moved", request=name)
+
+
+class PlainProcess(NotesArrivals, PlatformServer):
+    """A server of a plain service."""
+
+
+class RunnerProcess(NotesArrivals, PlatformRunner):
+    """A model runner."""
+
+
+class Registration:
+    """Keeps a server's entry in the store.
+
+    :param told_address: where others reach the server.
+    """
+
+    def __init__(
+        self, server: PlatformServer, told_address: str, zone: str, store: str, heartbeat_ms: int
+    ) -> None:
+        self._server = server
+        self._told_address = told_address
+        self._zone = zone
+        self._store = store
+        self._heartbeat_s = heartbeat_ms / 1000
+        self._pools = Pools(MonotonicClock(), max_idle=2)
+        self._sequence = 0
+        self._state = "ready"
+        self._registers = True
+
+    def keep(self) -> None:
+        """Write the entry again and again."""
+        while True:
+            written = self._write() if self._registers else True
+            gevent.sleep(self._heartbeat_s if written else AGAIN_S)
+
+    def leave(self, serves_ms: int, without_word: bool = False) -> None:
+        """Leave: say so or remove the entry, serve on for a while, and end."""
+        gevent.spawn(self._leave, serves_ms, without_word)
+
+    def _leave(self, serves_ms: int, without_word: bool) -> None:
+        if without_word:
+            self._registers = False
+            self._until_written(removed=True)
+        else:
+            self._state = "draining"
+            self._until_written(removed=False)
+        gevent.sleep(serves_ms / 1000)
+        os._exit(0)
+
+    def _until_written(self, removed: bool) -> None:
+        while not self._write(removed):
+            gevent.sleep(AGAIN_S)
+
+    def _write(self, removed: bool = False) -> bool:
+        self._sequence += 1
+        entry: dict[str, Any] | None = None
+        if not removed:
+            entry = self._server.entry(
+                address=self._told_address,
+                zone=self._zone,
+                state=self._state,
+                sequence=self._sequence,
+            )
+        body = orjson.dumps({"server": self._server.server_id, "entry": entry})
+        answer = call(self._pools, self._store, "POST", "/register", body, REGISTER_TIMEOUT_MS)
+        return isinstance(answer, Answer) and answer.head.status == 200
+
+
+def main() -> None:
+    """Serve until the commands end."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--listen", required=True, help="IP:PORT")
+    parser.add_argument("--told-address", required=True, help="IP:PORT where others reach it")
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--model", help="of a model runner")
+    parser.add_argument("--zone", required=True)
+    parser.add_argument("--store", required=True, help="IP:PORT")
+    parser.add_argument("--heartbeat-ms", type=int, required=True)
+    given = parser.parse_args()
+    if given.model is None:
+        server: PlatformServer = PlainProcess(given.id, given.listen, given.service)
+    else:
+        server = RunnerProcess(given.id, given.listen, given.service, given.model)
+    server.born = time.time_ns() // 1_000_000
+    server.faults.slow_ms = 45
+    server.start()
+    registration = Registration(
+        server, given.told_address, given.zone, given.store, given.heartbeat_ms
+    )
+    gevent.spawn(registration.keep)
+    record("started")
+
+    def misbehave(**faults: Any) -> None:
+        for name, value in faults.items():
+            setattr(server.faults, name, value)
+
+    follow({"leave": registration.leave, "misbehave": misbehave})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak of real processes."""
