request_sent tells how old the node's knowledge of servers is

Three ways in which a request reaches a leaving server too late leave the same lines: the sender was deaf to the store, or knew of the leave, or sent in time to a server that read late. The age of the store's last answer about servers, beside server_leaves, tells them apart at each send.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -341,10 +341,13 @@
         of("report_bytes", "Bytes of reports sent.", lambda: self.gossip.sent_bytes)
 
     def _answer_age_s(self, kind: str) -> float:
-        watch = getattr(self.followed, kind, None)
-        age_ms = watch.answer_age_ms() if watch is not None else None
+        age_ms = self._answer_age_ms(kind)
         return -1.0 if age_ms is None else age_ms / 1000
 
+    def _answer_age_ms(self, kind: str) -> int | None:
+        watch = getattr(self.followed, kind, None)
+        return watch.answer_age_ms() if watch is not None else None
+
     def report_version(self) -> int:
         """Return the version of the configuration in force; 0 without one."""
         return self.beliefs.table.version if self.beliefs.table is not None else 0
@@ -396,7 +399,7 @@
             plain,
             engines,
             self.rng,
-            Record(self.clock, self.metrics),
+            Record(self.clock, self.metrics, lambda: self._answer_age_ms("servers")),
         )
         self.addresses = AddressBook(
             self.view,
--- a/monsoonflow/gateway/record.py
+++ b/monsoonflow/gateway/record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from ..core.clock import Clock
@@ -39,11 +40,20 @@
 
 
 class Record:
-    """Writes down the decisions about requests."""
+    """Writes down the decisions about requests.
 
-    def __init__(self, clock: Clock, metrics: RequestMetrics) -> None:
+    :param servers_age_ms: returns how long ago the store last told of servers.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: RequestMetrics,
+        servers_age_ms: Callable[[], int | None] = lambda: None,
+    ) -> None:
         self._clock = clock
         self._metrics = metrics
+        self._servers_age_ms = servers_age_ms
         self._sampler = Sampler()
 
     def accepted(self, job: Job, config_version: int) -> None:
@@ -83,6 +93,7 @@
                 unread_tokens=queue.unread_tokens if queue is not None else None,
                 expected_ms=queue.expect_ms if queue is not None else None,
                 after_event=after.decode("latin-1") if after is not None else None,
+                servers_age_ms=self._servers_age_ms(),
             ),
         )
 
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -27,7 +27,8 @@
 
     # At a model runner ``version`` is the adapter's that it is believed to hold, ``expect_version``
     # the one without which it shall refuse; ``unread_tokens`` are to be read there before the
-    # request's own, and ``expected_ms`` is the time until its first event.
+    # request's own, and ``expected_ms`` is the time until its first event. ``servers_age_ms`` is
+    # how long ago the store last told this node of servers.
 
     request: str
     server: str
@@ -40,6 +41,7 @@
     unread_tokens: int | None = None
     expected_ms: int | None = None
     after_event: str | None = None
+    servers_age_ms: int | None = None
 
 
 @event
--- a/tests/entry/test_pass_through.py
+++ b/tests/entry/test_pass_through.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import gevent
 import pytest
 from gevent import socket
@@ -297,3 +299,20 @@
     assert answer.head.status == 503
     assert node.daemon.clock.now_ms() - begun_ms < 500
     assert node.daemon.budget.spent("plain", begun_ms).retries <= 12
+
+
+def test_the_line_of_a_send_tells_how_old_the_knowledge_of_servers_is(fleet, caplog):
+    """Guards against late sends that can't be told apart: of a node that was deaf, or that knew."""
+    caplog.set_level("INFO")
+    fleet.plain("a")
+    node = fleet.node()
+    assert fleet.ask(node, "/look/x", "r1").head.status == 200
+    fleet.store.faults.silent = True
+    gevent.sleep(2.2)
+    assert fleet.ask(node, "/look/x", "r2").head.status == 200
+    ages = [
+        int(re.search(r"servers_age_ms=(\d+)", line)[1])
+        for line in caplog.messages
+        if "event=request_sent" in line
+    ]
+    assert ages[0] < 2_000 < ages[1]
