A server that owes a sign of life gets single trials

What callers saw: requests that reach a server which has left, several of different nodes in the same millisecond, after their 504.

Cause: a server whose process stands still takes requests into its kernel's buffers. Nothing calls them back; it reads them when it goes on, also after its leave was confirmed. A request that timed out there counted as one failure among others, and one that may run once only after its whole time, so nodes went on sending. Class: silence that is judged by each request for itself.

Change: a node notes when a server owes it a sign, to whatever request; one that gives none for twice its patience gets one request at a time, after pauses that double up to three seconds, until any part of any answer comes. Told in the log (server_silent, server_answers).

What is left: what is sent in the first moments can't be called back. It is read late if the server goes on after the bound.

--- a/monsoonflow/gateway/engines.py
+++ b/monsoonflow/gateway/engines.py
@@ -169,8 +169,19 @@
         """Tell whether a server that was chosen still takes work."""
         return self.book.takes_work(chosen.life)
 
-    def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
+    def sent(self, chosen: Chosen, request: str, route: Route, now_ms: int) -> None:
+        """Take that a request goes out to its server."""
+        queue_ms = chosen.queue.expect_ms if chosen.queue is not None else 0
+        sign_within_ms = int(route.objective_ms * HANG_TIMES + queue_ms)
+        self.conditions.sent(chosen.life, request, now_ms, sign_within_ms)
+
+    def alive(self, chosen: Chosen, now_ms: int) -> None:
+        """Take a part of an answer of a server."""
+        self.conditions.alive(chosen.life, now_ms)
+
+    def ended(self, chosen: Chosen, request: str, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
+        self.conditions.waits_no_longer(chosen.life, request, now_ms)
         match result:
             case Passed():
                 self.conditions.ended(chosen.life, True, took_ms, now_ms)
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -207,7 +207,8 @@
             lambda: self._first_event(job, chosen, ticket),
             lambda: chooser.begins_until_ms(chosen),
             lambda: chooser.may_send(chosen),
-            lambda: self._spend_retry(job),
+            lambda: self._goes_out(job, chooser, chosen),
+            lambda: chooser.alive(chosen, self._clock.now_ms()),
         )
         result: Try | None = None
         try:
@@ -218,13 +219,17 @@
                 waited_ms = self._clock.now_ms() - sent_ms
                 result = Abandoned(ticket.unread and waited_ms > job.route.objective_ms * 2)
             self._end_turn(job)
-            self._finish_try(ticket, chooser, chosen, result, sent_ms)
+            self._finish_try(job, ticket, chooser, chosen, result, sent_ms)
 
     def _end_turn(self, job: Job) -> None:
         if job.turn_held:
             job.turn_held = False
             self._quarantine.end_turn()
 
+    def _goes_out(self, job: Job, chooser: Chooser, chosen: Chosen) -> None:
+        self._spend_retry(job)
+        chooser.sent(chosen, job.call.request_id, job.route, self._clock.now_ms())
+
     def _spend_retry(self, job: Job) -> None:
         if job.retry_granted:
             job.retry_granted = False
@@ -242,13 +247,19 @@
         return min(until_ms, now_ms + chooser.patience_ms(chosen, job.route))
 
     def _finish_try(
-        self, ticket: Ticket, chooser: Chooser, chosen: Chosen, result: Try, sent_ms: int
+        self,
+        job: Job,
+        ticket: Ticket,
+        chooser: Chooser,
+        chosen: Chosen,
+        result: Try,
+        sent_ms: int,
     ) -> None:
         now_ms = self._clock.now_ms()
         if ticket.unread and isinstance(result, Abandoned | TimedOut | Recalled):
             self._backlog.no_first_event(chosen, now_ms - sent_ms, now_ms)
         self._in_flight.end(ticket)
-        chooser.ended(chosen, result, now_ms - sent_ms, now_ms)
+        chooser.ended(chosen, job.call.request_id, result, now_ms - sent_ms, now_ms)
         self._record.tried(result)
 
     def _first_event(self, job: Job, chosen: Chosen, ticket: Ticket) -> None:
--- a/monsoonflow/gateway/offer.py
+++ b/monsoonflow/gateway/offer.py
@@ -59,6 +59,7 @@
         ``None`` without a bound.
     :param may_send: tells whether the server still takes work.
     :param on_send: called just before the request goes out.
+    :param on_alive: called at each part of an answer that shows that the server is at work.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         begins_until: Callable[[], int | None] = lambda: None,
         may_send: Callable[[], bool] = lambda: True,
         on_send: Callable[[], None] = lambda: None,
+        on_alive: Callable[[], None] = lambda: None,
     ) -> None:
         self._pools = pools
         self._dialect = dialect
@@ -84,6 +86,7 @@
         self._begins_until = begins_until
         self._may_send = may_send
         self._on_send = on_send
+        self._on_alive = on_alive
 
     def send(
         self,
@@ -151,6 +154,7 @@
         """
         for _ in range(MAX_FOREIGN_ANSWERS):
             head = self._await_sign(connection.read_head)
+            self._on_alive()
             terms = self._dialect.read_answer(head)
             if terms.request_id == self._call.request_id:
                 return head, terms
@@ -213,6 +217,7 @@
         resumed_after = cutter.last_event
         first = True
         while (piece := self._next_event(connection, first)) is not None:
+            self._on_alive()
             whole = cutter.feed(piece)
             if not whole:
                 continue
--- a/monsoonflow/gateway/plain.py
+++ b/monsoonflow/gateway/plain.py
@@ -27,6 +27,10 @@
 """A server seems to hang after so many of its usual times, and never sooner than this: the longest
 of a hundred answers takes some five times the usual one."""
 
+SILENT_TIMES: Final = 2
+"""A server gives no sign of life at all when none comes for so many times its patience: one that
+has turned slow still answers somebody."""
+
 NO_SERVER_RETRY_MS: Final = 400
 QUEUE_RETRY_SHARE: Final = 0.5
 """Come back after half of the expected wait: the queue drains meanwhile."""
@@ -80,8 +84,18 @@
         """Tell whether a server that was chosen still takes work."""
         return self.book.takes_work(chosen.life)
 
-    def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
+    def sent(self, chosen: Chosen, request: str, route: Route, now_ms: int) -> None:
+        """Take that a request goes out to its server."""
+        sign_within_ms = SILENT_TIMES * self.patience_ms(chosen, route)
+        self.conditions.sent(chosen.life, request, now_ms, sign_within_ms)
+
+    def alive(self, chosen: Chosen, now_ms: int) -> None:
+        """Take a part of an answer of a server."""
+        self.conditions.alive(chosen.life, now_ms)
+
+    def ended(self, chosen: Chosen, request: str, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
+        self.conditions.waits_no_longer(chosen.life, request, now_ms)
         match result:
             case Whole(head=head):
                 self.conditions.ended(chosen.life, head.status < 500, took_ms, now_ms)
--- a/monsoonflow/gateway/ports.py
+++ b/monsoonflow/gateway/ports.py
@@ -29,7 +29,13 @@
     def may_send(self, chosen: Chosen) -> bool:
         """Tell whether a server that was chosen still takes work."""
 
-    def ended(self, chosen: Chosen, result: Try, took_ms: int, now_ms: int) -> None:
+    def sent(self, chosen: Chosen, request: str, route: Route, now_ms: int) -> None:
+        """Take that a request goes out to its server."""
+
+    def alive(self, chosen: Chosen, now_ms: int) -> None:
+        """Take a part of an answer of a server."""
+
+    def ended(self, chosen: Chosen, request: str, result: Try, took_ms: int, now_ms: int) -> None:
         """Take how a try ended."""
 
 
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -51,8 +51,10 @@
     EarlierLife,
     Order,
     Seats,
+    ServerAnswers,
     ServerCame,
     ServerLeaves,
+    ServerSilent,
     UnusableReport,
 )
 from .store import (
@@ -113,7 +115,9 @@
     "Seats",
     "ServerCame",
     "ServerEnded",
+    "ServerAnswers",
     "ServerLeaves",
+    "ServerSilent",
     "ServerRefused",
     "StaleRead",
     "Started",
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import logging
+from typing import ClassVar
+
 from .event import Event, event
 
 
@@ -22,6 +25,25 @@
     cause: str
 
 
+@event
+class ServerSilent(Event):
+    """A server owes a sign of life; it gets nothing but single trials until it gives one."""
+
+    LEVEL: ClassVar[int] = logging.WARNING
+    server: str
+    within_ms: int
+    waiting: int
+    trial_in_ms: int
+
+
+@event
+class ServerAnswers(Event):
+    """A server that was silent has given a sign of life."""
+
+    server: str
+    missed: int
+
+
 @event
 class EarlierLife(Event):
     """A word of a life that began before the known one; it is left aside unless it goes on."""
--- a/monsoonflow/routing/condition.py
+++ b/monsoonflow/routing/condition.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from typing import Final
 
 import attrs
 
 from ..core.server_life import ServerLife
+from ..logs import events, log
+from .pauses import MOST_DOUBLINGS, pause_ms
+from .silence import Silence
 
+_LOGGER = logging.getLogger(__name__)
 FAILURE_STEP: Final = 0.2
 """Weight of one ended request in the failure share."""
 
@@ -16,9 +21,6 @@
 """A server that gets no work is trusted again after a few of these."""
 
 LATENCY_STEP: Final = 0.15
-UNREACHED_PAUSE_MS: Final = 400
-MAX_PAUSE_MS: Final = 3_000
-"""A server that can't be reached gets a new try after a pause that doubles up to this."""
 
 
 @attrs.define(slots=True)
@@ -30,6 +32,7 @@
     seen_ms: int = 0
     unreached: int = 0
     paused_until_ms: int = 0
+    silence: Silence = attrs.Factory(Silence)
 
 
 class Conditions:
@@ -54,14 +57,40 @@
         condition.failure_share += (1.0 - condition.failure_share) * FAILURE_STEP
         if now_ms < condition.paused_until_ms:
             return
-        pause_ms = min(MAX_PAUSE_MS, UNREACHED_PAUSE_MS * 2**condition.unreached)
-        condition.unreached = min(condition.unreached + 1, 8)
-        condition.paused_until_ms = now_ms + pause_ms
+        condition.paused_until_ms = now_ms + pause_ms(condition.unreached)
+        condition.unreached = min(condition.unreached + 1, MOST_DOUBLINGS)
+
+    def sent(self, life: ServerLife, request: str, now_ms: int, sign_within_ms: int) -> None:
+        """Take that a request goes out.
+
+        :param sign_within_ms: how soon its server should give a sign, to this or another request.
+        """
+        self._fresh(life, now_ms).silence.sent(request, now_ms, sign_within_ms)
+
+    def alive(self, life: ServerLife, now_ms: int) -> None:
+        """Take a sign of life: a part of any answer."""
+        condition = self.by_life.get(life)
+        if condition is None:
+            return
+        missed = condition.silence.broken(now_ms)
+        if missed:
+            log(_LOGGER, events.ServerAnswers(server=life, missed=missed))
+
+    def waits_no_longer(self, life: ServerLife, request: str, now_ms: int) -> None:
+        """Take that a request that was sent, or was to be, is over."""
+        condition = self.by_life.get(life)
+        if condition is None:
+            return
+        self._look(life, condition.silence, now_ms)
+        condition.silence.ended(request)
 
     def paused(self, life: ServerLife, now_ms: int) -> bool:
         """Tell whether a server should be left alone for now."""
         condition = self.by_life.get(life)
-        return condition is not None and now_ms < condition.paused_until_ms
+        if condition is None:
+            return False
+        self._look(life, condition.silence, now_ms)
+        return now_ms < condition.paused_until_ms or condition.silence.holds_back(now_ms)
 
     def failure_share(self, life: ServerLife, now_ms: int) -> float:
         """Return the share of requests that failed lately; it fades while nothing is sent."""
@@ -80,6 +109,18 @@
         """Drop what is known of a server that is gone."""
         self.by_life.pop(life, None)
 
+    def _look(self, life: ServerLife, silence: Silence, now_ms: int) -> None:
+        if silence.look(now_ms):
+            log(
+                _LOGGER,
+                events.ServerSilent(
+                    server=life,
+                    within_ms=silence.within_ms,
+                    waiting=len(silence.waiting),
+                    trial_in_ms=silence.trial_from_ms - now_ms,
+                ),
+            )
+
     def _fresh(self, life: ServerLife, now_ms: int) -> ServerCondition:
         condition = self.by_life.setdefault(life, ServerCondition(seen_ms=now_ms))
         condition.failure_share = self.failure_share(life, now_ms)
--- a/tests/routing/test_condition.py
+++ b/tests/routing/test_condition.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from monsoonflow.routing.condition import MAX_PAUSE_MS, UNREACHED_PAUSE_MS, Conditions
+from monsoonflow.routing.condition import Conditions
+from monsoonflow.routing.pauses import MAX_PAUSE_MS, UNREACHED_PAUSE_MS
 
 
 def test_failures_count_and_fade():
