--- a/monsoonflow/entry/duties.py
+++ b/monsoonflow/entry/duties.py
@@ -330,6 +330,7 @@
                 self._daemon.beliefs.version_by_adapter,
                 self._daemon.settings.bounds.load_window_ms,
                 self._version_over,
+                now_ms,
             )
         desk = duty.desk
         present = {s.life for s in self._daemon.beliefs.book.of_service(duty.service.name)}
--- a/monsoonflow/placement/desk.py
+++ b/monsoonflow/placement/desk.py
@@ -33,7 +33,7 @@
 from .idle import IdlePlaces
 from .kept_copies import KeptCopies
 from .load_limit import LoadLimit
-from .model_loads import ModelLoads
+from .model_loads import LONG_AGO_MS, ModelLoads
 from .returners import Returners
 from .runner_choice import RunnerChoice
 from .seats import RunnerSeats, Seat, SeatState, Step, places
@@ -98,6 +98,7 @@
     :param newest: the newest version by adapter, where the operator named one.
     :param load_window_ms: the window in which loads of base models are counted.
     :param over: tells whether a version may soon begin no more, so that its runners must drop it.
+    :param since_ms: since when this node gives orders to the cell's runners.
     """
 
     def __init__(
@@ -106,6 +107,7 @@
         newest: dict[str, int],
         load_window_ms: int = 5_000,
         over: Callable[[AdapterRef], bool] = lambda ref: False,
+        since_ms: int = LONG_AGO_MS,
     ) -> None:
         self.traits = traits
         self._newest = newest
@@ -120,7 +122,7 @@
         self._loads_by_runner = RunnerLoads()
         self.load_limit = LoadLimit()
         self._ticked_ms = 0
-        self._model_loads = ModelLoads(traits.loads_per_s, load_window_ms)
+        self._model_loads = ModelLoads(traits.loads_per_s, load_window_ms, since_ms)
         self._pace = Pace()
         self._grants = LatelySent(UNREPORTED_MS)
         self._returners = Returners()
--- a/tests/randomised/orders.py
+++ b/tests/randomised/orders.py
@@ -116,7 +116,7 @@
     def _change_holder(self) -> None:
         self.desk.close()
         self.fence += 1
-        self.desk = Desk(self.traits, self.newest, LOAD_WINDOW_MS)
+        self.desk = Desk(self.traits, self.newest, LOAD_WINDOW_MS, since_ms=self.now_ms)
         for life in self.runners:
             self.desk.came(life)
 
