Soak's judge: who can't know of a leave is not bound while the store stands still

By the trace the case is allowed: nodes are held to their bounds when the store has been undisturbed for three seconds. A node that has learnt of a leave is bound all the while; the test has both.

--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -91,6 +91,16 @@
     assert judged(sent(at_ms + 1), servers=[reached(at_ms + 1)], disturbances=harmed)
 
 
+@pytest.mark.parametrize(
+    ("learnt_ms", "excused"), [(None, True), (LEFT_MS + 100, False), (LATE_MS + 100, True)]
+)
+def test_a_store_that_falls_silent_after_the_leave_excuses_who_does_not_know(learnt_ms, excused):
+    harmed = [Disturbance("store", LEFT_MS + 50, LEFT_MS + 4_600)]
+    learnt = [] if learnt_ms is None else [leaves(learnt_ms)]
+    (late,) = judged(*learnt, sent(LATE_MS), disturbances=harmed)
+    assert late.excused is excused
+
+
 @pytest.mark.parametrize(("ended_ms", "excused"), [(CONTACT_MS - 1, True), (CONTACT_MS, False)])
 def test_a_disturbed_node_is_excused_until_its_contact(ended_ms, excused):
     harmed = [Disturbance("node-1", 0, LATE_MS - ended_ms)]
