--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import random
+import signal
 import sys
 import time
 from collections import Counter
@@ -67,6 +68,8 @@
     parser.add_argument("--nodes-of", default=str(ROOT), help="checkout whose code the nodes run")
     parser.add_argument("--folder", default="run/soak", help="takes logs and records")
     given = parser.parse_args()
+    # Told to stop, the run ends its processes first.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     until = time.monotonic() + given.minutes * 60
     seeds = failed = 0
     while seeds < given.count if not given.minutes else time.monotonic() < until:
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -15,7 +15,7 @@
 SECONDS = 12.0
 NODES = 4
 STILL = "server-stands-still"
-"""Left to runs by hand: what lies unread at such a server is read late, and nothing calls it back."""
+"""Left to runs by hand: what lies unread at such a server is read late."""
 
 
 @pytest.mark.parametrize("seed", [1, 2])
