One way to start and end processes, for the demo, the measurements and the soak

script/fleet.py and soak/ each kept processes, their signals and what they wrote. Now script/processes.py does; a process's standard output and standard error go to files of their own everywhere.

--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -270,7 +270,7 @@
     fleet.await_in_force(*names)
     fleet.await_owned()
     time.sleep(10)
-    processes = [fleet.process_by_name[name].pid for name in names]
+    processes = [fleet.pid(name) for name in names]
     before = [seconds_of(pid) for pid in processes]
     counts = fleet.get("table-direct", "/_counts")
     passed, started = forwarder.passed, time.monotonic()
--- a/measure/node.py
+++ b/measure/node.py
@@ -12,7 +12,8 @@
 
 import orjson
 
-from script.fleet import ROOT, Fleet, customer_key
+from script.fleet import Fleet, customer_key
+from script.processes import ROOT
 
 from .capacity import resident_mb, seconds_of
 from .output import show
@@ -53,7 +54,7 @@
         try:
             start(fleet, 38, 400)
             load([fleet.url("n0")], 16, 2, "--tokens", "3")
-            pid = fleet.process_by_name["n0"].pid
+            pid = fleet.pid("n0")
             idle_mb = resident_mb(pid)
             before, began = seconds_of(pid), time.monotonic()
             results = load([fleet.url("n0")], streams, seconds, "--tokens", "150")
--- a/script/fleet.py
+++ b/script/fleet.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import hashlib
-import os
-import signal
-import subprocess
-import sys
 import time
 from pathlib import Path
 from typing import Any
 
 from monsoonflow.helpers.http import Answer, HttpClient
 from script.ports import free_port
+from script.processes import Processes
 
-ROOT = Path(__file__).resolve().parent.parent
+NODE_MODULE = "monsoonflow.cli.main"
 OPERATOR_TOKEN = "operator-token-0123456789"
 NODE_TOKEN = "node-token-0123456789abcd"
 BASE_MODEL = "base-1"
@@ -35,13 +32,12 @@
     """A platform, runners, services and nodes; everything ends with :meth:`close`."""
 
     def __init__(self, logs: Path, loads_per_second: float = 6.0) -> None:
-        self.logs = logs
-        logs.mkdir(parents=True, exist_ok=True)
+        self.processes = Processes(logs)
         self.http = HttpClient(10_000)
         self.loads_per_second = loads_per_second
-        self.process_by_name: dict[str, subprocess.Popen] = {}
         self.address_by_name: dict[str, str] = {}
         self.runners: dict[str, dict[str, Any]] = {}
+        self._node_names: set[str] = set()
 
     def start_platform(self, vm_lag_ms: int = 500) -> None:
         """Start the table service, the object store, the weight store and the VM list."""
@@ -75,6 +71,7 @@
 
     def start_node(self, name: str, data_centre: str = "dc-1", **settings: Any) -> None:
         """Start a node; settings are given as environment variables."""
+        self._node_names.add(name)
         http = f"127.0.0.1:{free_port()}"
         self.address_by_name[name] = http
         given = {
@@ -101,7 +98,7 @@
             f"MONSOONFLOW_{key.upper().replace('-', '_')}": str(value)
             for key, value in given.items()
         }
-        self._spawn(name, [sys.executable, "-m", "monsoonflow.cli.main", "node"], environment)
+        self.processes.start(name, NODE_MODULE, "node", environment=environment)
 
     def await_nodes(self, *names: str) -> None:
         """Wait until nodes take new work and know each other."""
@@ -178,37 +175,30 @@
 
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a process that this fleet started."""
-        self.process_by_name[name].send_signal(number)
+        self.processes.signal(name, number)
 
     def kill(self, name: str) -> None:
         """Kill a process at once."""
-        self.signal(name, signal.SIGKILL)
-        self.process_by_name[name].wait()
+        self.processes.end(name)
 
     def stop(self, name: str, seconds: float = 60) -> int:
         """Stop a process gracefully and return its exit code."""
-        self.signal(name, signal.SIGTERM)
-        return self.process_by_name[name].wait(seconds)
+        return self.processes.stop(name, seconds)
 
     def log(self, name: str) -> str:
         """Return what a process logged."""
-        return (self.logs / f"{name}.log").read_text()
+        return self.processes.errors(name)
+
+    def pid(self, name: str) -> int:
+        """Return a process's number."""
+        return self.processes.by_name[name].pid
 
     def close(self) -> None:
         """End every process that this fleet started."""
-        running = [entry for entry in self.process_by_name.values() if entry.poll() is None]
-        for process in running:
-            process.send_signal(signal.SIGCONT)
-            process.kill()
-        for process in running:
-            process.wait()
+        self.processes.close()
 
     def _nodes(self) -> set[str]:
-        return {
-            name
-            for name, process in self.process_by_name.items()
-            if process.poll() is None and "monsoonflow.cli.main" in process.args
-        }
+        return {name for name in self._node_names if self.processes.runs(name)}
 
     def _knows(self, name: str, count: int) -> bool:
         status = self.status(name)
@@ -217,17 +207,7 @@
     def _stand_in(self, name: str, module: str, *options: str) -> None:
         address = f"127.0.0.1:{free_port()}"
         self.address_by_name[name] = address
-        self._spawn(name, [sys.executable, "-m", module, "--listen", address, *options], {})
-
-    def _spawn(self, name: str, command: list[str], environment: dict[str, str]) -> None:
-        with (self.logs / f"{name}.log").open("ab") as log:
-            self.process_by_name[name] = subprocess.Popen(
-                command,
-                cwd=ROOT,
-                env={**os.environ, **environment},
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+        self.processes.start(name, module, "--listen", address, *options)
 
     def _await(self, name: str, path: str) -> None:
         def answers() -> bool:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,11 +13,12 @@
 
 import attrs
 
+from script.processes import ROOT
+
 from .faults import KINDS, Weather
 from .fleet import Fleet
 from .judge import Late
 from .outcome import answers_of, broken_of, late_of
-from .processes import ROOT
 
 SETTLE_S: Final = 2.0
 """Traffic before the first trouble."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 import orjson
 
 from script.ports import free_port
+from script.processes import ROOT
 from stand_ins.links import Mode
 
 from .const import (
@@ -25,7 +26,7 @@
     USUAL_WORK_MS,
     ZONES,
 )
-from .processes import ROOT, Processes
+from .processes import CommandedProcesses
 
 STORE: Final = "store"
 LINKS: Final = "links"
@@ -72,7 +73,7 @@
     """
 
     def __init__(self, folder: Path, node_root: Path = ROOT) -> None:
-        self.processes = Processes(folder)
+        self.processes = CommandedProcesses(folder)
         self.nodes: list[str] = []
         self.servers: list[str] = []
         self.callers: list[str] = []
@@ -139,7 +140,7 @@
 
     def kill_node(self, node: str) -> None:
         """End a node without a word."""
-        self.processes.end(node, signal.SIGKILL)
+        self.processes.end(node)
 
     def end_node(self, node: str) -> None:
         """Tell a node to stop."""
@@ -147,7 +148,7 @@
 
     def start_again(self, node: str) -> None:
         """Start a node that has ended, or end it first."""
-        self.processes.end(node, signal.SIGKILL)
+        self.processes.end(node)
         path = self._settings_of(node)
         path.write_text(path.read_text().replace("bootstrap = true", "bootstrap = false"))
         self._run_node(node)
--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -17,7 +17,9 @@
     """Return the requests that reached servers too late."""
     processes = fleet.processes
     arrivals = _of(fleet, fleet.service_by_server)
-    logs = [entry for node in fleet.nodes for entry in read(processes.lines(node), node)]
+    logs = [
+        entry for node in fleet.nodes for entry in read(processes.written(node).splitlines(), node)
+    ]
     return late_arrivals(processes.records(STORE), arrivals, logs, disturbances, STORE)
 
 
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -170,7 +170,7 @@
     time.sleep(1.2)
     for name in ("n1", "n2"):
         fleet.signal(name, signal.SIGTERM)
-    codes = [fleet.process_by_name[name].wait(40) for name in ("n1", "n2")]
+    codes = [fleet.processes.by_name[name].wait(40) for name in ("n1", "n2")]
     ended = replies()
     assert codes == [0, 0]
     assert all(reply.done for _, reply in ended), [r for _, r in ended if not r.done]
