A missing entry is doubted from the end of an outage, not from when that is noticed

What callers saw: requests that reach a server whose entry has gone, up to 1.5 s after the nodes are held to their bounds again.

Cause: after an outage a missing entry stays in use for 2.5 s, since entries of living servers are back within two seconds. The time counted from the answer to the question about servers that noticed the return, up to 1.8 s late: a question from before the return is waited for for a second, and a pause of 0.8 s follows; the drop waited for a round of 0.5 s. Class: a bound that counts from when something was noticed.

Change: the time counts from the last question that the store left unanswered; it returned after that. Watches that find the store silent ask in turn, a third of a second apart, and any answer makes those that are lost ask anew. While entries are doubted servers are asked for four times a second, and what stays missing is dropped at that moment and told.

--- a/monsoonflow/discovery/book.py
+++ b/monsoonflow/discovery/book.py
@@ -12,11 +12,6 @@
 from .models import BackendServer, HeldModel
 
 _LOGGER = logging.getLogger(__name__)
-MISSING_GRACE_MS: Final = 2_500
-"""How long after an outage of the store a server whose entry is missing stays in use: entries of
-living servers are back within two seconds; without the wait the end of an outage would leave no
-server at all."""
-
 REMEMBER_GONE_MS: Final = 60_000
 """How long the name of a life that left is kept, so that an old list can't bring it back."""
 
@@ -124,9 +119,16 @@
         for server_id in [known for known in self._life_by_id if known not in present]:
             self.removed(server_id, now_ms)
 
-    def store_returned(self, now_ms: int) -> None:
-        """Note the end of an outage: entries may be missing for a moment."""
-        self._grace_until_ms = now_ms + MISSING_GRACE_MS
+    def doubt_missing_until(self, until_ms: int) -> None:
+        """Note the end of an outage: entries of living servers may be missing for a moment.
+
+        Without the wait the end of an outage would leave no server at all.
+        """
+        self._grace_until_ms = until_ms
+
+    def doubts(self) -> bool:
+        """Tell whether entries are missing of servers that may be back."""
+        return bool(self._doubtful_until_by_life)
 
     def heard_itself(self, life: ServerLife, models: tuple[HeldModel, ...], now_ms: int) -> bool:
         """Take the life that a server names in its own answer; return whether it is the known one.
@@ -153,11 +155,16 @@
             self.version += 1
             log(_LOGGER, events.ServerLeaves(server=life, cause=cause))
 
-    def settle(self, now_ms: int) -> list[ServerLife]:
-        """Drop what stayed missing; return the lives that are gone."""
+    def drop_missing(self, now_ms: int) -> bool:
+        """Drop what stayed missing; return whether anything was dropped."""
         gone = [life for life, until in self._doubtful_until_by_life.items() if now_ms >= until]
         for life in gone:
             self._drop(life, now_ms, "entry still missing")
+        return bool(gone)
+
+    def settle(self, now_ms: int) -> list[ServerLife]:
+        """Drop what stayed missing; return the lives that are gone."""
+        self.drop_missing(now_ms)
         for life, at_ms in list(self._left_at_by_life.items()):
             if now_ms - at_ms > REMEMBER_GONE_MS and life not in self.by_life:
                 del self._left_at_by_life[life]
--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -25,7 +25,7 @@
 from ..routing.routes import RouteTable
 from ..storage.models import ChangedRow, ChangeFeed
 from ..storage.patience import Patience
-from ..storage.watch import CollectionWatch
+from ..storage.watch import LEAST_PATIENCE_MS, SILENT_CYCLE_MS, CollectionWatch
 from .beliefs import LONG_AGO_MS, Beliefs
 
 _LOGGER = logging.getLogger(__name__)
@@ -65,6 +65,15 @@
 """In a larger one so many: all six that watch the store notice its silence, and one machine that is
 cut off from it would cost each of the others two calls."""
 
+MISSING_GRACE_MS = 2_900
+"""How long after the last question that the store left unanswered a missing entry is doubted. The
+store returned after it; entries of living servers are back two seconds after its return, and from
+three seconds after it on a server that is gone must not be used. Counted from when the return was
+noticed, it was used up to 4.5 s after."""
+
+DOUBTED_PAUSE_MS = 250
+"""Pause between questions while entries are doubted: one that is back must be read in time."""
+
 LAPSING_MS = 500
 """An outage that was noticed for less is no reason to doubt that an entry is gone: entries lapse
 after two seconds or more, and a silence is noticed within one and a half."""
@@ -168,6 +177,7 @@
         self._on_news = on_news
         self._on_left = on_left
         self._followed: Followed | None = None
+        self._tasks: Tasks | None = None
         self.watches = True
         self._without_store: set[str] = set()
         self._doubts_from_ms = 0
@@ -191,7 +201,10 @@
                 tasks,
                 self._clock,
                 self._operator,
+                self._answers_again,
+                patience=Patience(LEAST_PATIENCE_MS, SILENT_CYCLE_MS),
                 on_lost=self._doubt,
+                phase_ms=SILENT_CYCLE_MS // 3,
             ),
             CollectionWatch(
                 feed(),
@@ -216,11 +229,15 @@
                 tasks,
                 self._clock,
                 self._own,
-                pause_ms=lambda: self._shared(OWN_PAUSE_MS),
+                self._answers_again,
+                lambda: self._shared(OWN_PAUSE_MS),
+                patience=Patience(LEAST_PATIENCE_MS, SILENT_CYCLE_MS),
                 on_lost=self._doubt,
+                phase_ms=SILENT_CYCLE_MS * 2 // 3,
             ),
         )
         self._followed = followed
+        self._tasks = tasks
         for watch in followed.all():
             tasks.spawn(watch.run)
         return followed
@@ -228,6 +245,10 @@
     def _doubt(self) -> None:
         self._followed.doubt()
 
+    def _answers_again(self) -> None:
+        for watch in self._followed.all():
+            watch.answers_again()
+
     def take_report(self, report: NodeReport) -> None:
         """Take what another node says of the store: one that has lost it makes this one ask.
 
@@ -250,6 +271,8 @@
 
         Who watches follows from who is heard, so that a silent one is replaced without a word.
         """
+        if self._beliefs.book.doubts():
+            return DOUBTED_PAUSE_MS
         now_ms = self._clock.now_ms()
         shared_ms = self._shared(pause_ms)
         # A node is told by a dozen others in each round: unheard for three it relies on nobody,
@@ -352,9 +375,19 @@
             self._on_news()
 
     def _store_returned(self) -> None:
+        unanswered_ms = [watch.unanswered_ms() for watch in self._followed.all()]
+        self._answers_again()
         if self._followed.servers.out_ms < LAPSING_MS:
             return
-        self._beliefs.book.store_returned(self._clock.now_ms())
+        until_ms = max(ms for ms in unanswered_ms if ms is not None) + MISSING_GRACE_MS
+        self._beliefs.book.doubt_missing_until(until_ms)
+        self._tasks.spawn(self._drop_missing, until_ms)
+
+    def _drop_missing(self, until_ms: int) -> None:
+        self._tasks.sleep(max(0, until_ms - self._clock.now_ms()))
+        if self._beliefs.book.drop_missing(self._clock.now_ms()):
+            self._on_news()
+            self._on_left()
 
     def _own(self, row: ChangedRow) -> None:
         if not row.key.startswith(CARD_PREFIX):
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -22,6 +22,13 @@
 """The pause doubles up to this through an outage: all nodes ask, and each refused call costs; news
 after its end comes at most this late, and entries of servers take two seconds to be back."""
 
+SILENT_CYCLE_MS: Final = 1_000
+"""A service that is silent is asked so often by each watch. Watches of different phases ask one
+after the other: the end of the silence lies between two questions."""
+
+LONG_ANSWER_MS: Final = 100
+"""A question that waits for no changes is answered sooner, by a service that is not slow."""
+
 LEAST_PAUSE_MS: Final = 500
 """A poke ends no pause sooner: many servers that come at once are read together."""
 
@@ -41,6 +48,7 @@
     :param wait_ms: how long a question waits for changes.
     :param patience: how much longer than that its answer is waited for.
     :param on_lost: called when a question has found that the service does not answer.
+    :param phase_ms: how long after the first lost answer it is asked again.
     :param on_return: called when the service answers again after an outage, before its rows.
     """
 
@@ -56,6 +64,7 @@
         wait_ms: int = WAIT_MS,
         patience: Patience | None = None,
         on_lost: Callable[[], None] = lambda: None,
+        phase_ms: int = 0,
     ) -> None:
         self._feed = feed
         self._collection = collection
@@ -67,6 +76,7 @@
         self._wait_ms = wait_ms
         self._patience = patience or Patience(LEAST_PATIENCE_MS, CALL_TIMEOUT_MS)
         self._on_lost = on_lost
+        self._phase_ms = phase_ms
         self._waits = False
         self._doubted = False
         self._poked: Flag | None = None
@@ -75,6 +85,8 @@
         self.loaded = False
         self.lost_since_ms: int | None = None
         self.out_ms = 0
+        self._unanswered_ms: int | None = None
+        self._asked_ms: int | None = None
         self._pause_ms = RETRY_PAUSE_MS
         self._answered_ms: int | None = None
         self._gap = True
@@ -91,6 +103,10 @@
     def _rest(self, pause_ms: int) -> None:
         """Let the pause pass; one that was made longer is ended by a poke."""
         self._given_ms = pause_ms
+        if self.lost_since_ms is not None:
+            self._poked.wait(pause_ms)
+            self._poked.clear()
+            return
         self._tasks.sleep(min(pause_ms, LEAST_PAUSE_MS))
         if pause_ms > LEAST_PAUSE_MS:
             self._poked.wait(pause_ms - LEAST_PAUSE_MS)
@@ -112,6 +128,14 @@
         """Return how long ago the service last answered; ``None``: it never has."""
         return None if self._answered_ms is None else self._clock.now_ms() - self._answered_ms
 
+    def unanswered_ms(self) -> int | None:
+        """Return when the last question was asked that got no answer, or none for long."""
+        asked_ms = self._asked_ms
+        if asked_ms is None or self._waits:
+            return self._unanswered_ms
+        long_ago = self._clock.now_ms() - asked_ms >= LONG_ANSWER_MS
+        return asked_ms if long_ago else self._unanswered_ms
+
     def look_again(self) -> None:
         """End a pause that has become too long: this node's part in the asking has grown."""
         if self._between_ms() < self._given_ms:
@@ -132,6 +156,20 @@
             self._doubted = True
             self._feed.hang_up()
 
+    def answers_again(self) -> None:
+        """Take that the service has answered another question: ask anew, if it was lost here.
+
+        A question from before the end of an outage may never be answered, and its end would be
+        noticed one patience and one pause later.
+        """
+        if self.lost_since_ms is None:
+            return
+        if self._asked_ms is not None:
+            self._doubted = True
+            self._feed.hang_up()
+        else:
+            self.poke()
+
     def poke(self) -> None:
         """Ask soon: somebody has told that there is news."""
         if self._poked is not None:
@@ -139,17 +177,20 @@
 
     def step(self) -> int:
         """Ask once; return how long to pause before the next question."""
-        if not self.loaded:
-            return self._take_all(self._feed.read_all(self._collection))
         asked_ms = self._clock.now_ms()
+        if not self.loaded:
+            return self._take_all(self._feed.read_all(self._collection), asked_ms)
         # Of a service that is lost, or may be, there is nothing to wait for but its first word.
         wait_ms = 0 if self._doubted or self.lost_since_ms is not None else self._wait_ms
         self._doubted = False
         patience_ms = self._patience.ms
         self._waits = wait_ms > 0
+        self._asked_ms = asked_ms
         result = self._feed.changes(self._collection, self._version, wait_ms, patience_ms)
-        self._waits = False
+        self._waits, self._asked_ms = False, None
         took_ms = self._clock.now_ms() - asked_ms
+        if wait_ms == 0 and took_ms >= LONG_ANSWER_MS:
+            self._unanswered_ms = asked_ms
         match result:
             case Changes(rows=rows, version=version):
                 self._patience.answered(took_ms)
@@ -172,13 +213,15 @@
                 if unanswered:
                     self._patience.unanswered()
                 first = self.lost_since_ms is None
-                pause_ms = self._unavailable(reason)
-                # One lost answer alone must not make news late: asked again at once.
-                return 0 if first and unanswered else pause_ms
+                pause_ms = self._unavailable(reason, asked_ms)
+                if not unanswered:
+                    return pause_ms
+                # One lost answer alone must not make news late: asked again soon.
+                return self._phase_ms if first else max(0, SILENT_CYCLE_MS - took_ms)
 
-    def _take_all(self, result: Changes | Unavailable) -> int:
+    def _take_all(self, result: Changes | Unavailable, asked_ms: int) -> int:
         if isinstance(result, Unavailable):
-            return self._unavailable(result.reason)
+            return self._unavailable(result.reason, asked_ms)
         if result.version < self._version:
             # After a lost history reads may come from a copy that is seconds behind: taken, it
             # would bring back servers that left and configuration that was replaced.
@@ -224,8 +267,9 @@
         log(_LOGGER, events.StoreReturned(collection=self._collection, after_ms=self.out_ms))
         self._on_return()
 
-    def _unavailable(self, reason: str) -> int:
+    def _unavailable(self, reason: str, asked_ms: int) -> int:
         self._gap = True
+        self._unanswered_ms = asked_ms
         if self.lost_since_ms is None:
             self.lost_since_ms = self._clock.now_ms()
             log(
--- a/tests/discovery/test_book.py
+++ b/tests/discovery/test_book.py
@@ -6,7 +6,7 @@
 import pytest
 
 from monsoonflow.core.server_life import ServerLife
-from monsoonflow.discovery.book import MISSING_GRACE_MS, ServerBook
+from monsoonflow.discovery.book import ServerBook
 from monsoonflow.discovery.models import BackendServer
 
 ONE = BackendServer(ServerLife("i-1"), "s", "10.0.0.1:80", "dc", 4)
@@ -52,18 +52,18 @@
 
     Dropping them at once would leave no server at the very moment the store is back.
     """
-    book.store_returned(1_000)
+    book.doubt_missing_until(3_500)
     book.replace_all([TWO], 1_010)
     assert names(book) == ["i-1", "i-2"]
     book.put(ONE, 2_000)
-    assert book.settle(1_000 + MISSING_GRACE_MS) == []
+    assert book.settle(3_500) == []
     assert names(book) == ["i-1", "i-2"]
 
 
 def test_an_entry_that_stays_missing_is_gone(book):
-    book.store_returned(1_000)
+    book.doubt_missing_until(3_500)
     book.replace_all([TWO], 1_010)
-    assert book.settle(1_000 + MISSING_GRACE_MS) == ["i-1"]
+    assert book.settle(3_500) == ["i-1"]
     assert names(book) == ["i-2"]
 
 
