--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,6 +34,7 @@
     """Troubles as they come.
 
     :param kinds: which of :data:`KINDS` may come; all of them where none is named.
+    :ivar ending: nodes that were told to stop, or killed, and have not started again.
     """
 
     fleet: Fleet
@@ -41,6 +42,7 @@
     kinds: tuple[str, ...] = ()
     disturbances: list[Disturbance] = attrs.Factory(list)
     counts: dict[str, int] = attrs.Factory(dict)
+    ending: set[str] = attrs.Factory(set)
     _ends: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
 
     def blow(self, until: float) -> None:
@@ -159,22 +161,30 @@
 
 
 def _node_killed(weather: Weather) -> None:
-    node = weather.rng.choice(weather.fleet.nodes)
-    for_s = weather.rng.uniform(0.1, 2.0)
-    weather.disturbed(node, for_s + NODE_STARTS_S)
-    weather.fleet.kill_node(node)
-    weather.later(for_s, lambda: weather.fleet.start_again(node))
-    weather.leaves_soon()
+    _node_ends(weather, weather.fleet.kill_node, weather.rng.uniform(0.1, 2.0))
 
 
 def _node_stops(weather: Weather) -> None:
-    node = weather.rng.choice(weather.fleet.nodes)
-    weather.disturbed(node, GRACE_S + NODE_STARTS_S)
-    weather.fleet.end_node(node)
-    weather.later(GRACE_S, lambda: weather.fleet.start_again(node))
+    _node_ends(weather, weather.fleet.end_node, GRACE_S)
+
+
+def _node_ends(weather: Weather, end: Callable[[str], None], again_s: float) -> None:
+    """Let a node end and start again; one that ends already is left alone."""
+    running = [node for node in weather.fleet.nodes if node not in weather.ending]
+    if len(running) > 1:
+        node = weather.rng.choice(running)
+        weather.ending.add(node)
+        weather.disturbed(node, again_s + NODE_STARTS_S)
+        end(node)
+        weather.later(again_s, lambda: _start_again(weather, node))
     weather.leaves_soon()
 
 
+def _start_again(weather: Weather, node: str) -> None:
+    weather.fleet.start_again(node)
+    weather.ending.discard(node)
+
+
 def _server_misbehaves(weather: Weather) -> None:
     """A server fails, sheds, loses answers, or turns slow for a while."""
     server = weather.a_server()
