--- a/tests/entry/test_silent_store.py
+++ b/tests/entry/test_silent_store.py
@@ -80,7 +80,7 @@
 
 @pytest.mark.parametrize("loses", [0, 7])
 def test_a_lost_answer_does_not_keep_an_entry_that_is_gone(loses: int):
-    """After an outage what is missing stays in use for 2.5 s, since entries lapse meanwhile.
+    """After an outage what is missing stays in use for a while, since entries lapse meanwhile.
 
     An outage that was one lost answer lets nothing lapse: who goes without a word is gone then.
     """
