--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,7 @@
 
 from script.processes import ROOT
 
-from .faults import KINDS, Weather
+from .faults import KINDS, FaultInjector
 from .fleet import Fleet
 from .judge import Late
 from .outcome import answers_of, broken_of, late_of
@@ -42,16 +42,16 @@
 def run_seed(seed: int, seconds: float, folder: Path, given: argparse.Namespace) -> Run:
     """Run one seed and judge it."""
     fleet = Fleet(folder, Path(given.nodes_of))
-    weather = Weather(fleet, random.Random(seed), tuple(given.kinds))
+    injector = FaultInjector(fleet, random.Random(seed), tuple(given.kinds))
     try:
         fleet.start(given.nodes, given.plain, given.engines, given.per_s, seed)
         time.sleep(SETTLE_S)
-        weather.blow(time.monotonic() + seconds)
+        injector.inject(time.monotonic() + seconds)
         time.sleep(AFTER_S)
     finally:
         fleet.close()
-    late = late_of(fleet, weather.disturbances)
-    return Run(late, broken_of(fleet), answers_of(fleet), weather.counts)
+    late = late_of(fleet, injector.disturbances)
+    return Run(late, broken_of(fleet), answers_of(fleet), injector.counts)
 
 
 def main() -> int:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,8 +30,8 @@
 
 
 @attrs.define
-class Weather:
-    """Troubles as they come.
+class FaultInjector:
+    """Injects faults as a seed draws them.
 
     :param kinds: which of :data:`KINDS` may come; all of them where none is named.
     :ivar ending: nodes that were told to stop, or killed, and have not started again.
@@ -45,7 +45,7 @@
     ending: set[str] = attrs.Factory(set)
     _ends: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
 
-    def blow(self, until: float) -> None:
+    def inject(self, until: float) -> None:
         """Bring trouble until a moment of the monotonic clock; then end all that goes on."""
         kinds = self.kinds or tuple(KINDS)
         next_at = time.monotonic()
@@ -93,114 +93,116 @@
             end()
 
 
-def _store_connections_silent(weather: Weather) -> None:
-    for node in weather.some_nodes():
-        weather.disturbed(node, 0)
-        weather.fleet.set_link(node, Mode.OLD_SILENT)
-    weather.leaves_soon()
+def _store_connections_silent(injector: FaultInjector) -> None:
+    for node in injector.some_nodes():
+        injector.disturbed(node, 0)
+        injector.fleet.set_link(node, Mode.OLD_SILENT)
+    injector.leaves_soon()
 
 
-def _store_connections_reset(weather: Weather) -> None:
-    for node in weather.some_nodes():
-        weather.disturbed(node, 0)
-        weather.fleet.reset_link(node)
-    weather.leaves_soon()
+def _store_connections_reset(injector: FaultInjector) -> None:
+    for node in injector.some_nodes():
+        injector.disturbed(node, 0)
+        injector.fleet.reset_link(node)
+    injector.leaves_soon()
 
 
-def _store_cut(weather: Weather) -> None:
-    for_s = weather.rng.uniform(0.5, 5.0)
-    mode = weather.rng.choice((Mode.SILENT, Mode.REFUSES))
-    for node in weather.some_nodes():
-        weather.disturbed(node, for_s)
-        weather.fleet.set_link(node, mode)
-        weather.later(for_s, lambda node=node: weather.fleet.set_link(node, Mode.WORKS))
-    weather.later(for_s * weather.rng.uniform(0.2, 1.5), weather.server_leaves)
+def _store_cut(injector: FaultInjector) -> None:
+    for_s = injector.rng.uniform(0.5, 5.0)
+    mode = injector.rng.choice((Mode.SILENT, Mode.REFUSES))
+    for node in injector.some_nodes():
+        injector.disturbed(node, for_s)
+        injector.fleet.set_link(node, mode)
+        injector.later(for_s, lambda node=node: injector.fleet.set_link(node, Mode.WORKS))
+    injector.later(for_s * injector.rng.uniform(0.2, 1.5), injector.server_leaves)
 
 
-def _store_stands_still(weather: Weather) -> None:
-    for_s = weather.rng.uniform(0.3, 5.0)
-    weather.disturbed(STORE, for_s)
-    weather.fleet.stop(STORE)
-    weather.later(for_s, lambda: weather.fleet.go_on(STORE))
-    weather.later(for_s + weather.rng.uniform(0.0, 3.0), weather.server_leaves)
+def _store_stands_still(injector: FaultInjector) -> None:
+    for_s = injector.rng.uniform(0.3, 5.0)
+    injector.disturbed(STORE, for_s)
+    injector.fleet.stop(STORE)
+    injector.later(for_s, lambda: injector.fleet.go_on(STORE))
+    injector.later(for_s + injector.rng.uniform(0.0, 3.0), injector.server_leaves)
 
 
-def _store_forgets(weather: Weather) -> None:
-    weather.fleet.processes.command(STORE, "forget_history")
-    weather.leaves_soon()
+def _store_forgets(injector: FaultInjector) -> None:
+    injector.fleet.processes.command(STORE, "forget_history")
+    injector.leaves_soon()
 
 
-def _server_stands_still(weather: Weather) -> None:
+def _server_stands_still(injector: FaultInjector) -> None:
     """A server stands still, for longer than its entry lasts or for a moment beside its leave."""
-    server = weather.a_server()
-    if weather.rng.random() < 0.5:
-        for_s = LAPSE_S + weather.rng.uniform(1.0, 4.0)
+    server = injector.a_server()
+    if injector.rng.random() < 0.5:
+        for_s = LAPSE_S + injector.rng.uniform(1.0, 4.0)
     else:
-        for_s = weather.rng.uniform(0.3, 3.0)
-        weather.server_leaves(server)
-    weather.disturbed(server, for_s)
-    weather.fleet.stop(server)
-    weather.later(for_s, lambda: weather.fleet.go_on(server))
-
-
-def _server_connections_silent(weather: Weather) -> None:
-    server = weather.a_server()
-    weather.fleet.set_link(server, weather.rng.choice((Mode.OLD_SILENT, Mode.SILENT)))
-    weather.later(weather.rng.uniform(0.5, 3.0), lambda: weather.fleet.set_link(server, Mode.WORKS))
-    if weather.rng.random() < 0.5:
-        weather.server_leaves(server)
+        for_s = injector.rng.uniform(0.3, 3.0)
+        injector.server_leaves(server)
+    injector.disturbed(server, for_s)
+    injector.fleet.stop(server)
+    injector.later(for_s, lambda: injector.fleet.go_on(server))
+
+
+def _server_connections_silent(injector: FaultInjector) -> None:
+    server = injector.a_server()
+    injector.fleet.set_link(server, injector.rng.choice((Mode.OLD_SILENT, Mode.SILENT)))
+    injector.later(
+        injector.rng.uniform(0.5, 3.0), lambda: injector.fleet.set_link(server, Mode.WORKS)
+    )
+    if injector.rng.random() < 0.5:
+        injector.server_leaves(server)
 
 
-def _node_stands_still(weather: Weather) -> None:
-    for_s = weather.rng.uniform(0.3, 3.0)
-    node = weather.rng.choice(weather.fleet.nodes)
-    weather.disturbed(node, for_s)
-    weather.fleet.stop(node)
-    weather.later(for_s, lambda: weather.fleet.go_on(node))
-    weather.leaves_soon()
+def _node_stands_still(injector: FaultInjector) -> None:
+    for_s = injector.rng.uniform(0.3, 3.0)
+    node = injector.rng.choice(injector.fleet.nodes)
+    injector.disturbed(node, for_s)
+    injector.fleet.stop(node)
+    injector.later(for_s, lambda: injector.fleet.go_on(node))
+    injector.leaves_soon()
 
 
-def _node_killed(weather: Weather) -> None:
-    _node_ends(weather, weather.fleet.kill_node, weather.rng.uniform(0.1, 2.0))
+def _node_killed(injector: FaultInjector) -> None:
+    _node_ends(injector, injector.fleet.kill_node, injector.rng.uniform(0.1, 2.0))
 
 
-def _node_stops(weather: Weather) -> None:
-    _node_ends(weather, weather.fleet.end_node, GRACE_S)
+def _node_stops(injector: FaultInjector) -> None:
+    _node_ends(injector, injector.fleet.end_node, GRACE_S)
 
 
-def _node_ends(weather: Weather, end: Callable[[str], None], again_s: float) -> None:
+def _node_ends(injector: FaultInjector, end: Callable[[str], None], again_s: float) -> None:
     """Let a node end and start again; one that ends already is left alone."""
-    running = [node for node in weather.fleet.nodes if node not in weather.ending]
+    running = [node for node in injector.fleet.nodes if node not in injector.ending]
     if len(running) > 1:
-        node = weather.rng.choice(running)
-        weather.ending.add(node)
-        weather.disturbed(node, again_s + NODE_STARTS_S)
+        node = injector.rng.choice(running)
+        injector.ending.add(node)
+        injector.disturbed(node, again_s + NODE_STARTS_S)
         end(node)
-        weather.later(again_s, lambda: _start_again(weather, node))
-    weather.leaves_soon()
+        injector.later(again_s, lambda: _start_again(injector, node))
+    injector.leaves_soon()
 
 
-def _start_again(weather: Weather, node: str) -> None:
-    weather.fleet.start_again(node)
-    weather.ending.discard(node)
+def _start_again(injector: FaultInjector, node: str) -> None:
+    injector.fleet.start_again(node)
+    injector.ending.discard(node)
 
 
-def _server_misbehaves(weather: Weather) -> None:
+def _server_misbehaves(injector: FaultInjector) -> None:
     """A server fails, sheds, loses answers, or turns slow for a while."""
-    server = weather.a_server()
-    fault = weather.rng.choice(("fail", "shed", "lose", "slow_ms"))
-    weather.fleet.misbehave(server, **{fault: weather.rng.choice((10, 40, 300))})
-    weather.later(
-        weather.rng.uniform(1.0, 4.0),
-        lambda: weather.fleet.misbehave(server, fail=0, shed=0, lose=0, slow_ms=USUAL_WORK_MS),
+    server = injector.a_server()
+    fault = injector.rng.choice(("fail", "shed", "lose", "slow_ms"))
+    injector.fleet.misbehave(server, **{fault: injector.rng.choice((10, 40, 300))})
+    injector.later(
+        injector.rng.uniform(1.0, 4.0),
+        lambda: injector.fleet.misbehave(server, fail=0, shed=0, lose=0, slow_ms=USUAL_WORK_MS),
     )
 
 
-def _leaves(weather: Weather) -> None:
-    weather.server_leaves()
+def _leaves(injector: FaultInjector) -> None:
+    injector.server_leaves()
 
 
-KINDS: Final[dict[str, Callable[[Weather], None]]] = {
+KINDS: Final[dict[str, Callable[[FaultInjector], None]]] = {
     "leaves": _leaves,
     "store-connections-silent": _store_connections_silent,
     "store-connections-reset": _store_connections_reset,
--- a/stand_ins/callers.py
+++ b/stand_ins/callers.py
@@ -18,7 +18,7 @@
 from stand_ins.commands import follow, record  # noqa: E402
 
 RESOLVE_TIMEOUT_MS: Final = 1_000
-OFTEN_FULL_S: Final = 0.3
+RESOLVE_AGAIN_S: Final = 0.3
 
 
 class Callers:
@@ -90,7 +90,7 @@
         return self._rng.choice(self._addresses) if self._addresses else None
 
     def _resolve(self) -> None:
-        self._asked_at, self._ttl_s = time.monotonic(), OFTEN_FULL_S
+        self._asked_at, self._ttl_s = time.monotonic(), RESOLVE_AGAIN_S
         for directory in self._rng.sample(self._directories, min(3, len(self._directories))):
             target = f"/v1/resolve?name={self._host}&region=r&zone={self._zone}"
             answer = call(self._pools, directory, "GET", target, b"", RESOLVE_TIMEOUT_MS)
--- a/stand_ins/links.py
+++ b/stand_ins/links.py
@@ -35,7 +35,7 @@
 
 
 @attrs.define(eq=False)
-class Passage:
+class ForwardedConnection:
     """One connection through a link."""
 
     caller: socket.socket
@@ -56,7 +56,7 @@
     def __init__(self, listen: str, target: str) -> None:
         self._target = target
         self._mode = Mode.WORKS
-        self._passages: set[Passage] = set()
+        self._connections: set[ForwardedConnection] = set()
         host, _, port = listen.rpartition(":")
         listener = socket.socket()
         listener.setsockopt(native.SOL_SOCKET, native.SO_REUSEADDR, 1)
@@ -67,17 +67,17 @@
     def set(self, mode: Mode) -> None:
         """Change what the link does."""
         self._mode = Mode.WORKS if mode is Mode.OLD_SILENT else mode
-        for passage in list(self._passages):
+        for connection in list(self._connections):
             match mode:
                 case Mode.OLD_SILENT | Mode.SILENT:
-                    passage.silent = True
+                    connection.silent = True
                 case Mode.REFUSES:
-                    passage.close(reset=True)
+                    connection.close(reset=True)
 
     def reset(self) -> None:
         """Reset what is open; new connections work."""
-        for passage in list(self._passages):
-            passage.close(reset=True)
+        for connection in list(self._connections):
+            connection.close(reset=True)
 
     def _accept(self, caller: socket.socket, _: object) -> None:
         if self._mode is Mode.REFUSES:
@@ -93,25 +93,27 @@
             return
         for sock in (caller, server):
             sock.setsockopt(native.IPPROTO_TCP, native.TCP_NODELAY, 1)
-        passage = Passage(caller, server, self._mode is Mode.SILENT)
-        self._passages.add(passage)
+        connection = ForwardedConnection(caller, server, self._mode is Mode.SILENT)
+        self._connections.add(connection)
         pumps = [
-            gevent.spawn(self._pump, passage, caller, server),
-            gevent.spawn(self._pump, passage, server, caller),
+            gevent.spawn(self._pump, connection, caller, server),
+            gevent.spawn(self._pump, connection, server, caller),
         ]
         gevent.joinall(pumps)
-        self._passages.discard(passage)
-        passage.close(reset=False)
+        self._connections.discard(connection)
+        connection.close(reset=False)
 
-    def _pump(self, passage: Passage, source: socket.socket, sink: socket.socket) -> None:
+    def _pump(
+        self, connection: ForwardedConnection, source: socket.socket, sink: socket.socket
+    ) -> None:
         try:
             while data := source.recv(READ_BYTES):
-                if not passage.silent:
+                if not connection.silent:
                     sink.sendall(data)
-            if not passage.silent:
+            if not connection.silent:
                 sink.shutdown(native.SHUT_WR)
         except OSError:
-            passage.close(reset=False)
+            connection.close(reset=False)
 
 
 def main() -> None:
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from soak.faults import KINDS, Weather
+from soak.faults import KINDS, FaultInjector
 from soak.fleet import Fleet
 from soak.outcome import answers_of, broken_of, late_of
 
@@ -23,14 +23,14 @@
     """Guards against promises that hold only in virtual time."""
     fleet = Fleet(tmp_path)
     kinds = tuple(kind for kind in KINDS if kind != STILL)
-    weather = Weather(fleet, random.Random(seed), kinds)
+    injector = FaultInjector(fleet, random.Random(seed), kinds)
     try:
         fleet.start(NODES, plain=3, engines=3, per_s=40.0, seed=seed)
-        weather.blow(time.monotonic() + SECONDS)
+        injector.inject(time.monotonic() + SECONDS)
         time.sleep(2.0)
     finally:
         fleet.close()
-    late = [found.line() for found in late_of(fleet, weather.disturbances) if not found.excused]
+    late = [found.line() for found in late_of(fleet, injector.disturbances) if not found.excused]
     assert not late
     assert not broken_of(fleet)
     assert answers_of(fleet)[200] > SECONDS * 40 / 4
