--- a/monsoonflow/entry/following.py
+++ b/monsoonflow/entry/following.py
@@ -68,8 +68,8 @@
 MISSING_GRACE_MS = 2_900
 """How long after the last question that the store left unanswered a missing entry is doubted. The
 store returned after it; entries of living servers are back two seconds after its return, and from
-three seconds after it on a server that is gone must not be used. Counted from when the return was
-noticed, it was used up to 4.5 s after."""
+three seconds after it on a server that is gone must not be used. Counted from when the return is
+noticed, it would be used for up to two seconds more."""
 
 DOUBTED_PAUSE_MS = 250
 """Pause between questions while entries are doubted: one that is back must be read in time."""
