--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -20,6 +20,7 @@
 from ..fleet.view import FleetView
 from ..gateway.backlog import Backlog
 from ..gateway.budget import SharedRetryBudget
+from ..gateway.configuration_status import ConfigurationStatus
 from ..gateway.handler import Gateway
 from ..gateway.models import Dialect
 from ..gateway.plain_server_chooser import PlainServerChooser
@@ -372,6 +373,20 @@
             else 0
         )
 
+    def configuration_status(self) -> ConfigurationStatus:
+        """Return how current the configuration in force is."""
+        watches, own_version = self.store_watches, self.config_version()
+        is_current = (
+            watches is not None
+            and watches.operator.is_loaded
+            and watches.reaches_store()
+            and not any(
+                heartbeat.config_version > own_version
+                for heartbeat in self.view.heartbeats(self.clock.now_ms())
+            )
+        )
+        return ConfigurationStatus(is_current, self._answer_age_ms("operator"))
+
     def _handle_adapter_use_change(self) -> None:
         """Notify the lease holders soon: others need a slot that is no longer in use."""
         if self.cell_leases.holds_all():
@@ -420,6 +435,7 @@
             engine_chooser,
             self.rng,
             RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers")),
+            self.configuration_status,
         )
         self.address_directory = AddressDirectory(
             self.view,
--- a/monsoonflow/entry/metrics.py
+++ b/monsoonflow/entry/metrics.py
@@ -69,6 +69,9 @@
             "order_seconds", "Time of an order's answer.", ORDER_BUCKETS_S
         )
         self.attempts = self._counter("tries", "Tries of requests at servers by result.", "result")
+        self.unauthorized = self._counter(
+            "unauthorized", "Requests refused for their API key.", "reason"
+        )
         self.retries = self._counter(
             "retries",
             "Further tries wanted, by whether the budget allowed them.",
@@ -97,6 +100,10 @@
         """Count an attempt at a server."""
         self.attempts.labels(result).inc()
 
+    def count_unauthorized(self, reason: str) -> None:
+        """Count a request that was refused for its key."""
+        self.unauthorized.labels(reason).inc()
+
     def count_retry(self, allowed: bool) -> None:
         """Count a wanted retry."""
         self.retries.labels("yes" if allowed else "no").inc()
--- a/monsoonflow/entry/placement_client.py
+++ b/monsoonflow/entry/placement_client.py
@@ -239,7 +239,7 @@
         prefill_within_ms = None if job.is_resuming() else Backlog.max_queue_ms(job, now_ms)
         answer_ms = self._daemon.gateway.first_event_estimator.expected_ms(call.prompt_tokens)
         on_time_ms = job.objective_deadline_ms() - answer_ms - now_ms
-        priority = route.priority
+        priority = job.priority
         if job.is_resuming():
             # Half an answer is worth nothing: a request that has received a part of it goes before
             # all others.
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -10,6 +10,7 @@
 from ..quarantine.fingerprint import fingerprint
 from ..quarantine.models import Turn
 from ..routing.caller_timeouts import TypicalCallerTimeouts
+from ..routing.customers import Unauthorized
 from ..routing.first_event import FirstEventEstimator
 from ..routing.in_flight import InFlight, Ticket
 from ..routing.routes import Route, RouteKind, RouteTable, Service
@@ -18,6 +19,7 @@
 from ..transport.server import Reply
 from .attempt import NOT_RUN_STATUSES, Attempt
 from .backlog import Backlog
+from .configuration_status import ConfigurationStatus
 from .event_splitter import EventSplitter
 from .job import Job
 from .models import (
@@ -65,6 +67,7 @@
     :param route_table: returns the configuration in force, or ``None`` while there is none.
     :param plain_chooser: chooses servers of plain services.
     :param runner_chooser: chooses model runners.
+    :param configuration_status: returns how current the configuration in force is.
     """
 
     def __init__(
@@ -81,6 +84,9 @@
         runner_chooser: ServerChooser,
         rng: random.Random,
         request_log: RequestLog,
+        configuration_status: Callable[[], ConfigurationStatus] = lambda: ConfigurationStatus(
+            True, None
+        ),
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -94,6 +100,7 @@
         self._runner_chooser = runner_chooser
         self._rng = rng
         self._request_log = request_log
+        self._configuration_status = configuration_status
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
@@ -119,11 +126,18 @@
         if route is None:
             self._send_own_answer(reply, call, 404, "no route")
             return
+        identity = route_table.identify(route, call.api_key)
+        if isinstance(identity, Unauthorized):
+            self._refuse_unauthorized(reply, call, route, identity, route_table.version)
+            return
         service = route_table.service_by_name.get(route.choose_service(self._rng))
         if service is None:
             self._send_own_answer(reply, call, 503, "unknown service", NOT_READY_RETRY_AFTER_MS)
             return
         job = self._create_job(request, call, route, service)
+        if identity is not None:
+            job.identity = identity
+            job.priority = route_table.priority_of(route, identity.customer)
         self._request_log.log_accepted(job, route_table.version)
         self._retry_budget.record_request(service.name)
         try:
@@ -136,6 +150,22 @@
             if job.has_reserved_retry:
                 self._retry_budget.release_retry(service.name)
 
+    def _refuse_unauthorized(
+        self, reply: Reply, call: Call, route: Route, cause: Unauthorized, config_version: int
+    ) -> None:
+        """Refuse a request without a valid key.
+
+        Callers do not retry after 401, so a node that may lack the newest keys answers 503.
+        """
+        status = self._configuration_status()
+        if status.is_current:
+            self._send_own_answer(reply, call, 401, cause.reason)
+        else:
+            self._send_own_answer(
+                reply, call, 503, "keys may be out of date", NOT_READY_RETRY_AFTER_MS
+            )
+        self._request_log.log_unauthorized(call, route, cause.reason, config_version, status)
+
     def _create_job(self, request: Request, call: Call, route: Route, service: Service) -> Job:
         caller_timeout_ms = call.deadline_ms if call.deadline_ms is not None else route.timeout_ms
         caller_deadline_ms = request.arrived_ms + caller_timeout_ms
@@ -317,6 +347,7 @@
             rank=job.rank_at(now_ms) if is_runner else None,
             expect_version=chosen.expect_version,
             last_event_id=last_event_id,
+            identity=job.identity,
         )
 
     def _handle_result(
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..routing.budget import Headroom
+from ..routing.customers import Identity
 from ..routing.routes import Route, Service
 from ..transport.models import Request
 from .event_splitter import EventSplitter
@@ -36,6 +37,8 @@
     :param answer_deadline_ms: when this node must have answered.
     :param caller_deadline_ms: when the caller's own deadline ends.
     :param fingerprint: identical for all requests with the same content.
+    :param priority: of the customer and the route; 0 is the most urgent.
+    :param identity: whose request it is; ``None`` in a configuration without customers.
     :param tried_lives: the servers that it was sent to, in order.
     :param avoided_lives: the servers that refused it, broke off or could not be reached.
     :param possible_runs: the number of attempts that may have run on a server.
@@ -58,6 +61,10 @@
     answer_deadline_ms: int
     caller_deadline_ms: int
     fingerprint: str = ""
+    priority: int = attrs.field(
+        default=attrs.Factory(lambda job: job.route.priority, takes_self=True)
+    )
+    identity: Identity | None = None
     tried_lives: list[str] = attrs.Factory(list)
     avoided_lives: list[str] = attrs.Factory(list)
     possible_runs: int = 0
@@ -69,6 +76,12 @@
     has_reserved_retry: bool = False
     first_event_ms: int | None = None
 
+    @property
+    def customer_name(self) -> str | None:
+        """Return the name of the customer, if the request carried a key."""
+        has_customer = self.identity is not None and self.identity.customer is not None
+        return self.identity.customer.name if has_customer else None
+
     @property
     def may_have_run(self) -> bool:
         """Return whether an attempt may have run on a server."""
@@ -106,7 +119,7 @@
         if self.is_resuming():
             return 0
         is_late = now_ms > self.objective_deadline_ms()
-        return min(self.route.priority + (LATE_RANK_PENALTY if is_late else 0), MAX_RANK)
+        return min(self.priority + (LATE_RANK_PENALTY if is_late else 0), MAX_RANK)
 
     def is_resuming(self) -> bool:
         """Return whether parts of the answer have been forwarded to the caller."""
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..core.server_life import ServerLife
+from ..routing.customers import Identity
 from ..transport.models import AnswerHead, Header, Request
 
 
@@ -24,6 +25,7 @@
     :param length_hint: the caller's estimate of the number of generated tokens.
     :param session: identifies the last shared part of the prompt.
     :param last_event_id: the event after which a stream is resumed.
+    :param api_key: identifies the customer; must not be logged.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     length_hint: int | None = None
     session: str | None = None
     last_event_id: bytes | None = None
+    api_key: str | None = attrs.field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +59,7 @@
         services.
     :param expect_version: the adapter version that must answer.
     :param last_event_id: the event after which a stream is resumed.
+    :param identity: whose request it is; ``None`` in a configuration without customers.
     """
 
     remaining_ms: int
@@ -63,6 +67,7 @@
     rank: int | None = None
     expect_version: int | None = None
     last_event_id: bytes | None = None
+    identity: Identity | None = None
 
 
 @attrs.frozen(slots=True)
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -9,10 +9,11 @@
 from ..core.clock import Clock
 from ..logs import events, log
 from ..logs.sampling import Sampler
-from ..routing.routes import RouteKind
+from ..routing.routes import Route, RouteKind
 from ..transport.server import Reply
+from .configuration_status import ConfigurationStatus
 from .job import Job
-from .models import AttemptResult, Chosen, ForwardedRequest
+from .models import AttemptResult, Call, Chosen, ForwardedRequest
 
 _LOGGER = logging.getLogger(__name__)
 SAMPLED_OUTCOMES: Final = frozenset({"refused"})
@@ -35,6 +36,9 @@
     ) -> None:
         """Count a request that has ended."""
 
+    def count_unauthorized(self, reason: str) -> None:
+        """Count a request that was refused for its key."""
+
     def count_attempt(self, result: str) -> None:
         """Count an attempt at a server by its result."""
 
@@ -63,6 +67,30 @@
         self._servers_age_ms = servers_age_ms
         self._sampler = Sampler()
 
+    def log_unauthorized(
+        self,
+        call: Call,
+        route: Route,
+        reason: str,
+        config_version: int,
+        status: ConfigurationStatus,
+    ) -> None:
+        """Log and count that a request was refused for its key."""
+        self._metrics.count_unauthorized(reason)
+        if not self._sampler.allows("unauthorized", reason, self._clock.now_ms()):
+            return
+        log(
+            _LOGGER,
+            events.RequestUnauthorized(
+                request=call.request_id,
+                route=route.name,
+                cause=reason,
+                config=config_version,
+                config_age_ms=status.age_ms,
+                is_final=status.is_current,
+            ),
+        )
+
     def log_accepted(self, job: Job, config_version: int) -> None:
         """Log that a request was accepted for a route."""
         call, route = job.call, job.route
@@ -74,11 +102,12 @@
                 service=job.service.name,
                 adapter=call.adapter,
                 config=config_version,
-                priority=route.priority,
+                priority=job.priority,
                 deadline_ms=call.deadline_ms,
                 left_ms=job.answer_deadline_ms - self._clock.now_ms(),
                 tried_before_ms=job.request.arrived_ms - job.first_tried_ms,
                 fingerprint=job.fingerprint,
+                customer=job.customer_name,
             ),
         )
 
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -19,6 +19,21 @@
     left_ms: int
     tried_before_ms: int = 0
     fingerprint: str | None = None
+    customer: str | None = None
+
+
+@event
+class RequestUnauthorized(Event):
+    """A request carried no valid API key; ``is_final``: the caller was told not to retry."""
+
+    # ``config_age_ms`` is the time since the store last confirmed the configuration.
+
+    request: str
+    route: str
+    cause: str
+    config: int
+    config_age_ms: int | None
+    is_final: bool
 
 
 @event
--- a/monsoonflow/platform/configuration.py
+++ b/monsoonflow/platform/configuration.py
@@ -6,6 +6,7 @@
 
 from ..core.adapter import AdapterRef
 from ..helpers.strict import read
+from ..routing.customers import Customer, Quota, index_keys
 from ..routing.routes import (
     BaseModel,
     EngineTraits,
@@ -19,6 +20,7 @@
 from .schema import (
     AdapterVersionFields,
     ConfigurationFields,
+    CustomerFields,
     EngineFields,
     LimitFields,
     RouteFields,
@@ -32,14 +34,20 @@
 
 
 def decode_route_table(body: bytes) -> RouteTable | str:
-    """Return the routes, services and limits, or why the configuration is invalid."""
+    """Return the routes, services, limits and customers, or why the configuration is invalid.
+
+    One invalid customer makes the whole configuration invalid, so the last valid one stays in
+    force: without that customer, its requests would be refused for good.
+    """
     fields = read(body, ConfigurationFields)
     if isinstance(fields, str):
         return fields
     try:
         routes = [_to_route(route) for route in fields.routes]
         services = [_to_service(service) for service in fields.services]
-        return RouteTable.build(fields.version, routes, services, _to_message_limits(fields.limits))
+        limits = _to_message_limits(fields.limits)
+        keys = None if fields.tenants is None else _index_customers(fields.tenants)
+        return RouteTable.build(fields.version, routes, services, limits, keys)
     except ValueError as error:
         return str(error)
 
@@ -77,6 +85,7 @@
         max_attempts=max(1, fields.attempts),
         priority=fields.priority,
         is_resumable=fields.resumable,
+        is_public=fields.public,
     )
 
 
@@ -85,6 +94,20 @@
     return max(MIN_FIRST_EVENT_TIMEOUT_MS, 4 * objective_ms, 8 * max_event_gap_ms)
 
 
+def _index_customers(rows: list[CustomerFields]) -> dict[str, Customer]:
+    return index_keys([(_to_customer(fields), fields.api_keys) for fields in rows])
+
+
+def _to_customer(fields: CustomerFields) -> Customer:
+    quota = Quota(
+        rate_per_s=fields.rate_per_s,
+        burst=fields.burst,
+        counts_tokens=fields.billing_unit == "token_stream",
+        plain_cost=fields.plain_tokens,
+    )
+    return Customer(fields.name, fields.priority, quota if quota.rate_per_s > 0 else None)
+
+
 def _to_service(fields: ServiceFields) -> Service:
     engine_fields = fields.engine_kind
     return Service(
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -17,6 +17,10 @@
 LAST_EVENT_ID_HEADER: Final = b"last-event-id"
 SIGNATURE_HEADER: Final = b"x-server-signature"
 NOT_EXECUTED_HEADER: Final = b"x-not-executed"
+AUTHORIZATION_HEADER: Final = b"authorization"
+CUSTOMER_HEADER: Final = b"x-tenant"
+KEY_SCHEME: Final = b"Bearer "
+MAX_TOKEN_DIGITS: Final = 9
 
 NODE_SET_HEADERS: Final = frozenset(
     {
@@ -35,6 +39,10 @@
 )
 """Dropped from callers' requests: they are orders to a server, or are set for each attempt."""
 
+IDENTITY_HEADERS: Final = frozenset({AUTHORIZATION_HEADER, CUSTOMER_HEADER})
+"""Dropped in addition in a configuration with customers: servers must not receive keys, and the
+customer's name is set by the node."""
+
 REQUIRED_HEADERS: Final = frozenset(
     {
         b"host",
@@ -67,7 +75,8 @@
             key = name.lower()
             if key in value_by_name and key in SINGLE_VALUE_HEADERS:
                 return Malformed(f"duplicate header: {key.decode()}")
-            value_by_name[key] = value
+            is_second_key = key == AUTHORIZATION_HEADER and key in value_by_name
+            value_by_name[key] = b"" if is_second_key else value
         if not value_by_name.get(REQUEST_ID_HEADER):
             return Malformed("missing header: x-request-id")
         try:
@@ -77,8 +86,8 @@
 
     def _decode_call(self, request: Request, value_by_name: dict[bytes, bytes]) -> Call:
         model, _, adapter = value_by_name.get(MODEL_HEADER, b"").decode("ascii").partition("/")
-        prompt_tokens, _, max_output_tokens = (
-            value_by_name.get(TOKEN_COUNT_HEADER, b"0,0").decode("ascii").partition(",")
+        prompt_tokens, _, max_output_tokens = value_by_name.get(TOKEN_COUNT_HEADER, b"").partition(
+            b","
         )
         deadline_ms = value_by_name.get(DEADLINE_HEADER)
         length_hint = value_by_name.get(LENGTH_HINT_HEADER)
@@ -92,11 +101,12 @@
             deadline_ms=None if deadline_ms is None else max(0, int(float(deadline_ms))),
             model=model or None,
             adapter=f"{model}/{adapter}" if adapter else None,
-            prompt_tokens=int(prompt_tokens or 0),
-            max_output_tokens=int(max_output_tokens or 0),
+            prompt_tokens=_parse_token_count(prompt_tokens),
+            max_output_tokens=_parse_token_count(max_output_tokens),
             length_hint=int(float(length_hint)) if length_hint else None,
             session=last_prefix.decode("latin-1").strip() or None,
             last_event_id=value_by_name.get(LAST_EVENT_ID_HEADER),
+            api_key=_parse_api_key(value_by_name.get(AUTHORIZATION_HEADER, b"")),
         )
 
     def forwarded_head(self, request: Request, forwarded: ForwardedRequest) -> bytes:
@@ -105,6 +115,9 @@
         It holds the caller's headers, except those that must not be forwarded, and this node's.
         """
         dropped_names = self._dropped_names(request.headers)
+        identity = forwarded.identity
+        if identity is not None:
+            dropped_names |= IDENTITY_HEADERS
         lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
         lines += [
             b"%s: %s" % (name, value)
@@ -115,6 +128,8 @@
             lines.append(b"Content-Length: %d" % len(request.body))
         lines.append(b"X-Deadline-Ms: %d" % forwarded.remaining_ms)
         lines.append(b"X-Expect-Instance: %s" % forwarded.life.server_id.encode("latin-1"))
+        if identity is not None and identity.customer is not None:
+            lines.append(b"X-Tenant: " + identity.customer.name.encode("latin-1"))
         if forwarded.rank is not None:
             lines.append(b"X-Request-Priority: %d" % forwarded.rank)
         if forwarded.expect_version is not None:
@@ -158,6 +173,26 @@
         return HOP_BY_HOP_HEADERS | NODE_SET_HEADERS | (listed_names - REQUIRED_HEADERS)
 
 
+def _parse_token_count(value: bytes) -> int:
+    """Return a number of tokens; 0 if it is not stated.
+
+    :raises ValueError: if it is not a plain decimal number.
+    """
+    digits = value.strip()
+    if not digits:
+        return 0
+    if not digits.isdigit() or len(digits) > MAX_TOKEN_DIGITS:
+        raise ValueError("x-token-count")
+    return int(digits)
+
+
+def _parse_api_key(value: bytes) -> str | None:
+    """Return the key that a header carries; ``None`` if it carries none in the expected form."""
+    if not value.startswith(KEY_SCHEME) or not value.isascii():
+        return None
+    return value.removeprefix(KEY_SCHEME).decode("ascii")
+
+
 def _parse_retry_after_ms(value: bytes | None) -> int | None:
     try:
         return None if value is None else max(0, round(float(value) * 1000))
--- a/monsoonflow/platform/schema.py
+++ b/monsoonflow/platform/schema.py
@@ -99,6 +99,7 @@
     :param attempts: the most servers that a request may be sent to.
     :param priority: 0 is the most urgent.
     :param resumable: whether an interrupted stream can be resumed at another server.
+    :param public: whether a request needs no key.
     """
 
     host: NonEmptyText
@@ -113,6 +114,7 @@
     attempts: Count = 1
     priority: int = 0
     resumable: bool = False
+    public: bool = False
 
 
 class BaseModelFields(Struct, rename="camel"):
@@ -164,10 +166,28 @@
     idle_timeout_ms: PositiveCount | None = None
 
 
+class CustomerFields(Struct, rename="camel"):
+    """A customer.
+
+    :param billing_unit: what its quota counts.
+    :param rate_per_s: units per second; 0 is no limit.
+    :param plain_tokens: units of a request that states no number of tokens.
+    """
+
+    name: NonEmptyText
+    api_keys: list[NonEmptyText] = []
+    priority: Count = 0
+    billing_unit: Literal["", "request", "token_stream"] = ""
+    plain_tokens: PositiveCount = 1
+    rate_per_s: NonNegativeNumber = 0.0
+    burst: NonNegativeNumber = 0.0
+
+
 class ConfigurationFields(Struct):
-    """The operator's whole configuration."""
+    """The operator's whole configuration; ``tenants`` are its customers."""
 
     version: Count
     routes: list[RouteFields]
     services: list[ServiceFields]
     limits: LimitFields | None = None
+    tenants: list[CustomerFields] | None = None
--- a/monsoonflow/routing/routes.py
+++ b/monsoonflow/routing/routes.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..transport.models import MessageLimits
+from .customers import Customer, Identity, Quota, Unauthorized
 
 
 class RouteKind(enum.Enum):
@@ -38,6 +39,7 @@
     :param is_resumable: whether a broken stream may be continued at another server.
     :param first_event_timeout_ms: how long callers of a stream wait for its first event; ``None``
         if unknown.
+    :param is_public: whether it may be used without an API key.
     """
 
     name: str
@@ -52,6 +54,7 @@
     priority: int = 0
     is_resumable: bool = False
     first_event_timeout_ms: int | None = None
+    is_public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -128,7 +131,11 @@
 
 @attrs.frozen(slots=True)
 class RouteTable:
-    """One version of the configured routes and services.
+    """One version of the configured routes, services and customers.
+
+    :param customer_by_key: the customer of each API key; ``None`` if requests carry no keys.
+    :param quota_by_customer: the quotas of the customers that have one, by name.
+    :param rank_offset_by_priority: what is added to a route's priority for a customer's priority.
 
     >>> route = Route("r", "h", "/a/", RouteKind.IDEMPOTENT, (Target("s", 1),))
     >>> deeper = Route("d", "h", "/a/b/", RouteKind.IDEMPOTENT, (Target("s", 1),))
@@ -141,10 +148,18 @@
     routes_by_host: dict[str, tuple[Route, ...]]
     service_by_name: dict[str, Service]
     limits: MessageLimits
+    customer_by_key: dict[str, Customer] | None = attrs.field(default=None, repr=False)
+    rank_offset_by_priority: dict[int, int] = attrs.Factory(dict)
+    quota_by_customer: dict[str, Quota] = attrs.Factory(dict)
 
     @classmethod
     def build(
-        cls, version: int, routes: list[Route], services: list[Service], limits: MessageLimits
+        cls,
+        version: int,
+        routes: list[Route],
+        services: list[Service],
+        limits: MessageLimits,
+        customer_by_key: dict[str, Customer] | None = None,
     ) -> RouteTable:
         """Return a table with the routes of each host sorted for lookup, longest prefix first."""
         routes_by_host: dict[str, list[Route]] = {}
@@ -154,7 +169,18 @@
             host: tuple(sorted(of_host, key=lambda route: -len(route.prefix)))
             for host, of_host in routes_by_host.items()
         }
-        return cls(version, sorted_by_host, {service.name: service for service in services}, limits)
+        route_levels = 1 + max([route.priority for route in routes], default=0)
+        customers = set((customer_by_key or {}).values())
+        priorities = sorted({customer.priority for customer in customers})
+        return cls(
+            version,
+            sorted_by_host,
+            {service.name: service for service in services},
+            limits,
+            customer_by_key,
+            {priority: index * route_levels for index, priority in enumerate(priorities)},
+            {known.name: known.quota for known in customers if known.quota is not None},
+        )
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches the path, if any.
@@ -168,6 +194,25 @@
                 return route
         return None
 
+    def identify(self, route: Route, key: str | None) -> Identity | Unauthorized | None:
+        """Return whose request it is, or why it is not allowed; ``None`` without customers.
+
+        A key that is sent to a public route counts if it is known.
+
+        :param key: the API key that the request carries, if any.
+        """
+        if self.customer_by_key is None:
+            return None
+        customer = None if key is None else self.customer_by_key.get(key)
+        if customer is not None or route.is_public:
+            return Identity(customer)
+        return Unauthorized("no API key" if key is None else "unknown API key")
+
+    def priority_of(self, route: Route, customer: Customer | None) -> int:
+        """Return the priority of a customer's requests: its own first, then the route's."""
+        offset = 0 if customer is None else self.rank_offset_by_priority[customer.priority]
+        return offset + route.priority
+
     def routes(self) -> list[Route]:
         """Return all routes."""
         return [route for of_host in self.routes_by_host.values() for route in of_host]
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -30,6 +30,7 @@
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
