--- /dev/null
+++ b/measure/quota_policies.py
@@ -0,0 +1,231 @@
+"""Other ways to share a customer's quota among nodes, for comparison with the product's."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Final, TypeAlias
+
+import attrs
+
+from monsoonflow.helpers.hashing import best
+from monsoonflow.routing.customers import Customer, Quota
+from monsoonflow.routing.quota import (
+    BURST_TOLERANCE_SHARE,
+    CustomerUsage,
+    OverQuota,
+    QuotaPeers,
+    QuotaTolerance,
+    WithinQuota,
+)
+
+Reach: TypeAlias = Callable[[str, str], "Accountants | None"]
+"""Returns the policy of a node that another one asks, or ``None`` if it does not answer."""
+
+STARTS_FULL_UNTIL_MS: Final = 5_000
+"""Nothing was used before; later, another accountant may have granted tokens."""
+
+GRANT_MS: Final = 500
+"""For how long ahead a node asks for tokens, and how long it may use them."""
+
+
+@attrs.define(slots=True)
+class _Bucket:
+    left: float
+    updated_ms: int
+
+    def refill(self, per_s: float, capacity: float, now_ms: int) -> None:
+        self.left = min(self.left + per_s * (now_ms - self.updated_ms) / 1000, capacity)
+        self.updated_ms = now_ms
+
+
+class EqualShares:
+    """Each node alone has the same part of each quota; nothing is exchanged.
+
+    :param nodes: number of nodes with callers.
+    """
+
+    def __init__(
+        self, nodes: int, tolerance: QuotaTolerance, starts_full: bool, started_ms: int
+    ) -> None:
+        self._nodes = nodes
+        self._tolerance = tolerance
+        self._starts_full = starts_full
+        self._started_ms = started_ms
+        self._bucket_by_customer: dict[str, _Bucket] = {}
+
+    def admit(
+        self, customer: Customer, quota: Quota, cost: int, peers: QuotaPeers, now_ms: int
+    ) -> WithinQuota | OverQuota:
+        """Admit a request while this node's part of the quota is not used up."""
+        capacity = quota.burst + BURST_TOLERANCE_SHARE * self._tolerance.excess(quota)
+        own_capacity = capacity / self._nodes
+        bucket = self._bucket_by_customer.setdefault(
+            customer.name, _Bucket(own_capacity if self._starts_full else 0.0, self._started_ms)
+        )
+        bucket.refill(quota.rate_per_s / self._nodes, own_capacity, now_ms)
+        if bucket.left < min(cost, own_capacity):
+            return OverQuota(cost, round(bucket.left), 1 / self._nodes, 0, 0)
+        bucket.left -= cost
+        return WithinQuota(cost)
+
+    def usage_by_customer(self, now_ms: int) -> dict[str, CustomerUsage]:
+        """Return nothing."""
+        return {}
+
+    def receive(
+        self,
+        peer: str,
+        boot: str,
+        usage_by_customer: Mapping[str, CustomerUsage],
+        quota_by_customer: Mapping[str, Quota],
+        peers: QuotaPeers,
+        now_ms: int,
+        is_complete: bool = True,
+        is_older: bool = False,
+    ) -> None:
+        """Ignore what a peer announces."""
+
+    def pop_changed_usage(self, now_ms: int) -> dict[str, CustomerUsage]:
+        """Return nothing."""
+        return {}
+
+
+@attrs.define(slots=True)
+class _Grant:
+    units: float
+    until_ms: int
+
+
+class Accountants:
+    """One node counts each customer's requests, and grants the others tokens for a short time.
+
+    The node is chosen by rendezvous hashing among those that a node hears. A new one begins with an
+    empty bucket, since it does not know what the last one granted.
+
+    :param reach: returns the policy of another node, or ``None`` if it does not answer.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        tolerance: QuotaTolerance,
+        starts_full: bool,
+        started_ms: int,
+        reach: Reach,
+    ) -> None:
+        self._name = name
+        self._tolerance = tolerance
+        self._starts_full = starts_full
+        self._started_ms = started_ms
+        self._reach = reach
+        self._bucket_by_customer: dict[str, _Bucket] = {}
+        self._grant_by_customer: dict[str, _Grant] = {}
+        self._rate_by_customer: dict[str, float] = {}
+        self._last_ms_by_customer: dict[str, int] = {}
+        self.questions = 0
+
+    def admit(
+        self, customer: Customer, quota: Quota, cost: int, peers: QuotaPeers, now_ms: int
+    ) -> WithinQuota | OverQuota:
+        """Admit a request that this node has tokens for, or gets them for."""
+        per_ms = self._expected_per_ms(customer.name, cost, now_ms)
+        grant = self._grant_by_customer.get(customer.name)
+        units = 0.0
+        if grant is not None and grant.until_ms > now_ms:
+            units = grant.units
+        elif grant is not None and grant.units > 0:
+            self._return(customer.name, grant, peers)
+        if units < cost:
+            wanted = max(cost - units, per_ms * GRANT_MS)
+            units += self._ask(customer, quota, cost - units, wanted, peers, now_ms)
+        if units < cost:
+            self._grant_by_customer[customer.name] = _Grant(units, now_ms + GRANT_MS)
+            return OverQuota(cost, round(units), 1.0, 0, 0)
+        self._grant_by_customer[customer.name] = _Grant(units - cost, now_ms + GRANT_MS)
+        return WithinQuota(cost)
+
+    def _expected_per_ms(self, customer: str, cost: int, now_ms: int) -> float:
+        last_ms = self._last_ms_by_customer.get(customer, now_ms - 1_000)
+        self._last_ms_by_customer[customer] = now_ms
+        rate = self._rate_by_customer.get(customer, 0.0)
+        rate += (cost / max(now_ms - last_ms, 1) - rate) * 0.1
+        self._rate_by_customer[customer] = rate
+        return rate
+
+    def _return(self, customer: str, grant: _Grant, peers: QuotaPeers) -> None:
+        """Return what was not used in time to the customer's accountant."""
+        policy = self._accountant(customer, peers)
+        bucket = (
+            None if policy is None else policy._bucket_by_customer.get(customer)
+        )  # noqa: SLF001
+        if bucket is not None:
+            bucket.left += grant.units
+        grant.units = 0.0
+
+    def _accountant(self, customer: str, peers: QuotaPeers) -> Accountants | None:
+        accountant = best(customer, {self._name, *peers.fresh})
+        return self if accountant == self._name else self._reach(self._name, accountant)
+
+    def _ask(
+        self,
+        customer: Customer,
+        quota: Quota,
+        needed: float,
+        wanted: float,
+        peers: QuotaPeers,
+        now_ms: int,
+    ) -> float:
+        self.questions += 1
+        policy = self._accountant(customer.name, peers)
+        if policy is None:
+            return 0.0
+        starts_full = policy.starts_full and not peers.silent
+        return policy.grant(customer.name, quota, needed, wanted, starts_full, now_ms)
+
+    @property
+    def starts_full(self) -> bool:
+        """Return whether a customer's first request finds a full bucket."""
+        return self._starts_full
+
+    def grant(
+        self,
+        customer: str,
+        quota: Quota,
+        needed: float,
+        wanted: float,
+        starts_full: bool,
+        now_ms: int,
+    ) -> float:
+        """Return the tokens that another node may use."""
+        capacity = quota.burst + BURST_TOLERANCE_SHARE * self._tolerance.excess(quota)
+        bucket = self._bucket_by_customer.get(customer)
+        if bucket is None:
+            left = capacity if starts_full and now_ms < STARTS_FULL_UNTIL_MS else 0.0
+            bucket = self._bucket_by_customer[customer] = _Bucket(left, now_ms)
+        bucket.refill(quota.rate_per_s, capacity, now_ms)
+        if bucket.left < min(needed, capacity):
+            return 0.0
+        units = needed if needed > bucket.left else min(wanted, bucket.left)
+        bucket.left -= units
+        return units
+
+    def usage_by_customer(self, now_ms: int) -> dict[str, CustomerUsage]:
+        """Return nothing."""
+        return {}
+
+    def receive(
+        self,
+        peer: str,
+        boot: str,
+        usage_by_customer: Mapping[str, CustomerUsage],
+        quota_by_customer: Mapping[str, Quota],
+        peers: QuotaPeers,
+        now_ms: int,
+        is_complete: bool = True,
+        is_older: bool = False,
+    ) -> None:
+        """Ignore what a peer announces."""
+
+    def pop_changed_usage(self, now_ms: int) -> dict[str, CustomerUsage]:
+        """Return nothing."""
+        return {}
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -16,7 +16,7 @@
 from ..core.clock import Clock, MonotonicClock
 from ..core.tasks import Tasks
 from ..fleet.gossip import Gossip
-from ..fleet.models import Heartbeat, NodeRecord, WorkDelta
+from ..fleet.models import Heartbeat, NodeRecord, QuotaDelta, WorkDelta
 from ..fleet.view import FleetView
 from ..gateway.backlog import Backlog
 from ..gateway.budget import SharedRetryBudget
@@ -24,6 +24,7 @@
 from ..gateway.handler import Gateway
 from ..gateway.models import Dialect
 from ..gateway.plain_server_chooser import PlainServerChooser
+from ..gateway.quota import SharedQuota
 from ..gateway.request_log import RequestLog
 from ..gateway.runner_chooser import RunnerChooser
 from ..helpers.gevent_tasks import GeventTasks
@@ -36,6 +37,7 @@
 from ..routing.budget import FleetRetryBudget, RetryAllowance
 from ..routing.health import HealthTracker
 from ..routing.in_flight import InFlight
+from ..routing.quota import CustomerUsage, FleetQuota, QuotaTolerance
 from ..storage.models import ChangedRow, ChangeFeed, RawTable
 from ..storage.retrying_table import RetryingTable
 from ..transport.client import ConnectionPools
@@ -49,7 +51,7 @@
 from .node_registration import NodeRegistration
 from .peers import PeerApi, PeerClient
 from .placement_client import PlacementClient
-from .settings import EntrySettings
+from .settings import EntrySettings, PeerBounds
 from .stall_detector import StallDetector
 from .stopping import stop_gracefully
 from .store_follower import Decoders, StoreFollower, StoreWatches
@@ -141,6 +143,18 @@
         self.shared_retries = SharedRetryBudget(
             self.retry_budget, self.view, self.clock, lambda: self.activity.active
         )
+        self.fleet_quota = FleetQuota(
+            _quota_tolerance(bounds), self.rng, settings.first_start, self.clock.now_ms()
+        )
+        self.shared_quota = SharedQuota(
+            self.fleet_quota,
+            self.view,
+            self.clock,
+            lambda: self.cluster_state.route_table,
+            self.tasks,
+            self._send_quota_usage,
+            lambda: self.activity.active,
+        )
         self.store_table = RetryingTable(integration.raw_table(), self.tasks)
         self.gossip = Gossip(
             settings.report_address,
@@ -150,6 +164,7 @@
             self.tasks,
             self.clock,
             self._work_delta,
+            self.shared_quota.handle_delta,
         )
         self.quarantine_manager = QuarantineManager(
             settings.name,
@@ -247,6 +262,7 @@
         self.retry_budget.allowance = RetryAllowance(
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_ms
         )
+        self.fleet_quota.tolerance = _quota_tolerance(bounds)
         self.cell_leases.update_bounds(bounds)
         log(_LOGGER, events.Reloaded(seeds=",".join(new_settings.seeds)))
 
@@ -286,6 +302,7 @@
             retry_history=self.shared_retries.retry_history(),
             crashes=self.quarantine_manager.own_crashes(),
             quarantined_fingerprints=self.quarantine_manager.announced_quarantined(),
+            quota_usage_by_customer=self.shared_quota.usage_by_customer(),
         )
 
     def _work_delta(self) -> WorkDelta:
@@ -294,6 +311,9 @@
         changed = self.in_flight.pop_changed()
         return WorkDelta(self.settings.name, self.boot_id, self._heartbeat_sequence, changed)
 
+    def _send_quota_usage(self, usage: dict[str, CustomerUsage]) -> None:
+        self.gossip.send_quota_delta(QuotaDelta(self.settings.name, self.boot_id, usage))
+
     def _refresh_servers(self) -> None:
         if self.store_watches is not None:
             self.store_watches.servers.request_soon()
@@ -304,6 +324,7 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.store_follower.handle_heartbeat(heartbeat)
+        self.shared_quota.handle_heartbeat(heartbeat)
         self.quarantine_manager.apply_announced(
             heartbeat.name, heartbeat.crashes, heartbeat.quarantined_fingerprints
         )
@@ -436,6 +457,7 @@
             self.rng,
             RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers")),
             self.configuration_status,
+            self.shared_quota,
         )
         self.address_directory = AddressDirectory(
             self.view,
@@ -507,3 +529,7 @@
         while True:
             self.tasks.sleep(MAINTENANCE_INTERVAL_MS)
             self.peer_client.fetch_newer_configuration(self.cluster_state)
+
+
+def _quota_tolerance(bounds: PeerBounds) -> QuotaTolerance:
+    return QuotaTolerance(bounds.quota_window_ms, bounds.quota_overshoot, bounds.quota_slack)
--- a/monsoonflow/entry/metrics.py
+++ b/monsoonflow/entry/metrics.py
@@ -72,6 +72,9 @@
         self.unauthorized = self._counter(
             "unauthorized", "Requests refused for their API key.", "reason"
         )
+        self.over_quota = self._counter(
+            "over_quota", "Requests refused since their customer's quota is used up."
+        )
         self.retries = self._counter(
             "retries",
             "Further tries wanted, by whether the budget allowed them.",
@@ -104,6 +107,10 @@
         """Count a request that was refused for its key."""
         self.unauthorized.labels(reason).inc()
 
+    def count_over_quota(self) -> None:
+        """Count a request that was refused since its customer's quota is used up."""
+        self.over_quota.inc()
+
     def count_retry(self, allowed: bool) -> None:
         """Count a wanted retry."""
         self.retries.labels("yes" if allowed else "no").inc()
--- a/monsoonflow/entry/settings.py
+++ b/monsoonflow/entry/settings.py
@@ -31,6 +31,9 @@
     :param version_ms: how soon a new version of an adapter answers.
     :param address_ttl_ms: the longest time that an address answer may be cached.
     :param load_window_ms: the window in which loads of base models are counted.
+    :param quota_window_ms: the window in which customers' use of their quotas is counted.
+    :param quota_overshoot: share that a customer may use beyond its quota in each window.
+    :param quota_slack: units that it may use in addition, summed over all nodes.
     :param thaw_ms: how long no orders are sent after the process was suspended.
     """
 
@@ -45,6 +48,9 @@
     address_ttl_ms: int = attrs.field(default=5_000, validator=_validate_positive)
     load_window_ms: int = attrs.field(default=5_000, validator=_validate_positive)
     thaw_ms: int = 300
+    quota_window_ms: int = attrs.field(default=8_000, validator=_validate_positive)
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
 
 
 @attrs.frozen(slots=True)
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -15,11 +15,13 @@
 from ..routing.budget import RetryUsage
 from ..routing.in_flight import ServerWork
 from ..routing.overload import OverloadedRunners
+from ..routing.quota import CustomerUsage
 from .models import (
     CellLeaseClaim,
     Heartbeat,
     HeartbeatAck,
     NodeRecord,
+    QuotaDelta,
     RecentVersion,
     ResidentAdapters,
     RetryHistory,
@@ -43,6 +45,9 @@
 WORK_DELTA_FORMAT: Final = "w1"
 """First field of each work delta."""
 
+QUOTA_DELTA_FORMAT: Final = "q1"
+"""First field of each quota delta."""
+
 HEARTBEAT_REQUEST: Final = b"?"
 """Requests a full heartbeat from a node of which only a short one was received."""
 
@@ -84,6 +89,7 @@
             _retry_history_fields(heartbeat.retry_history),
             [[crash.fingerprint, crash.life] for crash in heartbeat.crashes],
             heartbeat.quarantined_fingerprints,
+            _quota_usage_fields(heartbeat.quota_usage_by_customer),
         ]
     )
 
@@ -125,7 +131,13 @@
     return orjson.dumps([WORK_DELTA_FORMAT, delta.name, delta.boot, delta.sequence, work])
 
 
-def decode(data: bytes) -> Heartbeat | ShortHeartbeat | WorkDelta | None:
+def encode_quota_delta(delta: QuotaDelta) -> bytes:
+    """Return the bytes of a quota delta."""
+    usage = _quota_usage_fields(delta.usage_by_customer)
+    return orjson.dumps([QUOTA_DELTA_FORMAT, delta.name, delta.boot, usage])
+
+
+def decode(data: bytes) -> Heartbeat | ShortHeartbeat | WorkDelta | QuotaDelta | None:
     """Return the message of a peer, or ``None`` for bytes that can't be decoded."""
     if data[:1] != b"[":
         return _decode_heartbeat(data)
@@ -134,6 +146,7 @@
         from_fields = {
             SHORT_HEARTBEAT_FORMAT: _short_heartbeat_from_fields,
             WORK_DELTA_FORMAT: _work_delta_from_fields,
+            QUOTA_DELTA_FORMAT: _quota_delta_from_fields,
         }.get(fields[0])
         return None if from_fields is None else from_fields(fields)
     except (ValueError, TypeError, KeyError, IndexError, AttributeError):
@@ -145,6 +158,21 @@
     return WorkDelta(str(fields[1]), str(fields[2]), int(fields[3]), work)
 
 
+def _quota_delta_from_fields(fields: list[Any]) -> QuotaDelta:
+    return QuotaDelta(str(fields[1]), str(fields[2]), _quota_usage_from_fields(fields[3]))
+
+
+def _quota_usage_fields(usage_by_customer: dict[str, CustomerUsage]) -> dict[str, list[int]]:
+    return {
+        customer: [usage.total, usage.recent, usage.demand, usage.left]
+        for customer, usage in usage_by_customer.items()
+    }
+
+
+def _quota_usage_from_fields(fields: dict[str, Any]) -> dict[str, CustomerUsage]:
+    return {str(customer): CustomerUsage(*map(int, usage)) for customer, usage in fields.items()}
+
+
 def _short_heartbeat_from_fields(fields: list[Any]) -> ShortHeartbeat:
     flags = int(fields[4])
     return ShortHeartbeat(
@@ -215,6 +243,7 @@
             ]
         ),
         quarantined_fingerprints=tuple(map(str, _optional_field(fields, 20) or ())),
+        quota_usage_by_customer=_quota_usage_from_fields(_optional_field(fields, 21) or {}),
     )
 
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -13,6 +13,7 @@
 from ..routing.budget import RetryUsage
 from ..routing.in_flight import ServerWork
 from ..routing.overload import OverloadedRunners
+from ..routing.quota import CustomerUsage
 
 DEFAULT_CORES: Final = 1.0
 """Assumed for a node that reports no value, or none that is possible."""
@@ -143,6 +144,7 @@
     :param retry_history: what the node knows of retries beyond its own count.
     :param crashes: servers that, as the node saw recently, crashed, with the requests they had.
     :param quarantined_fingerprints: the fingerprints of requests that must reach no server.
+    :param quota_usage_by_customer: what the node has admitted of customers with a quota.
     """
 
     record: NodeRecord
@@ -165,6 +167,7 @@
     retry_history: RetryHistory = RetryHistory()
     crashes: tuple[ServerCrash, ...] = ()
     quarantined_fingerprints: tuple[str, ...] = ()
+    quota_usage_by_customer: dict[str, CustomerUsage] = attrs.Factory(dict)
 
     @property
     def name(self) -> str:
@@ -191,6 +194,15 @@
     work_by_server: dict[ServerLife, ServerWork]
 
 
+@attrs.frozen(slots=True)
+class QuotaDelta:
+    """The changes of what a node has admitted of customers with a quota, for peers with callers."""
+
+    name: str
+    boot: str
+    usage_by_customer: dict[str, CustomerUsage]
+
+
 @attrs.frozen(slots=True)
 class ShortHeartbeat:
     """The part of a heartbeat for peers that only need to know that the node is alive.
@@ -268,4 +280,5 @@
             is_active=self.is_active,
             retry_history=previous.retry_history if keeps_previous else RetryHistory(),
             quarantined_fingerprints=self.quarantined_fingerprints,
+            quota_usage_by_customer=previous.quota_usage_by_customer if keeps_previous else {},
         )
--- a/monsoonflow/fleet/view.py
+++ b/monsoonflow/fleet/view.py
@@ -29,6 +29,7 @@
     Heartbeat,
     HeartbeatAck,
     NodeRecord,
+    QuotaDelta,
     ResidentAdapters,
     ShortHeartbeat,
     WorkDelta,
@@ -201,6 +202,17 @@
         work = self._work_totals.apply_delta(delta.name, delta.work_by_server, now_ms)
         known.heartbeat = attrs.evolve(known.heartbeat, work_by_server=work)
 
+    def receive_quota_delta(self, delta: QuotaDelta, now_ms: int) -> bool:
+        """Record that a peer was heard; return whether it is the run of its process that is known.
+
+        A delta may overtake the first heartbeat of a run, or be one of an ended run.
+        """
+        known = self._peer_by_name.get(delta.name)
+        if known is None or known.heartbeat.boot != delta.boot:
+            return False
+        known.received_ms = self._last_received_ms = now_ms
+        return True
+
     def _record_of(self, heartbeat: ShortHeartbeat) -> NodeRecord | None:
         known = self._peer_by_name.get(heartbeat.name)
         if heartbeat.record is not None:
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -10,9 +10,10 @@
 from ..quarantine.fingerprint import fingerprint
 from ..quarantine.models import Turn
 from ..routing.caller_timeouts import TypicalCallerTimeouts
-from ..routing.customers import Unauthorized
+from ..routing.customers import Identity, Unauthorized
 from ..routing.first_event import FirstEventEstimator
 from ..routing.in_flight import InFlight, Ticket
+from ..routing.quota import OverQuota
 from ..routing.routes import Route, RouteKind, RouteTable, Service
 from ..transport.client import ConnectionPools
 from ..transport.models import CallerLeft, Header, Request
@@ -40,7 +41,7 @@
     Unsent,
     Whole,
 )
-from .protocols import Quarantine, RetryBudget, ServerChooser
+from .protocols import CustomerQuotas, Quarantine, RetryBudget, ServerChooser
 from .request_log import RequestLog
 
 NOT_READY_RETRY_AFTER_MS: Final = 300
@@ -68,6 +69,7 @@
     :param plain_chooser: chooses servers of plain services.
     :param runner_chooser: chooses model runners.
     :param configuration_status: returns how current the configuration in force is.
+    :param quotas: the quotas of customers; ``None`` if they are not limited.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         configuration_status: Callable[[], ConfigurationStatus] = lambda: ConfigurationStatus(
             True, None
         ),
+        quotas: CustomerQuotas | None = None,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -101,6 +104,7 @@
         self._rng = rng
         self._request_log = request_log
         self._configuration_status = configuration_status
+        self._quotas = quotas
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
@@ -134,7 +138,12 @@
         if service is None:
             self._send_own_answer(reply, call, 503, "unknown service", NOT_READY_RETRY_AFTER_MS)
             return
+        over_quota, cost = self._use_quota(identity, call)
+        if over_quota is not None:
+            self._refuse_over_quota(reply, call, route, identity, over_quota)
+            return
         job = self._create_job(request, call, route, service)
+        job.quota_cost = cost
         if identity is not None:
             job.identity = identity
             job.priority = route_table.priority_of(route, identity.customer)
@@ -149,6 +158,8 @@
             self._release_turn(job)
             if job.has_reserved_retry:
                 self._retry_budget.release_retry(service.name)
+            if job.quota_cost and not job.has_reached_server:
+                self._quotas.give_back(job.identity.customer, job.quota_cost)
 
     def _refuse_unauthorized(
         self, reply: Reply, call: Call, route: Route, cause: Unauthorized, config_version: int
@@ -166,6 +177,27 @@
             )
         self._request_log.log_unauthorized(call, route, cause.reason, config_version, status)
 
+    def _use_quota(self, identity: Identity | None, call: Call) -> tuple[OverQuota | None, int]:
+        """Count a request for its customer's quota; return the refusal, if any, and its units."""
+        if self._quotas is None or identity is None or identity.customer is None:
+            return None, 0
+        decision = self._quotas.admit(
+            identity.customer, call.prompt_tokens + call.max_output_tokens
+        )
+        match decision:
+            case None:
+                return None, 0
+            case OverQuota():
+                return decision, 0
+        return None, decision.cost
+
+    def _refuse_over_quota(
+        self, reply: Reply, call: Call, route: Route, identity: Identity, over_quota: OverQuota
+    ) -> None:
+        reason, retry_after_ms = "over quota", over_quota.retry_after_ms
+        self._send_own_answer(reply, call, 429, reason, retry_after_ms)
+        self._request_log.log_over_quota(call, route, identity.customer, over_quota)
+
     def _create_job(self, request: Request, call: Call, route: Route, service: Service) -> Job:
         caller_timeout_ms = call.deadline_ms if call.deadline_ms is not None else route.timeout_ms
         caller_deadline_ms = request.arrived_ms + caller_timeout_ms
@@ -322,6 +354,8 @@
         if ticket.is_awaiting_first_event and isinstance(result, Abandoned | TimedOut | Recalled):
             self._backlog.record_missing_first_event(chosen, now_ms - sent_ms, now_ms)
         self._in_flight.end(ticket)
+        if not isinstance(result, Rejected | Unsent):
+            job.has_reached_server = True
         chooser.record_result(chosen, job.call.request_id, result, now_ms - sent_ms, now_ms)
         self._request_log.count_attempt(result)
 
@@ -514,5 +548,6 @@
         retry_after_ms: int | None = None,
     ) -> None:
         headers: list[Header] = [(b"Content-Type", b"text/plain")]
-        headers += self._dialect.own_answer_headers(call, retry_after_ms if status == 503 else None)
+        is_retryable = status in (429, 503)
+        headers += self._dialect.own_answer_headers(call, retry_after_ms if is_retryable else None)
         reply.send_whole(status, headers, reason.encode())
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -39,6 +39,7 @@
     :param fingerprint: identical for all requests with the same content.
     :param priority: of the customer and the route; 0 is the most urgent.
     :param identity: whose request it is; ``None`` in a configuration without customers.
+    :param quota_cost: units that it uses of its customer's quota.
     :param tried_lives: the servers that it was sent to, in order.
     :param avoided_lives: the servers that refused it, broke off or could not be reached.
     :param possible_runs: the number of attempts that may have run on a server.
@@ -50,6 +51,7 @@
         attempt.
     :param holds_turn: whether other suspect requests wait until its attempt has ended.
     :param has_reserved_retry: whether one retry of the budget is reserved for its next attempt.
+    :param has_reached_server: whether a server may have run it or begun to.
     :param first_event_ms: when the first part of the answer arrived.
     """
 
@@ -65,6 +67,7 @@
         default=attrs.Factory(lambda job: job.route.priority, takes_self=True)
     )
     identity: Identity | None = None
+    quota_cost: int = 0
     tried_lives: list[str] = attrs.Factory(list)
     avoided_lives: list[str] = attrs.Factory(list)
     possible_runs: int = 0
@@ -74,6 +77,7 @@
     headroom: Headroom | None = None
     holds_turn: bool = False
     has_reserved_retry: bool = False
+    has_reached_server: bool = False
     first_event_ms: int | None = None
 
     @property
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -7,6 +7,8 @@
 from ..core.server_life import ServerLife
 from ..quarantine.models import Turn
 from ..routing.budget import Headroom
+from ..routing.customers import Customer
+from ..routing.quota import OverQuota, WithinQuota
 from ..routing.routes import Route, Service
 from .job import Job
 from .models import AttemptResult, Call, Chosen, NoServer
@@ -41,6 +43,16 @@
         """Record how an attempt ended."""
 
 
+class CustomerQuotas(Protocol):
+    """The quotas of customers."""
+
+    def admit(self, customer: Customer, tokens: int) -> WithinQuota | OverQuota | None:
+        """Return whether a request is within its customer's quota; ``None`` without a quota."""
+
+    def give_back(self, customer: Customer, cost: int) -> None:
+        """Return the units of a request that no server has run."""
+
+
 class RetryBudget(Protocol):
     """Limits the retries of all nodes together, by service."""
 
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -9,6 +9,8 @@
 from ..core.clock import Clock
 from ..logs import events, log
 from ..logs.sampling import Sampler
+from ..routing.customers import Customer
+from ..routing.quota import OverQuota
 from ..routing.routes import Route, RouteKind
 from ..transport.server import Reply
 from .configuration_status import ConfigurationStatus
@@ -39,6 +41,9 @@
     def count_unauthorized(self, reason: str) -> None:
         """Count a request that was refused for its key."""
 
+    def count_over_quota(self) -> None:
+        """Count a request that was refused since its customer's quota is used up."""
+
     def count_attempt(self, result: str) -> None:
         """Count an attempt at a server by its result."""
 
@@ -91,6 +96,29 @@
             ),
         )
 
+    def log_over_quota(
+        self, call: Call, route: Route, customer: Customer, over_quota: OverQuota
+    ) -> None:
+        """Log and count that a request was refused since its customer's quota is used up."""
+        self._metrics.count_over_quota()
+        if not self._sampler.allows("over_quota", customer.name, self._clock.now_ms()):
+            return
+        log(
+            _LOGGER,
+            events.RequestOverQuota(
+                request=call.request_id,
+                route=route.name,
+                customer=customer.name,
+                cost=over_quota.cost,
+                left=over_quota.left,
+                share=round(over_quota.share, 3),
+                rate_per_s=round(customer.quota.rate_per_s),
+                burst=round(customer.quota.burst),
+                usage_age_ms=over_quota.usage_age_ms,
+                retry_after_ms=over_quota.retry_after_ms,
+            ),
+        )
+
     def log_accepted(self, job: Job, config_version: int) -> None:
         """Log that a request was accepted for a route."""
         call, route = job.call, job.route
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -41,6 +41,7 @@
 from .requests import (
     RequestAccepted,
     RequestEnded,
+    RequestOverQuota,
     RequestSent,
     RequestUnauthorized,
     RequestWaited,
@@ -110,6 +111,7 @@
     "ReportUnread",
     "ReportUnsent",
     "RequestAccepted",
+    "RequestOverQuota",
     "RequestUnauthorized",
     "RequestEnded",
     "RequestQuarantined",
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -36,6 +36,25 @@
     is_final: bool
 
 
+@event
+class RequestOverQuota(Event):
+    """A request was refused since its customer has used up its quota."""
+
+    # ``left`` are the units left for all nodes as far as this node knows, ``share`` is the part of
+    # them that it may use, and ``usage_age_ms`` is the time in which peers learn of its use.
+
+    request: str
+    route: str
+    customer: str
+    cost: int
+    left: int
+    share: float
+    rate_per_s: int
+    burst: int
+    usage_age_ms: int
+    retry_after_ms: int
+
+
 @event
 class RequestSent(Event):
     """A request is sent to a server."""
--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -111,6 +111,9 @@
             address_ttl_ms=_to_ms(bounds.get("ttl_max_s", 5)),
             load_window_ms=_to_ms(bounds.get("ceilingWindowS", 5)),
             thaw_ms=int(bounds.get("thawMs", 300)),
+            quota_window_ms=_to_ms(bounds.get("quotaWindowS", 8)),
+            quota_overshoot=float(bounds.get("quotaOvershoot", 0)),
+            quota_slack=float(bounds.get("quotaSlack", 0)),
         ),
     )
 
