--- a/soak/const.py
+++ b/soak/const.py
@@ -22,7 +22,14 @@
 ZONES: Final = ("zone-a", "zone-b", "zone-c")
 ADAPTERS: Final = tuple(f"{MODEL}/a{number}" for number in range(6))
 
-CONFIGURATION: Final[dict[str, Any]] = configuration(
+CUSTOMER_BY_KEY: Final[dict[str, str | None]] = {
+    **{f"key-{number}": "large" for number in range(6)},
+    **{f"other-key-{number}": "small" for number in range(3)},
+    "unknown-key": None,
+}
+"""The API keys that callers send, each with its customer."""
+
+_ROUTES_CONFIGURATION: Final[dict[str, Any]] = configuration(
     [
         route("look", HOST, "idempotent", PLAIN, timeoutMs=1_100, targetLatencyMs=400),
         route("write", HOST, "non_idempotent", PLAIN, timeoutMs=1_100, attempts=1),
@@ -40,6 +47,14 @@
     MODEL,
 )
 
+CONFIGURATION: Final[dict[str, Any]] = {
+    **_ROUTES_CONFIGURATION,
+    "tenants": [
+        {"name": name, "apiKeys": [key for key, of in CUSTOMER_BY_KEY.items() if of == name]}
+        for name in ("large", "small")
+    ],
+}
+
 ONCE_PATH: Final = "/write/x"
 """Requests to it may run once at most."""
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,6 +17,7 @@
 from .const import (
     CALLER_ROUTES,
     CONFIGURATION,
+    CUSTOMER_BY_KEY,
     DRAIN_MS,
     ENGINES,
     HEARTBEAT_MS,
@@ -216,6 +217,7 @@
             *("--name", name, "--zone", zone, "--host", HOST, "--seed", str(seed)),
             *("--directories", ",".join(self._directories), "--per-s", str(per_s)),
             *("--routes", orjson.dumps(CALLER_ROUTES).decode()),
+            *("--keys", orjson.dumps(CUSTOMER_BY_KEY).decode()),
         )
 
     def _await_ready(self, node: str) -> None:
--- a/stand_ins/callers.py
+++ b/stand_ins/callers.py
@@ -19,6 +19,8 @@
 
 RESOLVE_TIMEOUT_MS: Final = 1_000
 RESOLVE_AGAIN_S: Final = 0.3
+OTHER_CUSTOMER: Final = "another"
+"""The customer that callers claim to be; only their key may decide."""
 
 
 class Callers:
@@ -26,16 +28,25 @@
 
     :param directories: addresses that tell where to go.
     :param routes: path, deadline in ms and headers of each kind of request.
+    :param customer_by_key: API keys to send, each with its customer; ``None`` for an unknown key.
     """
 
     def __init__(
-        self, name: str, directories: list[str], zone: str, host: str, routes: list[dict], seed: int
+        self,
+        name: str,
+        directories: list[str],
+        zone: str,
+        host: str,
+        routes: list[dict],
+        customer_by_key: dict[str, str | None],
+        seed: int,
     ) -> None:
         self._name = name
         self._directories = directories
         self._zone = zone
         self._host = host
         self._routes = routes
+        self._customer_by_key = customer_by_key
         self._rng = random.Random(seed)
         self._pools = ConnectionPools(MonotonicClock())
         self._addresses: list[str] = []
@@ -61,6 +72,9 @@
             "X-Deadline-Ms": str(route["deadline_ms"]),
             **route["headers"],
         }
+        key = self._rng.choice(list(self._customer_by_key))
+        headers["Authorization"] = f"Bearer {key}"
+        headers["X-Tenant"] = OTHER_CUSTOMER
         if "adapters" in route:
             headers["X-Model"] = self._rng.choice(route["adapters"])
         told = tuple((key.encode(), value.encode()) for key, value in headers.items())
@@ -79,7 +93,13 @@
         took_ms = round((time.monotonic() - began) * 1000)
         own = isinstance(answer, Answer) and request.encode() in answer.body
         record(
-            "ended", request=request, path=route["path"], status=status, own=own, took_ms=took_ms
+            "ended",
+            request=request,
+            path=route["path"],
+            status=status,
+            own=own,
+            took_ms=took_ms,
+            customer=self._customer_by_key[key],
         )
         if status == 0 and address in self._addresses:
             self._addresses.remove(address)
@@ -108,6 +128,7 @@
     parser.add_argument("--host", required=True)
     parser.add_argument("--directories", required=True, help="IP:PORT,...")
     parser.add_argument("--routes", required=True, help="JSON")
+    parser.add_argument("--keys", required=True, help="JSON")
     parser.add_argument("--per-s", type=float, required=True)
     parser.add_argument("--seed", type=int, required=True)
     given = parser.parse_args()
@@ -117,6 +138,7 @@
         given.zone,
         given.host,
         orjson.loads(given.routes),
+        orjson.loads(given.keys),
         given.seed,
     )
     gevent.spawn(callers.send_for_good, given.per_s)
--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -31,7 +31,13 @@
 
     def _run(self, request: Request, reply: Reply) -> None:
         name = (request.value(b"x-request-id") or b"").decode()
-        record("reached", request=name)
+        customer = request.value(b"x-tenant")
+        record(
+            "reached",
+            request=name,
+            customer=None if customer is None else customer.decode(),
+            has_key=bool(request.values(b"authorization")),
+        )
         try:
             super()._run(request, reply)
         finally:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -43,3 +43,29 @@
 
 def test_an_answer_that_is_another_requests_is_seen():
     assert broken_promises([ended(200, own=False)], [at_server("reached")])
+
+
+def arrival(customer, has_key=False):
+    return Record("i-1", 0, "reached", {"request": "r", "customer": customer, "has_key": has_key})
+
+
+def ended_of(customer):
+    fields = {"request": "r", "path": "/look/x", "status": 200, "own": True, "customer": customer}
+    return Record("callers", 0, "ended", fields)
+
+
+def test_a_request_with_its_customers_name_breaks_nothing():
+    assert not broken_promises([ended_of("large")], [arrival("large")])
+
+
+@pytest.mark.parametrize("named", ["small", None])
+def test_a_request_that_names_another_customer_is_seen(named):
+    assert broken_promises([ended_of("large")], [arrival(named)])
+
+
+def test_a_key_that_reaches_a_server_is_seen():
+    assert broken_promises([ended_of("large")], [arrival("large", has_key=True)])
+
+
+def test_a_request_with_an_unknown_key_that_reaches_a_server_is_seen():
+    assert broken_promises([ended_of(None)], [arrival(None)])
