--- a/measure/quota_policies.py
+++ b/measure/quota_policies.py
@@ -15,6 +15,7 @@
     OverQuota,
     QuotaPeers,
     QuotaTolerance,
+    UsageAnnouncement,
     WithinQuota,
 )
 
@@ -74,14 +75,10 @@
 
     def receive(
         self,
-        peer: str,
-        boot: str,
-        usage_by_customer: Mapping[str, CustomerUsage],
+        announcement: UsageAnnouncement,
         quota_by_customer: Mapping[str, Quota],
         peers: QuotaPeers,
         now_ms: int,
-        is_complete: bool = True,
-        is_older: bool = False,
     ) -> None:
         """Ignore what a peer announces."""
 
@@ -215,14 +212,10 @@
 
     def receive(
         self,
-        peer: str,
-        boot: str,
-        usage_by_customer: Mapping[str, CustomerUsage],
+        announcement: UsageAnnouncement,
         quota_by_customer: Mapping[str, Quota],
         peers: QuotaPeers,
         now_ms: int,
-        is_complete: bool = True,
-        is_older: bool = False,
     ) -> None:
         """Ignore what a peer announces."""
 
--- a/monsoonflow/gateway/quota.py
+++ b/monsoonflow/gateway/quota.py
@@ -11,7 +11,14 @@
 from ..fleet.models import Heartbeat, QuotaDelta
 from ..fleet.view import FleetView
 from ..routing.customers import Customer
-from ..routing.quota import CustomerUsage, FleetQuota, OverQuota, QuotaPeers, WithinQuota
+from ..routing.quota import (
+    CustomerUsage,
+    FleetQuota,
+    OverQuota,
+    QuotaPeers,
+    UsageAnnouncement,
+    WithinQuota,
+)
 from ..routing.routes import RouteTable
 
 PEERS_REFRESH_MS: Final = 50
@@ -140,34 +147,20 @@
         window_ms = self._quota.tolerance.window_ms
         is_older = heartbeat.retry_history.counted_ms >= window_ms
         usage = heartbeat.quota_usage_by_customer
-        self._receive(heartbeat.name, heartbeat.boot, usage, True, is_older)
+        self._receive(UsageAnnouncement(heartbeat.name, heartbeat.boot, usage, is_older=is_older))
 
     def handle_delta(self, delta: QuotaDelta) -> None:
         """Apply the usage that has changed at a peer."""
-        self._receive(delta.name, delta.boot, delta.usage_by_customer, False, False)
+        self._receive(
+            UsageAnnouncement(delta.name, delta.boot, delta.usage_by_customer, is_complete=False)
+        )
 
-    def _receive(
-        self,
-        peer: str,
-        boot: str,
-        usage: dict[str, CustomerUsage],
-        is_complete: bool,
-        is_older: bool,
-    ) -> None:
+    def _receive(self, announcement: UsageAnnouncement) -> None:
         route_table = self._route_table()
         if route_table is None or not route_table.quota_by_customer:
             return
         now_ms = self._clock.now_ms()
-        self._quota.receive(
-            peer,
-            boot,
-            usage,
-            route_table.quota_by_customer,
-            self.peers(now_ms),
-            now_ms,
-            is_complete,
-            is_older,
-        )
+        self._quota.receive(announcement, route_table.quota_by_customer, self.peers(now_ms), now_ms)
 
     def peers(self, now_ms: int) -> QuotaPeers:
         """Return which peers' usage is up to date."""
--- a/monsoonflow/platform/configuration.py
+++ b/monsoonflow/platform/configuration.py
@@ -31,6 +31,8 @@
 CONFIGURATION_KEY = "config"
 ADAPTER_VERSION_PREFIX = "version/"
 MIN_FIRST_EVENT_TIMEOUT_MS: Final = 2_000
+DEFAULT_BURST_S: Final = 0.5
+"""Burst of a quota that states none, in seconds of its rate: without one, nothing is admitted."""
 
 
 def decode_route_table(body: bytes) -> RouteTable | str:
@@ -101,7 +103,7 @@
 def _to_customer(fields: CustomerFields) -> Customer:
     quota = Quota(
         rate_per_s=fields.rate_per_s,
-        burst=fields.burst,
+        burst=fields.burst or max(1.0, fields.rate_per_s * DEFAULT_BURST_S),
         counts_tokens=fields.billing_unit == "token_stream",
         plain_cost=fields.plain_tokens,
     )
--- a/monsoonflow/routing/quota.py
+++ b/monsoonflow/routing/quota.py
@@ -75,6 +75,22 @@
     left: int = 0
 
 
+@attrs.frozen(slots=True)
+class UsageAnnouncement:
+    """What a peer announces of the customers whose requests it has admitted.
+
+    :param boot: identifies the run of the peer's process.
+    :param is_complete: whether the peer has no demand of other customers.
+    :param is_older: whether the peer's process has been running for longer than a window.
+    """
+
+    peer: str
+    boot: str
+    usage_by_customer: Mapping[str, CustomerUsage]
+    is_complete: bool = True
+    is_older: bool = False
+
+
 @attrs.frozen(slots=True)
 class QuotaPeers:
     """The peers that may admit requests of the same customers.
@@ -280,31 +296,23 @@
 
     def receive(
         self,
-        peer: str,
-        boot: str,
-        usage_by_customer: Mapping[str, CustomerUsage],
+        announcement: UsageAnnouncement,
         quota_by_customer: Mapping[str, Quota],
         peers: QuotaPeers,
         now_ms: int,
-        is_complete: bool = True,
-        is_older: bool = False,
     ) -> None:
-        """Apply the usage that a peer announces.
-
-        :param boot: identifies the run of the peer's process.
-        :param is_older: whether the peer's process has been running for longer than a window.
-        :param is_complete: whether the peer has no demand of other customers.
-        """
+        """Apply the usage that a peer announces; customers without a quota are ignored."""
+        peer, boot = announcement.peer, announcement.boot
         is_known = peer in self._boot_by_peer
         self._boot_by_peer[peer] = boot
-        for customer, usage in usage_by_customer.items():
+        for customer, usage in announcement.usage_by_customer.items():
             quota = quota_by_customer.get(customer)
             if quota is None:
                 continue
             account = self._account_of(customer, quota)
             self._refill(account, quota, peers, now_ms)
             known = account.usage_by_peer.get(peer)
-            if is_older and account.is_new and not self._starts_full:
+            if announcement.is_older and account.is_new and not self._starts_full:
                 account.left = min(usage.left, self._capacity(quota))
                 account.is_new = False
             elif known is not None and known.boot == boot:
@@ -312,9 +320,15 @@
             elif is_known:
                 account.left -= usage.recent
             account.usage_by_peer[peer] = _PeerUsage(boot, usage)
-        for customer, account in self._account_by_customer.items() if is_complete else ():
-            if customer not in usage_by_customer and peer in account.usage_by_peer:
-                known = account.usage_by_peer[peer]
+        if announcement.is_complete:
+            self._end_demand(
+                peer, self._account_by_customer.keys() - announcement.usage_by_customer
+            )
+
+    def _end_demand(self, peer: str, customers: set[str]) -> None:
+        for customer in customers:
+            known = self._account_by_customer[customer].usage_by_peer.get(peer)
+            if known is not None:
                 known.usage = attrs.evolve(known.usage, demand=0)
 
     def _account_of(self, customer: str, quota: Quota) -> _Account:
--- a/tests/entry/test_quota.py
+++ b/tests/entry/test_quota.py
@@ -149,3 +149,10 @@
     )
     assert answer.head.status == 429
     assert not runner.adapters
+
+
+def test_a_quota_without_a_burst_admits_requests(limited_fleet):
+    [node] = start(limited_fleet, alpha(rate=10, burst=0, billingUnit="request"))
+    found = statuses(limited_fleet, node, 12)
+    assert found[:5] == [200] * 5
+    assert 429 in found
--- a/tests/routing/quota_fleet.py
+++ b/tests/routing/quota_fleet.py
@@ -21,6 +21,7 @@
     OverQuota,
     QuotaPeers,
     QuotaTolerance,
+    UsageAnnouncement,
     WithinQuota,
 )
 
@@ -47,14 +48,10 @@
 
     def receive(
         self,
-        peer: str,
-        boot: str,
-        usage_by_customer: Mapping[str, CustomerUsage],
+        announcement: UsageAnnouncement,
         quota_by_customer: Mapping[str, Quota],
         peers: QuotaPeers,
         now_ms: int,
-        is_complete: bool = True,
-        is_older: bool = False,
     ) -> None:
         """Apply what a peer announces."""
 
@@ -269,18 +266,16 @@
             node, sender = self.nodes[datagram.receiver], self.nodes[datagram.sender]
             if not self._is_running(node) or node.group != sender.group:
                 continue
-            peers = self._peers_of(node)
-            node.policy.receive(
+            announcement = UsageAnnouncement(
                 datagram.sender,
                 datagram.boot,
                 datagram.usage,
-                self._quotas,
-                peers,
-                self.now_ms,
                 datagram.is_complete,
                 datagram.is_complete
                 and self.now_ms - sender.started_ms >= self.tolerance.window_ms,
             )
+            peers = self._peers_of(node)
+            node.policy.receive(announcement, self._quotas, peers, self.now_ms)
             node.heard_ms_by_peer[datagram.sender] = self.now_ms
 
     def _peers_of(self, node: SimulatedNode) -> QuotaPeers:
--- a/tests/routing/test_quota.py
+++ b/tests/routing/test_quota.py
@@ -13,6 +13,7 @@
     OverQuota,
     QuotaPeers,
     QuotaTolerance,
+    UsageAnnouncement,
     WithinQuota,
 )
 from tests.routing.quota_scenarios import SCENARIOS, TOLERANCE, play
@@ -87,9 +88,8 @@
     assert isinstance(admit(quota, 10), WithinQuota)
     peers = QuotaPeers(fresh=frozenset({"n2"}))
     for total in (0, 1_000, 1_000, 2_000):
-        quota.receive(
-            "n2", "b1", {"alpha": CustomerUsage(total, total, 0)}, {"alpha": QUOTA}, peers, 0
-        )
+        announcement = UsageAnnouncement("n2", "b1", {"alpha": CustomerUsage(total, total, 0)})
+        quota.receive(announcement, {"alpha": QUOTA}, peers, 0)
     decision = admit(quota, 5_000)
     assert isinstance(decision, OverQuota)
     assert decision.left == 5_000 - 10 - 2_000
@@ -99,9 +99,8 @@
     quota = full_quota()
     peers = QuotaPeers(fresh=frozenset({"n2"}))
     for boot, total in (("b1", 0), ("b1", 3_000), ("b2", 500)):
-        quota.receive(
-            "n2", boot, {"alpha": CustomerUsage(total, total, 0)}, {"alpha": QUOTA}, peers, 0
-        )
+        announcement = UsageAnnouncement("n2", boot, {"alpha": CustomerUsage(total, total, 0)})
+        quota.receive(announcement, {"alpha": QUOTA}, peers, 0)
     assert admit(quota, 5_000).left == 5_000 - 3_500
 
 
@@ -116,7 +115,8 @@
     usage = {"alpha": CustomerUsage(90_000, 9_000, 100, 3_000)}
     peers = QuotaPeers(fresh=frozenset({"n2"}))
     for _ in range(2):
-        quota.receive("n2", "b1", usage, {"alpha": QUOTA}, peers, 0, is_older=True)
+        announcement = UsageAnnouncement("n2", "b1", usage, is_older=True)
+        quota.receive(announcement, {"alpha": QUOTA}, peers, 0)
     assert isinstance(admit(quota, 3_100), OverQuota)
     assert isinstance(admit(quota, 3_000), WithinQuota)
 
