--- a/measure/quota_policies.py
+++ b/measure/quota_policies.py
@@ -39,7 +39,28 @@
         self.updated_ms = now_ms
 
 
-class EqualShares:
+class _Unannounced:
+    """A way in which nodes announce nothing to each other."""
+
+    def usage_by_customer(self, now_ms: int) -> dict[str, CustomerUsage]:
+        """Return nothing."""
+        return {}
+
+    def receive(
+        self,
+        announcement: UsageAnnouncement,
+        quota_by_customer: Mapping[str, Quota],
+        peers: QuotaPeers,
+        now_ms: int,
+    ) -> None:
+        """Ignore what a peer announces."""
+
+    def pop_changed_usage(self, now_ms: int) -> dict[str, CustomerUsage]:
+        """Return nothing."""
+        return {}
+
+
+class EqualShares(_Unannounced):
     """Each node alone has the same part of each quota; nothing is exchanged.
 
     :param nodes: number of nodes with callers.
@@ -69,23 +90,6 @@
         bucket.left -= cost
         return WithinQuota(cost)
 
-    def usage_by_customer(self, now_ms: int) -> dict[str, CustomerUsage]:
-        """Return nothing."""
-        return {}
-
-    def receive(
-        self,
-        announcement: UsageAnnouncement,
-        quota_by_customer: Mapping[str, Quota],
-        peers: QuotaPeers,
-        now_ms: int,
-    ) -> None:
-        """Ignore what a peer announces."""
-
-    def pop_changed_usage(self, now_ms: int) -> dict[str, CustomerUsage]:
-        """Return nothing."""
-        return {}
-
 
 @attrs.define(slots=True)
 class _Grant:
@@ -93,7 +97,7 @@
     until_ms: int
 
 
-class Accountants:
+class Accountants(_Unannounced):
     """One node counts each customer's requests, and grants the others tokens for a short time.
 
     The node is chosen by rendezvous hashing among those that a node hears. A new one begins with an
@@ -205,20 +209,3 @@
         units = needed if needed > bucket.left else min(wanted, bucket.left)
         bucket.left -= units
         return units
-
-    def usage_by_customer(self, now_ms: int) -> dict[str, CustomerUsage]:
-        """Return nothing."""
-        return {}
-
-    def receive(
-        self,
-        announcement: UsageAnnouncement,
-        quota_by_customer: Mapping[str, Quota],
-        peers: QuotaPeers,
-        now_ms: int,
-    ) -> None:
-        """Ignore what a peer announces."""
-
-    def pop_changed_usage(self, now_ms: int) -> dict[str, CustomerUsage]:
-        """Return nothing."""
-        return {}
