Gateway: log and count the services of which no server can be reached

Only failed attempts of single requests showed that a node had no path to the servers. It logs service_unreachable and service_reachable and serves the gauge unreachable_services. Nothing else depends on it yet.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -29,6 +29,7 @@
 from ..gateway.request_log import RequestLog
 from ..gateway.runner_chooser import RunnerChooser
 from ..gateway.server_limits import SharedServerLimits
+from ..gateway.service_paths import ServicePaths
 from ..gateway.usage_announcer import UsageAnnouncer
 from ..helpers.gevent_tasks import GeventTasks
 from ..helpers.ids import new_id
@@ -169,6 +170,13 @@
             self.usage_announcer,
             self.clock,
         )
+        self.service_paths = ServicePaths(
+            self.cluster_state.server_registry.servers_of,
+            self.connection_pools,
+            self.tasks,
+            self.clock,
+            self.rng,
+        )
         self.store_table = RetryingTable(integration.raw_table(), self.tasks)
         self.gossip = Gossip(
             settings.report_address,
@@ -238,6 +246,7 @@
             if not port.start():
                 return False
         self.tasks.spawn(self.stall_detector.run)
+        self.tasks.spawn(self.service_paths.run)
         self.gossip.start()
         self.store_watches = self.store_follower.start(
             self._open_feed, self.tasks, self.settings.bounds.drain_ms
@@ -394,6 +403,11 @@
             "Servers that name a limit for the requests of all nodes.",
             lambda: float(self.server_limits.limited_count()),
         )
+        gauge(
+            "unreachable_services",
+            "Services of which no server accepts a connection from this node.",
+            lambda: float(len(self.service_paths.lost_services())),
+        )
         gauge("duties", "Duties held.", lambda: len(self.cell_leases.claims()))
         gauge("in_progress", "Requests in progress.", lambda: self.ports.callers.active_count)
         gauge("store_calls", "Calls to the store since the start.", integration.store_calls)
@@ -496,6 +510,7 @@
             self.rng,
             RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers")),
             self.server_limits,
+            self.service_paths,
             self.configuration_status,
             self.shared_quota,
         )
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -42,7 +42,14 @@
     Unsent,
     Whole,
 )
-from .protocols import CustomerQuotas, Quarantine, RetryBudget, ServerChooser, ServerLimiter
+from .protocols import (
+    CustomerQuotas,
+    Paths,
+    Quarantine,
+    RetryBudget,
+    ServerChooser,
+    ServerLimiter,
+)
 from .request_log import RequestLog
 
 NOT_READY_RETRY_AFTER_MS: Final = 300
@@ -70,6 +77,7 @@
     :param plain_chooser: chooses servers of plain services.
     :param runner_chooser: chooses model runners.
     :param server_limits: the limits that servers name.
+    :param paths: which services this node reaches.
     :param configuration_status: returns how current the configuration in force is.
     :param quotas: the quotas of customers; ``None`` if they are not limited.
     """
@@ -89,6 +97,7 @@
         rng: random.Random,
         request_log: RequestLog,
         server_limits: ServerLimiter,
+        paths: Paths,
         configuration_status: Callable[[], ConfigurationStatus] = lambda: ConfigurationStatus(
             True, None
         ),
@@ -107,6 +116,7 @@
         self._rng = rng
         self._request_log = request_log
         self._server_limits = server_limits
+        self._paths = paths
         self._configuration_status = configuration_status
         self._quotas = quotas
         self._typical_timeouts = TypicalCallerTimeouts()
@@ -301,7 +311,7 @@
             lambda: chooser.may_send(chosen),
             lambda: self._server_limits.admit(chosen.life),
             lambda: self._before_send(job, chooser, chosen),
-            lambda: chooser.record_activity(chosen, self._clock.now_ms()),
+            lambda: self._record_activity(job, chooser, chosen),
             lambda terms: self._server_limits.record_answer(chosen.life, terms, ticket.sent_ms),
         )
         result: AttemptResult | None = None
@@ -327,6 +337,11 @@
     def _before_send(self, job: Job, chooser: ServerChooser, chosen: Chosen) -> None:
         self._use_reserved_retry(job)
         chooser.record_sent(chosen, job.call.request_id, job.route, self._clock.now_ms())
+        self._paths.record_sent(job.service.name)
+
+    def _record_activity(self, job: Job, chooser: ServerChooser, chosen: Chosen) -> None:
+        chooser.record_activity(chosen, self._clock.now_ms())
+        self._paths.record_response(job.service.name)
 
     def _use_reserved_retry(self, job: Job) -> None:
         if job.has_reserved_retry:
@@ -362,6 +377,8 @@
         self._in_flight.end(ticket)
         if not isinstance(result, Rejected | Unsent | AtLimit):
             job.has_reached_server = True
+        if isinstance(result, Unsent):
+            self._paths.record_unreachable(job.service.name)
         chooser.record_result(chosen, job.call.request_id, result, now_ms - sent_ms, now_ms)
         self._request_log.count_attempt(result)
 
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -73,6 +73,19 @@
         """Return when a caller may retry that finds all servers of a service at their limits."""
 
 
+class Paths(Protocol):
+    """Knows which services this node reaches."""
+
+    def record_sent(self, service: str) -> None:
+        """Record that a request was sent to a server."""
+
+    def record_response(self, service: str) -> None:
+        """Record that a server sent a part of an answer."""
+
+    def record_unreachable(self, service: str) -> None:
+        """Record that a server could not be reached."""
+
+
 class RetryBudget(Protocol):
     """Limits the retries of all nodes together, by service."""
 
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -60,6 +60,8 @@
     ServerLeaves,
     ServerLimited,
     ServerSilent,
+    ServiceReachable,
+    ServiceUnreachable,
     UnusableReport,
     UnusableServerLimit,
 )
@@ -129,6 +131,8 @@
     "ServerLimited",
     "ServerSilent",
     "ServerRefused",
+    "ServiceReachable",
+    "ServiceUnreachable",
     "StaleRead",
     "Started",
     "Stopped",
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -47,6 +47,23 @@
     missed: int
 
 
+@event
+class ServiceUnreachable(Event):
+    """None of ``servers`` servers of a service accepts a connection from this node."""
+
+    LEVEL: ClassVar[int] = logging.WARNING
+    service: str
+    servers: int
+
+
+@event
+class ServiceReachable(Event):
+    """A server of a service accepts connections from this node again, after ``after_ms``."""
+
+    service: str
+    after_ms: int
+
+
 @event
 class ServerLimited(Event):
     """A server's limit for requests of all nodes has changed; without ``per_s`` it has none."""
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -205,6 +205,14 @@
         connection.mark_idle(head)
         idle.append(connection)
 
+    def add_idle(self, key: str, connection: ServerConnection) -> None:
+        """Keep a new connection that has carried no request yet, or close it."""
+        idle = self._idle_by_key.setdefault(key, deque())
+        if len(idle) >= self.max_idle:
+            connection.close()
+        else:
+            idle.append(connection)
+
     def close_idle(self, key: str) -> None:
         """Close the idle connections to a server that was removed."""
         for connection in self._idle_by_key.pop(key, ()):
--- a/tests/gateway/test_returning_callers.py
+++ b/tests/gateway/test_returning_callers.py
@@ -21,6 +21,7 @@
 from monsoonflow.routing.routes import Route, RouteKind, RouteTable, Service, Target
 from monsoonflow.transport.client import ConnectionPools
 from monsoonflow.transport.models import MessageLimits, Request
+from tests.gateway.open_paths import OpenPaths
 from tests.gateway.unlimited_servers import UnlimitedServers
 
 ROUTE = Route("r", "h", "/a/", RouteKind.STREAM, (Target("s", 1),), objective_ms=800)
@@ -90,6 +91,7 @@
         random.Random(1),
         RequestLog(clock, EntryMetrics()),
         UnlimitedServers(),
+        OpenPaths(),
     )
 
 
