Gateway: forward requests to a peer while this node reaches no server

Cause: a node judges each server by its own attempts, and nothing draws the conclusion that the node itself is cut off. Each request tried some servers, waited 500 ms for each connection and was refused; a node had no means to use the path that its peers have. Class: a lost path is taken for lost servers.

Change: nodes announce in their heartbeats the services of which they reach no server. While a node does not reach a service and a peer does, the peer gets its requests, at its address for peers: it decides, sends and retries like for its own callers, and the first node carries the answer byte for byte. A forwarded request is never forwarded again; deadlines count from the first arrival; requests and quotas are counted by the first node, attempts by the peer. A connection that breaks after the peer may have read the request counts as an attempt that may have run. A node of an earlier release announces nothing and gets nothing. If no node reaches a server, callers are refused at once. Pauses of single servers end with the partition.

The tests of single hazards (caller leaves, peer lost, headers, deadline, no path anywhere) came with the change.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -7,7 +7,7 @@
 import random
 import signal
 from collections.abc import Callable
-from typing import Protocol
+from typing import Final, Protocol
 
 import attrs
 import gevent
@@ -21,8 +21,10 @@
 from ..gateway.backlog import Backlog
 from ..gateway.budget import SharedRetryBudget
 from ..gateway.configuration_status import ConfigurationStatus
+from ..gateway.forwarding import PeerForwarding
 from ..gateway.handler import Gateway
 from ..gateway.models import Dialect
+from ..gateway.peer_forwarder import PeerForwarder
 from ..gateway.plain_server_chooser import PlainServerChooser
 from ..gateway.quota import SharedQuota
 from ..gateway.quota_peers import QuotaPeerTracker
@@ -71,6 +73,10 @@
 """How often idle connections and unconfirmed servers are checked."""
 
 
+FORWARDED_HEAD_BYTES: Final = 512
+"""What a node adds to the head of a request that it forwards."""
+
+
 class PlatformIntegration(Protocol):
     """What the integration with a deployment's platform provides."""
 
@@ -137,6 +143,7 @@
         self.backlog = Backlog(self.in_flight, self.view)
         self.health_tracker = HealthTracker()
         self.connection_pools = ConnectionPools(self.clock)
+        self.forwarding_pools = ConnectionPools(self.clock)
         self.metrics = EntryMetrics()
         self.stall_detector = StallDetector(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._heartbeat_sequence = 0
@@ -176,6 +183,10 @@
             self.tasks,
             self.clock,
             self.rng,
+            self._handle_path_change,
+        )
+        self.peer_forwarder = PeerForwarder(
+            self.view, self.service_paths, self.clock, self.rng, settings.data_centre
         )
         self.store_table = RetryingTable(integration.raw_table(), self.tasks)
         self.gossip = Gossip(
@@ -329,6 +340,7 @@
             quota_usage_by_customer=self.shared_quota.usage_by_customer(),
             limit_by_server=self.server_limits.announced_limits(),
             usage_by_limited_server=self.server_limits.usage_by_server(),
+            unreachable_services=self.service_paths.lost_services(),
         )
 
     def _work_delta(self) -> WorkDelta:
@@ -349,6 +361,13 @@
         self.shared_quota.handle_delta(delta)
         self.server_limits.handle_delta(delta)
 
+    def _handle_path_change(self, service: str) -> None:
+        """Announce whether this node reaches a service, and use all its servers again if so."""
+        if not self.service_paths.is_lost(service):
+            for server in self.cluster_state.server_registry.servers_of(service):
+                self.health_tracker.end_pause(server.life)
+        self.gossip.schedule_broadcast()
+
     def _refresh_servers(self) -> None:
         if self.store_watches is not None:
             self.store_watches.servers.request_soon()
@@ -496,6 +515,7 @@
             self.rng,
             settings.data_centre,
         )
+        request_log = RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers"))
         self.gateway = Gateway(
             self.clock,
             integration.dialect,
@@ -508,9 +528,16 @@
             plain_chooser,
             engine_chooser,
             self.rng,
-            RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers")),
+            request_log,
             self.server_limits,
             self.service_paths,
+            PeerForwarding(
+                self.clock,
+                integration.dialect,
+                self.forwarding_pools,
+                self.peer_forwarder,
+                request_log,
+            ),
             self.configuration_status,
             self.shared_quota,
         )
@@ -524,7 +551,10 @@
             lambda: self.stall_detector.lag_ms,
         )
         peer_api = PeerApi(
-            self.cluster_state, self.store_follower.snapshot, self.cell_leases.answer_slot_request
+            self.cluster_state,
+            self.store_follower.snapshot,
+            self.cell_leases.answer_slot_request,
+            self.gateway.handle_forwarded,
         )
         default_limits = MessageLimits
         return Ports(
@@ -543,7 +573,9 @@
                 default_limits,
                 self.clock,
             ),
-            peers=HttpServer(settings.peer_address, peer_api.handle, default_limits, self.clock),
+            peers=HttpServer(
+                settings.peer_address, peer_api.handle, self._peer_message_limits, self.clock
+            ),
             metrics=HttpServer(
                 settings.metrics_address, self.metrics.handle, default_limits, self.clock
             ),
@@ -553,6 +585,15 @@
         route_table = self.cluster_state.route_table
         return route_table.limits if route_table is not None else MessageLimits()
 
+    def _peer_message_limits(self) -> MessageLimits:
+        """Return the limits for peers, which may forward any request of a caller."""
+        callers, own = self._message_limits(), MessageLimits()
+        return attrs.evolve(
+            own,
+            head_bytes=max(callers.head_bytes, own.head_bytes) + FORWARDED_HEAD_BYTES,
+            body_bytes=max(callers.body_bytes, own.body_bytes),
+        )
+
     def _fetch_snapshot_loop(self) -> None:
         """Fetch a peer's snapshot if the store does not answer at the start."""
         self.tasks.sleep(PEER_SNAPSHOT_DELAY_MS)
@@ -568,6 +609,7 @@
             # The settings file may change without a signal.
             self.reload()
             self.connection_pools.close_stale()
+            self.forwarding_pools.close_stale()
             self.store_watches.servers.end_overlong_pause()
             for life in self.cluster_state.server_registry.pop_removed(self.clock.now_ms()):
                 self.cell_leases.residency.forget(life)
--- a/monsoonflow/entry/metrics.py
+++ b/monsoonflow/entry/metrics.py
@@ -69,6 +69,11 @@
             "order_seconds", "Time of an order's answer.", ORDER_BUCKETS_S
         )
         self.attempts = self._counter("tries", "Tries of requests at servers by result.", "result")
+        self.forwarded = self._counter(
+            "forwarded",
+            "Requests forwarded to peers that reach their servers, by result.",
+            "result",
+        )
         self.unauthorized = self._counter(
             "unauthorized", "Requests refused for their API key.", "reason"
         )
@@ -103,6 +108,10 @@
         """Count an attempt at a server."""
         self.attempts.labels(result).inc()
 
+    def count_forwarded(self, result: str) -> None:
+        """Count a request that was forwarded to a peer."""
+        self.forwarded.labels(result).inc()
+
     def count_unauthorized(self, reason: str) -> None:
         """Count a request that was refused for its key."""
         self.unauthorized.labels(reason).inc()
--- a/monsoonflow/entry/peers.py
+++ b/monsoonflow/entry/peers.py
@@ -94,6 +94,8 @@
 
     :param snapshot: returns all rows that this node has applied.
     :param answer_slot_request: answers a request for a slot.
+    :param handle_forwarded: answers a caller's request that a peer forwards; returns whether a
+        request is one.
     """
 
     def __init__(
@@ -101,13 +103,17 @@
         cluster_state: ClusterState,
         snapshot: Callable[[], bytes],
         answer_slot_request: Callable[[Request, Reply], None],
+        handle_forwarded: Callable[[Request, Reply], bool],
     ) -> None:
         self._cluster_state = cluster_state
         self._snapshot = snapshot
         self._answer_slot_request = answer_slot_request
+        self._handle_forwarded = handle_forwarded
 
     def handle(self, request: Request, reply: Reply) -> None:
         """Answer one call."""
+        if self._handle_forwarded(request, reply):
+            return
         path = request.target.partition(b"?")[0].decode("latin-1")
         cluster_state = self._cluster_state
         if path == CONFIGURATION_PATH and cluster_state.route_table is not None:
--- a/monsoonflow/entry/stopping.py
+++ b/monsoonflow/entry/stopping.py
@@ -42,7 +42,9 @@
     daemon.ports.callers.stop_listening()
     daemon.tasks.sleep(CHECK_INTERVAL_MS)
     while daemon.clock.now_ms() < end_ms and (
-        daemon.ports.callers.active_count or daemon.cell_leases.holds_any()
+        daemon.ports.callers.active_count
+        or daemon.gateway.forwarded_count
+        or daemon.cell_leases.holds_any()
     ):
         daemon.tasks.sleep(CHECK_INTERVAL_MS)
     log(
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -93,6 +93,7 @@
             _quota_usage_fields(heartbeat.quota_usage_by_customer),
             _limit_fields(heartbeat.limit_by_server),
             _quota_usage_fields(heartbeat.usage_by_limited_server),
+            heartbeat.unreachable_services,
         ]
     )
 
@@ -124,6 +125,7 @@
             record,
             usage,
             heartbeat.quarantined_fingerprints,
+            heartbeat.unreachable_services,
         ]
     )
 
@@ -219,6 +221,7 @@
         record=None if fields[9] is None else _record_from_fields(fields[9]),
         retry_usage_by_service=_retry_usage_from_fields(fields[10]),
         quarantined_fingerprints=tuple(map(str, _optional_field(fields, 11) or ())),
+        unreachable_services=_names_from_fields(_optional_field(fields, 12)),
     )
 
 
@@ -275,6 +278,7 @@
         quota_usage_by_customer=_quota_usage_from_fields(_optional_field(fields, 21) or {}),
         limit_by_server=_limits_from_fields(_optional_field(fields, 22) or {}),
         usage_by_limited_server=_quota_usage_from_fields(_optional_field(fields, 23) or {}),
+        unreachable_services=_names_from_fields(_optional_field(fields, 24)),
     )
 
 
@@ -374,6 +378,11 @@
     return fields[index] if len(fields) > index else None
 
 
+def _names_from_fields(names: list[Any] | None) -> tuple[str, ...] | None:
+    """Return names; ``None`` from a node of an older version, which does not send them."""
+    return None if names is None else tuple(map(str, names))
+
+
 def _versions_from_fields(refs: list[Any], ages_ms: list[Any] | None) -> tuple[RecentVersion, ...]:
     """Return versions; a node of an older version sends no ages, and each age counts as zero."""
     ages = ages_ms if ages_ms is not None else [0] * len(refs)
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -159,6 +159,8 @@
     :param quota_usage_by_customer: what the node has admitted of customers with a quota.
     :param limit_by_server: limits of servers that the node has seen last.
     :param usage_by_limited_server: what the node has sent to servers with limits.
+    :param unreachable_services: services of which the node reaches no server; ``None`` from a node
+        of an earlier release.
     """
 
     record: NodeRecord
@@ -184,6 +186,7 @@
     quota_usage_by_customer: dict[str, QuotaUsage] = attrs.Factory(dict)
     limit_by_server: dict[ServerLife, AnnouncedLimit] = attrs.Factory(dict)
     usage_by_limited_server: dict[ServerLife, QuotaUsage] = attrs.Factory(dict)
+    unreachable_services: tuple[str, ...] | None = ()
 
     @property
     def name(self) -> str:
@@ -245,6 +248,7 @@
     retry_usage_by_service: dict[str, RetryUsage] = attrs.Factory(dict)
     record: NodeRecord | None = None
     quarantined_fingerprints: tuple[str, ...] = ()
+    unreachable_services: tuple[str, ...] | None = ()
 
     @classmethod
     def from_heartbeat(cls, heartbeat: Heartbeat, with_record: bool) -> ShortHeartbeat:
@@ -268,6 +272,7 @@
             },
             heartbeat.record if with_record else None,
             heartbeat.quarantined_fingerprints,
+            heartbeat.unreachable_services,
         )
 
     def to_heartbeat(self, previous: Heartbeat | None, record: NodeRecord) -> Heartbeat:
@@ -300,4 +305,5 @@
             quarantined_fingerprints=self.quarantined_fingerprints,
             quota_usage_by_customer=previous.quota_usage_by_customer if keeps_previous else {},
             usage_by_limited_server=previous.usage_by_limited_server if keeps_previous else {},
+            unreachable_services=self.unreachable_services,
         )
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from ..core.clock import Clock
@@ -32,6 +32,7 @@
     Cut,
     Dialect,
     ForwardedRequest,
+    Handover,
     Malformed,
     NoServer,
     Passed,
@@ -44,6 +45,7 @@
 )
 from .protocols import (
     CustomerQuotas,
+    Forwarding,
     Paths,
     Quarantine,
     RetryBudget,
@@ -63,6 +65,9 @@
 time of one request. Sent again every 2 ms, a few requests used up the retry budget of ninety nodes
 (490 retries where 454 were allowed)."""
 
+NO_PATH_RETRY_AFTER_MS: Final = 500
+"""When a caller may retry that finds no path to any server: paths are checked this often."""
+
 QUARANTINE_RETRY_AFTER_MS: Final = 60_000
 """When a caller may retry a quarantined request."""
 
@@ -78,6 +83,7 @@
     :param runner_chooser: chooses model runners.
     :param server_limits: the limits that servers name.
     :param paths: which services this node reaches.
+    :param forwarding: lets peers handle requests whose servers this node does not reach.
     :param configuration_status: returns how current the configuration in force is.
     :param quotas: the quotas of customers; ``None`` if they are not limited.
     """
@@ -98,6 +104,7 @@
         request_log: RequestLog,
         server_limits: ServerLimiter,
         paths: Paths,
+        forwarding: Forwarding,
         configuration_status: Callable[[], ConfigurationStatus] = lambda: ConfigurationStatus(
             True, None
         ),
@@ -117,28 +124,41 @@
         self._request_log = request_log
         self._server_limits = server_limits
         self._paths = paths
+        self._forwarding = forwarding
         self._configuration_status = configuration_status
         self._quotas = quotas
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
+        self.forwarded_count = 0
 
     def handle(self, request: Request, reply: Reply) -> None:
-        """Answer one request."""
+        """Answer one request of a caller."""
+        self._handle(request, reply, None)
+
+    def handle_forwarded(self, request: Request, reply: Reply) -> bool:
+        """Answer a request that a peer forwards; return whether it is one."""
+        handover = self._dialect.read_handover(request)
+        if handover is None:
+            return False
+        # All deadlines count from the arrival at the first node.
+        request.arrived_ms -= handover.elapsed_ms
+        self.forwarded_count += 1
+        try:
+            self._handle(request, reply, handover)
+        finally:
+            self.forwarded_count -= 1
+        return True
+
+    def _handle(self, request: Request, reply: Reply, handover: Handover | None) -> None:
         call = self._dialect.read_call(request)
         if isinstance(call, Malformed):
             self._send_own_answer(reply, None, 400, call.reason)
             return
-        if not self.accepts_requests:
-            self._send_own_answer(
-                reply, call, 503, "this node is stopping", NOT_READY_RETRY_AFTER_MS
-            )
-            return
         route_table = self._route_table()
-        if route_table is None:
-            self._send_own_answer(
-                reply, call, 503, "no configuration yet", NOT_READY_RETRY_AFTER_MS
-            )
+        if not self.accepts_requests or route_table is None:
+            cause = "no configuration yet" if self.accepts_requests else "this node is stopping"
+            self._refuse_unready(reply, call, cause, is_forwarded=handover is not None)
             return
         route = route_table.match(call.host, call.path)
         if route is None:
@@ -148,21 +168,40 @@
         if isinstance(identity, Unauthorized):
             self._refuse_unauthorized(reply, call, route, identity, route_table.version)
             return
+        self._accept(request, reply, call, route_table, route, identity, handover)
+
+    def _accept(
+        self,
+        request: Request,
+        reply: Reply,
+        call: Call,
+        route_table: RouteTable,
+        route: Route,
+        identity: Identity | None,
+        handover: Handover | None,
+    ) -> None:
+        """Answer a request that its route allows, unless its customer has used up its quota."""
         service = route_table.service_by_name.get(route.choose_service(self._rng))
         if service is None:
             self._send_own_answer(reply, call, 503, "unknown service", NOT_READY_RETRY_AFTER_MS)
             return
-        over_quota, cost = self._use_quota(identity, call)
+        # The node that has forwarded a request has counted it.
+        over_quota, cost = self._use_quota(identity, call) if handover is None else (None, 0)
         if over_quota is not None:
             self._refuse_over_quota(reply, call, route, identity, over_quota)
             return
         job = self._create_job(request, call, route, service)
         job.quota_cost = cost
+        job.config_version = route_table.version
+        if handover is not None:
+            job.is_forwarded = True
+            job.possible_runs = handover.possible_runs
         if identity is not None:
             job.identity = identity
             job.priority = route_table.priority_of(route, identity.customer)
         self._request_log.log_accepted(job, route_table.version)
-        self._retry_budget.record_request(service.name)
+        if not job.is_forwarded:
+            self._retry_budget.record_request(service.name)
         try:
             self._serve(job, reply)
         except CallerLeft:
@@ -175,6 +214,11 @@
             if job.quota_cost and not job.has_reached_server:
                 self._quotas.give_back(job.identity.customer, job.quota_cost)
 
+    def _refuse_unready(self, reply: Reply, call: Call, cause: str, is_forwarded: bool) -> None:
+        """Refuse a request that any other node may answer."""
+        headers = self._dialect.not_run_headers() if is_forwarded else []
+        self._send_own_answer(reply, call, 503, cause, NOT_READY_RETRY_AFTER_MS, headers)
+
     def _refuse_unauthorized(
         self, reply: Reply, call: Call, route: Route, cause: Unauthorized, config_version: int
     ) -> None:
@@ -245,8 +289,14 @@
                 return
             if self._refuse_if_quarantined(job, reply):
                 return
+            if self._must_not_send(job):
+                if self._handle_without_path(job, reply):
+                    return
+                continue
             chosen = chooser.choose(job.call, job.route, job.service, job, now_ms)
             if isinstance(chosen, NoServer):
+                if self._forwarding.can_forward(job):
+                    continue
                 self._finish_unserved(job, reply, chosen.reason, chosen.retry_after_ms)
                 return
             # Waiting for a slot may take seconds, in which peers may have quarantined the request.
@@ -258,20 +308,84 @@
                 retry_after_ms = job.retry_after_ms or NOT_READY_RETRY_AFTER_MS
                 self._finish_unserved(job, reply, "every server refused it", retry_after_ms)
                 return
-            turn = self._quarantine.acquire_turn(job.fingerprint, job.answer_deadline_ms - sent_ms)
-            if turn is Turn.TIMED_OUT:
-                self._finish_unserved(
-                    job, reply, "other suspect requests go first", NOT_READY_RETRY_AFTER_MS
-                )
-                return
-            job.holds_turn = turn is Turn.ACQUIRED
-            if job.holds_turn and self._refuse_if_quarantined(job, reply):
+            if not self._acquire_turn(job, reply, sent_ms):
                 return
             result = self._attempt(job, reply, chooser, chosen)
             took_ms = self._clock.now_ms() - sent_ms
             if self._handle_result(job, reply, chosen, result, took_ms):
                 return
 
+    def _must_not_send(self, job: Job) -> bool:
+        """Return whether this node reaches no server and must not try one itself.
+
+        If no peer reaches one either, connections that are still open are used.
+        """
+        if not self._forwarding.is_path_lost(job.service.name):
+            return False
+        return self._forwarding.can_forward(job) or not self._paths.has_open_connection(
+            job.service.name
+        )
+
+    def _acquire_turn(self, job: Job, reply: Reply, now_ms: int) -> bool:
+        """Wait until a request may be sent; return ``False`` if it has been refused instead."""
+        turn = self._quarantine.acquire_turn(job.fingerprint, job.answer_deadline_ms - now_ms)
+        if turn is Turn.TIMED_OUT:
+            self._finish_unserved(
+                job, reply, "other suspect requests go first", NOT_READY_RETRY_AFTER_MS
+            )
+            return False
+        job.holds_turn = turn is Turn.ACQUIRED
+        return not (job.holds_turn and self._refuse_if_quarantined(job, reply))
+
+    def _handle_without_path(self, job: Job, reply: Reply) -> bool:
+        """Forward a request to a peer; return ``False`` if another attempt follows."""
+        if job.is_forwarded and not job.has_reached_server:
+            self._refuse_unready(reply, job.call, "no server can be reached", is_forwarded=True)
+            self._request_log.log_ended(job, reply, "refused", "no server can be reached")
+            return True
+        result = (
+            None
+            if job.is_forwarded
+            else self._forwarding.forward(job, reply, lambda: self._use_reserved_retry(job))
+        )
+        match result:
+            case Passed():
+                job.has_reached_server = True
+                self._request_log.log_ended(job, reply, "passed")
+            case Whole():
+                self._handle_answer_of_peer(job, reply, result)
+            case TimedOut():
+                job.possible_runs += 1
+                self._finish_timed_out(job, reply)
+            case Unclear(reason=reason) | Cut(reason=reason):
+                job.has_reached_server = True
+                job.possible_runs += 1
+                if self._may_retry(job, may_have_run=True):
+                    return False
+                self._finish_unserved(job, reply, reason, NOT_READY_RETRY_AFTER_MS)
+            case None if self._paths.has_open_connection(job.service.name):
+                return False
+            case _:
+                self._finish_unserved(
+                    job, reply, "no server can be reached", NO_PATH_RETRY_AFTER_MS
+                )
+        return True
+
+    def _handle_answer_of_peer(self, job: Job, reply: Reply, answer: Whole) -> None:
+        status = answer.head.status
+        is_own_refusal = status in NOT_RUN_STATUSES and not answer.terms.is_signed
+        if not is_own_refusal:
+            job.has_reached_server = True
+        if reply.started:
+            self._request_log.log_ended(job, reply, "cut", f"status {status} while resuming")
+            return
+        headers = self._dialect.forwarded_headers(answer.head)
+        reply.send_whole(status, headers, answer.body, answer.head.reason)
+        outcome = "refused" if is_own_refusal else "answered" if status < 500 else "failed"
+        self._request_log.log_ended(
+            job, reply, outcome, f"status {status} of a peer" if outcome != "answered" else None
+        )
+
     def _refuse_if_quarantined(self, job: Job, reply: Reply) -> bool:
         """Refuse a quarantined request; return whether it is one."""
         if not self._quarantine.is_quarantined(job.fingerprint):
@@ -377,7 +491,7 @@
         self._in_flight.end(ticket)
         if not isinstance(result, Rejected | Unsent | AtLimit):
             job.has_reached_server = True
-        if isinstance(result, Unsent):
+        if isinstance(result, TimedOut | Unclear | Cut) and result.silent:
             self._paths.record_unreachable(job.service.name)
         chooser.record_result(chosen, job.call.request_id, result, now_ms - sent_ms, now_ms)
         self._request_log.count_attempt(result)
@@ -490,7 +604,8 @@
     ) -> bool:
         # Nothing has reached a server, so the first time at each server costs no retry. A second
         # time does, because otherwise attempts would go from server to server without end.
-        if chosen.life in job.avoided_lives:
+        self._paths.check_is_lost(job.service.name)
+        if chosen.life in job.avoided_lives and not self._forwarding.can_forward(job):
             self._use_reserved_retry(job)
             return self._retry_or_finish(job, reply, chosen, reason, took_ms, may_have_run=False)
         job.avoided_lives.append(chosen.life)
@@ -574,8 +689,9 @@
         status: int,
         reason: str,
         retry_after_ms: int | None = None,
+        extra_headers: Iterable[Header] = (),
     ) -> None:
-        headers: list[Header] = [(b"Content-Type", b"text/plain")]
+        headers: list[Header] = [(b"Content-Type", b"text/plain"), *extra_headers]
         is_retryable = status in (429, 503)
         headers += self._dialect.own_answer_headers(call, retry_after_ms if is_retryable else None)
         reply.send_whole(status, headers, reason.encode())
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -55,6 +55,9 @@
     :param has_reserved_retry: whether one retry of the budget is reserved for its next attempt.
     :param has_reached_server: whether a server may have run it or begun to.
     :param first_event_ms: when the first part of the answer arrived.
+    :param config_version: of the configuration by which it was routed.
+    :param is_forwarded: whether a peer that does not reach the servers has forwarded it.
+    :param tried_peers: the peers that it was forwarded to, in order.
     """
 
     request: Request
@@ -83,6 +86,9 @@
     has_reserved_retry: bool = False
     has_reached_server: bool = False
     first_event_ms: int | None = None
+    config_version: int = 0
+    is_forwarded: bool = False
+    tried_peers: list[str] = attrs.Factory(list)
 
     @property
     def customer_name(self) -> str | None:
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -71,6 +71,18 @@
     identity: Identity | None = None
 
 
+@attrs.frozen(slots=True)
+class Handover:
+    """What a peer is told with a request that is forwarded to it.
+
+    :param elapsed_ms: since the request arrived at the first node.
+    :param possible_runs: attempts of the first node that may have run on a server.
+    """
+
+    elapsed_ms: int
+    possible_runs: int
+
+
 @attrs.frozen(slots=True)
 class AnswerTerms:
     """What the head of an answer says about the answer.
@@ -98,6 +110,15 @@
     def forwarded_head(self, request: Request, forwarded: ForwardedRequest) -> bytes:
         """Return the encoded head of the request that is sent to a server."""
 
+    def peer_head(self, request: Request, handover: Handover, last_event_id: bytes | None) -> bytes:
+        """Return the encoded head of a request that is forwarded to a peer."""
+
+    def read_handover(self, request: Request) -> Handover | None:
+        """Return what a peer says of a request that it forwards; ``None`` for any other request."""
+
+    def not_run_headers(self) -> list[Header]:
+        """Return the headers that tell a peer that its request has not run at this node."""
+
     def read_answer(self, head: AnswerHead) -> AnswerTerms:
         """Return what the head of an answer says about the answer."""
 
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 from ..core.server_life import ServerLife
@@ -11,6 +11,7 @@
 from ..routing.customers import Customer
 from ..routing.quota import OverQuota, WithinQuota
 from ..routing.routes import Route, Service
+from ..transport.server import Reply
 from .job import Job
 from .models import AnswerTerms, AtLimit, AttemptResult, Call, Chosen, NoServer
 
@@ -82,9 +83,28 @@
     def record_response(self, service: str) -> None:
         """Record that a server sent a part of an answer."""
 
+    def has_open_connection(self, service: str) -> bool:
+        """Return whether an idle connection to a server of a service is open."""
+
     def record_unreachable(self, service: str) -> None:
         """Record that a server could not be reached."""
 
+    def check_is_lost(self, service: str) -> bool:
+        """Return whether no server of a service can be reached now; waits for a check."""
+
+
+class Forwarding(Protocol):
+    """Lets peers handle requests whose servers this node does not reach."""
+
+    def is_path_lost(self, service: str) -> bool:
+        """Return whether this node reaches no server of a service."""
+
+    def can_forward(self, job: Job) -> bool:
+        """Return whether a peer reaches the servers that this node does not reach."""
+
+    def forward(self, job: Job, reply: Reply, on_send: Callable[[], None]) -> AttemptResult | None:
+        """Return what came of a request at a peer; ``None`` if no peer has taken it."""
+
 
 class RetryBudget(Protocol):
     """Limits the retries of all nodes together, by service."""
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -47,6 +47,9 @@
     def count_attempt(self, result: str) -> None:
         """Count an attempt at a server by its result."""
 
+    def count_forwarded(self, result: str) -> None:
+        """Count a request that was forwarded to a peer, by its result there."""
+
     def count_retry(self, allowed: bool) -> None:
         """Count a retry that was needed, by whether the budget allowed it."""
 
@@ -136,6 +139,7 @@
                 tried_before_ms=job.request.arrived_ms - job.first_tried_ms,
                 fingerprint=job.fingerprint,
                 customer=job.customer_name,
+                forwarded=job.is_forwarded or None,
             ),
         )
 
@@ -172,6 +176,22 @@
             ),
         )
 
+    def log_forwarded(self, job: Job, peer: str, result: AttemptResult) -> None:
+        """Log and count what came of a request that was forwarded to a peer."""
+        name = type(result).__name__.lower()
+        self._metrics.count_forwarded(name)
+        log(
+            _LOGGER,
+            events.RequestForwarded(
+                request=job.call.request_id,
+                peer=peer,
+                service=job.service.name,
+                result=name,
+                cause=getattr(result, "reason", None),
+                left_ms=job.answer_deadline_ms - self._clock.now_ms(),
+            ),
+        )
+
     def log_at_limit(self, job: Job, chosen: Chosen, at_limit: AtLimit) -> None:
         """Log that a request was not sent, since its server's limit is used up."""
         log(
--- a/monsoonflow/gateway/service_paths.py
+++ b/monsoonflow/gateway/service_paths.py
@@ -14,6 +14,7 @@
 
 import attrs
 import gevent
+from gevent.event import Event
 
 from ..core.clock import Clock
 from ..core.tasks import Tasks
@@ -35,6 +36,7 @@
 RESPONSE_TIMEOUT_MS: Final = 800
 """A service is checked if none of its servers has sent anything for this long after a request."""
 
+CHECK_WAIT_S: Final = 2 * CHECK_TIMEOUT_MS / 1000
 LOOP_INTERVAL_MS: Final = 100
 
 
@@ -51,6 +53,8 @@
     lost_since_ms: int | None = None
     checked_ms: int | None = None
     is_checking: bool = False
+    checked: Event = attrs.Factory(Event)
+    """Set while no check is running."""
     awaited_since_ms: int | None = None
 
 
@@ -97,6 +101,10 @@
             if path.lost_since_ms is not None
         )
 
+    def has_open_connection(self, service: str) -> bool:
+        """Return whether an idle connection to a server of a service is open."""
+        return any(self._pools.has_idle(server.life) for server in self._servers_of(service))
+
     def record_sent(self, service: str) -> None:
         """Record that a request was sent to a server."""
         path = self._path(service)
@@ -113,6 +121,13 @@
         if not path.is_checking and not self._is_recently_checked(path, self._clock.now_ms()):
             self._start_check(service, path)
 
+    def check_is_lost(self, service: str) -> bool:
+        """Return whether no server of a service can be reached now; waits for a running check."""
+        self.record_unreachable(service)
+        path = self._path(service)
+        path.checked.wait(CHECK_WAIT_S)
+        return path.lost_since_ms is not None
+
     def run(self) -> None:
         """Check services without a response, and unreachable ones, forever."""
         while True:
@@ -139,6 +154,7 @@
 
     def _start_check(self, service: str, path: _ServicePath) -> None:
         path.is_checking = True
+        path.checked.clear()
         self._tasks.spawn(self._check, service, path)
 
     def _check(self, service: str, path: _ServicePath) -> None:
@@ -158,6 +174,7 @@
             path.checked_ms = now_ms
         finally:
             path.is_checking = False
+            path.checked.set()
 
     def _connect_to_all(self, servers: list[BackendServer]) -> Iterable[bool]:
         """Yield whether each server accepts a connection, in the order of their responses."""
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -41,6 +41,7 @@
 from .requests import (
     RequestAccepted,
     RequestEnded,
+    RequestForwarded,
     RequestOverQuota,
     RequestSent,
     RequestUnauthorized,
@@ -116,6 +117,7 @@
     "ReportUnread",
     "ReportUnsent",
     "RequestAccepted",
+    "RequestForwarded",
     "RequestOverQuota",
     "RequestUnauthorized",
     "RequestEnded",
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -20,6 +20,19 @@
     tried_before_ms: int = 0
     fingerprint: str | None = None
     customer: str | None = None
+    forwarded: bool | None = None
+
+
+@event
+class RequestForwarded(Event):
+    """A request was forwarded to a peer, since this node reaches no server of its service."""
+
+    request: str
+    peer: str
+    service: str
+    result: str
+    cause: str | None
+    left_ms: int
 
 
 @event
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -5,7 +5,7 @@
 import re
 from typing import Final
 
-from ..gateway.models import AnswerTerms, Call, ForwardedRequest, Malformed
+from ..gateway.models import AnswerTerms, Call, ForwardedRequest, Handover, Malformed
 from ..routing.server_limits import InvalidLimit, NamedLimit
 from ..transport.const import HOP_BY_HOP_HEADERS
 from ..transport.models import AnswerHead, Header, Request
@@ -21,6 +21,8 @@
 NOT_EXECUTED_HEADER: Final = b"x-not-executed"
 SERVER_LIMIT_HEADER: Final = b"server-limit"
 AUTHORIZATION_HEADER: Final = b"authorization"
+HANDOVER_HEADER: Final = b"x-monsoonflow-forwarded"
+HANDOVER_PATTERN: Final = re.compile(rb"([0-9]{1,9}),([0-9]{1,9})")
 CUSTOMER_HEADER: Final = b"x-tenant"
 KEY_SCHEME: Final = b"Bearer "
 MAX_TOKEN_DIGITS: Final = 9
@@ -40,6 +42,7 @@
         b"wait-ms",
         DEADLINE_HEADER,
         LAST_EVENT_ID_HEADER,
+        HANDOVER_HEADER,
     }
 )
 """Dropped from callers' requests: they are orders to a server, or are set for each attempt."""
@@ -143,6 +146,37 @@
             lines.append(b"Last-Event-Id: " + forwarded.last_event_id)
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
+    def peer_head(self, request: Request, handover: Handover, last_event_id: bytes | None) -> bytes:
+        """Return the head of a request that is forwarded to a peer.
+
+        It holds the caller's headers, also those that only nodes may read.
+        """
+        dropped_names = HOP_BY_HOP_HEADERS | {HANDOVER_HEADER, LAST_EVENT_ID_HEADER}
+        dropped_names |= _names_listed_in_connection(request.headers) - REQUIRED_HEADERS
+        lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
+        lines += [
+            b"%s: %s" % (name, value)
+            for name, value in request.headers
+            if name.lower() not in dropped_names
+        ]
+        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+            lines.append(b"Content-Length: %d" % len(request.body))
+        if last_event_id is not None:
+            lines.append(b"Last-Event-Id: " + last_event_id)
+        lines.append(
+            b"X-Monsoonflow-Forwarded: %d,%d" % (handover.elapsed_ms, handover.possible_runs)
+        )
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def read_handover(self, request: Request) -> Handover | None:
+        """Return what a peer says of a request that it forwards; ``None`` for any other request."""
+        found = HANDOVER_PATTERN.fullmatch(request.value(HANDOVER_HEADER) or b"")
+        return None if found is None else Handover(int(found[1]), int(found[2]))
+
+    def not_run_headers(self) -> list[Header]:
+        """Return the headers that tell a peer that its request has not run at this node."""
+        return [(b"X-Not-Executed", b"1")]
+
     def read_answer(self, head: AnswerHead) -> AnswerTerms:
         """Return what an answer's headers say about it."""
         request_id = head.value(REQUEST_ID_HEADER)
@@ -170,15 +204,20 @@
 
     @staticmethod
     def _dropped_names(headers: list[Header]) -> frozenset[bytes]:
-        listed_names = {
-            token.strip().lower()
-            for name, value in headers
-            if name.lower() == b"connection"
-            for token in value.split(b",")
-        }
+        listed_names = _names_listed_in_connection(headers)
         return HOP_BY_HOP_HEADERS | NODE_SET_HEADERS | (listed_names - REQUIRED_HEADERS)
 
 
+def _names_listed_in_connection(headers: list[Header]) -> frozenset[bytes]:
+    """Return the headers that concern one connection only, as the ``Connection`` header says."""
+    return frozenset(
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    )
+
+
 def _parse_token_count(value: bytes) -> int:
     """Return a number of tokens; 0 if it is not stated.
 
--- a/monsoonflow/routing/health.py
+++ b/monsoonflow/routing/health.py
@@ -113,6 +113,13 @@
         self._check_response(life, health.response_watch, now_ms)
         return now_ms < health.paused_until_ms or health.response_watch.is_held_back(now_ms)
 
+    def end_pause(self, life: ServerLife) -> None:
+        """Use a server again that was unreachable only because this node had no path to it."""
+        health = self.health_by_life.get(life)
+        if health is not None:
+            health.paused_until_ms = 0
+            health.unreachable_count = 0
+
     def failure_share(self, life: ServerLife, now_ms: int) -> float:
         """Return the share of recent requests that failed; it decays while nothing is sent."""
         health = self.health_by_life.get(life)
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -205,6 +205,11 @@
         connection.mark_idle(head)
         idle.append(connection)
 
+    def has_idle(self, key: str) -> bool:
+        """Return whether an idle connection to a server can be reused."""
+        now_ms = self.clock.now_ms()
+        return any(not c.is_stale(now_ms) for c in self._idle_by_key.get(key, ()))
+
     def add_idle(self, key: str, connection: ServerConnection) -> None:
         """Keep a new connection that has carried no request yet, or close it."""
         idle = self._idle_by_key.setdefault(key, deque())
--- a/tests/entry/test_nodes_without_servers.py
+++ b/tests/entry/test_nodes_without_servers.py
@@ -97,3 +97,113 @@
     wait_for(lambda: not any(advertised()), within_s=CONTACT_S)
     heal(node)
     wait_for(lambda: all(advertised()))
+
+
+def test_open_connections_are_used_while_all_nodes_are_refused_new_ones(partitionable):
+    """Without a peer to forward to, callers would be refused although connections still work."""
+    fleet = partitionable
+    node = bystander(fleet)
+    assert served(fleet, node, "look", "before") == REQUESTS
+    for peer in fleet.nodes:
+        partition(peer, Cut.REFUSE_NEW)
+        peer.daemon.service_paths.check_is_lost("plain")
+    wait_for(lambda: all(peer.daemon.service_paths.is_lost("plain") for peer in fleet.nodes))
+    assert served(fleet, node, "look", "during") >= SERVED_SHARE * REQUESTS
+
+
+def test_callers_are_refused_at_once_while_no_node_reaches_a_server(partitionable):
+    """Requests must not wait for connections that nobody can open."""
+    fleet = partitionable
+    node = bystander(fleet)
+    for peer in fleet.nodes:
+        partition(peer, Cut.HANG)
+        for connection in peer.daemon.connection_pools.connections:
+            connection.close()
+    served(fleet, node, "look", "during")
+    wait_for(lambda: all(peer.daemon.service_paths.is_lost("plain") for peer in fleet.nodes))
+    gevent.sleep(0.3)
+    began_ms = node.daemon.clock.now_ms()
+    answer = fleet.ask(node, "/look/x", "late", b"body", deadline_ms=1_500)
+    assert answer.head.status == 503
+    assert float(answer.head.value(b"retry-after")) > 0
+    assert node.daemon.clock.now_ms() - began_ms < 100
+
+
+def test_only_peers_may_hand_a_request_over(partitionable):
+    """A caller that sends the header of a forwarded request could shift its deadline."""
+    fleet = partitionable
+    node = bystander(fleet)
+    answer = fleet.ask(node, "/look/x", "r1", b"body", X_Monsoonflow_Forwarded="60000,9")
+    assert answer.head.status == 200
+    (request,) = [request for server in fleet.servers for request in server.requests]
+    assert request.value(b"x-monsoonflow-forwarded") is None
+    assert 1_500 < int(request.value(b"x-deadline-ms")) <= 2_000
+
+
+def test_a_forwarded_request_reaches_its_server_as_the_caller_sent_it(partitionable):
+    fleet = partitionable
+    node = bystander(fleet)
+    partition(node, Cut.RESET)
+    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain"))
+    began_ms = node.daemon.clock.now_ms()
+    answer = fleet.ask(node, "/look/a?b=c", "r1", b"body", deadline_ms=1_500, X_Own="1")
+    took_ms = node.daemon.clock.now_ms() - began_ms
+    assert answer.head.status == 200
+    (request,) = [request for server in fleet.servers for request in server.requests]
+    assert (request.target, request.body) == (b"/look/a?b=c", b"body")
+    assert request.value(b"x-own") == b"1"
+    assert request.value(b"x-monsoonflow-forwarded") is None
+    assert 1_500 - took_ms - 50 <= int(request.value(b"x-deadline-ms")) <= 1_500
+    usage = [peer.daemon.retry_budget.usage_by_service(began_ms) for peer in fleet.nodes]
+    assert sum(counts["plain"].first_attempts for counts in usage if "plain" in counts) == 1
+
+
+def test_a_server_stops_working_when_the_caller_of_a_forwarded_request_leaves(partitionable):
+    """The peer must notice that nobody waits for the answer any more."""
+    fleet = partitionable
+    node = bystander(fleet)
+    partition(node, Cut.RESET)
+    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain"))
+    servers = [server for server in fleet.servers if server.service == "plain"]
+    for server in servers:
+        server.faults.slow_ms = 5_000
+    caller = gevent.spawn(fleet.ask, node, "/write/x", "r1", b"body", deadline_ms=4_000)
+    wait_for(lambda: any(server.requests for server in servers))
+    caller.kill()
+    wait_for(lambda: any(server.left for server in servers), within_s=0.5)
+
+
+def test_a_request_is_not_sent_again_after_its_peer_was_lost(partitionable):
+    """The peer may have sent it to a server, so it is neither refused as not run nor repeated."""
+    fleet = partitionable
+    node = bystander(fleet)
+    partition(node, Cut.RESET)
+    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain"))
+    servers = [server for server in fleet.servers if server.service == "plain"]
+    for server in servers:
+        server.faults.slow_ms = 600
+    caller = gevent.spawn(fleet.ask, node, "/write/x", "r1", b"body", deadline_ms=2_000)
+    wait_for(lambda: any(server.requests for server in servers))
+    for connections in list(node.daemon.forwarding_pools.connections):
+        connections._sock.shutdown(2)
+    assert caller.get().head.status == 502
+    gevent.sleep(0.7)
+    assert sum(server.ran["r1"] for server in servers) == 1
+
+
+def test_servers_are_used_again_soon_after_a_partition(partitionable):
+    """Pauses that doubled during the partition must not outlast it."""
+    fleet = partitionable
+    node = bystander(fleet)
+    partition(node, Cut.HANG)
+    for number in range(3):
+        served(fleet, node, "look", f"during-{number}")
+        gevent.sleep(0.8)
+    heal(node)
+    wait_for(lambda: not node.daemon.service_paths.is_lost("plain"), within_s=1)
+    assert served(fleet, node, "look", "after") == REQUESTS
+    assert not any(
+        node.daemon.health_tracker.is_paused(server.server_id, node.daemon.clock.now_ms())
+        for server in fleet.servers
+        if server.service == "plain"
+    )
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -23,6 +23,7 @@
     RecentVersion,
     ResidentAdapters,
     RetryHistory,
+    ShortHeartbeat,
 )
 from monsoonflow.fleet.view import ALIVE_TIMEOUT_MS, FleetView
 from monsoonflow.gateway.budget import SharedRetryBudget
@@ -82,9 +83,19 @@
         HEARTBEAT, versions=versions, overloaded_runners=None, retry_history=RetryHistory()
     )
     expected = attrs.evolve(expected, crashes=(), quarantined_fingerprints=())
+    expected = attrs.evolve(expected, unreachable_services=None)
     assert codec.decode(zlib.compress(orjson.dumps(older_fields))) == expected
 
 
+@pytest.mark.parametrize("services", [(), ("plain", "llm")])
+def test_unreachable_services_are_announced_in_both_forms_of_a_heartbeat(services):
+    heartbeat = attrs.evolve(HEARTBEAT, unreachable_services=services)
+    assert codec.decode(codec.encode_heartbeat(heartbeat)) == heartbeat
+    short = ShortHeartbeat.from_heartbeat(heartbeat, with_record=True)
+    assert codec.decode(codec.encode_short_heartbeat(short)) == short
+    assert short.to_heartbeat(None, RECORD).unreachable_services == services
+
+
 @pytest.mark.parametrize(
     ("reported", "cores"), [("4", 1.0), (None, 1.0), (-1, 1.0), (1e300, 1_024.0)]
 )
--- a/tests/gateway/open_paths.py
+++ b/tests/gateway/open_paths.py
@@ -12,5 +12,21 @@
     def record_response(self, service):
         """Ignore a response."""
 
+    def has_open_connection(self, service):
+        """Return ``True``."""
+        return True
+
     def record_unreachable(self, service):
         """Ignore a failed connection."""
+
+    def check_is_lost(self, service):
+        """Return ``False``."""
+        return False
+
+    def can_forward(self, job):
+        """Return ``False``."""
+        return False
+
+    def is_path_lost(self, service):
+        """Return ``False``."""
+        return False
--- a/tests/gateway/test_returning_callers.py
+++ b/tests/gateway/test_returning_callers.py
@@ -92,6 +92,7 @@
         RequestLog(clock, EntryMetrics()),
         UnlimitedServers(),
         OpenPaths(),
+        OpenPaths(),
     )
 
 
