Cell leases: a holder without a path to the runners releases the lease

What callers saw: while the lease holder was partitioned from the runners for 12 s, no adapter was loaded. The nodes that still reached the runners refused a third of their callers with "no slot for the adapter in time", and the holder refused 33 with "too many wait for a place".

Cause: a lease depends on the store and on heartbeats only. A holder whose orders reach no runner renewed it every 1.2 s. Class: a duty that is kept by a node that can't do it.

Change: a holder that has reached no runner of its cell for 0.3 s releases the lease as it does when it stops, if a peer reaches the runners; nodes without a path neither claim the lease nor are named as standbys. Orders and reports without an answer start the check of the path, and a service that is found lost has the others checked too, since a holder may have no requests. A path is not checked for one failed connection while other servers respond.

--- a/measure/desk_load.py
+++ b/measure/desk_load.py
@@ -113,6 +113,19 @@
         return _HeldDuty()
 
 
+class _OpenPaths:
+    """Paths to services that are never lost."""
+
+    def lost_for_ms(self, service: str) -> None:
+        return None
+
+    def record_response(self, service: str) -> None:
+        """Runners respond."""
+
+    def record_unreachable(self, service: str) -> None:
+        """Runners are reachable."""
+
+
 class _Tasks(GeventTasks):
     """Tasks that can be ended together."""
 
@@ -309,6 +322,7 @@
             tasks=_Tasks(),
             view=self.view,
             in_flight=self.in_flight,
+            service_paths=_OpenPaths(),
             cluster_state=SimpleNamespace(
                 server_registry=book,
                 version_by_adapter={},
--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -12,7 +12,15 @@
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
 from ..fleet.models import CellLeaseClaim, ResidentAdapters
-from ..orders.models import Accepted, Gone, Order, RunnerControl, Superseded
+from ..orders.models import (
+    Accepted,
+    Gone,
+    Order,
+    RunnerControl,
+    Superseded,
+    Unanswered,
+    Unusable,
+)
 from ..placement.request_queue import NoSlot, Placed, QueuedRequest
 from ..placement.scheduler import AdapterScheduler
 from ..placement.slots import OrderStep, SlotState
@@ -54,6 +62,10 @@
 
 REFUSED_RETRY_AFTER_MS: Final = 500
 
+HANDOVER_DELAY_MS: Final = 300
+"""How long a holder reaches no runner before it releases the lease: a second check has failed, and
+peers that reach none either have said so."""
+
 
 def _prefill_fields(slot_request: dict[str, Any], now_ms: int) -> dict[str, Any]:
     """Return what a slot request says of its prompt; a node of an earlier release says nothing."""
@@ -142,12 +154,29 @@
             if not lease.lease_loop.store_lost and lease.lease_loop.store_reachable:
                 break
             self._daemon.tasks.sleep(RELEASE_CHECK_INTERVAL_MS)
+        self._release(lease, "this node is stopping")
+
+    def _release(self, lease: CellLease, cause: str) -> None:
+        """Let another node claim a cell lease at once."""
         lease.close_scheduler()
         released = lease.lease_loop.drop_lease()
         if released is not None:
-            lease.lease_loop.release_row(*released)
+            lease.lease_loop.release_row(*released, cause)
             self._daemon.gossip.send_round()
 
+    def _should_hand_over(self, lease: CellLease) -> bool:
+        """Return whether a peer reaches the runners to which this holder can't send orders."""
+        daemon, service = self._daemon, lease.service.name
+        lost_for_ms = daemon.service_paths.lost_for_ms(service)
+        return (
+            lost_for_ms is not None
+            and lost_for_ms >= HANDOVER_DELAY_MS
+            and lease.lease_loop.held_lease.row is not None
+            and lease.lease_loop.store_reachable
+            and not lease.lease_loop.store_lost
+            and daemon.peer_forwarder.has_peer(service)
+        )
+
     def holds_any(self) -> bool:
         """Return whether this node still holds some cell lease."""
         return any(
@@ -265,6 +294,8 @@
                     watches is not None and watches.own.is_loaded
                 )
                 lease.lease_loop.store_reachable = watches is not None and watches.reaches_store()
+                if self._should_hand_over(lease):
+                    self._release(lease, "no runner can be reached")
                 lease.lease_loop.step()
 
     def _create_missing_leases(self) -> None:
@@ -294,7 +325,7 @@
             daemon.store_table,
             daemon.view,
             daemon.clock,
-            daemon.is_ready,
+            lambda: daemon.is_ready() and not daemon.peer_forwarder.is_partitioned(cell),
             daemon.stall_detector.is_steady,
             self._handle_lease_won,
         )
@@ -432,6 +463,7 @@
         if isinstance(report, Gone):
             self._handle_replaced_runner(scheduler, life)
             return
+        self._record_contact(lease, report is not None)
         now_ms = self._daemon.clock.now_ms()
         registry = self._daemon.cluster_state.server_registry
         if report is not None and not registry.confirm_life(report.life, report.models, now_ms):
@@ -464,6 +496,7 @@
         answer = self._runner_control.send_order(step.life, server.address, order)
         if isinstance(answer, Gone):
             self._handle_replaced_runner(scheduler, step.life)
+        self._record_contact(lease, not isinstance(answer, Unanswered | Unusable))
         now_ms = daemon.clock.now_ms()
         daemon.metrics.orders.labels(step.operation.value, type(answer).__name__.lower()).inc()
         daemon.metrics.order_time.observe((now_ms - sent_ms) / 1000)
@@ -490,6 +523,13 @@
             scheduler.process_queue_for_adapter(step.name, now_ms, self._total_work())
         self.wake_planner()
 
+    def _record_contact(self, lease: CellLease, has_answered: bool) -> None:
+        """Record whether a runner has answered the holder."""
+        if has_answered:
+            self._daemon.service_paths.record_response(lease.service.name)
+        else:
+            self._daemon.service_paths.record_unreachable(lease.service.name)
+
     def _handle_replaced_runner(self, scheduler: AdapterScheduler, life: ServerLife) -> None:
         """Record that another server answers at a runner's address."""
         cluster_state = self._daemon.cluster_state
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -231,7 +231,7 @@
         self.held_lease.drop()
         return None if row is None else (row, version)
 
-    def release_row(self, row: CellLeaseRow, version: int) -> None:
+    def release_row(self, row: CellLeaseRow, version: int, cause: str | None = None) -> None:
         """Write that the lease is free, so that another node claims it at once."""
         released = attrs.evolve(row, counter=row.counter + 1, is_released=True)
         result = self._commit_row(released, version)
@@ -242,7 +242,9 @@
                 result = self._commit_row(released, current.version)
         log(
             _LOGGER,
-            events.DutyReleased(cell=self.cell, epoch=row.epoch, result=type(result).__name__),
+            events.DutyReleased(
+                cell=self.cell, epoch=row.epoch, result=type(result).__name__, cause=cause
+            ),
         )
 
     def _continue_as_standby(self, now_ms: int) -> None:
@@ -292,20 +294,24 @@
         if not may_claim_first and not self._is_row_outdated():
             return False
         received_claim = self._view.received_claim(self.cell)
-        if received_claim is None or self._has_released_to_stop(row.holder):
+        if received_claim is None or self._has_released(row.holder):
             return True
         newest_claim = self._view.claim_of(self.cell)
-        if newest_claim is not None and self._has_released_to_stop(newest_claim.holder):
+        if newest_claim is not None and self._has_released(newest_claim.holder):
             return True
         silent_ms = self._view.holder_silence_timeout_ms(READ_ROW_AFTER_MS)
         return now_ms - received_claim.last_received_ms > silent_ms or self._lease_watch.has_lapsed(
             now_ms, received_claim.first_received_ms
         )
 
-    def _has_released_to_stop(self, name: str) -> bool:
-        """Return whether a node reports that it is stopping and holds no cell lease."""
+    def _has_released(self, name: str) -> bool:
+        """Return whether a node says that it can't hold the lease any more, and does not."""
         heartbeat = self._view.heartbeat_of(name)
-        return heartbeat is not None and heartbeat.is_leaving and not heartbeat.claims
+        return (
+            heartbeat is not None
+            and (heartbeat.is_leaving or not heartbeat.reaches(self.cell))
+            and all(claim.cell != self.cell for claim in heartbeat.claims)
+        )
 
     def _is_row_outdated(self) -> bool:
         """Return whether the holder announced a newer row than was read, and none was read since.
@@ -347,7 +353,7 @@
         is_unheard = not self._view.is_alive(name, now_ms, silence_ms)
         if is_unheard and not self._is_new_holder(name, now_ms, silence_ms):
             return True
-        return heartbeat.is_leaving and all(claim.cell != self.cell for claim in heartbeat.claims)
+        return self._has_released(name)
 
     def _is_new_holder(self, name: str, now_ms: int, silence_ms: int) -> bool:
         """Return whether a holder became known so recently that its silence means nothing yet.
@@ -369,7 +375,10 @@
         names = [
             heartbeat.name
             for heartbeat in self._view.heartbeats(now_ms)
-            if heartbeat.is_ready and not heartbeat.is_leaving and heartbeat.name not in previous
+            if heartbeat.is_ready
+            and not heartbeat.is_leaving
+            and heartbeat.reaches(self.cell)
+            and heartbeat.name not in previous
         ]
         if not self._fenced:
             # No epoch number depends on these positions: the list follows which nodes are present.
@@ -412,7 +421,10 @@
         names = [
             heartbeat.name
             for heartbeat in self._view.heartbeats(now_ms)
-            if heartbeat.is_ready and not heartbeat.is_leaving and heartbeat.is_store_reachable
+            if heartbeat.is_ready
+            and not heartbeat.is_leaving
+            and heartbeat.is_store_reachable
+            and heartbeat.reaches(self.cell)
         ]
         return self._ranked([*names, *self._faster_unheard_nodes(now_ms), self._node]).index(
             self._node
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -193,6 +193,10 @@
         """Return the node's name."""
         return self.record.name
 
+    def reaches(self, service: str) -> bool:
+        """Return whether the node reaches a service, as far as it has announced."""
+        return service not in (self.unreachable_services or ())
+
     @property
     def boot(self) -> str:
         """Return the identifier of this run of the node's process."""
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -604,7 +604,8 @@
     ) -> bool:
         # Nothing has reached a server, so the first time at each server costs no retry. A second
         # time does, because otherwise attempts would go from server to server without end.
-        self._paths.check_is_lost(job.service.name)
+        job.unsent_count += 1
+        self._paths.check_is_lost(job.service.name, job.unsent_count)
         if chosen.life in job.avoided_lives and not self._forwarding.can_forward(job):
             self._use_reserved_retry(job)
             return self._retry_or_finish(job, reply, chosen, reason, took_ms, may_have_run=False)
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -54,6 +54,7 @@
     :param holds_turn: whether other suspect requests wait until its attempt has ended.
     :param has_reserved_retry: whether one retry of the budget is reserved for its next attempt.
     :param has_reached_server: whether a server may have run it or begun to.
+    :param unsent_count: attempts in which nothing could be sent.
     :param first_event_ms: when the first part of the answer arrived.
     :param config_version: of the configuration by which it was routed.
     :param is_forwarded: whether a peer that does not reach the servers has forwarded it.
@@ -85,6 +86,7 @@
     holds_turn: bool = False
     has_reserved_retry: bool = False
     has_reached_server: bool = False
+    unsent_count: int = 0
     first_event_ms: int | None = None
     config_version: int = 0
     is_forwarded: bool = False
--- a/monsoonflow/gateway/peer_forwarder.py
+++ b/monsoonflow/gateway/peer_forwarder.py
@@ -83,8 +83,7 @@
             for heartbeat in self.view.heartbeats(self.clock.now_ms())
             if heartbeat.is_ready and not heartbeat.is_leaving
             # A node of an earlier release announces nothing and takes no forwarded requests.
-            and heartbeat.unreachable_services is not None
-            and service not in heartbeat.unreachable_services
+            and heartbeat.unreachable_services is not None and heartbeat.reaches(service)
         ]
 
     def _preference(self, record: NodeRecord, now_ms: int) -> tuple[bool, bool, int, bool, float]:
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -89,7 +89,7 @@
     def record_unreachable(self, service: str) -> None:
         """Record that a server could not be reached."""
 
-    def check_is_lost(self, service: str) -> bool:
+    def check_is_lost(self, service: str, failures: int) -> bool:
         """Return whether no server of a service can be reached now; waits for a check."""
 
 
--- a/monsoonflow/gateway/service_paths.py
+++ b/monsoonflow/gateway/service_paths.py
@@ -36,6 +36,9 @@
 RESPONSE_TIMEOUT_MS: Final = 800
 """A service is checked if none of its servers has sent anything for this long after a request."""
 
+RECENT_RESPONSE_MS: Final = 250
+"""A server that responded within this time shows that there is a path."""
+
 CHECK_WAIT_S: Final = 2 * CHECK_TIMEOUT_MS / 1000
 LOOP_INTERVAL_MS: Final = 100
 
@@ -48,6 +51,7 @@
     :param checked_ms: when the last check has ended.
     :param is_checking: whether a check is running.
     :param awaited_since_ms: when the first request was sent after the last response of any server.
+    :param responded_ms: when any server last responded.
     """
 
     lost_since_ms: int | None = None
@@ -56,6 +60,7 @@
     checked: Event = attrs.Factory(Event)
     """Set while no check is running."""
     awaited_since_ms: int | None = None
+    responded_ms: int | None = None
 
 
 class ServicePaths:
@@ -113,17 +118,28 @@
 
     def record_response(self, service: str) -> None:
         """Record that a server sent a part of an answer."""
-        self._path(service).awaited_since_ms = None
+        path = self._path(service)
+        path.awaited_since_ms = None
+        path.responded_ms = self._clock.now_ms()
+
+    def record_unreachable(self, service: str, failures: int = 1) -> None:
+        """Record that a server could not be reached; the service is checked.
 
-    def record_unreachable(self, service: str) -> None:
-        """Record that a server could not be reached; the service is checked."""
+        :param failures: servers that one request could not reach. A single one proves little while
+            others respond.
+        """
         path = self._path(service)
+        if failures == 1 and self._has_responded_recently(path):
+            return
         if not path.is_checking and not self._is_recently_checked(path, self._clock.now_ms()):
             self._start_check(service, path)
 
-    def check_is_lost(self, service: str) -> bool:
-        """Return whether no server of a service can be reached now; waits for a running check."""
-        self.record_unreachable(service)
+    def check_is_lost(self, service: str, failures: int) -> bool:
+        """Return whether no server of a service can be reached now; waits for a running check.
+
+        :param failures: servers that one request could not reach.
+        """
+        self.record_unreachable(service, failures)
         path = self._path(service)
         path.checked.wait(CHECK_WAIT_S)
         return path.lost_since_ms is not None
@@ -140,6 +156,12 @@
     def _path(self, service: str) -> _ServicePath:
         return self._path_by_service.setdefault(service, _ServicePath())
 
+    def _has_responded_recently(self, path: _ServicePath) -> bool:
+        return (
+            path.responded_ms is not None
+            and self._clock.now_ms() - path.responded_ms < RECENT_RESPONSE_MS
+        )
+
     @staticmethod
     def _is_recently_checked(path: _ServicePath, now_ms: int) -> bool:
         return path.checked_ms is not None and now_ms - path.checked_ms < CHECK_RESULT_TTL_MS
@@ -206,3 +228,7 @@
         path.lost_since_ms = now_ms
         log(_LOGGER, events.ServiceUnreachable(service=service, servers=server_count))
         self._on_change(service)
+        # A partition usually affects all services, also those without requests at the moment.
+        for other, other_path in self._path_by_service.items():
+            if not other_path.is_checking and other_path.lost_since_ms is None:
+                self._start_check(other, other_path)
--- a/monsoonflow/logs/events/cell_leases.py
+++ b/monsoonflow/logs/events/cell_leases.py
@@ -46,6 +46,7 @@
     cell: str
     epoch: int
     result: str
+    cause: str | None = None
 
 
 @event
--- a/tests/entry/test_nodes_without_servers.py
+++ b/tests/entry/test_nodes_without_servers.py
@@ -106,7 +106,7 @@
     assert served(fleet, node, "look", "before") == REQUESTS
     for peer in fleet.nodes:
         partition(peer, Cut.REFUSE_NEW)
-        peer.daemon.service_paths.check_is_lost("plain")
+        peer.daemon.service_paths.check_is_lost("plain", 2)
     wait_for(lambda: all(peer.daemon.service_paths.is_lost("plain") for peer in fleet.nodes))
     assert served(fleet, node, "look", "during") >= SERVED_SHARE * REQUESTS
 
@@ -144,7 +144,7 @@
     fleet = partitionable
     node = bystander(fleet)
     partition(node, Cut.RESET)
-    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain"))
+    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain", 2))
     began_ms = node.daemon.clock.now_ms()
     answer = fleet.ask(node, "/look/a?b=c", "r1", b"body", deadline_ms=1_500, X_Own="1")
     took_ms = node.daemon.clock.now_ms() - began_ms
@@ -163,7 +163,7 @@
     fleet = partitionable
     node = bystander(fleet)
     partition(node, Cut.RESET)
-    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain"))
+    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain", 2))
     servers = [server for server in fleet.servers if server.service == "plain"]
     for server in servers:
         server.faults.slow_ms = 5_000
@@ -178,7 +178,7 @@
     fleet = partitionable
     node = bystander(fleet)
     partition(node, Cut.RESET)
-    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain"))
+    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain", 2))
     servers = [server for server in fleet.servers if server.service == "plain"]
     for server in servers:
         server.faults.slow_ms = 600
--- a/tests/gateway/open_paths.py
+++ b/tests/gateway/open_paths.py
@@ -19,7 +19,7 @@
     def record_unreachable(self, service):
         """Ignore a failed connection."""
 
-    def check_is_lost(self, service):
+    def check_is_lost(self, service, failures):
         """Return ``False``."""
         return False
 
