Addresses: callers are sent to the nodes that reach the most services

What callers saw: nodes without a path to the servers stayed advertised, so new connections went on coming to them.

Cause: a node is advertised while it is ready, and readiness says nothing of the path to the servers.

Change: nodes that reach fewer services than others are left out of the addresses; if all reach equally few, all are named. Readiness stays as it was: a node that is not ready would lose its callers' connections.

Evidence: test_callers_are_not_sent_to_a_node_without_a_path_to_the_servers failed before (still advertised after 3 s) and passes now.

--- a/monsoonflow/address/advertised_nodes.py
+++ b/monsoonflow/address/advertised_nodes.py
@@ -47,6 +47,7 @@
     :param cores: processor time available to it, in seconds of one typical core per second.
     :param lag_ms: delay of its event loop.
     :param is_lease_holder: whether it holds a cell lease, whose work needs its processor.
+    :param lost_services: number of services of which it reaches no server.
     """
 
     name: str
@@ -55,6 +56,7 @@
     cores: float = 1.0
     lag_ms: float = 0.0
     is_lease_holder: bool = False
+    lost_services: int = 0
 
 
 def advertised_nodes(
--- a/monsoonflow/entry/address_directory.py
+++ b/monsoonflow/entry/address_directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final
 
 from ..address.advertised_nodes import CandidateNode, advertised_nodes
@@ -29,6 +29,7 @@
     :param max_ttl_ms: the longest time that an answer may be cached.
     :param data_centre: of this node; used for callers that name none or an unknown one.
     :param own_lag_ms: returns how late this node typically runs tasks that are due.
+    :param own_lost_services: returns the services of which this node reaches no server.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         max_ttl_ms: int,
         data_centre: str,
         own_lag_ms: Callable[[], float] = lambda: 0.0,
+        own_lost_services: Callable[[], Collection[str]] = tuple,
     ) -> None:
         self._view = view
         self._clock = clock
@@ -48,6 +50,7 @@
         self._ttl_s = min(MAX_TTL_MS, max_ttl_ms) / 1000
         self._data_centre = data_centre
         self._own_lag_ms = own_lag_ms
+        self._own_lost_services = own_lost_services
         self._advertised_by_data_centre: dict[str, frozenset[str]] = {}
         self._logged_ms_by_data_centre: dict[str, int] = {}
 
@@ -72,6 +75,7 @@
         }
 
     def _candidates(self, now_ms: int) -> list[CandidateNode]:
+        """Return the nodes that accept callers, without those that reach fewer services."""
         view = self._view
         holders = view.holder_names()
         candidates = []
@@ -84,6 +88,7 @@
                     view.cores,
                     self._own_lag_ms(),
                     view.name in holders,
+                    len(self._own_lost_services()),
                 )
             )
         for heartbeat in view.heartbeats(now_ms):
@@ -98,9 +103,11 @@
                     record.cores,
                     heartbeat.lag_ms,
                     record.name in holders,
+                    len(heartbeat.unreachable_services or ()),
                 )
             )
-        return candidates
+        fewest_lost = min((candidate.lost_services for candidate in candidates), default=0)
+        return [c for c in candidates if c.lost_services == fewest_lost]
 
     def _log_changes(
         self,
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -549,6 +549,7 @@
             settings.bounds.address_ttl_ms,
             settings.data_centre,
             lambda: self.stall_detector.lag_ms,
+            self.service_paths.lost_services,
         )
         peer_api = PeerApi(
             self.cluster_state,
