Server limits: nodes together do not overfill brittle servers

What callers would have seen: servers that say Server-Brittle fall over in turn under load, since all nodes together make them reject more requests in a second than they withstand, and are gone for seconds.

Cause: the header was passed on to callers like any other; each node went on sending after its own rejections, and nothing told it of the others'. Class: a bound for all nodes together that each node does not know.

Change: what a server states is read with its limit. A rejection is announced at once and keeps all nodes away for a moment, or, after half of what the server withstands, until one of them is forgotten. Then they take turns at its free slots for a while. What no server has room for is refused at once, with the time at which the servers open.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -14,6 +14,7 @@
 from gevent.event import Event
 
 from ..core.clock import Clock, MonotonicClock
+from ..core.server_life import ServerLife
 from ..core.tasks import Tasks
 from ..fleet.gossip import Gossip
 from ..fleet.models import Heartbeat, NodeRecord, UsageDelta, WorkDelta
@@ -41,6 +42,7 @@
 from ..quarantine.crash_probe import CrashProbe
 from ..quarantine.manager import QuarantineManager
 from ..routing.budget import FleetRetryBudget, RetryAllowance
+from ..routing.full_servers import FullServers
 from ..routing.health import HealthTracker
 from ..routing.in_flight import InFlight
 from ..routing.quota import FleetQuota, QuotaTolerance
@@ -139,7 +141,7 @@
         self.is_leaving = False
         self.view = FleetView(settings.name, settings.cores)
         self.cluster_state = ClusterState(self.clock)
-        self.in_flight = InFlight(self._handle_adapter_use_change)
+        self.in_flight = InFlight(self._handle_adapter_use_change, self._handle_work_change)
         self.backlog = Backlog(self.in_flight, self.view)
         self.health_tracker = HealthTracker()
         self.connection_pools = ConnectionPools(self.clock)
@@ -176,6 +178,10 @@
             self.quota_peer_tracker,
             self.usage_announcer,
             self.clock,
+            settings.name,
+            FullServers(self.rng),
+            self._requests_at,
+            self._slots_of,
         )
         self.service_paths = ServicePaths(
             self.cluster_state.server_registry.servers_of,
@@ -341,6 +347,7 @@
             limit_by_server=self.server_limits.announced_limits(),
             usage_by_limited_server=self.server_limits.usage_by_server(),
             unreachable_services=self.service_paths.lost_services(),
+            rejections_by_brittle_server=self.server_limits.announced_rejections(),
         )
 
     def _work_delta(self) -> WorkDelta:
@@ -352,11 +359,21 @@
     def _send_usage(self) -> None:
         customers = self.shared_quota.pop_changed_usage()
         limits, servers = self.server_limits.pop_changes()
-        if customers or limits or servers:
+        rejections = self.server_limits.pop_new_rejections()
+        if customers or limits or servers or rejections:
             self.gossip.send_usage_delta(
-                UsageDelta(self.settings.name, self.boot_id, customers, limits, servers)
+                UsageDelta(self.settings.name, self.boot_id, customers, limits, servers, rejections)
             )
 
+    def _requests_at(self, life: ServerLife) -> int:
+        """Return the requests of all nodes at a server, as far as this node knows."""
+        own = self.in_flight.work_at(life).requests
+        return own + self.view.work_at(life, self.clock.now_ms()).requests
+
+    def _slots_of(self, life: ServerLife) -> int:
+        server = self.cluster_state.server_registry.server_by_life.get(life)
+        return server.max_concurrent_requests if server is not None else 1
+
     def _handle_usage_delta(self, delta: UsageDelta) -> None:
         self.shared_quota.handle_delta(delta)
         self.server_limits.handle_delta(delta)
@@ -480,6 +497,11 @@
         else:
             self.gossip.schedule_work_delta(self.cell_leases.other_holders())
 
+    def _handle_work_change(self, life: ServerLife) -> None:
+        """Announce soon what this node has at a brittle server, which must not be overfilled."""
+        if self.server_limits.is_brittle(life):
+            self.gossip.schedule_work_delta(self.view.active_peer_names())
+
     def _node_record(self) -> NodeRecord:
         settings = self.settings
         return NodeRecord(
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -18,6 +18,7 @@
 from ..routing.quota import QuotaUsage
 from .models import (
     AnnouncedLimit,
+    AnnouncedRejection,
     CellLeaseClaim,
     Heartbeat,
     HeartbeatAck,
@@ -94,6 +95,7 @@
             _limit_fields(heartbeat.limit_by_server),
             _quota_usage_fields(heartbeat.usage_by_limited_server),
             heartbeat.unreachable_services,
+            _rejection_fields(heartbeat.rejections_by_brittle_server),
         ]
     )
 
@@ -145,6 +147,7 @@
         _quota_usage_fields(delta.usage_by_customer),
         _limit_fields(delta.limit_by_server),
         _quota_usage_fields(delta.usage_by_limited_server),
+        _rejection_fields(delta.rejections_by_brittle_server),
     ]
     return orjson.dumps(fields)
 
@@ -177,6 +180,7 @@
         _quota_usage_from_fields(fields[3]),
         _limits_from_fields(_optional_field(fields, 4) or {}),
         _quota_usage_from_fields(_optional_field(fields, 5) or {}),
+        _rejections_from_fields(_optional_field(fields, 6) or {}),
     )
 
 
@@ -204,6 +208,21 @@
     }
 
 
+def _rejection_fields(
+    rejections: dict[ServerLife, AnnouncedRejection],
+) -> dict[str, list[int]]:
+    return {
+        str(life): [rejection.requests, rejection.age_ms] for life, rejection in rejections.items()
+    }
+
+
+def _rejections_from_fields(fields: dict[str, Any]) -> dict[ServerLife, AnnouncedRejection]:
+    return {
+        ServerLife(life): AnnouncedRejection(max(0, int(requests)), max(0, int(age_ms)))
+        for life, (requests, age_ms) in fields.items()
+    }
+
+
 def _short_heartbeat_from_fields(fields: list[Any]) -> ShortHeartbeat:
     flags = int(fields[4])
     return ShortHeartbeat(
@@ -279,6 +298,7 @@
         limit_by_server=_limits_from_fields(_optional_field(fields, 22) or {}),
         usage_by_limited_server=_quota_usage_from_fields(_optional_field(fields, 23) or {}),
         unreachable_services=_names_from_fields(_optional_field(fields, 24)),
+        rejections_by_brittle_server=_rejections_from_fields(_optional_field(fields, 25) or {}),
     )
 
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -131,6 +131,18 @@
     age_ms: int
 
 
+@attrs.frozen(slots=True)
+class AnnouncedRejection:
+    """A rejection by a brittle server for want of room.
+
+    :param requests: requests of all nodes that the server had, as far as the node knew.
+    :param age_ms: how long ago it was, at least.
+    """
+
+    requests: int
+    age_ms: int
+
+
 @attrs.frozen(slots=True)
 class Heartbeat:
     """The full state that a node announces to its peers; a newer heartbeat replaces it completely.
@@ -161,6 +173,7 @@
     :param usage_by_limited_server: what the node has sent to servers with limits.
     :param unreachable_services: services of which the node reaches no server; ``None`` from a node
         of an earlier release.
+    :param rejections_by_brittle_server: recent rejections by brittle servers.
     """
 
     record: NodeRecord
@@ -187,6 +200,7 @@
     limit_by_server: dict[ServerLife, AnnouncedLimit] = attrs.Factory(dict)
     usage_by_limited_server: dict[ServerLife, QuotaUsage] = attrs.Factory(dict)
     unreachable_services: tuple[str, ...] | None = ()
+    rejections_by_brittle_server: dict[ServerLife, AnnouncedRejection] = attrs.Factory(dict)
 
     @property
     def name(self) -> str:
@@ -226,6 +240,7 @@
     usage_by_customer: dict[str, QuotaUsage] = attrs.Factory(dict)
     limit_by_server: dict[ServerLife, AnnouncedLimit] = attrs.Factory(dict)
     usage_by_limited_server: dict[ServerLife, QuotaUsage] = attrs.Factory(dict)
+    rejections_by_brittle_server: dict[ServerLife, AnnouncedRejection] = attrs.Factory(dict)
 
 
 @attrs.frozen(slots=True)
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -92,6 +92,9 @@
     :param not_run: whether the server states that the request was not run.
     :param retry_after_ms: the delay before a retry that the server asks for.
     :param limit: the limit for requests of all nodes that the server names; ``None`` if none.
+    :param is_full: whether the server states that it has no room for the request.
+    :param tolerated_rejections_per_s: rejections for want of room that the server withstands in a
+        second; ``None`` unless it is brittle.
     """
 
     request_id: str | None
@@ -99,6 +102,8 @@
     not_run: bool
     retry_after_ms: int | None = None
     limit: NamedLimit | InvalidLimit | None = None
+    is_full: bool = False
+    tolerated_rejections_per_s: float | None = None
 
 
 class Dialect(Protocol):
@@ -153,10 +158,11 @@
 class AtLimit:
     """Nothing was sent, since the server's limit for requests of all nodes is used up.
 
+    :param rate_per_s: the limit that the server names; ``None`` if it is brittle and has no room.
     :param left: requests that are left for all nodes, as far as this node knows.
     """
 
-    rate_per_s: float
+    rate_per_s: float | None
     left: float
 
 
--- a/monsoonflow/gateway/quota_peers.py
+++ b/monsoonflow/gateway/quota_peers.py
@@ -78,6 +78,10 @@
             self._peers_ms = now_ms
         return self._peers
 
+    def active_names(self) -> list[str]:
+        """Return the peers that have announced that they have callers."""
+        return self._view.active_peer_names()
+
     def _find_peers(self, now_ms: int) -> QuotaPeers:
         view = self._view
         max_age_ms = {is_active: view.max_age_ms(is_active) for is_active in (True, False)}
--- a/monsoonflow/gateway/server_limits.py
+++ b/monsoonflow/gateway/server_limits.py
@@ -1,13 +1,20 @@
-"""Applies the limits that servers name in their answers, which this node shares with its peers."""
+"""Applies what servers state about their capacity, which this node shares with its peers.
+
+A server in need names a limit for requests, a brittle one how many rejections it withstands.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Collection
+import logging
+import time
+from collections.abc import Callable, Collection
 
 from ..core.clock import Clock
 from ..core.server_life import ServerLife
-from ..fleet.models import AnnouncedLimit, Heartbeat, UsageDelta
+from ..fleet.models import AnnouncedLimit, AnnouncedRejection, Heartbeat, UsageDelta
+from ..logs import events, log
 from ..routing.customers import Quota
+from ..routing.full_servers import FullServers, Rejection
 from ..routing.quota import (
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
@@ -21,11 +28,22 @@
 from .quota_peers import QuotaPeerTracker
 from .usage_announcer import UsageAnnouncer
 
+_LOGGER = logging.getLogger(__name__)
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
 
 class SharedServerLimits:
     """The limits of servers for requests of all nodes, and what all nodes have used of them.
 
     Only what is sent to a server uses its limit, so nothing is ever given back.
+
+    :param name: of this node.
+    :param full_servers: the brittle servers that have no room.
+    :param requests_at: returns the requests of all nodes at a server, as far as this node knows.
+    :param slots_of: returns how many requests a server processes at once.
     """
 
     def __init__(
@@ -35,7 +53,16 @@
         peer_tracker: QuotaPeerTracker,
         announcer: UsageAnnouncer,
         clock: Clock,
+        name: str,
+        full_servers: FullServers,
+        requests_at: Callable[[ServerLife], int],
+        slots_of: Callable[[ServerLife], int],
     ) -> None:
+        self._name = name
+        self._full_servers = full_servers
+        self._requests_at = requests_at
+        self._slots_of = slots_of
+        self._has_new_rejection = False
         self._limits = limits
         self._usage = usage
         self._peer_tracker = peer_tracker
@@ -50,10 +77,44 @@
         :param sent_ms: when the request was sent.
         """
         now_ms = self._clock.now_ms()
+        self._record_brittle(life, terms, sent_ms, now_ms)
         if self._limits.record_answer(life, terms.limit, not terms.not_run, sent_ms, now_ms):
             self._changed_lives.add(life)
             self._announcer.schedule(self._peer_tracker.peers(now_ms).active)
 
+    def _record_brittle(
+        self, life: ServerLife, terms: AnswerTerms, sent_ms: int, now_ms: int
+    ) -> None:
+        tolerated_per_s = terms.tolerated_rejections_per_s
+        self._full_servers.record_brittle(life, tolerated_per_s, sent_ms, now_ms)
+        if tolerated_per_s is None or not terms.is_full:
+            return
+        rejection = Rejection(now_ms, self._requests_at(life))
+        if self._full_servers.record_rejection(life, rejection):
+            log(
+                _LOGGER,
+                events.BrittleServerFull(
+                    server=life, tolerated_per_s=tolerated_per_s, requests=rejection.requests
+                ),
+            )
+            self._has_new_rejection = True
+            self._announcer.schedule(self._peer_tracker.peers(now_ms).active)
+
+    def _has_room_for_one(self, life: ServerLife, own_pending: int) -> bool:
+        if not self._full_servers.is_brittle(life):
+            return True
+        now_ms = self._clock.now_ms()
+        requests, slots = self._requests_at(life) - own_pending, self._slots_of(life)
+        if not self._full_servers.has_room(life, requests, slots, now_ms):
+            return False
+        free = self._full_servers.free_slots(life, requests, slots, now_ms)
+        nodes = [self._name, *self._peer_tracker.active_names()]
+        return self._full_servers.has_turn(life, free, nodes, self._name, now_ms, _wall_ms())
+
+    def is_brittle(self, life: ServerLife) -> bool:
+        """Return whether a server is brittle: nodes must know at once what it has to do."""
+        return self._full_servers.is_brittle(life)
+
     def limited_count(self) -> int:
         """Return the number of servers that name a limit."""
         return len(self._limits.limited_lives())
@@ -64,6 +125,8 @@
 
     def has_room(self, life: ServerLife) -> bool:
         """Return whether a server takes one more request now."""
+        if not self._has_room_for_one(life, own_pending=0):
+            return False
         quota = self._quota_of(life)
         if quota is None:
             return True
@@ -73,7 +136,13 @@
         )
 
     def admit(self, life: ServerLife) -> AtLimit | None:
-        """Count a request that is sent now; return ``AtLimit`` if it must not be sent."""
+        """Count a request that is sent now; return ``AtLimit`` if it must not be sent.
+
+        The request itself is among those that the server has.
+        """
+        if not self._has_room_for_one(life, own_pending=1):
+            return AtLimit(None, 0)
+        self._full_servers.record_sent(life, _wall_ms())
         quota = self._quota_of(life)
         if quota is None:
             return None
@@ -99,6 +168,9 @@
             if quota is not None:
                 units_per_s += quota.rate_per_s
                 waits_ms.append(self._usage.wait_ms(life, quota, REQUEST_UNITS, peers, now_ms))
+            elif self._full_servers.is_brittle(life):
+                units_per_s += self._slots_of(life) * REQUEST_UNITS
+                waits_ms.append(self._full_servers.opens_in_ms(life, now_ms))
         interval_ms = 1000 * (1 + peers.active) * REQUEST_UNITS / max(units_per_s, 1.0)
         last_return_ms = self._last_return_ms_by_service.get(service, now_ms)
         wait_ms = max(min(waits_ms, default=0), last_return_ms + interval_ms - now_ms)
@@ -114,6 +186,28 @@
             for life, state in self._limits.own_states()
         }
 
+    def announced_rejections(self) -> dict[ServerLife, AnnouncedRejection]:
+        """Return the recent rejections by brittle servers, which keep all nodes away from them."""
+        now_ms = self._clock.now_ms()
+        return {
+            life: AnnouncedRejection(rejection.requests, now_ms - rejection.at_ms)
+            for life, rejection in self._full_servers.own_rejections(now_ms).items()
+        }
+
+    def pop_new_rejections(self) -> dict[ServerLife, AnnouncedRejection]:
+        """Return the recent rejections if there was one since the last call."""
+        has_new, self._has_new_rejection = self._has_new_rejection, False
+        return self.announced_rejections() if has_new else {}
+
+    def _receive_rejections(
+        self, peer: str, rejections: dict[ServerLife, AnnouncedRejection]
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        for life, rejection in rejections.items():
+            self._full_servers.record_rejection(
+                life, Rejection(now_ms - rejection.age_ms, rejection.requests, peer)
+            )
+
     def usage_by_server(self) -> dict[str, QuotaUsage]:
         """Return what this node has sent to servers with limits."""
         return self._usage.usage_by_key(self._clock.now_ms())
@@ -129,6 +223,7 @@
         window_ms = self._usage.tolerance.window_ms
         is_older = heartbeat.retry_history.counted_ms >= window_ms
         usage = heartbeat.usage_by_limited_server
+        self._receive_rejections(heartbeat.name, heartbeat.rejections_by_brittle_server)
         self._receive(
             heartbeat.limit_by_server,
             UsageAnnouncement(heartbeat.name, heartbeat.boot, usage, is_older=is_older),
@@ -137,6 +232,7 @@
     def handle_delta(self, delta: UsageDelta) -> None:
         """Apply the limits and the usage that have changed at a peer."""
         usage = delta.usage_by_limited_server
+        self._receive_rejections(delta.name, delta.rejections_by_brittle_server)
         self._receive(
             delta.limit_by_server,
             UsageAnnouncement(delta.name, delta.boot, usage, is_complete=False),
@@ -159,6 +255,7 @@
         """
         for life in self._limits.forget_unused(lives, self._clock.now_ms()):
             self._usage.forget(life)
+        self._full_servers.forget_unused(lives, self._clock.now_ms())
 
     def _quota_of(self, life: ServerLife) -> Quota | None:
         rate_per_s = self._limits.rate_per_s(life)
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -53,6 +53,7 @@
 from .servers import (
     AdapterVersion,
     AddressTaken,
+    BrittleServerFull,
     EarlierLife,
     Order,
     Seats,
@@ -89,6 +90,7 @@
     "AdapterVersion",
     "AddressTaken",
     "BadMessage",
+    "BrittleServerFull",
     "CallersNamed",
     "CardRemoved",
     "CardWritten",
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -109,11 +109,12 @@
 class ServerAtLimit(Event):
     """A request is not sent to the chosen server, since the limit that it names is used up."""
 
-    # ``left`` are the requests left for all nodes as far as this node knows.
+    # ``left`` are the requests left for all nodes as far as this node knows. Without ``per_s`` the
+    # server is brittle and has no room.
 
     request: str
     server: str
-    per_s: float
+    per_s: float | None
     left: float
 
 
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -76,6 +76,15 @@
     source: str
 
 
+@event
+class BrittleServerFull(Event):
+    """A brittle server rejected a request; it had ``requests`` of all nodes, as far as is known."""
+
+    server: str
+    tolerated_per_s: float
+    requests: int
+
+
 @event
 class UnusableServerLimit(Event):
     """A server named a limit that can't be read; it is ignored."""
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -20,6 +20,7 @@
 SIGNATURE_HEADER: Final = b"x-server-signature"
 NOT_EXECUTED_HEADER: Final = b"x-not-executed"
 SERVER_LIMIT_HEADER: Final = b"server-limit"
+SERVER_BRITTLE_HEADER: Final = b"server-brittle"
 AUTHORIZATION_HEADER: Final = b"authorization"
 HANDOVER_HEADER: Final = b"x-monsoonflow-forwarded"
 HANDOVER_PATTERN: Final = re.compile(rb"([0-9]{1,9}),([0-9]{1,9})")
@@ -186,6 +187,8 @@
             not_run=head.value(NOT_EXECUTED_HEADER) is not None or head.status == 421,
             retry_after_ms=_parse_retry_after_ms(head.value(b"retry-after")),
             limit=_parse_server_limit(head.values(SERVER_LIMIT_HEADER)),
+            is_full=head.status in (429, 503) and head.value(NOT_EXECUTED_HEADER) is not None,
+            tolerated_rejections_per_s=_parse_brittle(head.values(SERVER_BRITTLE_HEADER)),
         )
 
     def forwarded_headers(self, head: AnswerHead) -> list[Header]:
@@ -245,6 +248,20 @@
         return None
 
 
+def _parse_brittle(values: list[bytes]) -> float | None:
+    """Return how many rejections a second a server withstands; ``None`` if it does not say.
+
+    A value that can't be read still says that the server is brittle.
+
+    >>> _parse_brittle([b"3"]), _parse_brittle([b"x"]), _parse_brittle([])
+    (3.0, 0.0, None)
+    """
+    if not values:
+        return None
+    value = values[0].strip()
+    return float(value) if SERVER_LIMIT_PATTERN.fullmatch(value) else 0.0
+
+
 def _parse_server_limit(values: list[bytes]) -> NamedLimit | InvalidLimit | None:
     """Return the limit that a server names, from all headers with it.
 
--- a/monsoonflow/routing/in_flight.py
+++ b/monsoonflow/routing/in_flight.py
@@ -121,9 +121,15 @@
 
     :param on_adapter_change: called when the first request for an adapter starts at a runner and
         when the last one ends.
+    :param on_change: called with the server at which a request starts or ends.
     """
 
-    def __init__(self, on_adapter_change: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        on_adapter_change: Callable[[], None] = lambda: None,
+        on_change: Callable[[ServerLife], None] = lambda _life: None,
+    ) -> None:
+        self._on_change = on_change
         self.work_by_server: dict[ServerLife, ServerWork] = {}
         self._on_adapter_change = on_adapter_change
         self._changed: set[ServerLife] = set()
@@ -156,6 +162,7 @@
             work.requests_by_adapter[adapter] += 1
             if work.requests_by_adapter[adapter] == 1:
                 self._on_adapter_change()
+        self._on_change(life)
         return Ticket(life, adapter, pending_prefill_tokens, memory_tokens, now_ms, rank=rank)
 
     def record_first_event(self, ticket: Ticket) -> None:
@@ -189,6 +196,7 @@
                 self._on_adapter_change()
         if work.requests <= 0:
             del self.work_by_server[ticket.life]
+        self._on_change(ticket.life)
 
     def work_at(self, life: ServerLife) -> ServerWork:
         """Return this node's work at a server."""
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
-from typing import Any
+from typing import Any, Final
 
 import attrs
 import gevent
@@ -30,6 +31,8 @@
     :param poison: a body under which the server ends as it begins to run it.
     :param keeps_left: a model runner keeps what waits there when its caller has gone.
     :param limit: the limit for requests of all nodes that it names in its answers.
+    :param brittle: rejections for want of room in a second that it says it withstands.
+    :param max_waiting: requests that may wait beyond its slots; ``None`` for any number.
     """
 
     fail: int = 0
@@ -45,6 +48,12 @@
     keeps_left: bool = False
     poison: bytes | None = None
     limit: str | None = None
+    brittle: int | None = None
+    max_waiting: int | None = None
+
+
+FALL_S: Final = 2.0
+"""How long a brittle server that falls over is gone."""
 
 
 class PlatformServer:
@@ -61,6 +70,8 @@
         self.requests: list[Request] = []
         self.left = 0
         self.crashes = 0
+        self.falls = 0
+        self._rejected_s: list[float] = []
         self._running: set[gevent.Greenlet] = set()
         self._port = HttpServer(address, self._handle, MessageLimits, MonotonicClock())
 
@@ -78,6 +89,21 @@
         self._port.stop_listening()
         gevent.killall([task for task in self._running if task is not gevent.getcurrent()])
 
+    def _reject_for_want_of_room(self, request: Request, reply: Reply) -> None:
+        reply.send_whole(503, [*self._headers(request, signed=False), (b"X-Not-Executed", b"1")])
+        now_s = time.monotonic()
+        self._rejected_s = [at_s for at_s in self._rejected_s if now_s - at_s < 1.0] + [now_s]
+        if self.faults.brittle is not None and len(self._rejected_s) > self.faults.brittle:
+            self._rejected_s = []
+            self.falls += 1
+            self.crash()
+            gevent.spawn_later(FALL_S, self._serve_again)
+            raise CallerLeft("fell over")
+
+    def _serve_again(self) -> None:
+        self._port = HttpServer(self.address, self._handle, MessageLimits, MonotonicClock())
+        self.start()
+
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Return its entry in the store."""
         return {
@@ -124,6 +150,10 @@
             faults.shed_silently -= 1
             reply.send_whole(503, self._headers(request, signed=True))
             return
+        max_waiting = faults.max_waiting
+        if max_waiting is not None and len(self._running) > self.slots + max_waiting:
+            self._reject_for_want_of_room(request, reply)
+            return
         if request.body == faults.poison:
             self.crash()
             raise CallerLeft("crashed")
@@ -167,6 +197,8 @@
             headers.append((b"X-Server-Signature", b"sig-" + self.server_id.encode()))
         if self.faults.limit is not None:
             headers.append((b"Server-Limit", self.faults.limit.encode()))
+        if self.faults.brittle is not None:
+            headers.append((b"Server-Brittle", b"%d" % self.faults.brittle))
         return headers
 
 
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -16,6 +16,7 @@
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.fleet import codec
 from monsoonflow.fleet.models import (
+    AnnouncedRejection,
     CellLeaseClaim,
     Heartbeat,
     HeartbeatAck,
@@ -24,6 +25,7 @@
     ResidentAdapters,
     RetryHistory,
     ShortHeartbeat,
+    UsageDelta,
 )
 from monsoonflow.fleet.view import ALIVE_TIMEOUT_MS, FleetView
 from monsoonflow.gateway.budget import SharedRetryBudget
@@ -251,3 +253,11 @@
     Without its addresses they could not send to it, and it would know no peer for seconds.
     """
     assert view.record_by_name["b"] == RECORD
+
+
+def test_rejections_by_brittle_servers_are_announced():
+    rejections = {ServerLife("i-1"): AnnouncedRejection(4, 120)}
+    heartbeat = attrs.evolve(HEARTBEAT, rejections_by_brittle_server=rejections)
+    assert codec.decode(codec.encode_heartbeat(heartbeat)) == heartbeat
+    delta = UsageDelta("b", "b-1", rejections_by_brittle_server=rejections)
+    assert codec.decode(codec.encode_usage_delta(delta)) == delta
