Transport: a server that is silent for up to two seconds keeps its connections

What callers would have seen: requests and streams cut at a sound server that was silent for a second and a half, as servers may be.

Cause: the user timeout of 1.5 s. It ends connections with bytes under way, also those whose peer just does not read, and on idle ones it decides instead of the number of keep-alive probes: the probe after 2 s found them lost, where the comment promised three.

Change: 2.5 s. Connections with bytes under way are dropped then, idle ones by the probe after 3 s, within the gap after which callers of a stream leave.

Evidence: tests/transport/test_silent_peers.py on real sockets failed before with ETIMEDOUT and with (2, 1.5) s, and passes now.

--- a/monsoonflow/transport/const.py
+++ b/monsoonflow/transport/const.py
@@ -13,17 +13,18 @@
 MAX_ANSWER_HEAD_BYTES: Final = 65_536
 """Maximum size of an answer's head; a server that sends more is faulty."""
 
-USER_TIMEOUT_MS: Final = 1_500
+USER_TIMEOUT_MS: Final = 2_500
 """Time without acknowledgement after which the kernel drops a connection (TCP_USER_TIMEOUT).
 
-Well below the shortest deadlines (1.5 s and more) plus one retry, and well above the time that TCP
-needs to retransmit a lost packet.
+A sound server may be silent for up to two seconds. Callers of a stream leave after a gap of a few
+seconds, until which it has to go on at another server.
 """
 
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
-"""Probes detect a connection that was lost without a reset within about three seconds."""
+"""Probes detect a connection that was lost without a reset within three seconds: the first one that
+is due after the user timeout finds it lost, whatever their number."""
 
 CONNECT_TIMEOUT_MS: Final = 500
 """Longest wait for a connection within a region, where a round trip takes 3 ms.
