Quarantine: refused connections of a node without a path are no crashes

What callers would have seen: while a node is cut off from all servers with resets, requests with the same content that it had at three servers are quarantined on all nodes, refused with 503 for an hour.

Cause: a reset followed by a refused connection counts as the crash of a server. A node without a path sees that at every server at once.

Change: a refused connection is no crash if this node reaches no server of the service and, after they had time to check, a peer does. Peers check a service when another node announces that it has lost it. If nobody reaches it, servers did end, as before.

Evidence: test_refused_connections_of_a_node_without_a_path_are_no_crashes_of_servers failed before (503 at all three nodes, fingerprint quarantined with three servers) and passes now; the tests of requests that crash servers pass.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -75,6 +75,9 @@
 """How often idle connections and unconfirmed servers are checked."""
 
 
+PEER_CHECK_MS: Final = 300
+"""How long peers take to check and to announce whether they reach a service that this node lost."""
+
 FORWARDED_HEAD_BYTES: Final = 512
 """What a node adds to the head of a request that it forwards."""
 
@@ -149,6 +152,7 @@
         self.metrics = EntryMetrics()
         self.stall_detector = StallDetector(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._heartbeat_sequence = 0
+        self._lost_services_by_peer: dict[str, frozenset[str]] = {}
         self._stop_requested = Event()
         bounds = settings.bounds
         self.retry_budget = FleetRetryBudget(
@@ -212,6 +216,7 @@
             self.tasks,
             self.clock,
             self.gossip.schedule_broadcast,
+            self._is_path_lost,
         )
         self.peer_client = PeerClient(self.view, self.clock, integration.decoders.table)
         self.cell_leases = CellLeases(self, integration.runners())
@@ -378,6 +383,21 @@
         self.shared_quota.handle_delta(delta)
         self.server_limits.handle_delta(delta)
 
+    def _is_path_lost(self, life: ServerLife) -> bool:
+        """Return whether this node reaches no server of a service that its peers reach."""
+        server = self.cluster_state.server_registry.server_by_life.get(life)
+        if server is None or not self.service_paths.check_is_lost(server.service, failures=2):
+            return False
+        self.tasks.sleep(PEER_CHECK_MS)
+        return self.peer_forwarder.has_peer(server.service)
+
+    def _check_services_lost_by(self, heartbeat: Heartbeat) -> None:
+        """Check the services that a peer has just lost: this node must know whether it has too."""
+        lost = frozenset(heartbeat.unreachable_services or ())
+        for service in lost - self._lost_services_by_peer.get(heartbeat.name, frozenset()):
+            self.service_paths.record_unreachable(service)
+        self._lost_services_by_peer[heartbeat.name] = lost
+
     def _handle_path_change(self, service: str) -> None:
         """Announce whether this node reaches a service, and use all its servers again if so."""
         if not self.service_paths.is_lost(service):
@@ -395,6 +415,7 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.store_follower.handle_heartbeat(heartbeat)
+        self._check_services_lost_by(heartbeat)
         self.shared_quota.handle_heartbeat(heartbeat)
         self.server_limits.handle_heartbeat(heartbeat)
         self.quarantine_manager.apply_announced(
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -565,7 +565,9 @@
                 self._quarantine.record_broken_connection(
                     job.fingerprint, chosen.life, chosen.address
                 )
-            case Unsent(connection_refused=True):
+            case Unsent(connection_refused=True) if not self._paths.check_is_lost(
+                job.service.name, job.unsent_count + 1
+            ):
                 self._quarantine.record_server_crash(chosen.life)
 
     def _handle_timed_out(self, job: Job, reply: Reply, chosen: Chosen, took_ms: int) -> bool:
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -44,6 +44,8 @@
 class QuarantineManager:
     """Finds the requests that crash servers, together with the peers, and keeps them in the store.
 
+    :param is_path_lost: returns whether a server refuses connections of this node although peers
+        reach its service: that is no crash.
     :param on_quarantined: called when this node quarantines a request, to announce it to all peers
         at once.
     """
@@ -56,6 +58,7 @@
         tasks: Tasks,
         clock: Clock,
         on_quarantined: Callable[[], None],
+        is_path_lost: Callable[[ServerLife], bool] = lambda _life: False,
     ) -> None:
         self.suspects = Suspects(name)
         self._crash_probe = crash_probe
@@ -63,6 +66,7 @@
         self._tasks = tasks
         self._clock = clock
         self._on_quarantined = on_quarantined
+        self._is_path_lost = is_path_lost
         self._stored_fingerprints: set[str] = set()
         self._fingerprints_to_remove: set[str] = set()
         self._turn = BoundedSemaphore(1)
@@ -96,7 +100,7 @@
         self._handle_quarantined(
             self.suspects.record_broken_connection(fingerprint, life, self._clock.now_ms())
         )
-        if self._crash_probe.has_crashed(life, address):
+        if self._crash_probe.has_crashed(life, address) and not self._is_path_lost(life):
             self.record_server_crash(life)
 
     def record_server_crash(self, life: ServerLife) -> None:
--- a/tests/entry/test_nodes_without_servers.py
+++ b/tests/entry/test_nodes_without_servers.py
@@ -207,3 +207,27 @@
         for server in fleet.servers
         if server.service == "plain"
     )
+
+
+def test_refused_connections_of_a_node_without_a_path_are_no_crashes_of_servers(partitionable):
+    """Requests that such a node had at three servers were quarantined on all nodes for an hour."""
+    fleet = partitionable
+    fleet.plain("p-3")
+    node = bystander(fleet)
+    wait_for(lambda: len(node.daemon.cluster_state.server_registry.servers_of("plain")) == 3)
+    servers = [server for server in fleet.servers if server.service == "plain"]
+    for server in servers:
+        server.faults.slow_ms = 400
+    callers = [
+        gevent.spawn(fleet.ask, node, "/write/x", f"r{number}", b"body", deadline_ms=1_500)
+        for number in range(9)
+    ]
+    wait_for(lambda: all(server.requests for server in servers))
+    partition(node, Cut.RESET)
+    gevent.joinall(callers)
+    gevent.sleep(0.5)
+    answers = [
+        fleet.ask(peer, "/write/x", f"again-{peer.address}", b"body") for peer in fleet.nodes
+    ]
+    assert [answer.head.status for answer in answers] == [200] * len(fleet.nodes)
+    assert not any(peer.daemon.quarantine_manager.suspects.quarantined() for peer in fleet.nodes)
