Soak: nodes without servers, brittle servers, pauses, changes in series

Nodes of the soak now connect from addresses of their own, so that links can cut one of them off from all servers: new connections hang or are refused, open ones are silent, reset, or live on. Callers note which node they asked, and the judge compares first tries at these nodes with those at the others by the stated bounds. Servers can be brittle and fall over, or pause for a second or two, which excuses nothing. Configurations and SIGHUPs come in series.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,7 +18,14 @@
 from .faults import KINDS, FaultInjector
 from .fleet import Fleet
 from .judge import Late
-from .outcome import answers_of, broken_of, exceeded_of, late_of
+from .outcome import (
+    answers_of,
+    broken_of,
+    exceeded_of,
+    falls_of,
+    late_of,
+    worse_served_of,
+)
 
 SETTLE_S: Final = 2.0
 """Traffic before the first trouble."""
@@ -51,7 +58,12 @@
     finally:
         fleet.close()
     late = late_of(fleet, injector.disturbances)
-    broken = [*broken_of(fleet), *exceeded_of(fleet, injector.disturbances)]
+    broken = [
+        *broken_of(fleet),
+        *exceeded_of(fleet, injector.disturbances),
+        *worse_served_of(fleet, injector.partitions, injector.disturbances),
+        *falls_of(fleet, injector.brittle_services),
+    ]
     return Run(late, broken, answers_of(fleet), injector.counts)
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,9 +11,10 @@
 
 from stand_ins.links import Mode
 
-from .const import HEARTBEAT_MS, USUAL_WORK_MS
+from .const import CONTACT_MS, HEARTBEAT_MS, USUAL_WORK_MS
 from .fleet import STORE, Fleet
 from .judge import Disturbance
+from .partitions import Partition
 
 SERVES_MS: Final = 6_000
 """How long a server that leaves goes on."""
@@ -33,6 +34,12 @@
 NEED_S: Final = (4.0, 15.0)
 """Least and longest time for which servers name a limit."""
 
+BRITTLE_REJECTIONS: Final = 4
+"""Rejections in a second that brittle servers withstand."""
+
+BRITTLE_WORK_MS: Final = 350
+"""What a request takes at a brittle server: more arrive than it processes."""
+
 ALL_IN_NEED_SHARE: Final = 0.3
 """How often all servers of a service are in need at once."""
 
@@ -43,6 +50,10 @@
 
     :param kinds: which of :data:`KINDS` may come; all of them where none is named.
     :ivar ending: nodes that were told to stop, or killed, and have not started again.
+    :ivar partitions: when nodes were partitioned from all servers.
+    :ivar partitioned: nodes that are so now.
+    :ivar brittle: services whose servers are brittle now.
+    :ivar brittle_services: services whose servers were brittle, once for each time.
     """
 
     fleet: Fleet
@@ -51,6 +62,10 @@
     disturbances: list[Disturbance] = attrs.Factory(list)
     counts: dict[str, int] = attrs.Factory(dict)
     ending: set[str] = attrs.Factory(set)
+    partitions: list[Partition] = attrs.Factory(list)
+    partitioned: set[str] = attrs.Factory(set)
+    brittle: set[str] = attrs.Factory(set)
+    brittle_services: list[str] = attrs.Factory(list)
     _ends: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
 
     def inject(self, until: float) -> None:
@@ -227,6 +242,75 @@
             fleet.misbehave(name, limit=None)
 
 
+def _nodes_without_servers(injector: FaultInjector) -> None:
+    """Some nodes, or all of a zone, are partitioned from all servers."""
+    fleet, rng = injector.fleet, injector.rng
+    free = [node for node in fleet.nodes if node not in injector.partitioned]
+    count = min(len(free), rng.choice((1, 1, max(1, len(fleet.nodes) // 2))))
+    if not count or len(free) == count:
+        return
+    mode, resets_open = rng.choice(
+        ((Mode.SILENT, False), (Mode.REFUSES, True), (Mode.REFUSES, False))
+    )
+    for_s = rng.uniform(5.0, 9.0)
+    began_ms = round(time.time() * 1000)
+    for node in rng.sample(free, count):
+        injector.partitioned.add(node)
+        injector.partitions.append(Partition(node, began_ms, began_ms + round(for_s * 1000)))
+        fleet.partition(node, mode, resets_open)
+        injector.later(for_s, lambda node=node: _end_partition(injector, node))
+
+
+def _end_partition(injector: FaultInjector, node: str) -> None:
+    injector.fleet.heal(node)
+    injector.partitioned.discard(node)
+
+
+def _servers_brittle(injector: FaultInjector) -> None:
+    """All servers of a service are brittle, let nobody wait, and are slow."""
+    fleet = injector.fleet
+    service = fleet.service_by_server[injector.a_server()]
+    if service in injector.brittle:
+        return
+    injector.brittle.add(service)
+    injector.brittle_services.append(service)
+    servers = [name for name in fleet.servers if fleet.service_by_server[name] == service]
+    _change(fleet, servers, brittle=BRITTLE_REJECTIONS)
+    told_s = CONTACT_MS / 1_000
+    injector.later(told_s, lambda: _change(fleet, servers, max_waiting=0, slow_ms=BRITTLE_WORK_MS))
+    injector.later(
+        told_s + injector.rng.uniform(*NEED_S),
+        lambda: _end_brittle(injector, service, servers),
+    )
+
+
+def _end_brittle(injector: FaultInjector, service: str, servers: list[str]) -> None:
+    _change(injector.fleet, servers, brittle=None, max_waiting=None, slow_ms=USUAL_WORK_MS)
+    injector.brittle.discard(service)
+
+
+def _change(fleet: Fleet, servers: list[str], **faults: int | None) -> None:
+    for name in servers:
+        if fleet.processes.runs(name):
+            fleet.misbehave(name, **faults)
+
+
+def _server_pauses(injector: FaultInjector) -> None:
+    """A sound server is silent for a second or two; that excuses nothing."""
+    server = injector.a_server()
+    injector.fleet.stop(server)
+    injector.later(injector.rng.uniform(1.0, 2.0), lambda: injector.fleet.go_on(server))
+
+
+def _changes_in_series(injector: FaultInjector) -> None:
+    """Configurations follow each other quickly, with signals to nodes that settings changed."""
+    for number in range(injector.rng.randint(2, 5)):
+        injector.later(number * 0.15, injector.fleet.change_configuration)
+        node = injector.rng.choice(injector.fleet.nodes)
+        if node not in injector.ending:
+            injector.later(number * 0.1, lambda node=node: injector.fleet.reload_node(node))
+
+
 def _leaves(injector: FaultInjector) -> None:
     injector.server_leaves()
 
@@ -245,4 +329,8 @@
     "node-stops": _node_stops,
     "server-misbehaves": _server_misbehaves,
     "servers-in-need": _servers_in_need,
+    "nodes-without-servers": _nodes_without_servers,
+    "servers-brittle": _servers_brittle,
+    "server-pauses": _server_pauses,
+    "changes-in-series": _changes_in_series,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import time
 import urllib.request
@@ -30,6 +31,7 @@
 from .processes import CommandedProcesses
 
 STORE: Final = "store"
+NODE_START: Final = ROOT / "soak" / "node_start"
 LINKS: Final = "links"
 READY_WITHIN_S: Final = 20
 NODE_SETTINGS: Final = """
@@ -85,6 +87,8 @@
         self._store_address = f"127.0.0.1:{free_port()}"
         self._ports = tuple(free_port() for _ in range(6))
         self._directories: list[str] = []
+        self._store_ports: dict[str, int] = {}
+        self._config_version = CONFIGURATION["version"]
 
     def start(self, nodes: int, plain: int, engines: int, per_s: float, seed: int) -> None:
         """Start everything and wait until all nodes are ready."""
@@ -147,6 +151,19 @@
         """Tell a node to stop."""
         self.processes.signal(node, signal.SIGTERM)
 
+    def reload_node(self, node: str) -> None:
+        """Tell a node that its settings may have changed, if it still runs."""
+        if self.processes.runs(node):
+            self.processes.signal(node, signal.SIGHUP)
+
+    def change_configuration(self) -> None:
+        """Write a new version of the configuration, which changes a timeout."""
+        self._config_version += 1
+        first, *others = CONFIGURATION["routes"]
+        changed = {**first, "timeoutMs": first["timeoutMs"] + self._config_version % 2 * 50}
+        value = {**CONFIGURATION, "version": self._config_version, "routes": [changed, *others]}
+        self.processes.command(STORE, "put", table="op", key="config", value=value)
+
     def start_again(self, node: str) -> None:
         """Start a node that has ended, or end it first."""
         self.processes.end(node)
@@ -166,6 +183,27 @@
         """Reset the open connections of a link."""
         self.processes.command(LINKS, "reset", name=name)
 
+    def ip_of(self, node: str) -> str:
+        """Return the address of a node."""
+        return f"127.0.0.{10 + int(node.rpartition('-')[2])}"
+
+    def partition(self, node: str, mode: Mode, resets_open: bool) -> None:
+        """Partition a node from all servers.
+
+        :param mode: ``SILENT`` leaves new connections without an answer, ``REFUSES`` refuses them.
+        :param resets_open: whether open connections are reset, or silent in ``SILENT``; otherwise
+            they live on.
+        """
+        self._partition_of(node).write_text(f"{mode.value} {self._store_ports[node]}")
+        if resets_open or mode is Mode.SILENT:
+            self.processes.command(
+                LINKS, "cut", names=self.servers, caller_ip=self.ip_of(node), mode=mode
+            )
+
+    def heal(self, node: str) -> None:
+        """End a partition."""
+        self._partition_of(node).unlink(missing_ok=True)
+
     def close(self) -> None:
         """End everything."""
         self.processes.close()
@@ -174,7 +212,8 @@
         name = f"node-{number + 1}"
         ip = f"127.0.0.{11 + number}"
         front, ready, control, directory, reports, _ = self._ports
-        store = f"127.0.0.1:{free_port()}"
+        self._store_ports[name] = free_port()
+        store = f"127.0.0.1:{self._store_ports[name]}"
         self.processes.command(LINKS, "add", name=name, listen=store, target=self._store_address)
         self._directories.append(f"{ip}:{directory}")
         settings = NODE_SETTINGS.format(
@@ -202,9 +241,15 @@
             environment={
                 "MONSOONFLOW_NODE_FILE": str(self._settings_of(name)),
                 "MONSOONFLOW_METRICS_PORT": str(self._ports[-1]),
+                "PYTHONPATH": f"{self._node_root}{os.pathsep}{NODE_START}",
+                "SOAK_NODE_ADDRESS": self.ip_of(name),
+                "SOAK_PARTITION_FILE": str(self._partition_of(name)),
             },
         )
 
+    def _partition_of(self, node: str) -> Path:
+        return self._folder.resolve() / f"{node}.partition"
+
     def _settings_of(self, node: str) -> Path:
         return self._folder.resolve() / f"{node}.toml"
 
--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from typing import Final
 
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.report.timeline import read
@@ -11,9 +12,14 @@
 from .fleet import STORE, Fleet
 from .judge import Disturbance, Late, late_arrivals
 from .limits import exceeded_limits
+from .partitions import Partition, worse_served
 from .processes import Record
 from .promises import broken_promises
 
+MAX_FALLS: Final = 2
+MAX_FALLS_SHARE: Final = 0.1
+"""How often brittle servers of a service may fall over, and which share of them in addition."""
+
 
 def late_of(fleet: Fleet, disturbances: Iterable[Disturbance]) -> list[Late]:
     """Return the requests that reached servers too late."""
@@ -51,6 +57,36 @@
     ]
 
 
+def worse_served_of(
+    fleet: Fleet, partitions: Iterable[Partition], disturbances: Iterable[Disturbance]
+) -> list[str]:
+    """Return a line for each partition in which callers of its nodes were served far worse."""
+    node_by_ip = {fleet.ip_of(node): node for node in fleet.nodes}
+    disturbed = [d for d in disturbances if d.is_process]
+    return worse_served(
+        _of(fleet, fleet.callers),
+        partitions,
+        lambda ip: node_by_ip.get(ip, ip),
+        lambda node, at_ms: any(d.name == node and d.within_contact(at_ms) for d in disturbed),
+    )
+
+
+def falls_of(fleet: Fleet, brittle_services: Iterable[str]) -> list[str]:
+    """Return a line for each service whose brittle servers fell over too often."""
+    times = Counter(brittle_services)
+    falls = Counter(
+        fleet.service_by_server[record.source]
+        for record in _of(fleet, fleet.service_by_server)
+        if record.event == "fell"
+    )
+    servers = Counter(fleet.service_by_server.values())
+    return [
+        f"servers of {service} fell over {count} times"
+        for service, count in falls.items()
+        if count > times[service] * (MAX_FALLS + MAX_FALLS_SHARE * servers[service])
+    ]
+
+
 def answers_of(fleet: Fleet) -> Counter[int]:
     """Return how often callers got each status; 0: no answer."""
     ended = _of(fleet, fleet.callers)
--- a/stand_ins/callers.py
+++ b/stand_ins/callers.py
@@ -99,6 +99,7 @@
             status=status,
             own=own,
             took_ms=took_ms,
+            node=address.rpartition(":")[0],
             customer=self._customer_by_key[key],
         )
         if status == 0 and address in self._addresses:
--- a/stand_ins/links.py
+++ b/stand_ins/links.py
@@ -41,6 +41,7 @@
     caller: socket.socket
     server: socket.socket
     silent: bool = False
+    caller_ip: str = ""
 
     def close(self, reset: bool) -> None:
         """End both sides."""
@@ -79,7 +80,17 @@
         for connection in list(self._connections):
             connection.close(reset=True)
 
-    def _accept(self, caller: socket.socket, _: object) -> None:
+    def cut(self, caller_ip: str, mode: Mode) -> None:
+        """Silence or reset the open connections of one caller."""
+        for connection in list(self._connections):
+            if connection.caller_ip != caller_ip:
+                continue
+            if mode is Mode.REFUSES:
+                connection.close(reset=True)
+            else:
+                connection.silent = True
+
+    def _accept(self, caller: socket.socket, address: tuple[str, int]) -> None:
         if self._mode is Mode.REFUSES:
             caller.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
             caller.close()
@@ -93,7 +104,7 @@
             return
         for sock in (caller, server):
             sock.setsockopt(native.IPPROTO_TCP, native.TCP_NODELAY, 1)
-        connection = ForwardedConnection(caller, server, self._mode is Mode.SILENT)
+        connection = ForwardedConnection(caller, server, self._mode is Mode.SILENT, address[0])
         self._connections.add(connection)
         pumps = [
             gevent.spawn(self._pump, connection, caller, server),
@@ -131,6 +142,9 @@
             "add": add,
             "set": lambda name, mode: links[name].set(Mode(mode)),
             "reset": lambda name: links[name].reset(),
+            "cut": lambda names, caller_ip, mode: [
+                links[name].cut(caller_ip, Mode(mode)) for name in names
+            ],
         }
     )
 
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -96,10 +96,14 @@
         if self.faults.brittle is not None and len(self._rejected_s) > self.faults.brittle:
             self._rejected_s = []
             self.falls += 1
+            self.fell()
             self.crash()
             gevent.spawn_later(FALL_S, self._serve_again)
             raise CallerLeft("fell over")
 
+    def fell(self) -> None:
+        """Called when the server falls over."""
+
     def _serve_again(self) -> None:
         self._port = HttpServer(self.address, self._handle, MessageLimits, MonotonicClock())
         self.start()
--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -54,6 +54,10 @@
             record("named", limit=self._named_limit)
         return super()._headers(request, signed, request_id)
 
+    def fell(self) -> None:
+        """Note that the server fell over."""
+        record("fell")
+
 
 class PlainProcess(NotesArrivals, PlatformServer):
     """A server of a plain service."""
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -9,7 +9,14 @@
 
 from soak.faults import KINDS, FaultInjector
 from soak.fleet import Fleet
-from soak.outcome import answers_of, broken_of, exceeded_of, late_of
+from soak.outcome import (
+    answers_of,
+    broken_of,
+    exceeded_of,
+    falls_of,
+    late_of,
+    worse_served_of,
+)
 
 pytestmark = pytest.mark.processes
 SECONDS = 12.0
@@ -34,4 +41,6 @@
     assert not late
     assert not broken_of(fleet)
     assert not exceeded_of(fleet, injector.disturbances)
+    assert not worse_served_of(fleet, injector.partitions, injector.disturbances)
+    assert not falls_of(fleet, injector.brittle_services)
     assert answers_of(fleet)[200] > SECONDS * 40 / 4
