--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -241,14 +241,16 @@
         )
         if job.route.kind is not RouteKind.STREAM and outcome in SUCCESSFUL_OUTCOMES:
             first_ms = took_ms
-        self._metrics.count_request(
-            job.route.kind.value,
-            job.route.priority,
-            outcome,
-            self._objective_result(job, outcome, first_ms),
-            first_ms,
-            took_ms,
-        )
+        if not job.is_forwarded:
+            # The node that has forwarded a request counts it.
+            self._metrics.count_request(
+                job.route.kind.value,
+                job.route.priority,
+                outcome,
+                self._objective_result(job, outcome, first_ms),
+                first_ms,
+                took_ms,
+            )
         if outcome in SAMPLED_OUTCOMES and not self._sampler.allows(outcome, cause or "", now_ms):
             return
         for kind, repeated, count in self._sampler.left_out(now_ms):
@@ -268,6 +270,7 @@
                 tried=",".join(job.tried_lives) or None,
                 cause=cause,
                 limits_per_s=job.limits_per_s,
+                forwarded=job.is_forwarded or None,
             ),
         )
 
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -151,7 +151,8 @@
     """A request ended at this node; ``tried`` lists the servers that it was sent to."""
 
     # ``limits_per_s`` is what the servers of the service take together, if all were at their limits
-    # when the request was refused.
+    # when the request was refused. ``forwarded``: a peer received it from the caller and logs the
+    # same request.
 
     request: str
     outcome: str
@@ -165,3 +166,4 @@
     tried: str | None = None
     cause: str | None = None
     limits_per_s: float | None = None
+    forwarded: bool | None = None
