Paths: a failed connection does not wait for a check that was not started

What callers would have seen: on a node that had never checked a service, a request whose first server refused the connection waited half a second before its next attempt.

Cause: the event that ends the wait was not set before the first check, and no check starts while other servers respond. Found while tests of the checks were written (test_a_failed_connection_is_neither_checked_nor_waited_for_while_others_respond, failed with a timeout of 0.1 s, passes now).

Headers of requests to servers and to peers are written by one function.

--- a/monsoonflow/gateway/forwarding.py
+++ b/monsoonflow/gateway/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 from ..core.clock import Clock
 from ..core.server_life import ServerLife
@@ -15,7 +16,7 @@
 from .peer_forwarder import PeerForwarder
 from .request_log import RequestLog
 
-HOP_MARGIN_MS = 10
+HOP_MARGIN_MS: Final = 10
 """How much sooner than this node a peer must have answered: the time of the way back."""
 
 
--- a/monsoonflow/gateway/service_paths.py
+++ b/monsoonflow/gateway/service_paths.py
@@ -40,6 +40,8 @@
 """A server that responded within this time shows that there is a path."""
 
 CHECK_WAIT_S: Final = 2 * CHECK_TIMEOUT_MS / 1000
+"""Longest wait of a request for the result of a check."""
+
 LOOP_INTERVAL_MS: Final = 100
 
 
@@ -50,6 +52,7 @@
     :param lost_since_ms: since when no server of the service could be reached; ``None`` otherwise.
     :param checked_ms: when the last check has ended.
     :param is_checking: whether a check is running.
+    :param checked: set when a check has ended.
     :param awaited_since_ms: when the first request was sent after the last response of any server.
     :param responded_ms: when any server last responded.
     """
@@ -58,7 +61,6 @@
     checked_ms: int | None = None
     is_checking: bool = False
     checked: Event = attrs.Factory(Event)
-    """Set while no check is running."""
     awaited_since_ms: int | None = None
     responded_ms: int | None = None
 
@@ -141,7 +143,8 @@
         """
         self.record_unreachable(service, failures)
         path = self._path(service)
-        path.checked.wait(CHECK_WAIT_S)
+        if path.is_checking:
+            path.checked.wait(CHECK_WAIT_S)
         return path.lost_since_ms is not None
 
     def run(self) -> None:
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -127,14 +127,7 @@
         identity = forwarded.identity
         if identity is not None:
             dropped_names |= IDENTITY_HEADERS
-        lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
-        lines += [
-            b"%s: %s" % (name, value)
-            for name, value in request.headers
-            if name.lower() not in dropped_names
-        ]
-        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
-            lines.append(b"Content-Length: %d" % len(request.body))
+        lines = _request_lines(request, dropped_names)
         lines.append(b"X-Deadline-Ms: %d" % forwarded.remaining_ms)
         lines.append(b"X-Expect-Instance: %s" % forwarded.life.server_id.encode("latin-1"))
         if identity is not None and identity.customer is not None:
@@ -154,14 +147,7 @@
         """
         dropped_names = HOP_BY_HOP_HEADERS | {HANDOVER_HEADER, LAST_EVENT_ID_HEADER}
         dropped_names |= _names_listed_in_connection(request.headers) - REQUIRED_HEADERS
-        lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
-        lines += [
-            b"%s: %s" % (name, value)
-            for name, value in request.headers
-            if name.lower() not in dropped_names
-        ]
-        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
-            lines.append(b"Content-Length: %d" % len(request.body))
+        lines = _request_lines(request, dropped_names)
         if last_event_id is not None:
             lines.append(b"Last-Event-Id: " + last_event_id)
         lines.append(
@@ -211,6 +197,19 @@
         return HOP_BY_HOP_HEADERS | NODE_SET_HEADERS | (listed_names - REQUIRED_HEADERS)
 
 
+def _request_lines(request: Request, dropped_names: frozenset[bytes]) -> list[bytes]:
+    """Return request line, headers without the dropped ones, and the body's length."""
+    lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
+    lines += [
+        b"%s: %s" % (name, value)
+        for name, value in request.headers
+        if name.lower() not in dropped_names
+    ]
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return lines
+
+
 def _names_listed_in_connection(headers: list[Header]) -> frozenset[bytes]:
     """Return the headers that concern one connection only, as the ``Connection`` header says."""
     return frozenset(
