--- a/tests/entry/test_nodes_without_servers.py
+++ b/tests/entry/test_nodes_without_servers.py
@@ -158,32 +158,29 @@
     assert sum(counts["plain"].first_attempts for counts in usage if "plain" in counts) == 1
 
 
-def test_a_server_stops_working_when_the_caller_of_a_forwarded_request_leaves(partitionable):
-    """The peer must notice that nobody waits for the answer any more."""
-    fleet = partitionable
+def forwarded_request(fleet, work_ms, deadline_ms):
+    """Return a node without a path, the servers, and a caller whose request a server has got."""
     node = bystander(fleet)
     partition(node, Cut.RESET)
     wait_for(lambda: node.daemon.service_paths.check_is_lost("plain", 2))
     servers = [server for server in fleet.servers if server.service == "plain"]
     for server in servers:
-        server.faults.slow_ms = 5_000
-    caller = gevent.spawn(fleet.ask, node, "/write/x", "r1", b"body", deadline_ms=4_000)
+        server.faults.slow_ms = work_ms
+    caller = gevent.spawn(fleet.ask, node, "/write/x", "r1", b"body", deadline_ms=deadline_ms)
     wait_for(lambda: any(server.requests for server in servers))
+    return node, servers, caller
+
+
+def test_a_server_stops_working_when_the_caller_of_a_forwarded_request_leaves(partitionable):
+    """The peer must notice that nobody waits for the answer any more."""
+    _, servers, caller = forwarded_request(partitionable, work_ms=5_000, deadline_ms=4_000)
     caller.kill()
     wait_for(lambda: any(server.left for server in servers), within_s=0.5)
 
 
 def test_a_request_is_not_sent_again_after_its_peer_was_lost(partitionable):
     """The peer may have sent it to a server, so it is neither refused as not run nor repeated."""
-    fleet = partitionable
-    node = bystander(fleet)
-    partition(node, Cut.RESET)
-    wait_for(lambda: node.daemon.service_paths.check_is_lost("plain", 2))
-    servers = [server for server in fleet.servers if server.service == "plain"]
-    for server in servers:
-        server.faults.slow_ms = 600
-    caller = gevent.spawn(fleet.ask, node, "/write/x", "r1", b"body", deadline_ms=2_000)
-    wait_for(lambda: any(server.requests for server in servers))
+    node, servers, caller = forwarded_request(partitionable, work_ms=600, deadline_ms=2_000)
     for connections in list(node.daemon.forwarding_pools.connections):
         connections._sock.shutdown(2)
     assert caller.get().head.status == 502
