--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -25,6 +25,7 @@
 from .job import Job
 from .models import (
     Abandoned,
+    AnswerTerms,
     AtLimit,
     AttemptResult,
     Call,
@@ -426,7 +427,7 @@
             lambda: self._server_limits.admit(chosen.life),
             lambda: self._before_send(job, chooser, chosen),
             lambda: self._record_activity(job, chooser, chosen),
-            lambda terms: self._server_limits.record_answer(chosen.life, terms, ticket.sent_ms),
+            lambda terms: self._record_terms(job, chosen, ticket, terms),
         )
         result: AttemptResult | None = None
         try:
@@ -457,6 +458,10 @@
         chooser.record_activity(chosen, self._clock.now_ms())
         self._paths.record_response(job.service.name)
 
+    def _record_terms(self, job: Job, chosen: Chosen, ticket: Ticket, terms: AnswerTerms) -> None:
+        job.answer_framing = terms.framing
+        self._server_limits.record_answer(chosen.life, terms, ticket.sent_ms)
+
     def _use_reserved_retry(self, job: Job) -> None:
         if job.has_reserved_retry:
             job.has_reserved_retry = False
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -10,7 +10,7 @@
 from ..core.server_life import ServerLife
 from ..routing.customers import Identity
 from ..routing.server_limits import InvalidLimit, NamedLimit
-from ..transport.models import AnswerHead, Header, Request
+from ..transport.models import AnswerHead, Framing, Header, Request
 
 
 @attrs.frozen(slots=True)
@@ -95,6 +95,7 @@
     :param is_full: whether the server states that it has no room for the request.
     :param tolerated_rejections_per_s: rejections for want of room that the server withstands in a
         second; ``None`` unless it is brittle.
+    :param framing: how the end of its body is marked.
     """
 
     request_id: str | None
@@ -104,6 +105,7 @@
     limit: NamedLimit | InvalidLimit | None = None
     is_full: bool = False
     tolerated_rejections_per_s: float | None = None
+    framing: Framing = Framing.LENGTH
 
 
 class Dialect(Protocol):
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -271,6 +271,8 @@
                 cause=cause,
                 limits_per_s=job.limits_per_s,
                 forwarded=job.is_forwarded or None,
+                framing=job.answer_framing,
+                rest_bytes=len(job.splitter.incomplete) or None if job.splitter else None,
             ),
         )
 
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -152,7 +152,8 @@
 
     # ``limits_per_s`` is what the servers of the service take together, if all were at their limits
     # when the request was refused. ``forwarded``: a peer received it from the caller and logs the
-    # same request.
+    # same request. ``framing`` is how the last server marks the end of its answer, ``rest_bytes``
+    # what it sent after the last complete event.
 
     request: str
     outcome: str
@@ -167,3 +168,5 @@
     cause: str | None = None
     limits_per_s: float | None = None
     forwarded: bool | None = None
+    framing: str | None = None
+    rest_bytes: int | None = None
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -175,6 +175,7 @@
             limit=_parse_server_limit(head.values(SERVER_LIMIT_HEADER)),
             is_full=head.status in (429, 503) and head.value(NOT_EXECUTED_HEADER) is not None,
             tolerated_rejections_per_s=_parse_brittle(head.values(SERVER_BRITTLE_HEADER)),
+            framing=head.framing,
         )
 
     def forwarded_headers(self, head: AnswerHead) -> list[Header]:
--- a/monsoonflow/transport/models.py
+++ b/monsoonflow/transport/models.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TypeAlias
 
 import attrs
@@ -58,6 +59,14 @@
         return found[0] if len(found) == 1 else None
 
 
+class Framing(StrEnum):
+    """How the end of an answer's body is marked."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+
+
 @attrs.frozen(slots=True)
 class AnswerHead:
     """Status and headers of a server's answer.
@@ -72,6 +81,13 @@
     length: int | None
     chunked: bool
 
+    @property
+    def framing(self) -> Framing:
+        """Return how the end of the body is marked."""
+        if self.chunked:
+            return Framing.CHUNKED
+        return Framing.LENGTH if self.length is not None else Framing.CONNECTION
+
     def value(self, name: bytes) -> bytes | None:
         """Return the first value of a header.
 
