Gateway: the end of a connection is not taken for the end of a stream

Cause: an answer with neither a length nor chunks ends with its connection. The reader takes an orderly close for its end; the node wrote the rest that was no complete event, and ended chunks of its own or stated a length, which claims more than it knows.

Now a stream that ends inside an event has been broken off, however it is framed: it goes on at another server, or its caller's connection ends without the end of the answer. An answer that ends with its connection is passed on as one. Until it is complete, any other end of the caller's connection is a reset, also when the process is killed (SO_LINGER), since an orderly close would be its end. Chunks that are begun are not ended by a server that marks no end. Without any event, such an answer is a failed attempt. Line ends of both kinds may be mixed, and empty lines and comments after the last event are no event. An answer of another type than an event stream is read whole.

Callers pay a new connection for each such answer.

--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -37,6 +37,8 @@
 """How often a request that waits for its first response is checked: a newer version of its adapter
 may have been requested, and the request must not begin on the old one."""
 
+EVENT_STREAM_TYPE: Final = b"text/event-stream"
+
 ReadResult = TypeVar("ReadResult")
 
 
@@ -131,7 +133,7 @@
             # a connection that took 0.5 s, the server would go on working after the caller left.
             connection.send(build_head(), self._request.body, self._request.method == b"HEAD")
             answer_head, terms = self._read_matching_head(connection)
-            if splitter is None or answer_head.status != 200:
+            if splitter is None or not _is_event_stream(answer_head):
                 result = self._read_whole(connection, answer_head, terms, reply, splitter)
             else:
                 result = self._forward_stream(connection, answer_head, terms, reply, splitter)
@@ -203,7 +205,9 @@
         self, connection: ServerConnection, head: AnswerHead, received: bytes, reply: Reply
     ) -> AttemptResult:
         headers = self._dialect.forwarded_headers(head)
-        reply.begin(head.status, headers, head.length, head.reason, received)
+        reply.begin(
+            head.status, headers, head.length, head.reason, received, head.ends_with_connection
+        )
         while (piece := connection.read_piece(self._answer_deadline_ms)) is not None:
             reply.write(piece)
         reply.finish()
@@ -237,13 +241,27 @@
                 self._check_resume_position(events, resumed_after)
                 self._on_first_event()
             self._forward_events(head, events, reply)
+        self._check_stream_end(head, splitter, reply, has_events=not is_first)
         if not reply.started:
-            reply.begin(head.status, self._dialect.forwarded_headers(head), None, head.reason)
-        # The server ended its answer properly, so the held-back rest is the end of the body.
+            self._forward_events(head, b"", reply)
         reply.write(splitter.incomplete)
         reply.finish()
         return Passed()
 
+    def _check_stream_end(
+        self, head: AnswerHead, splitter: EventSplitter, reply: Reply, has_events: bool
+    ) -> None:
+        """Reject the end of an answer that is not the end of its stream, or may not be."""
+        if splitter.is_inside_event:
+            raise BrokenAnswer("the stream ended inside an event")
+        if not head.ends_with_connection:
+            return
+        if not has_events and splitter.last_event_id is None:
+            raise BrokenAnswer("the connection ended before the first event")
+        # Only the end of the caller's own connection says no more than that of the server's.
+        if reply.started and not reply.ends_with_connection:
+            raise BrokenAnswer("the stream ended with its connection")
+
     def _next_piece(self, connection: ServerConnection, is_first: bool) -> bytes | None:
         if not is_first:
             return connection.read_piece(self._answer_deadline_ms)
@@ -273,7 +291,8 @@
         if reply.started:
             reply.write(events)
             return
-        reply.begin(head.status, self._dialect.forwarded_headers(head), None, head.reason, events)
+        headers = self._dialect.forwarded_headers(head)
+        reply.begin(head.status, headers, None, head.reason, events, head.ends_with_connection)
 
     def _check_resume_position(self, events: bytes, after: bytes | None) -> None:
         """Reject a resumed stream that starts from the beginning: the caller would get it twice."""
@@ -282,3 +301,11 @@
             return
         if int(first) <= int(after):
             raise BrokenAnswer("the stream did not resume after the last event")
+
+
+def _is_event_stream(head: AnswerHead) -> bool:
+    content_type = head.value(b"content-type")
+    is_other_type = content_type is not None and not content_type.strip().lower().startswith(
+        EVENT_STREAM_TYPE
+    )
+    return head.status == 200 and not is_other_type
--- a/monsoonflow/gateway/event_splitter.py
+++ b/monsoonflow/gateway/event_splitter.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
+EVENT_END: Final = re.compile(rb"\n(?:\r?\n)+")
+LINE_END: Final = re.compile(rb"\r?\n")
 MAX_EVENT_BYTES: Final = 1 << 20
 """Longest event: a server that sends a longer one is faulty."""
 
@@ -26,17 +29,33 @@
         self.incomplete = b""
         self.event_count = 0
 
+    @property
+    def is_inside_event(self) -> bool:
+        r"""Return whether the bytes received so far end inside an event.
+
+        Blank lines and complete comments after the last event belong to none.
+
+        >>> splitter = EventSplitter()
+        >>> splitter.feed(b"data: a\n\n: comment\n"), splitter.is_inside_event
+        (b'data: a\n\n', False)
+        >>> splitter.feed(b"id: 2\n"), splitter.is_inside_event
+        (b'', True)
+        """
+        *lines, unfinished = LINE_END.split(self.incomplete)
+        return bool(unfinished) or any(line and not line.startswith(b":") for line in lines)
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that are complete with these bytes."""
         text = self.incomplete + data if self.incomplete else data
-        end = _end_of_last_event(text)
+        ends = [found.end() for found in EVENT_END.finditer(text)]
+        end = ends[-1] if ends else 0
         events, self.incomplete = text[:end], text[end:]
         if events:
-            self._record_events(events)
+            self._record_events(events, len(ends))
         return events
 
-    def _record_events(self, events: bytes) -> None:
-        self.event_count += events.count(b"\n\n") + events.count(b"\r\n\r\n")
+    def _record_events(self, events: bytes, count: int) -> None:
+        self.event_count += count
         start = events.rfind(b"\nid:")
         if start >= 0:
             start += 1
@@ -47,11 +66,6 @@
         self.last_event_id = events[start + 3 : events.index(b"\n", start)].strip()
 
 
-def _end_of_last_event(text: bytes) -> int:
-    lf, crlf = text.rfind(b"\n\n"), text.rfind(b"\r\n\r\n")
-    return max(lf + 2 if lf >= 0 else 0, crlf + 4 if crlf >= 0 else 0)
-
-
 def first_event_id(events: bytes) -> bytes | None:
     r"""Return the id of the first event that has one.
 
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -381,7 +381,8 @@
             self._request_log.log_ended(job, reply, "cut", f"status {status} while resuming")
             return
         headers = self._dialect.forwarded_headers(answer.head)
-        reply.send_whole(status, headers, answer.body, answer.head.reason)
+        head = answer.head
+        reply.send_whole(status, headers, answer.body, head.reason, head.ends_with_connection)
         outcome = "refused" if is_own_refusal else "answered" if status < 500 else "failed"
         self._request_log.log_ended(
             job, reply, outcome, f"status {status} of a peer" if outcome != "answered" else None
@@ -643,7 +644,8 @@
             )
         else:
             headers = self._dialect.forwarded_headers(result.head)
-            reply.send_whole(status, headers, result.body, result.head.reason)
+            head = result.head
+            reply.send_whole(status, headers, result.body, head.reason, head.ends_with_connection)
             outcome = "answered" if status < 500 else "server_failed"
             self._request_log.log_ended(
                 job, reply, outcome, f"status {status}" if status >= 500 else None
--- a/monsoonflow/transport/models.py
+++ b/monsoonflow/transport/models.py
@@ -88,6 +88,11 @@
             return Framing.CHUNKED
         return Framing.LENGTH if self.length is not None else Framing.CONNECTION
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection marks the end of the body."""
+        return self.framing is Framing.CONNECTION
+
     def value(self, name: bytes) -> bytes | None:
         """Return the first value of a header.
 
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -5,6 +5,7 @@
 import logging
 import socket as native
 import ssl
+import struct
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -27,6 +28,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 IDLE_CHECK_INTERVAL_S = 0.02
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+FLUSH_AT_CLOSE = struct.pack("ii", 0, 0)
+"""Values of SO_LINGER: discard what is unsent and reset the connection, or send it first."""
+
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -51,6 +56,7 @@
         self._connection = connection
         self._chunked = False
         self._remaining_bytes: int | None = None
+        self.ends_with_connection = False
         self.started = False
         self.finished = False
         self.status = 0
@@ -61,10 +67,15 @@
         return self._connection.is_closed_by_caller()
 
     def send_whole(
-        self, status: int, headers: list[Header], body: bytes = b"", reason: bytes | None = None
+        self,
+        status: int,
+        headers: list[Header],
+        body: bytes = b"",
+        reason: bytes | None = None,
+        ends_with_connection: bool = False,
     ) -> None:
         """Send a complete answer in one write."""
-        self.begin(status, headers, len(body), reason, body)
+        self.begin(status, headers, len(body), reason, body, ends_with_connection)
         self.finish()
 
     def begin(
@@ -74,16 +85,22 @@
         length: int | None,
         reason: bytes | None = None,
         body: bytes = b"",
+        ends_with_connection: bool = False,
     ) -> None:
         """Send the head and the first bytes of the body, if any.
 
         :param length: length of the whole body; ``None`` uses chunked transfer coding.
+        :param ends_with_connection: send neither a length nor chunks: only the end of the
+            connection marks the end of the body.
         """
         phrase = REASON_PHRASES.get(status, b"") if reason is None else reason
         all_headers = list(headers)
-        self._chunked = length is None
-        self._remaining_bytes = length
-        if length is None:
+        self.ends_with_connection = ends_with_connection
+        self._chunked = length is None and not ends_with_connection
+        self._remaining_bytes = None if ends_with_connection else length
+        if ends_with_connection:
+            self._connection.end_with_answer()
+        elif length is None:
             all_headers.append((b"Transfer-Encoding", b"chunked"))
         elif status not in BODILESS_STATUSES:
             all_headers.append((b"Content-Length", b"%d" % length))
@@ -189,6 +206,15 @@
             return b"Connection: close"
         return b"Keep-Alive: timeout=%d" % (self._reader.limits.idle_ms // 1000)
 
+    def end_with_answer(self) -> None:
+        """Let the end of the connection mark the end of the answer that begins now.
+
+        Until the answer is complete, any other end of the connection is a reset, also if this
+        process is killed: an orderly close would make the answer look complete.
+        """
+        self._close_after_answer = True
+        self._sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET_AT_CLOSE)
+
     def send(self, data: bytes) -> None:
         """Send bytes to the caller.
 
@@ -323,6 +349,7 @@
 
         Closing with unread bytes resets the connection, and the reset may overtake the answer.
         """
+        self._sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, FLUSH_AT_CLOSE)
         self._sock.shutdown(native.SHUT_WR)
         self._sock.settimeout(LINGER_MS / 1000)
         try:
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 import time
 
 import gevent
 import pytest
+from gevent import socket
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -13,6 +16,7 @@
 from monsoonflow.transport.codec import RequestReader
 from monsoonflow.transport.models import BadMessage, CallerLeft, MessageLimits, Request
 from monsoonflow.transport.server import Reply
+from script.ports import free_port
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
 SECOND_REQUEST = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -199,3 +203,69 @@
         answer = running.exchange(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
         assert answer.startswith(b"HTTP/1.1 500 ")
     assert "event=handler_failed" in caplog.text
+
+
+ENDS_WITH_CONNECTION = """
+import gevent
+from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.transport.models import MessageLimits
+from monsoonflow.transport.server import HttpServer
+
+def answer(request, reply):
+    reply.begin(200, [], None, None, b"half", ends_with_connection=True)
+    gevent.sleep(10)
+
+HttpServer("{address}", answer, MessageLimits, MonotonicClock()).start()
+gevent.sleep(10)
+"""
+
+
+def test_an_answer_that_ends_with_its_connection_has_neither_a_length_nor_chunks(listen):
+    running = listen(lambda _, reply: reply.send_whole(200, [], b"all", ends_with_connection=True))
+    received = running.exchange(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert body == b"all"
+    assert b"Connection: close" in head
+    assert b"content-length" not in head.lower()
+    assert b"transfer-encoding" not in head.lower()
+
+
+def test_an_unfinished_answer_that_ends_with_its_connection_is_reset(listen):
+    """An orderly close would make it look complete."""
+
+    def fail(_, reply):
+        reply.begin(200, [], None, None, b"half", ends_with_connection=True)
+
+    sock = listen(fail).connect()
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    with pytest.raises(ConnectionResetError):
+        while sock.recv(65_536):
+            pass
+
+
+def test_an_answer_that_ends_with_its_connection_is_reset_when_the_process_is_killed():
+    """The kernel closes the connections of a killed process in order, which looked complete."""
+    port = free_port()
+    code = ENDS_WITH_CONNECTION.format(address=f"127.0.0.1:{port}")
+    process = subprocess.Popen([sys.executable, "-c", code])
+    try:
+        sock = _connect_when_listening(port)
+        sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        received = b""
+        while not received.endswith(b"half"):
+            received += sock.recv(65_536)
+        process.kill()
+        with pytest.raises(ConnectionResetError):
+            sock.recv(65_536)
+    finally:
+        process.kill()
+        process.wait()
+
+
+def _connect_when_listening(port):
+    for _ in range(200):
+        try:
+            return socket.create_connection(("127.0.0.1", port), timeout=5)
+        except ConnectionRefusedError:
+            gevent.sleep(0.05)
+    raise TimeoutError
