Soak: a link passes on a reset as a reset

A link answered a reset of the server's connection with an orderly close towards the node. Such a close completes an answer that has neither a length nor chunks, so the soak could not tell the two apart. Each failed connection is now reset on both sides; a silent one stays silent.

tests/soak/test_links.py fails for the reset without the change and passes with it.

--- a/stand_ins/links.py
+++ b/stand_ins/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import socket as native
 import struct
 from enum import StrEnum
@@ -47,7 +48,8 @@
         """End both sides."""
         for sock in (self.caller, self.server):
             if reset:
-                sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+                with contextlib.suppress(OSError):
+                    sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
             sock.close()
 
 
@@ -124,7 +126,9 @@
             if not connection.silent:
                 sink.shutdown(native.SHUT_WR)
         except OSError:
-            connection.close(reset=False)
+            # A close would complete an answer that is to end with its connection.
+            if not connection.silent:
+                connection.close(reset=True)
 
 
 def main() -> None:
