Stand-ins: answers that end with their connection or break off, a client that tells how

Stand-in servers answered with a length or chunks only, and callers recorded nothing of an answer that was not complete. So no run could show an answer that was broken off and reached its caller as complete.

Servers now send a share of their answers without length and chunks, and break answers off inside the head, before the first event, between two events and inside an event, by a close or a reset. A crash leaves half an event in each answer without framing. An orderly close that nobody could tell from the end of an answer becomes a reset. Callers read answers with a client of their own, not with the reader of the nodes, and record how each answer ended by its framing, its events and whether the last is whole.

--- a/stand_ins/callers.py
+++ b/stand_ins/callers.py
@@ -16,6 +16,8 @@
 from monsoonflow.core.clock import MonotonicClock  # noqa: E402
 from monsoonflow.transport.client import Answer, ConnectionPools, call  # noqa: E402
 from stand_ins.commands import follow, record  # noqa: E402
+from stand_ins.event_streams import read_events  # noqa: E402
+from stand_ins.strict_client import StrictClient  # noqa: E402
 
 RESOLVE_TIMEOUT_MS: Final = 1_000
 RESOLVE_AGAIN_S: Final = 0.3
@@ -27,7 +29,8 @@
     """Sends requests of several routes at a steady pace.
 
     :param directories: addresses that tell where to go.
-    :param routes: path, deadline in ms and headers of each kind of request.
+    :param routes: path, deadline in ms and headers of each kind of request, and whether its answers
+        are streams.
     :param customer_by_key: API keys to send, each with its customer; ``None`` for an unknown key.
     """
 
@@ -49,6 +52,7 @@
         self._customer_by_key = customer_by_key
         self._rng = random.Random(seed)
         self._pools = ConnectionPools(MonotonicClock())
+        self._client = StrictClient()
         self._addresses: list[str] = []
         self._asked_at = 0.0
         self._ttl_s = 0.0
@@ -68,6 +72,7 @@
         request = f"{self._name}-{self._number}"
         route = self._rng.choice(self._routes)
         headers: dict[str, str] = {
+            "Host": self._host,
             "X-Request-Id": request,
             "X-Deadline-Ms": str(route["deadline_ms"]),
             **route["headers"],
@@ -77,30 +82,24 @@
         headers["X-Tenant"] = OTHER_CUSTOMER
         if "adapters" in route:
             headers["X-Model"] = self._rng.choice(route["adapters"])
-        told = tuple((key.encode(), value.encode()) for key, value in headers.items())
         began = time.monotonic()
-        answer = call(
-            self._pools,
-            address,
-            "POST",
-            route["path"],
-            request.encode(),
-            route["deadline_ms"],
-            told,
-            host=self._host,
+        answer = self._client.call(
+            address, "POST", route["path"], headers.items(), request.encode(), route["deadline_ms"]
         )
-        status = answer.head.status if isinstance(answer, Answer) else 0
-        took_ms = round((time.monotonic() - began) * 1000)
-        own = isinstance(answer, Answer) and request.encode() in answer.body
+        status = answer.status if answer.is_complete else 0
+        stream = read_events(answer.body).fields() if route.get("is_stream") else {}
         record(
             "ended",
             request=request,
             path=route["path"],
             status=status,
-            own=own,
-            took_ms=took_ms,
+            head_status=answer.status,
+            ending=answer.ending,
+            own=answer.is_complete and request.encode() in answer.body,
+            took_ms=round((time.monotonic() - began) * 1000),
             node=address.rpartition(":")[0],
             customer=self._customer_by_key[key],
+            **stream,
         )
         if status == 0 and address in self._addresses:
             self._addresses.remove(address)
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections import Counter
 from typing import Any, Final
@@ -13,6 +14,7 @@
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.transport.models import CallerLeft, MessageLimits, Request
 from monsoonflow.transport.server import HttpServer, Reply
+from stand_ins.raw_answers import BreakPlace, Framing, RawAnswer
 
 
 @attrs.define
@@ -33,6 +35,10 @@
     :param limit: the limit for requests of all nodes that it names in its answers.
     :param brittle: rejections for want of room in a second that it says it withstands.
     :param max_waiting: requests that may wait beyond its slots; ``None`` for any number.
+    :param unframed: share of the answers without length and chunks, which end with the connection.
+    :param break_off: how many answers break off.
+    :param break_place: where they break off.
+    :param break_resets: whether that is a reset of the connection rather than a close.
     """
 
     fail: int = 0
@@ -50,6 +56,10 @@
     limit: str | None = None
     brittle: int | None = None
     max_waiting: int | None = None
+    unframed: float = 0.0
+    break_off: int = 0
+    break_place: BreakPlace = BreakPlace.PIECE
+    break_resets: bool = False
 
 
 FALL_S: Final = 2.0
@@ -73,6 +83,8 @@
         self.falls = 0
         self._rejected_s: list[float] = []
         self._running: set[gevent.Greenlet] = set()
+        self._raw_answers: set[RawAnswer] = set()
+        self._rng = random.Random(server_id)
         self._port = HttpServer(address, self._handle, MessageLimits, MonotonicClock())
 
     def start(self) -> None:
@@ -87,8 +99,21 @@
         """End without a word, with all that is in progress."""
         self.crashes += 1
         self._port.stop_listening()
+        self.break_off_answers()
         gevent.killall([task for task in self._running if task is not gevent.getcurrent()])
 
+    def sends_raw_answers(self) -> bool:
+        """Return whether an answer is in progress that has no framing or is to break off."""
+        return bool(self._raw_answers)
+
+    def break_off_answers(self) -> None:
+        """Bring each answer that would end with its connection into the middle of a piece.
+
+        The end of this process or its tasks closes their connections in an orderly way.
+        """
+        for answer in list(self._raw_answers):
+            answer.send_half_a_piece()
+
     def _reject_for_want_of_room(self, request: Request, reply: Reply) -> None:
         reply.send_whole(503, [*self._headers(request, signed=False), (b"X-Not-Executed", b"1")])
         now_s = time.monotonic()
@@ -190,7 +215,36 @@
             )
             return
         body = b"%s %s %s" % (self.server_id.encode(), request.target, request.body)
-        reply.send_whole(200, self._headers(request, signed=True), body)
+        headers = self._headers(request, signed=True)
+        if not self._answers_raw(reply, headers, [body], Framing.LENGTH):
+            reply.send_whole(200, headers, body)
+
+    def _answers_raw(
+        self,
+        reply: Reply,
+        headers: list[tuple[bytes, bytes]],
+        pieces: list[bytes],
+        framing: Framing,
+        pause_s: float = 0.0,
+    ) -> bool:
+        """Answer without framing, or break the answer off; return whether a fault asks for it."""
+        faults = self.faults
+        is_unframed = self._rng.random() < faults.unframed
+        if not pieces or not (is_unframed or faults.break_off > 0):
+            return False
+        is_stream = framing is Framing.CHUNKS
+        answer = RawAnswer(reply, Framing.CLOSE if is_unframed else framing, is_stream)
+        self._raw_answers.add(answer)
+        try:
+            if faults.break_off > 0:
+                faults.break_off -= 1
+                place, resets = BreakPlace(faults.break_place), faults.break_resets
+                answer.break_off(headers, pieces, place, resets, self._rng, pause_s)
+            else:
+                answer.send(headers, pieces, pause_s)
+        finally:
+            self._raw_answers.discard(answer)
+        return True
 
     def _headers(
         self, request: Request, signed: bool, request_id: bytes | None = None
@@ -323,12 +377,17 @@
             return
         after = int(request.value(b"last-event-id") or 0)
         headers = [*self._headers(request, signed=True), (b"Content-Type", b"text/event-stream")]
+        events = [self._event(request, number) for number in range(after + 1, self.events + 1)]
+        if self._answers_raw(reply, headers, events, Framing.CHUNKS, self.event_ms / 1000):
+            return
         reply.begin(200, headers, None)
-        for number in range(after + 1, self.events + 1):
-            event = b"id: %d\ndata: %s-%d\n\n" % (number, request.value(b"x-request-id"), number)
+        for number, event in enumerate(events, after + 1):
             if self.faults.cut_after is not None and number > self.faults.cut_after:
                 reply.write(event[: len(event) // 2])
                 return
             reply.write(event)
             gevent.sleep(self.event_ms / 1000)
         reply.finish()
+
+    def _event(self, request: Request, number: int) -> bytes:
+        return b"id: %d\ndata: %s-%d\n\n" % (number, request.value(b"x-request-id"), number)
--- /dev/null
+++ b/stand_ins/raw_answers.py
@@ -0,0 +1,124 @@
+"""Writes answers piece by piece: with any framing, whole or broken off anywhere."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket as native
+from enum import StrEnum
+
+import gevent
+
+from monsoonflow.transport.models import CallerLeft, Header
+from monsoonflow.transport.server import REASON_PHRASES, Reply
+from stand_ins.links import RESET
+
+
+class Framing(StrEnum):
+    """What marks the end of an answer; ``CLOSE``: an orderly close of the connection."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
+class BreakPlace(StrEnum):
+    """Where an answer breaks off; ``FIRST``: after the head, ``BETWEEN``: after some pieces."""
+
+    HEAD = "head"
+    FIRST = "first"
+    BETWEEN = "between"
+    PIECE = "piece"
+
+
+class RawAnswer:
+    """Writes one answer with status 200.
+
+    :param shows_halves: whether half a piece shows that the answer is not complete.
+    """
+
+    def __init__(self, reply: Reply, framing: Framing, shows_halves: bool) -> None:
+        self._reply = reply
+        self._connection = reply._connection  # noqa: SLF001
+        self._framing = framing
+        self._shows_halves = shows_halves
+        self._unsent: list[bytes] = []
+
+    def send(self, headers: list[Header], pieces: list[bytes], pause_s: float = 0.0) -> None:
+        """Send the whole answer, with a pause after each piece."""
+        self._begin(headers, pieces)
+        self._send_pieces(len(pieces), pause_s)
+        if self._framing is Framing.CHUNKS:
+            self._connection.send(b"0\r\n\r\n")
+        # The server closes the connection after an answer that its reply has not finished.
+        self._reply.finished = self._framing is not Framing.CLOSE
+
+    def break_off(
+        self,
+        headers: list[Header],
+        pieces: list[bytes],
+        place: BreakPlace,
+        resets: bool,
+        rng: random.Random,
+        pause_s: float = 0.0,
+    ) -> None:
+        """Send a part of the answer; then close the connection, or reset it.
+
+        An orderly close that would look like the end of the answer becomes a reset.
+        """
+        if place is BreakPlace.HEAD:
+            head = self._head(headers, pieces)
+            self._reply.started = True
+            self._connection.send(head[: rng.randrange(1, len(head) - 4)])
+        else:
+            self._begin(headers, pieces)
+            whole = 0 if place is BreakPlace.FIRST else rng.randrange(len(pieces))
+            if place is BreakPlace.BETWEEN:
+                whole = max(whole, min(1, len(pieces) - 1))
+            self._send_pieces(whole, pause_s)
+            if place is BreakPlace.PIECE:
+                self.send_half_a_piece()
+            shows = place is BreakPlace.PIECE and self._shows_halves
+            resets = resets or (self._framing is Framing.CLOSE and not shows)
+        if resets:
+            sock = self._connection._sock  # noqa: SLF001
+            sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+
+    def send_half_a_piece(self) -> None:
+        """Send half of the next piece, so that a close does not look like the end."""
+        if self._unsent:
+            piece = self._unsent.pop(0)
+            framed = self._framed(piece)
+            with contextlib.suppress(CallerLeft):
+                self._connection.send(framed[: len(framed) - (len(piece) + 1) // 2])
+
+    def _begin(self, headers: list[Header], pieces: list[bytes]) -> None:
+        self._unsent = list(pieces)
+        self._reply.started = True
+        self._reply.status = 200
+        self._connection.send(self._head(headers, pieces))
+
+    def _head(self, headers: list[Header], pieces: list[bytes]) -> bytes:
+        match self._framing:
+            case Framing.LENGTH:
+                marks = [(b"Content-Length", b"%d" % sum(map(len, pieces)))]
+            case Framing.CHUNKS:
+                marks = [(b"Transfer-Encoding", b"chunked")]
+            case Framing.CLOSE:
+                marks = []
+        lines = [b"HTTP/1.1 200 " + REASON_PHRASES[200]]
+        lines += [b"%s: %s" % header for header in [*headers, *marks]]
+        keeps = self._framing is not Framing.CLOSE
+        lines.append(self._connection.connection_header() if keeps else b"Connection: close")
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def _send_pieces(self, count: int, pause_s: float) -> None:
+        for _ in range(count):
+            self._connection.send(self._framed(self._unsent.pop(0)))
+            if pause_s:
+                gevent.sleep(pause_s)
+
+    def _framed(self, piece: bytes) -> bytes:
+        if self._framing is Framing.CHUNKS:
+            return b"%x\r\n%s\r\n" % (len(piece), piece)
+        return piece
--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -25,6 +25,15 @@
 UNRUN: Final = frozenset({421, 503})
 """Statuses with which these servers turn a request away unrun."""
 
+EVENTS: Final = 20
+EVENT_MS: Final = 15
+"""How many events a stream has, and the pause after each."""
+
+CRASH_WAIT_S: Final = 0.3
+"""How long a server that is to crash waits until an answer is in progress."""
+
+CRASH_CHECK_S: Final = 0.005
+
 
 class NotesArrivals:
     """Notes each request that reaches a server, those that it turns away, and limits it names."""
@@ -64,7 +73,12 @@
 
 
 class RunnerProcess(NotesArrivals, PlatformRunner):
-    """A model runner."""
+    """A model runner; notes of each stream how many events a whole one has."""
+
+    def _answer(self, request: Request, reply: Reply) -> None:
+        name = (request.value(b"x-request-id") or b"").decode()
+        record("generates", request=name, events=self.events)
+        super()._answer(request, reply)
 
 
 class Registration:
@@ -104,6 +118,7 @@
             self._state = "draining"
             self._until_written(removed=False)
         gevent.sleep(serves_ms / 1000)
+        self._server.break_off_answers()
         os._exit(0)
 
     def _until_written(self, removed: bool) -> None:
@@ -142,6 +157,7 @@
         server: PlatformServer = PlainProcess(given.id, given.listen, given.service)
     else:
         server = RunnerProcess(given.id, given.listen, given.service, given.model)
+        server.events, server.event_ms = EVENTS, EVENT_MS
     server.born = time.time_ns() // 1_000_000
     server.faults.slow_ms = given.work_ms
     server.start()
@@ -155,7 +171,14 @@
         for name, value in faults.items():
             setattr(server.faults, name, value)
 
-    follow({"leave": registration.leave, "misbehave": misbehave})
+    def crash() -> None:
+        until = time.monotonic() + CRASH_WAIT_S
+        while not server.sends_raw_answers() and time.monotonic() < until:
+            gevent.sleep(CRASH_CHECK_S)
+        server.break_off_answers()
+        os._exit(1)
+
+    follow({"leave": registration.leave, "misbehave": misbehave, "crash": crash})
 
 
 if __name__ == "__main__":
