Soak: answers that were broken off must not look complete

The soak did not judge whether a stream that reached its caller as complete was whole. A new judge compares the events that callers got with the number that the runner generates. Three kinds of faults: answers without length and chunks, answers broken off, crashes amid answers.

The one with no whole event is also found as an answer that is not whole.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,9 +21,11 @@
 from .outcome import (
     answers_of,
     broken_of,
+    endings_of,
     exceeded_of,
     falls_of,
     late_of,
+    looking_complete_of,
     worse_served_of,
 )
 
@@ -43,6 +45,7 @@
     late: list[Late]
     promises: list[str]
     statuses: Counter[int]
+    endings: Counter[str]
     troubles: dict[str, int]
 
 
@@ -60,11 +63,12 @@
     late = late_of(fleet, injector.disturbances)
     broken = [
         *broken_of(fleet),
+        *looking_complete_of(fleet),
         *exceeded_of(fleet, injector.disturbances),
         *worse_served_of(fleet, injector.partitions, injector.disturbances),
         *falls_of(fleet, injector.brittle_services),
     ]
-    return Run(late, broken, answers_of(fleet), injector.counts)
+    return Run(late, broken, answers_of(fleet), endings_of(fleet), injector.counts)
 
 
 def main() -> int:
@@ -101,7 +105,9 @@
     print(
         f"seed {seed}: {len(broken)} late, {len(run.late) - len(broken)} excused; "
         f"{len(run.promises)} promises broken; "
-        f"answers {dict(sorted(run.statuses.items()))}; troubles {run.troubles}; {folder}",
+        f"answers {dict(sorted(run.statuses.items()))}; "
+        f"endings of those with 200 {dict(sorted(run.endings.items()))}; "
+        f"troubles {run.troubles}; {folder}",
         flush=True,
     )
     for cause, count in Counter(late.cause for late in broken).items():
--- a/soak/const.py
+++ b/soak/const.py
@@ -66,5 +66,6 @@
         "deadline_ms": 4_000,
         "headers": {"X-Token-Count": "100,20"},
         "adapters": list(ADAPTERS),
+        "is_stream": True,
     },
 ]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 
 from stand_ins.links import Mode
 
+from .answer_faults import answers_broken_off, answers_unframed, server_crashes
 from .const import CONTACT_MS, HEARTBEAT_MS, USUAL_WORK_MS
 from .fleet import STORE, Fleet
 from .judge import Disturbance
@@ -238,8 +239,7 @@
 
 def _end_need(fleet: Fleet, servers: list[str]) -> None:
     for name in servers:
-        if fleet.processes.runs(name):
-            fleet.misbehave(name, limit=None)
+        fleet.misbehave(name, limit=None)
 
 
 def _nodes_without_servers(injector: FaultInjector) -> None:
@@ -291,8 +291,7 @@
 
 def _change(fleet: Fleet, servers: list[str], **faults: int | None) -> None:
     for name in servers:
-        if fleet.processes.runs(name):
-            fleet.misbehave(name, **faults)
+        fleet.misbehave(name, **faults)
 
 
 def _server_pauses(injector: FaultInjector) -> None:
@@ -333,4 +332,7 @@
     "servers-brittle": _servers_brittle,
     "server-pauses": _server_pauses,
     "changes-in-series": _changes_in_series,
+    "answers-unframed": answers_unframed,
+    "answers-broken-off": answers_broken_off,
+    "server-crashes": server_crashes,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,7 +7,7 @@
 import time
 import urllib.request
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import orjson
 
@@ -34,6 +34,7 @@
 NODE_START: Final = ROOT / "soak" / "node_start"
 LINKS: Final = "links"
 READY_WITHIN_S: Final = 20
+CRASHES_WITHIN_S: Final = 5
 NODE_SETTINGS: Final = """
 nodeName = "{name}"
 role = "entry"
@@ -80,6 +81,7 @@
         self.nodes: list[str] = []
         self.servers: list[str] = []
         self.callers: list[str] = []
+        self.standing_still: set[str] = set()
         self.service_by_server: dict[str, str] = {}
         self._folder = folder
         self._node_root = node_root
@@ -135,12 +137,21 @@
         self.servers.remove(server)
         self.add_server(self.service_by_server[server])
 
+    def crash(self, server: str) -> None:
+        """Let a server end in the middle of its answers, and start another one of its service."""
+        self.processes.command(server, "crash")
+        self.processes.by_name[server].wait(CRASHES_WITHIN_S)
+        self.servers.remove(server)
+        self.add_server(self.service_by_server[server])
+
     def stop(self, name: str) -> None:
         """Let a process stand still."""
+        self.standing_still.add(name)
         self.processes.signal(name, signal.SIGSTOP)
 
     def go_on(self, name: str) -> None:
         """Let a process that stands still go on."""
+        self.standing_still.discard(name)
         self.processes.signal(name, signal.SIGCONT)
 
     def kill_node(self, node: str) -> None:
@@ -171,9 +182,10 @@
         path.write_text(path.read_text().replace("bootstrap = true", "bootstrap = false"))
         self._run_node(node)
 
-    def misbehave(self, server: str, **faults: int) -> None:
-        """Set faults of a server by their names."""
-        self.processes.command(server, "misbehave", **faults)
+    def misbehave(self, server: str, **faults: Any) -> None:
+        """Set faults of a server by their names, if it still runs."""
+        if self.processes.runs(server):
+            self.processes.command(server, "misbehave", **faults)
 
     def set_link(self, name: str, mode: Mode) -> None:
         """Change what the link of a server, or of a node to the store, does."""
--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -15,6 +15,7 @@
 from .partitions import Partition, worse_served
 from .processes import Record
 from .promises import broken_promises
+from .streams import broken_streams
 
 MAX_FALLS: Final = 2
 MAX_FALLS_SHARE: Final = 0.1
@@ -36,6 +37,17 @@
     return broken_promises(_of(fleet, fleet.callers), _of(fleet, fleet.service_by_server))
 
 
+def looking_complete_of(fleet: Fleet) -> list[str]:
+    """Return a line for each answer that was broken off and looked complete."""
+    return broken_streams(_of(fleet, fleet.callers), _of(fleet, fleet.service_by_server))
+
+
+def endings_of(fleet: Fleet) -> Counter[str]:
+    """Return how often answers with status 200 ended in which way, by their framing."""
+    ended = (r.fields for r in _of(fleet, fleet.callers) if r.event == "ended")
+    return Counter(fields["ending"] for fields in ended if fields["head_status"] == 200)
+
+
 def exceeded_of(fleet: Fleet, disturbances: Iterable[Disturbance]) -> list[str]:
     """Return a line for each server that got more requests than the limit that it had named."""
     arrivals = _of(fleet, fleet.service_by_server)
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -15,6 +15,7 @@
     exceeded_of,
     falls_of,
     late_of,
+    looking_complete_of,
     worse_served_of,
 )
 
@@ -24,12 +25,15 @@
 STILL = "server-stands-still"
 """Left to runs by hand: what lies unread at such a server is read late."""
 
+BROKEN_ANSWERS = {"answers-unframed", "answers-broken-off", "server-crashes"}
+"""Left to runs by hand: nodes pass on an answer that ends inside an event as a whole one."""
+
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_no_promise_is_broken_under_faults_in_series(tmp_path, seed):
     """Guards against promises that hold only in virtual time."""
     fleet = Fleet(tmp_path)
-    kinds = tuple(kind for kind in KINDS if kind != STILL)
+    kinds = tuple(kind for kind in KINDS if kind not in {STILL, *BROKEN_ANSWERS})
     injector = FaultInjector(fleet, random.Random(seed), kinds)
     try:
         fleet.start(NODES, plain=3, engines=3, per_s=40.0, seed=seed)
@@ -40,6 +44,7 @@
     late = [found.line() for found in late_of(fleet, injector.disturbances) if not found.excused]
     assert not late
     assert not broken_of(fleet)
+    assert not looking_complete_of(fleet)
     assert not exceeded_of(fleet, injector.disturbances)
     assert not worse_served_of(fleet, injector.partitions, injector.disturbances)
     assert not falls_of(fleet, injector.brittle_services)
