Gateway: only events of the same answer show that a stream has begun

What belongs to an event is decided by event; events longer than MAX_EVENT_BYTES are refused; the rest of a piece is not searched again. A slow caller gets all of an answer that ends with its connection (fails when the close discards what is unsent).

--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -9,7 +9,7 @@
 from ..transport.const import CONNECT_TIMEOUT_MS, REPLY_BUFFER_BYTES
 from ..transport.models import AnswerHead, BrokenAnswer, Lost, Request
 from ..transport.server import Reply
-from .event_splitter import EventSplitter, first_event_id
+from .event_splitter import MAX_EVENT_BYTES, EventSplitter, first_event_id
 from .models import (
     AnswerTerms,
     AtLimit,
@@ -18,6 +18,7 @@
     Chosen,
     Cut,
     Dialect,
+    EndUnknown,
     Passed,
     Recalled,
     Rejected,
@@ -230,38 +231,35 @@
         self._check_head(head, terms)
         splitter.incomplete = b""
         resumed_after = splitter.last_event_id
-        is_first = True
-        while (piece := self._next_piece(connection, is_first)) is not None:
+        earlier_count = splitter.event_count
+        while (
+            piece := self._next_piece(connection, splitter.event_count == earlier_count)
+        ) is not None:
             self._on_activity()
+            is_first = splitter.event_count == earlier_count
             events = splitter.feed(piece)
+            if len(splitter.incomplete) > MAX_EVENT_BYTES:
+                raise BrokenAnswer("an event is too long")
             if not events:
                 continue
-            if is_first:
-                is_first = False
+            if is_first and splitter.event_count > earlier_count:
                 self._check_resume_position(events, resumed_after)
                 self._on_first_event()
             self._forward_events(head, events, reply)
-        self._check_stream_end(head, splitter, reply, has_events=not is_first)
+        if splitter.is_inside_event:
+            raise BrokenAnswer("the stream ended inside an event")
+        if head.ends_with_connection:
+            if splitter.event_count == earlier_count:
+                raise BrokenAnswer("the connection ended before the first event")
+            # Only the end of the caller's own connection says no more than that of the server's.
+            if not reply.ends_with_connection:
+                return EndUnknown()
         if not reply.started:
             self._forward_events(head, b"", reply)
         reply.write(splitter.incomplete)
         reply.finish()
         return Passed()
 
-    def _check_stream_end(
-        self, head: AnswerHead, splitter: EventSplitter, reply: Reply, has_events: bool
-    ) -> None:
-        """Reject the end of an answer that is not the end of its stream, or may not be."""
-        if splitter.is_inside_event:
-            raise BrokenAnswer("the stream ended inside an event")
-        if not head.ends_with_connection:
-            return
-        if not has_events and splitter.last_event_id is None:
-            raise BrokenAnswer("the connection ended before the first event")
-        # Only the end of the caller's own connection says no more than that of the server's.
-        if reply.started and not reply.ends_with_connection:
-            raise BrokenAnswer("the stream ended with its connection")
-
     def _next_piece(self, connection: ServerConnection, is_first: bool) -> bytes | None:
         if not is_first:
             return connection.read_piece(self._answer_deadline_ms)
--- a/monsoonflow/gateway/event_splitter.py
+++ b/monsoonflow/gateway/event_splitter.py
@@ -6,7 +6,12 @@
 from typing import Final
 
 EVENT_END: Final = re.compile(rb"\n(?:\r?\n)+")
+MAX_UNFINISHED_END_BYTES: Final = 2
+"""How much of the end of an event may have arrived before the rest of it."""
+
 LINE_END: Final = re.compile(rb"\r?\n")
+EVENT_FIELD: Final = re.compile(rb"^(?:data|id)(?:[:\r\n]|$)", re.MULTILINE)
+ID_FIELD: Final = re.compile(rb"^id:([^\r\n]*)", re.MULTILINE)
 MAX_EVENT_BYTES: Final = 1 << 20
 """Longest event: a server that sends a longer one is faulty."""
 
@@ -17,6 +22,8 @@
     An interrupted stream can be resumed at another server only after a complete event: half an
     event from one server and the rest from another would be a text that neither has generated.
 
+    :param is_position_known: whether the last event has an id, after which a stream can be resumed.
+
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     b'id: 1\ndata: a\n\n'
@@ -28,42 +35,49 @@
         self.last_event_id = last_event_id
         self.incomplete = b""
         self.event_count = 0
+        self.is_position_known = True
 
     @property
     def is_inside_event(self) -> bool:
         r"""Return whether the bytes received so far end inside an event.
 
-        Blank lines and complete comments after the last event belong to none.
+        Blank lines and comments after the last event belong to none.
 
         >>> splitter = EventSplitter()
-        >>> splitter.feed(b"data: a\n\n: comment\n"), splitter.is_inside_event
+        >>> splitter.feed(b"data: a\n\n: comment\n: com"), splitter.is_inside_event
         (b'data: a\n\n', False)
+        >>> splitter = EventSplitter()
         >>> splitter.feed(b"id: 2\n"), splitter.is_inside_event
         (b'', True)
         """
-        *lines, unfinished = LINE_END.split(self.incomplete)
-        return bool(unfinished) or any(line and not line.startswith(b":") for line in lines)
+        # Bare carriage returns may end lines as well: such events are only told apart at the end.
+        if b"\n" not in self.incomplete and self.incomplete.endswith(b"\r\r"):
+            return False
+        return any(
+            line and not line.startswith(b":")
+            for line in LINE_END.split(self.incomplete.removesuffix(b"\r"))
+        )
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that are complete with these bytes."""
+        searched = max(0, len(self.incomplete) - MAX_UNFINISHED_END_BYTES)
         text = self.incomplete + data if self.incomplete else data
-        ends = [found.end() for found in EVENT_END.finditer(text)]
-        end = ends[-1] if ends else 0
+        end = 0
+        for found in EVENT_END.finditer(text, searched):
+            self._record_event(text[end : found.end()])
+            end = found.end()
         events, self.incomplete = text[:end], text[end:]
-        if events:
-            self._record_events(events, len(ends))
         return events
 
-    def _record_events(self, events: bytes, count: int) -> None:
-        self.event_count += count
-        start = events.rfind(b"\nid:")
-        if start >= 0:
-            start += 1
-        elif events.startswith(b"id:"):
-            start = 0
-        else:
+    def _record_event(self, event: bytes) -> None:
+        # Comments and settings of the connection, which end like events, are none.
+        if EVENT_FIELD.search(event) is None:
             return
-        self.last_event_id = events[start + 3 : events.index(b"\n", start)].strip()
+        self.event_count += 1
+        ids = ID_FIELD.findall(event)
+        self.is_position_known = bool(ids)
+        if ids:
+            self.last_event_id = ids[-1].strip()
 
 
 def first_event_id(events: bytes) -> bytes | None:
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -32,6 +32,7 @@
     Chosen,
     Cut,
     Dialect,
+    EndUnknown,
     ForwardedRequest,
     Handover,
     Malformed,
@@ -72,6 +73,8 @@
 QUARANTINE_RETRY_AFTER_MS: Final = 60_000
 """When a caller may retry a quarantined request."""
 
+END_UNKNOWN: Final = "the server marked no end"
+
 ANSWER_MARGIN_MS: Final = 15
 """How long before a request's time is over the answer is written, so that it arrives in time."""
 
@@ -353,6 +356,9 @@
             case Passed():
                 job.has_reached_server = True
                 self._request_log.log_ended(job, reply, "passed")
+            case EndUnknown():
+                job.has_reached_server = True
+                self._request_log.log_ended(job, reply, "cut", END_UNKNOWN)
             case Whole():
                 self._handle_answer_of_peer(job, reply, result)
             case TimedOut():
@@ -361,7 +367,7 @@
             case Unclear(reason=reason) | Cut(reason=reason):
                 job.has_reached_server = True
                 job.possible_runs += 1
-                if self._may_retry(job, may_have_run=True):
+                if self._may_retry(job, reply, may_have_run=True):
                     return False
                 self._finish_unserved(job, reply, reason, NOT_READY_RETRY_AFTER_MS)
             case None if self._paths.has_open_connection(job.service.name):
@@ -536,6 +542,9 @@
             case Passed():
                 self._request_log.log_ended(job, reply, "passed")
                 return True
+            case EndUnknown():
+                self._request_log.log_ended(job, reply, "cut", END_UNKNOWN)
+                return True
             case Whole():
                 return self._handle_whole(job, reply, chosen, result, took_ms)
             case TimedOut():
@@ -563,7 +572,7 @@
     def _update_quarantine(self, job: Job, chosen: Chosen, result: AttemptResult) -> None:
         """Record what a result shows about the request and about whether its server crashed."""
         match result:
-            case Passed():
+            case Passed() | EndUnknown():
                 self._quarantine.record_completed(job.fingerprint)
             case Whole(head=head) if head.status < 500 and head.status not in NOT_RUN_STATUSES:
                 self._quarantine.record_completed(job.fingerprint)
@@ -629,7 +638,7 @@
         if status >= 500 or is_unclear:
             job.possible_runs += 1
             job.avoided_lives.append(chosen.life)
-            will_retry = self._may_retry(job, may_have_run=True)
+            will_retry = self._may_retry(job, reply, may_have_run=True)
             self._request_log.log_failed(job, chosen, f"status {status}", will_retry, took_ms)
             if will_retry:
                 return False
@@ -655,7 +664,7 @@
     def _retry_or_finish(
         self, job: Job, reply: Reply, chosen: Chosen, reason: str, took_ms: int, may_have_run: bool
     ) -> bool:
-        will_retry = self._may_retry(job, may_have_run)
+        will_retry = self._may_retry(job, reply, may_have_run)
         self._request_log.log_failed(job, chosen, reason, will_retry, took_ms)
         if will_retry:
             if job.is_resuming():
@@ -664,10 +673,12 @@
         self._finish_unserved(job, reply, reason, job.retry_after_ms or NOT_READY_RETRY_AFTER_MS)
         return True
 
-    def _may_retry(self, job: Job, may_have_run: bool) -> bool:
+    def _may_retry(self, job: Job, reply: Reply, may_have_run: bool) -> bool:
         """Return whether another attempt may follow, and reserve a retry for it if so."""
         if may_have_run and not job.may_run_again():
             return False
+        if reply.started and not job.can_go_on():
+            return False
         if job.answer_deadline_ms - self._clock.now_ms() < MIN_TIME_TO_SEND_MS:
             return False
         job.headroom = self._retry_budget.reserve_retry(job.service.name)
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -143,6 +143,10 @@
         """Return whether parts of the answer have been forwarded to the caller."""
         return self.splitter is not None and self.splitter.event_count > 0
 
+    def can_go_on(self) -> bool:
+        """Return whether another server can go on with an answer that the caller has a part of."""
+        return self.splitter is not None and self.splitter.is_position_known
+
     def may_run_again(self) -> bool:
         """Return whether another server may run it.
 
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -222,6 +222,11 @@
     """The complete answer was forwarded to the caller while it arrived."""
 
 
+@dataclass(frozen=True, slots=True)
+class EndUnknown:
+    """All that the server sent was forwarded, but the caller can't be told whether it was all."""
+
+
 @dataclass(frozen=True, slots=True)
 class Cut:
     """The answer broke off after parts of it had been forwarded to the caller.
@@ -234,7 +239,17 @@
 
 
 AttemptResult: TypeAlias = (
-    Whole | Unsent | AtLimit | Rejected | Unclear | TimedOut | Abandoned | Recalled | Passed | Cut
+    Whole
+    | Unsent
+    | AtLimit
+    | Rejected
+    | Unclear
+    | TimedOut
+    | Abandoned
+    | Recalled
+    | Passed
+    | EndUnknown
+    | Cut
 )
 
 
--- a/monsoonflow/gateway/runner_chooser.py
+++ b/monsoonflow/gateway/runner_chooser.py
@@ -23,6 +23,7 @@
     Call,
     Chosen,
     Cut,
+    EndUnknown,
     NoServer,
     Passed,
     Rejected,
@@ -215,7 +216,7 @@
         """Record how an attempt ended."""
         self.health.record_finished(chosen.life, request_id, now_ms)
         match result:
-            case Passed():
+            case Passed() | EndUnknown():
                 self.health.record_result(chosen.life, True, took_ms, now_ms)
             case Whole(head=head):
                 self.health.record_result(chosen.life, head.status < 500, took_ms, now_ms)
--- a/tests/entry/raw_runner.py
+++ b/tests/entry/raw_runner.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import attrs
+import gevent
 
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.transport.client import ConnectionPools, ServerConnection
@@ -22,6 +23,7 @@
 from stand_ins.platform_runner import PlatformRunner, PlatformServer
 from tests.entry.conftest import HOST, MODEL, Fleet, Node
 
+PAUSE_S = 0.05
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -39,6 +41,7 @@
 
     :param headers: besides the request id and the signature.
     :param sends_head: whether anything is sent before the end.
+    :param pause_after_bytes: of the body, so that the rest arrives apart from them.
     """
 
     body: bytes
@@ -46,6 +49,7 @@
     headers: tuple[Header, ...] = ((b"Content-Type", b"text/event-stream"),)
     status: int = 200
     sends_head: bool = True
+    pause_after_bytes: int | None = None
 
 
 class _RawAnswers:
@@ -63,7 +67,10 @@
         head = b"HTTP/1.1 %d OK\r\n" % raw.status
         head += b"".join(b"%s: %s\r\n" % header for header in headers)
         if raw.sends_head:
-            connection.send(head + b"\r\n" + raw.body)
+            connection.send(head + b"\r\n" + raw.body[: raw.pause_after_bytes])
+            if raw.pause_after_bytes is not None:
+                gevent.sleep(PAUSE_S)
+                connection.send(raw.body[raw.pause_after_bytes :])
         else:
             connection.send(head)
         if raw.end is End.KEEP:
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -223,3 +223,92 @@
 def _is_path_known_as_lost(node):
     generate_raw(node, "first")
     return node.daemon.gateway._forwarding.is_path_lost("llm")
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        RawAnswer(events(1, 2) + b"id: 3\nda"),
+        RawAnswer(events(1, 2) + b"id: 3\nda", End.RESET),
+        RawAnswer(events(1, 2), End.RESET),
+    ],
+)
+def test_a_stream_that_is_resumed_and_ends_without_an_event_does_not_look_complete(
+    entry_node, runners, broken
+):
+    """Events from before a break were taken for events of the answer that ended."""
+    answer_in_order(runners, broken, RawAnswer(b""))
+    received = generate_raw(entry_node, "r")
+    assert not received.is_complete
+    assert received.body == events(1, 2)
+
+
+def test_a_stream_that_its_caller_resumes_and_that_ends_without_an_event_is_a_failed_attempt(
+    entry_node, runners
+):
+    """The events that the caller has were taken for events of the answer."""
+    answer_in_order(runners, RawAnswer(b""))
+    received = generate_raw(entry_node, "r", Last_Event_Id="2")
+    assert received.is_complete
+    assert event_ids(received.body) == [3, 4]
+
+
+@pytest.mark.parametrize("path", ["read", "once"])
+@pytest.mark.parametrize("body", [b": ping\n\n", b"\n\n", b"retry: 100\n\n"])
+def test_comments_are_no_events_of_a_stream(entry_node, runners, path, body):
+    """A comment stood for the first event, so that a stream without any looked complete."""
+    answer_in_order(runners, RawAnswer(body))
+    received = generate_raw(entry_node, "r", path)
+    assert event_ids(received.body) == [1, 2, 3, 4] if path == "read" else not received.is_complete
+
+
+def test_a_comment_does_not_hide_that_a_stream_begins_anew(entry_node, runners):
+    """The check of the first event after a resumption looked at the comment before it."""
+    again = RawAnswer(b": ping\n\n" + events(1, 2, 3, 4), pause_after_bytes=8)
+    answer_in_order(runners, RawAnswer(events(1, 2) + b"id: 3"), again)
+    received = generate_raw(entry_node, "r")
+    assert event_ids(received.body)[:2] == [1, 2]
+    assert len(set(event_ids(received.body))) == len(event_ids(received.body))
+
+
+def test_a_stream_without_ids_is_not_resumed(entry_node, runners):
+    """It was resumed from its beginning, and the caller got events twice."""
+    whole = b"data: a\n\ndata: b\n\ndata: c\n\n"
+    answer_in_order(runners, RawAnswer(whole[:-4]), RawAnswer(whole))
+    received = generate_raw(entry_node, "r")
+    assert not received.is_complete
+    assert received.body == b"data: a\n\ndata: b\n\n"
+
+
+def test_a_runner_that_marks_no_end_of_a_resumed_stream_is_not_blamed(entry_node, runners):
+    """It counted as failing, and the stream was sent to a third runner, for nothing."""
+    begun = RawAnswer(chunks(events(1), ends=False), End.CLOSE, CHUNKED)
+    answer_in_order(runners, begun, RawAnswer(events(2, 3, 4)), RawAnswer(b""))
+    received = generate_raw(entry_node, "r")
+    assert received.body == events(1, 2, 3, 4)
+    assert sum(runner.ran["r"] for runner in runners) == 2
+    tracker, now_ms = entry_node.daemon.health_tracker, entry_node.daemon.clock.now_ms()
+    lives = entry_node.daemon.cluster_state.server_registry.server_by_life
+    assert sorted(tracker.failure_share(life, now_ms) > 0 for life in lives) == [False, True]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"id: 1\rdata: a\r\r", b"id: 1\ndata: a\n\n: bye", b"id: 1\ndata: a\n\n\r"],
+)
+def test_a_stream_that_ends_properly_after_its_last_event_is_complete(entry_node, runners, body):
+    """Bytes that belong to no event, or bare carriage returns, look like half an event."""
+    answer_in_order(runners, RawAnswer(chunks(body), End.KEEP, CHUNKED))
+    received = generate_raw(entry_node, "r", "once")
+    assert (received.status, received.is_complete, received.body) == (200, True, body)
+
+
+def test_a_large_answer_that_broke_off_is_not_sent_to_another_server(fleet):
+    """A second answer can't be used once a part of the first has reached the caller."""
+    servers = [add_raw_server(fleet, "p-1"), add_raw_server(fleet, "p-2")]
+    node = fleet.node()
+    half = RawAnswer(b"x" * 600_000, headers=((b"Content-Length", b"900000"),))
+    answer_in_order(servers, half)
+    received = ask_raw(node, "/look/x", "r")
+    assert not received.is_complete
+    assert sum(server.ran["r"] for server in servers) == 1
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -230,6 +230,23 @@
     assert b"transfer-encoding" not in head.lower()
 
 
+@pytest.mark.parametrize("size", [100_000, 6_000_000])
+def test_a_slow_caller_gets_all_of_an_answer_that_ends_with_its_connection(listen, size):
+    """The close after a complete answer discarded what the caller had not read yet."""
+    running = listen(
+        lambda _, reply: reply.send_whole(200, [], b"x" * size, ends_with_connection=True)
+    )
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.connect(("127.0.0.1", running.port))
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    gevent.sleep(1.2)
+    received = b""
+    while piece := sock.recv(65_536):
+        received += piece
+    assert len(received.partition(b"\r\n\r\n")[2]) == size
+
+
 def test_an_unfinished_answer_that_ends_with_its_connection_is_reset(listen):
     """An orderly close would make it look complete."""
 
