Gateway: events that were rejected do not move the position of a stream

A resumed stream that began anew was rejected, but its events had been counted: the next server was asked to go on after them, and the caller got an event twice. Found by reading. The test failed before (events 1, 2, 2, 3, 4).

--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -243,7 +243,9 @@
             if not events:
                 continue
             if is_first and splitter.event_count > earlier_count:
-                self._check_resume_position(events, resumed_after)
+                if not _follows(events, resumed_after):
+                    splitter.last_event_id, splitter.event_count = resumed_after, earlier_count
+                    raise BrokenAnswer("the stream did not resume after the last event")
                 self._on_first_event()
             self._forward_events(head, events, reply)
         if splitter.is_inside_event:
@@ -292,13 +294,13 @@
         headers = self._dialect.forwarded_headers(head)
         reply.begin(head.status, headers, None, head.reason, events, head.ends_with_connection)
 
-    def _check_resume_position(self, events: bytes, after: bytes | None) -> None:
-        """Reject a resumed stream that starts from the beginning: the caller would get it twice."""
-        first = first_event_id(events)
-        if after is None or first is None or not (after.isdigit() and first.isdigit()):
-            return
-        if int(first) <= int(after):
-            raise BrokenAnswer("the stream did not resume after the last event")
+
+def _follows(events: bytes, after: bytes | None) -> bool:
+    """Return whether events go on after an event; a caller must not get events twice."""
+    first = first_event_id(events)
+    if after is None or first is None or not (after.isdigit() and first.isdigit()):
+        return True
+    return int(first) > int(after)
 
 
 def _is_event_stream(head: AnswerHead) -> bool:
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -8,7 +8,7 @@
 
 from monsoonflow.transport.const import REPLY_BUFFER_BYTES
 from monsoonflow.transport.models import Framing
-from tests.entry.conftest import wait_for
+from tests.entry.conftest import route, wait_for
 from tests.entry.partition import Cut, make_partitionable, partition
 from tests.entry.raw_runner import (
     End,
@@ -271,6 +271,20 @@
     assert len(set(event_ids(received.body))) == len(event_ids(received.body))
 
 
+def test_events_that_were_rejected_do_not_move_the_position_of_a_stream(fleet):
+    """A server that began anew was rejected, and the next one was asked from there."""
+    runners = [add_raw_runner(fleet, f"i-{number}") for number in range(3)]
+    fleet.configure(routes=[route("read", "stream", "llm", resumable=True, attempts=4)])
+    node = fleet.node()
+    fleet.holder()
+    for number in range(30):
+        generate_raw(node, f"earlier-{number}")
+    broken = RawAnswer(events(1, 2) + b"id: 3")
+    answer_in_order(runners, broken, RawAnswer(events(1)))
+    received = generate_raw(node, "r")
+    assert event_ids(received.body) == [1, 2, 3, 4]
+
+
 def test_a_stream_without_ids_is_not_resumed(entry_node, runners):
     """It was resumed from its beginning, and the caller got events twice."""
     whole = b"data: a\n\ndata: b\n\ndata: c\n\n"
