Object store, engine: a part of an object or of a KV cache is not taken for the whole

What callers would see: an object or the KV cache of a run whose server closed the connection half-way, in an answer with neither a length nor chunks, was returned as complete. A cache that was cut would be imported by another engine.

Cause: HttpClient.call returned what came until the end of the connection. Length and chunks are checked by the library; without them the end of the connection was taken for the end of the body. The same holds for an answer that ends inside its head: the library takes the end of the connection for the end of the head.

The answer now says whether its end was stated, and raw bodies are refused without it. JSON objects prove their own end and are still taken.

--- a/monsoonflow/backend/openai_http.py
+++ b/monsoonflow/backend/openai_http.py
@@ -175,8 +175,11 @@
 
     def export_kv(self, run_id: str) -> bytes | None:
         """Return the KV cache of a run, or ``None`` when the engine has none to give."""
-        result = self._http.call("GET", f"{self._base}/v1/requests/{run_id}/kv")
-        return result.body if isinstance(result, Answer) and result.status == 200 else None
+        match self._http.call("GET", f"{self._base}/v1/requests/{run_id}/kv"):
+            case Answer(status=200, is_end_stated=True, body=body):
+                return body
+            case _:
+                return None
 
     def import_kv(self, stamp: OrderStamp, body: bytes) -> OrderResult:
         """Give a run's KV cache to this engine."""
--- a/monsoonflow/helpers/http.py
+++ b/monsoonflow/helpers/http.py
@@ -21,11 +21,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """An HTTP answer, read whole."""
+    """An HTTP answer, read until its end.
+
+    :param is_end_stated: whether a length or chunks state where the body ends. Without them the
+        body ends with the connection, and a part of it can't be told from the whole.
+    """
 
     status: int
     body: bytes
     headers: Any = None
+    is_end_stated: bool = True
 
     def json(self) -> Any:
         """Return the decoded body, or ``None`` when it is not JSON."""
@@ -67,6 +72,11 @@
     return not isinstance(error, NewConnectionError | ConnectTimeoutError | SSLError)
 
 
+def _is_end_stated(headers: Any) -> bool:
+    codings = headers.get("transfer-encoding", "").lower().split(",")
+    return "content-length" in headers or codings[-1].strip() == "chunked"
+
+
 class HttpClient:
     """Calls one kind of server with deadlines and a bounded pool.
 
@@ -105,7 +115,9 @@
             )
         except (HTTPError, OSError) as error:
             return Lost(was_sent(error), describe(error))
-        return Answer(response.status, response.data, response.headers)
+        return Answer(
+            response.status, response.data, response.headers, _is_end_stated(response.headers)
+        )
 
     def open(
         self,
--- a/monsoonflow/storage/object_store.py
+++ b/monsoonflow/storage/object_store.py
@@ -27,6 +27,8 @@
         """Return an object; ``None`` if the store answered that it does not exist."""
         result = self._http.call("GET", f"{self._base_url}/objects/{key}")
         match result:
+            case Answer(status=200, is_end_stated=False):
+                return Unavailable("the end of the object is not stated")
             case Answer(status=200):
                 return result.body
             case Answer(status=404):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
+
 import pytest
 from hypothesis import settings
 
+from tests.raw_server import RawServer
+
 settings.register_profile("ci", derandomize=True, deadline=None, max_examples=150, database=None)
 settings.load_profile("ci")
 
@@ -17,3 +21,17 @@
     running = Fleet(tmp_path / "logs")
     yield running
     running.close()
+
+
+@pytest.fixture
+def serve_raw() -> Iterator[Callable[..., RawServer]]:
+    """Return a function that starts a server which sends given bytes and closes."""
+    servers: list[RawServer] = []
+
+    def start(data: bytes, has_reset: bool = False) -> RawServer:
+        servers.append(RawServer(data, has_reset))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.close()
--- /dev/null
+++ b/tests/raw_server.py
@@ -0,0 +1,59 @@
+"""A server on loopback that sends given bytes and closes, as servers whose answers break off do."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+WITH_CHUNKS = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+WITHOUT_LENGTH = HEAD + b"\r\n"
+
+
+def with_length(body: bytes, stated: int | None = None) -> bytes:
+    """Return an answer with a length, by default that of the body."""
+    return HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(body) if stated is None else stated, body)
+
+
+def chunk(data: bytes) -> bytes:
+    """Return data as one chunk."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class RawServer:
+    """Sends the same bytes to each connection after its request and closes it.
+
+    :param has_reset: whether connections end with a reset in place of an orderly close.
+    """
+
+    def __init__(self, data: bytes, has_reset: bool = False) -> None:
+        self._data = data
+        self._has_reset = has_reset
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.url = f"http://{self.address}"
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop to listen."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._thread.join(5)
+
+    def _run(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            with connection, contextlib.suppress(OSError):
+                connection.settimeout(5)
+                connection.recv(65_536)
+                connection.sendall(self._data)
+                if self._has_reset:
+                    linger = struct.pack("ii", 1, 0)
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
