Own interface: a JSON answer that broke off is no answer, and a commit's is ambiguous

What callers would see: a table service, VM list, engine or node that closes the connection inside an answer with neither a length nor chunks made the reader raise TypeError. The loops of a node log loop_failed and begin again half a second later; a commit was neither repeated nor looked up although it may have been done; the callers' client raised to its caller and did not ask the next node.

Cause: status 200 was taken for a complete answer. A part of a JSON object never parses, so no part was believed, but nothing handled it either.

Now such an answer counts like a lost one: unavailable, and for a commit ambiguous, so that the retry finds the row with its operation id.

--- a/monsoonflow/backend/openai_http.py
+++ b/monsoonflow/backend/openai_http.py
@@ -201,7 +201,9 @@
         result = self._http.call("GET", f"{self._base}/v1/cache_events?after={after}")
         if not isinstance(result, Answer) or result.status != 200:
             return None
-        data = result.json()
+        data = result.json_object()
+        if data is None:
+            return None
         events = tuple(
             CacheEvent(entry["number"], entry["kind"], entry["prefix"]) for entry in data["events"]
         )
--- a/monsoonflow/client/transport.py
+++ b/monsoonflow/client/transport.py
@@ -65,7 +65,9 @@
         result = self._http.call("GET", url, headers=self._auth, timeout_ms=LOOKUP_TIMEOUT_MS)
         if not isinstance(result, Answer) or result.status != 200:
             return None
-        data = result.json()
+        data = result.json_object()
+        if data is None:
+            return None
         addresses = [Address(entry["address"], entry["home"]) for entry in data["addresses"]]
         return Found(addresses, data["good_for_ms"])
 
--- a/monsoonflow/helpers/http.py
+++ b/monsoonflow/helpers/http.py
@@ -39,6 +39,11 @@
         except orjson.JSONDecodeError:
             return None
 
+    def json_object(self) -> dict[str, Any] | None:
+        """Return the decoded body, or ``None`` when it is no JSON object or only a part of one."""
+        data = self.json()
+        return data if isinstance(data, dict) else None
+
 
 @dataclass(frozen=True, slots=True)
 class Lost:
--- a/monsoonflow/storage/table.py
+++ b/monsoonflow/storage/table.py
@@ -5,7 +5,7 @@
 from urllib.parse import quote
 
 from ..helpers.http import Answer, HttpClient, Lost
-from .const import CALL_TIMEOUT_MS
+from .const import CALL_TIMEOUT_MS, UNREADABLE
 from .models import CommitResult, Committed, Conflict, Row, Transaction, Unavailable
 
 
@@ -28,7 +28,8 @@
         result = self._http.call("GET", f"{self._base_url}/row?key={quote(key, safe='')}")
         match result:
             case Answer(status=200):
-                return _row(result.json())
+                entry = result.json_object()
+                return Unavailable(UNREADABLE) if entry is None else _row(entry)
             case Answer(status=404):
                 return None
             case Answer(status=status):
@@ -43,7 +44,10 @@
         result = self._http.call("GET", f"{self._base_url}/rows?{query}")
         match result:
             case Answer(status=200):
-                return [_row(entry) for entry in result.json()["rows"]]
+                data = result.json_object()
+                if data is None:
+                    return Unavailable(UNREADABLE)
+                return [_row(entry) for entry in data["rows"]]
             case Answer(status=status):
                 return Unavailable(f"status {status}")
             case Lost(reason=reason):
@@ -61,7 +65,10 @@
         result = self._http.call("POST", f"{self._base_url}/commit", json=body)
         match result:
             case Answer(status=200):
-                return Committed(result.json()["version"])
+                data = result.json_object()
+                if data is None:
+                    return Unavailable(UNREADABLE, ambiguous=True)
+                return Committed(data["version"])
             case Answer(status=409):
                 return Conflict()
             case Answer(status=429 | 503):
--- a/monsoonflow/storage/vm_list.py
+++ b/monsoonflow/storage/vm_list.py
@@ -7,7 +7,7 @@
 import attrs
 
 from ..helpers.http import Answer, HttpClient
-from .const import CALL_TIMEOUT_MS
+from .const import CALL_TIMEOUT_MS, UNREADABLE
 from .models import Unavailable
 
 
@@ -41,5 +41,7 @@
         result = self._http.call("GET", f"{self._base_url}/vms")
         if not isinstance(result, Answer) or result.status != 200:
             return Unavailable("no VM list")
-        data = result.json()
+        data = result.json_object()
+        if data is None:
+            return Unavailable(UNREADABLE)
         return VmList(frozenset(data["live"]), frozenset(data["leaving"]))
--- a/tests/backend/test_broken_answers.py
+++ b/tests/backend/test_broken_answers.py
@@ -27,3 +27,21 @@
 def test_a_whole_kv_cache_is_returned(serve_raw):
     engine = OpenAiEngine(serve_raw(with_length(b"whole")).url, SILENCE_MS)
     assert engine.export_kv("r.1") == b"whole"
+
+
+EVENTS = b'{"boot_id": "b", "events": [{"number": 1, "kind": "stored", "prefix": "p"}]}'
+STATE = b'{"boot_id": "b", "slots": 2, "max_batch": 4, "resident": ["a@1"], "running": {}}'
+
+
+@pytest.mark.parametrize("part", [b"", EVENTS[:40], EVENTS[:-1]])
+def test_a_part_of_the_cache_events_is_no_answer(serve_raw, part):
+    """The read raised ``TypeError`` to whoever asked."""
+    engine = OpenAiEngine(serve_raw(WITHOUT_LENGTH + part).url, SILENCE_MS)
+    assert engine.cache_events(0) is None
+
+
+@pytest.mark.parametrize("part", [b"", STATE[:40], STATE[:-1]])
+def test_a_part_of_an_engines_state_is_no_answer(serve_raw, part):
+    """Adapters that are missing at the end of the state would count as not loaded."""
+    engine = OpenAiEngine(serve_raw(WITHOUT_LENGTH + part).url, SILENCE_MS)
+    assert engine.state() is None
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -22,6 +22,17 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def _read_request(connection: socket.socket) -> None:
+    """Read a whole request: a close with unread bytes would be a reset."""
+    with connection.makefile("rb") as reader:
+        body_bytes = 0
+        while line := reader.readline().strip():
+            name, _, value = line.partition(b":")
+            if name.lower() == b"content-length":
+                body_bytes = int(value)
+        reader.read(body_bytes)
+
+
 class RawServer:
     """Sends the same bytes to each connection after its request and closes it.
 
@@ -52,7 +63,7 @@
                 return
             with connection, contextlib.suppress(OSError):
                 connection.settimeout(5)
-                connection.recv(65_536)
+                _read_request(connection)
                 connection.sendall(self._data)
                 if self._has_reset:
                     linger = struct.pack("ii", 1, 0)
--- a/tests/storage/test_broken_answers.py
+++ b/tests/storage/test_broken_answers.py
@@ -4,8 +4,10 @@
 
 import pytest
 
-from monsoonflow.storage.models import Unavailable
+from monsoonflow.storage.models import Transaction, Unavailable
 from monsoonflow.storage.object_store import HttpObjectStore
+from monsoonflow.storage.table import HttpTable
+from monsoonflow.storage.vm_list import HttpVmList
 from tests.raw_server import HEAD, WITH_CHUNKS, WITHOUT_LENGTH, chunk, with_length
 
 BROKEN_OBJECTS = {
@@ -41,3 +43,41 @@
 
 def test_an_empty_object_is_returned(serve_raw):
     assert HttpObjectStore(serve_raw(with_length(b"")).url).get("k") == b""
+
+
+ROW = b'{"key": "a", "version": 12, "value": {"n": 1}}'
+ROWS = b'{"rows": [%s, %s], "version": 12}' % (ROW, ROW)
+VMS = b'{"live": ["i-1", "i-2"], "leaving": ["i-1"]}'
+
+
+def parts_of(body: bytes) -> list[bytes]:
+    """Return the body cut short: nothing of it, inside it and before its last byte."""
+    return [b"", body[: len(body) // 2], body[:-1]]
+
+
+@pytest.mark.parametrize("part", parts_of(ROW))
+def test_a_part_of_a_row_is_no_row(serve_raw, part):
+    """The read raised ``TypeError`` into the loop that follows the configuration."""
+    table = HttpTable(serve_raw(WITHOUT_LENGTH + part).url)
+    assert isinstance(table.get("a"), Unavailable)
+
+
+@pytest.mark.parametrize("part", parts_of(ROWS))
+def test_a_part_of_a_list_of_rows_is_no_list(serve_raw, part):
+    """Rows that are missing at the end of a list would count as removed."""
+    table = HttpTable(serve_raw(WITHOUT_LENGTH + part).url)
+    assert isinstance(table.scan("a"), Unavailable)
+
+
+@pytest.mark.parametrize("part", parts_of(b'{"version": 12}'))
+def test_a_commit_whose_answer_broke_off_is_ambiguous(serve_raw, part):
+    """The commit raised ``TypeError``: nobody looked whether it had been done."""
+    table = HttpTable(serve_raw(WITHOUT_LENGTH + part).url)
+    result = table.commit_once(Transaction("t-1", {"a": 0}, {"a": {"n": 1}}))
+    assert isinstance(result, Unavailable) and result.ambiguous
+
+
+@pytest.mark.parametrize("part", parts_of(VMS))
+def test_a_part_of_the_vm_list_is_no_list(serve_raw, part):
+    """The read raised ``TypeError`` into the loop that reads the list."""
+    assert isinstance(HttpVmList(serve_raw(WITHOUT_LENGTH + part).url).read(), Unavailable)
