Store: a commit whose answer broke off is ambiguous, not done at version 0

What callers would see: when the store closed the connection inside the answer to a commit, in an answer with neither a length nor chunks, the commit counted as done at version 0. The next renewal of a lease then asks for a row that must not exist, is refused, and the node gives up a lease that it holds (lease_loop._renew, by reading).

Cause: a body that doesn't parse became an empty object, and a missing rowVersion became 0.

A success without the version is now ambiguous, so RetryingTable sends the same conditional transaction again and finds the row by its operation id.

--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -91,7 +91,10 @@
         answer = self._call("POST", "/v1/rows-tx", orjson.dumps(body), CALL_TIMEOUT_MS)
         match answer:
             case Answer(head=head) if head.status == 200:
-                return Committed(int(_decode_json_object(answer).get("rowVersion", 0)))
+                version = _decode_json_object(answer).get("rowVersion")
+                if not isinstance(version, int):
+                    return Unavailable("unreadable answer", ambiguous=True)
+                return Committed(version)
             case Answer(head=head) if head.status == 412:
                 return Conflict()
             case Answer(head=head) if head.status in (429, 503):
