Store: a change between two pages of a table is not lost

What callers would see: of a table with more than 500 rows, a row that changed or was removed while the table's later pages were read stayed as it was at that node until its next change: an old adapter version, or a server that had gone.

Cause: the table counted as read at the version of its last page, so the next request asked only for what came after it, although the first page is older.

The stand-in hid this: it said nothing of further pages, so a test could not read more than 500 rows. It now says hasMore, as the platform's page does.

--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -150,7 +150,13 @@
             connection.close()
 
     def _read_table(self, table: str) -> Changes | Unavailable:
+        """Return all rows of a table, as of the oldest of its pages.
+
+        Rows of an earlier page may change before a later one is read. Their changes are received
+        only if the next request asks for what came after the oldest page.
+        """
         rows: list[ChangedRow] = []
+        versions: list[int] = []
         start_key = ""
         while True:
             query = {"pageLimit": MAX_PAGE_ROWS, **({"from": start_key} if start_key else {})}
@@ -161,8 +167,9 @@
                 row for entry in data["rows"] if (row := _decode_changed_row(entry)) is not None
             ]
             rows += page
+            versions.append(int(data["rowVersion"]))
             if not data.get("hasMore") or not data["rows"]:
-                return Changes(tuple(rows), int(data["rowVersion"]))
+                return Changes(tuple(rows), min(versions))
             # A page includes its start key: the next one starts with the next possible key.
             start_key = data["rows"][-1]["key"] + "\x00"
 
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import base64
-from typing import Any
+from typing import Any, Final
 from urllib.parse import parse_qs
 
 import attrs
@@ -16,6 +16,7 @@
 from monsoonflow.transport.server import HttpServer, Reply
 
 JSON = [(b"Content-Type", b"application/json")]
+MAX_PAGE_ROWS: Final = 500
 
 
 @attrs.define
@@ -92,7 +93,8 @@
                 self._transact(orjson.loads(request.body), reply)
             case "/v1/rows-get":
                 rows = self._table(query["table"], query.get("from", ""))
-                self._answer(reply, 200, {"rows": rows[: int(query.get("pageLimit", 500))]})
+                limit = min(MAX_PAGE_ROWS, int(query.get("pageLimit", MAX_PAGE_ROWS)))
+                self._answer(reply, 200, {"rows": rows[:limit], "hasMore": len(rows) > limit})
             case "/v1/rows-feed":
                 self._feed(query, reply)
             case _:
