Store: a page without rows that says there is more does not end a table

What callers would see: a store that answers a page without rows and with hasMore true would have ended the table there: what is missing counts as removed, that is, servers and configuration disappear.

Cause: the loop ended at a page without rows, so as not to ask for it for ever, and returned what it had as complete. Now the read is unavailable and is repeated.

Evidence: test_a_page_without_rows_that_is_not_the_last_is_no_answer failed before (no rows at version 9). A page without hasMore still ends the table: whether the platform's store leaves a false one out was not looked at.

--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -168,8 +168,10 @@
             ]
             rows += page
             versions.append(int(data["rowVersion"]))
-            if not data.get("hasMore") or not data["rows"]:
+            if not data.get("hasMore"):
                 return Changes(tuple(rows), min(versions))
+            if not data["rows"]:
+                return Unavailable("a page without rows is not the last one")
             # A page includes its start key: the next one starts with the next possible key.
             start_key = data["rows"][-1]["key"] + "\x00"
 
--- a/tests/platform/test_pages.py
+++ b/tests/platform/test_pages.py
@@ -9,10 +9,11 @@
 
 from monsoonflow.core.clock import ManualClock, MonotonicClock
 from monsoonflow.platform.store import MAX_PAGE_ROWS, PlatformStore
-from monsoonflow.storage.models import ChangedRow
+from monsoonflow.storage.models import ChangedRow, Unavailable
 from monsoonflow.storage.watch import CollectionWatch
 from script.ports import free_port
 from stand_ins.platform_store import PlatformStore as StoreStandIn
+from tests.raw_server import with_length
 
 TABLE = "t"
 
@@ -72,3 +73,10 @@
     watch.request_once()
     assert b"new" in rows[key(3)]
     assert rows[key(4)] is None
+
+
+def test_a_page_without_rows_that_is_not_the_last_is_no_answer(serve_raw):
+    """The store says that there is more but returns no row: what is missing counted as removed."""
+    page = b'{"rows": [], "hasMore": true, "nowMs": 5, "rowVersion": 9}'
+    store = PlatformStore(serve_raw(with_length(page)).address, MonotonicClock())
+    assert isinstance(store.read_all(TABLE), Unavailable)
