Services: an answer that ends with its connection reaches its caller as one

What callers would see: status 200, properly ended chunks (or a stated length of zero) and a part of the body, when a plain service's server died inside an answer with neither a length nor chunks and its kernel closed the connection in order.

Cause: the end of the server's connection ended the body, and the node gave the answer chunks of its own, which claim more than it knows. The WSGI server takes this from a key of the environment, beside the ones for the raw target and headers.

Answers that break off inside a length, a chunk, between chunks or in a reset looked broken before and do now.

--- a/monsoonflow/api/services.py
+++ b/monsoonflow/api/services.py
@@ -19,7 +19,7 @@
 from ..routing.idempotency_keys import KeyConflict, KeysFull, KnownKey
 from ..transport.const import HOP_BY_HOP_HEADERS
 from ..transport.models import BrokenAnswer, Lost
-from ..transport.wsgi import RAW_HEADERS, RAW_TARGET, AnswerCut
+from ..transport.wsgi import ENDS_WITH_CONNECTION, RAW_HEADERS, RAW_TARGET, AnswerCut
 from .http import bad, ended_badly, identify, refuse
 
 _LOGGER = logging.getLogger(__name__)
@@ -157,7 +157,10 @@
             if name.lower() not in HOP_BY_HOP_HEADERS:
                 response.add_header(name.decode("latin-1"), value.decode("latin-1"))
         length = head.value(b"content-length")
-        if length is not None and not head.chunked:
+        if head.ends_with_connection:
+            # The end of the connection may be that of the server: chunks would claim that it isn't.
+            bottle.request.environ[ENDS_WITH_CONNECTION] = True
+        elif length is not None and not head.chunked:
             response.set_header("Content-Length", length.decode("latin-1"))
         response.set_header("X-Request-Id", call.request_id)
         return response
--- a/monsoonflow/transport/wsgi.py
+++ b/monsoonflow/transport/wsgi.py
@@ -28,6 +28,12 @@
 RAW_HEADERS: Final = "monsoonflow.raw_headers"
 """Key of the headers in the order sent: WSGI merges headers of the same name."""
 
+ENDS_WITH_CONNECTION: Final = "monsoonflow.ends_with_connection"
+"""Key that an application sets to answer with neither a length nor chunks.
+
+Only the end of the connection then marks the end of the body, as in an answer that is passed on.
+"""
+
 BODILESS_STATUSES: Final = frozenset({204, 304})
 DEFAULT_LIMITS: Final = MessageLimits(head_bytes=32_768, body_bytes=1 << 28, idle_ms=60_000)
 
@@ -77,12 +83,14 @@
         ) -> None:
             started[:] = [(status, headers)]
 
-        pieces = self._app(self._environ(request), start_response)
+        environ = self._environ(request)
+        pieces = self._app(environ, start_response)
         try:
             remaining = iter(pieces)
             first = next(remaining, b"")
             status, headers = started[0]
-            self._write(request, reply, status, headers, first, remaining)
+            ends_with_connection = ENDS_WITH_CONNECTION in environ
+            self._write(request, reply, status, headers, first, remaining, ends_with_connection)
         except AnswerCut:
             return
         finally:
@@ -98,6 +106,7 @@
         headers: list[tuple[str, str]],
         first: bytes,
         remaining: Iterator[bytes],
+        ends_with_connection: bool,
     ) -> None:
         code, _, reason = status.partition(" ")
         raw_headers: list[Header] = []
@@ -110,7 +119,9 @@
         if request.method == b"HEAD" or int(code) in BODILESS_STATUSES:
             reply.send_without_body(int(code), raw_headers, length, reason.encode("latin-1"))
             return
-        reply.begin(int(code), raw_headers, length, reason.encode("latin-1"), first)
+        reply.begin(
+            int(code), raw_headers, length, reason.encode("latin-1"), first, ends_with_connection
+        )
         for piece in remaining:
             reply.write(piece)
         reply.finish()
