Tests: an answer of an application that fails or stops early never looks complete

Guards for the WSGI server: an application that fails in the middle of chunks, one whose answer is shorter than its length, and both ways to abort an answer that ends with its connection. They pass on the code as it is.

--- a/tests/transport/test_wsgi.py
+++ b/tests/transport/test_wsgi.py
@@ -12,7 +12,13 @@
 
 from monsoonflow.transport.models import MessageLimits
 from monsoonflow.transport.server import HttpServer
-from monsoonflow.transport.wsgi import RAW_HEADERS, RAW_TARGET, AnswerCut, start_server
+from monsoonflow.transport.wsgi import (
+    ENDS_WITH_CONNECTION,
+    RAW_HEADERS,
+    RAW_TARGET,
+    AnswerCut,
+    start_server,
+)
 from script.ports import free_port
 from tests.transport.test_server import REJECTED_REQUESTS, SECOND_REQUEST
 
@@ -130,6 +136,55 @@
     assert not answer.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize("error", [AnswerCut, ValueError])
+def test_an_aborted_answer_that_ends_with_its_connection_is_reset(serve, error):
+    """An orderly close would be the end of the whole answer."""
+
+    def abort(environ: dict, start_response: Callable) -> Iterator[bytes]:
+        environ[ENDS_WITH_CONNECTION] = True
+        start_response("200 OK", [])
+        yield b"half"
+        raise error
+
+    with pytest.raises(ConnectionResetError):
+        serve(abort).exchange(request(b"GET /"))
+
+
+def test_an_answer_that_ends_with_its_connection_has_neither_a_length_nor_chunks(serve):
+    def answer(environ: dict, start_response: Callable) -> list[bytes]:
+        environ[ENDS_WITH_CONNECTION] = True
+        start_response("200 OK", [])
+        return [b"all", b" of it"]
+
+    head, _, body = serve(answer).exchange(request(b"GET /")).partition(b"\r\n\r\n")
+    assert body == b"all of it"
+    assert b"transfer-encoding" not in head.lower() and b"content-length" not in head.lower()
+
+
+def test_an_answer_whose_application_fails_does_not_look_complete(serve):
+    """A fault in this program in the middle of a stream must not end its chunks."""
+
+    def fail(environ: dict, start_response: Callable) -> Iterator[bytes]:
+        start_response("200 OK", [])
+        yield b"half"
+        raise ValueError("fault")
+
+    answer = serve(fail).exchange(request(b"GET /"))
+    assert b"half" in answer
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+def test_an_answer_shorter_than_its_length_closes_the_connection(serve):
+    """Kept open, the connection would give the caller the next answer as the rest of this one."""
+
+    def answer(environ: dict, start_response: Callable) -> list[bytes]:
+        start_response("200 OK", [("Content-Length", "9")])
+        return [b"half"]
+
+    keep_alive = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    assert serve(answer).exchange(keep_alive * 2).count(b"HTTP/1.1 200 OK") == 1
+
+
 def test_an_answer_to_head_has_a_length_and_no_body(serve):
     def answer_with_length(environ: dict, start_response: Callable) -> list[bytes]:
         start_response("200 OK", [("Content-Length", "7")])
