Services: a call whose answer broke off after its head has an unknown outcome

What callers would see: a complete 500 with a page of the web library, where the server had sent its head and then died. The page does not say whether the call ran, though docs/callers.md promises an outcome for all that did not end well, and nothing was logged as a failed call.

Cause: the library reads the first bytes of a body itself and turns any error there into a 500 of its own. They are now read before the answer is built, which delays nothing, since the library waits for them, too.

Evidence: test_an_answer_that_broke_off_after_its_head_is_not_whole, four cases (length, chunks, orderly close, reset), failed before.

--- a/monsoonflow/api/services.py
+++ b/monsoonflow/api/services.py
@@ -5,6 +5,7 @@
 import hashlib
 import logging
 from collections.abc import Iterator
+from itertools import chain
 from typing import Any, Final
 
 import bottle
@@ -146,9 +147,18 @@
                     left.remove(address)
         return NotRun(reason, 1_000)
 
-    def _passed_on(self, answer: OpenAnswer, address: str, call: Onward) -> bottle.HTTPResponse:
+    def _passed_on(
+        self, answer: OpenAnswer, address: str, call: Onward
+    ) -> bottle.HTTPResponse | Outcome:
         head = answer.head
-        body = self._body(answer, address)
+        pieces = answer.pieces()
+        try:
+            first = next(pieces, b"")
+        except (BrokenAnswer, OSError) as error:
+            answer.close()
+            self._context.server_choice.record_end(address)
+            return Unknown(type(error).__name__)
+        body = self._body(answer, address, chain((first,), pieces))
         if call.method == b"HEAD":
             # Nothing follows the head; a body that is never begun would never be counted out.
             body = b"".join(body)
@@ -165,9 +175,9 @@
         response.set_header("X-Request-Id", call.request_id)
         return response
 
-    def _body(self, answer: OpenAnswer, address: str) -> Iterator[bytes]:
+    def _body(self, answer: OpenAnswer, address: str, pieces: Iterator[bytes]) -> Iterator[bytes]:
         try:
-            yield from answer.pieces()
+            yield from pieces
         except (BrokenAnswer, OSError) as error:
             raise AnswerCut("the server's answer was cut") from error
         finally:
--- a/tests/api/test_services.py
+++ b/tests/api/test_services.py
@@ -159,3 +159,11 @@
     received = call(HEAD + b"\r\n", method=b"HEAD")
     assert received.head.startswith(b"HTTP/1.1 200 ")
     assert received.body == b""
+
+
+@pytest.mark.parametrize("has_reset", [False, True])
+@pytest.mark.parametrize("answer", [with_length(b"", 9), WITH_CHUNKS])
+def test_an_answer_that_broke_off_after_its_head_is_not_whole(call, answer, has_reset):
+    """The caller got a 500 with a page that did not say whether the call may have run."""
+    received = call(answer, has_reset)
+    assert received.end is End.BROKEN or b'"outcome":"unknown"' in received.body
