Node: the VM list takes effect as soon as it is read

Cause: the list is read every two seconds, but a runner's owner looked at it only in the next health check, which begins a second after the last one has ended. The two periods add up to three seconds, and to more by the time that reading and checking take.

Now the list is applied when it is read, and requests that wait there move at once.

--- a/monsoonflow/node/health.py
+++ b/monsoonflow/node/health.py
@@ -34,11 +34,20 @@
     def run_vm_list(self) -> None:
         """Read the VM list until the process ends."""
         while True:
-            listed = self._context.vms.read()
-            if not isinstance(listed, Unavailable):
-                self._context.leaving.update_vm_list(set(listed.leaving))
+            self.read_vm_list()
             self._context.tasks.sleep(VM_LIST_EVERY_MS)
 
+    def read_vm_list(self) -> None:
+        """Read the VM list once and apply it to the runners of this node."""
+        context = self._context
+        listed = context.vms.read()
+        if isinstance(listed, Unavailable):
+            return
+        context.leaving.update_vm_list(set(listed.leaving))
+        # Left to the next health check, a leaving runner would get work for a second longer.
+        for owned in list(context.core.owned_by_runner.values()):
+            self._apply_availability(owned)
+
     def _check(self, owned: OwnedRunner) -> None:
         context = self._context
         runner_id = owned.runner.runner_id
@@ -58,6 +67,15 @@
                 resident = set(state.resident)
                 context.core.reconcile(runner_id, owned.fence, state.boot_id, resident)
             self._end_foreign_runs(owned, state, asked_ms)
+        self._apply_availability(owned)
+
+    def _apply_availability(self, owned: OwnedRunner) -> None:
+        """Give a leaving runner no new work, and a runner that is back work again."""
+        context = self._context
+        runner_id = owned.runner.runner_id
+        entry = context.config.runner_by_id.get(runner_id)
+        if entry is None:
+            return
         reason = context.leaving.leave_reason(entry.address)
         if owned.takes_new_work != (reason is None):
             context.journal.record(
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the node component."""
