Node: a new owner knows at once that a runner leaves

What callers would see: requests placed at a leaving runner by a node that has just taken it over, for up to a second, although the VM list or the engine's own state had said so.

Cause: a runner that was taken over counted as taking new work until its first health check. The state that is read for the takeover is now recorded like a health check's answer, and the runner begins with what is known of it; runner_taken says so in the log.

--- a/monsoonflow/node/takeover.py
+++ b/monsoonflow/node/takeover.py
@@ -109,6 +109,8 @@
                 pins[adapter].add(run_id)
         now_ms = context.now_ms()
         runner.adopt(pins, now_ms)
+        context.leaving.record_answer(entry.address, state.boot_id, state.leaving)
+        leave_reason = context.leaving.leave_reason(entry.address)
         until_ms = 0
         if claimed_ms is not None:
             until_ms = claimed_ms + context.timing.claim_after_ms + context.settings["silence-ms"]
@@ -119,6 +121,7 @@
             TakeoverGuard(entry.checks_fencing, until_ms, is_fenced=True),
             foreign_runs=set(runner.adapter_by_run_id),
             owned_since_ms=now_ms,
+            takes_new_work=leave_reason is None,
         )
         context.core.add_runner(owned)
         _LOGGER.info(
@@ -129,6 +132,7 @@
                 fence=row.fence,
                 resident=len(pins),
                 running=runner.running,
+                leaving=leave_reason,
             ),
         )
         self._dispatcher.kick()
