--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -15,6 +15,7 @@
     exceeded_of,
     falls_of,
     late_of,
+    looking_complete_of,
     worse_served_of,
 )
 
@@ -40,6 +41,7 @@
     late = [found.line() for found in late_of(fleet, injector.disturbances) if not found.excused]
     assert not late
     assert not broken_of(fleet)
+    assert not looking_complete_of(fleet)
     assert not exceeded_of(fleet, injector.disturbances)
     assert not worse_served_of(fleet, injector.partitions, injector.disturbances)
     assert not falls_of(fleet, injector.brittle_services)
