--- a/monsoonflow/api/services.py
+++ b/monsoonflow/api/services.py
@@ -5,6 +5,7 @@
 import hashlib
 import logging
 from collections.abc import Iterator
+from itertools import chain
 from typing import Any, Final
 
 import bottle
@@ -19,7 +20,7 @@
 from ..routing.idempotency_keys import KeyConflict, KeysFull, KnownKey
 from ..transport.const import HOP_BY_HOP_HEADERS
 from ..transport.models import BrokenAnswer, Lost
-from ..transport.wsgi import RAW_HEADERS, RAW_TARGET, AnswerCut
+from ..transport.wsgi import ENDS_WITH_CONNECTION, RAW_HEADERS, RAW_TARGET, AnswerCut
 from .http import bad, ended_badly, identify, refuse
 
 _LOGGER = logging.getLogger(__name__)
@@ -146,9 +147,18 @@
                     left.remove(address)
         return NotRun(reason, 1_000)
 
-    def _passed_on(self, answer: OpenAnswer, address: str, call: Onward) -> bottle.HTTPResponse:
+    def _passed_on(
+        self, answer: OpenAnswer, address: str, call: Onward
+    ) -> bottle.HTTPResponse | Outcome:
         head = answer.head
-        body = self._body(answer, address)
+        pieces = answer.pieces()
+        try:
+            first = next(pieces, b"")
+        except (BrokenAnswer, OSError) as error:
+            answer.close()
+            self._context.server_choice.record_end(address)
+            return Unknown(type(error).__name__)
+        body = self._body(answer, address, chain((first,), pieces))
         if call.method == b"HEAD":
             # Nothing follows the head; a body that is never begun would never be counted out.
             body = b"".join(body)
@@ -157,14 +167,17 @@
             if name.lower() not in HOP_BY_HOP_HEADERS:
                 response.add_header(name.decode("latin-1"), value.decode("latin-1"))
         length = head.value(b"content-length")
-        if length is not None and not head.chunked:
+        if head.ends_with_connection:
+            # The end of the connection may be that of the server: chunks would claim that it isn't.
+            bottle.request.environ[ENDS_WITH_CONNECTION] = True
+        elif length is not None and not head.chunked:
             response.set_header("Content-Length", length.decode("latin-1"))
         response.set_header("X-Request-Id", call.request_id)
         return response
 
-    def _body(self, answer: OpenAnswer, address: str) -> Iterator[bytes]:
+    def _body(self, answer: OpenAnswer, address: str, pieces: Iterator[bytes]) -> Iterator[bytes]:
         try:
-            yield from answer.pieces()
+            yield from pieces
         except (BrokenAnswer, OSError) as error:
             raise AnswerCut("the server's answer was cut") from error
         finally:
--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -91,7 +91,10 @@
         answer = self._call("POST", "/v1/rows-tx", orjson.dumps(body), CALL_TIMEOUT_MS)
         match answer:
             case Answer(head=head) if head.status == 200:
-                return Committed(int(_decode_json_object(answer).get("rowVersion", 0)))
+                version = _decode_json_object(answer).get("rowVersion")
+                if not isinstance(version, int):
+                    return Unavailable("unreadable answer", ambiguous=True)
+                return Committed(version)
             case Answer(head=head) if head.status == 412:
                 return Conflict()
             case Answer(head=head) if head.status in (429, 503):
@@ -147,7 +150,13 @@
             connection.close()
 
     def _read_table(self, table: str) -> Changes | Unavailable:
+        """Return all rows of a table, as of the oldest of its pages.
+
+        Rows of an earlier page may change before a later one is read. Their changes are received
+        only if the next request asks for what came after the oldest page.
+        """
         rows: list[ChangedRow] = []
+        versions: list[int] = []
         start_key = ""
         while True:
             query = {"pageLimit": MAX_PAGE_ROWS, **({"from": start_key} if start_key else {})}
@@ -158,8 +167,11 @@
                 row for entry in data["rows"] if (row := _decode_changed_row(entry)) is not None
             ]
             rows += page
-            if not data.get("hasMore") or not data["rows"]:
-                return Changes(tuple(rows), int(data["rowVersion"]))
+            versions.append(int(data["rowVersion"]))
+            if not data.get("hasMore"):
+                return Changes(tuple(rows), min(versions))
+            if not data["rows"]:
+                return Unavailable("a page without rows is not the last one")
             # A page includes its start key: the next one starts with the next possible key.
             start_key = data["rows"][-1]["key"] + "\x00"
 
