Failing tests: streams go on at the software version that began them

Runners of several software versions serve side by side, and what two of them generate does not fit together. No code reads the version, so a stream goes on at any runner that holds its adapter: within one answer, when its caller takes it up again at the same node, and through a peer.

The stand-in runner has a software version and names it in its events.

--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -65,6 +65,7 @@
         self.service = service
         self.slots = slots
         self.born: int | None = None
+        self.software_version = "v1"
         self.faults = RunnerFaults()
         self.ran: Counter[str] = Counter()
         self.requests: list[Request] = []
@@ -116,7 +117,7 @@
             "zone": "zone-1",
             "slots": self.slots,
             "state": "ready",
-            "version": "v1",
+            "version": self.software_version,
             "coldRemainingMs": 0,
             "sequence": 1,
             **self._born(),
@@ -325,7 +326,8 @@
         headers = [*self._headers(request, signed=True), (b"Content-Type", b"text/event-stream")]
         reply.begin(200, headers, None)
         for number in range(after + 1, self.events + 1):
-            event = b"id: %d\ndata: %s-%d\n\n" % (number, request.value(b"x-request-id"), number)
+            request_id, version = request.value(b"x-request-id"), self.software_version.encode()
+            event = b"id: %d\ndata: %s-%d-%s\n\n" % (number, request_id, number, version)
             if self.faults.cut_after is not None and number > self.faults.cut_after:
                 reply.write(event[: len(event) // 2])
                 return
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -104,9 +104,14 @@
         """Add a backend server of the plain service."""
         return self._add(PlatformServer(name, f"127.0.0.1:{free_port()}", "plain"))
 
-    def runner(self, name: str, slots: int = 3) -> PlatformRunner:
-        """Add a model runner."""
-        return self._add(PlatformRunner(name, f"127.0.0.1:{free_port()}", "llm", MODEL, slots))
+    def runner(
+        self, name: str, slots: int = 3, software_version: str = "v1", service: str = "llm"
+    ) -> PlatformRunner:
+        """Add a model runner, or a server of a plain service that answers with streams."""
+        model = MODEL if service == "llm" else None
+        runner = PlatformRunner(name, f"127.0.0.1:{free_port()}", service, model, slots)
+        runner.software_version = software_version
+        return self._add(runner)
 
     def _add(self, server: Any) -> Any:
         server.start()
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -241,6 +241,15 @@
     assert isinstance(HeaderDialect().read_call(create_request(header)), Malformed)
 
 
+def test_a_call_that_names_two_resumed_attempts_is_malformed():
+    """Of two attempts it would be open which one began the stream."""
+    dialect = HeaderDialect()
+    once = create_request((b"Resumes", b"r0"))
+    twice = create_request((b"Resumes", b"r0"), (b"resumes", b"r1"))
+    assert not isinstance(dialect.read_call(once), Malformed)
+    assert isinstance(dialect.read_call(twice), Malformed)
+
+
 def test_forwarded_head_keeps_headers_of_the_caller_and_adds_those_of_the_node():
     head = HeaderDialect().forwarded_head(
         create_request(
