Scheduler: slots for streams that need a software version

A lease holder placed a stream at any runner that held its adapter or could load it. A slot request now may name the software version of the runners that it accepts; slots at others are neither granted nor loaded for it, also at a runner that was added while it waited.

One plan examined only the first request for an adapter. With two versions the others waited for a load that could not be ordered, so they are now examined by adapter and version, and one load still serves all that accept its runner.

--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -267,6 +267,8 @@
             on_time_until_ms=now_ms + slot_request["on_time_ms"],
             deadline_ms=now_ms + slot_request["wait_ms"],
             excluded_runners=frozenset(slot_request["avoid"]),
+            # Nodes of an earlier release name none.
+            software_version=slot_request.get("software_version"),
             on_result=result.set,
             session_key=slot_request["session"],
             tried_ms=slot_request["tried_ms"],
@@ -373,17 +375,15 @@
             )
         scheduler = lease.scheduler
         scheduler.model_load_limit.cells = len(self._lease_by_cell)
-        present_lives = {
-            server.life
-            for server in self._daemon.cluster_state.server_registry.servers_of(lease.service.name)
-        }
-        for life in present_lives - scheduler.runners.keys():
-            scheduler.add_runner(
-                life,
-                self.residency.history(life),
-                self._daemon.cluster_state.server_registry.restarted_ms(life),
-            )
-        for life in [life for life in scheduler.runners if life not in present_lives]:
+        registry = self._daemon.cluster_state.server_registry
+        server_by_life = {server.life: server for server in registry.servers_of(lease.service.name)}
+        for life, server in server_by_life.items():
+            if life not in scheduler.runners:
+                scheduler.add_runner(
+                    life, self.residency.history(life), registry.restarted_ms(life)
+                )
+            scheduler.runners[life].software_version = server.software_version
+        for life in [life for life in scheduler.runners if life not in server_by_life]:
             scheduler.remove_runner(life)
             self.residency.forget(life)
         return True
--- a/monsoonflow/placement/load_target.py
+++ b/monsoonflow/placement/load_target.py
@@ -70,10 +70,7 @@
 
 def _can_load(candidate: CandidateRunner, request: QueuedRequest, ref: AdapterRef) -> bool:
     runner = candidate.runner
-    if (
-        runner.life in request.excluded_runners
-        or runner.model != request.adapter_name.partition("/")[0]
-    ):
+    if not request.may_use(runner) or runner.model != request.adapter_name.partition("/")[0]:
         return False
     slot = runner.slots.get(request.adapter_name)
     if slot is None:
--- a/monsoonflow/placement/request_queue.py
+++ b/monsoonflow/placement/request_queue.py
@@ -17,6 +17,7 @@
 from ..routing.first_event import BASE_LATENCY_MS
 from ..routing.in_flight import ServerWork
 from ..routing.prefill_rate import INITIAL_TOKENS_PER_MS
+from .slots import RunnerSlots
 
 RATE_WINDOW_MS: Final = 2_000
 """Window in which assigned slots are counted: longer than a load, shorter than a rush."""
@@ -52,6 +53,7 @@
     :param on_time_until_ms: until when a slot lets it meet its latency objective.
     :param deadline_ms: when it can no longer be served.
     :param excluded_runners: runners that it must not be sent to.
+    :param software_version: of the runners that may go on with its stream; ``None`` for any.
     :param on_result: called once; with ``None`` when another node must be asked.
     :param expected_load_ms: how long its adapter takes to load.
     :param session_key: last part of its prompt, which identifies a returning caller.
@@ -78,6 +80,13 @@
     prompt_tokens: int = 0
     read_by_ms: int | None = None
     tokens_per_ms: float = INITIAL_TOKENS_PER_MS
+    software_version: str | None = None
+
+    def may_use(self, runner: RunnerSlots) -> bool:
+        """Tell whether the request may be sent to a runner."""
+        return runner.life not in self.excluded_runners and (
+            self.software_version is None or runner.software_version == self.software_version
+        )
 
     def can_prefill_in_time(self, work: ServerWork, granted_tokens: int, now_ms: int) -> bool:
         """Tell whether a runner completes the prefill of the prompt before the caller leaves.
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -352,7 +352,7 @@
         """
         found = []
         for runner, slot in ready:
-            if runner.life in request.excluded_runners or slot.ref.version < request.min_version:
+            if not request.may_use(runner) or slot.ref.version < request.min_version:
                 continue
             if self._is_retired(slot.ref):
                 continue
@@ -374,7 +374,7 @@
             return None
         min_overrun_ms: int | None = None
         for runner in self.runners.values():
-            if runner.life in request.excluded_runners:
+            if not request.may_use(runner):
                 continue
             runner_work = work.get(runner.life, _NO_WORK)
             if request.can_prefill_in_time(runner_work, 0, now_ms):
@@ -488,16 +488,22 @@
     ) -> list[OrderStep]:
         """Return loads for queued requests, most urgent first, and the unloads that they need."""
         steps = []
-        examined: set[str] = set()
+        examined: set[tuple[str, str | None]] = set()
+        ordered: dict[str, list[RunnerSlots]] = {}
         is_limited = False
         for request in in_service_order(self._queue, now_ms):
-            if request.adapter_name in examined or _is_loading(
+            # Requests for one adapter that need different software versions need loads of their
+            # own: a load that can't be ordered for one must not hold up the others.
+            wanted = (request.adapter_name, request.software_version)
+            if wanted in examined or _is_loading(
                 request, candidates.loading_slots(request.adapter_name)
             ):
                 continue
+            if any(request.may_use(runner) for runner in ordered.get(request.adapter_name, ())):
+                continue
             if len(examined) >= MAX_ADAPTERS_PER_PLAN:
                 break
-            examined.add(request.adapter_name)
+            examined.add(wanted)
             is_cold_allowed = self.load_limit.allows(candidates.cold_loads_in_progress, now_ms)
             is_limited = is_limited or not is_cold_allowed
             ref = self._newest_ref(request)
@@ -507,6 +513,7 @@
             step = self._unload_or_load_step(runner, ref, now_ms, work, candidates)
             if step is not None:
                 steps.append(step)
+                ordered.setdefault(request.adapter_name, []).append(runner)
         if not is_limited:
             self.load_limit.mark_unconstrained()
         return steps
@@ -706,7 +713,7 @@
 def _is_loading(request: QueuedRequest, loading: Sequence[SlotOnRunner]) -> bool:
     """Tell whether the adapter of a request is being loaded at a runner that may serve it."""
     return any(
-        runner.life not in request.excluded_runners and slot.ref.version >= request.min_version
+        request.may_use(runner) and slot.ref.version >= request.min_version
         for runner, slot in loading
     )
 
--- a/monsoonflow/placement/slots.py
+++ b/monsoonflow/placement/slots.py
@@ -98,6 +98,7 @@
         the time.
     :param cached_copies: index of the cached adapters of all runners.
     :param spare_slot_until_ms: until when one slot stays free on a restarted runner.
+    :param software_version: of its program; ``None`` if unknown.
     """
 
     life: ServerLife
@@ -115,6 +116,7 @@
     cached_adapters: OrderedDict[AdapterRef, None] = attrs.Factory(OrderedDict)
     cached_copies: CachedCopies = attrs.field(factory=CachedCopies, repr=False, eq=False)
     spare_slot_until_ms: int = 0
+    software_version: str | None = None
 
     def is_known(self) -> bool:
         """Tell whether the runner has reported what it holds, so that it can be sent orders."""
