Streams go on only at the software version that began them

Servers of several software versions serve side by side, and what two of them generate does not fit together; servers don't check it. Nodes did not read the version, so a stream went on at any server.

The version of a server is decoded and logged (server_came, request_sent), and so is the attempt that a caller resumes (request_accepted). A stream is bound to the version of the server that sent its first event: within one answer, for a caller that comes back and names the attempt that began it, and through peers, which are told the version and tell that of the server that answers. Where the first server's version is unknown, only that server may go on. A stream of an unknown version, or of one without servers, is refused at once with 503 and a retry time, or its answer ends as broken. A node knows the streams that began through it; it does not yet ask others.

A version that is empty, too long or not printable counts as unknown.

--- a/monsoonflow/discovery/registry.py
+++ b/monsoonflow/discovery/registry.py
@@ -88,7 +88,10 @@
             log(
                 _LOGGER,
                 events.ServerCame(
-                    server=server.life, service=server.service, address=server.address
+                    server=server.life,
+                    service=server.service,
+                    address=server.address,
+                    software_version=server.software_version,
                 ),
             )
 
@@ -195,6 +198,14 @@
             if server.service == service and self._is_usable(server)
         ]
 
+    def software_versions_of(self, service: str) -> set[str | None]:
+        """Return the software versions of a service's known servers, also of those that leave."""
+        return {
+            server.software_version
+            for server in self.server_by_life.values()
+            if server.service == service
+        }
+
     def recently_left(self, now_ms: int, within_ms: int) -> list[ServerLife]:
         """Return the lives that left within the given time, to be sent to peers."""
         return [
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -33,6 +33,7 @@
 from ..gateway.runner_chooser import RunnerChooser
 from ..gateway.server_limits import SharedServerLimits
 from ..gateway.service_paths import ServicePaths
+from ..gateway.stream_versions import LocalStreamVersions
 from ..gateway.usage_announcer import UsageAnnouncer
 from ..helpers.gevent_tasks import GeventTasks
 from ..helpers.ids import new_id
@@ -78,7 +79,7 @@
 PEER_CHECK_MS: Final = 300
 """How long peers take to check and to announce whether they reach a service that this node lost."""
 
-FORWARDED_HEAD_BYTES: Final = 512
+FORWARDED_HEAD_BYTES: Final = 2_048
 """What a node adds to the head of a request that it forwards."""
 
 
@@ -558,6 +559,7 @@
             self.rng,
             settings.data_centre,
         )
+        stream_versions = LocalStreamVersions(self.clock)
         request_log = RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers"))
         self.gateway = Gateway(
             self.clock,
@@ -580,9 +582,12 @@
                 self.forwarding_pools,
                 self.peer_forwarder,
                 request_log,
+                stream_versions,
             ),
             self.configuration_status,
             self.shared_quota,
+            stream_versions,
+            registry.software_versions_of,
         )
         self.address_directory = AddressDirectory(
             self.view,
--- a/monsoonflow/entry/placement_client.py
+++ b/monsoonflow/entry/placement_client.py
@@ -13,7 +13,7 @@
 from ..discovery.models import BackendServer
 from ..gateway.backlog import Backlog
 from ..gateway.job import Job
-from ..gateway.limited_servers import no_open_server, open_servers
+from ..gateway.limited_servers import no_open_server, no_server_of_version, open_servers
 from ..gateway.models import Call, Chosen, NoServer
 from ..logs import events, log
 from ..placement.request_queue import NoSlot, Placed
@@ -61,9 +61,16 @@
     def __init__(self, daemon: EntryDaemon) -> None:
         self._daemon = daemon
 
-    def runners_with_adapter(self, adapter: str) -> dict[str, int]:
-        """Return the version of an adapter by the runner that can serve it now."""
+    def runners_with_adapter(
+        self, adapter: str, among: Collection[ServerLife] | None = None
+    ) -> dict[str, int]:
+        """Return the version of an adapter by the runner that can serve it now.
+
+        :param among: the runners that may be used; ``None`` for all.
+        """
         held = self._known_holders(adapter)
+        if among is not None:
+            held = {life: version for life, version in held.items() if life in among}
         wanted = self.wanted_version(adapter)
         if wanted is None:
             return held
@@ -130,7 +137,7 @@
         """
         clock = self._daemon.clock
         began_ms = clock.now_ms()
-        runners = self._daemon.cluster_state.server_registry.servers_of(service.name)
+        runners = self._usable_runners(service, job)
         open_lives = {
             runner.life for runner in open_servers(runners, self._daemon.server_limits, job)
         }
@@ -170,6 +177,8 @@
         if not job.is_resuming():
             until_ms = min(until_ms, self._slot_useful_until_ms(call, route, job))
         while (left_ms := until_ms - clock.now_ms()) > 0:
+            if job.needs_software_version() and not self._usable_runners(service, job):
+                return no_server_of_version(job)
             slot_request = self._create_slot_request(call, route, service, job, left_ms, overloaded)
             slot_request["waited_ms"] = clock.now_ms() - began_ms
             slot_request["tried_ms"] = job.request.arrived_ms - job.first_tried_ms
@@ -204,6 +213,8 @@
         server = registry.server_by_life.get(granted.life)
         if server is None or not registry.is_accepting_work(granted.life):
             return None
+        if not job.may_use(server):
+            return None
         if not open_servers([server], self._daemon.server_limits, job):
             return None
         if self._is_too_old(call.adapter or "", granted.version):
@@ -219,9 +230,10 @@
 
     def _choose_new_holder(self, call: Call, service: Service, job: Job) -> Chosen | None:
         """Return a runner that was reported to hold the adapter while nobody answered."""
-        held = self.runners_with_adapter(call.adapter or "")
+        runners = self._usable_runners(service, job)
+        among = {runner.life for runner in runners} if job.needs_software_version() else None
+        held = self.runners_with_adapter(call.adapter or "", among)
         now_ms = self._daemon.clock.now_ms()
-        runners = self._daemon.cluster_state.server_registry.servers_of(service.name)
         for server in open_servers(runners, self._daemon.server_limits, job):
             if server.life not in held or server.life in job.avoided_lives:
                 continue
@@ -257,6 +269,7 @@
             "wait_ms": left_ms,
             "on_time_ms": on_time_ms,
             "avoid": self._runners_to_avoid(service, job, overloaded),
+            "software_version": job.software_version,
             "session": call.session,
             "lacking": self._daemon.cell_leases.residency.runners_lacking(call.adapter or ""),
             "rank": job.rank_at(now_ms),
@@ -306,10 +319,17 @@
         :param overloaded: avoided in any case: the request can't be served there.
         """
         daemon, now_ms = self._daemon, self._daemon.clock.now_ms()
-        runners = daemon.cluster_state.server_registry.servers_of(service.name)
+        runners = self._usable_runners(service, job)
         lives = {runner.life for runner in runners}
         open_lives = {runner.life for runner in open_servers(runners, daemon.server_limits, job)}
-        unusable = (lives - open_lives) | overloaded
+        # A lease holder of an earlier release knows no software versions, so it is told of all
+        # runners of other versions, also of those that leave: it may not know yet that they do.
+        unfit = {
+            server.life
+            for server in daemon.cluster_state.server_registry.server_by_life.values()
+            if server.service == service.name and not job.may_use(server)
+        }
+        unusable = (lives - open_lives) | overloaded | unfit
         paused = {life for life in lives if daemon.health_tracker.is_paused(life, now_ms)}
         limited = {life for life in lives if daemon.server_limits.rate_per_s(life) is not None}
         for avoided in (
@@ -320,6 +340,11 @@
                 return sorted(avoided)
         return sorted(unusable)
 
+    def _usable_runners(self, service: Service, job: Job) -> list[BackendServer]:
+        """Return the runners that accept a request."""
+        registry = self._daemon.cluster_state.server_registry
+        return job.usable_servers(registry.servers_of(service.name))
+
     def _is_too_old(self, adapter: str, version: int) -> bool:
         """Return whether a version may no longer receive new requests."""
         after_ms = self._daemon.settings.bounds.version_ms * OLD_VERSION_SHARE
@@ -347,4 +372,5 @@
             expect_version,
             why,
             self._daemon.backlog.queue_ahead(server.life, job, now_ms),
+            server.software_version,
         )
--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final, TypeVar
 
 from ..transport.client import ConnectionPools, ServerConnection
 from ..transport.const import CONNECT_TIMEOUT_MS, REPLY_BUFFER_BYTES
-from ..transport.models import AnswerHead, BrokenAnswer, Lost, Request
+from ..transport.models import AnswerHead, BrokenAnswer, Header, Lost, Request
 from ..transport.server import Reply
 from .event_splitter import EventSplitter, first_event_id
 from .models import (
@@ -62,6 +62,7 @@
     :param on_send: called just before the request is sent.
     :param on_activity: called for each part of an answer, which shows that the server is working.
     :param on_terms: called with what the head of the answer says.
+    :param stream_headers: added to the head of a stream.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         on_send: Callable[[], None] = lambda: None,
         on_activity: Callable[[], None] = lambda: None,
         on_terms: Callable[[AnswerTerms], None] = lambda _terms: None,
+        stream_headers: Sequence[Header] = (),
     ) -> None:
         self._pools = pools
         self._dialect = dialect
@@ -93,6 +95,7 @@
         self._on_send = on_send
         self._on_activity = on_activity
         self._on_terms = on_terms
+        self._stream_headers = stream_headers
 
     def send(
         self,
@@ -273,7 +276,8 @@
         if reply.started:
             reply.write(events)
             return
-        reply.begin(head.status, self._dialect.forwarded_headers(head), None, head.reason, events)
+        headers = [*self._dialect.forwarded_headers(head), *self._stream_headers]
+        reply.begin(head.status, headers, None, head.reason, events)
 
     def _check_resume_position(self, events: bytes, after: bytes | None) -> None:
         """Reject a resumed stream that starts from the beginning: the caller would get it twice."""
--- a/monsoonflow/gateway/forwarding.py
+++ b/monsoonflow/gateway/forwarding.py
@@ -9,11 +9,13 @@
 from ..core.server_life import ServerLife
 from ..fleet.models import NodeRecord
 from ..transport.client import ConnectionPools
+from ..transport.models import BrokenAnswer
 from ..transport.server import Reply
 from .attempt import Attempt
 from .job import Job
-from .models import AttemptResult, Chosen, Dialect, Handover, Rejected, Unsent
+from .models import AnswerTerms, AttemptResult, Chosen, Dialect, Handover, Rejected, Unsent
 from .peer_forwarder import PeerForwarder
+from .protocols import StreamVersions
 from .request_log import RequestLog
 
 HOP_MARGIN_MS: Final = 10
@@ -33,12 +35,14 @@
         pools: ConnectionPools,
         forwarder: PeerForwarder,
         request_log: RequestLog,
+        stream_versions: StreamVersions,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
         self._pools = pools
         self._forwarder = forwarder
         self._request_log = request_log
+        self._stream_versions = stream_versions
 
     def is_path_lost(self, service: str) -> bool:
         """Return whether this node reaches no server of a service."""
@@ -70,11 +74,15 @@
         )
 
     def _next_peer(self, job: Job) -> NodeRecord | None:
+        if job.only_life is not None:
+            return None
         return self._forwarder.choose(job.service.name, job.config_version, job.tried_peers)
 
     def _send(
         self, job: Job, reply: Reply, peer: NodeRecord, on_send: Callable[[], None]
     ) -> AttemptResult:
+        life = ServerLife(f"peer:{peer.name}")
+        answer_terms: list[AnswerTerms] = []
         attempt = Attempt(
             self._pools,
             self._dialect,
@@ -82,18 +90,34 @@
             job.call,
             job.answer_deadline_ms,
             job.answer_deadline_ms,
-            on_first_event=lambda: self._record_first_event(job),
+            on_first_event=lambda: self._record_first_event(job, life, answer_terms[-1]),
             on_send=on_send,
+            on_terms=answer_terms.append,
         )
-        chosen = Chosen(ServerLife(f"peer:{peer.name}"), peer.peer_address)
+        chosen = Chosen(life, peer.peer_address)
         return attempt.send(chosen, lambda: self._build_head(job), reply, job.splitter)
 
     def _build_head(self, job: Job) -> bytes:
         elapsed_ms = self._clock.now_ms() - job.request.arrived_ms + HOP_MARGIN_MS
         last_event_id = job.splitter.last_event_id if job.splitter is not None else None
-        handover = Handover(elapsed_ms, job.possible_runs)
+        handover = Handover(elapsed_ms, job.possible_runs, job.software_version)
         return self._dialect.peer_head(job.request, handover, last_event_id)
 
-    def _record_first_event(self, job: Job) -> None:
+    def _record_first_event(self, job: Job, life: ServerLife, terms: AnswerTerms) -> None:
+        """Record the software version of the server that generates a stream for a peer.
+
+        A peer of an earlier release states none, and goes on at any.
+
+        :raises BrokenAnswer: if the peer does not state the version that must go on.
+        """
+        version = terms.software_version
+        if job.software_version is not None and version != job.software_version:
+            # The events are not forwarded, but the splitter counts them already: nothing may go on
+            # after them.
+            job.only_life = life
+            raise BrokenAnswer(f"software version {version} instead of {job.software_version}")
+        job.record_stream_server(life, version)
+        if version is not None:
+            self._stream_versions.record_begun(job.service.name, job.call.stream_id, version)
         if job.first_event_ms is None:
             job.first_event_ms = self._clock.now_ms()
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from ..core.clock import Clock
@@ -26,6 +26,7 @@
 from .models import (
     Abandoned,
     AnswerTerms,
+    AnyVersion,
     AtLimit,
     AttemptResult,
     Call,
@@ -34,13 +35,16 @@
     Dialect,
     ForwardedRequest,
     Handover,
+    KnownVersion,
     Malformed,
     NoServer,
     Passed,
     Recalled,
     Rejected,
+    StreamVersion,
     TimedOut,
     Unclear,
+    UnknownVersion,
     Unsent,
     Whole,
 )
@@ -52,8 +56,10 @@
     RetryBudget,
     ServerChooser,
     ServerLimiter,
+    StreamVersions,
 )
 from .request_log import RequestLog
+from .stream_versions import LocalStreamVersions
 
 NOT_READY_RETRY_AFTER_MS: Final = 300
 """When a caller may retry at a node that has no configuration yet: it usually has one by then."""
@@ -72,6 +78,15 @@
 QUARANTINE_RETRY_AFTER_MS: Final = 60_000
 """When a caller may retry a quarantined request."""
 
+MAX_VERSION_SEARCH_MS: Final = 500
+"""Longest wait for peers that may know which software version began a stream."""
+
+VERSION_SEARCH_SHARE: Final = 1 / 3
+"""Share of the time to the first event that this wait may take; the rest is for the answer."""
+
+UNKNOWN_VERSION_RETRY_AFTER_MS: Final = 200
+"""When a caller may retry whose stream this node does not know: another node may know it."""
+
 ANSWER_MARGIN_MS: Final = 15
 """How long before a request's time is over the answer is written, so that it arrives in time."""
 
@@ -87,6 +102,9 @@
     :param forwarding: lets peers handle requests whose servers this node does not reach.
     :param configuration_status: returns how current the configuration in force is.
     :param quotas: the quotas of customers; ``None`` if they are not limited.
+    :param stream_versions: the software versions that began streams; ``None`` for those that this
+        node has seen.
+    :param software_versions_of: returns the software versions of a service's servers.
     """
 
     def __init__(
@@ -110,6 +128,8 @@
             True, None
         ),
         quotas: CustomerQuotas | None = None,
+        stream_versions: StreamVersions | None = None,
+        software_versions_of: Callable[[str], Collection[str | None]] = lambda _service: (),
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -128,6 +148,8 @@
         self._forwarding = forwarding
         self._configuration_status = configuration_status
         self._quotas = quotas
+        self._stream_versions = stream_versions or LocalStreamVersions(clock)
+        self._software_versions_of = software_versions_of
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
@@ -197,6 +219,7 @@
         if handover is not None:
             job.is_forwarded = True
             job.possible_runs = handover.possible_runs
+            job.software_version = handover.software_version
         if identity is not None:
             job.identity = identity
             job.priority = route_table.priority_of(route, identity.customer)
@@ -204,7 +227,8 @@
         if not job.is_forwarded:
             self._retry_budget.record_request(service.name)
         try:
-            self._serve(job, reply)
+            if not self._refuse_if_version_unknown(job, reply):
+                self._serve(job, reply)
         except CallerLeft:
             self._request_log.log_ended(job, reply, "caller_left")
             raise
@@ -281,6 +305,35 @@
             job.splitter = EventSplitter(call.last_event_id)
         return job
 
+    def _refuse_if_version_unknown(self, job: Job, reply: Reply) -> bool:
+        """Set the software version that must go on with a stream; refuse it if that is unknown."""
+        is_resumption = job.splitter is not None and job.call.resumes_stream
+        if not is_resumption or job.software_version is not None:
+            return False
+        match self._find_stream_version(job):
+            case KnownVersion(software_version=software_version):
+                job.software_version = software_version
+                return False
+            case AnyVersion():
+                return False
+            case UnknownVersion(reason=reason):
+                cause = f"unknown software version of its stream: {reason}"
+        headers = self._dialect.not_run_headers() if job.is_forwarded else []
+        retry_after_ms = UNKNOWN_VERSION_RETRY_AFTER_MS
+        self._send_own_answer(reply, job.call, 503, cause, retry_after_ms, headers)
+        self._request_log.log_ended(job, reply, "refused", cause)
+        return True
+
+    def _find_stream_version(self, job: Job) -> StreamVersion:
+        resumed_request_id = job.call.resumed_request_id
+        if resumed_request_id is None:
+            if len(self._software_versions_of(job.service.name)) > 1:
+                return UnknownVersion("its caller does not name the attempt that began it")
+            return AnyVersion()
+        left_ms = job.cancel_at_ms() - self._clock.now_ms()
+        timeout_ms = min(MAX_VERSION_SEARCH_MS, max(0, int(left_ms * VERSION_SEARCH_SHARE)))
+        return self._stream_versions.find(job.service.name, resumed_request_id, timeout_ms)
+
     def _serve(self, job: Job, reply: Reply) -> None:
         chooser = self._runner_chooser if job.service.engine is not None else self._plain_chooser
         while True:
@@ -428,6 +481,7 @@
             lambda: self._before_send(job, chooser, chosen),
             lambda: self._record_activity(job, chooser, chosen),
             lambda terms: self._record_terms(job, chosen, ticket, terms),
+            self._stream_headers(job, chosen),
         )
         result: AttemptResult | None = None
         try:
@@ -506,10 +560,20 @@
         now_ms = self._clock.now_ms()
         took_ms = now_ms - ticket.sent_ms
         self._backlog.record_first_event(chosen, took_ms, now_ms)
+        version = chosen.software_version
+        job.record_stream_server(chosen.life, version)
+        if version is not None:
+            self._stream_versions.record_begun(job.service.name, job.call.stream_id, version)
         if job.first_event_ms is None:
             job.first_event_ms = now_ms
             self.first_event_estimator.record(job.call.prompt_tokens, took_ms)
 
+    def _stream_headers(self, job: Job, chosen: Chosen) -> list[Header]:
+        """Return the headers that tell a peer by which software version its stream is generated."""
+        if not job.is_forwarded or chosen.software_version is None:
+            return []
+        return self._dialect.stream_version_headers(chosen.software_version)
+
     def _build_head(self, job: Job, chosen: Chosen) -> bytes:
         forwarded = self._forwarded_request(job, chosen, self._clock.now_ms())
         return self._dialect.forwarded_head(job.request, forwarded)
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
 
+from ..core.server_life import ServerLife
+from ..discovery.models import BackendServer
 from ..routing.budget import Headroom
 from ..routing.customers import Identity
 from ..routing.routes import Route, Service
@@ -60,6 +63,9 @@
     :param config_version: of the configuration by which it was routed.
     :param is_forwarded: whether a peer that does not reach the servers has forwarded it.
     :param tried_peers: the peers that it was forwarded to, in order.
+    :param software_version: of the servers that may go on with its stream; ``None`` for any.
+    :param only_life: the only server that may go on with its stream, since the software version of
+        the first one is unknown; ``None`` for any.
     """
 
     request: Request
@@ -93,6 +99,8 @@
     config_version: int = 0
     is_forwarded: bool = False
     tried_peers: list[str] = attrs.Factory(list)
+    software_version: str | None = None
+    only_life: ServerLife | None = None
 
     @property
     def customer_name(self) -> str | None:
@@ -143,6 +151,31 @@
         """Return whether parts of the answer have been forwarded to the caller."""
         return self.splitter is not None and self.splitter.event_count > 0
 
+    def record_stream_server(self, life: ServerLife, software_version: str | None) -> None:
+        """Record the server that has sent an event; only servers like it may go on."""
+        if self.software_version is not None or self.only_life is not None:
+            return
+        self.software_version = software_version
+        if software_version is None:
+            self.only_life = life
+
+    def needs_software_version(self) -> bool:
+        """Return whether only some of the servers may go on with its stream."""
+        return self.software_version is not None or self.only_life is not None
+
+    def may_use(self, server: BackendServer) -> bool:
+        """Return whether a server may go on with its stream; any may begin one.
+
+        What two software versions generate does not fit together, and servers don't check it.
+        """
+        if self.only_life is not None:
+            return server.life == self.only_life
+        return self.software_version is None or server.software_version == self.software_version
+
+    def usable_servers(self, servers: Iterable[BackendServer]) -> list[BackendServer]:
+        """Return the servers that may go on with its stream."""
+        return [server for server in servers if self.may_use(server)]
+
     def may_run_again(self) -> bool:
         """Return whether another server may run it.
 
--- a/monsoonflow/gateway/limited_servers.py
+++ b/monsoonflow/gateway/limited_servers.py
@@ -1,14 +1,18 @@
-"""Leaves out the servers whose limits are used up when a server is chosen."""
+"""Leaves out the servers that can't take a request when a server is chosen."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Final
 
 from ..discovery.models import BackendServer
 from .job import Job
 from .models import NoServer
 from .protocols import ServerLimiter
 
+NO_VERSION_RETRY_AFTER_MS: Final = 400
+"""When a caller may retry whose stream no server can go on with: another node may know one."""
+
 
 def open_servers(
     servers: Iterable[BackendServer], limits: ServerLimiter, job: Job
@@ -21,6 +25,15 @@
     ]
 
 
+def no_server_of_version(job: Job) -> NoServer:
+    """Return the refusal of a stream with which no server may go on."""
+    if job.only_life is not None:
+        reason = f"only {job.only_life} may go on with its stream"
+    else:
+        reason = f"no server of software version {job.software_version} accepts requests"
+    return NoServer(reason, NO_VERSION_RETRY_AFTER_MS)
+
+
 def no_open_server(servers: Iterable[BackendServer], limits: ServerLimiter, job: Job) -> NoServer:
     """Return the refusal of a request for which no server has room."""
     lives = [server.life for server in servers]
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -26,6 +26,7 @@
     :param length_hint: the caller's estimate of the number of generated tokens.
     :param session: identifies the last shared part of the prompt.
     :param last_event_id: the event after which a stream is resumed.
+    :param resumed_request_id: the caller's attempt that brought the stream's first event.
     :param api_key: identifies the customer; must not be logged.
     """
 
@@ -41,6 +42,19 @@
     session: str | None = None
     last_event_id: bytes | None = None
     api_key: str | None = attrs.field(default=None, repr=False)
+    resumed_request_id: str | None = None
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller has events of a stream and asks for those after them."""
+        return bool(self.last_event_id)
+
+    @property
+    def stream_id(self) -> str:
+        """Return the caller's attempt that brought, or will bring, the stream's first event."""
+        if self.resumes_stream and self.resumed_request_id is not None:
+            return self.resumed_request_id
+        return self.request_id
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,10 +91,12 @@
 
     :param elapsed_ms: since the request arrived at the first node.
     :param possible_runs: attempts of the first node that may have run on a server.
+    :param software_version: of the servers that may go on with a stream; ``None`` for any.
     """
 
     elapsed_ms: int
     possible_runs: int
+    software_version: str | None = None
 
 
 @attrs.frozen(slots=True)
@@ -96,6 +112,8 @@
     :param tolerated_rejections_per_s: rejections for want of room that the server withstands in a
         second; ``None`` unless it is brittle.
     :param framing: how the end of its body is marked.
+    :param software_version: of the server that generates a stream, in a peer's answer; ``None`` if
+        the peer does not say.
     """
 
     request_id: str | None
@@ -106,6 +124,7 @@
     is_full: bool = False
     tolerated_rejections_per_s: float | None = None
     framing: Framing = Framing.LENGTH
+    software_version: str | None = None
 
 
 class Dialect(Protocol):
@@ -123,6 +142,9 @@
     def read_handover(self, request: Request) -> Handover | None:
         """Return what a peer says of a request that it forwards; ``None`` for any other request."""
 
+    def stream_version_headers(self, software_version: str) -> list[Header]:
+        """Return the headers that tell a peer the software version that began a stream."""
+
     def not_run_headers(self) -> list[Header]:
         """Return the headers that tell a peer that its request has not run at this node."""
 
@@ -260,6 +282,7 @@
     :param expect_version: the version without which the server must refuse the request.
     :param why: why the server was chosen, for the log.
     :param queue: the queue in front of the request; ``None`` at servers of plain services.
+    :param software_version: of the server; ``None`` if unknown.
     """
 
     life: ServerLife
@@ -271,6 +294,7 @@
     expect_version: int | None = None
     why: str = ""
     queue: QueueAhead | None = None
+    software_version: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -282,3 +306,25 @@
 
     reason: str
     retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class KnownVersion:
+    """The software version of the servers that began a stream."""
+
+    software_version: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnyVersion:
+    """The service has had a single software version for longer than any stream lives."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownVersion:
+    """It is not known which software version began a stream."""
+
+    reason: str
+
+
+StreamVersion: TypeAlias = KnownVersion | AnyVersion | UnknownVersion
--- a/monsoonflow/gateway/plain_server_chooser.py
+++ b/monsoonflow/gateway/plain_server_chooser.py
@@ -14,7 +14,7 @@
 from ..routing.in_flight import InFlight
 from ..routing.routes import Route, Service
 from .job import Job
-from .limited_servers import no_open_server, open_servers
+from .limited_servers import no_open_server, no_server_of_version, open_servers
 from .models import (
     AttemptResult,
     Call,
@@ -70,7 +70,9 @@
         self, call: Call, route: Route, service: Service, job: Job, now_ms: int
     ) -> Chosen | NoServer:
         """Return the server with the shortest expected time to a successful answer."""
-        registered = self.registry.servers_of(service.name)
+        registered = job.usable_servers(self.registry.servers_of(service.name))
+        if not registered and job.needs_software_version():
+            return no_server_of_version(job)
         servers = open_servers(registered, self.server_limits, job)
         if registered and not servers:
             return no_open_server(registered, self.server_limits, job)
@@ -87,7 +89,12 @@
                 "the queue is longer than the time left",
                 max(NO_SERVER_RETRY_AFTER_MS, int(expected_ms * QUEUE_RETRY_AFTER_SHARE)),
             )
-        return Chosen(best.life, best.address, why=f"expected_ms={expected_ms:.0f}")
+        return Chosen(
+            best.life,
+            best.address,
+            why=f"expected_ms={expected_ms:.0f}",
+            software_version=best.software_version,
+        )
 
     def response_timeout_ms(self, chosen: Chosen, route: Route) -> int:
         """Return how long a server may take to respond before it counts as unresponsive."""
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -13,7 +13,15 @@
 from ..routing.routes import Route, Service
 from ..transport.server import Reply
 from .job import Job
-from .models import AnswerTerms, AtLimit, AttemptResult, Call, Chosen, NoServer
+from .models import (
+    AnswerTerms,
+    AtLimit,
+    AttemptResult,
+    Call,
+    Chosen,
+    NoServer,
+    StreamVersion,
+)
 
 
 class ServerChooser(Protocol):
@@ -74,6 +82,22 @@
         """Return when a caller may retry that finds all servers of a service at their limits."""
 
 
+class StreamVersions(Protocol):
+    """Knows the software versions of the servers that began streams."""
+
+    def record_begun(self, service: str, request_id: str, software_version: str) -> None:
+        """Record the software version of a server that has sent an event of a stream.
+
+        :param request_id: the caller's attempt that brought the stream's first event.
+        """
+
+    def find(self, service: str, request_id: str, timeout_ms: int) -> StreamVersion:
+        """Return the software version that began a stream; may wait for peers.
+
+        :param request_id: the caller's attempt that brought the stream's first event.
+        """
+
+
 class Paths(Protocol):
     """Knows which services this node reaches."""
 
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -140,6 +140,7 @@
                 fingerprint=job.fingerprint,
                 customer=job.customer_name,
                 forwarded=job.is_forwarded or None,
+                resumes=call.resumed_request_id,
             ),
         )
 
@@ -162,6 +163,7 @@
                 expected_ms=queue.expected_ms if queue is not None else None,
                 after_event=last_event_id.decode("latin-1") if last_event_id is not None else None,
                 servers_age_ms=self._servers_age_ms(),
+                software_version=chosen.software_version,
             ),
         )
 
--- a/monsoonflow/gateway/runner_chooser.py
+++ b/monsoonflow/gateway/runner_chooser.py
@@ -16,7 +16,7 @@
 from ..routing.routes import Route, Service
 from .backlog import Backlog
 from .job import Job
-from .limited_servers import no_open_server, open_servers
+from .limited_servers import no_open_server, no_server_of_version, open_servers
 from .models import (
     Abandoned,
     AttemptResult,
@@ -51,8 +51,13 @@
 class Placement(Protocol):
     """Knows which runners hold an adapter, and has it loaded on another one if necessary."""
 
-    def runners_with_adapter(self, adapter: str) -> dict[str, int]:
-        """Return the adapter's version on each runner that can serve it now."""
+    def runners_with_adapter(
+        self, adapter: str, among: Collection[ServerLife] | None = None
+    ) -> dict[str, int]:
+        """Return the adapter's version on each runner that can serve it now.
+
+        :param among: the runners that may be used; ``None`` for all.
+        """
 
     def wanted_version(self, adapter: str) -> int | None:
         """Return the version that the operator requested; ``None`` if there is none."""
@@ -97,10 +102,16 @@
         self, call: Call, route: Route, service: Service, job: Job, now_ms: int
     ) -> Chosen | NoServer:
         """Return a runner that holds the adapter; if there is none in time, have it loaded."""
+        runners = job.usable_servers(self.registry.servers_of(service.name))
+        if not runners and job.needs_software_version():
+            return no_server_of_version(job)
+        among = {runner.life for runner in runners} if job.needs_software_version() else None
         version_by_life = (
-            self.placement.runners_with_adapter(call.adapter) if call.adapter is not None else {}
+            self.placement.runners_with_adapter(call.adapter, among)
+            if call.adapter is not None
+            else {}
         )
-        holders = self._holders(call, version_by_life, service)
+        holders = self._holders(call, version_by_life, runners)
         usable = self._usable_runners(open_servers(holders, self.server_limits, job), job, now_ms)
         if call.adapter is None:
             if not holders:
@@ -135,13 +146,14 @@
         best = min(in_time, key=lambda runner: self._cost(runner, now_ms))
         return self._build_chosen(best, call, None, job, now_ms)
 
+    @staticmethod
     def _holders(
-        self, call: Call, version_by_life: dict[ServerLife, int], service: Service
+        call: Call, version_by_life: dict[ServerLife, int], runners: list[BackendServer]
     ) -> list[BackendServer]:
         """Return the runners that hold the adapter or the base model of a request."""
         return [
             runner
-            for runner in self.registry.servers_of(service.name)
+            for runner in runners
             # What the lease holder announces about an adapter is newer than the registry entry's
             # base models.
             if runner.life in version_by_life
@@ -174,6 +186,7 @@
             wanted if is_current else None,
             why="held",
             queue=self.backlog.queue_ahead(runner.life, job, now_ms),
+            software_version=runner.software_version,
         )
 
     def response_timeout_ms(self, chosen: Chosen, route: Route) -> int:
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -9,6 +9,8 @@
 class RequestAccepted(Event):
     """A caller's request was read completely and matched a route."""
 
+    # ``resumes`` is the attempt of its caller that began the stream that it takes up again.
+
     request: str
     route: str
     service: str
@@ -21,6 +23,7 @@
     fingerprint: str | None = None
     customer: str | None = None
     forwarded: bool | None = None
+    resumes: str | None = None
 
 
 @event
@@ -76,7 +79,7 @@
     # ``expect_version`` the version without which it must refuse the request. ``unread_tokens`` are
     # the prompt tokens that it has to prefill before this request's own, and ``expected_ms`` is the
     # estimated time until the first event. ``servers_age_ms`` is the age of the last update of the
-    # servers from the store.
+    # servers from the store. ``software_version`` is that of the server.
 
     request: str
     server: str
@@ -90,6 +93,7 @@
     expected_ms: int | None = None
     after_event: str | None = None
     servers_age_ms: int | None = None
+    software_version: str | None = None
 
 
 @event
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -15,6 +15,7 @@
     server: str
     service: str
     address: str
+    software_version: str | None = None
 
 
 @event
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -4,6 +4,7 @@
 
 import re
 from typing import Final
+from urllib.parse import quote, unquote
 
 from ..gateway.models import AnswerTerms, Call, ForwardedRequest, Handover, Malformed
 from ..routing.server_limits import InvalidLimit, NamedLimit
@@ -23,6 +24,8 @@
 SERVER_BRITTLE_HEADER: Final = b"server-brittle"
 AUTHORIZATION_HEADER: Final = b"authorization"
 HANDOVER_HEADER: Final = b"x-monsoonflow-forwarded"
+SOFTWARE_VERSION_HEADER: Final = b"x-monsoonflow-software-version"
+RESUMES_HEADER: Final = b"resumes"
 HANDOVER_PATTERN: Final = re.compile(rb"([0-9]{1,9}),([0-9]{1,9})")
 CUSTOMER_HEADER: Final = b"x-tenant"
 KEY_SCHEME: Final = b"Bearer "
@@ -44,6 +47,7 @@
         DEADLINE_HEADER,
         LAST_EVENT_ID_HEADER,
         HANDOVER_HEADER,
+        SOFTWARE_VERSION_HEADER,
     }
 )
 """Dropped from callers' requests: they are orders to a server, or are set for each attempt."""
@@ -60,6 +64,7 @@
         TOKEN_COUNT_HEADER,
         PROMPT_PREFIX_HEADER,
         LENGTH_HINT_HEADER,
+        RESUMES_HEADER,
     }
 )
 """Forwarded even if a caller lists them in its ``Connection`` header."""
@@ -71,6 +76,7 @@
     TOKEN_COUNT_HEADER,
     PROMPT_PREFIX_HEADER,
     LAST_EVENT_ID_HEADER,
+    RESUMES_HEADER,
 )
 
 
@@ -115,6 +121,7 @@
             length_hint=int(float(length_hint)) if length_hint else None,
             session=last_prefix.decode("latin-1").strip() or None,
             last_event_id=value_by_name.get(LAST_EVENT_ID_HEADER),
+            resumed_request_id=value_by_name.get(RESUMES_HEADER, b"").decode("latin-1") or None,
             api_key=_parse_api_key(value_by_name.get(AUTHORIZATION_HEADER, b"")),
         )
 
@@ -145,7 +152,11 @@
 
         It holds the caller's headers, also those that only nodes may read.
         """
-        dropped_names = HOP_BY_HOP_HEADERS | {HANDOVER_HEADER, LAST_EVENT_ID_HEADER}
+        dropped_names = HOP_BY_HOP_HEADERS | {
+            HANDOVER_HEADER,
+            LAST_EVENT_ID_HEADER,
+            SOFTWARE_VERSION_HEADER,
+        }
         dropped_names |= _names_listed_in_connection(request.headers) - REQUIRED_HEADERS
         lines = _request_lines(request, dropped_names)
         if last_event_id is not None:
@@ -153,12 +164,28 @@
         lines.append(
             b"X-Monsoonflow-Forwarded: %d,%d" % (handover.elapsed_ms, handover.possible_runs)
         )
+        if handover.software_version is not None:
+            lines += [
+                b"%s: %s" % header
+                for header in self.stream_version_headers(handover.software_version)
+            ]
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
     def read_handover(self, request: Request) -> Handover | None:
         """Return what a peer says of a request that it forwards; ``None`` for any other request."""
         found = HANDOVER_PATTERN.fullmatch(request.value(HANDOVER_HEADER) or b"")
-        return None if found is None else Handover(int(found[1]), int(found[2]))
+        if found is None:
+            return None
+        version = _decode_software_version(request.value(SOFTWARE_VERSION_HEADER))
+        return Handover(int(found[1]), int(found[2]), version)
+
+    def stream_version_headers(self, software_version: str) -> list[Header]:
+        """Return the headers that tell a peer the software version that began a stream.
+
+        Any text may be a version, so it is percent-encoded.
+        """
+        value = quote(software_version, safe="").encode("ascii")
+        return [(b"X-Monsoonflow-Software-Version", value)]
 
     def not_run_headers(self) -> list[Header]:
         """Return the headers that tell a peer that its request has not run at this node."""
@@ -176,6 +203,7 @@
             is_full=head.status in (429, 503) and head.value(NOT_EXECUTED_HEADER) is not None,
             tolerated_rejections_per_s=_parse_brittle(head.values(SERVER_BRITTLE_HEADER)),
             framing=head.framing,
+            software_version=_decode_software_version(head.value(SOFTWARE_VERSION_HEADER)),
         )
 
     def forwarded_headers(self, head: AnswerHead) -> list[Header]:
@@ -241,6 +269,17 @@
     return value.removeprefix(KEY_SCHEME).decode("ascii")
 
 
+def _decode_software_version(value: bytes | None) -> str | None:
+    r"""Return the software version in a peer's header.
+
+    >>> _decode_software_version(b"v1%0A%C3%A9"), _decode_software_version(b"")
+    ('v1\né', None)
+    """
+    if not value:
+        return None
+    return unquote(value.decode("latin-1"))
+
+
 def _parse_retry_after_ms(value: bytes | None) -> int | None:
     try:
         return None if value is None else max(0, round(float(value) * 1000))
--- a/monsoonflow/platform/schema.py
+++ b/monsoonflow/platform/schema.py
@@ -36,7 +36,8 @@
 
     :param slots: requests that it processes at once, not slots for adapters.
     :param sequence: number of writes of the row; in a report it is the number of orders.
-    :param version: not an adapter version; checked but not used, like ``cold_remaining_ms``.
+    :param version: of its software, not of an adapter.
+    :param cold_remaining_ms: checked but not used.
     :param born: start of the server in Unix milliseconds; not sent in every deployment.
     :param remaining_ms: how long a draining server continues, if it says so.
     """
--- a/tests/gateway/runner_simulation.py
+++ b/tests/gateway/runner_simulation.py
@@ -53,7 +53,7 @@
     loaded: dict[str, dict[ServerLife, int]]
     slot_request_count: int = 0
 
-    def runners_with_adapter(self, adapter: str) -> dict[ServerLife, int]:
+    def runners_with_adapter(self, adapter: str, among=None) -> dict[ServerLife, int]:
         """Return the adapter's version on each runner that holds it."""
         return self.loaded.get(adapter, {})
 
--- a/tests/platform/test_invalid_rows.py
+++ b/tests/platform/test_invalid_rows.py
@@ -53,6 +53,16 @@
     assert (server.life.server_id, server.life.born_ms) == ("i-1", SERVER_ROW["born"])
 
 
+@pytest.mark.parametrize(
+    ("version", "software_version"),
+    [("v1.1", "v1.1"), ("", None), ("x" * 101, None), ("a\nb", None), ("\ud800", None)],
+)
+def test_unusable_software_version_is_unknown_and_the_server_is_kept(version, software_version):
+    """A version that nodes can't tell each other must not pass for one that they know."""
+    server = decode({**SERVER_ROW, "version": version})
+    assert server.software_version == software_version
+
+
 @pytest.mark.parametrize("name", REQUIRED_FIELDS)
 def test_server_row_without_a_required_field_is_invalid(name):
     assert isinstance(decode({k: v for k, v in SERVER_ROW.items() if k != name}), str)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -14,7 +14,7 @@
 from monsoonflow.core.adapter import AdapterRef
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.core.server_life import ServerLife
-from monsoonflow.gateway.models import ForwardedRequest, Malformed
+from monsoonflow.gateway.models import ForwardedRequest, Handover, Malformed
 from monsoonflow.helpers.settings import SettingError
 from monsoonflow.orders.models import (
     Accepted,
@@ -241,6 +241,56 @@
     assert isinstance(HeaderDialect().read_call(create_request(header)), Malformed)
 
 
+def test_the_attempt_that_began_a_stream_is_read_and_forwarded_unchanged():
+    """A server or a peer that does not get it can't tell which stream is taken up again."""
+    dialect = HeaderDialect()
+    request = create_request(
+        (b"Resumes", b"r0"), (b"Last-Event-Id", b"3"), (b"Connection", b"Resumes")
+    )
+    call = dialect.read_call(request)
+    assert (call.resumed_request_id, call.stream_id, call.resumes_stream) == ("r0", "r0", True)
+    to_server = dialect.forwarded_head(request, ForwardedRequest(1_234, ServerLife("i-1")))
+    to_peer = dialect.peer_head(request, Handover(5, 0), b"3")
+    assert b"\r\nResumes: r0\r\n" in to_server and b"\r\nResumes: r0\r\n" in to_peer
+
+
+@pytest.mark.parametrize("header", [(b"Resumes", b"r0"), (b"Last-Event-Id", b"")])
+def test_a_call_without_events_resumes_no_stream(header):
+    """A caller that has no event yet begins a stream of its own."""
+    call = HeaderDialect().read_call(create_request(header))
+    assert (call.resumes_stream, call.stream_id) == (False, "r1")
+
+
+@pytest.mark.parametrize("version", ["v1", "1.2 (beta)", "a\r\nX-Hold: 1", "vé", "%41"])
+def test_the_software_version_of_a_stream_is_told_between_nodes(version):
+    """Any text may be a version: with a line break, it could add a header."""
+    dialect = HeaderDialect()
+    head = dialect.peer_head(create_request(), Handover(5, 1, version), None).decode()
+    headers = [tuple(line.encode().split(b": ", 1)) for line in head.split("\r\n")[1:-2]]
+    assert not any(name == b"X-Hold" for name, _ in headers)
+    received = attrs.evolve(create_request(), headers=headers)
+    assert dialect.read_handover(received) == Handover(5, 1, version)
+    answer = AnswerHead(200, b"OK", dialect.stream_version_headers(version), None, True)
+    assert dialect.read_answer(answer).software_version == version
+    assert dialect.forwarded_headers(answer) == []
+
+
+def test_peers_of_an_earlier_release_name_no_software_version():
+    dialect = HeaderDialect()
+    request = create_request((b"X-Monsoonflow-Forwarded", b"5,1"))
+    assert dialect.read_handover(request) == Handover(5, 1, None)
+    assert dialect.read_answer(AnswerHead(200, b"OK", [], None, True)).software_version is None
+
+
+def test_callers_can_not_name_the_software_version_of_a_stream():
+    """A caller could have its stream go on at another version."""
+    dialect = HeaderDialect()
+    request = create_request((b"X-Monsoonflow-Software-Version", b"v9"))
+    forwarded = dialect.forwarded_head(request, ForwardedRequest(1_234, ServerLife("i-1")))
+    assert b"v9" not in forwarded
+    assert b"v9" not in dialect.peer_head(request, Handover(5, 0), None)
+
+
 def test_a_call_that_names_two_resumed_attempts_is_malformed():
     """Of two attempts it would be open which one began the stream."""
     dialect = HeaderDialect()
