Tests: the lease holder and a node without servers keep to a stream's version

Two ways on which a stream could go on at another software version had no test of their own: through a lease holder, also one of an earlier release that ignores the version in a slot request, and through a node that reaches no server and knows the version only from its peers' answers.

--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -376,3 +376,42 @@
     for event in ("server_came", "request_sent"):
         line = next(line for line in caplog.messages if f"event={event}" in line)
         assert "software_version=v7" in line, line
+
+
+@pytest.mark.parametrize("adapter", ADAPTERS)
+def test_a_caller_of_a_node_without_servers_goes_on_at_the_version_that_began_its_stream(
+    fleet, partitionable, adapter
+):
+    """Such a node never sees a server, only its peers' answers."""
+    node, (first, *_) = partitionable
+    lose_servers(node)
+    assert versions(stream(fleet, node, adapter, "r-1").body) == {"v1"}
+    drain(fleet, first)
+    answer = go_on(fleet, node, adapter, "r-2", "r-1")
+    assert event_ids(answer.body) == [3, 4]
+    assert versions(answer.body) == {"v1"}
+
+
+@pytest.mark.parametrize("adapter", ADAPTERS)
+@pytest.mark.parametrize("is_earlier_release", [False, True])
+def test_the_lease_holder_loads_an_adapter_at_the_version_that_began_a_stream(
+    fleet, runners, adapter, is_earlier_release
+):
+    """A holder of an earlier release ignores the version that a slot request names."""
+    nodes = [fleet.node(), fleet.node()]
+    holder = fleet.holder()
+    node = next(node for node in nodes if node is not holder)
+    wait_for(lambda: node.daemon.cell_leases.residency.holders(f"{MODEL}/{adapter}"))
+    if is_earlier_release:
+        leases = holder.daemon.cell_leases
+        request_slot = leases.request_slot
+        leases.request_slot = lambda lease, slot_request: request_slot(
+            lease, {**slot_request, "software_version": None}
+        )
+    first, *_, same_version = runners
+    assert versions(stream(fleet, node, adapter, "r-1").body) == {"v1"}
+    drain(fleet, first)
+    answer = go_on(fleet, node, adapter, "r-2", "r-1")
+    assert versions(answer.body) == {"v1"}
+    assert same_version.ran["r-2"] == 1
+    assert not any(adapter in runner.adapters for runner in runners[1:3])
