--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final, TypeVar
 
 from ..transport.client import ConnectionPools, ServerConnection
 from ..transport.const import CONNECT_TIMEOUT_MS, REPLY_BUFFER_BYTES
-from ..transport.models import AnswerHead, BrokenAnswer, Lost, Request
+from ..transport.models import AnswerHead, BrokenAnswer, Header, Lost, Request
 from ..transport.server import Reply
 from .event_splitter import MAX_EVENT_BYTES, EventSplitter, first_event_id
 from .models import (
@@ -65,6 +65,7 @@
     :param on_send: called just before the request is sent.
     :param on_activity: called for each part of an answer, which shows that the server is working.
     :param on_terms: called with what the head of the answer says.
+    :param stream_headers: added to the head of a stream.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         on_send: Callable[[], None] = lambda: None,
         on_activity: Callable[[], None] = lambda: None,
         on_terms: Callable[[AnswerTerms], None] = lambda _terms: None,
+        stream_headers: Sequence[Header] = (),
     ) -> None:
         self._pools = pools
         self._dialect = dialect
@@ -96,6 +98,7 @@
         self._on_send = on_send
         self._on_activity = on_activity
         self._on_terms = on_terms
+        self._stream_headers = stream_headers
 
     def send(
         self,
@@ -291,7 +294,7 @@
         if reply.started:
             reply.write(events)
             return
-        headers = self._dialect.forwarded_headers(head)
+        headers = [*self._dialect.forwarded_headers(head), *self._stream_headers]
         reply.begin(head.status, headers, None, head.reason, events, head.ends_with_connection)
 
 
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -75,6 +75,7 @@
         self.service = service
         self.slots = slots
         self.born: int | None = None
+        self.software_version = "v1"
         self.faults = RunnerFaults()
         self.ran: Counter[str] = Counter()
         self.requests: list[Request] = []
@@ -141,7 +142,7 @@
             "zone": "zone-1",
             "slots": self.slots,
             "state": "ready",
-            "version": "v1",
+            "version": self.software_version,
             "coldRemainingMs": 0,
             "sequence": 1,
             **self._born(),
@@ -390,4 +391,5 @@
         reply.finish()
 
     def _event(self, request: Request, number: int) -> bytes:
-        return b"id: %d\ndata: %s-%d\n\n" % (number, request.value(b"x-request-id"), number)
+        request_id, version = request.value(b"x-request-id"), self.software_version.encode()
+        return b"id: %d\ndata: %s-%d-%s\n\n" % (number, request_id, number, version)
--- a/tests/entry/raw_runner.py
+++ b/tests/entry/raw_runner.py
@@ -118,7 +118,7 @@
 
 def events(*numbers: int, name: str = "r") -> bytes:
     """Return the events that a runner generates."""
-    return b"".join(b"id: %d\ndata: %s-%d\n\n" % (n, name.encode(), n) for n in numbers)
+    return b"".join(b"id: %d\ndata: %s-%d-v1\n\n" % (n, name.encode(), n) for n in numbers)
 
 
 @attrs.frozen
