Stand-ins: servers name their software version, callers take up streams again

All stand-in servers registered as software v1 and no event told which software had generated it. Callers never came back after a stream had broken off.

A server now has a version, in its entry and in the data of its events. Callers take up a stream that broke off after a whole event up to three times within their time, at any node, with Last-Event-Id, Resumes and a new request id. Connections on which they wait for answers can be reset. Streams of the soak last 0.6 s, so that more of them are cut.

--- a/stand_ins/callers.py
+++ b/stand_ins/callers.py
@@ -7,6 +7,7 @@
 import time
 from typing import Any, Final
 
+import attrs
 import gevent
 import orjson
 from gevent import config
@@ -25,6 +26,36 @@
 """The customer that callers claim to be; only their key may decide."""
 
 
+MAX_RESUMES: Final = 3
+RESUME_PAUSE_S: Final = (0.02, 0.3)
+"""How often callers take up a stream that broke off, and after which pause."""
+
+MIN_LEFT_MS: Final = 100
+"""With less time left, callers do not come back."""
+
+FINAL_STATUSES: Final = frozenset({200, 400, 401, 404, 413, 431})
+"""After a complete answer with one of these, callers do not come back."""
+
+
+@attrs.frozen(slots=True)
+class Sending:
+    """What a caller wants, over all of its tries.
+
+    :param first: the name of the first try.
+    :param until: when it gives up, on the monotonic clock.
+    """
+
+    first: str
+    route: dict[str, Any]
+    headers: dict[str, str]
+    customer: str | None
+    until: float
+
+    def left_ms(self) -> int:
+        """Return how much time is left."""
+        return round((self.until - time.monotonic()) * 1000)
+
+
 class Callers:
     """Sends requests of several routes at a steady pace.
 
@@ -61,48 +92,83 @@
     def send_for_good(self, per_s: float) -> None:
         """Send requests, one after the other begins."""
         while True:
-            gevent.spawn(self._one)
+            gevent.spawn(self.send_one)
             gevent.sleep(self._rng.expovariate(per_s))
 
-    def _one(self) -> None:
+    def reset(self, ip: str) -> None:
+        """Reset the connections to a node on which answers are due."""
+        self._client.reset(ip)
+
+    def send_one(self) -> None:
+        """Send a request of any kind; take up its stream again if it breaks off."""
         address = self._address()
         if address is None:
             return
-        self._number += 1
-        request = f"{self._name}-{self._number}"
         route = self._rng.choice(self._routes)
-        headers: dict[str, str] = {
+        key = self._rng.choice(list(self._customer_by_key))
+        first = self._next_name()
+        headers = {
             "Host": self._host,
-            "X-Request-Id": request,
-            "X-Deadline-Ms": str(route["deadline_ms"]),
+            "Authorization": f"Bearer {key}",
+            "X-Tenant": OTHER_CUSTOMER,
             **route["headers"],
         }
-        key = self._rng.choice(list(self._customer_by_key))
-        headers["Authorization"] = f"Bearer {key}"
-        headers["X-Tenant"] = OTHER_CUSTOMER
         if "adapters" in route:
             headers["X-Model"] = self._rng.choice(route["adapters"])
+        until = time.monotonic() + route["deadline_ms"] / 1000
+        sending = Sending(first, route, headers, self._customer_by_key[key], until)
+        last_event = self._try(sending, address, first, 0)
+        for _ in range(MAX_RESUMES):
+            if not last_event:
+                return
+            gevent.sleep(self._rng.uniform(*RESUME_PAUSE_S))
+            address = self._address()
+            if address is None or sending.left_ms() < MIN_LEFT_MS:
+                return
+            last_event = self._try(sending, address, self._next_name(), last_event)
+
+    def _next_name(self) -> str:
+        self._number += 1
+        return f"{self._name}-{self._number}"
+
+    def _try(self, sending: Sending, address: str, name: str, after: int) -> int:
+        """Send a request once and write down what came of it.
+
+        :param after: the last whole event of the tries before; 0 for none.
+        :return: the last whole event of a stream that may be taken up again; 0 for none.
+        """
         began = time.monotonic()
+        route, first, left_ms = sending.route, sending.first, sending.left_ms()
+        told = {**sending.headers, "X-Request-Id": name, "X-Deadline-Ms": str(left_ms)}
+        if after:
+            told |= {"Last-Event-Id": str(after), "Resumes": first}
         answer = self._client.call(
-            address, "POST", route["path"], headers.items(), request.encode(), route["deadline_ms"]
+            address, "POST", route["path"], told.items(), first.encode(), left_ms
         )
         status = answer.status if answer.is_complete else 0
-        stream = read_events(answer.body).fields() if route.get("is_stream") else {}
+        is_stream = route.get("is_stream", False)
+        stream = read_events(answer.body)
+        is_resumed_at_end = after > 0 and not answer.body
         record(
             "ended",
-            request=request,
+            request=name,
+            first=first,
+            after=after,
             path=route["path"],
             status=status,
             head_status=answer.status,
             ending=answer.ending,
-            own=answer.is_complete and request.encode() in answer.body,
+            own=answer.is_complete and (name.encode() in answer.body or is_resumed_at_end),
             took_ms=round((time.monotonic() - began) * 1000),
             node=address.rpartition(":")[0],
-            customer=self._customer_by_key[key],
-            **stream,
+            customer=sending.customer,
+            **(stream.fields() if is_stream else {}),
         )
         if status == 0 and address in self._addresses:
             self._addresses.remove(address)
+        if not is_stream or status in FINAL_STATUSES:
+            return 0
+        return max([after, *(number for number in stream.ids if number is not None)])
 
     def _address(self) -> str | None:
         if not self._addresses or time.monotonic() - self._asked_at > self._ttl_s:
@@ -142,7 +208,7 @@
         given.seed,
     )
     gevent.spawn(callers.send_for_good, given.per_s)
-    follow({})
+    follow({"reset": callers.reset})
 
 
 if __name__ == "__main__":
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -62,6 +62,9 @@
     break_resets: bool = False
 
 
+FIRST_VERSION: Final = "v1"
+"""The software of servers of which nothing else is said."""
+
 FALL_S: Final = 2.0
 """How long a brittle server that falls over is gone."""
 
@@ -74,6 +77,7 @@
         self.address = address
         self.service = service
         self.slots = slots
+        self.version = FIRST_VERSION
         self.born: int | None = None
         self.faults = RunnerFaults()
         self.ran: Counter[str] = Counter()
@@ -141,7 +145,7 @@
             "zone": "zone-1",
             "slots": self.slots,
             "state": "ready",
-            "version": "v1",
+            "version": self.version,
             "coldRemainingMs": 0,
             "sequence": 1,
             **self._born(),
@@ -390,4 +394,5 @@
         reply.finish()
 
     def _event(self, request: Request, number: int) -> bytes:
-        return b"id: %d\ndata: %s-%d\n\n" % (number, request.value(b"x-request-id"), number)
+        name, version = request.value(b"x-request-id"), self.version.encode()
+        return b"id: %d\ndata: %s-%d %s\n\n" % (number, name, number, version)
--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -18,7 +18,7 @@
 from monsoonflow.transport.models import Request  # noqa: E402
 from monsoonflow.transport.server import Reply  # noqa: E402
 from stand_ins.commands import follow, record  # noqa: E402
-from stand_ins.platform_runner import PlatformRunner, PlatformServer  # noqa: E402
+from stand_ins.platform_runner import FIRST_VERSION, PlatformRunner, PlatformServer  # noqa: E402
 
 REGISTER_TIMEOUT_MS: Final = 1_000
 AGAIN_S: Final = 0.1
@@ -26,7 +26,7 @@
 """Statuses with which these servers turn a request away unrun."""
 
 EVENTS: Final = 20
-EVENT_MS: Final = 15
+EVENT_MS: Final = 30
 """How many events a stream has, and the pause after each."""
 
 CRASH_WAIT_S: Final = 0.3
@@ -148,6 +148,7 @@
     parser.add_argument("--told-address", required=True, help="IP:PORT where others reach it")
     parser.add_argument("--service", required=True)
     parser.add_argument("--model", help="of a model runner")
+    parser.add_argument("--version", default=FIRST_VERSION, help="of its software")
     parser.add_argument("--zone", required=True)
     parser.add_argument("--store", required=True, help="IP:PORT")
     parser.add_argument("--heartbeat-ms", type=int, required=True)
@@ -158,6 +159,7 @@
     else:
         server = RunnerProcess(given.id, given.listen, given.service, given.model)
         server.events, server.event_ms = EVENTS, EVENT_MS
+    server.version = given.version
     server.born = time.time_ns() // 1_000_000
     server.faults.slow_ms = given.work_ms
     server.start()
--- a/stand_ins/strict_client.py
+++ b/stand_ins/strict_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket as native
 import time
 from collections.abc import Iterable
 from enum import StrEnum
@@ -11,6 +13,7 @@
 from gevent import socket
 
 from monsoonflow.transport.sockets import connect, is_readable
+from stand_ins.links import RESET
 
 CONNECT_TIMEOUT_MS: Final = 1_000
 READ_BYTES: Final = 65_536
@@ -86,6 +89,12 @@
         """Close it."""
         self._sock.close()
 
+    def reset(self) -> None:
+        """Reset it; the answer that is being read ends so."""
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+        self._sock.close()
+
     def exchange(self, request: bytes, timeout_ms: int) -> StrictAnswer:
         """Send a request and read its answer as far as it comes."""
         self._until = time.monotonic() + timeout_ms / 1000
@@ -199,6 +208,7 @@
     """Sends requests over connections that are kept open."""
 
     _idle: dict[str, list[StrictConnection]] = attrs.Factory(dict)
+    _active: dict[StrictConnection, str] = attrs.Factory(dict)
 
     def call(
         self,
@@ -216,6 +226,7 @@
             connection = self._connection(address, min(timeout_ms, CONNECT_TIMEOUT_MS))
         except OSError:
             return StrictAnswer()
+        self._active[connection] = address
         try:
             answer = connection.exchange(
                 "\r\n".join(lines).encode() + b"\r\n\r\n" + body, timeout_ms
@@ -223,12 +234,20 @@
         except BaseException:
             connection.close()
             raise
+        finally:
+            del self._active[connection]
         if connection.is_usable():
             self._idle.setdefault(address, []).append(connection)
         else:
             connection.close()
         return answer
 
+    def reset(self, ip: str) -> None:
+        """Reset the connections to a host on which answers are due."""
+        for connection, address in list(self._active.items()):
+            if address.rpartition(":")[0] == ip:
+                connection.reset()
+
     def _connection(self, address: str, timeout_ms: int) -> StrictConnection:
         idle = self._idle.get(address)
         while idle:
