Soak: streams keep to one software version and go on when taken up again

The soak had runners of one version only and did not judge streams over several tries. Two new kinds of faults: a release, which replaces half of the model runners by others of a new version, and resets of callers' connections. Two new promises: at most two streams with events of several versions, in one answer or over the tries of a caller; and of 12 or more streams that are taken up again at undisturbed nodes, while two runners of their version serve, the share that goes on is at least half of the share of new streams near to them that begin. A crashed server and a partitioned node count as disturbed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,14 +20,18 @@
 from .judge import Late
 from .outcome import (
     answers_of,
+    broken_at_releases_of,
     broken_of,
     endings_of,
     exceeded_of,
     falls_of,
     late_of,
     looking_complete_of,
+    mixed_of,
+    resumptions_of,
     worse_served_of,
 )
+from .versions import Resumptions
 
 SETTLE_S: Final = 2.0
 """Traffic before the first trouble."""
@@ -47,6 +51,8 @@
     statuses: Counter[int]
     endings: Counter[str]
     troubles: dict[str, int]
+    mixed: int
+    resumptions: Resumptions
 
 
 def run_seed(seed: int, seconds: float, folder: Path, given: argparse.Namespace) -> Run:
@@ -64,11 +70,20 @@
     broken = [
         *broken_of(fleet),
         *looking_complete_of(fleet),
+        *broken_at_releases_of(fleet, injector.partitions, injector.disturbances),
         *exceeded_of(fleet, injector.disturbances),
         *worse_served_of(fleet, injector.partitions, injector.disturbances),
         *falls_of(fleet, injector.brittle_services),
     ]
-    return Run(late, broken, answers_of(fleet), endings_of(fleet), injector.counts)
+    return Run(
+        late,
+        broken,
+        answers_of(fleet),
+        endings_of(fleet),
+        injector.counts,
+        len(mixed_of(fleet)),
+        resumptions_of(fleet, injector.partitions, injector.disturbances),
+    )
 
 
 def main() -> int:
@@ -107,6 +122,7 @@
         f"{len(run.promises)} promises broken; "
         f"answers {dict(sorted(run.statuses.items()))}; "
         f"endings of those with 200 {dict(sorted(run.endings.items()))}; "
+        f"{run.mixed} streams of several versions; {run.resumptions.line()}; "
         f"troubles {run.troubles}; {folder}",
         flush=True,
     )
--- a/soak/answer_faults.py
+++ b/soak/answer_faults.py
@@ -6,7 +6,7 @@
 
 from stand_ins.raw_answers import BreakPlace
 
-from .const import ENGINES
+from .const import ENGINES, LAPSE_S
 
 if TYPE_CHECKING:
     from .faults import FaultInjector
@@ -57,7 +57,7 @@
 def _crash(injector: FaultInjector, server: str) -> None:
     fleet = injector.fleet
     if server in fleet.servers and server not in fleet.standing_still:
-        injector.disturbed(server, 0)
+        injector.disturbed(server, LAPSE_S)
         fleet.crash(server)
     else:
         _end(injector, [server])
--- a/soak/const.py
+++ b/soak/const.py
@@ -7,9 +7,15 @@
 from stand_ins.configuration import SERVICES, configuration, route
 
 HEARTBEAT_MS: Final = 1_200
+LAPSE_S: Final = HEARTBEAT_MS * 3 / 1_000
+"""How long the entry of a silent server lasts."""
+
 DRAIN_MS: Final = 2_000
 """How soon nothing may reach a server that leaves."""
 
+SERVES_MS: Final = 6_000
+"""How long a server that leaves goes on."""
+
 USUAL_WORK_MS: Final = 45
 """What a request takes at a server."""
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,13 +12,11 @@
 from stand_ins.links import Mode
 
 from .answer_faults import answers_broken_off, answers_unframed, server_crashes
-from .const import CONTACT_MS, HEARTBEAT_MS, USUAL_WORK_MS
+from .const import CONTACT_MS, LAPSE_S, SERVES_MS, USUAL_WORK_MS
 from .fleet import STORE, Fleet
 from .judge import Disturbance
 from .partitions import Partition
-
-SERVES_MS: Final = 6_000
-"""How long a server that leaves goes on."""
+from .release_faults import callers_reset, release
 
 GRACE_S: Final = 8.0
 """How long a node that is told to stop may take."""
@@ -26,7 +24,6 @@
 NODE_STARTS_S: Final = 2.0
 """How long a node takes to start, on a busy machine."""
 
-LAPSE_S: Final = HEARTBEAT_MS * 3 / 1_000
 PAUSE_S: Final = (0.4, 2.5)
 """Least and longest pause between two troubles."""
 
@@ -335,4 +332,6 @@
     "answers-unframed": answers_unframed,
     "answers-broken-off": answers_broken_off,
     "server-crashes": server_crashes,
+    "release": release,
+    "callers-reset": callers_reset,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,6 +14,7 @@
 from script.ports import free_port
 from script.processes import ROOT
 from stand_ins.links import Mode
+from stand_ins.platform_runner import FIRST_VERSION
 
 from .const import (
     CALLER_ROUTES,
@@ -83,6 +84,8 @@
         self.callers: list[str] = []
         self.standing_still: set[str] = set()
         self.service_by_server: dict[str, str] = {}
+        self.version_by_server: dict[str, str] = {}
+        self._versions = 0
         self._folder = folder
         self._node_root = node_root
         self._numbers = 0
@@ -113,8 +116,16 @@
         for zone in ZONES:
             self._add_callers(zone, per_s / len(ZONES), seed)
 
-    def add_server(self, service: str) -> str:
-        """Start a server behind a link of its own; return its id."""
+    def new_version(self) -> str:
+        """Return a version of servers' software that no server has yet."""
+        self._versions += 1
+        return f"{FIRST_VERSION}.{self._versions}"
+
+    def add_server(self, service: str, version: str = FIRST_VERSION) -> str:
+        """Start a server behind a link of its own; return its id.
+
+        :param version: of its software.
+        """
         self._numbers += 1
         name = f"i-{service}-{self._numbers}"
         own, told = (f"127.0.0.1:{free_port()}" for _ in range(2))
@@ -126,23 +137,39 @@
             *("--id", name, "--listen", own, "--told-address", told, "--service", service),
             *("--zone", ZONES[self._numbers % len(ZONES)], "--store", self._store_address),
             *("--heartbeat-ms", str(HEARTBEAT_MS), "--work-ms", str(USUAL_WORK_MS), *model),
+            *("--version", version),
         )
         self.servers.append(name)
         self.service_by_server[name] = service
+        self.version_by_server[name] = version
         return name
 
-    def leave(self, server: str, serves_ms: int, without_word: bool = False) -> None:
-        """Let a server leave, and start another one of its service."""
+    def leave(
+        self, server: str, serves_ms: int, without_word: bool = False, is_replaced: bool = True
+    ) -> None:
+        """Let a server leave, and start another one of its service and version.
+
+        :param is_replaced: whether another one starts.
+        """
         self.processes.command(server, "leave", serves_ms=serves_ms, without_word=without_word)
         self.servers.remove(server)
-        self.add_server(self.service_by_server[server])
+        if is_replaced:
+            self._add_like(server)
 
     def crash(self, server: str) -> None:
         """Let a server end in the middle of its answers, and start another one of its service."""
         self.processes.command(server, "crash")
         self.processes.by_name[server].wait(CRASHES_WITHIN_S)
         self.servers.remove(server)
-        self.add_server(self.service_by_server[server])
+        self._add_like(server)
+
+    def _add_like(self, server: str) -> None:
+        self.add_server(self.service_by_server[server], self.version_by_server[server])
+
+    def reset_callers_of(self, node: str) -> None:
+        """Reset the connections of callers to a node on which answers are due."""
+        for callers in self.callers:
+            self.processes.command(callers, "reset", ip=self.ip_of(node))
 
     def stop(self, name: str) -> None:
         """Let a process stand still."""
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -80,8 +80,8 @@
 
 
 @attrs.define
-class _Leaves:
-    """When a server was confirmed as leaving, and when it was ready again."""
+class Leaves:
+    """When a server was confirmed as leaving, and when it was ready or ready again."""
 
     changes: list[tuple[int, str]] = attrs.Factory(list)
 
@@ -96,6 +96,22 @@
                 left = (changed_ms, state)
         return left
 
+    def is_ready_since(self, from_ms: int, until_ms: int) -> bool:
+        """Return whether the server was confirmed as ready, and as nothing else, all that time."""
+        before = [state for at_ms, state in self.changes if at_ms <= from_ms]
+        within = [state for at_ms, state in self.changes if from_ms < at_ms <= until_ms]
+        return bool(before) and {before[-1], *within} == {"ready"}
+
+
+def leaves_by_server(store: Iterable[Record]) -> dict[str, Leaves]:
+    """Return what the store confirmed of each server."""
+    leaves: dict[str, Leaves] = {}
+    for record in store:
+        if record.event in ("ready", "draining", "lapsed", "removed"):
+            found = leaves.setdefault(record.fields["server"], Leaves())
+            found.changes.append((record.at_ms, record.event))
+    return leaves
+
 
 def late_arrivals(
     store: Iterable[Record],
@@ -108,11 +124,7 @@
 
     :param disturbances: of nodes by their names, and of the store.
     """
-    leaves: dict[str, _Leaves] = {}
-    for record in store:
-        if record.event in ("ready", "draining", "lapsed", "removed"):
-            found = leaves.setdefault(record.fields["server"], _Leaves())
-            found.changes.append((record.at_ms, record.event))
+    leaves = leaves_by_server(store)
     sends, known = _of_nodes(logs)
     disturbed = sorted(disturbances, key=lambda d: d.from_ms)
     store_disturbed = [d for d in disturbed if d.name == store_name]
@@ -127,7 +139,7 @@
         request = record.fields.get("request")
         if record.event != "reached" or (record.source, request) in moved:
             continue
-        left = leaves.get(record.source, _Leaves()).since(record.at_ms)
+        left = leaves.get(record.source, Leaves()).since(record.at_ms)
         if left is None:
             continue
         counts_from_ms = _stable_from(left[0], store_disturbed)
--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -9,13 +9,15 @@
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.report.timeline import read
 
+from .const import CONTACT_MS, ENGINES
 from .fleet import STORE, Fleet
-from .judge import Disturbance, Late, late_arrivals
+from .judge import Disturbance, Late, late_arrivals, leaves_by_server
 from .limits import exceeded_limits
 from .partitions import Partition, worse_served
 from .processes import Record
 from .promises import broken_promises
-from .streams import broken_streams
+from .streams import broken_streams, events_by_request
+from .versions import MAX_MIXED, MixedStream, Resumptions, mixed_streams, resumptions
 
 MAX_FALLS: Final = 2
 MAX_FALLS_SHARE: Final = 0.1
@@ -42,6 +44,53 @@
     return broken_streams(_of(fleet, fleet.callers), _of(fleet, fleet.service_by_server))
 
 
+def mixed_of(fleet: Fleet) -> list[MixedStream]:
+    """Return the streams with events of several software versions."""
+    return mixed_streams(_of(fleet, fleet.callers))
+
+
+def resumptions_of(
+    fleet: Fleet, partitions: Iterable[Partition], disturbances: Iterable[Disturbance]
+) -> Resumptions:
+    """Return what became of streams that callers took up again at undisturbed nodes."""
+    node_by_ip = {fleet.ip_of(node): node for node in fleet.nodes}
+    partitioned = [Disturbance(p.node, p.from_ms, p.until_ms) for p in partitions]
+    disturbed = [*disturbances, *partitioned]
+    leaves = leaves_by_server(fleet.processes.records(STORE))
+
+    def is_disturbed(name: str, at_ms: int) -> bool:
+        return any(d.name == name and d.within_contact(at_ms) for d in disturbed)
+
+    def runners_serving(version: str, at_ms: int) -> int:
+        return sum(
+            of_server == version
+            and server in leaves
+            and leaves[server].is_ready_since(at_ms - CONTACT_MS, at_ms)
+            and not is_disturbed(server, at_ms)
+            for server, of_server in fleet.version_by_server.items()
+            if fleet.service_by_server[server] == ENGINES
+        )
+
+    return resumptions(
+        _of(fleet, fleet.callers),
+        events_by_request(_of(fleet, fleet.service_by_server)),
+        lambda record, at_ms: not is_disturbed(node_by_ip[record.fields["node"]], at_ms),
+        runners_serving,
+    )
+
+
+def broken_at_releases_of(
+    fleet: Fleet, partitions: Iterable[Partition], disturbances: Iterable[Disturbance]
+) -> list[str]:
+    """Return a line for each stream of two versions beyond what is tolerated, and for lost ones."""
+    mixed = mixed_of(fleet)
+    lost = resumptions_of(fleet, partitions, disturbances)
+    return [
+        *(stream.line() for stream in (mixed if len(mixed) > MAX_MIXED else ())),
+        *([lost.line()] if lost.are_lost() else ()),
+    ]
+
+
 def endings_of(fleet: Fleet) -> Counter[str]:
     """Return how often answers with status 200 ended in which way, by their framing."""
     ended = (r.fields for r in _of(fleet, fleet.callers) if r.event == "ended")
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -12,13 +12,18 @@
 from .processes import Record
 
 
-def broken_streams(callers: Iterable[Record], servers: Iterable[Record]) -> list[str]:
-    """Return a line for each stream that is complete by its framing and is not whole."""
-    events_by_request = {
+def events_by_request(servers: Iterable[Record]) -> dict[str, int]:
+    """Return how many events a whole stream has."""
+    return {
         record.fields["request"]: record.fields["events"]
         for record in servers
         if record.event == "generates"
     }
+
+
+def broken_streams(callers: Iterable[Record], servers: Iterable[Record]) -> list[str]:
+    """Return a line for each stream that is complete by its framing and is not whole."""
+    totals = events_by_request(servers)
     broken = []
     for record in callers:
         # A status other than 0 stands for an answer that is complete by its framing.
@@ -27,20 +32,20 @@
         if "events" not in record.fields:
             continue
         request = record.fields["request"]
-        fault = _fault_of(record, events_by_request.get(request))
+        fault = _fault_of(record, totals.get(request))
         if fault is not None:
             broken.append(f"{request} looks complete ({record.fields['ending']}) and {fault}")
     return broken
 
 
 def _fault_of(record: Record, total: int | None) -> str | None:
-    ids = record.fields["events"]
+    ids, after = record.fields["events"], record.fields.get("after", 0)
     if total is None:
         return "no runner generated it"
     if not record.fields["last_whole"]:
-        return f"ends inside an event, after {len(ids)} of {total}"
-    if ids == list(range(1, total + 1)):
+        return f"ends inside an event, after {after + len(ids)} of {total}"
+    if ids == list(range(after + 1, total + 1)):
         return None
-    if ids == list(range(1, len(ids) + 1)):
-        return f"lacks events: {len(ids)} of {total}"
+    if after + len(ids) < total and ids == list(range(after + 1, after + len(ids) + 1)):
+        return f"lacks events: {after + len(ids)} of {total}"
     return f"repeats or skips events: {ids} of {total}"
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -11,6 +11,7 @@
 from soak.fleet import Fleet
 from soak.outcome import (
     answers_of,
+    broken_at_releases_of,
     broken_of,
     exceeded_of,
     falls_of,
@@ -28,12 +29,15 @@
 BROKEN_ANSWERS = {"answers-unframed", "answers-broken-off", "server-crashes"}
 """Left to runs by hand: nodes pass on an answer that ends inside an event as a whole one."""
 
+RELEASES = {"release", "callers-reset"}
+"""Left to runs by hand: streams go on at any software version."""
+
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_no_promise_is_broken_under_faults_in_series(tmp_path, seed):
     """Guards against promises that hold only in virtual time."""
     fleet = Fleet(tmp_path)
-    kinds = tuple(kind for kind in KINDS if kind not in {STILL, *BROKEN_ANSWERS})
+    kinds = tuple(kind for kind in KINDS if kind not in {STILL, *BROKEN_ANSWERS, *RELEASES})
     injector = FaultInjector(fleet, random.Random(seed), kinds)
     try:
         fleet.start(NODES, plain=3, engines=3, per_s=40.0, seed=seed)
@@ -45,6 +49,7 @@
     assert not late
     assert not broken_of(fleet)
     assert not looking_complete_of(fleet)
+    assert not broken_at_releases_of(fleet, injector.partitions, injector.disturbances)
     assert not exceeded_of(fleet, injector.disturbances)
     assert not worse_served_of(fleet, injector.partitions, injector.disturbances)
     assert not falls_of(fleet, injector.brittle_services)
--- a/tests/soak/test_streams.py
+++ b/tests/soak/test_streams.py
@@ -53,3 +53,14 @@
 def test_an_answer_that_is_no_stream_is_not_judged_as_one():
     fields = {"request": "r", "status": 200, "ending": "length"}
     assert not broken_streams([Record("callers", 0, "ended", fields)], [])
+
+
+@pytest.mark.parametrize(
+    ("after", "numbers", "is_whole"),
+    [(1, (2, 3), True), (3, (), True), (1, (1, 2, 3), False), (1, (3,), False), (1, (2,), False)],
+)
+def test_a_stream_that_was_taken_up_again_goes_on_after_its_last_event(after, numbers, is_whole):
+    body = b"".join(EVENTS[number - 1] for number in numbers)
+    fields = {"request": "r", "status": 200, "ending": "chunks", "after": after}
+    record = Record("callers", 0, "ended", fields | read_events(body).fields())
+    assert (not broken_streams([record], [GENERATES])) is is_whole
