--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -62,6 +62,9 @@
     break_resets: bool = False
 
 
+FIRST_VERSION: Final = "v1"
+"""The software of servers of which nothing else is said."""
+
 FALL_S: Final = 2.0
 """How long a brittle server that falls over is gone."""
 
@@ -75,7 +78,7 @@
         self.service = service
         self.slots = slots
         self.born: int | None = None
-        self.software_version = "v1"
+        self.software_version = FIRST_VERSION
         self.faults = RunnerFaults()
         self.ran: Counter[str] = Counter()
         self.requests: list[Request] = []
@@ -391,5 +394,5 @@
         reply.finish()
 
     def _event(self, request: Request, number: int) -> bytes:
-        request_id, version = request.value(b"x-request-id"), self.software_version.encode()
-        return b"id: %d\ndata: %s-%d-%s\n\n" % (number, request_id, number, version)
+        name, version = request.value(b"x-request-id"), self.software_version.encode()
+        return b"id: %d\ndata: %s-%d %s\n\n" % (number, name, number, version)
--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -72,7 +72,7 @@
 
 def versions(body: bytes) -> set[str]:
     """Return the software versions that generated the events of an answer."""
-    return {version.decode() for version in re.findall(rb"^data: .*-(v\d+)$", body, re.MULTILINE)}
+    return {version.decode() for version in re.findall(rb"^data: .* (v\d+)$", body, re.MULTILINE)}
 
 
 def stream(fleet, node, adapter, request_id, path="read", **headers):
