Servers: decode the software version of a server

Cause: a stream may go on only at a runner of the software version that began it, and the version that a server's row states was checked but dropped. A row without one was rejected as a whole. Change: BackendServer.software_version; a missing or unusable version is None and the row stays valid.

--- a/monsoonflow/discovery/models.py
+++ b/monsoonflow/discovery/models.py
@@ -26,6 +26,7 @@
     :param max_concurrent_requests: number of requests that it processes concurrently.
     :param is_leaving: whether it has announced that it is shutting down.
     :param leaving_in_ms: time until it shuts down, if announced.
+    :param software_version: of the server itself, not of its adapters; ``None`` if it states none.
     """
 
     life: ServerLife
@@ -36,3 +37,4 @@
     is_leaving: bool = False
     leaving_in_ms: int | None = None
     models: tuple[HeldModel, ...] = ()
+    software_version: str | None = None
--- a/monsoonflow/platform/schema.py
+++ b/monsoonflow/platform/schema.py
@@ -36,7 +36,9 @@
 
     :param slots: requests that it processes at once, not slots for adapters.
     :param sequence: number of writes of the row; in a report it is the number of orders.
-    :param version: not an adapter version; checked but not used, like ``cold_remaining_ms``.
+    :param version: of the server's software, not of an adapter. A row without a usable one stays
+        valid: the server can serve all requests but resumed streams.
+    :param cold_remaining_ms: checked but not used.
     :param born: start of the server in Unix milliseconds; not sent in every deployment.
     :param remaining_ms: how long a draining server continues, if it says so.
     """
@@ -47,8 +49,8 @@
     slots: PositiveCount
     state: Literal["ready", "draining"]
     sequence: Count
-    version: str
     cold_remaining_ms: NonNegativeNumber
+    version: object = None
     born: Count | msgspec.UnsetType = msgspec.UNSET
     remaining_ms: NonNegativeNumber | None = None
     models: list[HeldModelFields] = []
--- a/monsoonflow/platform/servers.py
+++ b/monsoonflow/platform/servers.py
@@ -15,6 +15,7 @@
 
 SERVERS_TABLE = "servers"
 MAX_PORT: Final = 65_535
+MAX_VERSION_LENGTH: Final = 100
 
 
 def decode_server(server_id: str, body: bytes) -> BackendServer | str:
@@ -36,9 +37,15 @@
         is_leaving=fields.state != "ready",
         leaving_in_ms=None if fields.remaining_ms is None else round(fields.remaining_ms),
         models=models,
+        software_version=_decode_software_version(fields.version),
     )
 
 
+def _decode_software_version(value: object) -> str | None:
+    is_usable = isinstance(value, str) and 0 < len(value) <= MAX_VERSION_LENGTH
+    return value if is_usable else None
+
+
 def to_server_life(server_id: str, born: int | msgspec.UnsetType) -> ServerLife:
     """Return the life (run of the process) of a server; ``born`` is its start, if sent."""
     return ServerLife.of(server_id, None if born is msgspec.UNSET else born)
