Store: tell for which time the rows of a collection are known without a gap

Cause: a node can't tell whether it would have seen a server of another software version: its list may be old, or may have been for a while. Times in the store's own clock were dropped. Change: each watch keeps since when and up to when its rows are known; answers about rows carry the store's steady clock. The store's stand-in states a clock of its own instead of 0.

--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -133,7 +133,7 @@
         rows = [
             row for entry in data.get("rows", ()) if (row := _decode_changed_row(entry)) is not None
         ]
-        return Changes(tuple(rows), int(data["rowVersion"]))
+        return Changes(tuple(rows), int(data["rowVersion"]), _decode_now_ms(data))
 
     def cancel_request(self) -> None:
         """Cancel the request for changes in progress, even if it still has no connection."""
@@ -159,7 +159,7 @@
             ]
             rows += page
             if not data.get("hasMore") or not data["rows"]:
-                return Changes(tuple(rows), int(data["rowVersion"]))
+                return Changes(tuple(rows), int(data["rowVersion"]), _decode_now_ms(data))
             # A page includes its start key: the next one starts with the next possible key.
             start_key = data["rows"][-1]["key"] + "\x00"
 
@@ -211,6 +211,12 @@
     return data if isinstance(data, dict) else {}
 
 
+def _decode_now_ms(data: dict[str, Any]) -> int | None:
+    """Return the store's steady clock as an answer states it; ``None`` if it does not."""
+    now_ms = data.get("nowMs")
+    return now_ms if isinstance(now_ms, int) and not isinstance(now_ms, bool) else None
+
+
 def _decode_changed_row(entry: Any) -> ChangedRow | None:
     """Return a changed row; ``None`` for a malformed one, which is logged.
 
--- a/monsoonflow/storage/models.py
+++ b/monsoonflow/storage/models.py
@@ -116,10 +116,12 @@
     """Rows that changed, in order.
 
     :param version: version of the whole table service; the next request asks for changes after it.
+    :param service_now_ms: the service's own steady clock; ``None`` if it states none.
     """
 
     rows: tuple[ChangedRow, ...]
     version: int
+    service_now_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -11,6 +11,7 @@
 from ..logs import events, log
 from .answer_timeout import AnswerTimeout
 from .const import CALL_TIMEOUT_MS
+from .coverage import Coverage
 from .models import ChangedRow, ChangeFeed, Changes, HistoryLost, Unavailable
 
 _LOGGER = logging.getLogger(__name__)
@@ -39,6 +40,9 @@
 """How long an answer may take, in addition to the wait for changes, while answers are fast: a store
 that is sixty times as slow as usual answers within 240 ms."""
 
+DEFAULT_MAX_GAP_MS: Final = 2_000
+"""The longest pause between requests after which the time between them still counts as known."""
+
 STALE_READ_PAUSE_MS: Final = 400
 """Pause before all rows are read again after a read that was older than the rows already known."""
 
@@ -55,6 +59,8 @@
     :param answer_timeout: how long its answer may take in addition to this wait.
     :param on_lost: called when an outage begins, at the first request that fails.
     :param first_retry_delay_ms: delay of the next request after the first that timed out.
+    :param max_gap_ms: the longest pause after which the time between two requests counts as known.
+    :ivar coverage: for which time the rows are known.
     :ivar is_loaded: whether all rows have been read; ``False`` again after lost history.
     :ivar lost_since_ms: when the current outage was noticed; ``None`` while the service answers.
     :ivar last_outage_ms: duration of the last outage that has ended.
@@ -73,6 +79,7 @@
         answer_timeout: AnswerTimeout | None = None,
         on_lost: Callable[[], None] = lambda: None,
         first_retry_delay_ms: int = 0,
+        max_gap_ms: int = DEFAULT_MAX_GAP_MS,
     ) -> None:
         self._feed = feed
         self._collection = collection
@@ -87,6 +94,7 @@
         )
         self._on_lost = on_lost
         self._first_retry_delay_ms = first_retry_delay_ms
+        self.coverage = Coverage(max_gap_ms)
         self._is_waiting = False
         self._is_restarting = False
         self._request_soon_flag: Flag | None = None
@@ -211,12 +219,13 @@
         if wait_ms == 0 and duration_ms >= SLOW_ANSWER_MS:
             self._last_unanswered_ms = sent_ms
         match result:
-            case Changes(rows=rows, version=version):
+            case Changes(rows=rows, version=version, service_now_ms=service_now_ms):
                 self._answer_timeout.record_answer(duration_ms)
                 self._handle_answer()
                 for row in rows:
                     self._apply_row(row)
                 self._version = max(self._version, version)
+                self._record_coverage(sent_ms, service_now_ms)
                 self._end_gap()
                 return self._get_pause_ms()
             case HistoryLost():
@@ -263,9 +272,14 @@
             self._apply_row(ChangedRow(key, result.version, None))
         self._version = result.version
         self.is_loaded = True
+        self._record_coverage(sent_ms, result.service_now_ms)
         self._end_gap()
         return 0
 
+    def _record_coverage(self, sent_ms: int, service_now_ms: int | None) -> None:
+        self.coverage.record_answer(sent_ms)
+        self.coverage.record_service_clock(service_now_ms, self._clock.now_ms())
+
     def _end_gap(self) -> None:
         self._last_answer_ms = self._clock.now_ms()
         self._has_gap = False
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -16,6 +16,8 @@
 from monsoonflow.transport.server import HttpServer, Reply
 
 JSON = [(b"Content-Type", b"application/json")]
+CLOCK_OFFSET_MS = 7_000_000
+"""How far the store's steady clock is from those of the nodes, which have another start."""
 
 
 @attrs.define
@@ -44,7 +46,8 @@
         self.rows: dict[tuple[str, str], tuple[int, str | None]] = {}
         self.calls = 0
         self._changed = Event()
-        self._port = HttpServer(address, self._handle, MessageLimits, MonotonicClock())
+        self._clock = MonotonicClock()
+        self._port = HttpServer(address, self._handle, MessageLimits, self._clock)
 
     def start(self) -> None:
         """Begin to serve."""
@@ -146,6 +149,7 @@
             gevent.get_hub().loop.update_now()
 
     def _answer(self, reply: Reply, status: int, data: dict[str, Any]) -> None:
+        now_ms = self._clock.now_ms() + CLOCK_OFFSET_MS
         reply.send_whole(
-            status, JSON, orjson.dumps({**data, "rowVersion": self.version, "nowMs": 0})
+            status, JSON, orjson.dumps({**data, "rowVersion": self.version, "nowMs": now_ms})
         )
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -44,6 +44,7 @@
 from monsoonflow.transport.models import AnswerHead, Request
 from script.ports import free_port
 from stand_ins.platform_runner import PlatformRunner
+from stand_ins.platform_store import CLOCK_OFFSET_MS
 from stand_ins.platform_store import PlatformStore as StoreStandIn
 from tests.entry.conftest import CONFIG
 
@@ -315,6 +316,15 @@
     assert isinstance(client.changes("op", 0, 100), HistoryLost)
 
 
+def test_answers_about_rows_state_the_stores_clock(store):
+    client = PlatformStore(store.address, MonotonicClock())
+    store.put("op", "a", {"x": 1})
+    first = client.read_all("op")
+    gevent.sleep(0.02)
+    later = client.changes("op", 0, 0)
+    assert CLOCK_OFFSET_MS < first.service_now_ms < later.service_now_ms
+
+
 def test_waiting_request_for_changes_can_be_cancelled_and_sent_again(store):
     """A request to an unresponsive store would wait for 20 s, even if the store has recovered."""
     client = PlatformStore(store.address, MonotonicClock())
--- a/tests/storage/test_watch.py
+++ b/tests/storage/test_watch.py
@@ -8,7 +8,12 @@
 
 from monsoonflow.core.clock import ManualClock
 from monsoonflow.storage.models import ChangedRow, Changes, HistoryLost, Unavailable
-from monsoonflow.storage.watch import DEFAULT_WAIT_MS, MIN_PAUSE_MS, CollectionWatch
+from monsoonflow.storage.watch import (
+    DEFAULT_MAX_GAP_MS,
+    DEFAULT_WAIT_MS,
+    MIN_PAUSE_MS,
+    CollectionWatch,
+)
 
 
 class Feed:
@@ -44,9 +49,14 @@
 
 
 @pytest.fixture
-def watch(feed, changed_rows, return_calls):
+def clock():
+    return ManualClock(100_000)
+
+
+@pytest.fixture
+def watch(feed, changed_rows, return_calls, clock):
     return CollectionWatch(
-        feed, "t", None, ManualClock(), changed_rows.append, lambda: return_calls.append(True)
+        feed, "t", None, clock, changed_rows.append, lambda: return_calls.append(True)
     )
 
 
@@ -111,6 +121,29 @@
     assert [row.body for row in changed_rows] == [b"4"]
 
 
+def test_rows_are_known_up_to_the_last_request_that_was_answered(watch, feed, clock):
+    """A node whose list of servers is old would conclude that no other version has come."""
+    run_requests(watch, feed, rows(5))
+    first_ms = clock.now_ms()
+    clock.advance(1_500)
+    run_requests(watch, feed, Unavailable("down"))
+    assert (watch.coverage.since_ms, watch.coverage.until_ms) == (first_ms, first_ms)
+    clock.advance(400)
+    run_requests(watch, feed, rows(6))
+    assert (watch.coverage.since_ms, watch.coverage.until_ms) == (first_ms, clock.now_ms())
+    assert watch.coverage.is_current(clock.now_ms() + DEFAULT_MAX_GAP_MS)
+    assert not watch.coverage.is_current(clock.now_ms() + DEFAULT_MAX_GAP_MS + 1)
+
+
+def test_the_time_before_a_long_pause_does_not_count_as_known(watch, feed, clock):
+    """During an outage a server of another version may come and go without a trace."""
+    run_requests(watch, feed, rows(5), Unavailable("down"))
+    clock.advance(DEFAULT_MAX_GAP_MS + 1)
+    run_requests(watch, feed, rows(6))
+    assert watch.coverage.since_ms == clock.now_ms()
+    assert watch.coverage.has_gap()
+
+
 class WaitingFeed(Feed):
     """A feed that calls a function while a request waits, which may cancel the request."""
 
