Heartbeats: say whether a node keeps versions of streams; a message names begun streams

Cause: no node but the first knows which server began a stream. Change: the datagram b1 names streams by service and software version; a node of an earlier release ignores it. Heartbeats of both forms say that a node keeps them, so that no earlier one is chosen.

--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -19,6 +19,7 @@
 from .models import (
     AnnouncedLimit,
     AnnouncedRejection,
+    BegunStreams,
     CellLeaseClaim,
     Heartbeat,
     HeartbeatAck,
@@ -50,6 +51,9 @@
 USAGE_DELTA_FORMAT: Final = "q1"
 """First field of each usage delta."""
 
+BEGUN_STREAMS_FORMAT: Final = "b1"
+"""First field of each message with the software versions of begun streams."""
+
 HEARTBEAT_REQUEST: Final = b"?"
 """Requests a full heartbeat from a node of which only a short one was received."""
 
@@ -96,6 +100,7 @@
             _quota_usage_fields(heartbeat.usage_by_limited_server),
             heartbeat.unreachable_services,
             _rejection_fields(heartbeat.rejections_by_brittle_server),
+            heartbeat.keeps_stream_versions,
         ]
     )
 
@@ -128,6 +133,7 @@
             usage,
             heartbeat.quarantined_fingerprints,
             heartbeat.unreachable_services,
+            heartbeat.keeps_stream_versions,
         ]
     )
 
@@ -152,7 +158,14 @@
     return orjson.dumps(fields)
 
 
-def decode(data: bytes) -> Heartbeat | ShortHeartbeat | WorkDelta | UsageDelta | None:
+def encode_begun_streams(begun: BegunStreams) -> bytes:
+    """Return the bytes of a message with begun streams."""
+    return orjson.dumps([BEGUN_STREAMS_FORMAT, begun.name, begun.streams])
+
+
+def decode(
+    data: bytes,
+) -> Heartbeat | ShortHeartbeat | WorkDelta | UsageDelta | BegunStreams | None:
     """Return the message of a peer, or ``None`` for bytes that can't be decoded."""
     if data[:1] != b"[":
         return _decode_heartbeat(data)
@@ -162,6 +175,7 @@
             SHORT_HEARTBEAT_FORMAT: _short_heartbeat_from_fields,
             WORK_DELTA_FORMAT: _work_delta_from_fields,
             USAGE_DELTA_FORMAT: _usage_delta_from_fields,
+            BEGUN_STREAMS_FORMAT: _begun_streams_from_fields,
         }.get(fields[0])
         return None if from_fields is None else from_fields(fields)
     except (ValueError, TypeError, KeyError, IndexError, AttributeError):
@@ -184,6 +198,16 @@
     )
 
 
+def _begun_streams_from_fields(fields: list[Any]) -> BegunStreams:
+    streams = {
+        str(service): {
+            str(version): tuple(map(str, keys)) for version, keys in keys_by_version.items()
+        }
+        for service, keys_by_version in fields[2].items()
+    }
+    return BegunStreams(str(fields[1]), streams)
+
+
 def _quota_usage_fields(usage_by_key: dict[str, QuotaUsage]) -> dict[str, list[int]]:
     return {
         str(key): [usage.total, usage.recent, usage.demand, usage.left]
@@ -241,6 +265,7 @@
         retry_usage_by_service=_retry_usage_from_fields(fields[10]),
         quarantined_fingerprints=tuple(map(str, _optional_field(fields, 11) or ())),
         unreachable_services=_names_from_fields(_optional_field(fields, 12)),
+        keeps_stream_versions=_optional_field(fields, 13) is True,
     )
 
 
@@ -299,6 +324,7 @@
         usage_by_limited_server=_quota_usage_from_fields(_optional_field(fields, 23) or {}),
         unreachable_services=_names_from_fields(_optional_field(fields, 24)),
         rejections_by_brittle_server=_rejections_from_fields(_optional_field(fields, 25) or {}),
+        keeps_stream_versions=_optional_field(fields, 26) is True,
     )
 
 
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -20,7 +20,7 @@
 from ..transport.sockets import split_address
 from . import codec
 from .heartbeat_rounds import HEARTBEAT_INTERVAL_MS, PEERS_PER_ROUND, HeartbeatRounds
-from .models import Heartbeat, ShortHeartbeat, UsageDelta, WorkDelta
+from .models import BegunStreams, Heartbeat, ShortHeartbeat, UsageDelta, WorkDelta
 from .view import FleetView
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,6 +58,7 @@
     :param on_heartbeat: called with each received heartbeat that is newer than the last one.
     :param work_delta: returns the changes of this node's work since its last call.
     :param on_usage_delta: called with each usage delta of a peer's current process.
+    :param on_begun_streams: called with the software versions of streams that peers began.
     """
 
     def __init__(
@@ -70,9 +71,11 @@
         clock: Clock,
         work_delta: Callable[[], WorkDelta],
         on_usage_delta: Callable[[UsageDelta], None] = lambda _delta: None,
+        on_begun_streams: Callable[[BegunStreams], None] = lambda _begun: None,
     ) -> None:
         self._work_delta = work_delta
         self._on_usage_delta = on_usage_delta
+        self._on_begun_streams = on_begun_streams
         self._view = view
         self._heartbeat = heartbeat
         self._on_heartbeat = on_heartbeat
@@ -199,6 +202,10 @@
         names = self._active_peer_names(addresses)
         self._send_data(codec.encode_usage_delta(delta), [addresses[name] for name in names])
 
+    def send_begun_streams(self, begun: BegunStreams, address: str) -> None:
+        """Send to one peer which software versions began streams."""
+        self._send_data(codec.encode_begun_streams(begun), [address])
+
     def _peer_addresses(self) -> dict[str, str]:
         """Return where the peers receive heartbeats, by name."""
         return {
@@ -227,7 +234,7 @@
 
     def _handle(
         self,
-        message: Heartbeat | ShortHeartbeat | WorkDelta | UsageDelta | None,
+        message: Heartbeat | ShortHeartbeat | WorkDelta | UsageDelta | BegunStreams | None,
         host: str,
         port: int,
         size_bytes: int,
@@ -249,6 +256,9 @@
             case UsageDelta():
                 if self._view.receive_usage_delta(message, now_ms):
                     self._on_usage_delta(message)
+            case BegunStreams():
+                # Also of a process that has ended: its streams are taken up again at other nodes.
+                self._on_begun_streams(message)
             case Heartbeat():
                 if self._view.receive(message, now_ms):
                     self._on_heartbeat(message)
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -174,6 +174,8 @@
     :param unreachable_services: services of which the node reaches no server; ``None`` from a node
         of an earlier release.
     :param rejections_by_brittle_server: recent rejections by brittle servers.
+    :param keeps_stream_versions: whether the node keeps for its peers which software version began
+        a stream; a node of an earlier release does not.
     """
 
     record: NodeRecord
@@ -201,6 +203,7 @@
     usage_by_limited_server: dict[ServerLife, QuotaUsage] = attrs.Factory(dict)
     unreachable_services: tuple[str, ...] | None = ()
     rejections_by_brittle_server: dict[ServerLife, AnnouncedRejection] = attrs.Factory(dict)
+    keeps_stream_versions: bool = False
 
     @property
     def name(self) -> str:
@@ -243,6 +246,17 @@
     rejections_by_brittle_server: dict[ServerLife, AnnouncedRejection] = attrs.Factory(dict)
 
 
+@attrs.frozen(slots=True)
+class BegunStreams:
+    """The software versions at which streams of a node began, for the peers that keep them.
+
+    :param streams: the keys of the streams, by service and software version.
+    """
+
+    name: str
+    streams: dict[str, dict[str, tuple[str, ...]]]
+
+
 @attrs.frozen(slots=True)
 class ShortHeartbeat:
     """The part of a heartbeat for peers that only need to know that the node is alive.
@@ -268,6 +282,7 @@
     record: NodeRecord | None = None
     quarantined_fingerprints: tuple[str, ...] = ()
     unreachable_services: tuple[str, ...] | None = ()
+    keeps_stream_versions: bool = False
 
     @classmethod
     def from_heartbeat(cls, heartbeat: Heartbeat, with_record: bool) -> ShortHeartbeat:
@@ -292,6 +307,7 @@
             heartbeat.record if with_record else None,
             heartbeat.quarantined_fingerprints,
             heartbeat.unreachable_services,
+            heartbeat.keeps_stream_versions,
         )
 
     def to_heartbeat(self, previous: Heartbeat | None, record: NodeRecord) -> Heartbeat:
@@ -325,4 +341,5 @@
             quota_usage_by_customer=previous.quota_usage_by_customer if keeps_previous else {},
             usage_by_limited_server=previous.usage_by_limited_server if keeps_previous else {},
             unreachable_services=self.unreachable_services,
+            keeps_stream_versions=self.keeps_stream_versions,
         )
