Streams: every node finds out the software version that began a stream, or says it is unknown

Cause: only the node that began a stream can know which server that was. A caller that takes the stream up again comes to any node, also after the first one was killed. Change: the first node keeps the version of each stream and, while a service has several versions, tells three peers by rendezvous hashing. Another node asks its peers. While a service has had one version for longer than any stream lives, by a list of servers without a gap, any version will do and nothing is sent. A row in the store for each service, written when its versions change, lets a fleet whose processes were all killed conclude the same. The gateway does not call it yet.

--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -183,6 +183,13 @@
             lease.lease_loop.held_lease.row is not None for lease in self._lease_by_cell.values()
         )
 
+    def held_cells(self) -> list[str]:
+        """Return the cells whose lease this node holds now."""
+        now_ms = self._daemon.clock.now_ms()
+        return [
+            cell for cell, lease in self._lease_by_cell.items() if lease.lease_loop.holds(now_ms)
+        ]
+
     def lease_of(self, cell: str) -> CellLease | None:
         """Return this node's part in the lease of a cell."""
         return self._lease_by_cell.get(cell)
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -17,7 +17,7 @@
 from ..core.server_life import ServerLife
 from ..core.tasks import Tasks
 from ..fleet.gossip import Gossip
-from ..fleet.models import Heartbeat, NodeRecord, UsageDelta, WorkDelta
+from ..fleet.models import BegunStreams, Heartbeat, NodeRecord, UsageDelta, WorkDelta
 from ..fleet.view import FleetView
 from ..gateway.backlog import Backlog
 from ..gateway.budget import SharedRetryBudget
@@ -48,6 +48,7 @@
 from ..routing.quota import FleetQuota, QuotaTolerance
 from ..routing.server_limits import TOLERANCE as SERVER_LIMIT_TOLERANCE
 from ..routing.server_limits import ServerLimits
+from ..storage.coverage import Coverage
 from ..storage.models import ChangedRow, ChangeFeed, RawTable
 from ..storage.retrying_table import RetryingTable
 from ..transport.client import ConnectionPools
@@ -62,9 +63,13 @@
 from .peers import PeerApi, PeerClient
 from .placement_client import PlacementClient
 from .settings import EntrySettings, PeerBounds
+from .software_versions import STREAM_LIFE_MS, SoftwareVersions
 from .stall_detector import StallDetector
 from .stopping import stop_gracefully
 from .store_follower import Decoders, StoreFollower, StoreWatches
+from .stream_version_links import StreamVersionLinks
+from .stream_versions import FleetStreamVersions
+from .version_records import VersionRecords
 
 _LOGGER = logging.getLogger(__name__)
 PEER_SNAPSHOT_DELAY_MS = 400
@@ -208,6 +213,7 @@
             self.clock,
             self._work_delta,
             self._handle_usage_delta,
+            self._handle_begun_streams,
         )
         self.quarantine_manager = QuarantineManager(
             settings.name,
@@ -229,7 +235,9 @@
             self.connection_pools.close_idle,
             self._announce_store_changes,
             self.gossip.schedule_broadcast,
+            self._handle_server_row,
         )
+        self.stream_versions = self._create_stream_versions()
         self.activity = NodeActivity(
             self.view,
             self.in_flight,
@@ -246,6 +254,35 @@
         self.ports = self._create_ports(integration)
         self._register_gauges(integration)
 
+    def _create_stream_versions(self) -> FleetStreamVersions:
+        self.software_versions = SoftwareVersions(
+            self.cluster_state.server_registry,
+            self.clock,
+            lambda: self._coverage("servers"),
+            lambda: not self.store_follower.watches_servers,
+            self.settings.first_start,
+            STREAM_LIFE_MS,
+        )
+        self.version_records = VersionRecords(
+            self.software_versions,
+            self.store_table,
+            self.tasks,
+            self.clock,
+            lambda: self._coverage("servers"),
+            lambda: self._coverage("own"),
+            self.cell_leases.held_cells,
+        )
+        return FleetStreamVersions(
+            self.view,
+            self.clock,
+            self.tasks,
+            self.software_versions,
+            self.version_records,
+            StreamVersionLinks(self.gossip, self.peer_client),
+            self._refresh_servers,
+            self.metrics.count_stream_version,
+        )
+
     def run(self) -> int:
         """Serve until told to stop; return the process's exit status."""
         gevent.signal_handler(signal.SIGTERM, self._stop_requested.set)
@@ -353,6 +390,7 @@
             usage_by_limited_server=self.server_limits.usage_by_server(),
             unreachable_services=self.service_paths.lost_services(),
             rejections_by_brittle_server=self.server_limits.announced_rejections(),
+            keeps_stream_versions=True,
         )
 
     def _work_delta(self) -> WorkDelta:
@@ -410,9 +448,20 @@
             self.store_watches.servers.request_soon()
 
     def _handle_own_row(self, row: ChangedRow) -> None:
-        if not self.quarantine_manager.apply_row(row):
+        if not self.quarantine_manager.apply_row(row) and not self.version_records.apply_row(row):
             self.cell_leases.handle_row(row)
 
+    def _handle_server_row(self, server_id: str) -> None:
+        self.software_versions.record_server_row(server_id)
+
+    def _handle_begun_streams(self, begun: BegunStreams) -> None:
+        self.stream_versions.handle_begun(begun)
+
+    def _coverage(self, kind: str) -> Coverage | None:
+        """Return for which time the rows of a collection are known."""
+        watch = getattr(self.store_watches, kind, None)
+        return watch.coverage if watch is not None else None
+
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.store_follower.handle_heartbeat(heartbeat)
         self._check_services_lost_by(heartbeat)
@@ -598,6 +647,7 @@
             self.cluster_state,
             self.store_follower.snapshot,
             self.cell_leases.answer_slot_request,
+            self.stream_versions.answer,
             self.gateway.handle_forwarded,
         )
         default_limits = MessageLimits
@@ -655,6 +705,7 @@
             self.connection_pools.close_stale()
             self.forwarding_pools.close_stale()
             self.store_watches.servers.end_overlong_pause()
+            self.stream_versions.maintain()
             for life in self.cluster_state.server_registry.pop_removed(self.clock.now_ms()):
                 self.cell_leases.residency.forget(life)
                 self.connection_pools.close_idle(life)
--- a/monsoonflow/entry/metrics.py
+++ b/monsoonflow/entry/metrics.py
@@ -86,6 +86,11 @@
             "allowed",
         )
         self.resumes = self._counter("resumes", "Streams that went on at another server.")
+        self.stream_versions = self._counter(
+            "stream_versions",
+            "Streams taken up again, by where the software version that began them was found.",
+            "found",
+        )
         self.log_lines_dropped = self._counter("log_lines_dropped", "Log lines never written.")
 
     def count_request(
@@ -128,6 +133,10 @@
         """Count a stream that is resumed at another server."""
         self.resumes.inc()
 
+    def count_stream_version(self, found: str) -> None:
+        """Count a stream whose software version was looked up."""
+        self.stream_versions.labels(found).inc()
+
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read whenever the metrics are requested."""
         Gauge(METRIC_PREFIX + name, help_text, registry=self.registry).set_function(read)
--- a/monsoonflow/entry/peers.py
+++ b/monsoonflow/entry/peers.py
@@ -20,6 +20,7 @@
 CONFIGURATION_PATH: Final = "/v1/peer/configuration"
 SNAPSHOT_PATH: Final = "/v1/peer/state"
 SLOT_REQUEST_PATH: Final = "/v1/peer/place"
+STREAM_VERSION_PATH: Final = "/v1/peer/stream-version"
 FETCH_TIMEOUT_MS: Final = 1_000
 
 
@@ -94,6 +95,7 @@
 
     :param snapshot: returns all rows that this node has applied.
     :param answer_slot_request: answers a request for a slot.
+    :param answer_stream_version: answers at which software version a stream began.
     :param handle_forwarded: answers a caller's request that a peer forwards; returns whether a
         request is one.
     """
@@ -103,11 +105,13 @@
         cluster_state: ClusterState,
         snapshot: Callable[[], bytes],
         answer_slot_request: Callable[[Request, Reply], None],
+        answer_stream_version: Callable[[Request, Reply], None],
         handle_forwarded: Callable[[Request, Reply], bool],
     ) -> None:
         self._cluster_state = cluster_state
         self._snapshot = snapshot
         self._answer_slot_request = answer_slot_request
+        self._answer_stream_version = answer_stream_version
         self._handle_forwarded = handle_forwarded
 
     def handle(self, request: Request, reply: Reply) -> None:
@@ -122,5 +126,7 @@
             reply.send_whole(200, [], self._snapshot())
         elif path == SLOT_REQUEST_PATH:
             self._answer_slot_request(request, reply)
+        elif path == STREAM_VERSION_PATH:
+            self._answer_stream_version(request, reply)
         else:
             reply.send_whole(404, [])
--- a/monsoonflow/entry/store_follower.py
+++ b/monsoonflow/entry/store_follower.py
@@ -169,6 +169,7 @@
     :param on_change: called when there is something that peers should know.
     :param on_departure: called in addition when a server departed, which all peers must know at
         once.
+    :param on_server_row: called with the id of each server whose entry was applied.
     :ivar watches_servers: whether the peers rely on this node to ask for servers.
     """
 
@@ -182,6 +183,7 @@
         on_server_departed: Callable[[ServerLife], None],
         on_change: Callable[[], None],
         on_departure: Callable[[], None] = lambda: None,
+        on_server_row: Callable[[str], None] = lambda _server_id: None,
     ) -> None:
         self._decoders = decoders
         self._cluster_state = cluster_state
@@ -191,6 +193,7 @@
         self._on_server_departed = on_server_departed
         self._on_change = on_change
         self._on_departure = on_departure
+        self._on_server_row = on_server_row
         self._store_watches: StoreWatches | None = None
         self._tasks: Tasks | None = None
         self.watches_servers = True
@@ -242,6 +245,7 @@
                     int(drain_ms * SERVERS_MAX_ANSWER_TIMEOUT_SHARE),
                 ),
                 self._restart_waiting_requests,
+                max_gap_ms=drain_ms,
             ),
             CollectionWatch(
                 open_feed(),
@@ -410,6 +414,7 @@
                 registry.mark_unreadable(row.key, server)
             else:
                 registry.put(server, now_ms, row.version)
+        self._on_server_row(row.key)
         # Announced only once: a leaving server goes on writing its entry every second for many
         # seconds.
         if took_work and not registry.is_accepting_work(previous_life):
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -282,3 +282,25 @@
 
     reason: str
     retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class KnownVersion:
+    """A stream began at a server of this software version, and may go on only at such a server."""
+
+    software_version: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnyVersion:
+    """The service has had one software version for longer than any stream lives.
+
+    Any of its servers may continue the stream.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownVersion:
+    """The software version at which a stream began is unknown."""
+
+    reason: str
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -13,7 +13,17 @@
 from ..routing.routes import Route, Service
 from ..transport.server import Reply
 from .job import Job
-from .models import AnswerTerms, AtLimit, AttemptResult, Call, Chosen, NoServer
+from .models import (
+    AnswerTerms,
+    AnyVersion,
+    AtLimit,
+    AttemptResult,
+    Call,
+    Chosen,
+    KnownVersion,
+    NoServer,
+    UnknownVersion,
+)
 
 
 class ServerChooser(Protocol):
@@ -142,3 +152,18 @@
 
     def record_completed(self, fingerprint: str) -> None:
         """Record that a server has answered a request completely."""
+
+
+class StreamVersions(Protocol):
+    """Knows the software versions of the servers at which streams began."""
+
+    def record_begun(self, service: str, request_id: str, software_version: str) -> None:
+        """Record the version of the server that sent a stream's first event."""
+
+    def find(
+        self, service: str, request_id: str, timeout_ms: int
+    ) -> KnownVersion | AnyVersion | UnknownVersion:
+        """Return the version at which a stream began, or why it is unknown; may ask peers.
+
+        :param request_id: of the attempt that brought the stream's first event.
+        """
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -177,3 +177,39 @@
     copies: int
     fetch_limit: int = 0
     fetch_ms: int | None = None
+
+
+@event
+class SoftwareVersionsChanged(Event):
+    """A service has servers of several software versions, or has had only one for long enough."""
+
+    service: str
+    versions: str
+    several: bool
+
+
+@event
+class SoftwareVersionsRecorded(Event):
+    """The versions that a service has, and those that left lately, were written to the store."""
+
+    service: str
+    present: str
+    left: str
+
+
+@event
+class StreamVersionSearched(Event):
+    """It was looked up at which software version a stream began that is taken up again."""
+
+    # ``resumes`` is the attempt that brought its first event. ``found``: ``own``, ``peer``,
+    # ``any`` (of a peer, of the store), or ``unknown`` because of ``cause``. Of the peers ``asked``
+    # were asked, and ``answered`` answered before the search ended.
+
+    resumes: str
+    service: str
+    found: str
+    version: str | None
+    cause: str | None
+    asked: int
+    answered: int
+    took_ms: int
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -93,6 +93,7 @@
     bounds: PeerBounds = PeerBounds(lease_ms=900, fenced=True, retry_reserve=54)
     nodes: list[Node] = attrs.Factory(list)
     servers: list[PlatformServer] = attrs.Factory(list)
+    first_start: bool = True
     ports: tuple[int, ...] = attrs.Factory(lambda: tuple(free_port() for _ in range(6)))
     nodes_started: int = 0
 
@@ -132,6 +133,7 @@
             self.store.address,
             self.bounds,
             seeds,
+            first_start=self.first_start,
         )
         tasks = KillableTasks()
         daemon = EntryDaemon(settings, PlatformOutside(settings, MonotonicClock()), tasks=tasks)
--- a/tests/fleet/test_begun_streams_codec.py
+++ b/tests/fleet/test_begun_streams_codec.py
@@ -25,6 +25,20 @@
     assert codec.decode(data) is None
 
 
+def test_a_message_about_streams_is_small():
+    """A node with callers sends three of them for each stream while a service has two versions."""
+    ids = tuple(f"{number:016x}" for number in range(50))
+    sizes = [
+        len(
+            codec.encode_begun_streams(
+                BegunStreams("front-andina-1-2", {"engine-main": by_version})
+            )
+        )
+        for by_version in ({"v1.1": ids[:1]}, {"v1.1": ids})
+    ]
+    assert sizes == [71, 71 + 49 * 19]
+
+
 @pytest.mark.parametrize(
     "fields",
     [
