Streams: draw no conclusion while an announced server has not been read

Cause: a node's list may be a second behind a peer's that already begins streams at a server of a new version; the node would still conclude that there is one version. Change: from a peer's announcement of an unknown server until the list is read again, the list counts as old. Result: a new test with nodes on loopback; tests/entry/test_stream_versions*.py pass.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -470,8 +470,9 @@
         self.quarantine_manager.apply_announced(
             heartbeat.name, heartbeat.crashes, heartbeat.quarantined_fingerprints
         )
-        if self.cluster_state.handle_heartbeat(heartbeat) and self.store_watches is not None:
-            self.store_watches.servers.request_soon()
+        if self.cluster_state.handle_heartbeat(heartbeat):
+            self.software_versions.record_announced()
+            self._refresh_servers()
 
     def _open_feed(self) -> ChangeFeed:
         return self._integration.feed()
--- a/monsoonflow/entry/software_versions.py
+++ b/monsoonflow/entry/software_versions.py
@@ -96,6 +96,7 @@
         self._versions_by_service: dict[str, _ServiceVersions] = {}
         self._registry_version: int | None = None
         self._services_with_several: set[str] = set()
+        self._announced_ms: int | None = None
 
     def record_server_row(self, server_id: str) -> None:
         """Record the version of a server whose entry was applied.
@@ -113,6 +114,13 @@
         versions = self._versions_by_service.setdefault(service, _ServiceVersions())
         versions.last_seen_ms[software_version] = self._clock.now_ms()
 
+    def record_announced(self) -> None:
+        """Record that a peer has announced servers that this node has not read yet.
+
+        They may be of another version, and peers begin streams there already.
+        """
+        self._announced_ms = self._clock.now_ms()
+
     def refresh(self) -> None:
         """Apply the current list of servers."""
         if self._registry.version != self._registry_version:
@@ -186,8 +194,15 @@
 
     def is_list_current(self) -> bool:
         """Return whether the list of servers is known up to now."""
+        return self._current_coverage() is not None
+
+    def _current_coverage(self) -> Coverage | None:
+        """Return for which time the list of servers is known, if it is known up to now."""
         coverage = self._coverage()
-        return coverage is not None and coverage.is_current(self._clock.now_ms())
+        if coverage is None or not coverage.is_current(self._clock.now_ms()):
+            return None
+        is_announced_read = self._announced_ms is None or coverage.until_ms >= self._announced_ms
+        return coverage if is_announced_read else None
 
     def knows_all_past(self) -> bool:
         """Return whether this node has followed the list since the system's first start."""
@@ -204,8 +219,8 @@
         seen = self.seen(service)
         if len(seen) > 1:
             return SeveralVersions(tuple(sorted(seen)))
-        coverage, now_ms = self._coverage(), self._clock.now_ms()
-        if coverage is None or not coverage.is_current(now_ms):
+        coverage, now_ms = self._current_coverage(), self._clock.now_ms()
+        if coverage is None:
             return NoConclusion("the list of servers is old")
         if not self.knows_all_past() and now_ms - coverage.since_ms < self.stream_life_ms:
             return NoConclusion("the versions of the past are not known")
@@ -220,8 +235,8 @@
         seen = self.seen(service)
         if len(seen) > 1:
             return SeveralVersions(tuple(sorted(seen)))
-        coverage, now_ms = self._coverage(), self._clock.now_ms()
-        if coverage is None or not coverage.is_current(now_ms):
+        coverage, now_ms = self._current_coverage(), self._clock.now_ms()
+        if coverage is None:
             return NoConclusion("the list of servers is old")
         if record is None or coverage.service_offset_ms is None:
             return NoConclusion("the store has no record of past versions")
--- a/tests/entry/test_stream_versions_of_nodes.py
+++ b/tests/entry/test_stream_versions_of_nodes.py
@@ -5,9 +5,12 @@
 import logging
 import time
 
+import attrs
 import pytest
 
 from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.core.server_life import ServerLife
+from monsoonflow.entry.software_versions import NoConclusion, OneVersion
 from monsoonflow.gateway.models import AnyVersion, KnownVersion, UnknownVersion
 from monsoonflow.transport.client import ConnectionPools, call
 from tests.entry.conftest import MODEL, wait_for
@@ -124,6 +127,16 @@
     fleet.store.faults.down = False
 
 
+def test_a_node_that_has_not_read_an_announced_server_draws_no_conclusion(three_nodes):
+    """The server may be of another version, and peers begin streams there already."""
+    daemon, peer = three_nodes[0].daemon, three_nodes[1].daemon
+    assert isinstance(daemon.software_versions.conclude("llm"), OneVersion)
+    announced = attrs.evolve(peer.heartbeat(), added_servers=(ServerLife.of("i-9", 2_000),))
+    daemon._handle_heartbeat(announced)
+    assert isinstance(daemon.software_versions.conclude("llm"), NoConclusion)
+    wait_for(lambda: isinstance(daemon.software_versions.conclude("llm"), OneVersion))
+
+
 def test_a_malformed_question_of_a_peer_is_refused(three_nodes):
     address = three_nodes[0].daemon.settings.peer_address
     pools = ConnectionPools(MonotonicClock())
