Streams: tell peers later when none has been heard yet

Cause: a node that has just started has callers before it has received a heartbeat. Its streams counted as told although nobody was. Change: they stay to be told until the next maintenance. Result: a new test, which fails without the change; tests/entry/test_stream_versions*.py pass.

--- a/monsoonflow/entry/stream_versions.py
+++ b/monsoonflow/entry/stream_versions.py
@@ -222,10 +222,12 @@
             self._tasks.spawn(self._tell_later)
 
     def _tell_later(self) -> None:
-        while self._untold_services:
-            self._tasks.sleep(BATCH_DELAY_MS)
-            self._tell_batch()
-        self._is_batch_scheduled = False
+        try:
+            while self._untold_services:
+                self._tasks.sleep(BATCH_DELAY_MS)
+                self._tell_batch()
+        finally:
+            self._is_batch_scheduled = False
 
     def _tell_batch(self) -> None:
         """Tell peers of some streams."""
@@ -234,6 +236,11 @@
             for heartbeat in self._keeping_peers()
             if not heartbeat.is_leaving
         }
+        if not address_by_name:
+            # A node that has just started has heard no peer yet: told to nobody, its streams would
+            # count as told. They are tried again with the next maintenance.
+            self._untold_services.clear()
+            return
         now_ms = self._clock.now_ms()
         left = MAX_STREAMS_PER_BATCH
         streams_by_peer: dict[str, dict[str, dict[str, list[str]]]] = {}
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -103,6 +103,22 @@
         assert results(fleet, [node], ids) == [KnownVersion("v1")] * len(ids)
 
 
+def test_streams_of_a_node_that_has_heard_no_peer_yet_are_told_later(upgraded):
+    """A node that starts has callers before it has received the first heartbeat."""
+    upgraded.kill(upgraded[0])
+    node = upgraded.start("n0")
+    upgraded.cut_off = {"n0"}
+    upgraded.run(1)
+    for number in range(20):
+        node.begin(f"r{number}", "v1.1")
+    upgraded.run(BATCH_MS)
+    upgraded.cut_off = set()
+    upgraded.run(1_000)
+    upgraded.kill(node)
+    found = results(upgraded, [upgraded[4]], [f"r{number}" for number in range(20)])
+    assert found == [KnownVersion("v1.1")] * 20
+
+
 def test_nothing_is_sent_while_a_service_has_one_version(fleet):
     """In most deployments there is never another one: messages would cost and tell nothing."""
     for number in range(100):
