--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from ..core.clock import Clock
@@ -107,7 +107,6 @@
     :param quotas: the quotas of customers; ``None`` if they are not limited.
     :param stream_versions: the software versions that began streams; ``None`` for those that this
         node has seen.
-    :param software_versions_of: returns the software versions of a service's servers.
     """
 
     def __init__(
@@ -132,7 +131,6 @@
         ),
         quotas: CustomerQuotas | None = None,
         stream_versions: StreamVersions | None = None,
-        software_versions_of: Callable[[str], Collection[str | None]] = lambda _service: (),
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -152,7 +150,6 @@
         self._configuration_status = configuration_status
         self._quotas = quotas
         self._stream_versions = stream_versions or LocalStreamVersions(clock)
-        self._software_versions_of = software_versions_of
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
@@ -328,14 +325,11 @@
         return True
 
     def _find_stream_version(self, job: Job) -> StreamVersion:
-        resumed_request_id = job.call.resumed_request_id
-        if resumed_request_id is None:
-            if len(self._software_versions_of(job.service.name)) > 1:
-                return UnknownVersion("its caller does not name the attempt that began it")
-            return AnyVersion()
         left_ms = job.cancel_at_ms() - self._clock.now_ms()
         timeout_ms = min(MAX_VERSION_SEARCH_MS, max(0, int(left_ms * VERSION_SEARCH_SHARE)))
-        return self._stream_versions.find(job.service.name, resumed_request_id, timeout_ms)
+        # Without the attempt that began it, only a service with a single version can go on with it.
+        began = job.call.resumed_request_id or ""
+        return self._stream_versions.find(job.service.name, began, timeout_ms)
 
     def _serve(self, job: Job, reply: Reply) -> None:
         chooser = self._runner_chooser if job.service.engine is not None else self._plain_chooser
--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -136,7 +136,7 @@
         rows = [
             row for entry in data.get("rows", ()) if (row := _decode_changed_row(entry)) is not None
         ]
-        return Changes(tuple(rows), int(data["rowVersion"]))
+        return Changes(tuple(rows), int(data["rowVersion"]), _decode_now_ms(data))
 
     def cancel_request(self) -> None:
         """Cancel the request for changes in progress, even if it still has no connection."""
@@ -157,6 +157,7 @@
         """
         rows: list[ChangedRow] = []
         versions: list[int] = []
+        read_at_ms: int | None = None
         start_key = ""
         while True:
             query = {"pageLimit": MAX_PAGE_ROWS, **({"from": start_key} if start_key else {})}
@@ -167,9 +168,11 @@
                 row for entry in data["rows"] if (row := _decode_changed_row(entry)) is not None
             ]
             rows += page
+            if not versions:
+                read_at_ms = _decode_now_ms(data)
             versions.append(int(data["rowVersion"]))
             if not data.get("hasMore"):
-                return Changes(tuple(rows), min(versions))
+                return Changes(tuple(rows), min(versions), read_at_ms)
             if not data["rows"]:
                 return Unavailable("a page without rows is not the last one")
             # A page includes its start key: the next one starts with the next possible key.
@@ -223,6 +226,12 @@
     return data if isinstance(data, dict) else {}
 
 
+def _decode_now_ms(data: dict[str, Any]) -> int | None:
+    """Return the store's steady clock as an answer states it; ``None`` if it does not."""
+    now_ms = data.get("nowMs")
+    return now_ms if isinstance(now_ms, int) and not isinstance(now_ms, bool) else None
+
+
 def _decode_changed_row(entry: Any) -> ChangedRow | None:
     """Return a changed row; ``None`` for a malformed one, which is logged.
 
