Transport: the end of a TCP connection is not the end of a TLS session

Callers of a plain service over TLS would get a part of an answer without a length as the whole one: the library hides that the connection ended without the end of the session. Reading such an answer now fails.

The seeded soak now draws all kinds but one, releases of servers too.

--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -189,7 +189,12 @@
         try:
             sock = connect(address, timeout_ms)
             if tls is not None:
-                sock = tls.wrap_socket(sock, server_hostname=split_address(address)[0])
+                sock = tls.wrap_socket(
+                    sock,
+                    server_hostname=split_address(address)[0],
+                    # The end of the TCP connection alone is not the end of an answer.
+                    suppress_ragged_eofs=False,
+                )
         except OSError as error:
             is_refused = isinstance(error, ConnectionRefusedError)
             return Lost(False, f"no connection: {type(error).__name__}", is_refused)
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -26,15 +26,12 @@
 STILL = "server-stands-still"
 """Left to runs by hand: what lies unread at such a server is read late."""
 
-RELEASES = {"release", "callers-reset"}
-"""Left to runs by hand: streams go on at any software version."""
-
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_no_promise_is_broken_under_faults_in_series(tmp_path, seed):
     """Guards against promises that hold only in virtual time."""
     fleet = Fleet(tmp_path)
-    kinds = tuple(kind for kind in KINDS if kind not in {STILL, *RELEASES})
+    kinds = tuple(kind for kind in KINDS if kind != STILL)
     injector = FaultInjector(fleet, random.Random(seed), kinds)
     try:
         fleet.start(NODES, plain=3, engines=3, per_s=40.0, seed=seed)
