--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -632,9 +632,9 @@
                 request_log,
                 self.stream_versions,
             ),
+            self.stream_versions,
             self.configuration_status,
             self.shared_quota,
-            self.stream_versions,
         )
         self.address_directory = AddressDirectory(
             self.view,
--- a/monsoonflow/entry/stream_memory.py
+++ b/monsoonflow/entry/stream_memory.py
@@ -64,15 +64,15 @@
         return len(self._streams)
 
     def add(self, service: str, key: str, software_version: str, is_own: bool, now_ms: int) -> None:
-        """Keep a stream; the oldest gives way. What is known of a stream already stays.
+        """Keep a stream from now on; the oldest gives way. A version that is known stays.
 
         :param is_own: whether this node received its first event, and may have to tell peers.
         """
-        if (service, key) in self._streams:
-            return
+        known = self._streams.pop((service, key), None)
         while len(self._streams) >= self._max_streams:
             self._drop(next(iter(self._streams)))
-        self._streams[service, key] = _KeptStream(software_version, now_ms + self._stream_life_ms)
+        version = software_version if known is None else known.software_version
+        self._streams[service, key] = _KeptStream(version, now_ms + self._stream_life_ms)
         if is_own:
             self._untold_keys_by_service.setdefault(service, {})[key] = None
 
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -60,7 +60,6 @@
     StreamVersions,
 )
 from .request_log import RequestLog
-from .stream_versions import LocalStreamVersions
 
 NOT_READY_RETRY_AFTER_MS: Final = 300
 """When a caller may retry at a node that has no configuration yet: it usually has one by then."""
@@ -105,8 +104,7 @@
     :param forwarding: lets peers handle requests whose servers this node does not reach.
     :param configuration_status: returns how current the configuration in force is.
     :param quotas: the quotas of customers; ``None`` if they are not limited.
-    :param stream_versions: the software versions that began streams; ``None`` for those that this
-        node has seen.
+    :param stream_versions: knows the software versions that began streams.
     """
 
     def __init__(
@@ -126,11 +124,11 @@
         server_limits: ServerLimiter,
         paths: Paths,
         forwarding: Forwarding,
+        stream_versions: StreamVersions,
         configuration_status: Callable[[], ConfigurationStatus] = lambda: ConfigurationStatus(
             True, None
         ),
         quotas: CustomerQuotas | None = None,
-        stream_versions: StreamVersions | None = None,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -149,7 +147,7 @@
         self._forwarding = forwarding
         self._configuration_status = configuration_status
         self._quotas = quotas
-        self._stream_versions = stream_versions or LocalStreamVersions(clock)
+        self._stream_versions = stream_versions
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
--- a/tests/gateway/test_returning_callers.py
+++ b/tests/gateway/test_returning_callers.py
@@ -71,6 +71,10 @@
     return RefusingChooser()
 
 
+class NoStreamVersions:
+    """Is never asked: no request takes a stream up."""
+
+
 @pytest.fixture
 def gateway(chooser: RefusingChooser) -> Gateway:
     """Return a gateway at time 10,000."""
@@ -93,6 +97,7 @@
         UnlimitedServers(),
         OpenPaths(),
         OpenPaths(),
+        NoStreamVersions(),
     )
 
 
