Servers: a process that starts again under its id has no known software version

Callers' streams that it began were taken for streams of the version before, and went on there (ORDER). Until its entry tells its version, only the same process may go on. test_a_server_that_restarts_under_its_id_does_not_keep_its_version failed before.

--- a/monsoonflow/discovery/registry.py
+++ b/monsoonflow/discovery/registry.py
@@ -153,7 +153,11 @@
             return False
         known = self.server_by_life[known_life]
         self._replace_life(known_life, life, now_ms)
-        self.put(attrs.evolve(known, life=life, is_leaving=False, models=models), now_ms)
+        # The new process may be of another version, which only its entry tells.
+        restarted = attrs.evolve(
+            known, life=life, is_leaving=False, models=models, software_version=None
+        )
+        self.put(restarted, now_ms)
         return False
 
     def mark_leaving(self, life: ServerLife, now_ms: int, cause: str) -> None:
