Gateway: a stream goes on at the service of a split route that began it

The draw now follows from the id of the attempt that began the stream. test_streams_of_a_split_route_go_on_at_their_service failed before. A route that is moved to another service in between is still refused.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -202,7 +202,10 @@
         handover: Handover | None,
     ) -> None:
         """Answer a request that its route allows, unless its customer has used up its quota."""
-        service = route_table.service_by_name.get(route.choose_service(self._rng))
+        # By its id, a stream that goes on at another node is sent to the service that began it.
+        is_stream = route.kind is RouteKind.STREAM
+        rng = random.Random(call.stream_id) if is_stream else self._rng
+        service = route_table.service_by_name.get(route.choose_service(rng))
         if service is None:
             self._send_own_answer(reply, call, 503, "unknown service", NOT_READY_RETRY_AFTER_MS)
             return
