--- a/monsoonflow/entry/version_records.py
+++ b/monsoonflow/entry/version_records.py
@@ -27,6 +27,7 @@
 WRITE_RETRY_MS: Final = 2_000
 """How long after a failed write a record is written again."""
 
+READ_POLL_MS: Final = 10
 READ_AGAIN_MS: Final = 500
 """A record that was read for one stream is used for others for this long: when connections are
 reset, many streams are taken up again at once."""
@@ -97,8 +98,11 @@
         """Read the record of a service, unless that was done just now; waits for the store."""
         now_ms = self._clock.now_ms()
         read_ms = self._read_ms_by_service.get(service)
-        is_recent = read_ms is not None and now_ms - read_ms < READ_AGAIN_MS
-        if is_recent or service in self._services_being_read:
+        if read_ms is not None and now_ms - read_ms < READ_AGAIN_MS:
+            return
+        if service in self._services_being_read:
+            while service in self._services_being_read:
+                self._tasks.sleep(READ_POLL_MS)
             return
         self._services_being_read.add(service)
         try:
