Gateway: a stream that its caller takes up goes before new ones

Only a resumption within one answer had priority at runners and in the queue for slots; half an answer waited behind whole ones while the servers of its version got fewer. test_a_stream_that_its_caller_takes_up_goes_before_new_ones failed before.

--- a/monsoonflow/entry/placement_client.py
+++ b/monsoonflow/entry/placement_client.py
@@ -257,7 +257,7 @@
         answer_ms = self._daemon.gateway.first_event_estimator.expected_ms(call.prompt_tokens)
         on_time_ms = job.objective_deadline_ms() - answer_ms - now_ms
         priority = job.priority
-        if job.is_resuming():
+        if job.has_caller_events():
             # Half an answer is worth nothing: a request that has received a part of it goes before
             # all others.
             priority, on_time_ms = RESUME_PRIORITY, left_ms
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -142,11 +142,15 @@
         order of arrival, a backlog would make all of them late. A request whose caller has received
         a part of the answer ranks first.
         """
-        if self.is_resuming():
+        if self.has_caller_events():
             return 0
         is_late = now_ms > self.objective_deadline_ms()
         return min(self.priority + (LATE_RANK_PENALTY if is_late else 0), MAX_RANK)
 
+    def has_caller_events(self) -> bool:
+        """Return whether the caller has events of the stream, from this answer or one before."""
+        return self.is_resuming() or (self.splitter is not None and self.call.resumes_stream)
+
     def is_resuming(self) -> bool:
         """Return whether parts of the answer have been forwarded to the caller."""
         return self.splitter is not None and self.splitter.event_count > 0
