Cell leases: a malformed slot request of a peer is refused

It ended the task that loads adapters, and no adapter was loaded any more. test_a_malformed_slot_request_of_a_peer_is_refused failed before.

--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -266,16 +266,19 @@
         """Queue a request at this node's scheduler until it gets a slot or is refused."""
         now_ms = self._daemon.clock.now_ms()
         result: AsyncResult = AsyncResult()
+        # Nodes of an earlier release name no software version.
+        adapter, software_version = slot_request["adapter"], slot_request.get("software_version")
+        if not (isinstance(adapter, str) and isinstance(software_version, str | None)):
+            raise TypeError("adapter and software version must be text")
         queued_request = QueuedRequest(
-            adapter_name=slot_request["adapter"],
+            adapter_name=adapter,
             min_version=slot_request["version"],
             priority=slot_request["priority"],
             first_attempt_ms=now_ms - slot_request["waited_ms"] - slot_request["tried_ms"],
             on_time_until_ms=now_ms + slot_request["on_time_ms"],
             deadline_ms=now_ms + slot_request["wait_ms"],
             excluded_runners=frozenset(slot_request["avoid"]),
-            # Nodes of an earlier release name none.
-            software_version=slot_request.get("software_version"),
+            software_version=software_version,
             on_result=result.set,
             session_key=slot_request["session"],
             tried_ms=slot_request["tried_ms"],
