Streams: a single version binds a stream that goes on

The version that was concluded is now required of the server. A peer's memory of a stream is kept, a conclusion is not. test_a_stream_of_the_only_version_does_not_go_on_at_one_that_comes_while_it_waits failed before, twice.

--- a/monsoonflow/entry/stream_versions.py
+++ b/monsoonflow/entry/stream_versions.py
@@ -27,6 +27,7 @@
 from ..transport.models import Request
 from ..transport.server import Reply
 from .software_versions import (
+    UNSTATED_VERSION,
     Conclusion,
     NoConclusion,
     OneVersion,
@@ -93,12 +94,14 @@
     """The result of a search.
 
     :param source: where it was found, for the log and the metric.
+    :param kept_version: what a peer has kept of the stream itself, rather than concluded.
     """
 
     result: KnownVersion | AnyVersion | UnknownVersion
     source: str
     asked: int = 0
     answered: int = 0
+    kept_version: str | None = None
 
 
 class QuestionFields(Struct):
@@ -276,10 +279,8 @@
         started_ms = self._clock.now_ms()
         key = stream_key(request_id)
         found = self._find(service, key, min(timeout_ms, FIND_TIMEOUT_MS))
-        if isinstance(found.result, KnownVersion):
-            self.memory.add(
-                service, key, found.result.software_version, False, self._clock.now_ms()
-            )
+        if found.kept_version is not None:
+            self.memory.add(service, key, found.kept_version, False, self._clock.now_ms())
         self._count_found(found.source)
         self._log_found(service, request_id, found, self._clock.now_ms() - started_ms)
         return found.result
@@ -291,7 +292,7 @@
             return _Found(KnownVersion(version), "own")
         conclusion = self._versions.conclude(service)
         if isinstance(conclusion, OneVersion):
-            return _Found(AnyVersion(), "any")
+            return _Found(_only_version({conclusion.software_version or UNSTATED_VERSION}), "any")
         return self._ask_peers(service, key, conclusion, now_ms + timeout_ms)
 
     def _ask_peers(
@@ -308,8 +309,8 @@
             self._tasks.spawn(self._ask, search, peer.record.peer_address, body, timeout_ms)
         self._await_peers(search, peers_deadline_ms)
         if search.version is not None:
-            result: KnownVersion | AnyVersion | UnknownVersion = KnownVersion(search.version)
-            return _Found(result, "peer", len(peers), search.answered)
+            known = KnownVersion(search.version)
+            return _Found(known, "peer", len(peers), search.answered, search.version)
         source, result = self._conclude(search, service, deadline_ms)
         return _Found(result, source, len(peers), search.answered)
 
@@ -342,13 +343,13 @@
         if len(versions) > 1:
             return "unknown", UnknownVersion(_several_reason(versions))
         if search.only_ms is not None:
-            return "any_of_peer", AnyVersion()
+            return "any_of_peer", _only_version(versions)
         conclusion = self._conclude_with_record(search, service, deadline_ms)
         match conclusion:
             case OneVersion(software_version=version):
                 versions |= set() if version is None else {version}
                 if len(versions) <= 1:
-                    return "any_of_store", AnyVersion()
+                    return "any_of_store", _only_version(versions)
                 return "unknown", UnknownVersion(_several_reason(versions))
             case SeveralVersions(versions=several):
                 return "unknown", UnknownVersion(_several_reason(several))
@@ -437,6 +438,12 @@
     )
 
 
+def _only_version(versions: Iterable[str]) -> KnownVersion | AnyVersion:
+    """Return what a single version means for a stream: another one may come while it waits."""
+    version = next(iter(versions), UNSTATED_VERSION)
+    return AnyVersion() if version == UNSTATED_VERSION else KnownVersion(version)
+
+
 def _several_reason(versions: Iterable[str]) -> str:
     return f"several versions served: {','.join(sorted(versions))}"
 
--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -5,10 +5,14 @@
 import re
 
 import gevent
+import orjson
 import pytest
 
+from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.entry.peers import SLOT_REQUEST_PATH
 from monsoonflow.gateway.models import Handover
 from monsoonflow.platform.headers import HeaderDialect
+from monsoonflow.transport.client import ConnectionPools, call
 from tests.entry.conftest import CONFIG, MODEL, route, wait_for
 from tests.entry.partition import Cut, make_partitionable, partition
 
@@ -237,6 +241,126 @@
     assert event_ids(answer.body) == [3, 4]
 
 
+def test_streams_of_a_split_route_go_on_at_their_service(fleet):
+    """A service was drawn anew, and the other one knows nothing of the stream."""
+    plain, engines = CONFIG["services"]
+    split = [{"service": name, "weight": 1} for name in ("plain", "plain2")]
+    fleet.configure(
+        routes=[route("flow", "stream", "plain", resumable=True, trafficSplit=split)],
+        services=[plain, {**plain, "name": "plain2"}, engines],
+    )
+    for service in ("plain", "plain2"):
+        fleet.runner(f"{service}-1", 3, "v1", service=service)
+        fleet.runner(f"{service}-2", 3, "v2", service=service)
+    node = fleet.node()
+    wait_for(lambda: len(node.daemon.cluster_state.server_registry.server_by_life) == 4)
+    for number in range(16):
+        begun = fleet.ask(node, "/flow/x", f"r-{number}", b"prompt")
+        resumed = {"Last_Event_Id": "2", "Resumes": f"r-{number}"}
+        answer = fleet.ask(node, "/flow/x", f"s-{number}", b"prompt", **resumed)
+        assert (begun.head.status, answer.head.status) == (200, 200)
+        assert versions(answer.body) == versions(begun.body)
+        services = {
+            found.head.value(b"x-instance-id").rpartition(b"-")[0] for found in (begun, answer)
+        }
+        assert len(services) == 1
+
+
+@pytest.mark.parametrize("ending", ["crashes", "refuses"])
+def test_a_stream_of_the_only_version_does_not_go_on_at_one_that_comes_while_it_waits(
+    fleet, ending
+):
+    """With one version any server seemed to do, and the stream went on at a new server."""
+    first = fleet.runner("i-1")
+    first.adapters["a1"] = 1
+    node = fleet.node()
+    fleet.holder()
+    wait_for(lambda: node.daemon.cell_leases.residency.holders(f"{MODEL}/a1"))
+    first.faults.queue_ms = 2_500
+    waiting = gevent.spawn(go_on, fleet, node, "a1", "r-2", "r-1")
+    gevent.sleep(0.3)
+    assert not waiting.ready()
+    second = fleet.runner("i-2", 3, "v2")
+    second.adapters["a1"] = 1
+    fleet.store.put("servers", "i-2", second.entry())
+    registry = node.daemon.cluster_state.server_registry
+    wait_for(lambda: len(registry.servers_of("llm")) == 2)
+    if ending == "crashes":
+        first.crash()
+    else:
+        first.adapters.pop("a1")
+    assert "v2" not in versions(waiting.get().body)
+
+
+def test_a_server_that_restarts_under_its_id_does_not_keep_its_version(fleet):
+    """The version of the process before was taken for that of the new one."""
+    runner = fleet.runner("i-1")
+    runner.adapters["a1"] = 1
+    runner.born = 1_000
+    fleet.store.put("servers", "i-1", runner.entry())
+    node = fleet.node()
+    fleet.holder()
+    registry = node.daemon.cluster_state.server_registry
+    wait_for(lambda: registry.life_of("i-1").born_ms == 1_000)
+    runner.start_again(2_000, MODEL)
+    runner.software_version = "v2"
+    assert versions(stream(fleet, node, "a1", "r-1").body) == {"v2"}
+    other = fleet.runner("i-2")
+    other.adapters["a1"] = 1
+    fleet.store.put("servers", "i-1", runner.entry())
+    wait_for(lambda: {s.software_version for s in registry.servers_of("llm")} == {"v1", "v2"})
+    assert "v1" not in versions(go_on(fleet, node, "a1", "r-2", "r-1").body)
+
+
+def test_a_stream_that_its_caller_takes_up_goes_before_new_ones(fleet):
+    """Half an answer waited behind whole ones."""
+    routes = [{**r, "priority": 3} if r["name"] == "read" else r for r in CONFIG["routes"]]
+    fleet.configure(routes=routes)
+    runner = fleet.runner("i-1")
+    node = fleet.node()
+    fleet.holder()
+    stream(fleet, node, "a1", "r-1")
+    go_on(fleet, node, "a1", "r-2", "r-1")
+    ranks = {r.value(b"x-request-id"): r.value(b"x-request-priority") for r in runner.requests}
+    assert ranks == {b"r-1": b"3", b"r-2": b"0"}
+
+
+@pytest.mark.parametrize("changed", [{"software_version": ["v1"]}, {"adapter": ["a1"]}])
+def test_a_malformed_slot_request_of_a_peer_is_refused(fleet, changed):
+    """It ended the task that loads adapters, and no adapter was loaded any more."""
+    fleet.runner("i-1")
+    node = fleet.node()
+    fleet.holder()
+    slot_request = {
+        "cell": "llm",
+        "adapter": f"{MODEL}/a1",
+        "version": 1,
+        "priority": 1,
+        "wait_ms": 500,
+        "on_time_ms": 500,
+        "avoid": [],
+        "session": None,
+        "lacking": [],
+        "rank": 1,
+        "prompt_tokens": 10,
+        "read_ms": None,
+        "tokens_per_ms": 1.0,
+        "waited_ms": 0,
+        "tried_ms": 0,
+        **changed,
+    }
+    answer = call(
+        ConnectionPools(MonotonicClock()),
+        node.daemon.settings.peer_address,
+        "POST",
+        SLOT_REQUEST_PATH,
+        orjson.dumps(slot_request),
+        2_000,
+    )
+    assert answer.head.status == 400
+    assert event_ids(stream(fleet, node, "a2", "r-1").body) == ALL_EVENTS
+
+
 def test_a_stream_without_events_may_begin_at_any_version(fleet, entry_node, runners):
     """A caller that has no event yet needs no version, although it names an earlier attempt."""
     first, *_, same_version = runners
