Soak: a limit in a head that is broken off is not a named one

Trace: the servers noted that they named their limit at 57.06 to 57.30 s, but broke off every head until 58.63 s (97 attempts with 'the connection ended inside the answer'); nodes applied the limit at once when the first whole head came. A limit that no node can read binds none: the note is taken back. The new test failed before for a broken head and passed for an answer that broke off later.

--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -19,6 +19,7 @@
 from monsoonflow.transport.server import Reply  # noqa: E402
 from stand_ins.commands import follow, record  # noqa: E402
 from stand_ins.platform_runner import FIRST_VERSION, PlatformRunner, PlatformServer  # noqa: E402
+from stand_ins.raw_answers import BreakPlace  # noqa: E402
 
 REGISTER_TIMEOUT_MS: Final = 1_000
 AGAIN_S: Final = 0.1
@@ -63,6 +64,15 @@
             record("named", limit=self._named_limit)
         return super()._headers(request, signed, request_id)
 
+    def _answers_raw(self, *arguments: Any) -> bool:
+        breaks_head = self.faults.break_off > 0 and self.faults.break_place == BreakPlace.HEAD
+        is_answered = super()._answers_raw(*arguments)
+        if is_answered and breaks_head and self._named_limit is not None:
+            # Nobody can read a limit in a head that was broken off.
+            self._named_limit = None
+            record("named", limit=None)
+        return is_answered
+
     def fell(self) -> None:
         """Note that the server fell over."""
         record("fell")
--- a/tests/soak/test_raw_answers.py
+++ b/tests/soak/test_raw_answers.py
@@ -6,9 +6,11 @@
 import pytest
 
 from script.ports import free_port
+from stand_ins import server_process
 from stand_ins.event_streams import read_events
 from stand_ins.platform_runner import PlatformRunner, PlatformServer
 from stand_ins.raw_answers import BreakPlace
+from stand_ins.server_process import PlainProcess
 from stand_ins.strict_client import Ending, StrictClient
 
 EVENTS = 12
@@ -107,3 +109,23 @@
     events = read_events(found.body)
     assert 0 < len(events.ids) < EVENTS
     assert not events.is_last_whole
+
+
+@pytest.mark.parametrize("place", [BreakPlace.HEAD, BreakPlace.FIRST])
+def test_a_server_does_not_name_a_limit_in_a_head_that_is_broken_off(monkeypatch, place):
+    """Nodes were judged by a limit that they could not have read."""
+    named = []
+    monkeypatch.setattr(
+        server_process,
+        "record",
+        lambda event, **fields: named.append(fields["limit"]) if event == "named" else None,
+    )
+    server = PlainProcess("i-1", f"127.0.0.1:{free_port()}", "plain")
+    server.start()
+    server.faults.limit, server.faults.break_off, server.faults.break_place = "2.5", 2, place
+    ask(server)
+    ask(server)
+    assert (named[-1] is None) == (place is BreakPlace.HEAD)
+    ask(server)
+    assert named[-1] == "2.5"
+    server.stop()
