Limits: idle nodes of a large fleet are told of a server's limit

Cause: limits were announced to active peers only, idle peers got short heartbeats without them, and a node that knew no active peers announced nothing. Each idle node sent one request without limit (F32). The test of large fleets passed alone because its nodes were still active from their start; beside load they had become idle before its requests began.

Change: a changed limit is announced to all peers, and a node that announces a limit sends full heartbeats in all its rounds.

New tests fail before and pass after; one covers a lost announcement. tests/fleet, tests/routing and the entry tests of limits, activity, brittle servers and quotas pass but for F29, which is listed (40 requests, as before). Not run: the other tests, the test beside six busy processes.

--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -119,10 +119,9 @@
             self._active_peer_names(addresses) if heartbeat.is_active else (),
             not heartbeat.is_active and not is_starting,
         )
-        # Every node must know of added and departed servers. A node without callers that had
-        # missed an added one would answer its first caller with "no server takes work".
-        has_server_changes = heartbeat.departed_servers or heartbeat.added_servers
-        full = recipients if has_server_changes else view.full_heartbeat_recipients(recipients)
+        full = recipients
+        if not _concerns_idle_peers(heartbeat):
+            full = view.full_heartbeat_recipients(recipients)
         self._send_heartbeat(heartbeat, [addresses[name] for name in full])
         short = set(recipients).difference(full)
         if short:
@@ -197,9 +196,12 @@
         self._send_data(codec.encode_work_delta(self._work_delta()), addresses)
 
     def send_usage_delta(self, delta: UsageDelta) -> None:
-        """Send a usage delta to the peers with callers."""
+        """Send a usage delta to the peers with callers, and to all peers if it has a limit.
+
+        Each idle peer would use a limit that it does not know with its first request.
+        """
         addresses = self._peer_addresses()
-        names = self._active_peer_names(addresses)
+        names = addresses if delta.limit_by_server else self._active_peer_names(addresses)
         self._send_data(codec.encode_usage_delta(delta), [addresses[name] for name in names])
 
     def send_begun_streams(self, begun: BegunStreams, address: str) -> None:
@@ -274,6 +276,21 @@
             self._send_heartbeat(self._heartbeat(), [address])
 
 
+def _concerns_idle_peers(heartbeat: Heartbeat) -> bool:
+    """Return whether peers without callers need the full heartbeat too.
+
+    Every node must know of added and departed servers. A node without callers that had missed an
+    added one would answer its first caller with "no server takes work". One that had missed the
+    announcement of a limit would exceed it.
+    """
+    limits = heartbeat.limit_by_server.values()
+    return bool(
+        heartbeat.departed_servers
+        or heartbeat.added_servers
+        or any(limit.rate_per_s is not None for limit in limits)
+    )
+
+
 def _passes_rate_limit(sent_ms_by_address: dict[str, int], address: str, now_ms: int) -> bool:
     """Return whether a message may be sent to an address now, and if so record that it is."""
     for known, sent_ms in list(sent_ms_by_address.items()):
--- a/monsoonflow/gateway/quota_peers.py
+++ b/monsoonflow/gateway/quota_peers.py
@@ -82,6 +82,10 @@
         """Return the peers that have announced that they have callers."""
         return self._view.active_peer_names()
 
+    def peer_count(self) -> int:
+        """Return the number of all peers, with and without callers."""
+        return self._view.node_count() - 1
+
     def _find_peers(self, now_ms: int) -> QuotaPeers:
         view = self._view
         max_age_ms = {is_active: view.max_age_ms(is_active) for is_active in (True, False)}
--- a/monsoonflow/gateway/server_limits.py
+++ b/monsoonflow/gateway/server_limits.py
@@ -80,7 +80,7 @@
         self._record_brittle(life, terms, sent_ms, now_ms)
         if self._limits.record_answer(life, terms.limit, not terms.not_run, sent_ms, now_ms):
             self._changed_lives.add(life)
-            self._announcer.schedule(self._peer_tracker.peers(now_ms).active)
+            self._announcer.schedule(self._peer_tracker.peer_count())
 
     def _record_brittle(
         self, life: ServerLife, terms: AnswerTerms, sent_ms: int, now_ms: int
--- a/tests/entry/test_server_limits.py
+++ b/tests/entry/test_server_limits.py
@@ -13,6 +13,7 @@
 GRACE_MS = 3_000
 OVERSHOOT = 1.5
 SLACK = 5
+MAX_ACTIVE_WITHOUT_CALLERS = 10
 RUN_MS = 9_000
 PAUSE_S = 0.07
 
@@ -159,3 +160,40 @@
     send_requests(fleet, look, for_ms=10_000, pause_s=0.15)
     assert most_in_window(server, begin_ms + GRACE_MS) <= allowed(1)
     assert len(server.requests) >= 8
+
+
+def add_idle_nodes(fleet, nodes):
+    """Add the nodes of a large fleet; wait until most are idle and have announced it."""
+    for _ in range(nodes):
+        fleet.node()
+    activities = [node.daemon.activity for node in fleet.nodes]
+    wait_for(lambda: sum(activity.active for activity in activities) <= MAX_ACTIVE_WITHOUT_CALLERS)
+    gevent.sleep(2)
+
+
+@pytest.mark.parametrize("is_change_lost", [False, True])
+def test_idle_nodes_of_a_large_fleet_learn_a_limit_from_a_peer(fleet, monkeypatch, is_change_lost):
+    """Idle nodes got short heartbeats without limits, and no announcements of changes."""
+    monkeypatch.setattr("monsoonflow.entry.cluster_state.ANNOUNCE_MS", 0)
+    if is_change_lost:
+        monkeypatch.setattr(
+            "monsoonflow.fleet.gossip.Gossip.send_usage_delta", lambda _gossip, _delta: None
+        )
+    server = fleet.plain("i-1")
+    add_idle_nodes(fleet, 18)
+    server.faults.limit = "1"
+    look(fleet, fleet.nodes[0], "r1")
+    wait_until_all_know(fleet, server)
+
+
+@pytest.mark.parametrize("nodes", [18, 30])
+def test_idle_nodes_of_a_large_fleet_keep_to_a_limit(fleet, monkeypatch, nodes):
+    """Each idle node sent one request before it knew of a limit that its peers had received."""
+    monkeypatch.setattr("monsoonflow.entry.cluster_state.ANNOUNCE_MS", 0)
+    server = fleet.plain("i-1")
+    add_idle_nodes(fleet, nodes)
+    server.faults.limit = "1"
+    begin_ms = fleet.nodes[0].daemon.clock.now_ms()
+    send_requests(fleet, look, for_ms=10_000, pause_s=0.15)
+    assert most_in_window(server, begin_ms + GRACE_MS) <= allowed(1)
+    assert len(server.requests) >= 8
