Streams: peers are asked also when little time is left for a search

Cause: 150 ms of each search were kept for the store; callers that come back late leave less than that, so none of the eight peers that were asked was waited for (answered=0), although they answer within 6 to 21 ms. At most a third of the time is now kept for the store. test_peers_are_asked_also_when_little_time_is_left failed before.

--- a/monsoonflow/entry/stream_versions.py
+++ b/monsoonflow/entry/stream_versions.py
@@ -74,6 +74,9 @@
 """The part of it that is left for the store, which is asked when no peer knows more. Asked at the
 same time as the peers, it would get two calls for each stream while connections are reset."""
 
+MAX_STORE_SHARE: Final = 1 / 3
+"""The most of a short search that is left for the store: most peers answer within a round trip."""
+
 RECORD_POLL_MS: Final = 10
 MAX_LINES_PER_SECOND: Final = 50
 """Lines about streams taken up again that are written each second; the metric counts all."""
@@ -302,7 +305,10 @@
         peers = self._peers_to_ask(key)
         search.pending = len(peers)
         body = orjson.dumps({"service": service, "stream": key})
-        reserved_ms = STORE_TIMEOUT_MS if isinstance(conclusion, NoConclusion) else 0
+        left_ms = max(0, deadline_ms - self._clock.now_ms())
+        reserved_ms = min(STORE_TIMEOUT_MS, int(left_ms * MAX_STORE_SHARE))
+        if not isinstance(conclusion, NoConclusion):
+            reserved_ms = 0
         peers_deadline_ms = deadline_ms - reserved_ms
         timeout_ms = max(0, peers_deadline_ms - self._clock.now_ms())
         for peer in peers:
--- a/tests/entry/stream_fleet.py
+++ b/tests/entry/stream_fleet.py
@@ -221,12 +221,14 @@
         """Receive the first event of a stream."""
         self.streams.record_begun(SERVICE, request_id, version)
 
-    def find(self, request_id: str) -> KnownVersion | AnyVersion | UnknownVersion:
+    def find(
+        self, request_id: str, timeout_ms: int = TIMEOUT_MS
+    ) -> KnownVersion | AnyVersion | UnknownVersion:
         """Look up a stream, and let the time pass that this takes."""
         results: list[Any] = []
 
         def search() -> None:
-            results.append(self.streams.find(SERVICE, request_id, TIMEOUT_MS))
+            results.append(self.streams.find(SERVICE, request_id, timeout_ms))
 
         self.tasks.spawn(search)
         started_ms = self.world.now_ms()
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -386,6 +386,18 @@
     assert fleet.datagrams == 0
 
 
+def test_peers_are_asked_also_when_little_time_is_left():
+    """What is left for the store was more than all of the time, and no peer was waited for."""
+    fleet = StreamFleet(12, is_first_start=False)
+    for node in fleet.live()[6:]:
+        node.polls_servers = False
+    fleet.run(LIFE_MS + NOTICE_MS)
+    asking = fleet.live()[6:]
+    for node in asking:
+        node.reaches_store = False
+    assert [node.find("r1", timeout_ms=100) for node in asking] == [KnownVersion("v1")] * 6
+
+
 def test_nodes_of_an_earlier_release_are_neither_told_nor_asked(upgraded):
     """They ignore the message: a stream that only they were told of would be lost."""
     upgraded.kill(*upgraded.live()[3:])
