--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -11,22 +11,12 @@
 from monsoonflow.transport.server import HttpServer
 from script.ports import free_port
 from stand_ins.callers import MAX_RESUMES, Callers
-from stand_ins.platform_runner import PlatformRunner
 from stand_ins.raw_answers import BreakPlace
+from tests.soak.conftest import EVENTS
 
-EVENTS = 12
 ROUTE = {"path": "/read/x", "deadline_ms": 3_000, "headers": {}, "is_stream": True}
 
 
-@pytest.fixture
-def runner():
-    server = PlatformRunner("i-1", f"127.0.0.1:{free_port()}", "llm", "base")
-    server.events = EVENTS
-    server.start()
-    yield server
-    server.stop()
-
-
 @pytest.fixture
 def callers(runner):
     found = orjson.dumps({"addresses": [runner.address], "ttlS": 60})
--- a/tests/soak/test_raw_answers.py
+++ b/tests/soak/test_raw_answers.py
@@ -8,21 +8,11 @@
 from script.ports import free_port
 from stand_ins import server_process
 from stand_ins.event_streams import read_events
-from stand_ins.platform_runner import PlatformRunner, PlatformServer
+from stand_ins.platform_runner import PlatformServer
 from stand_ins.raw_answers import BreakPlace
 from stand_ins.server_process import PlainProcess
 from stand_ins.strict_client import Ending, StrictClient
-
-EVENTS = 12
-
-
-@pytest.fixture
-def runner():
-    server = PlatformRunner("i-1", f"127.0.0.1:{free_port()}", "llm", "base")
-    server.events = EVENTS
-    server.start()
-    yield server
-    server.stop()
+from tests.soak.conftest import EVENTS
 
 
 @pytest.fixture
