Streams: both conclusions about versions end in one place

Whether several versions are certain, and what a gap in the list means, stood twice. No behaviour changes; tests/entry/test_stream_versions*.py pass.

--- a/monsoonflow/entry/software_versions.py
+++ b/monsoonflow/entry/software_versions.py
@@ -216,15 +216,13 @@
         has one version. That it has several is certain in any case.
         """
         self.refresh()
-        seen = self.seen(service)
-        if len(seen) > 1:
-            return SeveralVersions(tuple(sorted(seen)))
-        coverage, now_ms = self._current_coverage(), self._clock.now_ms()
+        coverage = self._current_coverage()
         if coverage is None:
-            return NoConclusion("the list of servers is old")
-        if not self.knows_all_past() and now_ms - coverage.since_ms < self.stream_life_ms:
-            return NoConclusion("the versions of the past are not known")
-        return OneVersion(next(iter(seen), None))
+            return self._conclude_from(service, set(), "the list of servers is old")
+        followed_ms = self._clock.now_ms() - coverage.since_ms
+        if not self.knows_all_past() and followed_ms < self.stream_life_ms:
+            return self._conclude_from(service, set(), "the versions of the past are not known")
+        return self._conclude_from(service, set())
 
     def conclude_with_record(self, service: str, record: VersionRecord | None) -> Conclusion:
         """Return what the store's record of past versions and the list of servers say together.
@@ -232,23 +230,32 @@
         The list must be known without a gap since the record was read.
         """
         self.refresh()
-        seen = self.seen(service)
-        if len(seen) > 1:
-            return SeveralVersions(tuple(sorted(seen)))
-        coverage, now_ms = self._current_coverage(), self._clock.now_ms()
+        coverage = self._current_coverage()
         if coverage is None:
-            return NoConclusion("the list of servers is old")
+            return self._conclude_from(service, set(), "the list of servers is old")
         if record is None or coverage.service_offset_ms is None:
-            return NoConclusion("the store has no record of past versions")
+            return self._conclude_from(service, set(), "the store has no record of past versions")
         if coverage.since_ms > record.read_ms + coverage.max_gap_ms:
-            return NoConclusion("the record of past versions was read too long ago")
-        service_now_ms = now_ms + coverage.service_offset_ms
+            return self._conclude_from(
+                service, set(), "the record of past versions was read too long ago"
+            )
+        service_now_ms = self._clock.now_ms() + coverage.service_offset_ms
         if service_now_ms - record.since_ms < self.stream_life_ms:
-            return NoConclusion("the record of past versions is too short")
-        versions = seen | record.versions_since(service_now_ms - self.stream_life_ms)
+            return self._conclude_from(service, set(), "the record of past versions is too short")
+        recorded = record.versions_since(service_now_ms - self.stream_life_ms)
+        return self._conclude_from(service, recorded)
+
+    def _conclude_from(
+        self, service: str, recorded: set[str], gap: str | None = None
+    ) -> Conclusion:
+        """Return the conclusion from the versions that were seen or recorded.
+
+        :param gap: why other versions may have been missed; several are certain in any case.
+        """
+        versions = self.seen(service) | recorded
         if len(versions) > 1:
             return SeveralVersions(tuple(sorted(versions)))
-        return OneVersion(next(iter(versions), None))
+        return OneVersion(next(iter(versions), None)) if gap is None else NoConclusion(gap)
 
     def may_have_several(self, service: str) -> bool:
         """Return whether peers must be told of begun streams.
