Gateway: the end of a stream is judged apart from forwarding it

The loop compared counts of events at three places to tell whether a stream had begun, and its end stood in the same function. No behaviour changes; tests/entry/test_broken_answers.py passes.

--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -235,26 +235,31 @@
         splitter.incomplete = b""
         resumed_after = splitter.last_event_id
         earlier_count = splitter.event_count
-        while (
-            piece := self._next_piece(connection, splitter.event_count == earlier_count)
-        ) is not None:
+        has_begun = False
+        while (piece := self._next_piece(connection, not has_begun)) is not None:
             self._on_activity()
-            is_first = splitter.event_count == earlier_count
             events = splitter.feed(piece)
             if len(splitter.incomplete) > MAX_EVENT_BYTES:
                 raise BrokenAnswer("an event is too long")
             if not events:
                 continue
-            if is_first and splitter.event_count > earlier_count:
+            if not has_begun and splitter.event_count > earlier_count:
+                has_begun = True
                 if not _follows(events, resumed_after):
                     splitter.last_event_id, splitter.event_count = resumed_after, earlier_count
                     raise BrokenAnswer("the stream did not resume after the last event")
                 self._on_first_event()
             self._forward_events(head, events, reply)
+        return self._end_stream(head, reply, splitter, has_begun)
+
+    def _end_stream(
+        self, head: AnswerHead, reply: Reply, splitter: EventSplitter, has_begun: bool
+    ) -> AttemptResult:
+        """End the caller's answer, unless the server's end may not be that of the stream."""
         if splitter.is_inside_event:
             raise BrokenAnswer("the stream ended inside an event")
         if head.ends_with_connection:
-            if splitter.event_count == earlier_count:
+            if not has_begun:
                 raise BrokenAnswer("the connection ended before the first event")
             # Only the end of the caller's own connection says no more than that of the server's.
             if not reply.ends_with_connection:
