Transport: one type for framing and one value for a reset at close

The stand-ins had a second enumeration of how an answer's end is marked, and five files their own bytes for SO_LINGER. No behaviour and no check changes.

--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -5,7 +5,6 @@
 import logging
 import socket as native
 import ssl
-import struct
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -24,14 +23,10 @@
     WRITE_TIMEOUT_MS,
 )
 from .models import BadMessage, CallerLeft, Header, MessageLimits, Request
-from .sockets import set_socket_options, split_address
+from .sockets import FLUSH_AT_CLOSE, RESET_AT_CLOSE, set_socket_options, split_address
 
 _LOGGER = logging.getLogger(__name__)
 IDLE_CHECK_INTERVAL_S = 0.02
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)
-FLUSH_AT_CLOSE = struct.pack("ii", 0, 0)
-"""Values of SO_LINGER: discard what is unsent and reset the connection, or send it first."""
-
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
--- a/monsoonflow/transport/sockets.py
+++ b/monsoonflow/transport/sockets.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import socket as native
+import struct
 from functools import lru_cache
+from typing import Final
 
 from gevent import socket
 
@@ -15,6 +17,10 @@
     USER_TIMEOUT_MS,
 )
 
+RESET_AT_CLOSE: Final = struct.pack("ii", 1, 0)
+FLUSH_AT_CLOSE: Final = struct.pack("ii", 0, 0)
+"""Values of SO_LINGER: discard what is unsent and reset the connection, or send it first."""
+
 
 @lru_cache(maxsize=4_096)
 def split_address(address: str) -> tuple[str, int]:
--- a/stand_ins/links.py
+++ b/stand_ins/links.py
@@ -5,7 +5,6 @@
 import argparse
 import contextlib
 import socket as native
-import struct
 from enum import StrEnum
 from typing import Final
 
@@ -14,11 +13,10 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from monsoonflow.transport.sockets import RESET_AT_CLOSE
 from stand_ins.commands import follow, record
 
 READ_BYTES: Final = 65_536
-RESET: Final = struct.pack("ii", 1, 0)
-"""Option that makes closing a connection reset it."""
 
 
 class Mode(StrEnum):
@@ -49,7 +47,7 @@
         for sock in (self.caller, self.server):
             if reset:
                 with contextlib.suppress(OSError):
-                    sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+                    sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET_AT_CLOSE)
             sock.close()
 
 
@@ -94,14 +92,14 @@
 
     def _accept(self, caller: socket.socket, address: tuple[str, int]) -> None:
         if self._mode is Mode.REFUSES:
-            caller.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+            caller.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET_AT_CLOSE)
             caller.close()
             return
         host, _, port = self._target.rpartition(":")
         try:
             server = socket.create_connection((host, int(port)))
         except OSError:
-            caller.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+            caller.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET_AT_CLOSE)
             caller.close()
             return
         for sock in (caller, server):
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -12,9 +12,9 @@
 import orjson
 
 from monsoonflow.core.clock import MonotonicClock
-from monsoonflow.transport.models import CallerLeft, MessageLimits, Request
+from monsoonflow.transport.models import CallerLeft, Framing, MessageLimits, Request
 from monsoonflow.transport.server import HttpServer, Reply
-from stand_ins.raw_answers import BreakPlace, Framing, RawAnswer
+from stand_ins.raw_answers import BreakPlace, RawAnswer
 
 
 @attrs.define
@@ -236,8 +236,8 @@
         is_unframed = self._rng.random() < faults.unframed
         if not pieces or not (is_unframed or faults.break_off > 0):
             return False
-        is_stream = framing is Framing.CHUNKS
-        answer = RawAnswer(reply, Framing.CLOSE if is_unframed else framing, is_stream)
+        is_stream = framing is Framing.CHUNKED
+        answer = RawAnswer(reply, Framing.CONNECTION if is_unframed else framing, is_stream)
         self._raw_answers.add(answer)
         try:
             if faults.break_off > 0:
@@ -382,7 +382,7 @@
         after = int(request.value(b"last-event-id") or 0)
         headers = [*self._headers(request, signed=True), (b"Content-Type", b"text/event-stream")]
         events = [self._event(request, number) for number in range(after + 1, self.events + 1)]
-        if self._answers_raw(reply, headers, events, Framing.CHUNKS, self.event_ms / 1000):
+        if self._answers_raw(reply, headers, events, Framing.CHUNKED, self.event_ms / 1000):
             return
         reply.begin(200, headers, None)
         for number, event in enumerate(events, after + 1):
--- a/stand_ins/raw_answers.py
+++ b/stand_ins/raw_answers.py
@@ -9,17 +9,9 @@
 
 import gevent
 
-from monsoonflow.transport.models import CallerLeft, Header
+from monsoonflow.transport.models import CallerLeft, Framing, Header
 from monsoonflow.transport.server import REASON_PHRASES, Reply
-from stand_ins.links import RESET
-
-
-class Framing(StrEnum):
-    """What marks the end of an answer; ``CLOSE``: an orderly close of the connection."""
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CLOSE = "close"
+from monsoonflow.transport.sockets import RESET_AT_CLOSE
 
 
 class BreakPlace(StrEnum):
@@ -48,10 +40,10 @@
         """Send the whole answer, with a pause after each piece."""
         self._begin(headers, pieces)
         self._send_pieces(len(pieces), pause_s)
-        if self._framing is Framing.CHUNKS:
+        if self._framing is Framing.CHUNKED:
             self._connection.send(b"0\r\n\r\n")
         # The server closes the connection after an answer that its reply has not finished.
-        self._reply.finished = self._framing is not Framing.CLOSE
+        self._reply.finished = self._framing is not Framing.CONNECTION
 
     def break_off(
         self,
@@ -79,10 +71,10 @@
             if place is BreakPlace.PIECE:
                 self.send_half_a_piece()
             shows = place is BreakPlace.PIECE and self._shows_halves
-            resets = resets or (self._framing is Framing.CLOSE and not shows)
+            resets = resets or (self._framing is Framing.CONNECTION and not shows)
         if resets:
             sock = self._connection._sock  # noqa: SLF001
-            sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+            sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET_AT_CLOSE)
 
     def send_half_a_piece(self) -> None:
         """Send half of the next piece, so that a close does not look like the end."""
@@ -102,13 +94,13 @@
         match self._framing:
             case Framing.LENGTH:
                 marks = [(b"Content-Length", b"%d" % sum(map(len, pieces)))]
-            case Framing.CHUNKS:
+            case Framing.CHUNKED:
                 marks = [(b"Transfer-Encoding", b"chunked")]
-            case Framing.CLOSE:
+            case Framing.CONNECTION:
                 marks = []
         lines = [b"HTTP/1.1 200 " + REASON_PHRASES[200]]
         lines += [b"%s: %s" % header for header in [*headers, *marks]]
-        keeps = self._framing is not Framing.CLOSE
+        keeps = self._framing is not Framing.CONNECTION
         lines.append(self._connection.connection_header() if keeps else b"Connection: close")
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
@@ -119,6 +111,6 @@
                 gevent.sleep(pause_s)
 
     def _framed(self, piece: bytes) -> bytes:
-        if self._framing is Framing.CHUNKS:
+        if self._framing is Framing.CHUNKED:
             return b"%x\r\n%s\r\n" % (len(piece), piece)
         return piece
--- a/stand_ins/strict_client.py
+++ b/stand_ins/strict_client.py
@@ -12,8 +12,7 @@
 import attrs
 from gevent import socket
 
-from monsoonflow.transport.sockets import connect, is_readable
-from stand_ins.links import RESET
+from monsoonflow.transport.sockets import RESET_AT_CLOSE, connect, is_readable
 
 CONNECT_TIMEOUT_MS: Final = 1_000
 READ_BYTES: Final = 65_536
@@ -92,7 +91,7 @@
     def reset(self) -> None:
         """Reset it; the answer that is being read ends so."""
         with contextlib.suppress(OSError):
-            self._sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET)
+            self._sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET_AT_CLOSE)
         self._sock.close()
 
     def exchange(self, request: bytes, timeout_ms: int) -> StrictAnswer:
--- a/tests/entry/raw_runner.py
+++ b/tests/entry/raw_runner.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import socket as native
-import struct
 from collections import deque
 from collections.abc import Iterable
 from enum import StrEnum
@@ -19,12 +18,12 @@
 from monsoonflow.transport.client import ConnectionPools, ServerConnection
 from monsoonflow.transport.models import BrokenAnswer, CallerLeft, Framing, Header, Request
 from monsoonflow.transport.server import Reply
+from monsoonflow.transport.sockets import RESET_AT_CLOSE
 from script.ports import free_port
 from stand_ins.platform_runner import PlatformRunner, PlatformServer
 from tests.entry.conftest import HOST, MODEL, Fleet, Node
 
 PAUSE_S = 0.05
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class End(StrEnum):
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -4,9 +4,10 @@
 
 import contextlib
 import socket
-import struct
 import threading
 
+from monsoonflow.transport.sockets import RESET_AT_CLOSE
+
 HEAD = b"HTTP/1.1 200 OK\r\n"
 WITH_CHUNKS = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 WITHOUT_LENGTH = HEAD + b"\r\n"
@@ -66,5 +67,4 @@
                 _read_request(connection)
                 connection.sendall(self._data)
                 if self._has_reset:
-                    linger = struct.pack("ii", 1, 0)
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
--- a/tests/soak/test_links.py
+++ b/tests/soak/test_links.py
@@ -7,8 +7,9 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from monsoonflow.transport.sockets import RESET_AT_CLOSE
 from script.ports import free_port
-from stand_ins.links import RESET, Link
+from stand_ins.links import Link
 
 WAIT_S = 2.0
 
@@ -22,7 +23,7 @@
         sock.sendall(b"answer")
         gevent.sleep(0.05)
         if resets:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
         sock.close()
 
     server = StreamServer(("127.0.0.1", 0), serve)
