Tests: a port whose connections have just ended is free

Cause: the look for a port did not reuse addresses, so a port whose server had closed a connection first counted as taken for a minute. All servers here reuse addresses; a port that is listened at still is not given.

--- a/script/ports.py
+++ b/script/ports.py
@@ -29,7 +29,9 @@
         _guard, first = _take_slice()
         _ports = itertools.cycle(range(first, first + SLICE))
     for number in itertools.islice(_ports, SLICE):
-        probe = _bound(number)
+        # A port whose last connections have ended can be listened at again before the kernel has
+        # forgotten them, a minute later. In that time one process may go through its whole slice.
+        probe = _bound(number, reuses=True)
         if probe is not None:
             probe.close()
             return number
@@ -45,8 +47,9 @@
     raise AssertionError("every slice of ports is taken")
 
 
-def _bound(number: int) -> socket.socket | None:
+def _bound(number: int, reuses: bool = False) -> socket.socket | None:
     probe = socket.socket()
+    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, reuses)
     try:
         probe.bind(("127.0.0.1", number))
     except OSError:
