Logs: parts of a prompt, and how long a server had answered when an attempt failed

Callers saw requests fail with 502 while runners crashed one after the other. The output could not tell whether the requests at the crashes share a part of their prompts, an adapter, or nothing: request_accepted named no parts, and no line told which requests the runner had begun to answer. No change of logic.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -458,6 +458,7 @@
         sent_ms = self._clock.now_ms()
         job.tried_lives.append(chosen.life)
         job.headroom = None
+        job.attempt_first_event_ms = None
         forwarded = self._forwarded_request(job, chosen, sent_ms)
         ticket = self._in_flight.begin(
             chosen.life,
@@ -560,6 +561,7 @@
     def _record_first_event(self, job: Job, chosen: Chosen, ticket: Ticket) -> None:
         self._in_flight.record_first_event(ticket)
         now_ms = self._clock.now_ms()
+        job.attempt_first_event_ms = now_ms
         took_ms = now_ms - ticket.sent_ms
         self._backlog.record_first_event(chosen, took_ms, now_ms)
         version = chosen.software_version
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -59,6 +59,7 @@
     :param has_reached_server: whether a server may have run it or begun to.
     :param unsent_count: attempts in which nothing could be sent.
     :param first_event_ms: when the first part of the answer arrived.
+    :param attempt_first_event_ms: when the first event of its last attempt arrived.
     :param answer_framing: how the server that answered last marks the end of its answer.
     :param config_version: of the configuration by which it was routed.
     :param is_forwarded: whether a peer that does not reach the servers has forwarded it.
@@ -95,6 +96,7 @@
     has_reached_server: bool = False
     unsent_count: int = 0
     first_event_ms: int | None = None
+    attempt_first_event_ms: int | None = None
     answer_framing: Framing | None = None
     config_version: int = 0
     is_forwarded: bool = False
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -25,6 +25,7 @@
     :param max_output_tokens: the most tokens that may be generated.
     :param length_hint: the caller's estimate of the number of generated tokens.
     :param session: identifies the last shared part of the prompt.
+    :param prompt_parts: identify the parts of the prompt before the last one, in order.
     :param last_event_id: the event after which a stream is resumed.
     :param resumed_request_id: the caller's attempt that brought the stream's first event.
     :param api_key: identifies the customer; must not be logged.
@@ -43,6 +44,7 @@
     last_event_id: bytes | None = None
     api_key: str | None = attrs.field(default=None, repr=False)
     resumed_request_id: str | None = None
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def resumes_stream(self) -> bool:
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -141,6 +141,7 @@
                 customer=job.customer_name,
                 forwarded=job.is_forwarded or None,
                 resumes=call.resumed_request_id,
+                parts=",".join(call.prompt_parts) or None,
             ),
         )
 
@@ -208,6 +209,7 @@
     ) -> None:
         """Log that an attempt failed."""
         headroom = job.headroom
+        began_ms = job.attempt_first_event_ms
         log(
             _LOGGER,
             events.TryFailed(
@@ -219,6 +221,7 @@
                 took_ms,
                 retries_known=headroom.known_retries if headroom is not None else None,
                 retries_limit=round(headroom.retry_limit) if headroom is not None else None,
+                answering_ms=None if began_ms is None else self._clock.now_ms() - began_ms,
             ),
         )
 
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -24,6 +24,7 @@
     customer: str | None = None
     forwarded: bool | None = None
     resumes: str | None = None
+    parts: str | None = None
 
 
 @event
@@ -126,7 +127,8 @@
 class TryFailed(Event):
     """An attempt to send a request to a server failed; ``again``: it will be retried."""
 
-    # ``retries_known`` are the retries of the service in the current window that this node knows
+    # ``answering_ms`` is for how long the server had been sending events, ``None`` if it had not
+    # begun. ``retries_known`` are the retries of the service in the current window that this node knows
     # of, ``retries_limit`` is its estimate of the retry budget.
 
     request: str
@@ -137,6 +139,7 @@
     took_ms: int
     retries_known: int | None = None
     retries_limit: int | None = None
+    answering_ms: int | None = None
 
 
 @event
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -32,6 +32,8 @@
 MAX_TOKEN_DIGITS: Final = 9
 SERVER_LIMIT_PATTERN: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 MAX_LOGGED_VALUE_BYTES: Final = 40
+MAX_PROMPT_PARTS: Final = 64
+MAX_PART_ID_LENGTH: Final = 64
 
 NODE_SET_HEADERS: Final = frozenset(
     {
@@ -106,9 +108,7 @@
         )
         deadline_ms = value_by_name.get(DEADLINE_HEADER)
         length_hint = value_by_name.get(LENGTH_HINT_HEADER)
-        last_prefix = (
-            value_by_name.get(PROMPT_PREFIX_HEADER, b"").rpartition(b",")[2].partition(b":")[0]
-        )
+        earlier_parts, _, last_part = value_by_name.get(PROMPT_PREFIX_HEADER, b"").rpartition(b",")
         return Call(
             request_id=value_by_name[REQUEST_ID_HEADER].decode("latin-1"),
             host=value_by_name[b"host"].decode("latin-1"),
@@ -119,10 +119,11 @@
             prompt_tokens=_parse_token_count(prompt_tokens),
             max_output_tokens=_parse_token_count(max_output_tokens),
             length_hint=int(float(length_hint)) if length_hint else None,
-            session=last_prefix.decode("latin-1").strip() or None,
+            session=_decode_part_id(last_part) or None,
             last_event_id=value_by_name.get(LAST_EVENT_ID_HEADER),
             resumed_request_id=value_by_name.get(RESUMES_HEADER, b"").decode("latin-1") or None,
             api_key=_parse_api_key(value_by_name.get(AUTHORIZATION_HEADER, b"")),
+            prompt_parts=_decode_part_ids(earlier_parts),
         )
 
     def forwarded_head(self, request: Request, forwarded: ForwardedRequest) -> bytes:
@@ -262,6 +263,23 @@
     return int(digits)
 
 
+def _decode_part_id(part: bytes) -> str:
+    return part.partition(b":")[0].decode("latin-1").strip()
+
+
+def _decode_part_ids(parts: bytes) -> tuple[str, ...]:
+    """Return the different ids in a list of parts of a prompt.
+
+    >>> _decode_part_ids(b"5c1e07a2:800, 91BD3F06:410,5c1e07a2:5,:1")
+    ('5c1e07a2', '91bd3f06')
+    >>> len(_decode_part_ids(b",".join(b"%x:1" % number for number in range(500))))
+    64
+    """
+    pieces = parts.split(b",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]
+    ids = (_decode_part_id(piece).lower() for piece in pieces)
+    return tuple(dict.fromkeys(id_ for id_ in ids if 0 < len(id_) <= MAX_PART_ID_LENGTH))
+
+
 def _parse_api_key(value: bytes) -> str | None:
     """Return the key that a header carries; ``None`` if it carries none in the expected form."""
     if not value.startswith(KEY_SCHEME) or not value.isascii():
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -226,6 +226,7 @@
     assert (call.model, call.adapter) == ("m", "m/a17")
     assert (call.prompt_tokens, call.max_output_tokens) == (1_460, 80)
     assert (call.session, call.deadline_ms, call.last_event_id) == ("e4402b7d", 4_000, b"12")
+    assert call.prompt_parts == ("5c1e07a2", "91bd3f06")
     assert call.path == "/a/b"
 
 
