Tests: a part of prompts that crashes runners, committed failing

Real nodes before stand-in runners that end 75 ms after they begin a request with a marked part, as the runners see it.

The supervisor that restarts crashed runners moves from test_poison.py to a module of its own; its checks are unchanged.

--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -127,9 +127,9 @@
 class TryFailed(Event):
     """An attempt to send a request to a server failed; ``again``: it will be retried."""
 
-    # ``answering_ms`` is for how long the server had been sending events, ``None`` if it had not
-    # begun. ``retries_known`` are the retries of the service in the current window that this node knows
-    # of, ``retries_limit`` is its estimate of the retry budget.
+    # ``retries_known`` are the retries of the service in the current window that this node knows
+    # of, ``retries_limit`` is its estimate of the retry budget. ``answering_ms`` is for how long
+    # the server had been sending events; ``None`` if it had not begun.
 
     request: str
     server: str
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -31,6 +31,8 @@
     :param slow_ms: time that a request takes.
     :param queue_ms: time that a request waits at a model runner before it begins.
     :param poison: a body under which the server ends as it begins to run it.
+    :param poison_parts: parts of a prompt, in any place but the last, under which a model runner
+        ends as it begins to answer.
     :param keeps_left: a model runner keeps what waits there when its caller has gone.
     :param limit: the limit for requests of all nodes that it names in its answers.
     :param brittle: rejections for want of room in a second that it says it withstands.
@@ -53,6 +55,7 @@
     queue_ms: int = 0
     keeps_left: bool = False
     poison: bytes | None = None
+    poison_parts: frozenset[bytes] = frozenset()
     limit: str | None = None
     brittle: int | None = None
     max_waiting: int | None = None
@@ -65,6 +68,9 @@
 FIRST_VERSION: Final = "v1"
 """The software of servers of which nothing else is said."""
 
+POISON_DELAY_S: Final = 0.075
+"""How long a model runner works on a part of a prompt under which it ends."""
+
 FALL_S: Final = 2.0
 """How long a brittle server that falls over is gone."""
 
@@ -84,6 +90,8 @@
         self.requests: list[Request] = []
         self.left = 0
         self.crashes = 0
+        self.crashed_s: float | None = None
+        self.arrived: list[tuple[float, Request]] = []
         self.falls = 0
         self._rejected_s: list[float] = []
         self._running: set[gevent.Greenlet] = set()
@@ -102,6 +110,7 @@
     def crash(self) -> None:
         """End without a word, with all that is in progress."""
         self.crashes += 1
+        self.crashed_s = time.monotonic()
         self._port.stop_listening()
         self.break_off_answers()
         gevent.killall([task for task in self._running if task is not gevent.getcurrent()])
@@ -162,6 +171,7 @@
             return
         if self._control(request, reply):
             return
+        self.arrived.append((time.monotonic(), request))
         self._running.add(gevent.getcurrent())
         try:
             self._run(request, reply)
@@ -379,6 +389,10 @@
         if self.faults.fail or self.faults.rot or self.faults.foreign or self.faults.lose:
             super()._answer(request, reply)
             return
+        if self.faults.poison_parts.intersection(earlier_parts(request)):
+            gevent.sleep(POISON_DELAY_S)
+            self.crash()
+            raise CallerLeft("crashed")
         after = int(request.value(b"last-event-id") or 0)
         headers = [*self._headers(request, signed=True), (b"Content-Type", b"text/event-stream")]
         events = [self._event(request, number) for number in range(after + 1, self.events + 1)]
@@ -396,3 +410,9 @@
     def _event(self, request: Request, number: int) -> bytes:
         name, version = request.value(b"x-request-id"), self.software_version.encode()
         return b"id: %d\ndata: %s-%d %s\n\n" % (number, name, number, version)
+
+
+def earlier_parts(request: Request) -> list[bytes]:
+    """Return the parts of a request's prompt, without the last one, which is its own."""
+    prefix = request.value(b"x-prompt-prefix") or b""
+    return [part.partition(b":")[0] for part in prefix.split(b",")[:-1]]
--- a/tests/entry/test_poison.py
+++ b/tests/entry/test_poison.py
@@ -6,52 +6,18 @@
 import pytest
 
 from monsoonflow.transport.client import Answer, ConnectionPools, call
-from stand_ins.platform_runner import RunnerFaults
 from tests.entry.conftest import HOST, MODEL, wait_for
+from tests.entry.crashing_runners import Supervisor
 
 POISON = b"poison"
-RESTART_DELAY_S = 0.5
-
-
-class Supervisor:
-    """Restarts runners that have crashed, each as another server at the same address."""
-
-    def __init__(self, fleet) -> None:
-        self._fleet = fleet
-        self.crashed: list[str] = []
-        self.faults = RunnerFaults(poison=POISON)
-        self.event_ms = 5
-        self._task = gevent.spawn(self._run)
-
-    def _run(self) -> None:
-        while True:
-            for server in list(self._fleet.servers):
-                if server.crashes and server.server_id not in self.crashed:
-                    self.crashed.append(server.server_id)
-                    gevent.spawn_later(RESTART_DELAY_S, self._restart, server)
-            gevent.sleep(0.01)
-
-    def _restart(self, server) -> None:
-        self._fleet.store.remove("servers", server.server_id)
-        self._fleet.servers.remove(server)
-        runner = type(server)(f"{server.server_id}x", server.address, server.service, MODEL)
-        runner.faults = self.faults
-        runner.event_ms = self.event_ms
-        runner.start()
-        self._fleet.servers.append(runner)
-        self._fleet.store.put("servers", runner.server_id, runner.entry())
-
-    def stop(self) -> None:
-        """Stop restarting runners."""
-        self._task.kill()
 
 
 @pytest.fixture
 def supervisor(fleet):
     """Yield the supervisor of five runners that the poison crashes, with three nodes."""
     supervisor = Supervisor(fleet)
-    for number in range(5):
-        fleet.runner(f"i-{number}").faults = supervisor.faults
+    supervisor.faults.poison = POISON
+    supervisor.add_runners(5)
     for _ in range(3):
         fleet.node()
     fleet.holder()
