--- a/monsoonflow/quarantine/suspects.py
+++ b/monsoonflow/quarantine/suspects.py
@@ -8,12 +8,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from itertools import islice
 from typing import Final
 
 import attrs
 
 from ..core.server_life import ServerLife
+from .bounded import trim
+from .broken_connections import BrokenConnections
 from .models import QuarantinedRequest, ServerCrash
 
 CRASHES_TO_QUARANTINE: Final = 3
@@ -23,10 +26,6 @@
 """Crashes after which a request is not retried together with others that have as many. They would
 all be on the next server that crashes as well, and all of them would be quarantined."""
 
-BROKEN_CONNECTION_TTL_MS: Final = 5_000
-"""How long a broken connection is remembered. After this time it is known whether the server has
-crashed."""
-
 SUSPICION_TTL_MS: Final = 600_000
 """How long a request stays suspect after its last crash."""
 
@@ -39,7 +38,6 @@
 
 MAX_SUSPECTS: Final = 4_096
 MAX_QUARANTINED: Final = 1_024
-MAX_SERVERS: Final = 256
 
 
 @attrs.define(slots=True)
@@ -67,8 +65,7 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
-        self._broken_connections_by_life: OrderedDict[ServerLife, dict[str, int]] = OrderedDict()
-        self._crashed_ms_by_life: OrderedDict[ServerLife, int] = OrderedDict()
+        self._broken_connections: BrokenConnections[None] = BrokenConnections()
         self._suspect_by_fingerprint: OrderedDict[str, _Suspect] = OrderedDict()
         self._lifted_ms_by_fingerprint: OrderedDict[str, int] = OrderedDict()
         self._entry_by_fingerprint: OrderedDict[str, _QuarantineEntry] = OrderedDict()
@@ -81,25 +78,13 @@
 
         :return: the requests that are quarantined by that, if the server has recently crashed.
         """
-        known = self._broken_connections_by_life.get(life, {})
-        # Old entries are dropped, because a server may break connections for days without a crash.
-        recent = {
-            other: broken_ms
-            for other, broken_ms in known.items()
-            if now_ms - broken_ms <= BROKEN_CONNECTION_TTL_MS
-        }
-        recent[fingerprint] = now_ms
-        self._broken_connections_by_life[life] = recent
-        _trim(self._broken_connections_by_life, MAX_SERVERS)
-        crashed_ms = self._crashed_ms_by_life.get(life)
-        has_crashed = crashed_ms is not None and now_ms - crashed_ms <= BROKEN_CONNECTION_TTL_MS
-        return self._record_crash_of_requests(life, now_ms) if has_crashed else []
+        requests = self._broken_connections.record_broken(life, fingerprint, None, now_ms)
+        return self._record_crash_of_requests(requests, life, now_ms)
 
     def record_server_crash(self, life: ServerLife, now_ms: int) -> list[QuarantinedRequest]:
         """Record that a server has crashed; return the requests that are quarantined by that."""
-        self._crashed_ms_by_life[life] = now_ms
-        _trim(self._crashed_ms_by_life, MAX_SERVERS)
-        return self._record_crash_of_requests(life, now_ms)
+        requests = self._broken_connections.record_crash(life, now_ms)
+        return self._record_crash_of_requests(requests, life, now_ms)
 
     def must_run_alone(self, fingerprint: str) -> bool:
         """Return whether a request must not run at the same time as others with as many crashes."""
@@ -108,16 +93,16 @@
 
     def broken_requests_at(self, life: ServerLife) -> list[str]:
         """Return the requests that a server had when its connections broke."""
-        return list(self._broken_connections_by_life.get(life, ()))
+        return self._broken_connections.fingerprints_at(life)
 
-    def _record_crash_of_requests(self, life: ServerLife, now_ms: int) -> list[QuarantinedRequest]:
+    def _record_crash_of_requests(
+        self, fingerprints: Iterable[str], life: ServerLife, now_ms: int
+    ) -> list[QuarantinedRequest]:
         quarantined = []
-        for fingerprint, broken_ms in self._broken_connections_by_life.pop(life, {}).items():
-            if now_ms - broken_ms > BROKEN_CONNECTION_TTL_MS:
-                continue
+        for fingerprint in fingerprints:
             crash = ServerCrash(fingerprint, life)
             self._own_crash_ms[crash] = now_ms
-            _trim(self._own_crash_ms, MAX_SUSPECTS)
+            trim(self._own_crash_ms, MAX_SUSPECTS)
             request = self.record_crash(crash, now_ms, self._name)
             if request is not None:
                 quarantined.append(request)
@@ -141,7 +126,7 @@
         suspect.lives.append(crash.life)
         suspect.last_crash_ms = now_ms
         self._suspect_by_fingerprint.move_to_end(fingerprint)
-        _trim(self._suspect_by_fingerprint, MAX_SUSPECTS)
+        trim(self._suspect_by_fingerprint, MAX_SUSPECTS)
         if len(suspect.lives) < CRASHES_TO_QUARANTINE:
             return None
         request = QuarantinedRequest(fingerprint, tuple(suspect.lives), source)
@@ -155,7 +140,7 @@
         ):
             return False
         self._entry_by_fingerprint[fingerprint] = _QuarantineEntry(now_ms, request)
-        _trim(self._entry_by_fingerprint, MAX_QUARANTINED)
+        trim(self._entry_by_fingerprint, MAX_QUARANTINED)
         return True
 
     def lift(self, fingerprint: str, now_ms: int) -> bool:
@@ -165,7 +150,7 @@
             del self._own_crash_ms[crash]
         self._lifted_ms_by_fingerprint[fingerprint] = now_ms
         self._lifted_ms_by_fingerprint.move_to_end(fingerprint)
-        _trim(self._lifted_ms_by_fingerprint, MAX_SUSPECTS)
+        trim(self._lifted_ms_by_fingerprint, MAX_SUSPECTS)
         return self._entry_by_fingerprint.pop(fingerprint, None) is not None
 
     def record_completed(self, fingerprint: str, now_ms: int) -> bool:
@@ -210,8 +195,3 @@
         """Return the quarantined requests, the newest last."""
         requests = [entry.request for entry in self._entry_by_fingerprint.values()]
         return requests if max_count is None else requests[-max_count:]
-
-
-def _trim(table: OrderedDict, max_size: int) -> None:
-    while len(table) > max_size:
-        table.popitem(last=False)
--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -7,9 +7,9 @@
 import pytest
 
 from monsoonflow.core.server_life import ServerLife
+from monsoonflow.quarantine.broken_connections import BROKEN_CONNECTION_TTL_MS
 from monsoonflow.quarantine.models import QuarantinedRequest, ServerCrash
 from monsoonflow.quarantine.suspects import (
-    BROKEN_CONNECTION_TTL_MS,
     IGNORE_AFTER_LIFT_MS,
     MAX_QUARANTINED,
     MAX_SUSPECTS,
