Quarantine: parts of prompts that crash runners are found and refused by part

Callers saw runners crash one after the other: each request with one part of its prompt in common crashed the runner that began to answer it, whatever else it held, and what ran there broke off.

Cause: the quarantine counted crashes of identical requests (method, host, target, body) only. Class: the identity of a fault is drawn too narrowly, so that its variants never add up.

Change: crashes count by part of the prompt. A crash counts against the parts of the requests that its runner had hardly begun to answer. It goes on with a series only if the crashes before it were known when its request was sent, so that runners lost at one moment count once; three in a row of two requests at least decide. An answer that began after a crash clears its parts of it, at all nodes. Of several suspects the narrowest that explains the crashes is refused; parts that were always together only together. Nodes announce crashes, answers and findings; the finding has a row in the store. After an hour one node tries one request. Bystanders' quarantines that the part explains are lifted. A request is checked again just before it is sent, and one that waits at a runner is recalled.

test_a_node_of_an_earlier_release_is_not_taken_for_a_keeper cut the last field off a heartbeat; its field is no longer the last one, so it cuts from that field on.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -385,6 +385,8 @@
             retry_history=self.shared_retries.retry_history(),
             crashes=self.quarantine_manager.own_crashes(),
             quarantined_fingerprints=self.quarantine_manager.announced_quarantined(),
+            parts_crashes=self.quarantine_manager.own_parts_crashes(),
+            sound_parts=self.quarantine_manager.own_sound_parts(),
             quota_usage_by_customer=self.shared_quota.usage_by_customer(),
             limit_by_server=self.server_limits.announced_limits(),
             usage_by_limited_server=self.server_limits.usage_by_server(),
@@ -468,7 +470,11 @@
         self.shared_quota.handle_heartbeat(heartbeat)
         self.server_limits.handle_heartbeat(heartbeat)
         self.quarantine_manager.apply_announced(
-            heartbeat.name, heartbeat.crashes, heartbeat.quarantined_fingerprints
+            heartbeat.name,
+            heartbeat.crashes,
+            heartbeat.quarantined_fingerprints,
+            heartbeat.parts_crashes,
+            heartbeat.sound_parts,
         )
         if self.cluster_state.handle_heartbeat(heartbeat):
             self.software_versions.record_announced()
@@ -505,6 +511,11 @@
             "Requests that reach no server, since servers ended under them.",
             lambda: len(self.quarantine_manager.suspects.quarantined()),
         )
+        gauge(
+            "quarantined_parts",
+            "Parts of prompts whose requests reach no server, since servers ended under them.",
+            lambda: len(self.quarantine_manager.parts.quarantined()),
+        )
         gauge(
             "limited_servers",
             "Servers that name a limit for the requests of all nodes.",
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -11,7 +11,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
-from ..quarantine.models import ServerCrash
+from ..quarantine.models import PartsCrash, ServerCrash, SoundPart
 from ..routing.budget import RetryUsage
 from ..routing.in_flight import ServerWork
 from ..routing.overload import OverloadedRunners
@@ -101,6 +101,11 @@
             heartbeat.unreachable_services,
             _rejection_fields(heartbeat.rejections_by_brittle_server),
             heartbeat.keeps_stream_versions,
+            [
+                [crash.fingerprint, crash.life, crash.known_lives_by_part]
+                for crash in heartbeat.parts_crashes
+            ],
+            [[sound.part, sound.lives] for sound in heartbeat.sound_parts],
         ]
     )
 
@@ -325,9 +330,24 @@
         unreachable_services=_names_from_fields(_optional_field(fields, 24)),
         rejections_by_brittle_server=_rejections_from_fields(_optional_field(fields, 25) or {}),
         keeps_stream_versions=_optional_field(fields, 26) is True,
+        parts_crashes=tuple(map(_parts_crash_from_fields, _optional_field(fields, 27) or ())),
+        sound_parts=tuple(
+            SoundPart(str(part), _lives_from_fields(lives))
+            for part, lives in _optional_field(fields, 28) or ()
+        ),
     )
 
 
+def _parts_crash_from_fields(fields: list[Any]) -> PartsCrash:
+    fingerprint, life, known = fields
+    known_lives_by_part = {str(part): _lives_from_fields(lives) for part, lives in known.items()}
+    return PartsCrash(str(fingerprint), ServerLife(life), known_lives_by_part)
+
+
+def _lives_from_fields(lives: list[Any]) -> tuple[ServerLife, ...]:
+    return tuple(ServerLife(life) for life in lives)
+
+
 def _retry_usage_fields(retry_usage_by_service: dict[str, RetryUsage]) -> dict[str, list[int]]:
     return {
         service: [usage.first_attempts, usage.retries]
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -9,7 +9,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
-from ..quarantine.models import ServerCrash
+from ..quarantine.models import PartsCrash, ServerCrash, SoundPart
 from ..routing.budget import RetryUsage
 from ..routing.in_flight import ServerWork
 from ..routing.overload import OverloadedRunners
@@ -167,7 +167,10 @@
         fresh heartbeats of such a node; of any other they need little more than that it is alive.
     :param retry_history: what the node knows of retries beyond its own count.
     :param crashes: servers that, as the node saw recently, crashed, with the requests they had.
-    :param quarantined_fingerprints: the fingerprints of requests that must reach no server.
+    :param quarantined_fingerprints: the fingerprints of requests, and the keys of parts of prompts,
+        that must reach no server.
+    :param parts_crashes: recent crashes that may be due to parts of prompts.
+    :param sound_parts: parts of prompts that are not the cause of some crashes.
     :param quota_usage_by_customer: what the node has admitted of customers with a quota.
     :param limit_by_server: limits of servers that the node has seen last.
     :param usage_by_limited_server: what the node has sent to servers with limits.
@@ -204,6 +207,8 @@
     unreachable_services: tuple[str, ...] | None = ()
     rejections_by_brittle_server: dict[ServerLife, AnnouncedRejection] = attrs.Factory(dict)
     keeps_stream_versions: bool = False
+    parts_crashes: tuple[PartsCrash, ...] = ()
+    sound_parts: tuple[SoundPart, ...] = ()
 
     @property
     def name(self) -> str:
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -8,7 +8,8 @@
 
 from ..core.clock import Clock
 from ..quarantine.fingerprint import fingerprint
-from ..quarantine.models import Turn
+from ..quarantine.models import RequestTraits, Turn
+from ..quarantine.parts import HARDLY_BEGUN_MS
 from ..routing.caller_timeouts import TypicalCallerTimeouts
 from ..routing.customers import Identity, Unauthorized
 from ..routing.first_event import FirstEventEstimator
@@ -16,7 +17,7 @@
 from ..routing.quota import OverQuota
 from ..routing.routes import Route, RouteKind, RouteTable, Service
 from ..transport.client import ConnectionPools
-from ..transport.models import CallerLeft, Header, Request
+from ..transport.models import CallerLeft, Framing, Header, Request
 from ..transport.server import Reply
 from .attempt import NOT_RUN_STATUSES, Attempt
 from .backlog import Backlog
@@ -292,6 +293,7 @@
             route.name, caller_timeout_ms
         )
         content_id = fingerprint(request.method, call.host, request.target, request.body)
+        traits = RequestTraits(content_id, call.prompt_parts)
         job = Job(
             request,
             call,
@@ -300,7 +302,7 @@
             first_tried_ms,
             answer_deadline_ms,
             caller_deadline_ms,
-            content_id,
+            traits,
         )
         if route.kind is RouteKind.STREAM:
             job.splitter = EventSplitter(call.last_event_id)
@@ -380,7 +382,9 @@
 
     def _acquire_turn(self, job: Job, reply: Reply, now_ms: int) -> bool:
         """Wait until a request may be sent; return ``False`` if it has been refused instead."""
-        turn = self._quarantine.acquire_turn(job.fingerprint, job.answer_deadline_ms - now_ms)
+        turn = self._quarantine.acquire_turn(
+            job.traits.fingerprint, job.answer_deadline_ms - now_ms
+        )
         if turn is Turn.TIMED_OUT:
             self._finish_unserved(
                 job, reply, "other suspect requests go first", NOT_READY_RETRY_AFTER_MS
@@ -444,13 +448,19 @@
 
     def _refuse_if_quarantined(self, job: Job, reply: Reply) -> bool:
         """Refuse a quarantined request; return whether it is one."""
-        if not self._quarantine.is_quarantined(job.fingerprint):
+        if not self._must_not_reach_servers(job):
+            return False
+        if not job.tried_lives and self._quarantine.begin_trial(job.traits):
+            job.is_trial = True
             return False
         self._finish_unserved(
             job, reply, "servers end under this request", QUARANTINE_RETRY_AFTER_MS
         )
         return True
 
+    def _must_not_reach_servers(self, job: Job) -> bool:
+        return not job.is_trial and self._quarantine.is_quarantined(job.traits)
+
     def _attempt(
         self, job: Job, reply: Reply, chooser: ServerChooser, chosen: Chosen
     ) -> AttemptResult:
@@ -478,8 +488,8 @@
             job.answer_deadline_ms,
             self._response_deadline_ms(job, chooser, chosen, sent_ms),
             lambda: self._record_first_event(job, chosen, ticket),
-            lambda: chooser.start_deadline_ms(chosen),
-            lambda: chooser.may_send(chosen),
+            lambda: self._start_deadline_ms(job, chooser, chosen),
+            lambda: chooser.may_send(chosen) and not self._must_not_reach_servers(job),
             lambda: self._server_limits.admit(chosen.life),
             lambda: self._before_send(job, chooser, chosen),
             lambda: self._record_activity(job, chooser, chosen),
@@ -508,9 +518,16 @@
 
     def _before_send(self, job: Job, chooser: ServerChooser, chosen: Chosen) -> None:
         self._use_reserved_retry(job)
+        job.known_crashes = self._quarantine.known_crashes(job.traits)
         chooser.record_sent(chosen, job.call.request_id, job.route, self._clock.now_ms())
         self._paths.record_sent(job.service.name)
 
+    def _start_deadline_ms(self, job: Job, chooser: ServerChooser, chosen: Chosen) -> int | None:
+        """Return until when a request may begin at its server; it is recalled after that."""
+        if self._must_not_reach_servers(job):
+            return self._clock.now_ms()
+        return chooser.start_deadline_ms(chosen)
+
     def _record_activity(self, job: Job, chooser: ServerChooser, chosen: Chosen) -> None:
         chooser.record_activity(chosen, self._clock.now_ms())
         self._paths.record_response(job.service.name)
@@ -598,7 +615,7 @@
         self, job: Job, reply: Reply, chosen: Chosen, result: AttemptResult, took_ms: int
     ) -> bool:
         """Answer the caller and return ``True``, or return ``False`` if another attempt follows."""
-        self._update_quarantine(job, chosen, result)
+        self._update_quarantine(job, chosen, result, self._clock.now_ms() - took_ms)
         match result:
             case Passed():
                 self._request_log.log_ended(job, reply, "passed")
@@ -630,16 +647,26 @@
                 job.possible_runs += 1
                 return self._retry_or_finish(job, reply, chosen, reason, took_ms, may_have_run=True)
 
-    def _update_quarantine(self, job: Job, chosen: Chosen, result: AttemptResult) -> None:
+    def _update_quarantine(
+        self, job: Job, chosen: Chosen, result: AttemptResult, sent_ms: int
+    ) -> None:
         """Record what a result shows about the request and about whether its server crashed."""
+        began_ms = job.attempt_first_event_ms
+        answering_ms = None if began_ms is None else self._clock.now_ms() - began_ms
+        if answering_ms is not None and answering_ms > HARDLY_BEGUN_MS:
+            self._quarantine.record_answering(job.traits, began_ms)
         match result:
             case Passed() | EndUnknown():
-                self._quarantine.record_completed(job.fingerprint)
+                self._quarantine.record_completed(job.traits.fingerprint)
+                if job.answer_framing is not Framing.CONNECTION:
+                    self._quarantine.record_answering(job.traits, began_ms or sent_ms)
             case Whole(head=head) if head.status < 500 and head.status not in NOT_RUN_STATUSES:
-                self._quarantine.record_completed(job.fingerprint)
+                self._quarantine.record_completed(job.traits.fingerprint)
+                if head.status < 300 and job.answer_framing is not Framing.CONNECTION:
+                    self._quarantine.record_answering(job.traits, sent_ms)
             case Unclear() | Cut():
                 self._quarantine.record_broken_connection(
-                    job.fingerprint, chosen.life, chosen.address
+                    job.traits, chosen.life, chosen.address, job.known_crashes, answering_ms
                 )
             case Unsent(connection_refused=True) if not self._paths.check_is_lost(
                 job.service.name, job.unsent_count + 1
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -9,6 +9,7 @@
 
 from ..core.server_life import ServerLife
 from ..discovery.models import BackendServer
+from ..quarantine.models import RequestTraits
 from ..routing.budget import Headroom
 from ..routing.customers import Identity
 from ..routing.routes import Route, Service
@@ -39,7 +40,9 @@
         another node.
     :param answer_deadline_ms: when this node must have answered.
     :param caller_deadline_ms: when the caller's own deadline ends.
-    :param fingerprint: identical for all requests with the same content.
+    :param traits: its content and what its prompt shares with others.
+    :param is_trial: whether it is sent although it is quarantined.
+    :param known_crashes: those that counted against parts of its prompt when it was sent last.
     :param priority: of the customer and the route; 0 is the most urgent.
     :param identity: whose request it is; ``None`` in a configuration without customers.
     :param quota_cost: units that it uses of its customer's quota.
@@ -76,7 +79,9 @@
     first_tried_ms: int
     answer_deadline_ms: int
     caller_deadline_ms: int
-    fingerprint: str = ""
+    traits: RequestTraits = RequestTraits()
+    is_trial: bool = False
+    known_crashes: dict[str, tuple[ServerLife, ...]] = attrs.Factory(dict)
     priority: int = attrs.field(
         default=attrs.Factory(lambda job: job.route.priority, takes_self=True)
     )
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from ..core.server_life import ServerLife
-from ..quarantine.models import Turn
+from ..quarantine.models import RequestTraits, Turn
 from ..routing.budget import Headroom
 from ..routing.customers import Customer
 from ..routing.quota import OverQuota, WithinQuota
@@ -149,20 +149,40 @@
 class Quarantine(Protocol):
     """Keeps requests that crash servers away from all servers."""
 
-    def is_quarantined(self, fingerprint: str) -> bool:
+    def is_quarantined(self, traits: RequestTraits) -> bool:
         """Return whether a request must not be sent to any server."""
 
+    def begin_trial(self, traits: RequestTraits) -> bool:
+        """Return whether a quarantined request is sent once, to see whether it is sound now."""
+
+    def known_crashes(self, traits: RequestTraits) -> dict[str, tuple[ServerLife, ...]]:
+        """Return the crashes that count against the parts of a request that is sent now."""
+
     def acquire_turn(self, fingerprint: str, timeout_ms: int) -> Turn:
         """Wait until a request may be sent."""
 
     def release_turn(self) -> None:
         """Let the next suspect request be sent."""
 
-    def record_broken_connection(self, fingerprint: str, life: ServerLife, address: str) -> None:
-        """Record that a connection to a server broke while the server had a request."""
+    def record_broken_connection(
+        self,
+        traits: RequestTraits,
+        life: ServerLife,
+        address: str,
+        known_crashes: dict[str, tuple[ServerLife, ...]],
+        answering_ms: int | None,
+    ) -> None:
+        """Record that a connection to a server broke while the server had a request.
+
+        :param known_crashes: those that counted against its parts when it was sent.
+        :param answering_ms: for how long the server had sent events; ``None`` if it had not begun.
+        """
 
     def record_server_crash(self, life: ServerLife) -> None:
         """Record that a server's port refuses connections."""
 
     def record_completed(self, fingerprint: str) -> None:
         """Record that a server has answered a request completely."""
+
+    def record_answering(self, traits: RequestTraits, began_ms: int) -> None:
+        """Record that a server has answered a request, or has done so for a while."""
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -137,7 +137,7 @@
                 deadline_ms=call.deadline_ms,
                 left_ms=job.answer_deadline_ms - self._clock.now_ms(),
                 tried_before_ms=job.request.arrived_ms - job.first_tried_ms,
-                fingerprint=job.fingerprint,
+                fingerprint=job.traits.fingerprint,
                 customer=job.customer_name,
                 forwarded=job.is_forwarded or None,
                 resumes=call.resumed_request_id,
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -15,9 +15,17 @@
 from ..helpers.ids import new_id
 from ..helpers.strict import read
 from ..logs import events, log
-from ..storage.models import ChangedRow, Committed, Conflict, Table, Transaction
+from ..storage.models import ChangedRow, Committed, Conflict, Row, Table, Transaction
 from .crash_probe import CrashProbe
-from .models import QuarantinedRequest, ServerCrash, Turn
+from .models import (
+    PartsCrash,
+    QuarantinedRequest,
+    RequestTraits,
+    ServerCrash,
+    SoundPart,
+    Turn,
+)
+from .parts import HARDLY_BEGUN_MS, Findings, PartQuarantine, culprit_of
 from .suspects import Suspects
 
 _LOGGER = logging.getLogger(__name__)
@@ -34,16 +42,19 @@
 
 
 class QuarantineRow(Struct):
-    """The stored row of a quarantined request."""
+    """The stored row of a quarantined request, or of the parts of prompts that are quarantined."""
 
     fingerprint: str
     lives: list[str]
     source: str
+    trials: int = 0
 
 
 class QuarantineManager:
     """Finds the requests that crash servers, together with the peers, and keeps them in the store.
 
+    A request is refused if it has crashed servers itself, or if a part of its prompt has.
+
     :param is_path_lost: returns whether a server refuses connections of this node although peers
         reach its service: that is no crash.
     :param on_quarantined: called when this node quarantines a request, to announce it to all peers
@@ -61,19 +72,32 @@
         is_path_lost: Callable[[ServerLife], bool] = lambda _life: False,
     ) -> None:
         self.suspects = Suspects(name)
+        self.parts = PartQuarantine(name)
         self._crash_probe = crash_probe
         self._table = table
         self._tasks = tasks
         self._clock = clock
         self._on_quarantined = on_quarantined
         self._is_path_lost = is_path_lost
-        self._stored_fingerprints: set[str] = set()
-        self._fingerprints_to_remove: set[str] = set()
+        self._version_by_stored_key: dict[str, int] = {}
+        self._keys_to_remove: set[str] = set()
         self._turn = BoundedSemaphore(1)
 
-    def is_quarantined(self, fingerprint: str) -> bool:
+    def is_quarantined(self, traits: RequestTraits) -> bool:
         """Return whether a request must not be sent to any server."""
-        return self.suspects.is_quarantined(fingerprint)
+        return self.suspects.is_quarantined(traits.fingerprint) or self.parts.is_quarantined(
+            traits.parts
+        )
+
+    def begin_trial(self, traits: RequestTraits) -> bool:
+        """Return whether a quarantined request is sent once, to see whether it is sound now."""
+        return not self.suspects.is_quarantined(traits.fingerprint) and self.parts.begin_trial(
+            traits.parts
+        )
+
+    def known_crashes(self, traits: RequestTraits) -> dict[str, tuple[ServerLife, ...]]:
+        """Return the crashes that count against the parts of a request that is sent now."""
+        return self.parts.known_lives(traits.parts)
 
     def acquire_turn(self, fingerprint: str, timeout_ms: int) -> Turn:
         """Wait until a request may be sent; return ``Turn.TIMED_OUT`` if that takes too long.
@@ -91,15 +115,30 @@
         """Let the next suspect request be sent."""
         self._turn.release()
 
-    def record_broken_connection(self, fingerprint: str, life: ServerLife, address: str) -> None:
+    def record_broken_connection(
+        self,
+        traits: RequestTraits,
+        life: ServerLife,
+        address: str,
+        known_crashes: dict[str, tuple[ServerLife, ...]],
+        answering_ms: int | None,
+    ) -> None:
         """Record that a server's connection broke with a request, and probe for a crash.
 
         The result is known before the request is retried. Otherwise the request could crash the
         next server meanwhile.
+
+        :param known_crashes: those that counted against its parts when it was sent.
+        :param answering_ms: for how long the server had sent events; ``None`` if it had not begun.
         """
+        now_ms = self._clock.now_ms()
         self._handle_quarantined(
-            self.suspects.record_broken_connection(fingerprint, life, self._clock.now_ms())
+            self.suspects.record_broken_connection(traits.fingerprint, life, now_ms)
         )
+        if traits.parts and (answering_ms is None or answering_ms <= HARDLY_BEGUN_MS):
+            self._handle_findings(
+                self.parts.record_broken_connection(traits, life, known_crashes, now_ms)
+            )
         if self._crash_probe.has_crashed(life, address) and not self._is_path_lost(life):
             self.record_server_crash(life)
 
@@ -113,12 +152,23 @@
                 events.ServerEnded(server=life, had=len(requests), requests=",".join(requests)),
             )
         self._handle_quarantined(self.suspects.record_server_crash(life, now_ms))
+        self._handle_findings(self.parts.record_server_crash(life, now_ms))
 
     def record_completed(self, fingerprint: str) -> None:
         """Record that a server has answered a request completely."""
         if self.suspects.record_completed(fingerprint, self._clock.now_ms()):
             self._log_lifted(fingerprint, "a server answered it completely")
-            self._fingerprints_to_remove.add(fingerprint)
+            self._keys_to_remove.add(fingerprint)
+
+    def record_answering(self, traits: RequestTraits, began_ms: int) -> None:
+        """Record that a server has answered a request, or has done so for a while.
+
+        :param began_ms: when the answer began.
+        """
+        if traits.parts:
+            self._handle_findings(
+                self.parts.record_answered(traits.parts, began_ms, self._clock.now_ms())
+            )
 
     def own_crashes(self) -> tuple[ServerCrash, ...]:
         """Return the recent crashes seen by this node, which it announces to its peers."""
@@ -126,17 +176,33 @@
             self._clock.now_ms(), MAX_ANNOUNCED_CRASH_AGE_MS, MAX_ANNOUNCED_CRASHES
         )
 
+    def own_parts_crashes(self) -> tuple[PartsCrash, ...]:
+        """Return the recent crashes that may be due to parts of prompts, seen by this node."""
+        return self.parts.own_crashes(self._clock.now_ms())
+
+    def own_sound_parts(self) -> tuple[SoundPart, ...]:
+        """Return the suspect parts whose requests were recently answered at this node."""
+        return self.parts.own_sound_parts(self._clock.now_ms())
+
     def announced_quarantined(self) -> tuple[str, ...]:
-        """Return the quarantined requests that this node announces to its peers."""
-        return tuple(
-            request.fingerprint for request in self.suspects.quarantined(MAX_ANNOUNCED_QUARANTINED)
-        )
+        """Return the quarantined requests and parts that this node announces to its peers."""
+        requests = [
+            *self.parts.quarantined()[-MAX_ANNOUNCED_QUARANTINED:],
+            *self.suspects.quarantined(MAX_ANNOUNCED_QUARANTINED),
+        ]
+        return tuple(request.fingerprint for request in requests)
 
     def apply_announced(
-        self, source: str, crashes: Iterable[ServerCrash], quarantined: Iterable[str]
+        self,
+        source: str,
+        crashes: Iterable[ServerCrash],
+        quarantined: Iterable[str],
+        parts_crashes: Iterable[PartsCrash] = (),
+        sound_parts: Iterable[SoundPart] = (),
     ) -> None:
         """Apply the crashes and quarantined requests that a peer announces."""
         now_ms = self._clock.now_ms()
+        self._handle_findings(self.parts.apply_announced(parts_crashes, sound_parts, now_ms))
         results = [self.suspects.record_crash(crash, now_ms, source) for crash in crashes]
         self._handle_quarantined([request for request in results if request is not None])
         for fingerprint in quarantined:
@@ -147,12 +213,18 @@
         if not row.key.startswith(ROW_PREFIX):
             return False
         fingerprint = row.key.removeprefix(ROW_PREFIX)
+        now_ms = self._clock.now_ms()
         if row.body is None:
-            self._stored_fingerprints.discard(fingerprint)
-            if self.suspects.lift(fingerprint, self._clock.now_ms()):
+            self._version_by_stored_key.pop(fingerprint, None)
+            is_part = culprit_of(fingerprint) is not None
+            table = self.parts if is_part else self.suspects
+            if table.lift(fingerprint, now_ms):
                 self._log_lifted(fingerprint, "its row was removed")
             return True
-        self._stored_fingerprints.add(fingerprint)
+        if self._version_by_stored_key.get(fingerprint, row.version) != row.version:
+            # Another node has begun a trial: this one waits for its result.
+            self.parts.renew(fingerprint, allows_trial=False, now_ms=now_ms)
+        self._version_by_stored_key[fingerprint] = row.version
         fields = read(row.body, QuarantineRow)
         if isinstance(fields, str):
             log(_LOGGER, events.UnusableRow(row=row.key, cause=fields))
@@ -169,20 +241,32 @@
 
     def sync_rows(self) -> None:
         """Write the rows of requests that this node has helped to find, and remove lifted ones."""
-        for fingerprint in self.suspects.lift_expired(self._clock.now_ms()):
+        now_ms = self._clock.now_ms()
+        for fingerprint in self.suspects.lift_expired(now_ms):
             self._log_lifted(fingerprint, "expired")
-            self._fingerprints_to_remove.add(fingerprint)
-        for fingerprint in list(self._fingerprints_to_remove):
-            transaction = Transaction(new_id("op"), {}, {}, (ROW_PREFIX + fingerprint,))
+            self._keys_to_remove.add(fingerprint)
+        self.parts.forget_old(now_ms)
+        for key in list(self._keys_to_remove):
+            transaction = Transaction(new_id("op"), {}, {}, (ROW_PREFIX + key,))
             if isinstance(self._table.commit(transaction), Committed):
-                self._fingerprints_to_remove.discard(fingerprint)
-        for request in self.suspects.quarantined():
-            is_stored = request.fingerprint in self._stored_fingerprints
-            if (
-                not is_stored
-                and request.lives
-                and self.suspects.has_seen_crash(request.fingerprint)
-            ):
+                self._keys_to_remove.discard(key)
+        self._write_missing_rows()
+        for key in self.parts.due_for_trial(now_ms):
+            self._claim_trial(key)
+
+    def _write_missing_rows(self) -> None:
+        found_here = [
+            request
+            for request in self.suspects.quarantined()
+            if request.lives and self.suspects.has_seen_crash(request.fingerprint)
+        ]
+        found_here += [
+            request
+            for request in self.parts.quarantined()
+            if self.parts.has_seen_crash(request.fingerprint)
+        ]
+        for request in found_here:
+            if request.fingerprint not in self._version_by_stored_key:
                 self._write_row(request)
 
     def _write_row(self, request: QuarantinedRequest) -> None:
@@ -193,8 +277,42 @@
             "source": request.source,
         }
         result = self._table.commit(Transaction(new_id("op"), {key: 0}, {key: value}))
-        if isinstance(result, Committed | Conflict):
-            self._stored_fingerprints.add(request.fingerprint)
+        if isinstance(result, Committed):
+            self._version_by_stored_key[request.fingerprint] = result.version
+        elif isinstance(result, Conflict):
+            self._version_by_stored_key.setdefault(request.fingerprint, 0)
+
+    def _claim_trial(self, key: str) -> None:
+        """Try one request with parts that have been refused for long, unless a peer does.
+
+        If all nodes let requests through again, as many servers as nodes could crash.
+        """
+        row = self._table.get(ROW_PREFIX + key)
+        if not isinstance(row, Row):
+            return
+        value = {**row.value, "trials": int(row.value.get("trials") or 0) + 1}
+        transaction = Transaction(new_id("op"), {row.key: row.version}, {row.key: value})
+        result = self._table.commit(transaction)
+        if isinstance(result, Committed):
+            self._version_by_stored_key[key] = result.version
+        self.parts.renew(key, isinstance(result, Committed), self._clock.now_ms())
+
+    def _handle_findings(self, findings: Findings) -> None:
+        """Log what has changed in the quarantine of parts, and have it announced."""
+        now_ms = self._clock.now_ms()
+        for key in findings.lifted:
+            self._log_lifted(
+                key, "requests with it are answered, or other parts explain its crashes"
+            )
+            if key in self._version_by_stored_key:
+                self._keys_to_remove.add(key)
+        for request in findings.quarantined:
+            self._log_quarantined(request)
+            for fingerprint in self.suspects.excuse(request.lives, now_ms):
+                self._log_lifted(fingerprint, "a part of prompts explains the crashes")
+                self._keys_to_remove.add(fingerprint)
+        if findings.quarantined or findings.is_urgent:
+            self._on_quarantined()
 
     def _handle_quarantined(self, requests: list[QuarantinedRequest]) -> None:
         for request in requests:
@@ -203,7 +321,14 @@
             self._on_quarantined()
 
     def _quarantine(self, request: QuarantinedRequest) -> None:
-        if self.suspects.quarantine(request, self._clock.now_ms()):
+        now_ms = self._clock.now_ms()
+        if culprit_of(request.fingerprint) is None:
+            is_new = self.suspects.quarantine(request, now_ms)
+        else:
+            is_new = self.parts.quarantine(
+                request.fingerprint, request.lives, request.source, now_ms
+            )
+        if is_new:
             self._log_quarantined(request)
 
     def _log_quarantined(self, request: QuarantinedRequest) -> None:
--- a/monsoonflow/quarantine/models.py
+++ b/monsoonflow/quarantine/models.py
@@ -21,6 +21,44 @@
     life: ServerLife
 
 
+@attrs.frozen(slots=True)
+class RequestTraits:
+    """What tells whether requests are the same or have something in common.
+
+    :param fingerprint: identical for all requests with the same content.
+    :param parts: the parts of its prompt that other requests may share.
+    """
+
+    fingerprint: str = ""
+    parts: tuple[str, ...] = ()
+
+
+@attrs.frozen(slots=True)
+class PartsCrash:
+    """A server crashed with a request that it had hardly begun to answer.
+
+    :param fingerprint: the fingerprint of the request.
+    :param life: the server that crashed.
+    :param known_lives_by_part: for each part of its prompt, the servers that were already known to
+        have crashed with that part when the request was sent.
+    """
+
+    fingerprint: str
+    life: ServerLife
+    known_lives_by_part: dict[str, tuple[ServerLife, ...]]
+
+
+@attrs.frozen(slots=True)
+class SoundPart:
+    """A request with a part was answered after some servers had crashed with that part.
+
+    :param lives: these servers; their crashes have another cause.
+    """
+
+    part: str
+    lives: tuple[ServerLife, ...]
+
+
 @attrs.frozen(slots=True)
 class QuarantinedRequest:
     """A request that must not be sent to any server.
--- /dev/null
+++ b/monsoonflow/quarantine/parts.py
@@ -0,0 +1,322 @@
+"""Parts of prompts that are kept away from all servers, and what this node announces of them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from ..core.server_life import ServerLife
+from .bounded import trim
+from .broken_connections import BrokenConnections
+from .models import PartsCrash, QuarantinedRequest, RequestTraits, SoundPart
+from .part_evidence import Culprit, PartEvidence
+from .suspects import IGNORE_AFTER_LIFT_MS, QUARANTINE_TTL_MS
+
+KEY_PREFIX: Final = "part:"
+PART_SEPARATOR: Final = "+"
+
+HARDLY_BEGUN_MS: Final = 500
+"""A server that has sent events for longer did not crash because it began to answer."""
+
+MAX_QUARANTINED_PARTS: Final = 256
+MAX_OWN_CRASHES: Final = 512
+MAX_ANNOUNCED_CRASHES: Final = 64
+"""Requests at crashes that each heartbeat announces. If there are more, all have their turn."""
+
+MAX_ANNOUNCED_SOUND_PARTS: Final = 64
+ANNOUNCEMENT_TTL_MS: Final = 10_000
+
+SOUND_MEMORY_MS: Final = 3_000
+"""How long after an answer to a request with a part other nodes' quarantines of it are ignored:
+they may not have learned of the answer."""
+
+URGENT_CRASHES: Final = 2
+"""Crashes in a row of a part from which on all peers are told without delay."""
+
+
+def key_of(culprit: Culprit) -> str:
+    """Return the name of parts in rows, messages and logs.
+
+    >>> key_of(frozenset({"b", "a"})), culprit_of("part:a+b") == {"a", "b"}, culprit_of("1f")
+    ('part:a+b', True, None)
+    """
+    return KEY_PREFIX + PART_SEPARATOR.join(sorted(culprit))
+
+
+def culprit_of(key: str) -> Culprit | None:
+    """Return the parts that a key names; ``None`` for the fingerprint of a request."""
+    if not key.startswith(KEY_PREFIX):
+        return None
+    return frozenset(key.removeprefix(KEY_PREFIX).split(PART_SEPARATOR))
+
+
+@attrs.define(slots=True)
+class _Entry:
+    """Parts that are refused.
+
+    :param is_found_here: whether this node's own evidence says so.
+    :param allows_trial: whether the next request is sent, to see whether it still crashes servers.
+    """
+
+    culprit: Culprit
+    lives: tuple[ServerLife, ...]
+    source: str
+    since_ms: int
+    is_found_here: bool = False
+    allows_trial: bool = False
+
+
+@attrs.define(slots=True)
+class Findings:
+    """What has changed in the quarantine of parts.
+
+    :param quarantined: newly refused, as in the rows of the store.
+    :param lifted: keys that are refused no more.
+    :param is_urgent: whether all peers must be told without delay.
+    """
+
+    quarantined: list[QuarantinedRequest] = attrs.Factory(list)
+    lifted: list[str] = attrs.Factory(list)
+    is_urgent: bool = False
+
+
+class PartQuarantine:
+    """Finds and remembers parts of prompts that crash servers."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._evidence = PartEvidence()
+        self._broken_connections: BrokenConnections[PartsCrash] = BrokenConnections()
+        self._entry_by_key: OrderedDict[str, _Entry] = OrderedDict()
+        self._own_crashes: OrderedDict[tuple[ServerLife, str], tuple[int, PartsCrash]] = (
+            OrderedDict()
+        )
+        self._announced_from = 0
+        self._own_sound_parts: OrderedDict[str, tuple[int, SoundPart]] = OrderedDict()
+        self._sound_ms_by_part: OrderedDict[str, int] = OrderedDict()
+        self._lifted_ms_by_key: OrderedDict[str, int] = OrderedDict()
+
+    def is_quarantined(self, parts: tuple[str, ...]) -> bool:
+        """Return whether requests with these parts must not be sent to any server."""
+        if not self._entry_by_key:
+            return False
+        held = frozenset(parts)
+        return any(entry.culprit <= held for entry in self._entry_by_key.values())
+
+    def known_lives(self, parts: tuple[str, ...]) -> dict[str, tuple[ServerLife, ...]]:
+        """Return the crashes that count against parts when a request with them is sent."""
+        return self._evidence.known_lives(parts)
+
+    def record_broken_connection(
+        self,
+        traits: RequestTraits,
+        life: ServerLife,
+        known_lives_by_part: dict[str, tuple[ServerLife, ...]],
+        now_ms: int,
+    ) -> Findings:
+        """Record that a connection broke to a server that had hardly begun to answer."""
+        crash = PartsCrash(traits.fingerprint, life, known_lives_by_part)
+        return self._record_own_crashes(
+            self._broken_connections.record_broken(life, traits.fingerprint, crash, now_ms), now_ms
+        )
+
+    def record_server_crash(self, life: ServerLife, now_ms: int) -> Findings:
+        """Record that a server has crashed."""
+        return self._record_own_crashes(self._broken_connections.record_crash(life, now_ms), now_ms)
+
+    def _record_own_crashes(self, crashes: dict[str, PartsCrash], now_ms: int) -> Findings:
+        findings = Findings()
+        for fingerprint, crash in crashes.items():
+            self._evidence.record_crash(crash, now_ms)
+            self._own_crashes[crash.life, fingerprint] = now_ms, crash
+            trim(self._own_crashes, MAX_OWN_CRASHES)
+            in_a_row = map(self._evidence.crashes_in_a_row, crash.known_lives_by_part)
+            findings.is_urgent |= max(in_a_row, default=0) >= URGENT_CRASHES
+        if crashes:
+            self._apply_evidence(findings, now_ms)
+        return findings
+
+    def record_answered(self, parts: tuple[str, ...], began_ms: int, now_ms: int) -> Findings:
+        """Record that a server answered a request, so none of its parts crashes servers.
+
+        :param began_ms: when the answer began.
+        """
+        findings = Findings()
+        urgent_parts = {
+            part for part in parts if self._evidence.crashes_in_a_row(part) >= URGENT_CRASHES
+        }
+        sound_parts = self._evidence.record_answered(parts, began_ms, now_ms)
+        for sound in sound_parts:
+            self._own_sound_parts[sound.part] = now_ms, sound
+            self._own_sound_parts.move_to_end(sound.part)
+            trim(self._own_sound_parts, MAX_ANNOUNCED_SOUND_PARTS)
+            self._record_sound(sound.part, now_ms)
+            findings.is_urgent |= sound.part in urgent_parts
+        held = frozenset(parts)
+        for key, entry in list(self._entry_by_key.items()):
+            if entry.culprit <= held and entry.since_ms < began_ms:
+                self._lift(key, findings)
+        if sound_parts:
+            self._apply_evidence(findings, now_ms)
+        return findings
+
+    def apply_announced(
+        self, crashes: Iterable[PartsCrash], sound_parts: Iterable[SoundPart], now_ms: int
+    ) -> Findings:
+        """Apply the crashes and answers that a peer has seen."""
+        findings = Findings()
+        has_changed = False
+        for sound in sound_parts:
+            if not self._evidence.clear(sound, now_ms):
+                continue
+            has_changed = True
+            self._record_sound(sound.part, now_ms)
+            entry = self._entry_by_key.get(key_of(frozenset({sound.part})))
+            if entry is not None and not entry.is_found_here:
+                self._lift(key_of(entry.culprit), findings)
+        for crash in crashes:
+            has_changed = self._evidence.record_crash(crash, now_ms) or has_changed
+        if has_changed:
+            self._apply_evidence(findings, now_ms)
+        return findings
+
+    def quarantine(self, key: str, lives: tuple[ServerLife, ...], source: str, now_ms: int) -> bool:
+        """Refuse parts that a peer or the store names; return whether they were not before."""
+        culprit = culprit_of(key)
+        if not culprit or key in self._entry_by_key or self._was_recently_lifted(key, now_ms):
+            return False
+        for part in culprit:
+            sound_ms = self._sound_ms_by_part.get(part)
+            if len(culprit) == 1 and sound_ms is not None and now_ms - sound_ms <= SOUND_MEMORY_MS:
+                return False
+        self._add(_Entry(culprit, lives, source, now_ms))
+        return True
+
+    def lift(self, key: str, now_ms: int) -> bool:
+        """Allow requests with parts again, whatever counts against them until now.
+
+        :return: whether they were refused.
+        """
+        culprit = culprit_of(key) or frozenset()
+        self._ignore(key, now_ms)
+        if len(culprit) == 1:
+            self._evidence.forget(*culprit, now_ms)
+        return self._entry_by_key.pop(key, None) is not None
+
+    def _ignore(self, key: str, now_ms: int) -> None:
+        self._lifted_ms_by_key[key] = now_ms
+        self._lifted_ms_by_key.move_to_end(key)
+        trim(self._lifted_ms_by_key, MAX_QUARANTINED_PARTS)
+
+    def _was_recently_lifted(self, key: str, now_ms: int) -> bool:
+        lifted_ms = self._lifted_ms_by_key.get(key)
+        return lifted_ms is not None and now_ms - lifted_ms <= IGNORE_AFTER_LIFT_MS
+
+    def forget_old(self, now_ms: int) -> None:
+        """Forget crashes that are too long ago to count."""
+        kept = frozenset().union(*(entry.culprit for entry in self._entry_by_key.values()))
+        self._evidence.forget_old(kept, now_ms)
+
+    def due_for_trial(self, now_ms: int) -> list[str]:
+        """Return the keys of parts that have been refused for so long that one request is tried."""
+        return [
+            key
+            for key, entry in self._entry_by_key.items()
+            if now_ms - entry.since_ms > QUARANTINE_TTL_MS
+        ]
+
+    def renew(self, key: str, allows_trial: bool, now_ms: int) -> None:
+        """Refuse parts for another while.
+
+        :param allows_trial: whether the next request at this node is sent nevertheless.
+        """
+        entry = self._entry_by_key.get(key)
+        if entry is not None:
+            entry.since_ms, entry.allows_trial = now_ms, allows_trial
+
+    def begin_trial(self, parts: tuple[str, ...]) -> bool:
+        """Return whether a request with refused parts is the one that is tried."""
+        held = frozenset(parts)
+        entries = [entry for entry in self._entry_by_key.values() if entry.culprit <= held]
+        if not all(entry.allows_trial for entry in entries):
+            return False
+        for entry in entries:
+            entry.allows_trial = False
+        return True
+
+    def quarantined(self) -> list[QuarantinedRequest]:
+        """Return what is refused, the newest last."""
+        return [
+            QuarantinedRequest(key, entry.lives, entry.source)
+            for key, entry in self._entry_by_key.items()
+        ]
+
+    def has_seen_crash(self, key: str) -> bool:
+        """Return whether this node itself has seen a crash that it lays to parts."""
+        entry = self._entry_by_key.get(key)
+        return (
+            entry is not None
+            and entry.is_found_here
+            and any(
+                entry.culprit <= crash.known_lives_by_part.keys()
+                for _, crash in self._own_crashes.values()
+            )
+        )
+
+    def own_crashes(self, now_ms: int) -> tuple[PartsCrash, ...]:
+        """Return the recent crashes that this node announces to its peers."""
+        recent = [
+            crash
+            for seen_ms, crash in self._own_crashes.values()
+            if now_ms - seen_ms <= ANNOUNCEMENT_TTL_MS
+        ]
+        if len(recent) <= MAX_ANNOUNCED_CRASHES:
+            return tuple(recent)
+        self._announced_from = (self._announced_from + MAX_ANNOUNCED_CRASHES) % len(recent)
+        end = self._announced_from + MAX_ANNOUNCED_CRASHES
+        return tuple((recent * 2)[self._announced_from : end])
+
+    def own_sound_parts(self, now_ms: int) -> tuple[SoundPart, ...]:
+        """Return the parts whose requests were recently answered, which this node announces."""
+        return tuple(
+            sound
+            for seen_ms, sound in self._own_sound_parts.values()
+            if now_ms - seen_ms <= ANNOUNCEMENT_TTL_MS
+        )
+
+    def _record_sound(self, part: str, now_ms: int) -> None:
+        self._sound_ms_by_part[part] = now_ms
+        self._sound_ms_by_part.move_to_end(part)
+        trim(self._sound_ms_by_part, MAX_QUARANTINED_PARTS)
+
+    def _apply_evidence(self, findings: Findings, now_ms: int) -> None:
+        """Refuse what the evidence finds, and allow what it finds no more."""
+        culprits = self._evidence.culprits()
+        for culprit in culprits:
+            key = key_of(culprit)
+            entry = self._entry_by_key.get(key)
+            lives = self._evidence.lives(culprit)
+            if entry is None and self._was_recently_lifted(key, now_ms) and len(culprit) > 1:
+                continue
+            if entry is None:
+                self._add(_Entry(culprit, lives, self._name, now_ms, is_found_here=True))
+                findings.quarantined.append(QuarantinedRequest(key, lives, self._name))
+            else:
+                entry.is_found_here, entry.lives = True, lives
+        for key, entry in list(self._entry_by_key.items()):
+            is_outdated = entry.culprit not in culprits and self._evidence.knows(entry.culprit)
+            if entry.is_found_here and is_outdated:
+                self._lift(key, findings)
+                # Peers that have not come to the same conclusion yet still announce it.
+                self._ignore(key, now_ms)
+
+    def _add(self, entry: _Entry) -> None:
+        self._entry_by_key[key_of(entry.culprit)] = entry
+        trim(self._entry_by_key, MAX_QUARANTINED_PARTS)
+
+    def _lift(self, key: str, findings: Findings) -> None:
+        del self._entry_by_key[key]
+        findings.lifted.append(key)
--- a/monsoonflow/quarantine/suspects.py
+++ b/monsoonflow/quarantine/suspects.py
@@ -16,7 +16,7 @@
 
 from ..core.server_life import ServerLife
 from .bounded import trim
-from .broken_connections import BrokenConnections
+from .broken_connections import MAX_SERVERS, BrokenConnections
 from .models import QuarantinedRequest, ServerCrash
 
 CRASHES_TO_QUARANTINE: Final = 3
@@ -69,6 +69,7 @@
         self._suspect_by_fingerprint: OrderedDict[str, _Suspect] = OrderedDict()
         self._lifted_ms_by_fingerprint: OrderedDict[str, int] = OrderedDict()
         self._entry_by_fingerprint: OrderedDict[str, _QuarantineEntry] = OrderedDict()
+        self._excused_ms_by_life: OrderedDict[ServerLife, int] = OrderedDict()
         self._own_crash_ms: OrderedDict[ServerCrash, int] = OrderedDict()
 
     def record_broken_connection(
@@ -116,7 +117,8 @@
         :param source: the node that has seen the crash.
         """
         fingerprint = crash.fingerprint
-        if self._was_recently_lifted(fingerprint, now_ms):
+        # Peers still announce crashes that a part of the prompts has been found to cause.
+        if self._was_recently_lifted(fingerprint, now_ms) or crash.life in self._excused_ms_by_life:
             return None
         suspect = self._suspect_by_fingerprint.get(fingerprint)
         if suspect is None or now_ms - suspect.last_crash_ms > SUSPICION_TTL_MS:
@@ -153,6 +155,25 @@
         trim(self._lifted_ms_by_fingerprint, MAX_SUSPECTS)
         return self._entry_by_fingerprint.pop(fingerprint, None) is not None
 
+    def excuse(self, lives: Iterable[ServerLife], now_ms: int) -> list[str]:
+        """Let crashes that have another cause count no more against requests.
+
+        :return: the requests that are quarantined no longer.
+        """
+        lifted = []
+        excused = frozenset(lives)
+        self._excused_ms_by_life.update(dict.fromkeys(excused, now_ms))
+        trim(self._excused_ms_by_life, MAX_SERVERS)
+        for fingerprint, suspect in list(self._suspect_by_fingerprint.items()):
+            left = [life for life in suspect.lives if life not in excused]
+            if len(left) == len(suspect.lives):
+                continue
+            suspect.lives = left
+            if len(left) < CRASHES_TO_QUARANTINE and self.is_quarantined(fingerprint):
+                self.lift(fingerprint, now_ms)
+                lifted.append(fingerprint)
+        return lifted
+
     def record_completed(self, fingerprint: str, now_ms: int) -> bool:
         """Record that a server has answered a request completely, so that it is no suspect.
 
--- a/tests/entry/test_prompt_parts.py
+++ b/tests/entry/test_prompt_parts.py
@@ -128,6 +128,7 @@
         gevent.sleep(1.2 * at_once)
         _crash(fleet, at_once)
     load.join()
+    assert not any(node.daemon.quarantine_manager.parts.quarantined() for node in fleet.nodes)
     supervisor.wait_until_restarted(RUNNERS)
     fleet.holder()
     began_s = time.monotonic()
--- a/tests/fleet/test_begun_streams_codec.py
+++ b/tests/fleet/test_begun_streams_codec.py
@@ -64,7 +64,7 @@
 
 def test_a_node_of_an_earlier_release_is_not_taken_for_a_keeper():
     """It sends neither field; told of a stream, it would drop the message."""
-    fields = orjson.loads(codec._heartbeat_json(HEARTBEAT))[:-1]
+    fields = orjson.loads(codec._heartbeat_json(HEARTBEAT))[:26]
     assert not codec._heartbeat_from_fields(fields).keeps_stream_versions
     short = codec.encode_short_heartbeat(ShortHeartbeat.from_heartbeat(HEARTBEAT, True))
     earlier = orjson.dumps(orjson.loads(short)[:-1])
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -29,7 +29,7 @@
 )
 from monsoonflow.fleet.view import ALIVE_TIMEOUT_MS, FleetView
 from monsoonflow.gateway.budget import SharedRetryBudget
-from monsoonflow.quarantine.models import ServerCrash
+from monsoonflow.quarantine.models import PartsCrash, ServerCrash, SoundPart
 from monsoonflow.routing.budget import FleetRetryBudget, RetryAllowance, RetryUsage
 from monsoonflow.routing.in_flight import ServerWork
 
@@ -55,6 +55,8 @@
     retry_history=RetryHistory(9_000, frozenset({"a", "c"}), {"s": 3}, 2),
     crashes=(ServerCrash("f1", ServerLife("i-7")),),
     quarantined_fingerprints=("f9",),
+    parts_crashes=(PartsCrash("f1", ServerLife("i-7"), {"p1": (ServerLife("i-6"),), "p2": ()}),),
+    sound_parts=(SoundPart("p3", (ServerLife("i-5"), ServerLife("i-6"))),),
 )
 
 
@@ -85,6 +87,7 @@
         HEARTBEAT, versions=versions, overloaded_runners=None, retry_history=RetryHistory()
     )
     expected = attrs.evolve(expected, crashes=(), quarantined_fingerprints=())
+    expected = attrs.evolve(expected, parts_crashes=(), sound_parts=())
     expected = attrs.evolve(expected, unreachable_services=None)
     assert codec.decode(zlib.compress(orjson.dumps(older_fields))) == expected
 
