Quarantine: popular parts are given time for answers, bystanders are told from culprits

Cause: three runners crashed within 0.5 s, less than an answer takes, so no answer could clear the popular part; bystanders with it went from runner to runner with the culprit and were at three crashes in a row before the culprit was. Its row stayed in the store when its writer was killed.

Change: a part that was answered in the last minute is refused only 1.5 s after its first crash, if no answer has come by then; so is any part at a node that has seen answers for less than 3 s. Only a node that has seen a crash itself decides. Suspects that are at fewer crashes than the others which explain these are bystanders. A part is allowed again only by an answer or as a bystander. Rows that a node has disproved are removed by it. An answer that has gone on for half a second counts, also before its end. After a minute one request with refused parts is tried by one node, and once more after an hour.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -236,6 +236,8 @@
             raise
         finally:
             self._release_turn(job)
+            if job.is_trial and not job.has_reached_server:
+                self._quarantine.return_trial(job.traits)
             if job.has_reserved_retry:
                 self._retry_budget.release_retry(service.name)
             if job.quota_cost and not job.has_reached_server:
@@ -450,7 +452,7 @@
         """Refuse a quarantined request; return whether it is one."""
         if not self._must_not_reach_servers(job):
             return False
-        if not job.tried_lives and self._quarantine.begin_trial(job.traits):
+        if not job.has_reached_server and self._quarantine.begin_trial(job.traits):
             job.is_trial = True
             return False
         self._finish_unserved(
@@ -459,7 +461,8 @@
         return True
 
     def _must_not_reach_servers(self, job: Job) -> bool:
-        return not job.is_trial and self._quarantine.is_quarantined(job.traits)
+        is_tried_now = job.is_trial and not job.has_reached_server
+        return not is_tried_now and self._quarantine.is_quarantined(job.traits)
 
     def _attempt(
         self, job: Job, reply: Reply, chooser: ServerChooser, chosen: Chosen
@@ -469,6 +472,7 @@
         job.tried_lives.append(chosen.life)
         job.headroom = None
         job.attempt_first_event_ms = None
+        job.is_attempt_sound = False
         forwarded = self._forwarded_request(job, chosen, sent_ms)
         ticket = self._in_flight.begin(
             chosen.life,
@@ -529,7 +533,13 @@
         return chooser.start_deadline_ms(chosen)
 
     def _record_activity(self, job: Job, chooser: ServerChooser, chosen: Chosen) -> None:
-        chooser.record_activity(chosen, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        chooser.record_activity(chosen, now_ms)
+        began_ms = job.attempt_first_event_ms
+        is_sound = began_ms is not None and now_ms - began_ms > HARDLY_BEGUN_MS
+        if is_sound and not job.is_attempt_sound:
+            job.is_attempt_sound = True
+            self._quarantine.record_answering(job.traits, began_ms)
         self._paths.record_response(job.service.name)
 
     def _record_terms(self, job: Job, chosen: Chosen, ticket: Ticket, terms: AnswerTerms) -> None:
@@ -653,8 +663,6 @@
         """Record what a result shows about the request and about whether its server crashed."""
         began_ms = job.attempt_first_event_ms
         answering_ms = None if began_ms is None else self._clock.now_ms() - began_ms
-        if answering_ms is not None and answering_ms > HARDLY_BEGUN_MS:
-            self._quarantine.record_answering(job.traits, began_ms)
         match result:
             case Passed() | EndUnknown():
                 self._quarantine.record_completed(job.traits.fingerprint)
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -155,6 +155,9 @@
     def begin_trial(self, traits: RequestTraits) -> bool:
         """Return whether a quarantined request is sent once, to see whether it is sound now."""
 
+    def return_trial(self, traits: RequestTraits) -> None:
+        """Let another request be tried, since this one has reached no server."""
+
     def known_crashes(self, traits: RequestTraits) -> dict[str, tuple[ServerLife, ...]]:
         """Return the crashes that count against the parts of a request that is sent now."""
 
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -95,6 +95,10 @@
             traits.parts
         )
 
+    def return_trial(self, traits: RequestTraits) -> None:
+        """Let another request be tried, since this one has reached no server."""
+        self.parts.return_trial(traits.parts)
+
     def known_crashes(self, traits: RequestTraits) -> dict[str, tuple[ServerLife, ...]]:
         """Return the crashes that count against the parts of a request that is sent now."""
         return self.parts.known_lives(traits.parts)
@@ -221,16 +225,21 @@
             if table.lift(fingerprint, now_ms):
                 self._log_lifted(fingerprint, "its row was removed")
             return True
-        if self._version_by_stored_key.get(fingerprint, row.version) != row.version:
-            # Another node has begun a trial: this one waits for its result.
-            self.parts.renew(fingerprint, allows_trial=False, now_ms=now_ms)
+        is_changed = self._version_by_stored_key.get(fingerprint) != row.version
         self._version_by_stored_key[fingerprint] = row.version
+        if self.parts.is_disproved(fingerprint, now_ms):
+            # The node that wrote it may have ended before it came to the same conclusion.
+            self._keys_to_remove.add(fingerprint)
+            return True
         fields = read(row.body, QuarantineRow)
         if isinstance(fields, str):
             log(_LOGGER, events.UnusableRow(row=row.key, cause=fields))
             return True
         lives = tuple(map(ServerLife, fields.lives))
         self._quarantine(QuarantinedRequest(fingerprint, lives, fields.source))
+        if is_changed and fields.trials:
+            # Another node tries a request: this one waits for its result.
+            self.parts.record_trial(fingerprint, fields.trials, is_own=False, now_ms=now_ms)
         return True
 
     def run(self) -> None:
@@ -246,6 +255,7 @@
             self._log_lifted(fingerprint, "expired")
             self._keys_to_remove.add(fingerprint)
         self.parts.forget_old(now_ms)
+        self._handle_findings(self.parts.reconsider(now_ms))
         for key in list(self._keys_to_remove):
             transaction = Transaction(new_id("op"), {}, {}, (ROW_PREFIX + key,))
             if isinstance(self._table.commit(transaction), Committed):
@@ -290,12 +300,14 @@
         row = self._table.get(ROW_PREFIX + key)
         if not isinstance(row, Row):
             return
-        value = {**row.value, "trials": int(row.value.get("trials") or 0) + 1}
+        trials = int(row.value.get("trials") or 0) + 1
+        value = {**row.value, "trials": trials}
         transaction = Transaction(new_id("op"), {row.key: row.version}, {row.key: value})
         result = self._table.commit(transaction)
         if isinstance(result, Committed):
             self._version_by_stored_key[key] = result.version
-        self.parts.renew(key, isinstance(result, Committed), self._clock.now_ms())
+        is_own = isinstance(result, Committed)
+        self.parts.record_trial(key, trials, is_own, self._clock.now_ms())
 
     def _handle_findings(self, findings: Findings) -> None:
         """Log what has changed in the quarantine of parts, and have it announced."""
--- a/monsoonflow/quarantine/part_evidence.py
+++ b/monsoonflow/quarantine/part_evidence.py
@@ -25,14 +25,23 @@
 and a bystander that is retried from server to server must not bring all its parts with it."""
 
 MIN_UNEXPLAINED_CRASHES: Final = 2
-"""Crashes that a wider part must explain beyond the narrower ones to be suspected beside them: a
-single one may have another cause."""
+"""Crashes that a wide part must explain beyond a narrower one to be refused alone: a single one may
+have another cause."""
 
 EVIDENCE_TTL_MS: Final = 600_000
 """How long a crash counts against a part after the last crash with that part."""
 
-MAX_PARTS: Final = 2_048
-MAX_LIVES_PER_PART: Final = 16
+SOUND_HISTORY_MS: Final = 60_000
+"""How long before the first crash an answer to a request with a part tells that it was sound."""
+
+MIN_HISTORY_MS: Final = 3_000
+"""For how long a node must have seen answers to tell what was sound before."""
+
+ANSWER_TIME_MS: Final = 1_500
+"""How long a part that was sound before is not refused: requests with it may be answered."""
+
+MAX_PARTS: Final = 4_096
+MAX_LIVES_PER_PART: Final = 64
 MAX_REQUESTS_PER_LIFE: Final = 16
 MAX_KNOWN_LIVES: Final = 4
 """Open crashes of a part that are noted with a request, the newest ones; three in a row decide."""
@@ -93,9 +102,17 @@
     lives: frozenset[ServerLife]
     requests: frozenset[tuple[ServerLife, str]]
 
-    def is_narrower_than(self, other: _Suspect) -> bool:
-        """Return whether all requests with this part at crashes hold the other part too."""
-        return self.requests < other.requests
+
+@attrs.define(slots=True)
+class Judgement:
+    """What the evidence says about suspect parts.
+
+    :param culprits: what must be refused.
+    :param bystanders: what was at the crashes by chance.
+    """
+
+    culprits: list[Culprit] = attrs.Factory(list)
+    bystanders: list[Culprit] = attrs.Factory(list)
 
 
 class PartEvidence:
@@ -107,12 +124,14 @@
     ...     known = evidence.known_lives(("bad", "first"))
     ...     _ = evidence.record_crash(PartsCrash(f"r{number}", life, known), number * 10)
     ...     _ = evidence.record_answered(("first",), number * 10 + 5, number * 10 + 9)
-    >>> evidence.culprits()
+    >>> evidence.judge(100_000).culprits
     [frozenset({'bad'})]
     """
 
     def __init__(self) -> None:
         self._part_by_id: OrderedDict[str, _Part] = OrderedDict()
+        self._answered_ms_by_part: OrderedDict[str, int] = OrderedDict()
+        self._first_answer_ms: int | None = None
 
     def known_lives(self, parts: Sequence[str]) -> dict[str, tuple[ServerLife, ...]]:
         """Return the crashes that count against some parts now, the newest ones."""
@@ -163,6 +182,7 @@
         """
         sound = []
         for part in parts:
+            self._remember_answer(part, now_ms)
             state = self._part_by_id.get(part)
             if state is None:
                 continue
@@ -178,14 +198,44 @@
 
     def clear(self, sound: SoundPart, now_ms: int) -> bool:
         """Let crashes count no more against a part; return whether any did until now."""
-        state = self._state(sound.part, now_ms)
+        self._remember_answer(sound.part, now_ms)
+        return self._drop_crashes(sound.part, sound.lives, now_ms)
+
+    def _drop_crashes(self, part: str, lives: Iterable[ServerLife], now_ms: int) -> bool:
+        state = self._state(part, now_ms)
         is_new = False
-        for life in sound.lives:
+        for life in lives:
             is_new = state.open_crash_by_life.pop(life, None) is not None or is_new
             state.cleared_ms_by_life.setdefault(life, now_ms)
         trim(state.cleared_ms_by_life, MAX_LIVES_PER_PART)
         return is_new
 
+    def _remember_answer(self, part: str, now_ms: int) -> None:
+        if self._first_answer_ms is None:
+            self._first_answer_ms = now_ms
+        self._answered_ms_by_part[part] = now_ms
+        self._answered_ms_by_part.move_to_end(part)
+        trim(self._answered_ms_by_part, MAX_PARTS)
+
+    def was_answered_since(self, part: str, since_ms: int) -> bool:
+        """Return whether requests with a part have been answered since a moment, as known here."""
+        answered_ms = self._answered_ms_by_part.get(part)
+        return answered_ms is not None and answered_ms >= since_ms
+
+    def _had_time_for_answers(self, part: str, state: _Part, now_ms: int) -> bool:
+        """Return whether a part that was sound would have been cleared by now.
+
+        Several runners may crash within the time of an answer, and bystanders with a popular part
+        go from one to the next with the culprit.
+        """
+        first_ms = min(crash.known_ms for crash in state.open_crash_by_life.values())
+        is_history_known = (
+            self._first_answer_ms is not None and first_ms - self._first_answer_ms >= MIN_HISTORY_MS
+        )
+        if is_history_known and not self.was_answered_since(part, first_ms - SOUND_HISTORY_MS):
+            return True
+        return now_ms - first_ms >= ANSWER_TIME_MS
+
     def forget_old(self, kept: Container[str], now_ms: int) -> None:
         """Forget parts without recent crashes.
 
@@ -197,7 +247,7 @@
 
     def forget(self, part: str, now_ms: int) -> None:
         """Let no crash until now count against a part."""
-        self.clear(SoundPart(part, tuple(self.lives(frozenset({part})))), now_ms)
+        self._drop_crashes(part, self.lives(frozenset({part})), now_ms)
 
     def crashes_in_a_row(self, part: str) -> int:
         """Return how many crashes in a row count against a part."""
@@ -212,32 +262,43 @@
         shared = frozenset.intersection(*(state.lives() for state in states))
         return tuple(life for life in states[0].open_crash_by_life if life in shared)
 
-    def knows(self, culprit: Culprit) -> bool:
-        """Return whether crashes or answers of all of some parts are known."""
-        return culprit <= self._part_by_id.keys()
+    def is_cleared(self, culprit: Culprit, lives: Iterable[ServerLife]) -> bool:
+        """Return whether crashes that counted against parts no longer count against one of them."""
+        states = [self._part_by_id.get(part) for part in culprit]
+        return any(
+            life in state.cleared_ms_by_life
+            for state in states
+            if state is not None
+            for life in lives
+        )
 
-    def culprits(self) -> list[Culprit]:
-        """Return what explains the crashes, as narrowly as possible.
+    def judge(self, now_ms: int) -> Judgement:
+        """Return what must be refused so that none of the crashes can happen again.
 
-        Parts that were together in all requests at the crashes can't be told apart, so only
-        requests with all of them are refused.
+        A wide part is refused alone only if no narrower one explains its crashes. Until then only
+        requests with both are refused, which is right whichever of them is bad.
         """
-        suspects = self._suspects()
-        kept = [suspect for suspect in suspects if not _is_explained(suspect, suspects)]
-        found = [
-            frozenset(
-                {suspect.part}
-                | {other.part for other in suspects if suspect.requests <= other.requests}
-            )
-            for suspect in kept
-        ]
-        return list(dict.fromkeys(found))
-
-    def _suspects(self) -> list[_Suspect]:
+        suspects = self._suspects(now_ms)
+        wide = [suspect for suspect in suspects if _has_narrower_cause(suspect, suspects)]
+        groups: dict[Culprit, _Suspect] = {}
+        for suspect in suspects:
+            if suspect not in wide:
+                beside = {
+                    other.part
+                    for other in suspects
+                    if suspect.requests == other.requests
+                    or (other in wide and suspect.requests < other.requests)
+                }
+                groups[frozenset({suspect.part} | beside)] = suspect
+        return _without_bystanders(groups)
+
+    def _suspects(self, now_ms: int) -> list[_Suspect]:
         found = []
         for part, state in self._part_by_id.items():
             if len(state.open_crash_by_life) < CRASHES_IN_A_ROW:
                 continue
+            if not self._had_time_for_answers(part, state, now_ms):
+                continue
             requests = state.requests()
             is_several = len({fingerprint for _, fingerprint in requests}) >= MIN_REQUESTS
             if is_several and state.crashes_in_a_row() >= CRASHES_IN_A_ROW:
@@ -245,18 +306,29 @@
         return found
 
 
-def _is_explained(suspect: _Suspect, suspects: list[_Suspect]) -> bool:
-    """Return whether other suspects explain the crashes with a part better than the part does."""
-    narrower = [other for other in suspects if other.is_narrower_than(suspect)]
-    if narrower:
-        explained = frozenset().union(*(other.lives for other in narrower))
-        return len(suspect.lives - explained) < MIN_UNEXPLAINED_CRASHES
-    for other in suspects:
-        if other is suspect or suspect.is_narrower_than(other):
+def _without_bystanders(groups: dict[Culprit, _Suspect]) -> Judgement:
+    """Return the culprits; what is only at crashes that others explain was there by chance.
+
+    A culprit is at all of its crashes, a bystander at some of them, so those at most come first.
+    """
+    ordered = sorted(groups.items(), key=lambda group: len(group[1].lives), reverse=True)
+    judgement = Judgement()
+    alone: list[_Suspect] = []
+    for culprit, suspect in ordered:
+        at_more = [other.lives for other in alone if len(other.lives) > len(suspect.lives)]
+        if suspect.lives <= frozenset().union(*at_more):
+            judgement.bystanders.append(culprit)
             continue
-        # A bystander is at some of the crashes, the culprit at all of them.
-        if suspect.lives < other.lives:
-            return True
-        if suspect.lives == other.lives and len(suspect.requests) < len(other.requests):
-            return True
-    return False
+        judgement.culprits.append(culprit)
+        if len(culprit) == 1:
+            alone.append(suspect)
+    return judgement
+
+
+def _has_narrower_cause(suspect: _Suspect, suspects: list[_Suspect]) -> bool:
+    """Return whether a part that is only in some of the requests explains the same crashes."""
+    return any(
+        other.requests < suspect.requests
+        and len(suspect.lives - other.lives) < MIN_UNEXPLAINED_CRASHES
+        for other in suspects
+    )
--- a/monsoonflow/quarantine/parts.py
+++ b/monsoonflow/quarantine/parts.py
@@ -13,7 +13,7 @@
 from .broken_connections import BrokenConnections
 from .models import PartsCrash, QuarantinedRequest, RequestTraits, SoundPart
 from .part_evidence import Culprit, PartEvidence
-from .suspects import IGNORE_AFTER_LIFT_MS, QUARANTINE_TTL_MS
+from .suspects import IGNORE_AFTER_LIFT_MS
 
 KEY_PREFIX: Final = "part:"
 PART_SEPARATOR: Final = "+"
@@ -21,6 +21,10 @@
 HARDLY_BEGUN_MS: Final = 500
 """A server that has sent events for longer did not crash because it began to answer."""
 
+TRIALS_AFTER_MS: Final = (60_000, 3_600_000)
+"""How long parts are refused before a request is tried, for each trial. The first one frees parts
+that were refused wrongly; each costs a server if they are bad, so there is none after the last."""
+
 MAX_QUARANTINED_PARTS: Final = 256
 MAX_OWN_CRASHES: Final = 512
 MAX_ANNOUNCED_CRASHES: Final = 64
@@ -58,7 +62,8 @@
     """Parts that are refused.
 
     :param is_found_here: whether this node's own evidence says so.
-    :param allows_trial: whether the next request is sent, to see whether it still crashes servers.
+    :param trials: requests that have been sent since, to see whether they still crash servers.
+    :param allows_trial: whether the next request is sent.
     """
 
     culprit: Culprit
@@ -66,6 +71,7 @@
     source: str
     since_ms: int
     is_found_here: bool = False
+    trials: int = 0
     allows_trial: bool = False
 
 
@@ -96,8 +102,8 @@
         )
         self._announced_from = 0
         self._own_sound_parts: OrderedDict[str, tuple[int, SoundPart]] = OrderedDict()
-        self._sound_ms_by_part: OrderedDict[str, int] = OrderedDict()
         self._lifted_ms_by_key: OrderedDict[str, int] = OrderedDict()
+        self._disproved_ms_by_key: OrderedDict[str, int] = OrderedDict()
 
     def is_quarantined(self, parts: tuple[str, ...]) -> bool:
         """Return whether requests with these parts must not be sent to any server."""
@@ -153,7 +159,6 @@
             self._own_sound_parts[sound.part] = now_ms, sound
             self._own_sound_parts.move_to_end(sound.part)
             trim(self._own_sound_parts, MAX_ANNOUNCED_SOUND_PARTS)
-            self._record_sound(sound.part, now_ms)
             findings.is_urgent |= sound.part in urgent_parts
         held = frozenset(parts)
         for key, entry in list(self._entry_by_key.items()):
@@ -173,7 +178,6 @@
             if not self._evidence.clear(sound, now_ms):
                 continue
             has_changed = True
-            self._record_sound(sound.part, now_ms)
             entry = self._entry_by_key.get(key_of(frozenset({sound.part})))
             if entry is not None and not entry.is_found_here:
                 self._lift(key_of(entry.culprit), findings)
@@ -186,11 +190,16 @@
     def quarantine(self, key: str, lives: tuple[ServerLife, ...], source: str, now_ms: int) -> bool:
         """Refuse parts that a peer or the store names; return whether they were not before."""
         culprit = culprit_of(key)
-        if not culprit or key in self._entry_by_key or self._was_recently_lifted(key, now_ms):
+        if not culprit or any(e.culprit <= culprit for e in self._entry_by_key.values()):
+            return False
+        if (
+            self._was_recently_lifted(key, now_ms)
+            and culprit not in self._evidence.judge(now_ms).culprits
+        ):
             return False
         for part in culprit:
-            sound_ms = self._sound_ms_by_part.get(part)
-            if len(culprit) == 1 and sound_ms is not None and now_ms - sound_ms <= SOUND_MEMORY_MS:
+            is_sound = self._evidence.was_answered_since(part, now_ms - SOUND_MEMORY_MS)
+            if len(culprit) == 1 and is_sound:
                 return False
         self._add(_Entry(culprit, lives, source, now_ms))
         return True
@@ -215,6 +224,11 @@
         lifted_ms = self._lifted_ms_by_key.get(key)
         return lifted_ms is not None and now_ms - lifted_ms <= IGNORE_AFTER_LIFT_MS
 
+    def is_disproved(self, key: str, now_ms: int) -> bool:
+        """Return whether this node's own evidence has recently cleared parts that it refused."""
+        disproved_ms = self._disproved_ms_by_key.get(key)
+        return disproved_ms is not None and now_ms - disproved_ms <= IGNORE_AFTER_LIFT_MS
+
     def forget_old(self, now_ms: int) -> None:
         """Forget crashes that are too long ago to count."""
         kept = frozenset().union(*(entry.culprit for entry in self._entry_by_key.values()))
@@ -225,17 +239,19 @@
         return [
             key
             for key, entry in self._entry_by_key.items()
-            if now_ms - entry.since_ms > QUARANTINE_TTL_MS
+            if entry.trials < len(TRIALS_AFTER_MS)
+            and now_ms - entry.since_ms > TRIALS_AFTER_MS[entry.trials]
         ]
 
-    def renew(self, key: str, allows_trial: bool, now_ms: int) -> None:
-        """Refuse parts for another while.
+    def record_trial(self, key: str, trials: int, is_own: bool, now_ms: int) -> None:
+        """Record that a node tries a request with refused parts.
 
-        :param allows_trial: whether the next request at this node is sent nevertheless.
+        :param trials: the number of trials until now, this one included.
+        :param is_own: whether it is this node, which sends the next request that it gets.
         """
         entry = self._entry_by_key.get(key)
         if entry is not None:
-            entry.since_ms, entry.allows_trial = now_ms, allows_trial
+            entry.since_ms, entry.trials, entry.allows_trial = now_ms, trials, is_own
 
     def begin_trial(self, parts: tuple[str, ...]) -> bool:
         """Return whether a request with refused parts is the one that is tried."""
@@ -247,6 +263,13 @@
             entry.allows_trial = False
         return True
 
+    def return_trial(self, parts: tuple[str, ...]) -> None:
+        """Let another request be tried, since the last one has reached no server."""
+        held = frozenset(parts)
+        for entry in self._entry_by_key.values():
+            if entry.culprit <= held:
+                entry.allows_trial = True
+
     def quarantined(self) -> list[QuarantinedRequest]:
         """Return what is refused, the newest last."""
         return [
@@ -257,14 +280,7 @@
     def has_seen_crash(self, key: str) -> bool:
         """Return whether this node itself has seen a crash that it lays to parts."""
         entry = self._entry_by_key.get(key)
-        return (
-            entry is not None
-            and entry.is_found_here
-            and any(
-                entry.culprit <= crash.known_lives_by_part.keys()
-                for _, crash in self._own_crashes.values()
-            )
-        )
+        return entry is not None and entry.is_found_here and self._has_own_crash(entry.culprit)
 
     def own_crashes(self, now_ms: int) -> tuple[PartsCrash, ...]:
         """Return the recent crashes that this node announces to its peers."""
@@ -287,33 +303,54 @@
             if now_ms - seen_ms <= ANNOUNCEMENT_TTL_MS
         )
 
-    def _record_sound(self, part: str, now_ms: int) -> None:
-        self._sound_ms_by_part[part] = now_ms
-        self._sound_ms_by_part.move_to_end(part)
-        trim(self._sound_ms_by_part, MAX_QUARANTINED_PARTS)
-
     def _apply_evidence(self, findings: Findings, now_ms: int) -> None:
         """Refuse what the evidence finds, and allow what it finds no more."""
-        culprits = self._evidence.culprits()
-        for culprit in culprits:
+        judgement = self._evidence.judge(now_ms)
+        for culprit in judgement.culprits:
             key = key_of(culprit)
             entry = self._entry_by_key.get(key)
             lives = self._evidence.lives(culprit)
-            if entry is None and self._was_recently_lifted(key, now_ms) and len(culprit) > 1:
+            if entry is None and not self._may_decide(culprit, key, now_ms):
                 continue
             if entry is None:
+                self._disproved_ms_by_key.pop(key, None)
                 self._add(_Entry(culprit, lives, self._name, now_ms, is_found_here=True))
                 findings.quarantined.append(QuarantinedRequest(key, lives, self._name))
             else:
                 entry.is_found_here, entry.lives = True, lives
         for key, entry in list(self._entry_by_key.items()):
-            is_outdated = entry.culprit not in culprits and self._evidence.knows(entry.culprit)
-            if entry.is_found_here and is_outdated:
+            is_cleared = self._evidence.is_cleared(entry.culprit, entry.lives)
+            if is_cleared or entry.culprit in judgement.bystanders:
                 self._lift(key, findings)
                 # Peers that have not come to the same conclusion yet still announce it.
                 self._ignore(key, now_ms)
+                self._disproved_ms_by_key[key] = now_ms
+                trim(self._disproved_ms_by_key, MAX_QUARANTINED_PARTS)
+
+    def _may_decide(self, culprit: Culprit, key: str, now_ms: int) -> bool:
+        """Return whether this node may refuse parts by what it knows.
+
+        A node that has seen none of the crashes may know nothing of the answers either.
+        """
+        if len(culprit) > 1 and self._was_recently_lifted(key, now_ms):
+            return False
+        return self._has_own_crash(culprit)
+
+    def _has_own_crash(self, culprit: Culprit) -> bool:
+        return any(
+            culprit <= crash.known_lives_by_part.keys() for _, crash in self._own_crashes.values()
+        )
+
+    def reconsider(self, now_ms: int) -> Findings:
+        """Decide about parts for which there was no time for answers before."""
+        findings = Findings()
+        self._apply_evidence(findings, now_ms)
+        return findings
 
     def _add(self, entry: _Entry) -> None:
+        for key, other in list(self._entry_by_key.items()):
+            if entry.culprit < other.culprit:
+                del self._entry_by_key[key]
         self._entry_by_key[key_of(entry.culprit)] = entry
         trim(self._entry_by_key, MAX_QUARANTINED_PARTS)
 
