Soak: parts of prompts that turn bad, judged by the runners' records

A new kind of trouble: a part that was sound crashes each model runner that begins to answer on it, beside all others. Judged: requests with it later than the time of contact after the fifth crash; parts that crash nothing and are refused; sound requests refused.

The link of a server that has ended refuses connections now, as its machine does; until now it accepted and reset them, so that no node could notice a crash.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,12 +22,14 @@
     answers_of,
     broken_at_releases_of,
     broken_of,
+    crashes_by_part,
     endings_of,
     exceeded_of,
     falls_of,
     late_of,
     looking_complete_of,
     mixed_of,
+    parts_of,
     resumptions_of,
     worse_served_of,
 )
@@ -53,6 +55,7 @@
     troubles: dict[str, int]
     mixed: int
     resumptions: Resumptions
+    crashes_by_part: dict[str, int]
 
 
 def run_seed(seed: int, seconds: float, folder: Path, given: argparse.Namespace) -> Run:
@@ -74,6 +77,7 @@
         *exceeded_of(fleet, injector.disturbances),
         *worse_served_of(fleet, injector.partitions, injector.disturbances),
         *falls_of(fleet, injector.brittle_services),
+        *parts_of(fleet, injector.partitions, injector.disturbances),
     ]
     return Run(
         late,
@@ -83,6 +87,7 @@
         injector.counts,
         len(mixed_of(fleet)),
         resumptions_of(fleet, injector.partitions, injector.disturbances),
+        crashes_by_part(fleet),
     )
 
 
@@ -123,7 +128,7 @@
         f"answers {dict(sorted(run.statuses.items()))}; "
         f"endings of those with 200 {dict(sorted(run.endings.items()))}; "
         f"{run.mixed} streams of several versions; {run.resumptions.line()}; "
-        f"troubles {run.troubles}; {folder}",
+        f"crashes by part {run.crashes_by_part}; troubles {run.troubles}; {folder}",
         flush=True,
     )
     for cause, count in Counter(late.cause for late in broken).items():
--- a/soak/const.py
+++ b/soak/const.py
@@ -64,6 +64,16 @@
 ONCE_PATH: Final = "/write/x"
 """Requests to it may run once at most."""
 
+FIRST_PART: Final = "first"
+"""The part with which all prompts begin."""
+
+BAD_PARTS: Final = tuple(f"bad-{number}" for number in range(3))
+"""Parts of prompts that may turn bad."""
+
+SHARED_PARTS: Final = tuple(f"shared-{number}" for number in range(30))
+BAD_SHARE: Final = 0.15
+"""Share of the prompts with a part that may turn bad."""
+
 CALLER_ROUTES: Final[list[dict[str, Any]]] = [
     {"path": "/look/x", "deadline_ms": 1_500, "headers": {}},
     {"path": ONCE_PATH, "deadline_ms": 1_500, "headers": {}},
@@ -73,5 +83,11 @@
         "headers": {"X-Token-Count": "100,20"},
         "adapters": list(ADAPTERS),
         "is_stream": True,
+        "parts": {
+            "first": FIRST_PART,
+            "shared": list(SHARED_PARTS),
+            "bad": list(BAD_PARTS),
+            "bad_share": BAD_SHARE,
+        },
     },
 ]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,12 +15,16 @@
 from .const import CONTACT_MS, LAPSE_S, SERVES_MS, USUAL_WORK_MS
 from .fleet import STORE, Fleet
 from .judge import Disturbance
+from .part_faults import part_turns_bad
 from .partitions import Partition
 from .release_faults import callers_reset, release
 
 GRACE_S: Final = 8.0
 """How long a node that is told to stop may take."""
 
+CRASHED_S: Final = (1.5, 4.0)
+"""How long a server that has crashed by itself is gone."""
+
 NODE_STARTS_S: Final = 2.0
 """How long a node takes to start, on a busy machine."""
 
@@ -72,6 +76,7 @@
         next_at = time.monotonic()
         while (now := time.monotonic()) < until:
             self._end_due(now)
+            self._replace_crashed()
             if now >= next_at:
                 kind = self.rng.choice(kinds)
                 self.counts[kind] = self.counts.get(kind, 0) + 1
@@ -80,6 +85,13 @@
             time.sleep(0.02)
         self._end_due(float("inf"))
 
+    def _replace_crashed(self) -> None:
+        for server in self.fleet.remove_crashed():
+            self.disturbed(server, LAPSE_S)
+            self.later(
+                self.rng.uniform(*CRASHED_S), lambda server=server: self.fleet.add_like(server)
+            )
+
     def later(self, after_s: float, end: Callable[[], None]) -> None:
         """Do something after a while."""
         self._ends.append((time.monotonic() + after_s, end))
@@ -334,4 +346,5 @@
     "server-crashes": server_crashes,
     "release": release,
     "callers-reset": callers_reset,
+    "part-turns-bad": part_turns_bad,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import time
@@ -85,6 +86,7 @@
         self.standing_still: set[str] = set()
         self.service_by_server: dict[str, str] = {}
         self.version_by_server: dict[str, str] = {}
+        self.bad_parts: list[str] = []
         self._versions = 0
         self._folder = folder
         self._node_root = node_root
@@ -142,8 +144,28 @@
         self.servers.append(name)
         self.service_by_server[name] = service
         self.version_by_server[name] = version
+        if self.bad_parts and service == ENGINES:
+            self._tell_bad_parts(name)
         return name
 
+    def add_bad_part(self, part: str) -> None:
+        """Let all model runners, also later ones, crash as they begin to answer on a part."""
+        self.bad_parts.append(part)
+        for name in self.servers:
+            if self.service_by_server[name] == ENGINES:
+                self._tell_bad_parts(name)
+
+    def _tell_bad_parts(self, server: str) -> None:
+        # A server may crash at any moment.
+        with contextlib.suppress(BrokenPipeError):
+            self.processes.command(server, "misbehave", poison_parts=self.bad_parts)
+
+    def remove_crashed(self) -> list[str]:
+        """Return the servers that have ended by themselves since the last call."""
+        crashed = [name for name in self.servers if not self.processes.runs(name)]
+        self.servers = [name for name in self.servers if name not in crashed]
+        return crashed
+
     def leave(
         self, server: str, serves_ms: int, without_word: bool = False, is_replaced: bool = True
     ) -> None:
@@ -154,16 +176,17 @@
         self.processes.command(server, "leave", serves_ms=serves_ms, without_word=without_word)
         self.servers.remove(server)
         if is_replaced:
-            self._add_like(server)
+            self.add_like(server)
 
     def crash(self, server: str) -> None:
         """Let a server end in the middle of its answers, and start another one of its service."""
         self.processes.command(server, "crash")
         self.processes.by_name[server].wait(CRASHES_WITHIN_S)
         self.servers.remove(server)
-        self._add_like(server)
+        self.add_like(server)
 
-    def _add_like(self, server: str) -> None:
+    def add_like(self, server: str) -> None:
+        """Start another server of the service and version of one that has ended."""
         self.add_server(self.service_by_server[server], self.version_by_server[server])
 
     def reset_callers_of(self, node: str) -> None:
@@ -212,7 +235,8 @@
     def misbehave(self, server: str, **faults: Any) -> None:
         """Set faults of a server by their names, if it still runs."""
         if self.processes.runs(server):
-            self.processes.command(server, "misbehave", **faults)
+            with contextlib.suppress(BrokenPipeError):
+                self.processes.command(server, "misbehave", **faults)
 
     def set_link(self, name: str, mode: Mode) -> None:
         """Change what the link of a server, or of a node to the store, does."""
--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -14,6 +14,7 @@
 from .judge import Disturbance, Late, late_arrivals, leaves_by_server
 from .limits import exceeded_limits
 from .partitions import Partition, worse_served
+from .parts import crash_times_ms, later_requests, refused_sound_requests, wrongly_refused
 from .processes import Record
 from .promises import broken_promises
 from .streams import broken_streams, events_by_request
@@ -132,6 +133,41 @@
     )
 
 
+def parts_of(
+    fleet: Fleet, partitions: Iterable[Partition], disturbances: Iterable[Disturbance]
+) -> list[str]:
+    """Return a line for each part of prompts that was kept away from servers wrongly or not."""
+    arrivals = _of(fleet, fleet.service_by_server)
+    logs = [
+        entry
+        for node in fleet.nodes
+        for entry in read(fleet.processes.written(node).splitlines(), node)
+    ]
+    nodes_by_request: dict[str, set[str]] = {}
+    for entry in logs:
+        if entry.event == "request_sent":
+            nodes_by_request.setdefault(entry.fields["request"], set()).add(entry.node)
+    partitioned = [Disturbance(p.node, p.from_ms, p.until_ms) for p in partitions]
+    disturbed = [*disturbances, *partitioned]
+
+    def is_excused(arrival: Record) -> bool:
+        # A node that is out of touch, or any node beside a store that is, counts no more.
+        excusing = {STORE, *nodes_by_request.get(arrival.fields["request"], ())}
+        return any(d.name in excusing and d.within_contact(arrival.at_ms) for d in disturbed)
+
+    return [
+        *later_requests(arrivals, fleet.bad_parts, is_excused),
+        *wrongly_refused(logs, fleet.bad_parts),
+        *refused_sound_requests(logs, fleet.bad_parts),
+    ]
+
+
+def crashes_by_part(fleet: Fleet) -> dict[str, int]:
+    """Return how many servers crashed under each bad part."""
+    arrivals = _of(fleet, fleet.service_by_server)
+    return {part: len(crash_times_ms(arrivals, part)) for part in fleet.bad_parts}
+
+
 def falls_of(fleet: Fleet, brittle_services: Iterable[str]) -> list[str]:
     """Return a line for each service whose brittle servers fell over too often."""
     times = Counter(brittle_services)
--- a/stand_ins/callers.py
+++ b/stand_ins/callers.py
@@ -82,6 +82,7 @@
         self._routes = routes
         self._customer_by_key = customer_by_key
         self._rng = random.Random(seed)
+        self._parts_rng = random.Random(seed)
         self._pools = ConnectionPools(MonotonicClock())
         self._client = StrictClient()
         self._addresses: list[str] = []
@@ -115,6 +116,8 @@
         }
         if "adapters" in route:
             headers["X-Model"] = self._rng.choice(route["adapters"])
+        if "parts" in route:
+            headers["X-Prompt-Prefix"] = self._prompt_prefix(route["parts"], first)
         until = time.monotonic() + route["deadline_ms"] / 1000
         sending = Sending(first, route, headers, self._customer_by_key[key], until)
         last_event = self._try(sending, address, first, 0)
@@ -127,6 +130,13 @@
                 return
             last_event = self._try(sending, address, self._next_name(), last_event)
 
+    def _prompt_prefix(self, parts: dict[str, Any], own: str) -> str:
+        """Return the parts of a prompt; those that may turn bad are in a share of the prompts."""
+        rng = self._parts_rng
+        kind = "bad" if rng.random() < parts["bad_share"] else "shared"
+        chosen = (parts["first"], rng.choice(parts[kind]), own)
+        return ",".join(f"{part}:40" for part in chosen)
+
     def _next_name(self) -> str:
         self._number += 1
         return f"{self._name}-{self._number}"
--- a/stand_ins/links.py
+++ b/stand_ins/links.py
@@ -63,7 +63,8 @@
         listener.setsockopt(native.SOL_SOCKET, native.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
         listener.listen(1_024)
-        StreamServer(listener, self._accept).start()
+        self._server = StreamServer(listener, self._accept)
+        self._server.start()
 
     def set(self, mode: Mode) -> None:
         """Change what the link does."""
@@ -114,6 +115,17 @@
         self._connections.discard(connection)
         connection.close(reset=False)
 
+    def _close_if_target_is_gone(self) -> None:
+        """Refuse new connections, as the machine of a server that has ended does."""
+        host, _, port = self._target.rpartition(":")
+        try:
+            socket.create_connection((host, int(port))).close()
+        except ConnectionRefusedError:
+            self._server.stop()
+        except OSError:
+            # A target that is too busy to accept has not ended.
+            return
+
     def _pump(
         self, connection: ForwardedConnection, source: socket.socket, sink: socket.socket
     ) -> None:
@@ -121,9 +133,13 @@
             while data := source.recv(READ_BYTES):
                 if not connection.silent:
                     sink.sendall(data)
+            if source is connection.server:
+                self._close_if_target_is_gone()
             if not connection.silent:
                 sink.shutdown(native.SHUT_WR)
         except OSError:
+            if source is connection.server and not connection.silent:
+                self._close_if_target_is_gone()
             # A close would complete an answer that is to end with its connection.
             if not connection.silent:
                 connection.close(reset=True)
--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -18,7 +18,12 @@
 from monsoonflow.transport.models import Request  # noqa: E402
 from monsoonflow.transport.server import Reply  # noqa: E402
 from stand_ins.commands import follow, record  # noqa: E402
-from stand_ins.platform_runner import FIRST_VERSION, PlatformRunner, PlatformServer  # noqa: E402
+from stand_ins.platform_runner import (  # noqa: E402
+    FIRST_VERSION,
+    PlatformRunner,
+    PlatformServer,
+    earlier_parts,
+)
 from stand_ins.raw_answers import BreakPlace  # noqa: E402
 
 REGISTER_TIMEOUT_MS: Final = 1_000
@@ -49,6 +54,7 @@
             request=name,
             customer=None if customer is None else customer.decode(),
             has_key=bool(request.values(b"authorization")),
+            parts=[part.decode() for part in earlier_parts(request)],
         )
         try:
             super()._run(request, reply)
@@ -90,6 +96,12 @@
         record("generates", request=name, events=self.events)
         super()._answer(request, reply)
 
+    def crash(self) -> None:
+        """End the process, in the middle of its answers."""
+        record("crashed_by_parts", parts=[part.decode() for part in self.faults.poison_parts])
+        self.break_off_answers()
+        os._exit(1)
+
 
 class Registration:
     """Keeps a server's entry in the store.
@@ -180,6 +192,9 @@
     record("started")
 
     def misbehave(**faults: Any) -> None:
+        parts = faults.pop("poison_parts", None)
+        if parts is not None:
+            server.faults.poison_parts = frozenset(part.encode() for part in parts)
         for name, value in faults.items():
             setattr(server.faults, name, value)
 
