Explain: a request refused for a part of its prompt is told with the crashes of the part

From a refused request's id to the crashes: the cause names the part of the prompt, and explain lists the quarantine of the part and the servers that ended under it.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -450,19 +450,20 @@
 
     def _refuse_if_quarantined(self, job: Job, reply: Reply) -> bool:
         """Refuse a quarantined request; return whether it is one."""
-        if not self._must_not_reach_servers(job):
+        cause = self._refusal_cause(job)
+        if cause is None:
             return False
         if not job.has_reached_server and self._quarantine.begin_trial(job.traits):
             job.is_trial = True
             return False
-        self._finish_unserved(
-            job, reply, "servers end under this request", QUARANTINE_RETRY_AFTER_MS
-        )
+        self._finish_unserved(job, reply, cause, QUARANTINE_RETRY_AFTER_MS)
         return True
 
-    def _must_not_reach_servers(self, job: Job) -> bool:
-        is_tried_now = job.is_trial and not job.has_reached_server
-        return not is_tried_now and self._quarantine.is_quarantined(job.traits)
+    def _refusal_cause(self, job: Job) -> str | None:
+        """Return why a request must not reach any server; a trial may reach one."""
+        if job.is_trial and not job.has_reached_server:
+            return None
+        return self._quarantine.refusal_cause(job.traits)
 
     def _attempt(
         self, job: Job, reply: Reply, chooser: ServerChooser, chosen: Chosen
@@ -493,7 +494,7 @@
             self._response_deadline_ms(job, chooser, chosen, sent_ms),
             lambda: self._record_first_event(job, chosen, ticket),
             lambda: self._start_deadline_ms(job, chooser, chosen),
-            lambda: chooser.may_send(chosen) and not self._must_not_reach_servers(job),
+            lambda: chooser.may_send(chosen) and self._refusal_cause(job) is None,
             lambda: self._server_limits.admit(chosen.life),
             lambda: self._before_send(job, chooser, chosen),
             lambda: self._record_activity(job, chooser, chosen),
@@ -528,7 +529,7 @@
 
     def _start_deadline_ms(self, job: Job, chooser: ServerChooser, chosen: Chosen) -> int | None:
         """Return until when a request may begin at its server; it is recalled after that."""
-        if self._must_not_reach_servers(job):
+        if self._refusal_cause(job) is not None:
             return self._clock.now_ms()
         return chooser.start_deadline_ms(chosen)
 
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -149,8 +149,8 @@
 class Quarantine(Protocol):
     """Keeps requests that crash servers away from all servers."""
 
-    def is_quarantined(self, traits: RequestTraits) -> bool:
-        """Return whether a request must not be sent to any server."""
+    def refusal_cause(self, traits: RequestTraits) -> str | None:
+        """Return why a request must not be sent to any server; ``None`` if it may."""
 
     def begin_trial(self, traits: RequestTraits) -> bool:
         """Return whether a quarantined request is sent once, to see whether it is sound now."""
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -83,11 +83,13 @@
         self._keys_to_remove: set[str] = set()
         self._turn = BoundedSemaphore(1)
 
-    def is_quarantined(self, traits: RequestTraits) -> bool:
-        """Return whether a request must not be sent to any server."""
-        return self.suspects.is_quarantined(traits.fingerprint) or self.parts.is_quarantined(
-            traits.parts
-        )
+    def refusal_cause(self, traits: RequestTraits) -> str | None:
+        """Return why a request must not be sent to any server; ``None`` if it may."""
+        if self.suspects.is_quarantined(traits.fingerprint):
+            return "servers end under this request"
+        if self.parts.is_quarantined(traits.parts):
+            return "servers end under a part of its prompt"
+        return None
 
     def begin_trial(self, traits: RequestTraits) -> bool:
         """Return whether a quarantined request is sent once, to see whether it is sound now."""
--- a/monsoonflow/report/timeline.py
+++ b/monsoonflow/report/timeline.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from ..quarantine.parts import culprit_of
+
 PAIR: Final = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 HEAD: Final = re.compile(r"\btime=\S+ level=\w+ ")
 BELIEFS: Final = frozenset(
@@ -116,17 +118,34 @@
 def _quarantine(ordered: list[LogEntry], own: list[LogEntry], until_ms: int) -> list[str]:
     """Return which servers ended before under what the request asks for, and what followed."""
     names = {entry.fields["fingerprint"] for entry in own if "fingerprint" in entry.fields}
-    return [
-        entry.text(own[0].at_ms)
+    parts = {part for entry in own for part in _list(entry, "parts")}
+    told = [
+        entry
         for entry in ordered
         if entry.at_ms <= until_ms
-        and (
-            entry.fields.get("fingerprint") in names
-            and entry.event in ("request_quarantined", "quarantine_lifted")
-            or entry.event == "server_ended"
-            and names & set(entry.fields.get("requests", "").split(","))
-        )
+        and entry.event in ("request_quarantined", "quarantine_lifted")
+        and _names_request(entry, names, parts)
     ]
+    servers = {server for entry in told for server in _list(entry, "servers")}
+    ended = [
+        entry
+        for entry in ordered
+        if entry.at_ms <= until_ms
+        and entry.event == "server_ended"
+        and (names & set(_list(entry, "requests")) or entry.fields.get("server") in servers)
+    ]
+    return [entry.text(own[0].at_ms) for entry in sorted([*told, *ended], key=lambda e: e.at_ms)]
+
+
+def _names_request(entry: LogEntry, names: set[str], parts: set[str]) -> bool:
+    """Return whether a quarantine is of a request, or of parts of its prompt."""
+    key = entry.fields.get("fingerprint", "")
+    culprit = culprit_of(key)
+    return key in names if culprit is None else culprit <= parts
+
+
+def _list(entry: LogEntry, field: str) -> list[str]:
+    return [name for name in entry.fields.get(field, "").split(",") if name]
 
 
 def around(entries: list[LogEntry], at_ms: int, server: str | None = None) -> list[str]:
--- a/soak/parts.py
+++ b/soak/parts.py
@@ -26,7 +26,8 @@
 """Rare parts that may be refused longer, beside bad ones: they were at the same crashes."""
 
 MIN_JUDGED: Final = 20
-REFUSED: Final = "servers end under this request"
+REFUSED: Final = "servers end under"
+"""How the cause of a refusal by the quarantine begins."""
 
 
 def later_requests(
@@ -110,7 +111,7 @@
             if FIRST_PART in parts and not parts & bad:
                 sound.add(request)
         elif entry.event == "request_ended" and request in sound:
-            refused += entry.fields.get("cause") == REFUSED
+            refused += (entry.fields.get("cause") or "").startswith(REFUSED)
     if len(sound) < MIN_JUDGED or refused * 2 <= len(sound):
         return []
     return [f"{refused} of {len(sound)} sound requests are refused as bad"]
--- a/tests/gateway/test_returning_callers.py
+++ b/tests/gateway/test_returning_callers.py
@@ -16,6 +16,7 @@
 from monsoonflow.gateway.models import NoServer
 from monsoonflow.gateway.request_log import RequestLog
 from monsoonflow.platform.headers import HeaderDialect
+from monsoonflow.quarantine.models import RequestTraits
 from monsoonflow.routing.caller_timeouts import TypicalCallerTimeouts
 from monsoonflow.routing.in_flight import InFlight
 from monsoonflow.routing.routes import Route, RouteKind, RouteTable, Service, Target
@@ -60,9 +61,8 @@
 class NoQuarantine:
     """A quarantine without requests."""
 
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Return ``False``."""
-        return False
+    def refusal_cause(self, traits: RequestTraits) -> None:
+        """Return ``None``."""
 
 
 @pytest.fixture
--- a/tests/report/test_timeline.py
+++ b/tests/report/test_timeline.py
@@ -51,6 +51,25 @@
     assert "servers=i-1,i-4,i-5" in told
 
 
+def test_a_request_with_a_quarantined_part_is_told_with_the_servers_that_ended_under_the_part():
+    lines = [
+        "event=server_ended server=i-1 had=1 requests=f1",
+        "event=server_ended server=i-2 had=1 requests=f3",
+        'event=request_quarantined fingerprint=part:a+b servers="i-1,i-4" source=n2',
+        "event=request_quarantined fingerprint=part:z servers=i-2 source=n2",
+        'event=request_accepted request=r9 route=a fingerprint=f8 parts="b,a,c"',
+        'event=request_ended request=r9 outcome=refused took_ms=1 cause="servers end"',
+    ]
+    stamped = [
+        f"time=2026-08-05T11:13:{10 + 3 * n}.000 level=info {line}" for n, line in enumerate(lines)
+    ]
+    told = "\n".join(timeline.of_request(timeline.read(stamped, "n1"), "r9"))
+    assert "server=i-1" in told
+    assert "part:a+b" in told
+    assert "server=i-2" not in told
+    assert "part:z" not in told
+
+
 def test_an_unknown_request_has_no_timeline(entries):
     assert timeline.of_request(entries, "r2") == []
 
