Quarantine: answers that end with their connection clear parts of prompts too

Found by review: such an answer cleared nothing before it had gone on for half a second, since a crash ends it just as well. Where all answers are short and so framed, a popular part would never be cleared and its requests would be refused after three crashes of other causes. Its server is asked now, only while crashes count against the part.

test_answers_without_framing_clear_the_parts_of_their_prompts, and a bad part is found whatever the framing.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -667,12 +667,11 @@
         match result:
             case Passed() | EndUnknown():
                 self._quarantine.record_completed(job.traits.fingerprint)
-                if job.answer_framing is not Framing.CONNECTION:
-                    self._quarantine.record_answering(job.traits, began_ms or sent_ms)
+                self._record_answer(job, chosen, began_ms or sent_ms)
             case Whole(head=head) if head.status < 500 and head.status not in NOT_RUN_STATUSES:
                 self._quarantine.record_completed(job.traits.fingerprint)
-                if head.status < 300 and job.answer_framing is not Framing.CONNECTION:
-                    self._quarantine.record_answering(job.traits, sent_ms)
+                if head.status < 300:
+                    self._record_answer(job, chosen, sent_ms)
             case Unclear() | Cut():
                 self._quarantine.record_broken_connection(
                     job.traits, chosen.life, chosen.address, job.known_crashes, answering_ms
@@ -682,6 +681,12 @@
             ):
                 self._quarantine.record_server_crash(chosen.life)
 
+    def _record_answer(self, job: Job, chosen: Chosen, began_ms: int) -> None:
+        if job.answer_framing is Framing.CONNECTION:
+            self._quarantine.record_unmarked_end(job.traits, began_ms, chosen.life, chosen.address)
+        else:
+            self._quarantine.record_answering(job.traits, began_ms)
+
     def _handle_timed_out(self, job: Job, reply: Reply, chosen: Chosen, took_ms: int) -> bool:
         job.possible_runs += 1
         job.avoided_lives.append(chosen.life)
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -189,3 +189,8 @@
 
     def record_answering(self, traits: RequestTraits, began_ms: int) -> None:
         """Record that a server has answered a request, or has done so for a while."""
+
+    def record_unmarked_end(
+        self, traits: RequestTraits, began_ms: int, life: ServerLife, address: str
+    ) -> None:
+        """Record that an answer ended with its connection, which a crash would have ended too."""
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -177,6 +177,14 @@
             )
 
     def own_crashes(self) -> tuple[ServerCrash, ...]:
+    def record_unmarked_end(
+        self, traits: RequestTraits, began_ms: int, life: ServerLife, address: str
+    ) -> None:
+        """Record that an answer ended with its connection, which a crash would have ended too."""
+        is_suspect = any(self.parts.known_lives(traits.parts).values())
+        if not is_suspect or not self._crash_probe.has_crashed(life, address):
+            self.record_answering(traits, began_ms)
+
         """Return the recent crashes seen by this node, which it announces to its peers."""
         return self.suspects.own_crashes(
             self._clock.now_ms(), MAX_ANNOUNCED_CRASH_AGE_MS, MAX_ANNOUNCED_CRASHES
--- a/tests/entry/test_prompt_parts.py
+++ b/tests/entry/test_prompt_parts.py
@@ -145,3 +145,24 @@
     assert time.monotonic() - sent_s < 0.5
     assert outcome.answer.head.status == 503
     assert float(outcome.answer.head.value(b"retry-after")) >= 60
+
+
+def test_answers_without_framing_clear_the_parts_of_their_prompts(fleet, supervisor, callers):
+    """They end with their connection; a popular part would be refused after other crashes."""
+    supervisor.faults.unframed = 1.0
+    load = gevent.spawn(callers.send_for, TROUBLE_S, (), (FIRST_PART,), 0.03, 1)
+    for _ in range(6):
+        gevent.sleep(1.2)
+        _crash(fleet, 1)
+    load.join()
+    assert not any(node.daemon.quarantine_manager.parts.quarantined() for node in fleet.nodes)
+
+
+@pytest.mark.parametrize("unframed", [0.0, 1.0])
+def test_a_bad_part_is_found_whatever_the_framing(supervisor, callers, unframed):
+    """A crash in the middle of an answer that ends with its connection looks like its end."""
+    supervisor.faults.unframed = unframed
+    callers.send_for(TROUBLE_S, (BOTH,))
+    gevent.sleep(0.5)
+    assert supervisor.later_requests(BAD_PART) <= MAX_LATER_REQUESTS
+    assert len(supervisor.crashed) <= 10
