Quarantine: decisions about parts do not wait for the store

Found by review: what had to wait for answers was decided in the loop that writes rows, which stands still while the store does not answer; a bad part that was sound before would have gone on crashing runners for that time.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -312,6 +312,7 @@
         )
         self.tasks.spawn(self.node_registration.run)
         self.tasks.spawn(self.quarantine_manager.run)
+        self.tasks.spawn(self.quarantine_manager.run_decisions)
         self.tasks.spawn(self._fetch_snapshot_loop)
         self.tasks.spawn(self._maintenance_loop)
         self.tasks.spawn(self._fetch_configuration_loop)
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -36,6 +36,7 @@
 
 MAX_ANNOUNCED_QUARANTINED: Final = 32
 STORE_SYNC_INTERVAL_MS: Final = 500
+DECISION_INTERVAL_MS: Final = 250
 
 MAX_TURN_WAIT_MS: Final = 1_000
 """How long a suspect request waits for other suspects."""
@@ -252,6 +253,12 @@
             self.parts.record_trial(fingerprint, fields.trials, is_own=False, now_ms=now_ms)
         return True
 
+    def run_decisions(self) -> None:
+        """Decide about parts whose requests had no time to be answered before, forever."""
+        while True:
+            self._tasks.sleep(DECISION_INTERVAL_MS)
+            self._handle_findings(self.parts.reconsider(self._clock.now_ms()))
+
     def run(self) -> None:
         """Update the store's rows at regular intervals, forever."""
         while True:
@@ -265,7 +272,6 @@
             self._log_lifted(fingerprint, "expired")
             self._keys_to_remove.add(fingerprint)
         self.parts.forget_old(now_ms)
-        self._handle_findings(self.parts.reconsider(now_ms))
         for key in list(self._keys_to_remove):
             transaction = Transaction(new_id("op"), {}, {}, (ROW_PREFIX + key,))
             if isinstance(self._table.commit(transaction), Committed):
