--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -177,7 +177,6 @@
                 self.parts.record_answered(traits.parts, began_ms, self._clock.now_ms())
             )
 
-    def own_crashes(self) -> tuple[ServerCrash, ...]:
     def record_unmarked_end(
         self, traits: RequestTraits, began_ms: int, life: ServerLife, address: str
     ) -> None:
@@ -186,6 +185,7 @@
         if not is_suspect or not self._crash_probe.has_crashed(life, address):
             self.record_answering(traits, began_ms)
 
+    def own_crashes(self) -> tuple[ServerCrash, ...]:
         """Return the recent crashes seen by this node, which it announces to its peers."""
         return self.suspects.own_crashes(
             self._clock.now_ms(), MAX_ANNOUNCED_CRASH_AGE_MS, MAX_ANNOUNCED_CRASHES
@@ -327,7 +327,6 @@
 
     def _handle_findings(self, findings: Findings) -> None:
         """Log what has changed in the quarantine of parts, and have it announced."""
-        now_ms = self._clock.now_ms()
         for key in findings.lifted:
             self._log_lifted(
                 key, "requests with it are answered, or other parts explain its crashes"
@@ -336,12 +335,16 @@
                 self._keys_to_remove.add(key)
         for request in findings.quarantined:
             self._log_quarantined(request)
-            for fingerprint in self.suspects.excuse(request.lives, now_ms):
-                self._log_lifted(fingerprint, "a part of prompts explains the crashes")
-                self._keys_to_remove.add(fingerprint)
+            self._excuse_bystanders(request.lives)
         if findings.quarantined or findings.is_urgent:
             self._on_quarantined()
 
+    def _excuse_bystanders(self, lives: Iterable[ServerLife]) -> None:
+        """Allow requests again that were only at crashes which a part of prompts has caused."""
+        for fingerprint in self.suspects.excuse(lives, self._clock.now_ms()):
+            self._log_lifted(fingerprint, "a part of prompts explains the crashes")
+            self._keys_to_remove.add(fingerprint)
+
     def _handle_quarantined(self, requests: list[QuarantinedRequest]) -> None:
         for request in requests:
             self._log_quarantined(request)
@@ -356,6 +359,8 @@
             is_new = self.parts.quarantine(
                 request.fingerprint, request.lives, request.source, now_ms
             )
+            if is_new:
+                self._excuse_bystanders(request.lives)
         if is_new:
             self._log_quarantined(request)
 
--- a/monsoonflow/quarantine/parts.py
+++ b/monsoonflow/quarantine/parts.py
@@ -257,7 +257,7 @@
         """Return whether a request with refused parts is the one that is tried."""
         held = frozenset(parts)
         entries = [entry for entry in self._entry_by_key.values() if entry.culprit <= held]
-        if not all(entry.allows_trial for entry in entries):
+        if not entries or not all(entry.allows_trial for entry in entries):
             return False
         for entry in entries:
             entry.allows_trial = False
