Quarantine: a popular part is not refused while nothing is answered

Cause: all five runners had crashed, so nobody could clear the first part within 1.5 s; one node, that knew less than its peers of the bad part's crashes, refused it, and they followed it although their own evidence named a narrower cause. As nothing with the part was sent any more, nothing cleared it.

Change: without any answer since the first crash the time is 5 s, in which runners come back; and a part that a node's own evidence explains by a narrower one is not taken over from a peer, and is allowed again.

--- a/monsoonflow/quarantine/part_evidence.py
+++ b/monsoonflow/quarantine/part_evidence.py
@@ -40,6 +40,9 @@
 ANSWER_TIME_MS: Final = 1_500
 """How long a part that was sound before is not refused: requests with it may be answered."""
 
+OUTAGE_TIME_MS: Final = 5_000
+"""The same while nothing at all is answered: all runners may have crashed, and are back by then."""
+
 MAX_PARTS: Final = 4_096
 MAX_LIVES_PER_PART: Final = 64
 MAX_REQUESTS_PER_LIFE: Final = 16
@@ -108,7 +111,7 @@
     """What the evidence says about suspect parts.
 
     :param culprits: what must be refused.
-    :param bystanders: what was at the crashes by chance.
+    :param bystanders: what must not be refused alone: others explain the crashes.
     """
 
     culprits: list[Culprit] = attrs.Factory(list)
@@ -132,6 +135,7 @@
         self._part_by_id: OrderedDict[str, _Part] = OrderedDict()
         self._answered_ms_by_part: OrderedDict[str, int] = OrderedDict()
         self._first_answer_ms: int | None = None
+        self._last_answer_ms: int | None = None
 
     def known_lives(self, parts: Sequence[str]) -> dict[str, tuple[ServerLife, ...]]:
         """Return the crashes that count against some parts now, the newest ones."""
@@ -213,6 +217,7 @@
     def _remember_answer(self, part: str, now_ms: int) -> None:
         if self._first_answer_ms is None:
             self._first_answer_ms = now_ms
+        self._last_answer_ms = now_ms
         self._answered_ms_by_part[part] = now_ms
         self._answered_ms_by_part.move_to_end(part)
         trim(self._answered_ms_by_part, MAX_PARTS)
@@ -234,7 +239,8 @@
         )
         if is_history_known and not self.was_answered_since(part, first_ms - SOUND_HISTORY_MS):
             return True
-        return now_ms - first_ms >= ANSWER_TIME_MS
+        is_anything_answered = self._last_answer_ms is not None and self._last_answer_ms >= first_ms
+        return now_ms - first_ms >= (ANSWER_TIME_MS if is_anything_answered else OUTAGE_TIME_MS)
 
     def forget_old(self, kept: Container[str], now_ms: int) -> None:
         """Forget parts without recent crashes.
@@ -290,7 +296,9 @@
                     or (other in wide and suspect.requests < other.requests)
                 }
                 groups[frozenset({suspect.part} | beside)] = suspect
-        return _without_bystanders(groups)
+        judgement = _without_bystanders(groups)
+        judgement.bystanders += [frozenset({suspect.part}) for suspect in wide]
+        return judgement
 
     def _suspects(self, now_ms: int) -> list[_Suspect]:
         found = []
--- a/monsoonflow/quarantine/parts.py
+++ b/monsoonflow/quarantine/parts.py
@@ -192,10 +192,10 @@
         culprit = culprit_of(key)
         if not culprit or any(e.culprit <= culprit for e in self._entry_by_key.values()):
             return False
-        if (
-            self._was_recently_lifted(key, now_ms)
-            and culprit not in self._evidence.judge(now_ms).culprits
-        ):
+        judgement = self._evidence.judge(now_ms)
+        if culprit in judgement.bystanders:
+            return False
+        if self._was_recently_lifted(key, now_ms) and culprit not in judgement.culprits:
             return False
         for part in culprit:
             is_sound = self._evidence.was_answered_since(part, now_ms - SOUND_MEMORY_MS)
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -13,6 +13,7 @@
     MAX_PARTS,
     MIN_HISTORY_MS,
     MIN_REQUESTS,
+    OUTAGE_TIME_MS,
 )
 from monsoonflow.quarantine.parts import (
     ANNOUNCEMENT_TTL_MS,
@@ -189,12 +190,41 @@
     assert world.refused() == [[], [], []]
 
 
+def test_a_popular_part_is_not_refused_while_nothing_is_answered(world):
+    """All runners had crashed, so that no request could clear the first part of all prompts."""
+    for node in world.nodes:
+        world.answer(node, "first")
+    for _ in range(4):
+        world.crash(*(world.send(node, "first") for node in world.nodes))
+        world.announce()
+    world.now_ms += ANSWER_TIME_MS
+    for node in world.nodes:
+        node.reconsider(world.now_ms)
+    assert world.refused() == [[], [], []]
+    world.now_ms += OUTAGE_TIME_MS
+    world.nodes[0].reconsider(world.now_ms)
+    assert world.nodes[0].is_quarantined(("first",))
+
+
+def test_a_node_that_knows_a_narrower_cause_does_not_take_over_a_wide_one(world):
+    """One node refused the first part of all prompts, and its peers followed it."""
+    crash_in_a_row(world, 3, "first", "bad")
+    world.crash(
+        world.send(world.nodes[1], "first", "other"), world.send(world.nodes[0], "first", "bad")
+    )
+    world.announce()
+    assert not world.nodes[1].quarantine("part:first", (), "x", world.now_ms)
+    assert not world.nodes[1].is_quarantined(("first", "good"))
+    assert all(node.is_quarantined(("first", "bad")) for node in world.nodes)
+
+
 def test_a_part_that_was_sound_and_turns_bad_is_refused_after_that_time(world):
     for node in world.nodes:
         world.answer(node, "bad")
     crash_in_a_row(world, 3, "bad")
     assert world.refused() == [[], [], []]
     world.now_ms += ANSWER_TIME_MS
+    world.answer(world.nodes[0], "good")
     world.nodes[0].reconsider(world.now_ms)
     assert world.nodes[0].is_quarantined(("bad",))
 
@@ -219,6 +249,7 @@
     crash_in_a_row(world, 2, "bad")
     world.nodes[0].record_answered(("bad",), began_ms, world.now_ms)
     crash_in_a_row(world, 1, "bad")
+    world.answer(world.nodes[0], "good")
     world.now_ms += ANSWER_TIME_MS
     world.nodes[0].reconsider(world.now_ms)
     world.announce()
