--- a/script/processes.py
+++ b/script/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import subprocess
@@ -56,7 +57,8 @@
         if process.poll() is None:
             process.kill()
             process.wait()
-        process.stdin.close()
+        with contextlib.suppress(BrokenPipeError):
+            process.stdin.close()
 
     def stop(self, name: str, within_s: float) -> int:
         """Stop a process gracefully and return its exit code."""
@@ -83,7 +85,8 @@
             process.kill()
         for process in self.by_name.values():
             process.wait()
-            process.stdin.close()
+            with contextlib.suppress(BrokenPipeError):
+                process.stdin.close()
 
     def _files(self, name: str) -> tuple[Path, Path]:
         return self.folder / f"{name}.out", self.folder / f"{name}.err"
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import os
 import signal
 import time
@@ -156,9 +155,7 @@
                 self._tell_bad_parts(name)
 
     def _tell_bad_parts(self, server: str) -> None:
-        # A server may crash at any moment.
-        with contextlib.suppress(BrokenPipeError):
-            self.processes.command(server, "misbehave", poison_parts=self.bad_parts)
+        self.processes.command(server, "misbehave", poison_parts=self.bad_parts)
 
     def remove_crashed(self) -> list[str]:
         """Return the servers that have ended by themselves since the last call."""
@@ -173,6 +170,8 @@
 
         :param is_replaced: whether another one starts.
         """
+        if server not in self.servers:
+            return
         self.processes.command(server, "leave", serves_ms=serves_ms, without_word=without_word)
         self.servers.remove(server)
         if is_replaced:
@@ -180,6 +179,8 @@
 
     def crash(self, server: str) -> None:
         """Let a server end in the middle of its answers, and start another one of its service."""
+        if server not in self.servers:
+            return
         self.processes.command(server, "crash")
         self.processes.by_name[server].wait(CRASHES_WITHIN_S)
         self.servers.remove(server)
@@ -235,8 +236,7 @@
     def misbehave(self, server: str, **faults: Any) -> None:
         """Set faults of a server by their names, if it still runs."""
         if self.processes.runs(server):
-            with contextlib.suppress(BrokenPipeError):
-                self.processes.command(server, "misbehave", **faults)
+            self.processes.command(server, "misbehave", **faults)
 
     def set_link(self, name: str, mode: Mode) -> None:
         """Change what the link of a server, or of a node to the store, does."""
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Iterator
 from typing import Any
 
@@ -28,10 +29,12 @@
     """Stand-ins that take commands at standard input, and nodes beside them."""
 
     def command(self, name: str, do: str, /, **fields: Any) -> None:
-        """Give a stand-in a command."""
+        """Give a stand-in a command, unless it has ended."""
         pipe = self.by_name[name].stdin
-        pipe.write(orjson.dumps({"do": do, **fields}) + b"\n")
-        pipe.flush()
+        # A server may crash by itself at any moment.
+        with contextlib.suppress(BrokenPipeError):
+            pipe.write(orjson.dumps({"do": do, **fields}) + b"\n")
+            pipe.flush()
 
     def records(self, name: str) -> Iterator[Record]:
         """Return what a stand-in wrote down."""
