Quarantine: of parts that explain the same crashes each is tried after five seconds

The soak's judge took part:first+shared-17 for a refusal of the first part; it refuses fewer requests than part:shared-17, which it counts as a rare one. A refusal of the first part alone breaks the promise as before.

--- a/monsoonflow/quarantine/parts.py
+++ b/monsoonflow/quarantine/parts.py
@@ -12,7 +12,7 @@
 from .bounded import trim
 from .broken_connections import BrokenConnections
 from .models import PartsCrash, QuarantinedRequest, RequestTraits, SoundPart
-from .part_evidence import Culprit, PartEvidence
+from .part_evidence import MIN_UNEXPLAINED_CRASHES, Culprit, PartEvidence
 from .suspects import IGNORE_AFTER_LIFT_MS
 
 KEY_PREFIX: Final = "part:"
@@ -25,6 +25,9 @@
 """How long parts are refused before a request is tried, for each trial. The first one frees parts
 that were refused wrongly; each costs a server if they are bad, so there is none after the last."""
 
+DOUBTFUL_TRIAL_AFTER_MS: Final = 5_000
+"""When a request is tried if other refused parts explain the crashes as well."""
+
 MAX_QUARANTINED_PARTS: Final = 256
 MAX_OWN_CRASHES: Final = 512
 MAX_ANNOUNCED_CRASHES: Final = 64
@@ -201,7 +204,7 @@
             is_sound = self._evidence.was_answered_since(part, now_ms - SOUND_MEMORY_MS)
             if len(culprit) == 1 and is_sound:
                 return False
-        self._add(_Entry(culprit, lives, source, now_ms))
+        self._add(_Entry(culprit, lives or self._evidence.lives(culprit), source, now_ms))
         return True
 
     def lift(self, key: str, now_ms: int) -> bool:
@@ -240,8 +243,22 @@
             key
             for key, entry in self._entry_by_key.items()
             if entry.trials < len(TRIALS_AFTER_MS)
-            and now_ms - entry.since_ms > TRIALS_AFTER_MS[entry.trials]
+            and now_ms - entry.since_ms > self._trial_after_ms(entry)
+        ]
+
+    def _trial_after_ms(self, entry: _Entry) -> int:
+        is_doubtful = entry.trials == 0 and self._is_doubtful(entry)
+        return DOUBTFUL_TRIAL_AFTER_MS if is_doubtful else TRIALS_AFTER_MS[entry.trials]
+
+    def _is_doubtful(self, entry: _Entry) -> bool:
+        """Return whether other refused parts are at nearly all of the same crashes."""
+        others = [
+            set(other.lives)
+            for other in self._entry_by_key.values()
+            if other is not entry and len(other.lives) >= len(entry.lives)
         ]
+        unexplained = set(entry.lives).difference(*others)
+        return bool(entry.lives) and len(unexplained) < MIN_UNEXPLAINED_CRASHES
 
     def record_trial(self, key: str, trials: int, is_own: bool, now_ms: int) -> None:
         """Record that a node tries a request with refused parts.
--- a/soak/parts.py
+++ b/soak/parts.py
@@ -94,8 +94,10 @@
             end(entry.node, key, entry.at_ms)
     for node, key in list(since_ms):
         end(node, key, ordered[-1].at_ms)
-    are_rare = FIRST_PART not in {part for key in bystanders for part in culprit_of(key) or ()}
-    is_tolerated = bad and are_rare and len(bystanders) <= MAX_BYSTANDERS
+    culprits = [culprit_of(key) or frozenset() for key in bystanders]
+    rare_parts = frozenset().union(*culprits) - {FIRST_PART}
+    is_first_refused = frozenset({FIRST_PART}) in culprits
+    is_tolerated = bad and not is_first_refused and len(rare_parts) <= MAX_BYSTANDERS
     return [] if is_tolerated else found
 
 
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -17,6 +17,7 @@
 )
 from monsoonflow.quarantine.parts import (
     ANNOUNCEMENT_TTL_MS,
+    DOUBTFUL_TRIAL_AFTER_MS,
     MAX_ANNOUNCED_CRASHES,
     MAX_QUARANTINED_PARTS,
     SOUND_MEMORY_MS,
@@ -305,6 +306,22 @@
     assert not node.is_quarantined(("bad",))
 
 
+def test_of_parts_that_explain_the_same_crashes_each_is_tried_soon(world):
+    """A rare part that was at the bad part's crashes waited a minute for its trial."""
+    a, b, _ = world.nodes
+    for parts in (("bad",), ("bad", "own"), ("bad", "own")):
+        world.crash(*(world.send(node, part) for node, part in zip((a, b), parts, strict=False)))
+        world.announce()
+    crash_in_a_row(world, 1, "own", node=1)
+    assert a.is_quarantined(("bad",))
+    assert a.is_quarantined(("own",))
+    assert a.due_for_trial(world.now_ms + DOUBTFUL_TRIAL_AFTER_MS - 1_000) == []
+    assert a.due_for_trial(world.now_ms + DOUBTFUL_TRIAL_AFTER_MS + 1_000) == [
+        "part:bad",
+        "part:own",
+    ]
+
+
 def test_crashes_expire_but_not_those_of_a_refused_part(world):
     crash_in_a_row(world, 3, "bad")
     crash_in_a_row(world, 2, "other")
--- a/tests/soak/test_parts.py
+++ b/tests/soak/test_parts.py
@@ -75,6 +75,8 @@
         (["part:" + FIRST_PART], [BAD], MAX_WRONGLY_REFUSED_MS, False),
         ([f"part:{part}" for part in SHARED_PARTS[:MAX_BYSTANDERS]], [BAD], 60_000, False),
         ([f"part:{part}" for part in SHARED_PARTS[: MAX_BYSTANDERS + 1]], [BAD], 60_000, True),
+        ([f"part:{FIRST_PART}+{SHARED_PARTS[0]}"], [BAD], 60_000, False),
+        ([f"part:{FIRST_PART}+{SHARED_PARTS[0]}"], [], 1, True),
         (["part:" + SHARED_PARTS[0]], [], 1, True),
         ([f"part:{BAD}", f"part:{BAD}+{FIRST_PART}"], [BAD], 60_000, False),
         (["0123456789abcdef"], [], 60_000, False),
