--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -37,6 +37,9 @@
 MAX_ANNOUNCED_QUARANTINED: Final = 32
 STORE_SYNC_INTERVAL_MS: Final = 500
 DECISION_INTERVAL_MS: Final = 250
+MAX_TRIALS_AT_ONCE: Final = 1
+"""Trials that a node begins each time: the first may make others unnecessary."""
+
 
 MAX_TURN_WAIT_MS: Final = 1_000
 """How long a suspect request waits for other suspects."""
@@ -272,12 +275,14 @@
             self._log_lifted(fingerprint, "expired")
             self._keys_to_remove.add(fingerprint)
         self.parts.forget_old(now_ms)
+        # What was found again in the meantime keeps its row.
+        self._keys_to_remove -= {request.fingerprint for request in self.parts.quarantined()}
         for key in list(self._keys_to_remove):
             transaction = Transaction(new_id("op"), {}, {}, (ROW_PREFIX + key,))
             if isinstance(self._table.commit(transaction), Committed):
                 self._keys_to_remove.discard(key)
         self._write_missing_rows()
-        for key in self.parts.due_for_trial(now_ms):
+        for key in self.parts.due_for_trial(now_ms)[:MAX_TRIALS_AT_ONCE]:
             self._claim_trial(key)
 
     def _write_missing_rows(self) -> None:
@@ -316,7 +321,12 @@
         row = self._table.get(ROW_PREFIX + key)
         if not isinstance(row, Row):
             return
-        trials = int(row.value.get("trials") or 0) + 1
+        begun = int(row.value.get("trials") or 0)
+        if begun > self.parts.trials(key):
+            # The news that a peer has begun one is still on its way.
+            self.parts.record_trial(key, begun, is_own=False, now_ms=self._clock.now_ms())
+            return
+        trials = self.parts.trials(key) + 1
         value = {**row.value, "trials": trials}
         transaction = Transaction(new_id("op"), {row.key: row.version}, {row.key: value})
         result = self._table.commit(transaction)
@@ -331,8 +341,11 @@
             self._log_lifted(
                 key, "requests with it are answered, or other parts explain its crashes"
             )
-            if key in self._version_by_stored_key:
-                self._keys_to_remove.add(key)
+        self._keys_to_remove.update(
+            key
+            for key in (*findings.lifted, *findings.replaced)
+            if key in self._version_by_stored_key
+        )
         for request in findings.quarantined:
             self._log_quarantined(request)
             self._excuse_bystanders(request.lives)
--- a/monsoonflow/quarantine/part_evidence.py
+++ b/monsoonflow/quarantine/part_evidence.py
@@ -255,6 +255,11 @@
         """Let no crash until now count against a part."""
         self._drop_crashes(part, self.lives(frozenset({part})), now_ms)
 
+    def crashed_since(self, part: str, since_ms: int) -> bool:
+        """Return whether a server has crashed with a part since a moment."""
+        state = self._part_by_id.get(part)
+        return state is not None and state.last_crash_ms >= since_ms
+
     def crashes_in_a_row(self, part: str) -> int:
         """Return how many crashes in a row count against a part."""
         state = self._part_by_id.get(part)
--- a/monsoonflow/quarantine/parts.py
+++ b/monsoonflow/quarantine/parts.py
@@ -84,11 +84,13 @@
 
     :param quarantined: newly refused, as in the rows of the store.
     :param lifted: keys that are refused no more.
+    :param replaced: keys that others cover, which refuse more requests.
     :param is_urgent: whether all peers must be told without delay.
     """
 
     quarantined: list[QuarantinedRequest] = attrs.Factory(list)
     lifted: list[str] = attrs.Factory(list)
+    replaced: list[str] = attrs.Factory(list)
     is_urgent: bool = False
 
 
@@ -208,14 +210,20 @@
         return True
 
     def lift(self, key: str, now_ms: int) -> bool:
-        """Allow requests with parts again, whatever counts against them until now.
+        """Allow requests with parts again, since their row was removed.
+
+        Crashes of the last minute still count: the row may have been removed by a node that knows
+        less of them.
 
         :return: whether they were refused.
         """
         culprit = culprit_of(key) or frozenset()
         self._ignore(key, now_ms)
-        if len(culprit) == 1:
-            self._evidence.forget(*culprit, now_ms)
+        for part in culprit:
+            if len(culprit) == 1 and not self._evidence.crashed_since(
+                part, now_ms - IGNORE_AFTER_LIFT_MS
+            ):
+                self._evidence.forget(part, now_ms)
         return self._entry_by_key.pop(key, None) is not None
 
     def _ignore(self, key: str, now_ms: int) -> None:
@@ -258,7 +266,16 @@
             if other is not entry and len(other.lives) >= len(entry.lives)
         ]
         unexplained = set(entry.lives).difference(*others)
-        return bool(entry.lives) and len(unexplained) < MIN_UNEXPLAINED_CRASHES
+        # Each combination of a bad part may be refused by itself; one trial serves them all.
+        is_tried = any(
+            other.trials and other.culprit & entry.culprit for other in self._entry_by_key.values()
+        )
+        return bool(entry.lives) and not is_tried and len(unexplained) < MIN_UNEXPLAINED_CRASHES
+
+    def trials(self, key: str) -> int:
+        """Return how many requests with refused parts have been tried, as known here."""
+        entry = self._entry_by_key.get(key)
+        return 0 if entry is None else entry.trials
 
     def record_trial(self, key: str, trials: int, is_own: bool, now_ms: int) -> None:
         """Record that a node tries a request with refused parts.
@@ -331,7 +348,9 @@
                 continue
             if entry is None:
                 self._disproved_ms_by_key.pop(key, None)
-                self._add(_Entry(culprit, lives, self._name, now_ms, is_found_here=True))
+                findings.replaced += self._add(
+                    _Entry(culprit, lives, self._name, now_ms, is_found_here=True)
+                )
                 findings.quarantined.append(QuarantinedRequest(key, lives, self._name))
             else:
                 entry.is_found_here, entry.lives = True, lives
@@ -364,12 +383,16 @@
         self._apply_evidence(findings, now_ms)
         return findings
 
-    def _add(self, entry: _Entry) -> None:
-        for key, other in list(self._entry_by_key.items()):
-            if entry.culprit < other.culprit:
-                del self._entry_by_key[key]
+    def _add(self, entry: _Entry) -> list[str]:
+        """Refuse parts; return the keys of what is covered by that."""
+        covered = [
+            key for key, other in self._entry_by_key.items() if entry.culprit < other.culprit
+        ]
+        for key in covered:
+            entry.trials = max(entry.trials, self._entry_by_key.pop(key).trials)
         self._entry_by_key[key_of(entry.culprit)] = entry
         trim(self._entry_by_key, MAX_QUARANTINED_PARTS)
+        return covered
 
     def _lift(self, key: str, findings: Findings) -> None:
         del self._entry_by_key[key]
--- a/tests/entry/test_prompt_parts.py
+++ b/tests/entry/test_prompt_parts.py
@@ -7,6 +7,8 @@
 import gevent
 import pytest
 
+from monsoonflow.quarantine import parts
+from tests.entry.conftest import wait_for
 from tests.entry.crashing_runners import (
     BAD_PART,
     CONTACT_S,
@@ -166,3 +168,19 @@
     gevent.sleep(0.5)
     assert supervisor.later_requests(BAD_PART) <= MAX_LATER_REQUESTS
     assert len(supervisor.crashed) <= 10
+
+
+def test_one_node_tries_one_request_after_a_while(fleet, supervisor, callers, monkeypatch):
+    """If all nodes let requests through again, each of them would crash a runner."""
+    monkeypatch.setattr(parts, "TRIALS_AFTER_MS", (4_000, 7_000))
+    callers.send_for(5.0, (BOTH,))
+    wait_for(lambda: all(n.daemon.quarantine_manager.parts.quarantined() for n in fleet.nodes))
+    gevent.sleep(1.0)
+    supervisor.wait_until_restarted(RUNNERS)
+    began_s = time.monotonic()
+    callers.send_for(5.0, (BOTH,), pause_s=0.1)
+    gevent.sleep(0.5)
+    assert supervisor.arrivals_after(BAD_PART, began_s) == 1
+    supervisor.faults.poison_parts = frozenset()
+    callers.send_for(6.0, (BOTH,), pause_s=0.1)
+    assert not any(n.daemon.quarantine_manager.parts.quarantined() for n in fleet.nodes)
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -277,6 +277,7 @@
 
 def test_a_part_that_was_lifted_counts_from_the_start(world):
     crash_in_a_row(world, 3, "bad")
+    world.now_ms += IGNORE_AFTER_LIFT_MS
     for node in world.nodes:
         assert node.lift("part:bad", world.now_ms)
     world.announce()
@@ -289,6 +290,31 @@
     assert not world.nodes[0].quarantine("part:x", (), "n", world.now_ms + IGNORE_AFTER_LIFT_MS)
 
 
+def test_a_node_that_knows_of_recent_crashes_keeps_them_when_a_row_is_removed(world):
+    """A peer that knows less had removed it, and all nodes let three more runners crash."""
+    crash_in_a_row(world, 3, "bad")
+    for node in world.nodes:
+        node.lift("part:bad", world.now_ms)
+    world.nodes[0].reconsider(world.now_ms)
+    world.announce()
+    assert world.refused() == [["part:bad"]] * 3
+
+
+def test_combinations_of_a_bad_part_share_their_trials(world):
+    node = world.nodes[0]
+    lives = tuple(ServerLife(f"i-{number}") for number in range(3))
+    for key in ("part:bad+own", "part:bad+other", "part:bad+third"):
+        node.quarantine(key, lives, "x", world.now_ms)
+    later_ms = world.now_ms + DOUBTFUL_TRIAL_AFTER_MS + 1
+    due = node.due_for_trial(later_ms)
+    assert len(due) == 3
+    node.record_trial(due[0], 1, True, later_ms)
+    assert node.due_for_trial(later_ms) == []
+    node.quarantine("part:bad", lives, "x", later_ms)
+    assert world.refused()[0] == ["part:bad"]
+    assert node.due_for_trial(later_ms + TRIALS_AFTER_MS[0] + 1) == []
+
+
 def test_after_its_time_only_one_request_is_tried(world):
     crash_in_a_row(world, 3, "bad")
     node = world.nodes[0]
