Soak: a runner that a bad part crashes is gone from its crash on

Trace: both runners of the newer software version had crashed at 309.244 and 309.705 s of the run's clock; the streams came back from 309.74 s on, when the injector, busy starting a process, had not noticed the second crash yet, so the judge took the runner for one that serves. The crash's own record counts now; without a runner of their version no stream can go on.

--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -9,7 +9,7 @@
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.report.timeline import read
 
-from .const import CONTACT_MS, ENGINES
+from .const import CONTACT_MS, ENGINES, LAPSE_S
 from .fleet import STORE, Fleet
 from .judge import Disturbance, Late, late_arrivals, leaves_by_server
 from .limits import exceeded_limits
@@ -56,7 +56,7 @@
     """Return what became of streams that callers took up again at undisturbed nodes."""
     node_by_ip = {fleet.ip_of(node): node for node in fleet.nodes}
     partitioned = [Disturbance(p.node, p.from_ms, p.until_ms) for p in partitions]
-    disturbed = [*disturbances, *partitioned]
+    disturbed = [*disturbances, *partitioned, *_crashes_by_parts(fleet)]
     leaves = leaves_by_server(fleet.processes.records(STORE))
 
     def is_disturbed(name: str, at_ms: int) -> bool:
@@ -80,6 +80,15 @@
     )
 
 
+def _crashes_by_parts(fleet: Fleet) -> list[Disturbance]:
+    """Return when model runners were gone after a bad part; the injector notices it later."""
+    return [
+        Disturbance(record.source, record.at_ms, record.at_ms + round(LAPSE_S * 1_000))
+        for record in _of(fleet, fleet.service_by_server)
+        if record.event == "crashed_by_parts"
+    ]
+
+
 def broken_at_releases_of(
     fleet: Fleet, partitions: Iterable[Partition], disturbances: Iterable[Disturbance]
 ) -> list[str]:
