Quarantine: a request refused at its send says nothing against its server

Found by reading the change: requests that waited for a connection when their part was refused ended as unsent, which marks the server as unreachable, so a decision paused sound servers at all nodes. They are withheld now. test_a_refusal_at_the_send_is_no_failure_of_the_server failed before (a server was paused). A request that is recalled for its part is logged with that cause, not as one for a newer adapter version.

--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -26,6 +26,7 @@
     Unclear,
     Unsent,
     Whole,
+    Withheld,
 )
 
 MAX_STALE_ANSWERS: Final = 2
@@ -79,7 +80,7 @@
         on_first_event: Callable[[], None] = lambda: None,
         start_deadline: Callable[[], int | None] = lambda: None,
         may_send: Callable[[], bool] = lambda: True,
-        admit: Callable[[], AtLimit | None] = lambda: None,
+        admit: Callable[[], AtLimit | Withheld | None] = lambda: None,
         on_send: Callable[[], None] = lambda: None,
         on_activity: Callable[[], None] = lambda: None,
         on_terms: Callable[[AnswerTerms], None] = lambda _terms: None,
@@ -130,8 +131,8 @@
             # announced that it leaves got the request 0.4 s after the limit of 2 s.
             if not self._may_send():
                 return Unsent("the server is leaving")
-            if (at_limit := self._admit()) is not None:
-                return at_limit
+            if (refusal := self._admit()) is not None:
+                return refusal
             self._on_send()
             # The head holds the remaining time, so it is built only now: with the time from before
             # a connection that took 0.5 s, the server would go on working after the caller left.
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -49,6 +49,7 @@
     UnknownVersion,
     Unsent,
     Whole,
+    Withheld,
 )
 from .protocols import (
     CustomerQuotas,
@@ -494,8 +495,8 @@
             self._response_deadline_ms(job, chooser, chosen, sent_ms),
             lambda: self._record_first_event(job, chosen, ticket),
             lambda: self._start_deadline_ms(job, chooser, chosen),
-            lambda: chooser.may_send(chosen) and self._refusal_cause(job) is None,
-            lambda: self._server_limits.admit(chosen.life),
+            lambda: chooser.may_send(chosen),
+            lambda: self._admit(job, chosen),
             lambda: self._before_send(job, chooser, chosen),
             lambda: self._record_activity(job, chooser, chosen),
             lambda terms: self._record_terms(job, chosen, ticket, terms),
@@ -521,6 +522,12 @@
             job.holds_turn = False
             self._quarantine.release_turn()
 
+    def _admit(self, job: Job, chosen: Chosen) -> AtLimit | Withheld | None:
+        """Return why a request must not be sent; it may have waited long for its connection."""
+        if self._refusal_cause(job) is not None:
+            return Withheld()
+        return self._server_limits.admit(chosen.life)
+
     def _before_send(self, job: Job, chooser: ServerChooser, chosen: Chosen) -> None:
         self._use_reserved_retry(job)
         job.known_crashes = self._quarantine.known_crashes(job.traits)
@@ -579,7 +586,7 @@
         if ticket.is_awaiting_first_event and isinstance(result, Abandoned | TimedOut | Recalled):
             self._backlog.record_missing_first_event(chosen, now_ms - sent_ms, now_ms)
         self._in_flight.end(ticket)
-        if not isinstance(result, Rejected | Unsent | AtLimit):
+        if not isinstance(result, Rejected | Unsent | AtLimit | Withheld):
             job.has_reached_server = True
         if isinstance(result, TimedOut | Unclear | Cut) and result.silent:
             self._paths.record_unreachable(job.service.name)
@@ -649,9 +656,12 @@
                 job.full_lives.append(chosen.life)
                 self._request_log.log_at_limit(job, chosen, result)
                 return False
+            case Withheld():
+                # The cause is still there and refuses the request.
+                return False
             case Recalled():
                 job.possible_runs += 1
-                reason = "a newer version of its adapter was requested"
+                reason = self._refusal_cause(job) or "a newer version of its adapter was requested"
                 return self._retry_or_finish(job, reply, chosen, reason, took_ms, may_have_run=True)
             case Unclear(reason=reason) | Cut(reason=reason):
                 job.avoided_lives.append(chosen.life)
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -192,6 +192,11 @@
     left: float
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """Nothing was sent, since the request may not reach any server any more."""
+
+
 @dataclass(frozen=True, slots=True)
 class Rejected:
     """The server stated that it did not run the request.
@@ -266,6 +271,7 @@
     Whole
     | Unsent
     | AtLimit
+    | Withheld
     | Rejected
     | Unclear
     | TimedOut
--- a/tests/entry/test_prompt_parts.py
+++ b/tests/entry/test_prompt_parts.py
@@ -8,7 +8,8 @@
 import pytest
 
 from monsoonflow.quarantine import parts
-from tests.entry.conftest import wait_for
+from monsoonflow.transport.client import ConnectionPools
+from tests.entry.conftest import MODEL, wait_for
 from tests.entry.crashing_runners import (
     BAD_PART,
     CONTACT_S,
@@ -170,6 +171,35 @@
     assert len(supervisor.crashed) <= 10
 
 
+def test_a_refusal_at_the_send_is_no_failure_of_the_server(fleet, supervisor, monkeypatch):
+    """Requests that wait for a connection at the decision marked sound servers as unreachable."""
+    node = fleet.nodes[0]
+    manager = node.daemon.quarantine_manager
+    acquire = ConnectionPools.acquire
+
+    def acquire_and_decide(pools, *arguments, **options):
+        connection = acquire(pools, *arguments, **options)
+        if pools is not node.daemon.connection_pools:
+            return connection
+        manager.parts.quarantine(f"part:{BAD_PART}", (), "n2", node.daemon.clock.now_ms())
+        return connection
+
+    monkeypatch.setattr(ConnectionPools, "acquire", acquire_and_decide)
+    began_s = time.monotonic()
+    answer = fleet.ask(
+        node,
+        "/read/x",
+        "q",
+        X_Model=f"{MODEL}/a1",
+        X_Token_Count="100,20",
+        X_Prompt_Prefix=f"{BAD_PART}:1,own:1",
+    )
+    assert answer.head.status == 503
+    assert supervisor.arrivals_after(BAD_PART, began_s) == 0
+    now_ms = node.daemon.clock.now_ms()
+    assert not any(node.daemon.health_tracker.is_paused(s.server_id, now_ms) for s in fleet.servers)
+
+
 def test_one_node_tries_one_request_after_a_while(fleet, supervisor, callers, monkeypatch):
     """If all nodes let requests through again, each of them would crash a runner."""
     monkeypatch.setattr(parts, "TRIALS_AFTER_MS", (4_000, 7_000))
