Quarantine: announcements and keys of parts have bounds in bytes

Found by reading with the limits of messages and rows in mind. A node with requests of 64 parts at a crash announced 85,707 bytes; a heartbeat of over 60,000 is not sent, so the node would have counted as silent for ten seconds (test_announcements_of_prompts_with_many_parts_fit_in_a_datagram). The key of 64 parts that were always together had 2,639 bytes; the store takes 200 and would have refused it again and again (test_the_key_of_many_parts_that_are_always_together_fits_in_a_row). Now 192 parts are announced at once, all in turns, and four parts are named together; ids with characters other than letters, digits, - and _ or over 40 long are not counted.

--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -33,7 +33,9 @@
 SERVER_LIMIT_PATTERN: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 MAX_LOGGED_VALUE_BYTES: Final = 40
 MAX_PROMPT_PARTS: Final = 64
-MAX_PART_ID_LENGTH: Final = 64
+PART_ID_PATTERN: Final = re.compile(r"[0-9a-z_-]{1,40}")
+"""Ids of parts are hexadecimal; they become keys of rows, so other characters are not accepted."""
+
 
 NODE_SET_HEADERS: Final = frozenset(
     {
@@ -270,14 +272,14 @@
 def _decode_part_ids(parts: bytes) -> tuple[str, ...]:
     """Return the different ids in a list of parts of a prompt.
 
-    >>> _decode_part_ids(b"5c1e07a2:800, 91BD3F06:410,5c1e07a2:5,:1")
+    >>> _decode_part_ids(b"5c1e07a2:800, 91BD3F06:410,5c1e07a2:5,:1,a+b:3," + b"f" * 41)
     ('5c1e07a2', '91bd3f06')
     >>> len(_decode_part_ids(b",".join(b"%x:1" % number for number in range(500))))
     64
     """
     pieces = parts.split(b",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]
     ids = (_decode_part_id(piece).lower() for piece in pieces)
-    return tuple(dict.fromkeys(id_ for id_ in ids if 0 < len(id_) <= MAX_PART_ID_LENGTH))
+    return tuple(dict.fromkeys(id_ for id_ in ids if PART_ID_PATTERN.fullmatch(id_)))
 
 
 def _parse_api_key(value: bytes) -> str | None:
--- a/monsoonflow/quarantine/part_evidence.py
+++ b/monsoonflow/quarantine/part_evidence.py
@@ -43,6 +43,9 @@
 OUTAGE_TIME_MS: Final = 5_000
 """The same while nothing at all is answered: all runners may have crashed, and are back by then."""
 
+MAX_CULPRIT_PARTS: Final = 4
+"""Parts that are named together at most; their names must fit in the key of a row."""
+
 MAX_PARTS: Final = 4_096
 MAX_LIVES_PER_PART: Final = 64
 MAX_REQUESTS_PER_LIFE: Final = 16
@@ -294,13 +297,10 @@
         groups: dict[Culprit, _Suspect] = {}
         for suspect in suspects:
             if suspect not in wide:
-                beside = {
-                    other.part
-                    for other in suspects
-                    if suspect.requests == other.requests
-                    or (other in wide and suspect.requests < other.requests)
-                }
-                groups[frozenset({suspect.part} | beside)] = suspect
+                together = [o.part for o in suspects if o.requests == suspect.requests]
+                beside = [o.part for o in wide if suspect.requests < o.requests]
+                parts = [*sorted(together), *sorted(beside)]
+                groups[frozenset(parts[:MAX_CULPRIT_PARTS])] = suspect
         judgement = _without_bystanders(groups)
         judgement.bystanders += [frozenset({suspect.part}) for suspect in wide]
         return judgement
--- a/monsoonflow/quarantine/parts.py
+++ b/monsoonflow/quarantine/parts.py
@@ -33,7 +33,11 @@
 MAX_ANNOUNCED_CRASHES: Final = 64
 """Requests at crashes that each heartbeat announces. If there are more, all have their turn."""
 
+MAX_ANNOUNCED_CRASH_PARTS: Final = 192
+"""Parts of these requests: a heartbeat that does not fit in a datagram is not sent at all."""
+
 MAX_ANNOUNCED_SOUND_PARTS: Final = 64
+MAX_ANNOUNCED_SOUND_LIVES: Final = 192
 ANNOUNCEMENT_TTL_MS: Final = 10_000
 
 SOUND_MEMORY_MS: Final = 3_000
@@ -323,19 +327,32 @@
             for seen_ms, crash in self._own_crashes.values()
             if now_ms - seen_ms <= ANNOUNCEMENT_TTL_MS
         ]
-        if len(recent) <= MAX_ANNOUNCED_CRASHES:
-            return tuple(recent)
-        self._announced_from = (self._announced_from + MAX_ANNOUNCED_CRASHES) % len(recent)
-        end = self._announced_from + MAX_ANNOUNCED_CRASHES
-        return tuple((recent * 2)[self._announced_from : end])
+        if not recent:
+            return ()
+        self._announced_from %= len(recent)
+        from_here = recent[self._announced_from :] + recent[: self._announced_from]
+        announced: list[PartsCrash] = []
+        part_count = 0
+        for crash in from_here[:MAX_ANNOUNCED_CRASHES]:
+            part_count += len(crash.known_lives_by_part)
+            if announced and part_count > MAX_ANNOUNCED_CRASH_PARTS:
+                break
+            announced.append(crash)
+        if len(announced) < len(recent):
+            self._announced_from += len(announced)
+        return tuple(announced)
 
     def own_sound_parts(self, now_ms: int) -> tuple[SoundPart, ...]:
         """Return the parts whose requests were recently answered, which this node announces."""
-        return tuple(
-            sound
-            for seen_ms, sound in self._own_sound_parts.values()
-            if now_ms - seen_ms <= ANNOUNCEMENT_TTL_MS
-        )
+        announced: list[SoundPart] = []
+        life_count = 0
+        for seen_ms, sound in reversed(self._own_sound_parts.values()):
+            life_count += len(sound.lives)
+            is_too_much = bool(announced) and life_count > MAX_ANNOUNCED_SOUND_LIVES
+            if now_ms - seen_ms > ANNOUNCEMENT_TTL_MS or is_too_much:
+                break
+            announced.append(sound)
+        return tuple(announced)
 
     def _apply_evidence(self, findings: Findings, now_ms: int) -> None:
         """Refuse what the evidence finds, and allow what it finds no more."""
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import random
+
 import attrs
 import pytest
 
 from monsoonflow.core.server_life import ServerLife
+from monsoonflow.fleet import codec
+from monsoonflow.fleet.gossip import MAX_DATAGRAM_BYTES
+from monsoonflow.fleet.models import Heartbeat, NodeRecord
+from monsoonflow.quarantine.manager import ROW_PREFIX
 from monsoonflow.quarantine.models import RequestTraits
 from monsoonflow.quarantine.part_evidence import (
     ANSWER_TIME_MS,
@@ -146,6 +152,18 @@
     assert world.nodes[1].is_quarantined(("x", "bad", "first"))
 
 
+def test_the_key_of_many_parts_that_are_always_together_fits_in_a_row(world):
+    """A key of over 200 bytes would be refused by the store again and again."""
+    parts = [f"{number:040x}" for number in range(64)]
+    crash_in_a_row(world, 3, *parts)
+    world.announce()
+    for node, keys in zip(world.nodes, world.refused(), strict=True):
+        assert len(keys) == 1
+        assert len(ROW_PREFIX + keys[0]) <= 200
+        assert node.is_quarantined(tuple(parts))
+        assert not node.is_quarantined(tuple(parts[:3]))
+
+
 def test_the_part_that_is_not_cleared_alone_is_refused_alone(world):
     crash_in_a_row(world, 3, "first", "bad")
     world.answer(world.nodes[2], "first", "good")
@@ -370,6 +388,27 @@
     assert node.own_crashes(world.now_ms + ANNOUNCEMENT_TTL_MS + 1) == ()
 
 
+def test_announcements_of_prompts_with_many_parts_fit_in_a_datagram(world):
+    """A heartbeat that is too large is not sent at all, and its node counts as silent."""
+    node = world.nodes[0]
+    rng = random.Random(1)
+    for _ in range(4):
+        world.crash(
+            *(
+                world.send(node, *(f"{rng.getrandbits(128):032x}" for _ in range(64)))
+                for _ in range(96)
+            )
+        )
+    seen: set[str] = set()
+    for _ in range(200):
+        announced = node.own_crashes(world.now_ms)
+        record = NodeRecord("a", "b", "dc", "1.1.1.1:1", "1.1.1.1:2", "1.1.1.1:3")
+        heartbeat = Heartbeat(record, 1, True, False, 1, True, parts_crashes=announced)
+        assert len(codec.encode_heartbeat(heartbeat)) < MAX_DATAGRAM_BYTES / 2
+        seen.update(crash.fingerprint for crash in announced)
+    assert len(seen) == 4 * 96
+
+
 def test_the_culprit_is_among_what_is_announced_when_many_requests_had_not_begun(world):
     """A runner may have a hundred requests that have not begun; only some can be announced."""
     for node in world.nodes:
