Quarantine: a combination is not refused beside a part that covers it

Found by reading: a node that had taken over part:bad from a peer could find part:bad+first by its own evidence, and wrote a second row that says less. The test failed before.

--- a/monsoonflow/quarantine/parts.py
+++ b/monsoonflow/quarantine/parts.py
@@ -387,7 +387,8 @@
         """
         if len(culprit) > 1 and self._was_recently_lifted(key, now_ms):
             return False
-        return self._has_own_crash(culprit)
+        is_covered = any(entry.culprit < culprit for entry in self._entry_by_key.values())
+        return not is_covered and self._has_own_crash(culprit)
 
     def _has_own_crash(self, culprit: Culprit) -> bool:
         return any(
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -164,6 +164,13 @@
         assert not node.is_quarantined(tuple(parts[:3]))
 
 
+def test_a_combination_whose_part_is_refused_alone_is_not_refused_again(world):
+    """Its row would have stayed in the store, and been announced beside the part's."""
+    world.nodes[0].quarantine("part:bad", (), "x", world.now_ms)
+    crash_in_a_row(world, 3, "first", "bad")
+    assert world.refused()[0] == ["part:bad"]
+
+
 def test_the_part_that_is_not_cleared_alone_is_refused_alone(world):
     crash_in_a_row(world, 3, "first", "bad")
     world.answer(world.nodes[2], "first", "good")
