--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -140,3 +140,18 @@
         quarantined += suspects.is_quarantined(f"r{number}")
     assert served >= 3_900
     assert quarantined <= 4_000 * 0.01
+
+
+def test_crashes_that_a_part_of_prompts_explains_count_no_more():
+    """Bystanders of a bad part were refused for an hour, also after the part had been found."""
+    suspects = Suspects("a")
+    for number in range(3):
+        crash_server(suspects, "f", number)
+        crash_server(suspects, "g", number + 10)
+    assert suspects.excuse(LIVES[:3], 0) == ["f"]
+    assert not suspects.is_quarantined("f")
+    assert suspects.is_quarantined("g")
+    later_ms = IGNORE_AFTER_LIFT_MS + 1
+    for life in LIVES[:3]:
+        assert suspects.record_crash(ServerCrash("f", life), later_ms, "b") is None
+    assert not suspects.must_run_alone("f")
