--- a/monsoonflow/logs/events/quarantine.py
+++ b/monsoonflow/logs/events/quarantine.py
@@ -23,6 +23,8 @@
 class RequestQuarantined(Event):
     """A request is quarantined: servers crashed while processing it, so it is not sent again."""
 
+    # A ``fingerprint`` that begins with ``part:`` names parts of prompts instead.
+
     LEVEL: ClassVar[int] = logging.WARNING
 
     fingerprint: str
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -230,30 +230,30 @@
         """Apply a changed row of the store; return whether it belongs to the quarantine."""
         if not row.key.startswith(ROW_PREFIX):
             return False
-        fingerprint = row.key.removeprefix(ROW_PREFIX)
+        key = row.key.removeprefix(ROW_PREFIX)
         now_ms = self._clock.now_ms()
         if row.body is None:
-            self._version_by_stored_key.pop(fingerprint, None)
-            is_part = culprit_of(fingerprint) is not None
+            self._version_by_stored_key.pop(key, None)
+            is_part = culprit_of(key) is not None
             table = self.parts if is_part else self.suspects
-            if table.lift(fingerprint, now_ms):
-                self._log_lifted(fingerprint, "its row was removed")
+            if table.lift(key, now_ms):
+                self._log_lifted(key, "its row was removed")
             return True
-        is_changed = self._version_by_stored_key.get(fingerprint) != row.version
-        self._version_by_stored_key[fingerprint] = row.version
-        if self.parts.is_disproved(fingerprint, now_ms):
+        is_changed = self._version_by_stored_key.get(key) != row.version
+        self._version_by_stored_key[key] = row.version
+        if self.parts.is_disproved(key, now_ms):
             # The node that wrote it may have ended before it came to the same conclusion.
-            self._keys_to_remove.add(fingerprint)
+            self._keys_to_remove.add(key)
             return True
         fields = read(row.body, QuarantineRow)
         if isinstance(fields, str):
             log(_LOGGER, events.UnusableRow(row=row.key, cause=fields))
             return True
         lives = tuple(map(ServerLife, fields.lives))
-        self._quarantine(QuarantinedRequest(fingerprint, lives, fields.source))
+        self._quarantine(QuarantinedRequest(key, lives, fields.source))
         if is_changed and fields.trials:
             # Another node tries a request: this one waits for its result.
-            self.parts.record_trial(fingerprint, fields.trials, is_own=False, now_ms=now_ms)
+            self.parts.record_trial(key, fields.trials, is_own=False, now_ms=now_ms)
         return True
 
     def run_decisions(self) -> None:
@@ -386,5 +386,5 @@
             ),
         )
 
-    def _log_lifted(self, fingerprint: str, cause: str) -> None:
-        log(_LOGGER, events.QuarantineLifted(fingerprint=fingerprint, cause=cause))
+    def _log_lifted(self, key: str, cause: str) -> None:
+        log(_LOGGER, events.QuarantineLifted(fingerprint=key, cause=cause))
--- a/monsoonflow/quarantine/models.py
+++ b/monsoonflow/quarantine/models.py
@@ -61,8 +61,9 @@
 
 @attrs.frozen(slots=True)
 class QuarantinedRequest:
-    """A request that must not be sent to any server.
+    """A request, or all requests with some parts of prompts, that must not be sent to any server.
 
+    :param fingerprint: of the request, or the key of the parts.
     :param lives: the servers that crashed while they had it.
     :param source: the node that quarantined it first.
     """
