Logs: what an answer says about whether its server takes further requests

A line now tells when an answer says that its server leaves, and whether the server is still used, and one for each rest that a server asks for. Nothing is decided by it yet. A Retry-After in several headers is read as the longest of them.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -499,7 +499,7 @@
             lambda: self._admit(job, chosen),
             lambda: self._before_send(job, chooser, chosen),
             lambda: self._record_activity(job, chooser, chosen),
-            lambda terms: self._record_terms(job, chosen, ticket, terms),
+            lambda terms: self._record_terms(job, chooser, chosen, ticket, terms),
             self._stream_headers(job, chosen),
         )
         result: AttemptResult | None = None
@@ -550,8 +550,16 @@
             self._quarantine.record_answering(job.traits, began_ms)
         self._paths.record_response(job.service.name)
 
-    def _record_terms(self, job: Job, chosen: Chosen, ticket: Ticket, terms: AnswerTerms) -> None:
+    def _record_terms(
+        self,
+        job: Job,
+        chooser: ServerChooser,
+        chosen: Chosen,
+        ticket: Ticket,
+        terms: AnswerTerms,
+    ) -> None:
         job.answer_framing = terms.framing
+        self._request_log.log_server_notices(job, chosen, terms, chooser.may_send(chosen))
         self._server_limits.record_answer(chosen.life, terms, ticket.sent_ms)
 
     def _use_reserved_retry(self, job: Job) -> None:
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -116,6 +116,8 @@
     :param framing: how the end of its body is marked.
     :param software_version: of the server that generates a stream, in a peer's answer; ``None`` if
         the peer does not say.
+    :param is_leaving: whether the server states that it is shutting down.
+    :param rest_ms: for how long the server asks this node for no requests; 0 if it does not.
     """
 
     request_id: str | None
@@ -127,6 +129,8 @@
     tolerated_rejections_per_s: float | None = None
     framing: Framing = Framing.LENGTH
     software_version: str | None = None
+    is_leaving: bool = False
+    rest_ms: int = 0
 
 
 class Dialect(Protocol):
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -15,7 +15,7 @@
 from ..transport.server import Reply
 from .configuration_status import ConfigurationStatus
 from .job import Job
-from .models import AtLimit, AttemptResult, Call, Chosen, ForwardedRequest
+from .models import AnswerTerms, AtLimit, AttemptResult, Call, Chosen, ForwardedRequest
 
 _LOGGER = logging.getLogger(__name__)
 SAMPLED_OUTCOMES: Final = frozenset({"refused"})
@@ -179,6 +179,19 @@
             ),
         )
 
+    def log_server_notices(
+        self, job: Job, chosen: Chosen, terms: AnswerTerms, is_used: bool
+    ) -> None:
+        """Log what an answer says about whether its server takes further requests.
+
+        :param is_used: whether the server still gets new requests.
+        """
+        request_id = job.call.request_id
+        if terms.is_leaving:
+            log(_LOGGER, events.ServerSaysLeaving(request_id, chosen.life, is_used))
+        if terms.rest_ms:
+            log(_LOGGER, events.ServerAsksRest(request_id, chosen.life, terms.rest_ms))
+
     def log_forwarded(self, job: Job, peer: str, result: AttemptResult) -> None:
         """Log and count what came of a request that was forwarded to a peer."""
         name = type(result).__name__.lower()
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -22,6 +22,7 @@
 NOT_EXECUTED_HEADER: Final = b"x-not-executed"
 SERVER_LIMIT_HEADER: Final = b"server-limit"
 SERVER_BRITTLE_HEADER: Final = b"server-brittle"
+SERVER_LEAVING_HEADER: Final = b"server-leaving"
 AUTHORIZATION_HEADER: Final = b"authorization"
 HANDOVER_HEADER: Final = b"x-monsoonflow-forwarded"
 SOFTWARE_VERSION_HEADER: Final = b"x-monsoonflow-software-version"
@@ -197,16 +198,19 @@
     def read_answer(self, head: AnswerHead) -> AnswerTerms:
         """Return what an answer's headers say about it."""
         request_id = head.value(REQUEST_ID_HEADER)
+        retry_after_ms = _parse_retry_after_ms(head.values(b"retry-after"))
         return AnswerTerms(
             request_id=None if request_id is None else request_id.decode("latin-1"),
             is_signed=bool(head.value(SIGNATURE_HEADER)),
             not_run=head.value(NOT_EXECUTED_HEADER) is not None or head.status == 421,
-            retry_after_ms=_parse_retry_after_ms(head.value(b"retry-after")),
+            retry_after_ms=retry_after_ms,
             limit=_parse_server_limit(head.values(SERVER_LIMIT_HEADER)),
             is_full=head.status in (429, 503) and head.value(NOT_EXECUTED_HEADER) is not None,
             tolerated_rejections_per_s=_parse_brittle(head.values(SERVER_BRITTLE_HEADER)),
             framing=head.framing,
             software_version=_decode_software_version(head.value(SOFTWARE_VERSION_HEADER)),
+            is_leaving=says_leaving(head),
+            rest_ms=(retry_after_ms or 0) if head.status == 503 else 0,
         )
 
     def forwarded_headers(self, head: AnswerHead) -> list[Header]:
@@ -300,9 +304,31 @@
     return unquote(value.decode("latin-1"))
 
 
-def _parse_retry_after_ms(value: bytes | None) -> int | None:
+def says_leaving(head: AnswerHead) -> bool:
+    """Return whether a server states in an answer that it is shutting down."""
+    return b"1" in _list_items(head.values(SERVER_LEAVING_HEADER))
+
+
+def _list_items(values: list[bytes]) -> list[bytes]:
+    """Return the items of a header that may come several times, each with several items."""
+    return [item.strip() for value in values for item in value.split(b",")]
+
+
+def _parse_retry_after_ms(values: list[bytes]) -> int | None:
+    """Return the longest of the delays that can be read; ``None`` without one.
+
+    >>> _parse_retry_after_ms([b"0.25"]), _parse_retry_after_ms([b"1, 3", b"2"])
+    (250, 3000)
+    >>> [_parse_retry_after_ms([value]) for value in (b"", b"x", b"nan", b"inf", b"1e999", b"-3")]
+    [None, None, None, None, None, 0]
+    """
+    delays_ms = (_parse_delay_ms(item) for item in _list_items(values))
+    return max((delay_ms for delay_ms in delays_ms if delay_ms is not None), default=None)
+
+
+def _parse_delay_ms(value: bytes) -> int | None:
     try:
-        return None if value is None else max(0, round(float(value) * 1000))
+        return max(0, round(float(value) * 1000))
     except (ValueError, OverflowError):
         return None
 
