--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -41,6 +41,8 @@
     :param break_off: how many answers break off.
     :param break_place: where they break off.
     :param break_resets: whether that is a reset of the connection rather than a close.
+    :param leaving: says in all its answers that it is shutting down.
+    :param rest: the delay that a refusal without work asks for, as text.
     """
 
     fail: int = 0
@@ -63,6 +65,8 @@
     break_off: int = 0
     break_place: BreakPlace = BreakPlace.PIECE
     break_resets: bool = False
+    leaving: bool = False
+    rest: str | None = None
 
 
 FIRST_VERSION: Final = "v1"
@@ -75,6 +79,20 @@
 """How long a brittle server that falls over is gone."""
 
 
+@attrs.frozen
+class Said:
+    """What a server said of itself in an answer.
+
+    :param at_s: when, on the monotonic clock.
+    :param request_id: of the request that it answered; ``None`` for reports and orders.
+    :param rest_s: how long it asked for no requests; ``None`` if it said that it leaves.
+    """
+
+    at_s: float
+    request_id: str | None
+    rest_s: float | None = None
+
+
 class PlatformServer:
     """A server that notes what it ran."""
 
@@ -93,6 +111,7 @@
         self.crashed_s: float | None = None
         self.arrived: list[tuple[float, Request]] = []
         self.falls = 0
+        self.said: list[Said] = []
         self._rejected_s: list[float] = []
         self._running: set[gevent.Greenlet] = set()
         self._raw_answers: set[RawAnswer] = set()
@@ -185,13 +204,13 @@
         faults = self.faults
         if faults.shed > 0:
             faults.shed -= 1
-            reply.send_whole(
-                503, [*self._headers(request, signed=False), (b"X-Not-Executed", b"1")]
-            )
+            headers = self._headers(request, signed=False) + self._rest_headers(request)
+            reply.send_whole(503, [*headers, (b"X-Not-Executed", b"1")])
             return
         if faults.shed_silently > 0:
             faults.shed_silently -= 1
-            reply.send_whole(503, self._headers(request, signed=True))
+            headers = self._headers(request, signed=True) + self._rest_headers(request)
+            reply.send_whole(503, headers)
             return
         max_waiting = faults.max_waiting
         if max_waiting is not None and len(self._running) > self.slots + max_waiting:
@@ -260,6 +279,22 @@
             self._raw_answers.discard(answer)
         return True
 
+    def _rest_headers(self, request: Request) -> list[tuple[bytes, bytes]]:
+        if self.faults.rest is None:
+            return []
+        try:
+            rest_s = float(self.faults.rest)
+        except ValueError:
+            rest_s = 0.0
+        self.said.append(Said(time.monotonic(), _request_id(request), rest_s))
+        return [(b"Retry-After", self.faults.rest.encode())]
+
+    def _leaving_headers(self, request: Request) -> list[tuple[bytes, bytes]]:
+        if not self.faults.leaving:
+            return []
+        self.said.append(Said(time.monotonic(), _request_id(request)))
+        return [(b"Server-Leaving", b"1")]
+
     def _headers(
         self, request: Request, signed: bool, request_id: bytes | None = None
     ) -> list[tuple[bytes, bytes]]:
@@ -271,7 +306,7 @@
             headers.append((b"Server-Limit", self.faults.limit.encode()))
         if self.faults.brittle is not None:
             headers.append((b"Server-Brittle", b"%d" % self.faults.brittle))
-        return headers
+        return headers + self._leaving_headers(request)
 
 
 class PlatformRunner(PlatformServer):
@@ -315,10 +350,12 @@
         if request.target == b"/v1/report":
             data = {"models": self._models(), "busy": False, "sequence": self.sequence}
             data |= self._born()
-            reply.send_whole(200, [], orjson.dumps({**data, "incoming": []}))
+            headers = self._leaving_headers(request)
+            reply.send_whole(200, headers, orjson.dumps({**data, "incoming": []}))
             return True
         if request.target == b"/v1/order":
-            reply.send_whole(self._order(orjson.loads(request.body)), [])
+            status = self._order(orjson.loads(request.body))
+            reply.send_whole(status, self._leaving_headers(request))
             return True
         return False
 
@@ -412,6 +449,11 @@
         return b"id: %d\ndata: %s-%d %s\n\n" % (number, name, number, version)
 
 
+def _request_id(request: Request) -> str | None:
+    value = request.value(b"x-request-id")
+    return None if value is None else value.decode()
+
+
 def earlier_parts(request: Request) -> list[bytes]:
     """Return the parts of a request's prompt, without the last one, which is its own."""
     prefix = request.value(b"x-prompt-prefix") or b""
--- /dev/null
+++ b/tests/entry/test_server_notices.py
@@ -0,0 +1,151 @@
+"""Servers that say in their answers that they leave, or ask for rest, behind real entry nodes."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+import pytest
+
+from tests.entry.conftest import wait_for
+from tests.entry.server_notices import (
+    MAX_IN_REST,
+    generate,
+    late_arrivals,
+    look,
+    most_in_a_rest,
+    send_for,
+    share_served,
+    told_rests,
+)
+
+MIN_SHARE_SERVED = 0.98
+REFUSED_WITHIN_S = 0.3
+"""How soon a request is refused that no server takes."""
+
+KINDS = pytest.mark.parametrize(("add", "ask"), [("plain", look), ("runner", generate)])
+
+
+def add_servers(fleet, add, count=3):
+    """Add servers of one kind; model runners hold the adapter that callers ask for."""
+    servers = [getattr(fleet, add)(f"i-{number}") for number in range(count)]
+    if add == "runner":
+        for server in servers:
+            server.adapters["a1"] = 1
+    return servers
+
+
+def begin(fleet, add, ask, nodes=1):
+    """Return the servers of a fleet that has answered some requests, the busiest one first."""
+    servers = add_servers(fleet, add)
+    for _ in range(nodes):
+        fleet.node()
+    if add == "runner":
+        fleet.holder()
+    wait_for(lambda: ask(fleet, fleet.nodes[0], "n1-first").head.status == 200)
+    send_for(fleet, ask, 0.5)
+    return sorted(servers, key=lambda server: len(server.arrived), reverse=True)
+
+
+@KINDS
+@pytest.mark.parametrize("is_store_down", [False, True])
+def test_no_request_reaches_a_server_long_after_it_said_that_it_leaves(
+    fleet, add, ask, is_store_down
+):
+    """Only the store's entry counted: 130 requests reached a server later than 2 s."""
+    leaving = begin(fleet, add, ask)[0]
+    fleet.store.faults.down = is_store_down
+    leaving.faults.leaving = True
+    asked = send_for(fleet, ask, 6.0)
+    assert leaving.said
+    assert late_arrivals(leaving) == []
+    assert share_served(asked) >= MIN_SHARE_SERVED
+
+
+@KINDS
+def test_no_node_sends_to_a_server_of_which_a_peer_has_heard_that_it_leaves(fleet, add, ask):
+    """Each node had to be told by an answer of its own, and the holder placed adapters there."""
+    leaving = begin(fleet, add, ask, nodes=3)[0]
+    fleet.store.faults.down = True
+    leaving.faults.leaving = True
+    send_for(fleet, ask, 3.0)
+    told_s = leaving.said[0].at_s
+    assert [at_s for at_s, _ in leaving.arrived if at_s > told_s + 1.0] == []
+
+
+def test_no_adapter_is_loaded_at_a_runner_that_says_that_it_leaves(fleet):
+    """The holder ordered four loads within 0.6 s at a runner that was about to exit."""
+    _, *leaving = begin(fleet, "runner", generate)
+    fleet.store.faults.down = True
+    for runner in leaving:
+        runner.faults.leaving = True
+    load_adapters(fleet, "b")
+    wait_for(lambda: all(runner.said for runner in leaving))
+    gevent.sleep(0.5)
+    sequences = [runner.sequence for runner in leaving]
+    load_adapters(fleet, "c")
+    assert [runner.sequence for runner in leaving] == sequences
+
+
+def load_adapters(fleet, prefix):
+    """Ask for adapters that no runner holds."""
+    for number in range(4):
+        assert fleet.generate(fleet.nodes[0], f"{prefix}{number}", f"n1-{prefix}{number}")
+        gevent.sleep(0.2)
+
+
+@KINDS
+@pytest.mark.parametrize("resting_count", [1, 2])
+def test_servers_that_ask_for_rest_get_it_while_others_serve(fleet, add, ask, resting_count):
+    """A server that refuses at once looks idle beside busy ones, and got most requests."""
+    servers = begin(fleet, add, ask)
+    for resting in servers[:resting_count]:
+        resting.faults.shed, resting.faults.rest = 1_000_000, "3"
+    for busy in servers[resting_count:]:
+        busy.faults.slow_ms = 150
+    asked = send_for(fleet, ask, 7.0, pause_s=0.06)
+    assert told_rests(servers)
+    assert most_in_a_rest(servers) <= MAX_IN_REST
+    assert share_served(asked) >= MIN_SHARE_SERVED
+
+
+@KINDS
+def test_callers_are_refused_at_once_while_all_servers_rest(fleet, add, ask):
+    """Each request was tried at each server, 81 of them at one within its 3 s of rest."""
+    servers = begin(fleet, add, ask)
+    for server in servers:
+        server.faults.shed, server.faults.rest = 1_000_000, "3"
+    asked = send_for(fleet, ask, 4.0)
+    assert most_in_a_rest(servers) <= MAX_IN_REST
+    refused = [one for one in asked if one.status == 503]
+    assert len(refused) >= 0.9 * len(asked)
+    assert max(one.took_s for one in refused) <= REFUSED_WITHIN_S
+    assert all(one.retry_after_s is not None for one in refused)
+
+
+@KINDS
+def test_all_are_served_soon_after_the_rests_end(fleet, add, ask):
+    """The time until the first server is back counts from its word."""
+    servers = begin(fleet, add, ask)
+    for server in servers:
+        server.faults.shed, server.faults.rest = 1_000_000, "2"
+    send_for(fleet, ask, 0.5)
+    for server in servers:
+        server.faults.shed = 0
+    end_s = max(said.at_s + said.rest_s for server in servers for said in server.said)
+    gevent.sleep(max(0.0, end_s + 1.0 - time.monotonic()))
+    assert most_in_a_rest(servers) <= MAX_IN_REST
+    assert share_served(send_for(fleet, ask, 2.0)) == 1.0
+
+
+def test_the_only_holder_of_an_adapter_rests(fleet):
+    """Its requests were sent to it again and again, though another runner could load it."""
+    runners = [fleet.runner("i-1"), fleet.runner("i-2")]
+    node = fleet.node()
+    fleet.holder()
+    wait_for(lambda: generate(fleet, node, "n1-first").head.status == 200)
+    [resting] = [runner for runner in runners if runner.begun]
+    resting.faults.shed, resting.faults.rest = 1_000_000, "3"
+    asked = send_for(fleet, generate, 4.0)
+    assert most_in_a_rest(runners) <= MAX_IN_REST
+    assert share_served(asked) >= MIN_SHARE_SERVED
