Servers: one that says in an answer that it leaves gets no further requests

Cause: only the store's entry and the peers' lists took a leaving server out of the choice. The word in an answer was forwarded to the caller and not read, so that during an outage of the store nobody learned of it.

Change: the head of every answer, also of one to another request, a report or an order, marks the life as leaving, which the registry, the check at the send, the scheduler and the heartbeats already obey. Peers are told at once. After 421 another server may have answered, so it says nothing. The entry of the life may go on to say ready: a life that left stays so.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -99,8 +99,12 @@
     def feed(self) -> ChangeFeed:
         """Return a change feed with a connection of its own."""
 
-    def runners(self) -> RunnerControl:
-        """Return the client that reads reports of runners and sends them orders."""
+    def runners(self, on_leaving: Callable[[ServerLife, str], None]) -> RunnerControl:
+        """Return the client that reads reports of runners and sends them orders.
+
+        :param on_leaving: called when a runner states that it is shutting down, with the answer
+            that says so.
+        """
 
     def store_calls(self) -> int:
         """Return how many calls to the store were made."""
@@ -225,7 +229,7 @@
             self._is_path_lost,
         )
         self.peer_client = PeerClient(self.view, self.clock, integration.decoders.table)
-        self.cell_leases = CellLeases(self, integration.runners())
+        self.cell_leases = CellLeases(self, integration.runners(self._handle_server_leaving))
         self.store_follower = StoreFollower(
             integration.decoders,
             self.cluster_state,
@@ -446,6 +450,19 @@
                 self.health_tracker.end_pause(server.life)
         self.gossip.schedule_broadcast()
 
+    def _handle_server_leaving(self, life: ServerLife, source: str) -> None:
+        """Stop using a server that states that it is shutting down, and tell the peers.
+
+        :param source: the answer that says so.
+        """
+        registry = self.cluster_state.server_registry
+        is_used = registry.is_accepting_work(life)
+        registry.mark_leaving(life, self.clock.now_ms(), f"said so in {source}")
+        if is_used:
+            self.connection_pools.close_idle(life)
+            self.cell_leases.wake_planner()
+            self.gossip.schedule_broadcast()
+
     def _refresh_servers(self) -> None:
         if self.store_watches is not None:
             self.store_watches.servers.request_soon()
@@ -647,6 +664,7 @@
             self.stream_versions,
             self.configuration_status,
             self.shared_quota,
+            self._handle_server_leaving,
         )
         self.address_directory = AddressDirectory(
             self.view,
--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -66,6 +66,8 @@
     :param on_send: called just before the request is sent.
     :param on_activity: called for each part of an answer, which shows that the server is working.
     :param on_terms: called with what the head of the answer says.
+    :param on_server_notices: called with what the head of any answer of the server says, also one
+        that belongs to another request.
     :param stream_headers: added to the head of a stream.
     """
 
@@ -84,6 +86,7 @@
         on_send: Callable[[], None] = lambda: None,
         on_activity: Callable[[], None] = lambda: None,
         on_terms: Callable[[AnswerTerms], None] = lambda _terms: None,
+        on_server_notices: Callable[[AnswerTerms], None] = lambda _terms: None,
         stream_headers: Sequence[Header] = (),
     ) -> None:
         self._pools = pools
@@ -99,6 +102,7 @@
         self._on_send = on_send
         self._on_activity = on_activity
         self._on_terms = on_terms
+        self._on_server_notices = on_server_notices
         self._stream_headers = stream_headers
 
     def send(
@@ -172,6 +176,7 @@
             head = self._await_response(connection.read_head)
             self._on_activity()
             terms = self._dialect.read_answer(head)
+            self._on_server_notices(terms)
             if terms.request_id == self._call.request_id:
                 self._on_terms(terms)
                 return head, terms
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from ..core.clock import Clock
+from ..core.server_life import ServerLife
 from ..quarantine.fingerprint import fingerprint
 from ..quarantine.models import RequestTraits, Turn
 from ..quarantine.parts import HARDLY_BEGUN_MS
@@ -107,6 +108,8 @@
     :param configuration_status: returns how current the configuration in force is.
     :param quotas: the quotas of customers; ``None`` if they are not limited.
     :param stream_versions: knows the software versions that began streams.
+    :param on_server_leaving: called when a server states that it is shutting down, with the answer
+        that says so.
     """
 
     def __init__(
@@ -131,6 +134,7 @@
             True, None
         ),
         quotas: CustomerQuotas | None = None,
+        on_server_leaving: Callable[[ServerLife, str], None] = lambda _life, _source: None,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -150,6 +154,7 @@
         self._configuration_status = configuration_status
         self._quotas = quotas
         self._stream_versions = stream_versions
+        self._on_server_leaving = on_server_leaving
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
@@ -499,7 +504,8 @@
             lambda: self._admit(job, chosen),
             lambda: self._before_send(job, chooser, chosen),
             lambda: self._record_activity(job, chooser, chosen),
-            lambda terms: self._record_terms(job, chooser, chosen, ticket, terms),
+            lambda terms: self._record_terms(job, chosen, ticket, terms),
+            lambda terms: self._record_server_notices(job, chosen, terms),
             self._stream_headers(job, chosen),
         )
         result: AttemptResult | None = None
@@ -550,16 +556,14 @@
             self._quarantine.record_answering(job.traits, began_ms)
         self._paths.record_response(job.service.name)
 
-    def _record_terms(
-        self,
-        job: Job,
-        chooser: ServerChooser,
-        chosen: Chosen,
-        ticket: Ticket,
-        terms: AnswerTerms,
-    ) -> None:
+    def _record_server_notices(self, job: Job, chosen: Chosen, terms: AnswerTerms) -> None:
+        """Apply what an answer says of its server to all further requests."""
+        if terms.is_leaving:
+            self._on_server_leaving(chosen.life, f"the answer to {job.call.request_id}")
+        self._request_log.log_server_notices(job, chosen, terms)
+
+    def _record_terms(self, job: Job, chosen: Chosen, ticket: Ticket, terms: AnswerTerms) -> None:
         job.answer_framing = terms.framing
-        self._request_log.log_server_notices(job, chosen, terms, chooser.may_send(chosen))
         self._server_limits.record_answer(chosen.life, terms, ticket.sent_ms)
 
     def _use_reserved_retry(self, job: Job) -> None:
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -179,18 +179,13 @@
             ),
         )
 
-    def log_server_notices(
-        self, job: Job, chosen: Chosen, terms: AnswerTerms, is_used: bool
-    ) -> None:
-        """Log what an answer says about whether its server takes further requests.
-
-        :param is_used: whether the server still gets new requests.
-        """
-        request_id = job.call.request_id
-        if terms.is_leaving:
-            log(_LOGGER, events.ServerSaysLeaving(request_id, chosen.life, is_used))
+    def log_server_notices(self, job: Job, chosen: Chosen, terms: AnswerTerms) -> None:
+        """Log what an answer says about whether its server takes further requests."""
         if terms.rest_ms:
-            log(_LOGGER, events.ServerAsksRest(request_id, chosen.life, terms.rest_ms))
+            log(
+                _LOGGER,
+                events.ServerAsksRest(job.call.request_id, chosen.life, terms.rest_ms),
+            )
 
     def log_forwarded(self, job: Job, peer: str, result: AttemptResult) -> None:
         """Log and count what came of a request that was forwarded to a peer."""
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -26,15 +26,6 @@
     cause: str
 
 
-@event
-class ServerSaysLeaving(Event):
-    """An answer says that its server is leaving; ``is_used``: it still gets new requests."""
-
-    request: str
-    server: str
-    is_used: bool
-
-
 @event
 class ServerAsksRest(Event):
     """A server refused a request and asks this node for no others for ``rest_ms``."""
--- a/monsoonflow/platform/engine.py
+++ b/monsoonflow/platform/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Any, Final
 
 import orjson
@@ -24,6 +25,7 @@
 )
 from ..transport.client import Answer, ConnectionPools, call
 from ..transport.models import Header, Lost
+from .headers import says_leaving
 from .schema import ReportFields
 from .servers import decode_held_models, parse_adapter_ref, to_server_life
 
@@ -36,9 +38,18 @@
 
 
 class PlatformRunnerControl:
-    """Sends orders to model runners and fetches their reports."""
-
-    def __init__(self, clock: Clock) -> None:
+    """Sends orders to model runners and fetches their reports.
+
+    :param on_leaving: called when a runner states that it is shutting down, with the answer that
+        says so.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        on_leaving: Callable[[ServerLife, str], None] = lambda _life, _source: None,
+    ) -> None:
+        self._on_leaving = on_leaving
         self._pools = ConnectionPools(clock, max_idle=2)
 
     def fetch_report(self, life: ServerLife, address: str) -> RunnerReport | Gone | None:
@@ -108,7 +119,10 @@
         headers: list[Header] = [(b"X-Expect-Instance", life.server_id.encode("latin-1"))]
         if body:
             headers.append((b"Content-Type", b"application/json"))
-        return call(self._pools, address, method, target, body, timeout_ms, tuple(headers))
+        answer = call(self._pools, address, method, target, body, timeout_ms, tuple(headers))
+        if isinstance(answer, Answer) and says_leaving(answer.head):
+            self._on_leaving(life, f"the answer to {target}")
+        return answer
 
 
 def _decode_report(expected_life: ServerLife, body: bytes) -> RunnerReport | str:
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -306,7 +306,8 @@
 
 def says_leaving(head: AnswerHead) -> bool:
     """Return whether a server states in an answer that it is shutting down."""
-    return b"1" in _list_items(head.values(SERVER_LEAVING_HEADER))
+    # After 421, it may be another server that answers at the address.
+    return head.status != 421 and b"1" in _list_items(head.values(SERVER_LEAVING_HEADER))
 
 
 def _list_items(values: list[bytes]) -> list[bytes]:
--- a/monsoonflow/platform/outside.py
+++ b/monsoonflow/platform/outside.py
@@ -6,6 +6,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.clock import Clock
+from ..core.server_life import ServerLife
 from ..discovery.models import BackendServer
 from ..entry.settings import EntrySettings
 from ..orders.models import RunnerControl
@@ -70,9 +71,9 @@
         """Return the number of calls made to the store."""
         return sum(client.call_count for client in self._stores)
 
-    def runners(self) -> RunnerControl:
+    def runners(self, on_leaving: Callable[[ServerLife, str], None]) -> RunnerControl:
         """Return the client of the model runners."""
-        return PlatformRunnerControl(self._clock)
+        return PlatformRunnerControl(self._clock, on_leaving)
 
     def readiness(self, ready: Callable[[], bool]) -> Handler:
         """Return the handler of readiness checks."""
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -436,6 +436,22 @@
         runner.stop()
 
 
+@pytest.mark.parametrize("server_id", ["i-1", "another"])
+def test_answers_to_reports_and_orders_say_that_their_runner_leaves(server_id):
+    runner = PlatformRunner("i-1", f"127.0.0.1:{free_port()}", "llm", "m")
+    runner.faults.leaving = True
+    runner.start()
+    leaving = []
+    control = PlatformRunnerControl(MonotonicClock(), lambda life, _source: leaving.append(life))
+    life = ServerLife(server_id)
+    try:
+        control.fetch_report(life, runner.address)
+        control.send_order(life, runner.address, Order(Operation.LOAD, "m/a1", None, 0, "n1", 5))
+    finally:
+        runner.stop()
+    assert leaving == ([life, life] if server_id == "i-1" else [])
+
+
 @pytest.mark.parametrize(
     ("values", "limit"),
     [
