Servers: one that asks a node for rest gets no request from it until the rest ends

Cause: the time that a 503 asks for was kept on the request that got it. The next request chose among the same servers, and one that refuses at once looks idle, so it attracted most requests.

Change: rests are a state of the server's life at the node, beside limits and brittle servers, so that the choice, the places for adapters, the check at the send and the time told to refused callers all obey it. A rest that another answer asks for can make it longer, never shorter. After a rest a node begins with one request and doubles each 100 ms, sooner with answers; nodes return spread over a tenth of the rest. A refused caller returns within a second after the first rest. Only 503 asks for rest: 429 may be about one customer. At most five minutes, so that a mistyped value loses no server for its life.

Requests that wait for a place are refused at once when all runners rest.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -48,6 +48,7 @@
 from ..routing.quota import FleetQuota, QuotaTolerance
 from ..routing.server_limits import TOLERANCE as SERVER_LIMIT_TOLERANCE
 from ..routing.server_limits import ServerLimits
+from ..routing.server_rests import ServerRests
 from ..storage.coverage import Coverage
 from ..storage.models import ChangedRow, ChangeFeed, RawTable
 from ..storage.retrying_table import RetryingTable
@@ -193,6 +194,8 @@
             self.clock,
             settings.name,
             FullServers(self.rng),
+            ServerRests(self.rng),
+            self.rng,
             self._requests_at,
             self._slots_of,
         )
@@ -539,6 +542,11 @@
             "Servers that name a limit for the requests of all nodes.",
             lambda: float(self.server_limits.limited_count()),
         )
+        gauge(
+            "resting_servers",
+            "Servers that have asked this node for rest.",
+            lambda: float(self.server_limits.resting_count()),
+        )
         gauge(
             "unreachable_services",
             "Services of which no server accepts a connection from this node.",
--- a/monsoonflow/entry/placement_client.py
+++ b/monsoonflow/entry/placement_client.py
@@ -177,8 +177,11 @@
         if not job.is_resuming():
             until_ms = min(until_ms, self._slot_useful_until_ms(call, route, job))
         while (left_ms := until_ms - clock.now_ms()) > 0:
-            if job.needs_software_version() and not self._usable_runners(service, job):
+            runners = self._usable_runners(service, job)
+            if job.needs_software_version() and not runners:
                 return no_server_of_version(job)
+            if runners and not open_servers(runners, self._daemon.server_limits, job):
+                return no_open_server(runners, self._daemon.server_limits, job)
             slot_request = self._create_slot_request(call, route, service, job, left_ms, overloaded)
             slot_request["waited_ms"] = clock.now_ms() - began_ms
             slot_request["tried_ms"] = job.request.arrived_ms - job.first_tried_ms
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -560,7 +560,8 @@
         """Apply what an answer says of its server to all further requests."""
         if terms.is_leaving:
             self._on_server_leaving(chosen.life, f"the answer to {job.call.request_id}")
-        self._request_log.log_server_notices(job, chosen, terms)
+        if terms.rest_ms:
+            self._server_limits.record_rest(chosen.life, terms.rest_ms)
 
     def _record_terms(self, job: Job, chosen: Chosen, ticket: Ticket, terms: AnswerTerms) -> None:
         job.answer_framing = terms.framing
--- a/monsoonflow/gateway/limited_servers.py
+++ b/monsoonflow/gateway/limited_servers.py
@@ -39,4 +39,10 @@
     lives = [server.life for server in servers]
     job.limits_per_s = sum(limits.rate_per_s(life) or 0.0 for life in lives)
     retry_after_ms = limits.retry_after_ms(job.service.name, lives)
-    return NoServer("every server is at its limit", retry_after_ms)
+    resting_count = sum(limits.is_resting(life) for life in lives)
+    if not resting_count:
+        return NoServer("every server is at its limit", retry_after_ms)
+    return NoServer(
+        f"every server is at its limit, or rests as {resting_count} of {len(lives)} do",
+        retry_after_ms,
+    )
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -186,14 +186,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AtLimit:
-    """Nothing was sent, since the server's limit for requests of all nodes is used up.
+    """Nothing was sent, since the server takes no further request now.
 
-    :param rate_per_s: the limit that the server names; ``None`` if it is brittle and has no room.
+    :param rate_per_s: the limit that the server names; ``None`` if it rests, or is brittle and has
+        no room.
     :param left: requests that are left for all nodes, as far as this node knows.
+    :param rest_ms: how much longer the server rests; ``None`` if that is not the reason.
     """
 
     rate_per_s: float | None
     left: float
+    rest_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -69,6 +69,12 @@
     def record_answer(self, life: ServerLife, terms: AnswerTerms, sent_ms: int) -> None:
         """Record whether an answer names a limit."""
 
+    def record_rest(self, life: ServerLife, rest_ms: int) -> None:
+        """Record that a server asks this node for no requests for a time."""
+
+    def is_resting(self, life: ServerLife) -> bool:
+        """Return whether a server has asked this node for no requests until later."""
+
     def rate_per_s(self, life: ServerLife) -> float | None:
         """Return the limit that a server names; ``None`` without one."""
 
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -15,7 +15,7 @@
 from ..transport.server import Reply
 from .configuration_status import ConfigurationStatus
 from .job import Job
-from .models import AnswerTerms, AtLimit, AttemptResult, Call, Chosen, ForwardedRequest
+from .models import AtLimit, AttemptResult, Call, Chosen, ForwardedRequest
 
 _LOGGER = logging.getLogger(__name__)
 SAMPLED_OUTCOMES: Final = frozenset({"refused"})
@@ -179,14 +179,6 @@
             ),
         )
 
-    def log_server_notices(self, job: Job, chosen: Chosen, terms: AnswerTerms) -> None:
-        """Log what an answer says about whether its server takes further requests."""
-        if terms.rest_ms:
-            log(
-                _LOGGER,
-                events.ServerAsksRest(job.call.request_id, chosen.life, terms.rest_ms),
-            )
-
     def log_forwarded(self, job: Job, peer: str, result: AttemptResult) -> None:
         """Log and count what came of a request that was forwarded to a peer."""
         name = type(result).__name__.lower()
@@ -204,11 +196,15 @@
         )
 
     def log_at_limit(self, job: Job, chosen: Chosen, at_limit: AtLimit) -> None:
-        """Log that a request was not sent, since its server's limit is used up."""
+        """Log that a request was not sent, since its server takes no further one now."""
         log(
             _LOGGER,
             events.ServerAtLimit(
-                job.call.request_id, chosen.life, at_limit.rate_per_s, at_limit.left
+                job.call.request_id,
+                chosen.life,
+                at_limit.rate_per_s,
+                at_limit.left,
+                at_limit.rest_ms,
             ),
         )
 
--- a/monsoonflow/gateway/server_limits.py
+++ b/monsoonflow/gateway/server_limits.py
@@ -1,13 +1,16 @@
 """Applies what servers state about their capacity, which this node shares with its peers.
 
-A server in need names a limit for requests, a brittle one how many rejections it withstands.
+A server in need names a limit for requests, a brittle one how many rejections it withstands. A
+server that asks for rest asks only the node that it turns away.
 """
 
 from __future__ import annotations
 
 import logging
+import random
 import time
 from collections.abc import Callable, Collection
+from typing import Final
 
 from ..core.clock import Clock
 from ..core.server_life import ServerLife
@@ -24,11 +27,15 @@
     UsageAnnouncement,
 )
 from ..routing.server_limits import REQUEST_UNITS, LimitState, ServerLimits, to_quota
+from ..routing.server_rests import ServerRests
 from .models import AnswerTerms, AtLimit
 from .quota_peers import QuotaPeerTracker
 from .usage_announcer import UsageAnnouncer
 
 _LOGGER = logging.getLogger(__name__)
+RETURN_SPREAD_MS: Final = 1_000
+"""Callers that were refused while all servers rested return within this time after the first rest:
+by its end a node sends to a server as much as ever."""
 
 
 def _wall_ms() -> int:
@@ -42,6 +49,7 @@
 
     :param name: of this node.
     :param full_servers: the brittle servers that have no room.
+    :param rests: the servers that have asked this node for rest.
     :param requests_at: returns the requests of all nodes at a server, as far as this node knows.
     :param slots_of: returns how many requests a server processes at once.
     """
@@ -55,11 +63,15 @@
         clock: Clock,
         name: str,
         full_servers: FullServers,
+        rests: ServerRests,
+        rng: random.Random,
         requests_at: Callable[[ServerLife], int],
         slots_of: Callable[[ServerLife], int],
     ) -> None:
         self._name = name
         self._full_servers = full_servers
+        self._rests = rests
+        self._rng = rng
         self._requests_at = requests_at
         self._slots_of = slots_of
         self._has_new_rejection = False
@@ -78,10 +90,25 @@
         """
         now_ms = self._clock.now_ms()
         self._record_brittle(life, terms, sent_ms, now_ms)
+        if not terms.not_run:
+            self._rests.record_answer(life, sent_ms)
         if self._limits.record_answer(life, terms.limit, not terms.not_run, sent_ms, now_ms):
             self._changed_lives.add(life)
             self._announcer.schedule(self._peer_tracker.peer_count())
 
+    def record_rest(self, life: ServerLife, rest_ms: int) -> None:
+        """Record that a server asks this node for no requests for a time."""
+        if self._rests.record_rest(life, rest_ms, self._clock.now_ms()):
+            log(_LOGGER, events.ServerRests(server=life, rest_ms=rest_ms))
+
+    def is_resting(self, life: ServerLife) -> bool:
+        """Return whether a server has asked this node for no requests until later."""
+        return self._rests.is_resting(life, self._clock.now_ms())
+
+    def resting_count(self) -> int:
+        """Return the number of servers that have asked this node for rest."""
+        return self._rests.resting_count(self._clock.now_ms())
+
     def _record_brittle(
         self, life: ServerLife, terms: AnswerTerms, sent_ms: int, now_ms: int
     ) -> None:
@@ -125,6 +152,8 @@
 
     def has_room(self, life: ServerLife) -> bool:
         """Return whether a server takes one more request now."""
+        if not self._rests.may_send(life, self._clock.now_ms()):
+            return False
         if not self._has_room_for_one(life, own_pending=0):
             return False
         quota = self._quota_of(life)
@@ -140,13 +169,21 @@
 
         The request itself is among those that the server has.
         """
+        now_ms = self._clock.now_ms()
+        if not self._rests.may_send(life, now_ms):
+            return AtLimit(None, 0, self._rests.ends_in_ms(life, now_ms))
         if not self._has_room_for_one(life, own_pending=1):
             return AtLimit(None, 0)
         self._full_servers.record_sent(life, _wall_ms())
+        refusal = self._use_limit(life, now_ms)
+        if refusal is None:
+            self._rests.record_sent(life, now_ms)
+        return refusal
+
+    def _use_limit(self, life: ServerLife, now_ms: int) -> AtLimit | None:
         quota = self._quota_of(life)
         if quota is None:
             return None
-        now_ms = self._clock.now_ms()
         peers = self._peer_tracker.peers(now_ms)
         self._announcer.schedule(peers.active)
         match self._usage.admit(life, quota, REQUEST_UNITS, peers, now_ms):
@@ -165,12 +202,19 @@
         quota_by_life = {life: self._quota_of(life) for life in lives}
         units_per_s, waits_ms = 0.0, []
         for life, quota in quota_by_life.items():
+            rest_ms = self._rests.ends_in_ms(life, now_ms)
             if quota is not None:
                 units_per_s += quota.rate_per_s
-                waits_ms.append(self._usage.wait_ms(life, quota, REQUEST_UNITS, peers, now_ms))
+                wait_ms = self._usage.wait_ms(life, quota, REQUEST_UNITS, peers, now_ms)
+                waits_ms.append(max(wait_ms, rest_ms))
             elif self._full_servers.is_brittle(life):
                 units_per_s += self._slots_of(life) * REQUEST_UNITS
-                waits_ms.append(self._full_servers.opens_in_ms(life, now_ms))
+                waits_ms.append(max(self._full_servers.opens_in_ms(life, now_ms), rest_ms))
+            elif rest_ms:
+                waits_ms.append(rest_ms)
+        if not units_per_s:
+            wait_ms = min(waits_ms, default=0) + self._rng.randrange(RETURN_SPREAD_MS)
+            return min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
         interval_ms = 1000 * (1 + peers.active) * REQUEST_UNITS / max(units_per_s, 1.0)
         last_return_ms = self._last_return_ms_by_service.get(service, now_ms)
         wait_ms = max(min(waits_ms, default=0), last_return_ms + interval_ms - now_ms)
@@ -256,6 +300,7 @@
         for life in self._limits.forget_unused(lives, self._clock.now_ms()):
             self._usage.forget(life)
         self._full_servers.forget_unused(lives, self._clock.now_ms())
+        self._rests.forget_unused(lives)
 
     def _quota_of(self, life: ServerLife) -> Quota | None:
         rate_per_s = self._limits.rate_per_s(life)
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -112,15 +112,16 @@
 
 @event
 class ServerAtLimit(Event):
-    """A request is not sent to the chosen server, since the limit that it names is used up."""
+    """A request is not sent to the chosen server, since that takes no further one now."""
 
     # ``left`` are the requests left for all nodes as far as this node knows. Without ``per_s`` the
-    # server is brittle and has no room.
+    # server rests for another ``rest_ms``, or is brittle and has no room.
 
     request: str
     server: str
     per_s: float | None
     left: float
+    rest_ms: int | None = None
 
 
 @event
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -27,10 +27,9 @@
 
 
 @event
-class ServerAsksRest(Event):
-    """A server refused a request and asks this node for no others for ``rest_ms``."""
+class ServerRests(Event):
+    """A server refused a request and gets no others from this node for ``rest_ms``."""
 
-    request: str
     server: str
     rest_ms: int
 
--- a/tests/gateway/unlimited_servers.py
+++ b/tests/gateway/unlimited_servers.py
@@ -9,6 +9,13 @@
     def record_answer(self, life, terms, sent_ms):
         """Ignore an answer."""
 
+    def record_rest(self, life, rest_ms):
+        """Ignore that a server asks for rest."""
+
+    def is_resting(self, life):
+        """Return ``False``."""
+        return False
+
     def rate_per_s(self, life):
         """Return ``None``."""
         return
