Soak: servers that leave by their answers only, and servers that ask for rest

Two kinds of trouble: leaves-by-word (the answers say it, the entry stays ready until the process ends) and servers-rest (one server, or all of its service, turn everything away with a time of rest, fractions too). Judged by the servers' records: later than 2 s after its word, no request that a caller sent then reaches a server from the node that heard it; in a rest, two at most.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,7 @@
     mixed_of,
     parts_of,
     resumptions_of,
+    unheeded_of,
     worse_served_of,
 )
 from .versions import Resumptions
@@ -78,6 +79,7 @@
         *worse_served_of(fleet, injector.partitions, injector.disturbances),
         *falls_of(fleet, injector.brittle_services),
         *parts_of(fleet, injector.partitions, injector.disturbances),
+        *unheeded_of(fleet, injector.disturbances),
     ]
     return Run(
         late,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,7 @@
 from .const import CONTACT_MS, LAPSE_S, SERVES_MS, USUAL_WORK_MS
 from .fleet import STORE, Fleet
 from .judge import Disturbance
+from .notice_faults import leaves_by_word, servers_rest
 from .part_faults import part_turns_bad
 from .partitions import Partition
 from .release_faults import callers_reset, release
@@ -347,4 +348,6 @@
     "release": release,
     "callers-reset": callers_reset,
     "part-turns-bad": part_turns_bad,
+    "leaves-by-word": leaves_by_word,
+    "servers-rest": servers_rest,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -164,15 +164,22 @@
         return crashed
 
     def leave(
-        self, server: str, serves_ms: int, without_word: bool = False, is_replaced: bool = True
+        self,
+        server: str,
+        serves_ms: int,
+        without_word: bool = False,
+        is_replaced: bool = True,
+        by_word: bool = False,
     ) -> None:
         """Let a server leave, and start another one of its service and version.
 
         :param is_replaced: whether another one starts.
+        :param by_word: whether only its answers say that it leaves.
         """
         if server not in self.servers:
             return
-        self.processes.command(server, "leave", serves_ms=serves_ms, without_word=without_word)
+        how = {"by_word": True} if by_word else {"without_word": without_word}
+        self.processes.command(server, "leave", serves_ms=serves_ms, **how)
         self.servers.remove(server)
         if is_replaced:
             self.add_like(server)
--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -13,6 +13,7 @@
 from .fleet import STORE, Fleet
 from .judge import Disturbance, Late, late_arrivals, leaves_by_server
 from .limits import exceeded_limits
+from .notices import after_leave, in_rests
 from .partitions import Partition, worse_served
 from .parts import crash_times_ms, later_requests, refused_sound_requests, wrongly_refused
 from .processes import Record
@@ -110,12 +111,7 @@
 def exceeded_of(fleet: Fleet, disturbances: Iterable[Disturbance]) -> list[str]:
     """Return a line for each server that got more requests than the limit that it had named."""
     arrivals = _of(fleet, fleet.service_by_server)
-    sends = {
-        (ServerLife(entry.fields["server"]).server_id, entry.fields["request"]): entry.node
-        for node in fleet.nodes
-        for entry in read(fleet.processes.written(node).splitlines(), node)
-        if entry.event == "request_sent"
-    }
+    sends = _node_by_send(fleet)
     disturbed = [d for d in disturbances if d.is_process]
 
     def is_excused(arrival: Record) -> bool:
@@ -128,6 +124,42 @@
     ]
 
 
+def unheeded_of(fleet: Fleet, disturbances: Iterable[Disturbance]) -> list[str]:
+    """Return a line for each server that got requests after it had said that it takes none."""
+    arrivals = _of(fleet, fleet.service_by_server)
+    node_by_send = _node_by_send(fleet)
+    sent_ms_by_request = {
+        record.fields["request"]: record.at_ms - record.fields["took_ms"]
+        for record in _of(fleet, fleet.callers)
+        if record.event == "ended"
+    }
+    # An outage of the store, or of a path to it, excuses nothing.
+    disturbed = [d for d in disturbances if d.is_process and d.name != STORE]
+
+    def node_of(server: str, request: str | None) -> str | None:
+        return node_by_send.get((server, request))
+
+    def is_excused(node: str, arrival: Record) -> bool:
+        return any(
+            d.name in (node, arrival.source) and d.within_contact(arrival.at_ms) for d in disturbed
+        )
+
+    return [
+        *after_leave(arrivals, sent_ms_by_request, node_of, is_excused),
+        *in_rests(arrivals, node_of, is_excused),
+    ]
+
+
+def _node_by_send(fleet: Fleet) -> dict[tuple[str, str], str]:
+    """Return the node that sent a request to a server, by the server's id and the request."""
+    return {
+        (ServerLife(entry.fields["server"]).server_id, entry.fields["request"]): entry.node
+        for node in fleet.nodes
+        for entry in read(fleet.processes.written(node).splitlines(), node)
+        if entry.event == "request_sent"
+    }
+
+
 def worse_served_of(
     fleet: Fleet, partitions: Iterable[Partition], disturbances: Iterable[Disturbance]
 ) -> list[str]:
--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -70,6 +70,19 @@
             record("named", limit=self._named_limit)
         return super()._headers(request, signed, request_id)
 
+    def _leaving_headers(self, request: Request) -> list[tuple[bytes, bytes]]:
+        headers = super()._leaving_headers(request)
+        if headers:
+            record("said_leaving", request=self.said[-1].request_id)
+        return headers
+
+    def _rest_headers(self, request: Request) -> list[tuple[bytes, bytes]]:
+        headers = super()._rest_headers(request)
+        if headers:
+            said = self.said[-1]
+            record("said_rest", request=said.request_id, rest_ms=round(said.rest_s * 1_000))
+        return headers
+
     def _answers_raw(self, *arguments: Any) -> bool:
         breaks_head = self.faults.break_off > 0 and self.faults.break_place == BreakPlace.HEAD
         is_answered = super()._answers_raw(*arguments)
@@ -128,12 +141,17 @@
             written = self._write() if self._registers else True
             gevent.sleep(self._heartbeat_s if written else AGAIN_S)
 
-    def leave(self, serves_ms: int, without_word: bool = False) -> None:
-        """Leave: say so or remove the entry, serve on for a while, and end."""
-        gevent.spawn(self._leave, serves_ms, without_word)
+    def leave(self, serves_ms: int, without_word: bool = False, by_word: bool = False) -> None:
+        """Leave: say so or remove the entry, serve on for a while, and end.
+
+        :param by_word: whether only the answers say so; the entry stays ``ready`` until the end.
+        """
+        gevent.spawn(self._leave, serves_ms, without_word, by_word)
 
-    def _leave(self, serves_ms: int, without_word: bool) -> None:
-        if without_word:
+    def _leave(self, serves_ms: int, without_word: bool, by_word: bool) -> None:
+        if by_word:
+            self._server.faults.leaving = True
+        elif without_word:
             self._registers = False
             self._until_written(removed=True)
         else:
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -18,6 +18,7 @@
     late_of,
     looking_complete_of,
     parts_of,
+    unheeded_of,
     worse_served_of,
 )
 
@@ -49,4 +50,5 @@
     assert not worse_served_of(fleet, injector.partitions, injector.disturbances)
     assert not falls_of(fleet, injector.brittle_services)
     assert not parts_of(fleet, injector.partitions, injector.disturbances)
+    assert not unheeded_of(fleet, injector.disturbances)
     assert answers_of(fleet)[200] > SECONDS * 40 / 4
