Quarantine: the end of a server that had said that it shuts down is no crash

Callers saw: a request whose stream the exits of three leaving servers had cut off was refused for a minute as one that crashes servers.

Cause: a port that refuses connections counted as a crash, whatever its server had announced. Found by going through what else a leave must not mean.

The test failed before (the request was quarantined after three exits) and passes now. Only what the server itself has said counts, in its entry or in an answer: a life that a peer reports as gone, or that another one has replaced, may have crashed.

--- a/monsoonflow/discovery/registry.py
+++ b/monsoonflow/discovery/registry.py
@@ -55,6 +55,7 @@
         self._birth_time_count = 0
         self._missing_until_ms_by_life: dict[ServerLife, int] = {}
         self._left_ms_by_life: dict[ServerLife, int] = {}
+        self._announced_lives: set[ServerLife] = set()
         self._added_ms_by_life: dict[ServerLife, int] = {}
         self._grace_until_ms = 0
         self.version = 0
@@ -83,7 +84,7 @@
             return
         self._store(server, now_ms)
         if server.is_leaving:
-            self.mark_leaving(server.life, now_ms, "said so")
+            self.record_announced_leave(server.life, now_ms, "its entry")
         elif known is None:
             log(
                 _LOGGER,
@@ -167,6 +168,18 @@
             self.version += 1
             log(_LOGGER, events.ServerLeaves(server=life, cause=cause))
 
+    def record_announced_leave(self, life: ServerLife, now_ms: int, source: str) -> None:
+        """Record that a server itself says that it is shutting down.
+
+        :param source: where it says so; only logged.
+        """
+        self._announced_lives.add(life)
+        self.mark_leaving(life, now_ms, f"said so in {source}")
+
+    def has_announced_leave(self, life: ServerLife) -> bool:
+        """Return whether a server has said that it is shutting down: its end is no crash."""
+        return life in self._announced_lives
+
     def remove_missing(self, now_ms: int) -> bool:
         """Remove servers whose entries stayed missing; return whether any was removed."""
         expired = [
@@ -182,6 +195,7 @@
         for life, at_ms in list(self._left_ms_by_life.items()):
             if now_ms - at_ms > DEPARTED_RETENTION_MS and life not in self.server_by_life:
                 del self._left_ms_by_life[life]
+                self._announced_lives.discard(life)
         removed, self._removed_lives = self._removed_lives, []
         return removed
 
@@ -253,6 +267,7 @@
         self.mark_leaving(previous, now_ms, f"started again as {life}")
         self._forget(previous)
         self._left_ms_by_life.pop(life, None)
+        self._announced_lives.discard(life)
         self._restarted_ms_by_life[life] = now_ms
         self._earlier_life_by_id.pop(life.server_id, None)
 
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -229,7 +229,7 @@
             self.tasks,
             self.clock,
             self.gossip.schedule_broadcast,
-            self._is_path_lost,
+            self._is_end_expected,
         )
         self.peer_client = PeerClient(self.view, self.clock, integration.decoders.table)
         self.cell_leases = CellLeases(self, integration.runners(self._handle_server_leaving))
@@ -431,6 +431,11 @@
         self.shared_quota.handle_delta(delta)
         self.server_limits.handle_delta(delta)
 
+    def _is_end_expected(self, life: ServerLife) -> bool:
+        """Return whether a server that refuses connections has not crashed."""
+        registry = self.cluster_state.server_registry
+        return registry.has_announced_leave(life) or self._is_path_lost(life)
+
     def _is_path_lost(self, life: ServerLife) -> bool:
         """Return whether this node reaches no server of a service that its peers reach."""
         server = self.cluster_state.server_registry.server_by_life.get(life)
@@ -460,7 +465,7 @@
         """
         registry = self.cluster_state.server_registry
         is_used = registry.is_accepting_work(life)
-        registry.mark_leaving(life, self.clock.now_ms(), f"said so in {source}")
+        registry.record_announced_leave(life, self.clock.now_ms(), source)
         if is_used:
             self.connection_pools.close_idle(life)
             self.cell_leases.wake_planner()
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -59,8 +59,8 @@
 
     A request is refused if it has crashed servers itself, or if a part of its prompt has.
 
-    :param is_path_lost: returns whether a server refuses connections of this node although peers
-        reach its service: that is no crash.
+    :param is_end_expected: returns whether a server that refuses connections has not crashed: it
+        has announced that it shuts down, or only this node does not reach it.
     :param on_quarantined: called when this node quarantines a request, to announce it to all peers
         at once.
     """
@@ -73,7 +73,7 @@
         tasks: Tasks,
         clock: Clock,
         on_quarantined: Callable[[], None],
-        is_path_lost: Callable[[ServerLife], bool] = lambda _life: False,
+        is_end_expected: Callable[[ServerLife], bool] = lambda _life: False,
     ) -> None:
         self.suspects = Suspects(name)
         self.parts = PartQuarantine(name)
@@ -82,7 +82,7 @@
         self._tasks = tasks
         self._clock = clock
         self._on_quarantined = on_quarantined
-        self._is_path_lost = is_path_lost
+        self._is_end_expected = is_end_expected
         self._version_by_stored_key: dict[str, int] = {}
         self._keys_to_remove: set[str] = set()
         self._turn = BoundedSemaphore(1)
@@ -149,7 +149,7 @@
             self._handle_findings(
                 self.parts.record_broken_connection(traits, life, known_crashes, now_ms)
             )
-        if self._crash_probe.has_crashed(life, address) and not self._is_path_lost(life):
+        if self._crash_probe.has_crashed(life, address) and not self._is_end_expected(life):
             self.record_server_crash(life)
 
     def record_server_crash(self, life: ServerLife) -> None:
--- a/tests/entry/test_poison.py
+++ b/tests/entry/test_poison.py
@@ -6,6 +6,7 @@
 import pytest
 
 from monsoonflow.transport.client import Answer, ConnectionPools, call
+from stand_ins.platform_runner import RunnerFaults
 from tests.entry.conftest import HOST, MODEL, wait_for
 from tests.entry.crashing_runners import Supervisor
 
@@ -124,3 +125,28 @@
     send(fleet, node, "p2", POISON)
     wait_for(lambda: node.daemon.quarantine_manager.suspects.quarantined())
     assert len(supervisor.crashed) <= 4
+
+
+def test_requests_at_servers_that_leave_and_exit_are_not_suspects(fleet):
+    """A stream that the exits of three leaving servers had cut off was quarantined."""
+    supervisor = Supervisor(fleet, restart_delay_s=60)
+    supervisor.event_ms = 100
+    supervisor.add_runners(8)
+    for server in fleet.servers:
+        server.faults = RunnerFaults(slow_ms=150)
+    node = fleet.node()
+    fleet.holder()
+    stream = gevent.spawn(send, fleet, node, "s0", b"sound")
+    for number in range(1, 4):
+        server = wait_for(lambda: next((one for one in fleet.servers if one.begun), None))
+        server.faults.leaving = True
+        wait_for(lambda server=server: server.said)
+        gevent.sleep(0.1)
+        server.crash()
+        server.begun.clear()
+        gevent.sleep(0.1)
+        if stream.dead:
+            stream = gevent.spawn(send, fleet, node, f"s{number}", b"sound")
+    stream.join()
+    supervisor.stop()
+    assert node.daemon.quarantine_manager.suspects.quarantined() == []
