--- a/tests/entry/test_nodes_without_servers.py
+++ b/tests/entry/test_nodes_without_servers.py
@@ -228,3 +228,20 @@
     ]
     assert [answer.head.status for answer in answers] == [200] * len(fleet.nodes)
     assert not any(peer.daemon.quarantine_manager.suspects.quarantined() for peer in fleet.nodes)
+
+
+def test_a_refusal_that_a_peer_passes_on_rests_servers_at_the_peer_only(partitionable):
+    """The time that a peer tells callers is no word of a server to the node between."""
+    fleet = partitionable
+    node = bystander(fleet)
+    peers = [peer for peer in fleet.nodes if peer is not node]
+    partition(node, Cut.REFUSE_NEW)
+    wait_for(lambda: served(fleet, node, "look", "before") == REQUESTS)
+    for server in fleet.servers:
+        server.faults.shed, server.faults.rest = 1_000_000, "3"
+    assert served(fleet, node, "look", "resting") == 0
+    answer = fleet.ask(node, "/look/x", "refused", b"body", deadline_ms=1_500)
+    assert answer.head.status == 503
+    assert answer.head.value(b"retry-after") is not None
+    assert node.daemon.server_limits.resting_count() == 0
+    assert any(peer.daemon.server_limits.resting_count() for peer in peers)
