--- a/measure/rests.py
+++ b/measure/rests.py
@@ -14,10 +14,11 @@
 import attrs
 
 from monsoonflow.routing.server_rests import ServerRests
-from tests.routing.rest_fleet import Load, NoRests, RestFleet, Server, SuddenReturn
+from tests.routing.rest_fleet import FullReturn, Load, NoRests, RestFleet, Server, SuddenReturn
 
 WORK_MS: Final = 150
 MAX_WAITING: Final = 2
+ALL_SHED: Final = "0.5, all refuse for 9 s"
 
 
 @attrs.frozen
@@ -34,19 +35,24 @@
 WAYS: Final = {
     "kept on the request": Way(lambda _rng: NoRests()),
     "rest, sudden return": Way(SuddenReturn),
-    "rest, slow return": Way(ServerRests),
-    "the same, waits 100 ms": Way(ServerRests, 100),
-    "the same, waits 400 ms": Way(ServerRests, 400),
+    "rest, slow return": Way(FullReturn),
+    "the same with fewer at a time": Way(ServerRests),
+    "the last, waits 100 ms": Way(ServerRests, 100),
 }
 
 LOADS: Final[dict[str, Callable[[float], float]]] = {
     "0.8": lambda _at_s: 0.8,
     "1.5 for 10 s": lambda at_s: 1.5 if 8 < at_s < 18 else 0.7,
     "3 for 4 s": lambda at_s: 3 if 8 < at_s < 12 else 0.7,
+    ALL_SHED: lambda _at_s: 0.5,
 }
 """Requests as a share of what the servers process, by time."""
 
 
+def _sheds_all(load: str) -> Callable[[float], bool]:
+    return lambda at_s: load == ALL_SHED and 8 < at_s < 17
+
+
 def measure(
     way: Way, load: str, nodes: int, servers: int, slots: int, rest_ms: int, seeds: int
 ) -> str:
@@ -56,7 +62,10 @@
     for seed in range(1, seeds + 1):
         fleet = RestFleet(
             nodes,
-            [Server(f"i-{n}", slots, MAX_WAITING, WORK_MS, rest_ms) for n in range(servers)],
+            [
+                Server(f"i-{n}", slots, MAX_WAITING, WORK_MS, rest_ms, _sheds_all(load))
+                for n in range(servers)
+            ],
             Load(lambda at_s: LOADS[load](at_s) * capacity_per_s),
             seed,
             way.new_rests,
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -196,6 +196,7 @@
             FullServers(self.rng),
             ServerRests(self.rng),
             self.rng,
+            lambda life: self.in_flight.work_at(life).requests,
             self._requests_at,
             self._slots_of,
         )
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -191,7 +191,8 @@
     :param rate_per_s: the limit that the server names; ``None`` if it rests, or is brittle and has
         no room.
     :param left: requests that are left for all nodes, as far as this node knows.
-    :param rest_ms: how much longer the server rests; ``None`` if that is not the reason.
+    :param rest_ms: how much longer the server rests, 0 if it has rested and takes few requests yet;
+        ``None`` if that is not the reason.
     """
 
     rate_per_s: float | None
--- a/monsoonflow/gateway/server_limits.py
+++ b/monsoonflow/gateway/server_limits.py
@@ -50,6 +50,7 @@
     :param name: of this node.
     :param full_servers: the brittle servers that have no room.
     :param rests: the servers that have asked this node for rest.
+    :param own_requests_at: returns the requests of this node at a server.
     :param requests_at: returns the requests of all nodes at a server, as far as this node knows.
     :param slots_of: returns how many requests a server processes at once.
     """
@@ -65,6 +66,7 @@
         full_servers: FullServers,
         rests: ServerRests,
         rng: random.Random,
+        own_requests_at: Callable[[ServerLife], int],
         requests_at: Callable[[ServerLife], int],
         slots_of: Callable[[ServerLife], int],
     ) -> None:
@@ -72,6 +74,7 @@
         self._full_servers = full_servers
         self._rests = rests
         self._rng = rng
+        self._own_requests_at = own_requests_at
         self._requests_at = requests_at
         self._slots_of = slots_of
         self._has_new_rejection = False
@@ -98,7 +101,8 @@
 
     def record_rest(self, life: ServerLife, rest_ms: int) -> None:
         """Record that a server asks this node for no requests for a time."""
-        if self._rests.record_rest(life, rest_ms, self._clock.now_ms()):
+        requests = self._own_requests_at(life)
+        if self._rests.record_rest(life, rest_ms, requests, self._clock.now_ms()):
             log(_LOGGER, events.ServerRests(server=life, rest_ms=rest_ms))
 
     def is_resting(self, life: ServerLife) -> bool:
@@ -152,7 +156,7 @@
 
     def has_room(self, life: ServerLife) -> bool:
         """Return whether a server takes one more request now."""
-        if not self._rests.may_send(life, self._clock.now_ms()):
+        if not self._rests.may_send(life, self._own_requests_at(life), self._clock.now_ms()):
             return False
         if not self._has_room_for_one(life, own_pending=0):
             return False
@@ -170,7 +174,7 @@
         The request itself is among those that the server has.
         """
         now_ms = self._clock.now_ms()
-        if not self._rests.may_send(life, now_ms):
+        if not self._rests.may_send(life, self._own_requests_at(life) - 1, now_ms):
             return AtLimit(None, 0, self._rests.ends_in_ms(life, now_ms))
         if not self._has_room_for_one(life, own_pending=1):
             return AtLimit(None, 0)
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -115,7 +115,8 @@
     """A request is not sent to the chosen server, since that takes no further one now."""
 
     # ``left`` are the requests left for all nodes as far as this node knows. Without ``per_s`` the
-    # server rests for another ``rest_ms``, or is brittle and has no room.
+    # server rests for another ``rest_ms`` (0: it has rested and takes few requests yet), or is
+    # brittle and has no room.
 
     request: str
     server: str
--- a/tests/routing/rest_fleet.py
+++ b/tests/routing/rest_fleet.py
@@ -32,13 +32,17 @@
 
 @attrs.define
 class Server:
-    """A server that turns requests away while it is full, and asks for rest."""
+    """A server that turns requests away while it is full, and asks for rest.
+
+    :param sheds_all: returns whether it turns everything away, by time in seconds.
+    """
 
     name: str
     slots: int
     max_waiting: int
     work_ms: int
     rest_ms: int
+    sheds_all: Callable[[float], bool] = lambda _at_s: False
     work: int = 0
     sheds: int = 0
 
@@ -47,10 +51,10 @@
 class NoRests:
     """Knows nothing of rests: what a server asks for is kept on the request."""
 
-    def record_rest(self, life, rest_ms, now_ms):
+    def record_rest(self, life, rest_ms, requests, now_ms):
         """Ignore a rest."""
 
-    def may_send(self, life, now_ms):
+    def may_send(self, life, requests, now_ms):
         """Return ``True``."""
         return True
 
@@ -65,17 +69,25 @@
         return 0
 
 
+class FullReturn(ServerRests):
+    """Returns slowly, and then uses a server as much as before."""
+
+    def may_send(self, life, requests, now_ms):
+        """Return whether the steps of the return allow a request."""
+        return super().may_send(life, 0, now_ms)
+
+
 class SuddenReturn(ServerRests):
     """Uses a server as before as soon as its rest ends."""
 
-    def record_rest(self, life, rest_ms, now_ms):
+    def record_rest(self, life, rest_ms, requests, now_ms):
         """Record the end of a rest."""
         known = self._rest_by_life.get(life)
-        super().record_rest(life, rest_ms, now_ms)
+        super().record_rest(life, rest_ms, requests, now_ms)
         until_ms = now_ms + rest_ms
         self._rest_by_life[life].until_ms = max(until_ms, known.until_ms if known else 0)
 
-    def may_send(self, life, now_ms):
+    def may_send(self, life, requests, now_ms):
         """Return whether the rest is over."""
         return self.ends_in_ms(life, now_ms) == 0
 
@@ -160,9 +172,9 @@
     ) -> None:
         now_ms, rests = int(self._now_ms), self._rests[node]
         usable = [s for s in self.servers if s.name not in tried]
-        open_ = [s for s in usable if rests.may_send(s.name, now_ms)]
+        work = self._work[node]
+        open_ = [s for s in usable if rests.may_send(s.name, work[s.name], now_ms)]
         if open_ and tries:
-            work = self._work[node]
             server = min(open_, key=lambda s: (work[s.name], self._rng.random()))
             self._send(node, server, deadline_ms, returns, tries, tried)
             return
@@ -192,7 +204,8 @@
 
         def arrive() -> None:
             self._arrivals.setdefault((node, server.name), []).append(int(self._now_ms))
-            if server.work >= server.slots + server.max_waiting:
+            is_full = server.work >= server.slots + server.max_waiting
+            if is_full or server.sheds_all(self._now_ms / 1000):
                 server.sheds += 1
                 self._asked_rest.append((node, server.name, int(self._now_ms), server.rest_ms))
                 self._after(HOP_MS, shed)
@@ -203,8 +216,9 @@
             self._after(took_ms, end)
 
         def shed() -> None:
+            requests = self._work[node][server.name]
             self._work[node][server.name] -= 1
-            rests.record_rest(server.name, server.rest_ms, int(self._now_ms))
+            rests.record_rest(server.name, server.rest_ms, requests, int(self._now_ms))
             self._choose(node, deadline_ms, returns, tries - 1, tried | {server.name}, 0.0)
 
         def end() -> None:
