--- a/tests/entry/test_server_notices.py
+++ b/tests/entry/test_server_notices.py
@@ -10,6 +10,7 @@
 from tests.entry.conftest import wait_for
 from tests.entry.server_notices import (
     MAX_IN_REST,
+    arrivals_by_node,
     generate,
     late_arrivals,
     look,
@@ -23,6 +24,9 @@
 REFUSED_WITHIN_S = 0.3
 """How soon a request is refused that no server takes."""
 
+FIRST_STEP_S = 0.08
+"""Shorter than the time after which a node sends a second request to a server that is silent."""
+
 KINDS = pytest.mark.parametrize(("add", "ask"), [("plain", look), ("runner", generate)])
 
 
@@ -149,3 +153,24 @@
     asked = send_for(fleet, generate, 4.0)
     assert most_in_a_rest(runners) <= MAX_IN_REST
     assert share_served(asked) >= MIN_SHARE_SERVED
+
+
+@KINDS
+def test_nodes_return_to_a_rested_server_one_request_at_a_time(fleet, add, ask):
+    """All requests that came after a rest went to the servers at once, which shed again."""
+    servers = begin(fleet, add, ask, nodes=3)
+    for server in servers:
+        server.faults.shed, server.faults.rest = 1_000_000, "1"
+    send_for(fleet, ask, 0.7, pause_s=0.01)
+    for server in servers:
+        server.faults.shed, server.faults.slow_ms = 0, 300
+    ended_s = time.monotonic()
+    send_for(fleet, ask, 1.2, pause_s=0.01)
+    returns = [
+        [at_s for at_s, name in arrivals_by_node(server) if name == node and at_s > ended_s]
+        for server in servers
+        for node in ("n1", "n2", "n3")
+    ]
+    assert sum(map(bool, returns)) >= 6
+    for arrived_s in filter(None, returns):
+        assert sum(at_s < arrived_s[0] + FIRST_STEP_S for at_s in arrived_s) == 1
