--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -169,6 +169,7 @@
     return worse_served(
         _of(fleet, fleet.callers),
         partitions,
+        fleet.nodes,
         lambda ip: node_by_ip.get(ip, ip),
         lambda node, at_ms: any(d.name == node and d.within_contact(at_ms) for d in disturbed),
     )
--- a/soak/partitions.py
+++ b/soak/partitions.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 import attrs
@@ -43,11 +43,15 @@
 def worse_served(
     callers: Iterable[Record],
     partitions: Iterable[Partition],
+    all_nodes: Collection[str],
     node_of: Callable[[str], str],
     is_excused: Callable[[str, int], bool],
 ) -> list[str]:
     """Return a line for each partition in which callers of its nodes were served far worse.
 
+    While all other nodes are disturbed, no peer may reach a server, so nothing is asked of a
+    partitioned one.
+
     :param node_of: returns the node that has an address.
     :param is_excused: whether a node does not count at a time, for another reason.
     """
@@ -63,6 +67,8 @@
             node = node_of(record.fields["node"])
             if not from_ms + CONTACT_MS <= sent_ms < until_ms or is_excused(node, sent_ms):
                 continue
+            if all(is_excused(peer, sent_ms) for peer in all_nodes if peer not in nodes):
+                continue
             (cut if node in nodes else others).add(record.fields["status"] == 200)
         if _is_worse(cut, others):
             found.append(
