--- a/tests/entry/test_server_notices.py
+++ b/tests/entry/test_server_notices.py
@@ -174,3 +174,39 @@
     assert sum(map(bool, returns)) >= 6
     for arrived_s in filter(None, returns):
         assert sum(at_s < arrived_s[0] + FIRST_STEP_S for at_s in arrived_s) == 1
+
+
+def test_a_rest_is_asked_of_one_node(fleet):
+    """A single rejection must not empty a server of the whole fleet."""
+    server = fleet.plain("i-1")
+    nodes = [fleet.node() for _ in range(2)]
+    for number, node in enumerate(nodes):
+        wait_for(lambda node=node, number=number: served(fleet, node, f"first-{number}"))
+    server.faults.shed, server.faults.rest = 1, "3"
+    assert not served(fleet, nodes[0], "n1-refused")
+    assert not served(fleet, nodes[0], "n1-resting")
+    assert served(fleet, nodes[1], "n2-served")
+    assert most_in_a_rest([server]) == 0
+
+
+def test_the_next_life_of_a_server_neither_leaves_nor_rests(fleet):
+    """What a process said of itself ended with it."""
+    server = fleet.plain("i-1")
+    server.born = 1_000
+    fleet.store.put("servers", "i-1", server.entry())
+    node = fleet.node()
+    wait_for(lambda: served(fleet, node, "n1-first"))
+    server.faults.leaving, server.faults.shed, server.faults.rest = True, 1, "60"
+    assert not served(fleet, node, "n1-told")
+    server.faults.leaving = False
+    fleet.store.put("servers", "i-1", server.entry(sequence=2))
+    gevent.sleep(0.5)
+    assert not served(fleet, node, "n1-same-life")
+    server.born = 2_000
+    fleet.store.put("servers", "i-1", server.entry())
+    wait_for(lambda: served(fleet, node, "n1-next-life"), within_s=2)
+
+
+def served(fleet, node, request_id):
+    """Return whether a request is answered with success."""
+    return look(fleet, node, request_id).head.status == 200
