--- a/tests/routing/rest_fleet.py
+++ b/tests/routing/rest_fleet.py
@@ -10,12 +10,12 @@
 
 import attrs
 
+from monsoonflow.gateway.server_limits import RETURN_SPREAD_MS
+from monsoonflow.routing.quota import MIN_RETRY_AFTER_MS
 from monsoonflow.routing.server_rests import ServerRests
 
 GRACE_MS: Final = 500
 HOP_MS: Final = 2
-MIN_RETRY_AFTER_MS: Final = 200
-RETURN_SPREAD_MS: Final = 1_000
 
 
 @attrs.define
