Store: an answer that is still arriving is read to its end; unknown routes are 503 while routes may be out of date

Seen: a configuration that grew by 1,832 routes was not in force at single nodes 4 to 7 s after its confirmation, and they answered 404 for its routes. Cause: an answer with all routes takes about a second on a link of 5 to 10 Mbit/s. The change feed gave it up 0.5 to 1 s after an outage, a peer that lost the store made others cancel it, and a fetch from a peer ended after 1 s; each time all of it was requested again. A node said 404 as long as no heartbeat had named the newer version. Change: the timeout is for the beginning of an answer and for gaps in its body, 8 s at most in all. An answer that has begun is not cancelled. A node whose configuration may not be the newest answers 503 instead of 404.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -596,6 +596,7 @@
         is_current = (
             watches is not None
             and watches.operator.is_loaded
+            and not watches.operator.is_receiving()
             and watches.reaches_store()
             and not any(
                 heartbeat.config_version > own_version
@@ -769,7 +770,10 @@
         """
         while True:
             self.tasks.sleep(MAINTENANCE_INTERVAL_MS)
-            self.peer_client.fetch_newer_configuration(self.cluster_state)
+            watches = self.store_watches
+            self.peer_client.fetch_newer_configuration(
+                self.cluster_state, watches is not None and watches.reaches_store()
+            )
 
 
 def _quota_tolerance(bounds: PeerBounds) -> QuotaTolerance:
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -190,7 +190,7 @@
             return
         route = route_table.match(call.host, call.path)
         if route is None:
-            self._send_own_answer(reply, call, 404, "no route")
+            self._refuse_unknown_route(reply, call)
             return
         identity = route_table.identify(route, call.api_key)
         if isinstance(identity, Unauthorized):
@@ -254,6 +254,18 @@
         headers = self._dialect.not_run_headers() if is_forwarded else []
         self._send_own_answer(reply, call, 503, cause, NOT_READY_RETRY_AFTER_MS, headers)
 
+    def _refuse_unknown_route(self, reply: Reply, call: Call) -> None:
+        """Refuse a request that no route allows.
+
+        Callers do not retry after 404, so a node that may lack the newest routes answers 503.
+        """
+        if self._configuration_status().is_current:
+            self._send_own_answer(reply, call, 404, "no route")
+        else:
+            self._send_own_answer(
+                reply, call, 503, "routes may be out of date", NOT_READY_RETRY_AFTER_MS
+            )
+
     def _refuse_unauthorized(
         self, reply: Reply, call: Call, route: Route, cause: Unauthorized, config_version: int
     ) -> None:
--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -114,7 +114,8 @@
         """Return the changes of a table after a version, as soon as there are any.
 
         :param wait_ms: how long the store waits for changes.
-        :param answer_timeout_ms: how much longer its answer may take.
+        :param answer_timeout_ms: how much longer its answer may take to begin, and how long nothing
+            of it may be received then.
         """
         self._is_feed_cancelled = False
         query = urlencode({"table": collection, "after": after, "waitMs": wait_ms})
@@ -124,6 +125,7 @@
             b"",
             wait_ms + answer_timeout_ms,
             self._set_feed_connection,
+            answer_timeout_ms,
         )
         self._feed_connection = None
         if isinstance(answer, Lost):
@@ -139,11 +141,21 @@
         return Changes(tuple(rows), int(data["rowVersion"]), _decode_now_ms(data))
 
     def cancel_request(self) -> None:
-        """Cancel the request for changes in progress, even if it still has no connection."""
+        """Cancel the request for changes in progress, even if it still has no connection.
+
+        An answer of which a part has been received is read to its end: the store answers, and on a
+        slow link a large configuration would otherwise be sent again from its beginning.
+        """
+        if self.is_receiving_changes():
+            return
         self._is_feed_cancelled = True
         if self._feed_connection is not None:
             self._feed_connection.close()
 
+    def is_receiving_changes(self) -> bool:
+        """Return whether a part of an answer with changes has been received."""
+        return self._feed_connection is not None and self._feed_connection.has_answer_begun
+
     def _set_feed_connection(self, connection: ServerConnection) -> None:
         self._feed_connection = connection
         if self._is_feed_cancelled:
@@ -180,7 +192,13 @@
 
     def _read_page(self, table: str, query: dict[str, Any]) -> dict[str, Any] | Unavailable:
         encoded_query = urlencode({"table": table, "part": "", **query})
-        answer = self._call("GET", f"/v1/rows-get?{encoded_query}", b"", CALL_TIMEOUT_MS)
+        answer = self._call(
+            "GET",
+            f"/v1/rows-get?{encoded_query}",
+            b"",
+            CALL_TIMEOUT_MS,
+            body_gap_ms=CALL_TIMEOUT_MS,
+        )
         if isinstance(answer, Lost):
             return Unavailable(answer.reason)
         data = _decode_json_object(answer)
@@ -195,6 +213,7 @@
         body: bytes,
         timeout_ms: int,
         on_connection: Callable[[ServerConnection], None] = lambda _: None,
+        body_gap_ms: int | None = None,
     ) -> Answer | Lost:
         self.call_count += 1
         headers = JSON_HEADERS if body else ()
@@ -207,6 +226,7 @@
             timeout_ms,
             headers,
             on_acquired=on_connection,
+            body_gap_ms=body_gap_ms,
         )
 
 
--- a/monsoonflow/storage/models.py
+++ b/monsoonflow/storage/models.py
@@ -145,4 +145,10 @@
         """
 
     def cancel_request(self) -> None:
-        """Cancel the request in progress; it ends as if it had not been answered."""
+        """Cancel the request in progress, unless a part of its answer has been received.
+
+        A cancelled request ends as if it had not been answered.
+        """
+
+    def is_receiving_changes(self) -> bool:
+        """Return whether a part of an answer with changes has been received."""
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -183,6 +183,10 @@
             self._is_restarting = True
             self._feed.cancel_request()
 
+    def is_receiving(self) -> bool:
+        """Return whether a part of an answer with changes has been received."""
+        return self._request_sent_ms is not None and self._feed.is_receiving_changes()
+
     def resume_after_outage(self) -> None:
         """Send a request now if this watch has an outage; another watch has got an answer.
 
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -30,6 +30,11 @@
 BACKGROUND_BODY_BYTES: Final = 32_768
 """Larger bodies are sent in the background: a server may answer before it has read them."""
 
+MAX_BODY_TIME_MS: Final = 8_000
+"""How long the body of an answer may take in all, however steadily it is received: a configuration
+of two thousand routes takes about a second on a link of 5 Mbit/s, and several times that on one
+which is shared with streams."""
+
 
 class ServerConnection:
     """A connection to a server that carries one request at a time."""
@@ -111,6 +116,11 @@
         if not self._reader.answers or not self._reader.answers[0].is_complete:
             raise BrokenAnswer("the connection ended inside the answer")
 
+    @property
+    def has_answer_begun(self) -> bool:
+        """Return whether the head of an answer has been received."""
+        return bool(self._reader.answers)
+
     def is_reusable(self) -> bool:
         """Return whether another request may be sent on this connection.
 
@@ -260,10 +270,14 @@
     headers: tuple[Header, ...] = (),
     host: str | None = None,
     on_acquired: Callable[[ServerConnection], None] = lambda _: None,
+    body_gap_ms: int | None = None,
 ) -> Answer | Lost:
     """Send one control request and return its complete answer.
 
     :param on_acquired: called with the connection; another task may close it to abort the call.
+    :param body_gap_ms: how long nothing of the answer's body may be received; the call then takes
+        longer than its timeout while a large body is still being received, up to
+        ``MAX_BODY_TIME_MS``. ``None``: the timeout is for the whole answer.
     """
     deadline_ms = pools.clock.now_ms() + timeout_ms
     connection = pools.acquire(address, address, timeout_ms=min(timeout_ms, CONNECT_TIMEOUT_MS))
@@ -277,9 +291,7 @@
     try:
         connection.send(b"\r\n".join(lines) + b"\r\n\r\n", body)
         head = connection.read_head(deadline_ms)
-        pieces = []
-        while (piece := connection.read_piece(deadline_ms)) is not None:
-            pieces.append(piece)
+        body = _read_body(connection, deadline_ms, body_gap_ms, pools.clock)
     except (OSError, BrokenAnswer) as error:
         connection.close()
         return Lost(True, f"{type(error).__name__}: {error}")
@@ -287,4 +299,17 @@
         connection.close()
         raise
     pools.release(address, connection, head)
-    return Answer(head, b"".join(pieces))
+    return Answer(head, body)
+
+
+def _read_body(
+    connection: ServerConnection, deadline_ms: int, gap_ms: int | None, clock: Clock
+) -> bytes:
+    """Return the body of an answer whose head was read."""
+    pieces = []
+    last_deadline_ms = clock.now_ms() + MAX_BODY_TIME_MS
+    while (piece := connection.read_piece(deadline_ms)) is not None:
+        pieces.append(piece)
+        if gap_ms is not None:
+            deadline_ms = max(deadline_ms, min(clock.now_ms() + gap_ms, last_deadline_ms))
+    return b"".join(pieces)
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -120,8 +120,11 @@
         self.store.put("servers", server.server_id, server.entry())
         return server
 
-    def node(self, seeds: tuple[str, ...] = ()) -> Node:
-        """Add an entry node and wait until it is ready."""
+    def node(self, seeds: tuple[str, ...] = (), store_address: str | None = None) -> Node:
+        """Add an entry node and wait until it is ready.
+
+        :param store_address: where it reaches the store, if not directly.
+        """
         self.nodes_started += 1
         ip = f"127.0.0.{10 + self.nodes_started}"
         callers, ready, directory, peers, reports, metrics = (f"{ip}:{port}" for port in self.ports)
@@ -135,7 +138,7 @@
             peers,
             reports,
             metrics,
-            self.store.address,
+            store_address or self.store.address,
             self.bounds,
             seeds,
             first_start=self.first_start,
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -219,3 +219,34 @@
     assert isinstance(result, Lost)
     assert result.sent
     assert not isinstance(result, BrokenAnswer)
+
+
+def test_a_large_answer_that_is_still_arriving_is_read_beyond_the_timeout(serve):
+    """A configuration on a slow link was given up after the timeout and never received."""
+
+    def handle(sock: socket.socket) -> None:
+        sock.recv(65_536)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")
+        for _ in range(10):
+            gevent.sleep(0.05)
+            sock.sendall(b"x")
+
+    pools = ConnectionPools(MonotonicClock())
+    answer = call(pools, serve(handle), "GET", "/x", b"", 200, body_gap_ms=200)
+    assert isinstance(answer, Answer)
+    assert answer.body == b"x" * 10
+
+
+@pytest.mark.parametrize(("gap_ms", "within_ms"), [(100, 600), (None, 400)])
+def test_an_answer_that_stops_in_its_body_is_given_up(serve, gap_ms, within_ms):
+    """A connection that has gone silent must not hold up the next request for changes."""
+
+    def handle(sock: socket.socket) -> None:
+        sock.recv(65_536)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nx")
+        gevent.sleep(5)
+
+    pools, started_ms = ConnectionPools(MonotonicClock()), MonotonicClock().now_ms()
+    answer = call(pools, serve(handle), "GET", "/x", b"", 300, body_gap_ms=gap_ms)
+    assert isinstance(answer, Lost)
+    assert MonotonicClock().now_ms() - started_ms < within_ms
