Placement: a new lease holder starts with the limit on fetches that the previous one learned

Cause: the limit on concurrent fetches from the weight store is learned by each holder anew. Change: the holder stores what it has learned with its lease row, which it renews anyway; a successor starts with it. A malformed value is ignored, and the limit is lowered as before if the store has become slower.

--- a/measure/desk_load.py
+++ b/measure/desk_load.py
@@ -93,7 +93,7 @@
     """The loop of a duty that stays this node's."""
 
     def __init__(self) -> None:
-        self.held_lease = SimpleNamespace(row=SimpleNamespace(epoch=1))
+        self.held_lease = SimpleNamespace(row=SimpleNamespace(epoch=1, learned_loads=None))
         self.loaded = self.store_reachable = True
 
     def holds(self, now_ms: int) -> bool:
--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -308,6 +308,8 @@
                 lease.lease_loop.store_reachable = watches is not None and watches.reaches_store()
                 if self._should_hand_over(lease):
                     self._release(lease, "no runner can be reached")
+                if lease.scheduler is not None:
+                    lease.lease_loop.learned_loads = lease.scheduler.load_limit.learned()
                 lease.lease_loop.step()
 
     def _create_missing_leases(self) -> None:
@@ -383,6 +385,9 @@
                 self._is_retired,
                 now_ms,
             )
+            learned_loads = lease.lease_loop.held_lease.row.learned_loads
+            if learned_loads is not None:
+                lease.scheduler.load_limit.resume(learned_loads)
         scheduler = lease.scheduler
         scheduler.model_load_limit.cells = len(self._lease_by_cell)
         registry = self._daemon.cluster_state.server_registry
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable
-from typing import Annotated, Final
+from typing import Annotated, Any, Final
 
 import attrs
 import orjson
@@ -28,6 +28,7 @@
     ranked_candidates,
 )
 from ..ownership.models import LeaseTiming
+from ..placement.load_limit import LearnedLoads
 from ..storage.models import ChangedRow, Committed, Conflict, Row, Table, Transaction, Unavailable
 
 _LOGGER = logging.getLogger(__name__)
@@ -72,6 +73,8 @@
     :param may_claim: returns whether this node wants cell leases now.
     :param is_steady: returns whether this process runs and has not just been suspended.
     :param on_won: called when this node has won the lease.
+    :ivar learned_loads: what this node has learned of the weight store as the holder; it is stored
+        with each renewal.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         self.store_reachable = True
         self.loaded = False
         self._is_standby_lease = False
+        self.learned_loads: LearnedLoads | None = None
 
     def update_bounds(self, lease_ms: int, fenced: bool) -> None:
         """Apply changed bounds."""
@@ -259,8 +263,15 @@
             return
         # The newest claim may be known from the holder's heartbeat only: its row is read seconds
         # later.
+        known_row = self._lease_watch.row
         row = CellLeaseRow(
-            self.cell, newest_claim.holder, "", newest_claim.epoch, 0, newest_claim.standbys
+            self.cell,
+            newest_claim.holder,
+            "",
+            newest_claim.epoch,
+            0,
+            newest_claim.standbys,
+            learned_loads=known_row.learned_loads if known_row is not None else None,
         )
         standby_row = row.taken_over_by(self._node, self._boot)
         if standby_row is None or not self._is_silent(row.holder, now_ms):
@@ -466,6 +477,7 @@
             0,
             self._choose_standbys(now_ms),
             previous_holder=previous_holder,
+            learned_loads=known_row.learned_loads if known_row is not None else None,
         )
         self._claim_candidates = set(row.standbys)
         result = self._commit_row(
@@ -501,6 +513,7 @@
             self.held_lease.row,
             counter=self.held_lease.row.counter + 1,
             standbys=self._choose_standbys(now_ms, self.held_lease.row.standbys),
+            learned_loads=self.learned_loads or self.held_lease.row.learned_loads,
         )
         self._claim_candidates |= set(row.standbys)
         result = self._commit_row(row, self.held_lease.row_version)
@@ -550,6 +563,8 @@
             "released": row.is_released,
             "before": row.previous_holder,
         }
+        if row.learned_loads is not None:
+            value["loads"] = list(attrs.astuple(row.learned_loads))
         return self._table.commit(Transaction(new_id("op"), {key: version}, {key: value}))
 
 
@@ -563,6 +578,7 @@
     released: bool
     heirs: tuple[str, ...] = ()
     before: str = ""
+    loads: Any = None
 
 
 def _lease_timing(lease_ms: int, fenced: bool) -> LeaseTiming:
@@ -592,4 +608,17 @@
         fields.heirs,
         fields.released,
         fields.before,
+        _decode_learned_loads(fields.loads),
     )
+
+
+def _decode_learned_loads(fields: Any) -> LearnedLoads | None:
+    """Return what a holder has learned; ``None`` if it can't be used.
+
+    A malformed value must not hide the row: nobody could claim the lease.
+    """
+    match fields:
+        case [int(limit), int(full_speed_ms)]:
+            learned_loads = LearnedLoads(limit, full_speed_ms)
+            return learned_loads if learned_loads.is_plausible() else None
+    return None
--- a/monsoonflow/ownership/cell_lease.py
+++ b/monsoonflow/ownership/cell_lease.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ..helpers.hashing import rank
+from ..placement.load_limit import LearnedLoads
 from .models import LeaseTiming
 
 MAX_STANDBYS: Final = 3
@@ -72,6 +73,7 @@
         once the holder is silent.
     :param is_released: whether the holder has released the lease.
     :param previous_holder: who held the lease before.
+    :param learned_loads: what the holder, or one before it, has learned of the weight store.
     """
 
     cell: str
@@ -82,6 +84,7 @@
     standbys: tuple[str, ...] = ()
     is_released: bool = False
     previous_holder: str = ""
+    learned_loads: LearnedLoads | None = None
 
     def next_epoch(self) -> int:
         """Return the lowest epoch that neither this holder nor one of its standbys uses."""
@@ -94,7 +97,15 @@
         index = self.standbys.index(node)
         # The later standbys keep their epochs, since their positions now count from this one.
         rest = self.standbys[index + 1 : MAX_STANDBYS]
-        return CellLeaseRow(self.cell, node, boot, self.epoch + 1 + index, 0, rest)
+        return CellLeaseRow(
+            self.cell,
+            node,
+            boot,
+            self.epoch + 1 + index,
+            0,
+            rest,
+            learned_loads=self.learned_loads,
+        )
 
 
 class HeldCellLease:
--- a/monsoonflow/placement/load_limit.py
+++ b/monsoonflow/placement/load_limit.py
@@ -16,6 +16,8 @@
 from collections import deque
 from typing import Final
 
+import attrs
+
 INITIAL_LIMIT: Final = 8
 """An initial limit that grew with the number of runners was eleven times too high for a slow store,
 and no load ever showed how long one takes at full speed."""
@@ -68,6 +70,29 @@
 by half; a limit that is too low delays all waiting requests."""
 
 
+MAX_RESUMED_LIMIT: Final = 4_096
+MAX_RESUMED_MS: Final = 60_000
+
+
+@attrs.frozen(slots=True)
+class LearnedLoads:
+    """What a lease holder has learned of the weight store, for its successor.
+
+    :param limit: number of concurrent loads that the store sends at full speed.
+    :param full_speed_ms: how long one of them takes; 0 if unknown.
+    """
+
+    limit: int
+    full_speed_ms: int
+
+    def is_plausible(self) -> bool:
+        """Return whether a limit may start with these values, which another node has stored."""
+        return (
+            MIN_LIMIT <= self.limit <= MAX_RESUMED_LIMIT
+            and 0 < self.full_speed_ms <= MAX_RESUMED_MS
+        )
+
+
 class LoadLimit:
     """Limits how many adapters all runners together may fetch from the store concurrently.
 
@@ -105,6 +130,22 @@
         """Return how long a load takes at full speed; ``None`` until this is known."""
         return self._full_speed_ms
 
+    def learned(self) -> LearnedLoads:
+        """Return what a successor can start with."""
+        return LearnedLoads(self.limit, self._full_speed_ms or 0)
+
+    def resume(self, learned: LearnedLoads) -> None:
+        """Start with what the previous lease holder has learned.
+
+        After a restart of all nodes the adapters of all waiting requests are loaded at once: with
+        the initial limit they waited for four seconds, at a store that carries four times as many.
+        """
+        if learned.is_plausible():
+            self._limit = float(learned.limit)
+            self._full_speed_ms = learned.full_speed_ms
+            # Twice, since the fastest of many groups is skipped.
+            self._group_times_ms.extend([learned.full_speed_ms] * 2)
+
     def may_be_in_progress(self, for_ms: int) -> bool:
         """Tell whether a load that started this long ago may still be in progress at the store."""
         return self._full_speed_ms is None or for_ms <= self._full_speed_ms * STALLED_FACTOR
--- a/tests/entry/test_lease_loop.py
+++ b/tests/entry/test_lease_loop.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import attrs
+import orjson
 import pytest
 
 from monsoonflow.core.clock import ManualClock
-from monsoonflow.entry.lease_loop import CellLeaseLoop
+from monsoonflow.entry.lease_loop import CellLeaseLoop, decode_cell_lease
 from monsoonflow.fleet.models import CellLeaseClaim, Heartbeat, NodeRecord
 from monsoonflow.fleet.view import FleetView
+from monsoonflow.placement.load_limit import LearnedLoads
 from tests.entry.one_row import OneRowTable
 
 RECORD = NodeRecord("b", "b-b", "dc", "1.1.1.1:1", "1.1.1.1:2", "1.1.1.1:3")
@@ -175,3 +177,27 @@
     view.apply_claim(CellLeaseClaim("llm", "a", 9, ("b",)))
     run_loop(clock, standby, 1_500)
     assert standby.held_lease.row.epoch == 10
+
+
+def test_a_new_holder_knows_what_the_previous_one_learned_of_the_weight_store(
+    make_loop, clock, table
+):
+    """After a loss of power the adapters of all callers were loaded eight at a time."""
+    previous, _ = make_loop("z")
+    previous.learned_loads = LearnedLoads(27, 255)
+    run_loop(clock, previous, 3_000)
+    restarted, _ = make_loop("z")
+    restarted.handle_row(table.row)
+    run_loop(clock, restarted, 5_000)
+    assert restarted.held_lease.row.learned_loads == LearnedLoads(27, 255)
+
+
+@pytest.mark.parametrize(
+    "stored", [None, [27], [27, "255"], [-1, 255], [27, 0], [10**9, 255], {"limit": 27}, [1.5, 2]]
+)
+def test_a_malformed_value_of_a_row_does_not_hide_its_lease(stored):
+    """Without the row no node could claim the lease."""
+    fields = {"holder": "z", "boot": "b", "epoch": 3, "counter": 1, "released": False}
+    row = decode_cell_lease("llm", orjson.dumps({**fields, "loads": stored}))
+    assert row.epoch == 3
+    assert row.learned_loads is None
--- a/tests/placement/test_load_limit.py
+++ b/tests/placement/test_load_limit.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from monsoonflow.placement.load_limit import LoadLimit
+from monsoonflow.placement.load_limit import INITIAL_LIMIT, LearnedLoads, LoadLimit
 
 FULL_SPEED_MS = 288
 STEP_MS = 10
@@ -180,3 +180,25 @@
             seed,
             store.limit.limit,
         )
+
+
+@pytest.mark.parametrize(("capacity", "learned"), [(32, 27), (8, 27), (48, 27)])
+def test_a_learned_limit_is_used_at_once_and_follows_a_changed_store(capacity, learned):
+    """A new holder must neither start from the initial limit nor keep one that is too high."""
+    for seed in range(5):
+        store = Store(capacity, prompt_completions, random.Random(seed))
+        store.limit.resume(LearnedLoads(learned, FULL_SPEED_MS))
+        store.run(500)
+        assert max(store.sending_counts) >= learned
+        store.run(7_500)
+        store.run(20_000)
+        max_completed = capacity * 20_000 / FULL_SPEED_MS
+        assert store.completed_count >= 0.7 * max_completed, (seed, store.limit.limit)
+        assert sum(store.sending_counts) / len(store.sending_counts) <= 1.7 * capacity
+
+
+def test_an_implausible_learned_limit_is_ignored():
+    limit = LoadLimit()
+    for learned in (LearnedLoads(0, 288), LearnedLoads(27, 0), LearnedLoads(10**9, 288)):
+        limit.resume(learned)
+    assert limit.limit == INITIAL_LIMIT
