Platform: no garbage collection before the process serves

The imports create classes, most of which live as long as the process. The collections during the imports, and the one before gc.freeze, cost a tenth of the time of a start and freed 2 MB (5,867 objects of class creation).

Imports, construction and freeze, 11 interleaved runs on the shared machine: median 273 to 244 ms, least 223 to 206 ms. Resident memory 38.9 to 40.8 MB.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -300,9 +300,10 @@
         if not self.start():
             return 1
         # Objects created at the start live as long as the process: scanning them in each garbage
-        # collection would cost processor time in the middle of requests.
-        gc.collect()
+        # collection would cost processor time in the middle of requests. A collection before this
+        # would take 16 ms and free 2 MB, the remains of creating classes.
         gc.freeze()
+        gc.enable()
         self._stop_requested.wait()
         stop_gracefully(self)
         return 0
--- a/monsoonflow/platform/__main__.py
+++ b/monsoonflow/platform/__main__.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 
-from gevent import config
+# Most of what the imports create lives as long as the process. ``EntryDaemon.run`` enables garbage
+# collection when the process serves; collections before cost a tenth of the time of the imports.
+gc.disable()
+
+from gevent import config  # noqa: E402
 
 # Addresses are numeric and need no DNS: gevent's default resolver would hand the address of each
 # connection to a thread.
