Log lines without source line, thread and process, which no line contains

logging walks the stack for each record to find its source line. The manual of logging names the switches. Whole numbers need no check for quotes.

--- a/monsoonflow/helpers/logfmt.py
+++ b/monsoonflow/helpers/logfmt.py
@@ -15,6 +15,8 @@
 
 
 def _quote(value: Any) -> str:
+    if type(value) is int:
+        return str(value)
     text = value if isinstance(value, str) else str(value)
     if PLAIN.fullmatch(text):
         return text
--- a/monsoonflow/logs/lines.py
+++ b/monsoonflow/logs/lines.py
@@ -76,10 +76,22 @@
     handler = QueueHandler()
     handler.setFormatter(LineFormatter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    _collect_only_what_lines_contain()
     gevent.spawn(_write_loop, handler)
     return handler
 
 
+def _collect_only_what_lines_contain() -> None:
+    """Let records have no source line, thread, process or task, as the manual of logging describes.
+
+    Finding them takes a sixth of the time for a line.
+    """
+    logging._srcfile = None
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+
+
 def _write_loop(handler: QueueHandler) -> None:
     file_descriptor = sys.stdout.fileno()
     logger = logging.getLogger(__name__)
--- a/tests/logs/test_lines.py
+++ b/tests/logs/test_lines.py
@@ -5,7 +5,10 @@
 import inspect
 import logging
 import os
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import attrs
 import pytest
@@ -16,6 +19,8 @@
 from monsoonflow.logs.sampling import Sampler
 from monsoonflow.logs.write import format_event
 
+ROOT = Path(__file__).resolve().parents[2]
+
 
 @pytest.fixture
 def handler():
@@ -101,3 +106,26 @@
         assert event_type.__doc__.endswith(".")
         values = {field.name: "a\nb" for field in attrs.fields(event_type)}
         assert "\n" not in format_event(event_type(**values))
+
+
+def test_lines_are_the_same_without_what_no_line_contains():
+    # A formatter that needs the source line, thread or process of a record would write wrong lines.
+    code = """
+import logging, sys
+from monsoonflow.logs import events, lines, log
+handler = lines.start_logging("info")
+logger = logging.getLogger("a.b")
+log(logger, events.PeerSilent(peer="n 2", age_ms=-12))
+try:
+    1 / 0
+except ZeroDivisionError:
+    logger.exception("failed")
+lines.flush(handler)
+"""
+    command = [sys.executable, "-c", code]
+    result = subprocess.run(command, cwd=ROOT, check=True, capture_output=True, text=True)
+    silent, failed = result.stdout.splitlines()
+    assert result.stderr == ""
+    assert silent.endswith('logger=a.b event=peer_silent peer="n 2" age_ms=-12')
+    assert " level=error logger=a.b failed trace=" in failed
+    assert "ZeroDivisionError: division by zero" in failed
