Memory of runners: estimate the need of a request; the holder grants slots only where it fits

The lease holder leaves full runners out, counts grants until a report shows them, and loads an adapter where there is room. A slot request without a need is decided as before.

--- a/monsoonflow/placement/candidate_runners.py
+++ b/monsoonflow/placement/candidate_runners.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
 from ..routing.in_flight import ServerWork
 from .idle_slots import IdleSlots
@@ -83,6 +84,13 @@
         """Return where an adapter was being loaded when the plan began."""
         return self._loading_by_name.get(name, [])
 
+    def has_ready(self, ref: AdapterRef) -> bool:
+        """Return whether a runner holds this version of an adapter or a newer one."""
+        return any(
+            self._idle.runners[life].slots[ref.name].ref.version >= ref.version
+            for life in self._ready_lives_by_name.get(ref.name, ())
+        )
+
     def candidates_among(self, lives: Iterable[ServerLife]) -> list[CandidateRunner]:
         """Return those of the given runners that accept orders."""
         candidate_by_life = self._candidate_by_life
--- a/monsoonflow/placement/load_target.py
+++ b/monsoonflow/placement/load_target.py
@@ -8,6 +8,7 @@
 from ..helpers.hashing import weight
 from .cached_copies import CachedCopies
 from .candidate_runners import CandidateRunner, CandidateRunners
+from .memory_grants import MemoryGrants
 from .request_queue import QueuedRequest
 from .slots import RunnerSlots, SlotState
 
@@ -17,6 +18,7 @@
     """Selects among the runners of a cell."""
 
     cached_copies: CachedCopies
+    memory: MemoryGrants
 
     def select(
         self,
@@ -27,10 +29,14 @@
     ) -> RunnerSlots | None:
         """Return the best runner to load an adapter; ``None`` when no load can be ordered now.
 
-        Runners without requests on an older version of the adapter come first, then those that are
-        not overloaded, then those that keep a cached copy: they load the adapter in a tenth of the
-        time and without the weight store. Among equal runners the adapter's hash decides, so that
-        later loads find the copy there.
+        Runners without requests on an older version of the adapter come first, then those that have
+        room for the request in their KV cache, those that are not overloaded, and those that keep a
+        cached copy: they load the adapter in a tenth of the time and without the weight store.
+        Among equal runners the adapter's hash decides, so that later loads find the copy there.
+
+        A runner without room is only selected while no runner has the adapter. If none of them has
+        room, the load goes on while the request waits for room; with the adapter in place, another
+        load would not help.
 
         :param ref: the adapter version to load.
         :param is_cold_allowed: whether one more adapter may be fetched from the weight store now.
@@ -41,7 +47,7 @@
             if is_cold_allowed
             else candidates.candidates_among(warm_lives)
         )
-        best_rank: tuple[bool, bool, bool] | None = None
+        best_rank: tuple[bool, bool, bool, bool] | None = None
         best_runners: list[RunnerSlots] = []
         for candidate in considered:
             if not _can_load(candidate, request, ref):
@@ -54,7 +60,12 @@
                 request.adapter_name in runner.slots
                 and candidate.work.requests_by_adapter.get(request.adapter_name, 0) > 0
             )
-            rank = (is_in_use, candidate.is_overloaded, runner.life not in warm_lives)
+            is_full = not self.memory.has_room(
+                request, runner.life, candidate.work, candidates.now_ms
+            )
+            if is_full and candidates.has_ready(ref):
+                continue
+            rank = (is_in_use, is_full, candidate.is_overloaded, runner.life not in warm_lives)
             if best_rank is None or rank < best_rank:
                 best_rank, best_runners = rank, []
             if rank == best_rank:
--- a/monsoonflow/placement/request_queue.py
+++ b/monsoonflow/placement/request_queue.py
@@ -63,6 +63,8 @@
     :param read_by_ms: when the prefill of its prompt must be complete; ``None`` if a queue at the
         runner does not matter.
     :param tokens_per_ms: prefill rate of runners as observed by its node.
+    :param memory_tokens: KV cache that it needs; 0 if its node does not say.
+    :param full_runner_count: how often a runner was left out for it, since that had no room.
     """
 
     adapter_name: str
@@ -81,6 +83,8 @@
     read_by_ms: int | None = None
     tokens_per_ms: float = INITIAL_TOKENS_PER_MS
     software_version: str | None = None
+    memory_tokens: int = 0
+    full_runner_count: int = 0
 
     def may_use(self, runner: RunnerSlots) -> bool:
         """Tell whether the request may be sent to a runner."""
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -34,6 +34,7 @@
 from .idle_slots import IdleSlots
 from .load_limit import LoadLimit
 from .load_target import LoadTargetSelector
+from .memory_grants import MemoryGrants
 from .model_load_limit import LONG_AGO_MS, ModelLoadLimit
 from .replicas import RunnerWorkloads, find_wanted_replica
 from .request_queue import NoSlot, Placed, QueueAdmission, QueuedRequest, in_service_order
@@ -107,6 +108,7 @@
     :param is_retired: tells whether requests may soon no longer start on a version, so that its
         runners must unload it.
     :param holder_since_ms: when this node became the lease holder of the cell.
+    :param checks_memory: whether runners without room for a request are left out.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         load_window_ms: int = 5_000,
         is_retired: Callable[[AdapterRef], bool] = lambda ref: False,
         holder_since_ms: int = LONG_AGO_MS,
+        checks_memory: bool = True,
     ) -> None:
         self.traits = traits
         self._newest_by_adapter = newest_by_adapter
@@ -126,7 +129,8 @@
         self._usage_scores = UsageScores()
         self._idle_slots = IdleSlots(self.runners, self._usage_scores, newest_by_adapter)
         self._cached_copies = CachedCopies()
-        self._load_target_selector = LoadTargetSelector(self._cached_copies)
+        self._memory = MemoryGrants(traits.memory_tokens if checks_memory else 0)
+        self._load_target_selector = LoadTargetSelector(self._cached_copies, self._memory)
         self._workloads = RunnerWorkloads()
         self.load_limit = LoadLimit()
         self._usage_updated_ms = 0
@@ -173,6 +177,7 @@
             runner.remove_cached_copies()
         self._workloads.remove_runner(life)
         self._grants.forget(life)
+        self._memory.forget(life)
 
     def mark_unconfirmed(self, life: ServerLife, name: str, now_ms: int) -> None:
         """Mark an adapter as unconfirmed, because its runner reported that it lacks it.
@@ -265,6 +270,7 @@
         slot.granted_until_ms = now_ms + GRANT_HOLD_MS
         slot.last_used_ms = now_ms
         self._grants.add(runner.life, request.prompt_tokens, now_ms)
+        self._memory.add(request, runner.life, work.get(runner.life, _NO_WORK), now_ms)
         self._admission.record_assignment(request, now_ms)
         request.on_result(Placed(runner.life, slot.ref.version, request.tried_ms))
         return True
@@ -348,7 +354,7 @@
         """Return a slot that can serve a request now, at the runner with the smallest workload.
 
         Runners that can't complete the prefill before the caller leaves are left out: the request
-        would only lengthen their queue.
+        would only lengthen their queue. So are those without room in their KV cache.
         """
         found = []
         for runner, slot in ready:
@@ -356,8 +362,11 @@
                 continue
             if self._is_retired(slot.ref):
                 continue
+            runner_work = work.get(runner.life, _NO_WORK)
+            if not self._memory.has_room(request, runner.life, runner_work, now_ms):
+                continue
             granted_tokens = self._grants.tokens(runner.life, now_ms)
-            if request.can_prefill_in_time(work.get(runner.life, _NO_WORK), granted_tokens, now_ms):
+            if request.can_prefill_in_time(runner_work, granted_tokens, now_ms):
                 found.append(
                     (_workload(work, runner.life) + granted_tokens, len(found), runner, slot)
                 )
