Memory of runners: nodes leave full runners out, and refuse what no runner can hold

Nodes chose runners by pending prefill alone, so streams were preempted in the middle while another runner had room, and a prompt larger than the KV cache reached a runner. RunnerChooser now leaves runners without room out, slot requests state memory_tokens, a prompt that exceeds a runner is answered with 413 and X-Not-Executed, and a length hint that is no finite number is ignored (it was answered with 400 or 500). Decisions are logged (request_too_large, runners_full, slots_full) and counted in memory_decisions.

--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -35,6 +35,7 @@
 from .residency import Residency
 from .residency_reporter import ResidencyReporter
 from .settings import PeerBounds
+from .slot_memory import SlotMemory
 
 if TYPE_CHECKING:
     from .daemon import EntryDaemon
@@ -110,6 +111,7 @@
         self._lease_by_cell: dict[str, CellLease] = {}
         self._wake_event = Event()
         self.residency = Residency(daemon.clock)
+        self._slot_memory = SlotMemory(daemon)
         self._row_by_cell: dict[str, ChangedRow] = {}
         self._planned_work: dict[ServerLife, ServerWork] = {}
 
@@ -282,6 +284,7 @@
             on_result=result.set,
             session_key=slot_request["session"],
             tried_ms=slot_request["tried_ms"],
+            memory_tokens=self._slot_memory.read_need(slot_request),
             **_prefill_fields(slot_request, now_ms),
         )
         scheduler = lease.scheduler
@@ -289,12 +292,22 @@
             scheduler.mark_unconfirmed(ServerLife(life), queued_request.adapter_name, now_ms)
         scheduler.request_slot(queued_request, now_ms, self._total_work())
         self.wake_planner()
+        answer: Placed | NoSlot | None = None
         try:
-            return result.get(timeout=slot_request["wait_ms"] / 1000)
+            answer = result.get(timeout=slot_request["wait_ms"] / 1000)
         except gevent.Timeout:
-            return NoSlot(REFUSED_RETRY_AFTER_MS)
+            answer = NoSlot(REFUSED_RETRY_AFTER_MS)
         finally:
-            scheduler.remove_request(queued_request, self._daemon.clock.now_ms())
+            ended_ms = self._daemon.clock.now_ms()
+            scheduler.remove_request(queued_request, ended_ms)
+            self._slot_memory.log_result(
+                lease.service.name,
+                scheduler.traits.memory_tokens,
+                queued_request,
+                answer,
+                ended_ms - now_ms,
+            )
+        return answer
 
     def _lease_check_loop(self) -> None:
         while True:
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -31,6 +31,7 @@
 from ..gateway.quota_peers import QuotaPeerTracker
 from ..gateway.request_log import RequestLog
 from ..gateway.runner_chooser import RunnerChooser
+from ..gateway.runner_memory import RunnerMemory
 from ..gateway.server_limits import SharedServerLimits
 from ..gateway.service_paths import ServicePaths
 from ..gateway.usage_announcer import UsageAnnouncer
@@ -641,6 +642,8 @@
             self.rng,
             settings.data_centre,
         )
+        request_log = RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers"))
+        self.runner_memory = RunnerMemory(self.backlog, on_decision=request_log.log_memory_decision)
         engine_chooser = RunnerChooser(
             registry,
             self.backlog,
@@ -650,8 +653,8 @@
             self.clock,
             self.rng,
             settings.data_centre,
+            self.runner_memory,
         )
-        request_log = RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers"))
         self.gateway = Gateway(
             self.clock,
             integration.dialect,
@@ -679,6 +682,7 @@
             self.configuration_status,
             self.shared_quota,
             self._handle_server_leaving,
+            self.runner_memory,
         )
         self.address_directory = AddressDirectory(
             self.view,
--- a/monsoonflow/entry/metrics.py
+++ b/monsoonflow/entry/metrics.py
@@ -80,6 +80,12 @@
         self.over_quota = self._counter(
             "over_quota", "Requests refused since their customer's quota is used up."
         )
+        self.memory_decisions = self._counter(
+            "memory_decisions",
+            "Requests by what was decided for want of KV cache at runners: too_large, left_out"
+            " (another runner has room), no_room, slots_full (at the lease holder).",
+            "result",
+        )
         self.retries = self._counter(
             "retries",
             "Further tries wanted, by whether the budget allowed them.",
@@ -109,6 +115,10 @@
             self.first_answer.labels(kind).observe(first_ms / 1000)
             self.whole_answer.labels(kind).observe(took_ms / 1000)
 
+    def count_memory_decision(self, result: str) -> None:
+        """Count a decision by the memory of runners."""
+        self.memory_decisions.labels(result).inc()
+
     def count_attempt(self, result: str) -> None:
         """Count an attempt at a server."""
         self.attempts.labels(result).inc()
--- a/monsoonflow/entry/placement_client.py
+++ b/monsoonflow/entry/placement_client.py
@@ -237,7 +237,8 @@
         among = {runner.life for runner in runners} if job.needs_software_version() else None
         held = self.runners_with_adapter(call.adapter or "", among)
         now_ms = self._daemon.clock.now_ms()
-        for server in open_servers(runners, self._daemon.server_limits, job):
+        usable = open_servers(runners, self._daemon.server_limits, job)
+        for server in self._daemon.runner_memory.with_room(usable, job, now_ms):
             if server.life not in held or server.life in job.avoided_lives:
                 continue
             if self._daemon.backlog.can_prefill_in_time(server.life, job, now_ms):
@@ -279,6 +280,7 @@
             "prompt_tokens": call.prompt_tokens,
             "read_ms": prefill_within_ms,
             "tokens_per_ms": self._daemon.backlog.prefill_rate.tokens_per_ms(None, now_ms),
+            "memory_tokens": self._daemon.runner_memory.slot_need_tokens(job),
         }
 
     def _send_slot_request(
@@ -371,7 +373,7 @@
             call.adapter,
             version,
             call.prompt_tokens,
-            call.prompt_tokens + call.max_output_tokens,
+            self._daemon.runner_memory.need_tokens(job),
             expect_version,
             why,
             self._daemon.backlog.queue_ahead(server.life, job, now_ms),
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -54,6 +54,9 @@
 BEGUN_STREAMS_FORMAT: Final = "b1"
 """First field of each message with the software versions of begun streams."""
 
+MAX_REQUEST_MEMORY_TOKENS: Final = 1 << 20
+"""KV cache that one request may need at most: several times the largest context of a model."""
+
 HEARTBEAT_REQUEST: Final = b"?"
 """Requests a full heartbeat from a node of which only a short one was received."""
 
@@ -417,12 +420,20 @@
     return ServerWork(
         int(fields[0]),
         int(fields[1]),
-        int(fields[2]),
+        _plausible_memory_tokens(int(fields[2]), int(fields[0])),
         Counter({str(name): int(count) for name, count in fields[3].items()}),
         {int(rank): int(tokens) for rank, tokens in ranks},
     )
 
 
+def _plausible_memory_tokens(tokens: int, requests: int) -> int:
+    """Return the KV cache that a peer's requests need; 0 if it can't be right.
+
+    A single wrong value would close a runner for the whole fleet.
+    """
+    return tokens if 0 <= tokens <= max(0, requests) * MAX_REQUEST_MEMORY_TOKENS else 0
+
+
 def _record_fields(record: NodeRecord) -> tuple[str, ...]:
     """Return the fields that a node record has had from the first version on.
 
--- a/monsoonflow/gateway/backlog.py
+++ b/monsoonflow/gateway/backlog.py
@@ -51,6 +51,23 @@
         recent_tokens = self.recently_sent.tokens(life, now_ms)
         return apply_holder_report(total, own, overloaded.get(life), recent_tokens, tokens_per_ms)
 
+    def memory_tokens_at(self, life: ServerLife, now_ms: int) -> int:
+        """Return the KV cache that the requests of all nodes at a runner need.
+
+        The requests of this node are counted from the moment at which they are sent.
+        """
+        peers = self.view.work_by_server(now_ms).get(life)
+        own = self.in_flight.work_by_server.get(life)
+        return sum(max(0, work.memory_tokens) for work in (peers, own) if work is not None)
+
+    def reports_age_ms(self, now_ms: int) -> int | None:
+        """Return the age of the oldest report of a peer that counts; ``None`` without peers."""
+        ages_ms = (
+            self.view.heartbeat_age_ms(heartbeat.name, now_ms)
+            for heartbeat in self.view.heartbeats(now_ms)
+        )
+        return max((age_ms for age_ms in ages_ms if age_ms is not None), default=None)
+
     def record_sent(self, chosen: Chosen, now_ms: int) -> None:
         """Record that a request is being sent to a runner."""
         if chosen.queue is not None:
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -63,10 +63,13 @@
     StreamVersions,
 )
 from .request_log import RequestLog
+from .runner_memory import RunnerMemory
 
 NOT_READY_RETRY_AFTER_MS: Final = 300
 """When a caller may retry at a node that has no configuration yet: it usually has one by then."""
 
+TOO_LARGE: Final = "the prompt exceeds the memory of a runner"
+
 MIN_TIME_TO_SEND_MS: Final = 20
 """A request with less time left is not sent to a server any more."""
 
@@ -110,6 +113,7 @@
     :param stream_versions: knows the software versions that began streams.
     :param on_server_leaving: called when a server states that it is shutting down, with the answer
         that says so.
+    :param runner_memory: checks the KV cache of model runners; ``None`` to check nothing.
     """
 
     def __init__(
@@ -135,6 +139,7 @@
         ),
         quotas: CustomerQuotas | None = None,
         on_server_leaving: Callable[[ServerLife, str], None] = lambda _life, _source: None,
+        runner_memory: RunnerMemory | None = None,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -155,6 +160,7 @@
         self._quotas = quotas
         self._stream_versions = stream_versions
         self._on_server_leaving = on_server_leaving
+        self._runner_memory = runner_memory or RunnerMemory(backlog, is_enabled=False)
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
@@ -235,6 +241,8 @@
         if not job.is_forwarded:
             self._retry_budget.record_request(service.name)
         try:
+            if self._refuse_if_too_large(job, reply):
+                return
             if not self._refuse_if_version_unknown(job, reply):
                 self._serve(job, reply)
         except CallerLeft:
@@ -316,6 +324,18 @@
             job.splitter = EventSplitter(call.last_event_id)
         return job
 
+    def _refuse_if_too_large(self, job: Job, reply: Reply) -> bool:
+        """Refuse a request that no runner can hold; a retry would be refused as well."""
+        if not self._runner_memory.is_too_large(job):
+            return False
+        if job.may_have_run:
+            self._finish_unserved(job, reply, TOO_LARGE, NOT_READY_RETRY_AFTER_MS)
+            return True
+        not_run = self._dialect.not_run_headers()
+        self._send_own_answer(reply, job.call, 413, TOO_LARGE, None, not_run)
+        self._request_log.log_ended(job, reply, "refused", TOO_LARGE)
+        return True
+
     def _refuse_if_version_unknown(self, job: Job, reply: Reply) -> bool:
         """Set the software version that must go on with a stream; refuse it if that is unknown."""
         is_resumption = job.splitter is not None and job.call.resumes_stream
@@ -503,7 +523,7 @@
             lambda: chooser.may_send(chosen),
             lambda: self._admit(job, chosen),
             lambda: self._before_send(job, chooser, chosen),
-            lambda: self._record_activity(job, chooser, chosen),
+            lambda: self._record_activity(job, chooser, chosen, ticket),
             lambda terms: self._record_terms(job, chosen, ticket, terms),
             lambda terms: self._record_server_notices(job, chosen, terms),
             self._stream_headers(job, chosen),
@@ -546,9 +566,12 @@
             return self._clock.now_ms()
         return chooser.start_deadline_ms(chosen)
 
-    def _record_activity(self, job: Job, chooser: ServerChooser, chosen: Chosen) -> None:
+    def _record_activity(
+        self, job: Job, chooser: ServerChooser, chosen: Chosen, ticket: Ticket
+    ) -> None:
         now_ms = self._clock.now_ms()
         chooser.record_activity(chosen, now_ms)
+        self._runner_memory.record_progress(job, ticket, self._in_flight)
         began_ms = job.attempt_first_event_ms
         is_sound = began_ms is not None and now_ms - began_ms > HARDLY_BEGUN_MS
         if is_sound and not job.is_attempt_sound:
@@ -599,6 +622,7 @@
         if ticket.is_awaiting_first_event and isinstance(result, Abandoned | TimedOut | Recalled):
             self._backlog.record_missing_first_event(chosen, now_ms - sent_ms, now_ms)
         self._in_flight.end(ticket)
+        self._runner_memory.record_result(job, result, now_ms - sent_ms)
         if not isinstance(result, Rejected | Unsent | AtLimit | Withheld):
             job.has_reached_server = True
         if isinstance(result, TimedOut | Unclear | Cut) and result.silent:
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -16,11 +16,15 @@
 from .configuration_status import ConfigurationStatus
 from .job import Job
 from .models import AtLimit, AttemptResult, Call, Chosen, ForwardedRequest
+from .runner_memory import MemoryDecision
 
 _LOGGER = logging.getLogger(__name__)
 SAMPLED_OUTCOMES: Final = frozenset({"refused"})
 """Outcomes whose log lines are sampled, since they repeat at overload; others are always logged."""
 
+MAX_LOGGED_RUNNERS: Final = 4
+"""Runners named in one line; a popular adapter may be at dozens."""
+
 SUCCESSFUL_OUTCOMES: Final = frozenset({"answered", "passed"})
 
 
@@ -44,6 +48,9 @@
     def count_over_quota(self) -> None:
         """Count a request that was refused since its customer's quota is used up."""
 
+    def count_memory_decision(self, result: str) -> None:
+        """Count a decision by the memory of runners."""
+
     def count_attempt(self, result: str) -> None:
         """Count an attempt at a server by its result."""
 
@@ -122,6 +129,33 @@
             ),
         )
 
+    def log_memory_decision(self, decision: MemoryDecision) -> None:
+        """Log and count that a request was refused, or runners left out, for want of memory."""
+        if not decision.full_lives:
+            self._metrics.count_memory_decision("too_large")
+            event: events.Event = events.RequestTooLarge(
+                request=decision.request_id,
+                prompt=decision.prompt_tokens,
+                hint=decision.hint_tokens,
+                capacity=decision.capacity_tokens,
+            )
+        else:
+            self._metrics.count_memory_decision("left_out" if decision.has_other else "no_room")
+            event = events.RunnersFull(
+                request=decision.request_id,
+                need=decision.need_tokens,
+                prompt=decision.prompt_tokens,
+                hint=decision.hint_tokens,
+                margin=decision.margin,
+                capacity=decision.capacity_tokens,
+                least_used=decision.least_used_tokens,
+                runners=",".join(decision.full_lives[:MAX_LOGGED_RUNNERS]),
+                has_other=decision.has_other,
+                reports_age_ms=decision.reports_age_ms,
+            )
+        if self._sampler.allows("memory", type(event).__name__, self._clock.now_ms()):
+            log(_LOGGER, event)
+
     def log_accepted(self, job: Job, config_version: int) -> None:
         """Log that a request was accepted for a route."""
         call, route = job.call, job.route
@@ -165,6 +199,7 @@
                 after_event=last_event_id.decode("latin-1") if last_event_id is not None else None,
                 servers_age_ms=self._servers_age_ms(),
                 software_version=chosen.software_version,
+                memory_tokens=chosen.memory_tokens if queue is not None else None,
             ),
         )
 
--- a/monsoonflow/gateway/runner_chooser.py
+++ b/monsoonflow/gateway/runner_chooser.py
@@ -33,6 +33,7 @@
     Whole,
 )
 from .protocols import ServerLimiter
+from .runner_memory import HOLDER_RESERVE_SHARE, RunnerMemory
 
 NO_SERVER_RETRY_AFTER_MS: Final = 400
 UNBOUNDED_MS: Final = 3_600_000
@@ -87,7 +88,8 @@
 class RunnerChooser:
     """Chooses the runner that processes a generation.
 
-    Among the runners that can process the prompt in time, it is the one with the least work.
+    Among the runners that can process the prompt in time and have room for it in their KV cache, it
+    is the one with the least work.
     """
 
     registry: ServerRegistry
@@ -98,6 +100,11 @@
     clock: Clock
     rng: random.Random
     data_centre: str
+    memory: RunnerMemory = attrs.field(
+        default=attrs.Factory(
+            lambda chooser: RunnerMemory(chooser.backlog, is_enabled=False), takes_self=True
+        )
+    )
 
     def choose(
         self, call: Call, route: Route, service: Service, job: Job, now_ms: int
@@ -126,10 +133,12 @@
             for runner in holding
             if self._can_prefill_in_time(runner.life, version_by_life[runner.life], job, now_ms)
         ]
-        if not in_time:
-            overloaded = [runner.life for runner in holding]
+        fitting = self.memory.with_room(in_time, job, now_ms, HOLDER_RESERVE_SHARE)
+        if not fitting:
+            # A runner without room is not excluded: the request may wait until it has some.
+            overloaded = [runner.life for runner in holding if runner not in in_time]
             return self.placement.request_slot(call, route, service, job, overloaded)
-        best = min(in_time, key=lambda runner: self._cost(runner, now_ms))
+        best = min(fitting, key=lambda runner: self._cost(runner, now_ms))
         return self._build_chosen(best, call, version_by_life[best.life], job, now_ms)
 
     def _can_prefill_in_time(self, life: ServerLife, version: int, job: Job, now_ms: int) -> bool:
@@ -144,7 +153,10 @@
         if not in_time:
             queue_drain_ms = self.backlog.queue_drain_ms([r.life for r in runners], job, now_ms)
             return NoServer("every queue is longer than the time left", queue_drain_ms)
-        best = min(in_time, key=lambda runner: self._cost(runner, now_ms))
+        fitting = self.memory.with_room(in_time, job, now_ms)
+        if not fitting:
+            return self.memory.refusal(in_time, job, now_ms)
+        best = min(fitting, key=lambda runner: self._cost(runner, now_ms))
         return self._build_chosen(best, call, None, job, now_ms)
 
     @staticmethod
@@ -181,7 +193,7 @@
             call.adapter,
             version,
             call.prompt_tokens,
-            call.prompt_tokens + call.max_output_tokens,
+            self.memory.need_tokens(job),
             # Requests may begin on an older version for a short time after a newer one was
             # requested.
             wanted if is_current else None,
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -72,6 +72,65 @@
     retry_after_ms: int
 
 
+@event
+class RequestTooLarge(Event):
+    """A request was refused for good, since no runner can hold its prompt and one token."""
+
+    # All numbers are tokens of KV cache; ``capacity`` is that of one runner, by the configuration.
+
+    request: str
+    prompt: int
+    hint: int | None
+    capacity: int
+
+
+@event
+class RunnersFull(Event):
+    """Runners were left out for a request, since they have no room for it in their KV cache."""
+
+    # ``need`` is the prompt and the hinted output times ``margin``, at most the request's maximum.
+    # ``least_used`` is the cache in use at the least used of the runners left out, and
+    # ``reports_age_ms`` the age of the oldest report that it is from. ``has_other``: another runner
+    # has room; otherwise the request waits for room or is refused.
+
+    request: str
+    need: int
+    prompt: int
+    hint: int | None
+    margin: float
+    capacity: int
+    least_used: int | None
+    runners: str
+    has_other: bool
+    reports_age_ms: int | None
+
+
+@event
+class SlotsFull(Event):
+    """The lease holder left runners out for a slot request, since they had no room for it."""
+
+    # ``left_out`` is how often a runner was left out, ``result`` what the node was answered.
+    # ``reports_age_ms`` is the age of the oldest report that the decision is from.
+
+    cell: str
+    adapter: str
+    need: int
+    capacity: int
+    left_out: int
+    waited_ms: int
+    result: str
+    reports_age_ms: int | None
+
+
+@event
+class UnusableSlotNeed(Event):
+    """A slot request states a need that is no integer of at least 0; it counts as unknown."""
+
+    cell: str
+    adapter: str
+    value: str
+
+
 @event
 class RequestSent(Event):
     """A request is sent to a server."""
@@ -80,7 +139,8 @@
     # ``expect_version`` the version without which it must refuse the request. ``unread_tokens`` are
     # the prompt tokens that it has to prefill before this request's own, and ``expected_ms`` is the
     # estimated time until the first event. ``servers_age_ms`` is the age of the last update of the
-    # servers from the store. ``software_version`` is that of the server.
+    # servers from the store. ``software_version`` is that of the server. ``memory_tokens`` is the
+    # KV cache that the request counts with.
 
     request: str
     server: str
@@ -95,6 +155,7 @@
     after_event: str | None = None
     servers_age_ms: int | None = None
     software_version: str | None = None
+    memory_tokens: int | None = None
 
 
 @event
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -121,7 +121,7 @@
             adapter=f"{model}/{adapter}" if adapter else None,
             prompt_tokens=_parse_token_count(prompt_tokens),
             max_output_tokens=_parse_token_count(max_output_tokens),
-            length_hint=int(float(length_hint)) if length_hint else None,
+            length_hint=_parse_length_hint(length_hint),
             session=_decode_part_id(last_part) or None,
             last_event_id=value_by_name.get(LAST_EVENT_ID_HEADER),
             resumed_request_id=value_by_name.get(RESUMES_HEADER, b"").decode("latin-1") or None,
@@ -269,6 +269,20 @@
     return int(digits)
 
 
+def _parse_length_hint(value: bytes | None) -> int | None:
+    """Return a caller's estimate of the output tokens; ``None`` if it is not a finite number.
+
+    It is only an estimate, so a request is not refused for it.
+
+    >>> [_parse_length_hint(value) for value in (b"57", b"5.9e1", b"-3", b"1e999", b"nan", b"x")]
+    [57, 59, -3, None, None, None]
+    """
+    try:
+        return int(float(value or b""))
+    except (ValueError, OverflowError):
+        return None
+
+
 def _decode_part_id(part: bytes) -> str:
     return part.partition(b":")[0].decode("latin-1").strip()
 
--- a/monsoonflow/routing/in_flight.py
+++ b/monsoonflow/routing/in_flight.py
@@ -179,6 +179,14 @@
                 del work.pending_prefill_by_rank[ticket.rank]
         ticket.pending_prefill_tokens = 0
 
+    def grow_memory(self, ticket: Ticket, memory_tokens: int) -> None:
+        """Count a request in progress with more KV cache than at its begin."""
+        if ticket.is_ended or memory_tokens <= ticket.memory_tokens:
+            return
+        self._changed.add(ticket.life)
+        self.work_by_server[ticket.life].memory_tokens += memory_tokens - ticket.memory_tokens
+        ticket.memory_tokens = memory_tokens
+
     def end(self, ticket: Ticket) -> None:
         """Count a request as ended; further calls do nothing."""
         if ticket.is_ended:
--- a/tests/gateway/runner_simulation.py
+++ b/tests/gateway/runner_simulation.py
@@ -16,11 +16,15 @@
 from monsoonflow.fleet.models import CellLeaseClaim, Heartbeat, NodeRecord
 from monsoonflow.fleet.view import FleetView
 from monsoonflow.gateway.backlog import Backlog
+from monsoonflow.gateway.event_splitter import EventSplitter
 from monsoonflow.gateway.job import Job
-from monsoonflow.gateway.models import Call, Chosen, NoServer
+from monsoonflow.gateway.models import Call, Chosen, Cut, NoServer, Passed
 from monsoonflow.gateway.runner_chooser import RunnerChooser
+from monsoonflow.gateway.runner_memory import RunnerMemory
+from monsoonflow.placement import request_queue
+from monsoonflow.placement.memory_grants import MemoryGrants
 from monsoonflow.routing.health import HealthTracker
-from monsoonflow.routing.in_flight import InFlight, ServerWork, Ticket
+from monsoonflow.routing.in_flight import InFlight, ServerWork, Ticket, sum_work
 from monsoonflow.routing.overload import overloaded_runners
 from monsoonflow.routing.routes import EngineTraits, Route, RouteKind, Service, Target
 from monsoonflow.transport.models import Request
@@ -71,15 +75,58 @@
         return None
 
 
+@attrs.frozen
+class Shape:
+    """The lengths of a request, in tokens.
+
+    :param output_tokens: what the runner really generates.
+    """
+
+    prompt_tokens: int = PROMPT_TOKENS
+    length_hint: int | None = None
+    max_output_tokens: int = 0
+    output_tokens: int = 0
+
+
 @attrs.define(eq=False)
 class QueuedRequest:
-    """A request in a runner's queue."""
+    """A request in a runner's queue, or with a stream in progress.
+
+    :param generated_tokens: output so far.
+    """
 
     node: Node
     job: Job
     chosen: Chosen
     ticket: Ticket
     remaining_tokens: float
+    shape: Shape = Shape()
+    generated_tokens: float = 0.0
+
+    def memory_tokens(self) -> float:
+        """Return the KV cache that it uses: none before its prefill has begun."""
+        if self.remaining_tokens >= self.shape.prompt_tokens:
+            return 0.0
+        return self.shape.prompt_tokens + self.generated_tokens
+
+
+def slot_request(job: Job, need_tokens: int, now_ms: int) -> request_queue.QueuedRequest:
+    """Return the slot request of a job as the lease holder queues it."""
+    return request_queue.QueuedRequest(
+        adapter_name=job.call.adapter or "",
+        min_version=1,
+        priority=job.priority,
+        first_attempt_ms=job.first_tried_ms,
+        on_time_until_ms=job.objective_deadline_ms(),
+        deadline_ms=job.cancel_at_ms(),
+        excluded_runners=frozenset(),
+        on_result=lambda _: None,
+        rank=job.rank_at(now_ms),
+        prompt_tokens=job.call.prompt_tokens,
+        read_by_ms=now_ms + Backlog.max_queue_ms(job, now_ms),
+        tokens_per_ms=TOKENS_PER_MS,
+        memory_tokens=need_tokens,
+    )
 
 
 @attrs.define(eq=False)
@@ -130,6 +177,16 @@
     :param processed: requests that got their first event.
     :param lost: requests that were sent and got no first event.
     :param cancelled: those of them that were cancelled before their caller left.
+    :param decode_ms_per_token: time between two tokens of a stream; 0 if requests end with their
+        first event and use no KV cache.
+    :param checks_memory: whether nodes check the KV cache of runners.
+    :param preempted: streams that broke off since their runner's cache was full.
+    :param avoidable: those of them that would have fitted at another runner with the adapter.
+    :param completed: streams that were generated to their end.
+    :param max_memory_tokens: the largest use of a runner's cache.
+    :param waits_for_room: whether requests that get no runner wait at the lease holder, which
+        assigns runners by its own view and what it has granted, until they would be cancelled.
+    :param waiting: those requests, oldest first.
     """
 
     placement: FixedPlacement
@@ -149,13 +206,25 @@
     refused: int = 0
     cancelled: int = 0
     waits_ms: list[int] = attrs.Factory(list)
+    decode_ms_per_token: float = 0.0
+    checks_memory: bool = False
+    streams: dict[ServerLife, list[QueuedRequest]] = attrs.Factory(dict)
+    preempted: int = 0
+    avoidable: int = 0
+    completed: int = 0
+    max_memory_tokens: float = 0.0
+    waits_for_room: bool = False
+    waiting: list[tuple[Node, Job, Shape]] = attrs.Factory(list)
+    grants: MemoryGrants = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.grants = MemoryGrants(ENGINE.memory_tokens if self.checks_memory else 0)
         registry = ServerRegistry()
         for number, life in enumerate(self.lives, start=1):
             address = f"1.1.1.{number}:1"
             registry.put(BackendServer(life, "s", address, "dc", 96, models=(HeldModel("m"),)), 0)
             self.queues[life] = []
+            self.streams[life] = []
         self.nodes = [self._node(f"n{i}", registry) for i in range(self.node_count)]
         for node in self.nodes:
             for other in self.nodes:
@@ -173,35 +242,95 @@
             self.clock,
             self.rng,
             "dc",
+            RunnerMemory(backlog, is_enabled=self.checks_memory),
         )
         card = NodeRecord(name, "b", "dc", "1.1.1.2:1", "1.1.1.2:2", "1.1.1.2:3")
         return Node(card, view, in_flight, backlog, chooser, HeartbeatRounds(name))
 
-    def receive_request(self, node: Node, adapter: str, route: Route = ROUTE) -> Chosen | NoServer:
+    def receive_request(
+        self, node: Node, adapter: str, route: Route = ROUTE, shape: Shape = Shape()
+    ) -> Chosen | NoServer:
         """Let a node receive a request and send it to a runner or refuse it."""
         now_ms = self.clock.now_ms()
-        call = Call("q", "h", "/a/", model="m", adapter=adapter, prompt_tokens=PROMPT_TOKENS)
+        call = Call(
+            "q",
+            "h",
+            "/a/",
+            model="m",
+            adapter=adapter,
+            prompt_tokens=shape.prompt_tokens,
+            max_output_tokens=shape.max_output_tokens,
+            length_hint=shape.length_hint,
+        )
         request = Request(b"POST", b"/a/", "1.1", [], b"", True, now_ms)
         deadline_ms = now_ms + route.timeout_ms
         job = Job(request, call, route, SERVICE, now_ms, deadline_ms, deadline_ms)
+        if self.decode_ms_per_token:
+            job.splitter = EventSplitter()
         chosen = node.chooser.choose(call, route, SERVICE, job, now_ms)
-        if isinstance(chosen, NoServer):
+        if not isinstance(chosen, NoServer):
+            self._send(node, job, chosen, shape)
+        elif self.waits_for_room:
+            self.waiting.append((node, job, shape))
+        else:
             self.refused += 1
-            return chosen
+        return chosen
+
+    def _send_waiting(self, now_ms: int) -> None:
+        """Send the requests that wait at the lease holder for a runner, or refuse them."""
+        if not self.waiting:
+            return
+        holder = self.nodes[0]
+        work = sum_work(holder.view.work_by_server(now_ms), holder.in_flight.work_by_server)
+        waiting, self.waiting = self.waiting, []
+        for node, job, shape in waiting:
+            chosen = self._grant(node, job, work, now_ms)
+            if chosen is not None:
+                self._send(node, job, chosen, shape)
+            elif now_ms < job.cancel_at_ms():
+                self.waiting.append((node, job, shape))
+            else:
+                self.refused += 1
+
+    def _grant(
+        self, node: Node, job: Job, work: dict[ServerLife, ServerWork], now_ms: int
+    ) -> Chosen | None:
+        """Return the least used runner with room and time for a request, and count the grant."""
+        need_tokens = node.chooser.memory.slot_need_tokens(job)
+        request = slot_request(job, need_tokens, now_ms)
+        best: tuple[int, ServerLife, ServerWork] | None = None
+        for life in self.placement.runners_with_adapter(job.call.adapter):
+            at_runner = work.get(life) or ServerWork()
+            if self.grants.has_room(
+                request, life, at_runner, now_ms
+            ) and request.can_prefill_in_time(at_runner, 0, now_ms):
+                candidate = (at_runner.pending_prefill_tokens + 60 * at_runner.requests, life)
+                if best is None or candidate < best[:2]:
+                    best = (*candidate, at_runner)
+        if best is None:
+            return None
+        _, life, at_runner = best
+        self.grants.add(request, life, at_runner, now_ms)
+        prompt_tokens, need_tokens = job.call.prompt_tokens, node.chooser.memory.need_tokens(job)
+        queue = node.backlog.queue_ahead(life, job, now_ms)
+        adapter = job.call.adapter
+        return Chosen(life, "a", adapter, 1, prompt_tokens, need_tokens, None, "placed", queue)
+
+    def _send(self, node: Node, job: Job, chosen: Chosen, shape: Shape) -> None:
+        now_ms = self.clock.now_ms()
         self.sent += 1
         node.backlog.record_sent(chosen, now_ms)
         ticket = node.in_flight.begin(
             chosen.life,
             now_ms,
-            adapter,
+            chosen.adapter,
             chosen.prefill_tokens,
             chosen.memory_tokens,
             job.rank_at(now_ms),
         )
         self.queues[chosen.life].append(
-            QueuedRequest(node, job, chosen, ticket, float(PROMPT_TOKENS))
+            QueuedRequest(node, job, chosen, ticket, float(shape.prompt_tokens), shape)
         )
-        return chosen
 
     def run(self, duration_ms: int, on_step: Callable[[int], None]) -> None:
         """Advance the time: nodes send heartbeats in rounds, runners process queues, callers leave.
@@ -215,9 +344,50 @@
             for number, node in enumerate(self.nodes):
                 if (now_ms + number * 70) % HEARTBEAT_INTERVAL_MS < STEP_MS:
                     self._send_heartbeat(node, now_ms)
+            self._send_waiting(now_ms)
             on_step(now_ms)
             for life in self.lives:
                 self._process_queue(life, now_ms)
+                self._generate(life, now_ms)
+
+    def memory_tokens(self, life: ServerLife) -> float:
+        """Return the KV cache in use at a runner."""
+        held = [*self.queues[life], *self.streams[life]]
+        return sum(request.memory_tokens() for request in held)
+
+    def _generate(self, life: ServerLife, now_ms: int) -> None:
+        """Let all streams of a runner go on; preempt as many as exceed its KV cache."""
+        for request in list(self.streams[life]):
+            output_tokens = request.shape.output_tokens
+            generated = request.generated_tokens + STEP_MS / self.decode_ms_per_token
+            request.generated_tokens = min(output_tokens, generated)
+            request.job.splitter.event_count = int(request.generated_tokens)
+            memory = request.node.chooser.memory
+            memory.record_progress(request.job, request.ticket, request.node.in_flight)
+            if generated >= output_tokens:
+                self._end_stream(life, request, Passed(), now_ms)
+                self.completed += 1
+        while self.memory_tokens(life) > ENGINE.memory_tokens:
+            # The newest of the least urgent ones, as runners do.
+            newest = max(
+                enumerate(self.streams[life]), key=lambda item: (item[1].job.priority, item[0])
+            )[1]
+            self._end_stream(life, newest, Cut("preempted"), now_ms)
+            self.preempted += 1
+            others = set(self.placement.runners_with_adapter(newest.chosen.adapter)) - {life}
+            need = newest.shape.prompt_tokens + newest.shape.output_tokens
+            self.avoidable += any(
+                self.memory_tokens(other) + need <= ENGINE.memory_tokens for other in others
+            )
+        self.max_memory_tokens = max(self.max_memory_tokens, self.memory_tokens(life))
+
+    def _end_stream(
+        self, life: ServerLife, request: QueuedRequest, result: Passed | Cut, now_ms: int
+    ) -> None:
+        self.streams[life].remove(request)
+        request.node.in_flight.end(request.ticket)
+        took_ms = now_ms - request.ticket.sent_ms
+        request.node.chooser.memory.record_result(request.job, result, took_ms)
 
     def _send_heartbeat(self, node: Node, now_ms: int) -> None:
         heartbeat = node.heartbeat(now_ms)
@@ -241,7 +411,13 @@
                 self.lost += 1
                 self.caller_left_by_life[life] += 1
         budget_tokens = self.tokens_per_ms * STEP_MS / self.slowdown_by_life.get(life, 1.0)
+        free_tokens = ENGINE.memory_tokens - self.memory_tokens(life)
         for request in sorted(queue, key=lambda request: request.job.route.priority):
+            if self.decode_ms_per_token and not request.memory_tokens():
+                # A prefill begins once the whole prompt fits.
+                if request.shape.prompt_tokens > free_tokens or budget_tokens <= 0:
+                    continue
+                free_tokens -= request.shape.prompt_tokens
             processed_tokens = min(budget_tokens, request.remaining_tokens)
             request.remaining_tokens -= processed_tokens
             budget_tokens -= processed_tokens
@@ -256,4 +432,8 @@
         request.node.backlog.record_first_event(
             request.chosen, now_ms - request.ticket.sent_ms, now_ms
         )
-        request.node.in_flight.end(request.ticket)
+        if self.decode_ms_per_token:
+            request.node.in_flight.record_first_event(request.ticket)
+            self.streams[request.chosen.life].append(request)
+        else:
+            request.node.in_flight.end(request.ticket)
