--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -642,7 +642,12 @@
             self.rng,
             settings.data_centre,
         )
-        request_log = RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers"))
+        request_log = RequestLog(
+            self.clock,
+            self.metrics,
+            lambda: self._answer_age_ms("servers"),
+            lambda: self.configuration_status().age_ms,
+        )
         self.runner_memory = RunnerMemory(self.backlog, on_decision=request_log.log_memory_decision)
         engine_chooser = RunnerChooser(
             registry,
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -69,6 +69,8 @@
 
     :param servers_age_ms: returns how long ago the store last answered about servers; ``None`` if
         it never did.
+    :param config_age_ms: returns how long ago the store last confirmed the configuration; ``None``
+        if unknown.
     """
 
     def __init__(
@@ -76,10 +78,12 @@
         clock: Clock,
         metrics: RequestMetrics,
         servers_age_ms: Callable[[], int | None] = lambda: None,
+        config_age_ms: Callable[[], int | None] = lambda: None,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._servers_age_ms = servers_age_ms
+        self._config_age_ms = config_age_ms
         self._sampler = Sampler()
 
     def log_unauthorized(
@@ -138,6 +142,8 @@
                 prompt=decision.prompt_tokens,
                 hint=decision.hint_tokens,
                 capacity=decision.capacity_tokens,
+                config=decision.config_version,
+                config_age_ms=self._config_age_ms(),
             )
         else:
             self._metrics.count_memory_decision("left_out" if decision.has_other else "no_room")
--- a/monsoonflow/gateway/runner_memory.py
+++ b/monsoonflow/gateway/runner_memory.py
@@ -46,6 +46,7 @@
         runner was compared.
     :param has_other: whether another runner has room.
     :param reports_age_ms: age of the oldest report of a peer that counts; ``None`` without peers.
+    :param config_version: of the configuration that states the capacity.
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     least_used_tokens: int | None = None
     has_other: bool = False
     reports_age_ms: int | None = None
+    config_version: int = 0
 
 
 class RunnerMemory:
@@ -204,4 +206,5 @@
             call.length_hint,
             round(self._lengths.margin(route), 2),
             capacity_tokens,
+            config_version=job.config_version,
         )
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -76,12 +76,15 @@
 class RequestTooLarge(Event):
     """A request was refused for good, since no runner can hold its prompt and one token."""
 
-    # All numbers are tokens of KV cache; ``capacity`` is that of one runner, by the configuration.
+    # ``prompt``, ``hint`` and ``capacity`` (of one runner, by the configuration) are in tokens.
+    # ``config_age_ms`` is the time since the store last confirmed the configuration.
 
     request: str
     prompt: int
     hint: int | None
     capacity: int
+    config: int
+    config_age_ms: int | None
 
 
 @event
--- a/tests/gateway/test_runner_memory.py
+++ b/tests/gateway/test_runner_memory.py
@@ -248,18 +248,20 @@
     """The cause of a wait or a refusal must be found in the log."""
     caplog.set_level("INFO")
     metrics = EntryMetrics()
-    request_log = RequestLog(ManualClock(NOW_MS), metrics)
+    request_log = RequestLog(ManualClock(NOW_MS), metrics, config_age_ms=lambda: 90)
     node = make_node()
     node.report(118_000)
     node.fitting(job_of(hint=50))
-    node.memory.is_too_large(job_of(prompt_tokens=KV_TOKENS))
+    too_large = job_of(prompt_tokens=KV_TOKENS)
+    too_large.config_version = 7
+    node.memory.is_too_large(too_large)
     for decision in node.decisions:
         request_log.log_memory_decision(decision)
     lines = [record.getMessage() for record in caplog.records if "request_log" in record.name]
     assert lines == [
         "event=runners_full request=q need=2200 prompt=2000 hint=50 margin=4.0 capacity=120000"
         " least_used=118000 runners=i-0 has_other=True reports_age_ms=0",
-        "event=request_too_large request=q prompt=120000 capacity=120000",
+        "event=request_too_large request=q prompt=120000 capacity=120000 config=7 config_age_ms=90",
     ]
     counts = {
         result: metrics.memory_decisions.labels(result)._value.get()
