Bound the bytes that a node holds for callers and servers that read slowly

A node held 64 KB and more for each caller that does not read, 4 MB for each body that a server reads slowly (twice while it was sent), and an answer of any size on routes of streams if it is no stream of events: nothing bounded the sum. Now all callers together have 16 MB of answers, beyond which the sends in progress for the longest are ended, and 16 MB each of large and small bodies. Measured: sixty callers that do not read beside five that do, with a bound of 1 MB: at most 1 MB and one piece held, all five answers complete.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -54,6 +54,7 @@
 from ..storage.models import ChangedRow, ChangeFeed, RawTable
 from ..storage.retrying_table import RetryingTable
 from ..transport.client import ConnectionPools
+from ..transport.held_bytes import HeldBytes
 from ..transport.models import MessageLimits
 from ..transport.server import Handler, HttpServer
 from .address_directory import AddressDirectory
@@ -161,6 +162,7 @@
         self.connection_pools = ConnectionPools(self.clock)
         self.forwarding_pools = ConnectionPools(self.clock)
         self.metrics = EntryMetrics()
+        self.held_bytes = HeldBytes()
         self.stall_detector = StallDetector(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._heartbeat_sequence = 0
         self._lost_services_by_peer: dict[str, frozenset[str]] = {}
@@ -521,6 +523,19 @@
             self.metrics.add_gauge(name, help_text, read)
 
         cluster_state, now_ms = self.cluster_state, self.clock.now_ms
+        answers, bodies = self.held_bytes.answers, self.held_bytes.bodies
+        gauge("held_answer_bytes", "Bytes of answers held for callers.", lambda: answers.total)
+        gauge("held_body_bytes", "Bytes of requests held.", lambda: bodies.total)
+        gauge(
+            "slow_callers_ended",
+            "Callers cut off since they read too slowly.",
+            lambda: answers.ended_count,
+        )
+        gauge(
+            "bodies_refused",
+            "Requests refused since too many bytes are held.",
+            lambda: bodies.refused_count,
+        )
         gauge("ready", "Whether callers should come here.", lambda: float(self.is_ready()))
         gauge("config_version", "Configuration in force.", lambda: self.config_version())
         gauge(
@@ -709,7 +724,11 @@
         default_limits = MessageLimits
         return Ports(
             callers=HttpServer(
-                settings.callers_address, self.gateway.handle, self._message_limits, self.clock
+                settings.callers_address,
+                self.gateway.handle,
+                self._message_limits,
+                self.clock,
+                held=self.held_bytes,
             ),
             ready=HttpServer(
                 settings.ready_address,
@@ -724,7 +743,11 @@
                 self.clock,
             ),
             peers=HttpServer(
-                settings.peer_address, peer_api.handle, self._peer_message_limits, self.clock
+                settings.peer_address,
+                peer_api.handle,
+                self._peer_message_limits,
+                self.clock,
+                held=self.held_bytes,
             ),
             metrics=HttpServer(
                 settings.metrics_address, self.metrics.handle, default_limits, self.clock
--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -39,6 +39,8 @@
 """How often a request that waits for its first response is checked: a newer version of its adapter
 may have been requested, and the request must not begin on the old one."""
 
+TOO_MANY_BYTES: Final = "too many bytes of answers are held"
+
 EVENT_STREAM_TYPE: Final = b"text/event-stream"
 
 ReadResult = TypeVar("ReadResult")
@@ -143,7 +145,7 @@
             connection.send(build_head(), self._request.body, self._request.method == b"HEAD")
             answer_head, terms = self._read_matching_head(connection)
             if splitter is None or not _is_event_stream(answer_head):
-                result = self._read_whole(connection, answer_head, terms, reply, splitter)
+                result = self._read_whole(connection, answer_head, terms, reply)
             else:
                 result = self._forward_stream(connection, answer_head, terms, reply, splitter)
             is_reusable = True
@@ -192,7 +194,6 @@
         head: AnswerHead,
         terms: AnswerTerms,
         reply: Reply,
-        splitter: EventSplitter | None,
     ) -> AttemptResult:
         """Read an answer to its end before any byte of it is forwarded.
 
@@ -205,8 +206,12 @@
         while (piece := connection.read_piece(self._answer_deadline_ms)) is not None:
             pieces.append(piece)
             size += len(piece)
-            if size > REPLY_BUFFER_BYTES and not reply.started and splitter is None:
+            if size > REPLY_BUFFER_BYTES:
+                if reply.started:
+                    raise BrokenAnswer("the answer is too large to replace the rest of a stream")
                 return self._forward_large(connection, head, b"".join(pieces), reply)
+            if not reply.keep(size):
+                raise BrokenAnswer(TOO_MANY_BYTES)
         if terms.not_run:
             return Rejected(f"status {head.status}", terms.retry_after_ms, head.status == 421)
         return Whole(head, terms, b"".join(pieces))
@@ -247,6 +252,8 @@
             events = splitter.feed(piece)
             if len(splitter.incomplete) > MAX_EVENT_BYTES:
                 raise BrokenAnswer("an event is too long")
+            if not reply.keep(len(splitter.incomplete)):
+                raise BrokenAnswer(TOO_MANY_BYTES)
             if not events:
                 continue
             if not has_begun and splitter.event_count > earlier_count:
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -92,6 +92,7 @@
     LinesSuppressed,
     LogLinesDropped,
     NotBound,
+    SlowCallerEnded,
 )
 
 __all__ = [
@@ -149,6 +150,7 @@
     "ServiceReachable",
     "ServiceUnreachable",
     "SlotsFull",
+    "SlowCallerEnded",
     "SoftwareVersionsChanged",
     "SoftwareVersionsRecorded",
     "StreamVersionSearched",
--- a/monsoonflow/logs/events/transport.py
+++ b/monsoonflow/logs/events/transport.py
@@ -16,6 +16,18 @@
     cause: str
 
 
+@event
+class SlowCallerEnded(Event):
+    """A caller that reads too slowly was cut off, since too many bytes of answers are held."""
+
+    # ``held_bytes`` are those that are held for all other callers, ``ended`` counts such callers
+    # since the process started.
+
+    address: str
+    held_bytes: int
+    ended: int
+
+
 @event
 class NotBound(Event):
     """Binding a listening address failed."""
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -54,14 +54,16 @@
             self._reader.expect_no_body()
         self.request_count += 1
         if len(body) > BACKGROUND_BODY_BYTES:
-            self._sender = gevent.spawn(self._send_in_background, head + body)
+            self._sender = gevent.spawn(self._send_in_background, head, body)
             return
         self._sock.settimeout(2.0)
         self._sock.sendall(head + body)
 
-    def _send_in_background(self, data: bytes) -> bool:
+    def _send_in_background(self, head: bytes, body: bytes) -> bool:
+        # Not joined: a server that reads slowly would make the node hold the body twice.
         try:
-            self._sock.sendall(data)
+            self._sock.sendall(head)
+            self._sock.sendall(body)
         except OSError:
             return False
         return True
--- a/monsoonflow/transport/codec.py
+++ b/monsoonflow/transport/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 import httptools
@@ -27,10 +28,17 @@
     The library rejects conflicting lengths, folded headers, bare line ends and the like. This class
     also rejects what the library accepts (two ``Host`` headers, transfer codings other than
     ``chunked``, absolute targets) and enforces the limits.
+
+    :param may_hold: returns whether the bytes of all bodies that were received and not yet released
+        may be held; ``held_bytes`` is reduced by whoever has served a request.
     """
 
-    def __init__(self, limits: MessageLimits) -> None:
+    def __init__(
+        self, limits: MessageLimits, may_hold: Callable[[int], bool] = lambda _bytes: True
+    ) -> None:
         self.limits = limits
+        self.held_bytes = 0
+        self._may_hold = may_hold
         self.complete_requests: deque[Request] = deque()
         self.has_begun = False
         self.wants_continue = False
@@ -105,6 +113,10 @@
         if self._body_bytes > self.limits.body_bytes:
             self._refuse(413, "the body is too large")
             return
+        self.held_bytes += len(piece)
+        if not self._may_hold(self.held_bytes):
+            self._refuse(503, "too many bytes of requests are held")
+            return
         self._body.append(piece)
 
     def on_message_complete(self) -> None:
--- a/monsoonflow/transport/const.py
+++ b/monsoonflow/transport/const.py
@@ -35,6 +35,10 @@
 WRITE_TIMEOUT_MS: Final = 5_000
 """Longest wait for a peer that does not read what is sent to it."""
 
+SEND_BUFFER_BYTES: Final = 131_072
+"""What the kernel holds for a caller that does not read; it uses twice this value. By default it
+would grow to 4 MB a connection. A link of 200 Mbit/s with a round trip of 5 ms needs 125 KB."""
+
 LINGER_MS: Final = 300
 """How long a caller's remaining bytes are read before its connection is closed.
 
--- /dev/null
+++ b/monsoonflow/transport/held_bytes.py
@@ -0,0 +1,165 @@
+"""Bounds the bytes that a node holds for callers and servers that read slowly."""
+
+from __future__ import annotations
+
+from typing import Final, Protocol
+
+import attrs
+
+MAX_ANSWER_BYTES: Final = 16 << 20
+"""Bytes of answers held for all callers together: a tenth of the memory of the smallest nodes, and
+fifty answers of the largest size that is read completely before it is forwarded."""
+
+MAX_BODY_BYTES: Final = 16 << 20
+"""Bytes held of large bodies together, and of small bodies together. One caller's single body is
+always held, up to the limit of the configuration."""
+
+SMALL_BODY_BYTES: Final = 65_536
+"""Bodies up to this size do not share a limit with larger ones: some large bodies for a server that
+reads slowly must not keep out typical requests of 10 KB for others."""
+
+
+class Sender(Protocol):
+    """A connection that sends to a caller."""
+
+    def end_slow_send(self) -> None:
+        """End the send in progress and close the connection."""
+
+
+@attrs.define(slots=True)
+class _Held:
+    """What is held for one caller.
+
+    :param kept_bytes: received from a server and not being sent yet.
+    :param sending_bytes: of the send in progress.
+    """
+
+    kept_bytes: int = 0
+    sending_bytes: int = 0
+
+
+class AnswerBytes:
+    """The bytes of answers that callers have not read yet.
+
+    If they exceed the limit, the sends that have been in progress for the longest are ended. A
+    caller that reads has a send in progress for a moment only, so it loses nothing.
+
+    :param max_bytes: limit for all callers together; a single send may exceed it.
+    """
+
+    def __init__(self, max_bytes: int = MAX_ANSWER_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._held_by_sender: dict[Sender, _Held] = {}
+        self._sending: dict[Sender, None] = {}
+        self.total = 0
+        self.peak = 0
+        self.ended_count = 0
+
+    def begin_send(self, sender: Sender, size: int) -> None:
+        """Count bytes that are about to be sent."""
+        held = self._held_by_sender.setdefault(sender, _Held())
+        held.sending_bytes = size
+        self.total += size
+        self._sending[sender] = None
+        self._end_slow_sends(sender)
+
+    def end_send(self, sender: Sender) -> None:
+        """Count a send as complete; does nothing if it was ended."""
+        if sender not in self._sending:
+            return
+        del self._sending[sender]
+        held = self._held_by_sender[sender]
+        self.total -= held.sending_bytes
+        held.sending_bytes = 0
+        if not held.kept_bytes:
+            del self._held_by_sender[sender]
+
+    def keep(self, sender: Sender, size: int) -> bool:
+        """Count bytes that were received for a caller; return whether they may be kept.
+
+        :param size: all that is kept for it; replaces the earlier value.
+        """
+        held = self._held_by_sender.get(sender)
+        if held is None:
+            if not size:
+                return True
+            held = self._held_by_sender[sender] = _Held()
+        self.total += size - held.kept_bytes
+        held.kept_bytes = size
+        if not size and sender not in self._sending:
+            del self._held_by_sender[sender]
+            return True
+        self._end_slow_sends(sender)
+        return self.total <= self._max_bytes or self.total == size
+
+    def release(self, sender: Sender) -> None:
+        """Drop all that is held for a caller."""
+        self._sending.pop(sender, None)
+        held = self._held_by_sender.pop(sender, None)
+        if held is not None:
+            self.total -= held.kept_bytes + held.sending_bytes
+
+    def _end_slow_sends(self, newest: Sender) -> None:
+        while self.total > self._max_bytes and self._sending:
+            slowest = next(iter(self._sending))
+            if slowest is newest:
+                break
+            self.release(slowest)
+            self.ended_count += 1
+            slowest.end_slow_send()
+        self.peak = max(self.peak, self.total)
+
+
+class BodyBytes:
+    """The bytes of requests that are being received, and of those that servers have not read yet.
+
+    :param max_bytes: limit for small bodies together, and for large ones together.
+
+    >>> bodies = BodyBytes(max_bytes=200_000)
+    >>> [bodies.hold(name, 150_000) for name in ("a", "b")], bodies.hold("c", 10_000)
+    ([True, False], True)
+    >>> bodies.hold("a", 0), bodies.hold("b", 150_000), bodies.total
+    (True, True, 160000)
+    """
+
+    def __init__(self, max_bytes: int = MAX_BODY_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._bytes_by_holder: dict[object, int] = {}
+        self._total_by_is_large = {False: 0, True: 0}
+        self.peak = 0
+        self.refused_count = 0
+
+    @property
+    def total(self) -> int:
+        """Return the bytes that are held."""
+        return sum(self._total_by_is_large.values())
+
+    def hold(self, holder: object, size: int) -> bool:
+        """Count the bytes of a caller's requests; return whether they may be held.
+
+        :param size: all bytes of the caller; replaces the earlier value. It is not counted if it
+            may not be held.
+        """
+        before = self._bytes_by_holder.get(holder, 0)
+        if before:
+            self._total_by_is_large[before > SMALL_BODY_BYTES] -= before
+        is_large = size > SMALL_BODY_BYTES
+        others = self._total_by_is_large[is_large]
+        is_held = size <= before or others + size <= self._max_bytes or not others
+        self.refused_count += not is_held
+        kept = size if is_held else before
+        self._total_by_is_large[kept > SMALL_BODY_BYTES] += kept
+        if kept:
+            self._bytes_by_holder[holder] = kept
+        else:
+            self._bytes_by_holder.pop(holder, None)
+        self.peak = max(self.peak, self.total)
+        return is_held
+
+
+@attrs.frozen(slots=True)
+class HeldBytes:
+    """All that a server holds for its callers; several servers may share it."""
+
+    answers: AnswerBytes = attrs.Factory(AnswerBytes)
+    bodies: BodyBytes = attrs.Factory(BodyBytes)
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -20,13 +20,19 @@
     LISTEN_BACKLOG,
     MAX_PENDING_BYTES,
     READ_BYTES,
+    SEND_BUFFER_BYTES,
     WRITE_TIMEOUT_MS,
 )
+from .held_bytes import HeldBytes
 from .models import BadMessage, CallerLeft, Header, MessageLimits, Request
 from .sockets import FLUSH_AT_CLOSE, RESET_AT_CLOSE, set_socket_options, split_address
 
 _LOGGER = logging.getLogger(__name__)
 IDLE_CHECK_INTERVAL_S = 0.02
+FULL_RETRY_AFTER_S = 1
+"""When a caller may retry whose request could not be held: bodies are released as requests end,
+typically within a second."""
+
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -120,6 +126,10 @@
         if data:
             self._send(self._frame(data))
 
+    def keep(self, size: int) -> bool:
+        """Count the bytes of the answer that are kept and not sent; return whether they may be."""
+        return self._connection.keep(size)
+
     def finish(self) -> None:
         """Complete the answer.
 
@@ -176,7 +186,8 @@
     def __init__(self, sock: socket.socket, server: HttpServer) -> None:
         self._sock = sock
         self._http_server = server
-        self._reader = RequestReader(server.limits())
+        self._reader = RequestReader(server.limits(), self._may_hold_bodies)
+        self._sender: gevent.Greenlet | None = None
         self._close_after_answer = False
         self._pending = b""
         self._is_closed = False
@@ -185,6 +196,7 @@
         """Serve requests until either side closes the connection."""
         try:
             set_socket_options(self._sock)
+            self._sock.setsockopt(native.SOL_SOCKET, native.SO_SNDBUF, SEND_BUFFER_BYTES)
             while self._serve_one():
                 pass
         except BadMessage as error:
@@ -192,6 +204,8 @@
         except (OSError, CallerLeft):
             pass
         finally:
+            self._http_server.held.answers.release(self)
+            self._http_server.held.bodies.hold(self, 0)
             self._sock.close()
 
     def connection_header(self) -> bytes:
@@ -216,10 +230,32 @@
         :raises CallerLeft: when the caller has closed the connection or does not read.
         """
         self._sock.settimeout(WRITE_TIMEOUT_MS / 1000)
+        answers = self._http_server.held.answers
+        self._sender = gevent.getcurrent()
+        answers.begin_send(self, len(data))
         try:
             self._sock.sendall(data)
         except OSError as error:
             raise CallerLeft(str(error)) from None
+        finally:
+            answers.end_send(self)
+
+    def end_slow_send(self) -> None:
+        """End a send whose caller reads too slowly, since the node holds too many bytes."""
+        answers = self._http_server.held.answers
+        log(
+            _LOGGER,
+            events.SlowCallerEnded(self._http_server.address, answers.total, answers.ended_count),
+        )
+        if self._sender is not None:
+            self._sender.kill(CallerLeft("reads too slowly"), block=False)
+
+    def keep(self, size: int) -> bool:
+        """Count the bytes of an answer that are kept for the caller."""
+        return self._http_server.held.answers.keep(self, size)
+
+    def _may_hold_bodies(self, size: int) -> bool:
+        return self._http_server.held.bodies.hold(self, size + len(self._pending))
 
     def _serve_one(self) -> bool:
         request = self._next_request()
@@ -232,6 +268,9 @@
             self._handle(request, reply)
         finally:
             self._http_server.active_count -= 1
+            self._http_server.held.answers.keep(self, 0)
+            self._reader.held_bytes -= len(request.body)
+            self._may_hold_bodies(self._reader.held_bytes)
         if not reply.finished:
             # Closing without the proper end shows the caller that the answer is incomplete.
             return False
@@ -278,7 +317,8 @@
             data = b""
         if data:
             self._pending += data
-            if len(self._pending) > MAX_PENDING_BYTES:
+            may_hold = self._may_hold_bodies(self._reader.held_bytes)
+            if len(self._pending) > MAX_PENDING_BYTES or not may_hold:
                 watcher.stop()  # type: ignore[attr-defined]
             return
         watcher.stop()  # type: ignore[attr-defined]
@@ -334,7 +374,10 @@
         log(_LOGGER, events.BadMessage(status=error.status, cause=error.reason))
         try:
             content_type, body = self._http_server.refusal(error)
-            Reply(self).send_whole(error.status, [(b"Content-Type", content_type)], body)
+            headers = [(b"Content-Type", content_type)]
+            if error.status == 503:
+                headers.append((b"Retry-After", b"%d" % FULL_RETRY_AFTER_S))
+            Reply(self).send_whole(error.status, headers, body)
             self._close_gracefully()
         except (CallerLeft, OSError):
             return
@@ -368,6 +411,7 @@
     :param tls: the TLS context, or ``None`` for plain TCP.
     :param ends_with_caller: whether a handler is ended when its caller closes the connection.
     :param refusal: returns content type and body of the answer to a rejected message.
+    :param held: bounds the bytes that are held for all callers; ``None`` for a bound of its own.
     """
 
     def __init__(
@@ -379,12 +423,14 @@
         tls: ssl.SSLContext | None = None,
         ends_with_caller: bool = True,
         refusal: RefusalFormatter = plain_text_refusal,
+        held: HeldBytes | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
         self.limits = limits
         self.clock = clock
         self.refusal = refusal
+        self.held = held or HeldBytes()
         self.ends_with_caller = ends_with_caller
         self.keeps_alive = True
         self.active_count = 0
--- a/tests/gateway/test_server_notices.py
+++ b/tests/gateway/test_server_notices.py
@@ -75,6 +75,10 @@
     def finish(self):
         """Accept the end."""
 
+    def keep(self, _size):
+        """Allow any number of bytes to be kept."""
+        return True
+
 
 def answer(status, *headers):
     return AnswerHead(status, b"", [OWN_ID, *headers], None, True)
--- /dev/null
+++ b/tests/transport/test_held_bytes.py
@@ -0,0 +1,281 @@
+"""Tests of the bounds on what a node holds for callers and servers that read slowly."""
+
+from __future__ import annotations
+
+import tracemalloc
+
+import attrs
+import gevent
+import pytest
+from gevent import socket
+
+from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.transport.client import ConnectionPools
+from monsoonflow.transport.held_bytes import (
+    SMALL_BODY_BYTES,
+    AnswerBytes,
+    BodyBytes,
+    HeldBytes,
+)
+from monsoonflow.transport.models import MessageLimits, Request
+from monsoonflow.transport.server import HttpServer, Reply
+from script.ports import free_port
+
+PIECE = b"x" * 65_536
+LIMIT_BYTES = 1 << 20
+SLOW_CALLERS = 60
+READ_PIECES = 200
+
+
+@attrs.define(eq=False)
+class RecordedSender:
+    """A connection that records whether its send was ended."""
+
+    ended: bool = False
+
+    def end_slow_send(self) -> None:
+        """Record it."""
+        self.ended = True
+
+
+@pytest.fixture
+def senders() -> list[RecordedSender]:
+    """Return five connections."""
+    return [RecordedSender() for _ in range(5)]
+
+
+def test_the_sends_that_are_in_progress_for_the_longest_are_ended_first(senders):
+    """A caller that reads has a send in progress for a moment only, and must lose nothing."""
+    answers = AnswerBytes(max_bytes=300)
+    for sender in senders[:3]:
+        answers.begin_send(sender, 100)
+    answers.end_send(senders[0])
+    answers.begin_send(senders[0], 100)
+    answers.begin_send(senders[3], 100)
+    assert [sender.ended for sender in senders] == [False, True, False, False, False]
+    assert (answers.total, answers.ended_count) == (300, 1)
+    answers.end_send(senders[1])
+    assert answers.total == 300
+
+
+def test_a_single_large_send_is_not_ended(senders):
+    """The configuration of a peer may be larger than the limit; it is held for one connection."""
+    answers = AnswerBytes(max_bytes=300)
+    answers.begin_send(senders[0], 1_000)
+    assert not senders[0].ended
+
+
+def test_what_is_kept_counts_until_it_is_released(senders):
+    """An incomplete event of 1 MB for each of hundreds of streams would use up the memory."""
+    answers = AnswerBytes(max_bytes=300)
+    assert answers.keep(senders[0], 200)
+    assert answers.keep(senders[0], 250)
+    assert not answers.keep(senders[1], 100)
+    assert answers.keep(senders[0], 50)
+    assert answers.keep(senders[1], 100)
+    answers.begin_send(senders[2], 100)
+    answers.begin_send(senders[3], 100)
+    assert [sender.ended for sender in senders[:4]] == [False, False, True, False]
+    for sender in senders:
+        answers.release(sender)
+        answers.end_send(sender)
+    assert answers.total == 0
+
+
+def test_large_bodies_do_not_keep_out_small_ones():
+    """Large bodies for a server that reads slowly must not refuse typical requests for others."""
+    bodies = BodyBytes(max_bytes=10 * SMALL_BODY_BYTES)
+    held = [bodies.hold(number, 2 * SMALL_BODY_BYTES) for number in range(50)]
+    assert sum(held) == 5
+    small = [bodies.hold(f"small{number}", SMALL_BODY_BYTES) for number in range(50)]
+    assert sum(small) == 10
+    assert bodies.total == bodies.peak == 20 * SMALL_BODY_BYTES
+    for number in range(50):
+        bodies.hold(number, 0)
+        bodies.hold(f"small{number}", 0)
+    assert bodies.total == 0
+
+
+def test_a_body_that_grows_becomes_a_large_one():
+    """A body is received in pieces: its size is not known in advance if it is sent in chunks."""
+    bodies = BodyBytes(max_bytes=3 * SMALL_BODY_BYTES)
+    assert bodies.hold("a", 3 * SMALL_BODY_BYTES)
+    assert [bodies.hold("b", size * SMALL_BODY_BYTES) for size in (1, 2, 1)] == [True, False, True]
+    assert bodies.total == 4 * SMALL_BODY_BYTES
+
+
+def test_one_body_is_held_whatever_its_size():
+    """The operator may allow bodies that are larger than the limit for all together."""
+    bodies = BodyBytes(max_bytes=100)
+    assert bodies.hold("a", 10 * SMALL_BODY_BYTES)
+    assert not bodies.hold("b", 2 * SMALL_BODY_BYTES)
+
+
+@attrs.define
+class LimitedServer:
+    """A server with small bounds."""
+
+    server: HttpServer
+    held: HeldBytes
+    port: int
+
+    def connect(self, data: bytes) -> socket.socket:
+        """Return a connection over which a request was sent."""
+        connection = socket.create_connection(("127.0.0.1", self.port), timeout=10)
+        connection.sendall(data)
+        return connection
+
+
+@pytest.fixture
+def listen_limited():
+    """Return a function that starts a server with small bounds."""
+    servers: list[HttpServer] = []
+
+    def start(handler) -> LimitedServer:
+        held = HeldBytes(AnswerBytes(LIMIT_BYTES), BodyBytes(LIMIT_BYTES))
+        port = free_port()
+        server = HttpServer(
+            f"127.0.0.1:{port}", handler, MessageLimits, MonotonicClock(), held=held
+        )
+        assert server.start()
+        servers.append(server)
+        return LimitedServer(server, held, port)
+
+    with gevent.Timeout(30):
+        yield start
+    for server in servers:
+        server.stop_listening()
+
+
+def read_all(connection: socket.socket) -> bytes:
+    """Return all that is received until the connection ends."""
+    received = []
+    while piece := connection.recv(1 << 20):
+        received.append(piece)
+    return b"".join(received)
+
+
+def send_pieces(_request: Request, reply: Reply) -> None:
+    """Send a large answer in pieces, as a stream is forwarded."""
+    reply.begin(200, [], None)
+    for _ in range(READ_PIECES):
+        reply.write(PIECE)
+    reply.finish()
+
+
+def test_with_all_callers_slow_at_once_the_node_holds_a_bounded_number_of_bytes(listen_limited):
+    """Sixty callers do not read; without a bound, 64 KB and more were held for each of them."""
+    running = listen_limited(send_pieces)
+    slow = [running.connect(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n") for _ in range(SLOW_CALLERS)]
+    gevent.sleep(1.0)
+    answers = running.held.answers
+    assert LIMIT_BYTES // 2 < answers.peak <= LIMIT_BYTES + len(PIECE) + 100
+    assert answers.ended_count >= SLOW_CALLERS - LIMIT_BYTES // len(PIECE) - 1
+    assert running.server.active_count <= LIMIT_BYTES // len(PIECE) + 1
+    for connection in slow:
+        connection.close()
+    gevent.sleep(0.2)
+    assert answers.total == 0
+
+
+def test_callers_that_read_lose_nothing_by_those_that_do_not(listen_limited):
+    """While the bound is reached all the time, five callers that read get all of their answers."""
+    running = listen_limited(send_pieces)
+    request = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    slow = [running.connect(request) for _ in range(SLOW_CALLERS)]
+    gevent.sleep(0.3)
+    reading = [gevent.spawn(read_all, running.connect(request)) for _ in range(5)]
+    slow += [running.connect(request) for _ in range(SLOW_CALLERS)]
+    gevent.joinall(reading, timeout=20)
+    framed_bytes = READ_PIECES * (len(PIECE) + len(b"10000\r\n\r\n"))
+    for task in reading:
+        assert task.value.endswith(b"0\r\n\r\n")
+        assert len(task.value) > framed_bytes
+    assert running.held.answers.ended_count > 0
+    for connection in slow:
+        connection.close()
+
+
+def test_a_slow_callers_connection_is_closed_and_the_answer_does_not_look_complete(listen_limited):
+    """A caller that was cut off must notice: its answer ends without the last chunk."""
+    running = listen_limited(send_pieces)
+    request = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    slow = [running.connect(request) for _ in range(SLOW_CALLERS)]
+    gevent.sleep(0.5)
+    received = []
+    for connection in slow:
+        try:
+            received.append(read_all(connection))
+        except OSError:
+            received.append(b"")
+    complete = sum(data.endswith(b"\r\n0\r\n\r\n") for data in received)
+    assert complete == SLOW_CALLERS - running.held.answers.ended_count
+
+
+def test_bodies_for_a_server_that_reads_slowly_are_bounded_and_small_requests_are_served(
+    listen_limited,
+):
+    """A node holds the bodies of requests in progress; a server that hangs keeps them there."""
+    release = gevent.event.Event()
+
+    def hang_if_large(request: Request, reply: Reply) -> None:
+        if len(request.body) > SMALL_BODY_BYTES:
+            release.wait(10)
+        reply.send_whole(200, [], b"ok")
+
+    running = listen_limited(hang_if_large)
+    body = b"x" * 300_000
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\n\r\n"
+    large = [running.connect(head % len(body) + body) for _ in range(10)]
+    gevent.sleep(0.5)
+    assert running.server.active_count == LIMIT_BYTES // len(body)
+    small = [running.connect(head % 10_000 + b"x" * 10_000) for _ in range(20)]
+    assert all(read_all(connection).startswith(b"HTTP/1.1 200") for connection in small)
+    release.set()
+    answers = sorted(read_all(connection)[:12] for connection in large)
+    assert answers == [b"HTTP/1.1 200"] * 3 + [b"HTTP/1.1 503"] * 7
+    gevent.sleep(0.1)
+    assert running.held.bodies.total == 0
+    assert running.held.bodies.peak <= 2 * LIMIT_BYTES
+
+
+def test_a_refused_body_is_answered_with_the_time_of_a_retry(listen_limited):
+    """Nothing ran, and the caller may retry."""
+    running = listen_limited(lambda _request, reply: reply.send_whole(200, []))
+    running.held.bodies.hold("other", LIMIT_BYTES)
+    body = b"x" * (2 * SMALL_BODY_BYTES)
+    connection = running.connect(
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    )
+    answer = read_all(connection)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"Retry-After: 1\r\n" in answer
+
+
+def test_bodies_are_released_between_requests_of_one_connection(listen_limited):
+    """A connection is kept open for long; what earlier requests held must not add up."""
+    running = listen_limited(lambda request, reply: reply.send_whole(200, [], b"ok"))
+    request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + b"x" * 200_000
+    connection = running.connect(b"")
+    for _ in range(20):
+        connection.sendall(request)
+        assert connection.recv(1_000).startswith(b"HTTP/1.1 200")
+        assert running.held.bodies.total == 0
+
+
+def test_a_body_is_not_copied_for_a_server_that_reads_slowly():
+    """The body was joined with the head, so that the node held it twice during the send."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    pools = ConnectionPools(MonotonicClock())
+    connection = pools.open(f"127.0.0.1:{listener.getsockname()[1]}")
+    body = b"x" * (16 << 20)
+    tracemalloc.start()
+    try:
+        connection.send(b"POST / HTTP/1.1\r\nHost: h\r\n\r\n", body)
+        gevent.sleep(0.1)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        connection.close()
+        listener.close()
+    assert held_bytes < len(body) / 4
