Memory of runners: the age of reports is computed only for lines that are written

At 1,100 nodes, each decision went through all peers although most lines are sampled away. Tests with a lost store and a killed lease holder.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -662,6 +662,7 @@
             self.metrics,
             lambda: self._answer_age_ms("servers"),
             lambda: self.configuration_status().age_ms,
+            lambda: self.backlog.reports_age_ms(self.clock.now_ms()),
         )
         self.runner_memory = RunnerMemory(self.backlog, on_decision=request_log.log_memory_decision)
         engine_chooser = RunnerChooser(
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -71,6 +71,8 @@
         it never did.
     :param config_age_ms: returns how long ago the store last confirmed the configuration; ``None``
         if unknown.
+    :param reports_age_ms: returns the age of the oldest report of a peer that counts; ``None``
+        without peers.
     """
 
     def __init__(
@@ -79,11 +81,13 @@
         metrics: RequestMetrics,
         servers_age_ms: Callable[[], int | None] = lambda: None,
         config_age_ms: Callable[[], int | None] = lambda: None,
+        reports_age_ms: Callable[[], int | None] = lambda: None,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._servers_age_ms = servers_age_ms
         self._config_age_ms = config_age_ms
+        self._reports_age_ms = reports_age_ms
         self._sampler = Sampler()
 
     def log_unauthorized(
@@ -135,32 +139,40 @@
 
     def log_memory_decision(self, decision: MemoryDecision) -> None:
         """Log and count that a request was refused, or runners left out, for want of memory."""
-        if not decision.full_lives:
-            self._metrics.count_memory_decision("too_large")
-            event: events.Event = events.RequestTooLarge(
+        result = "too_large"
+        if decision.full_lives:
+            result = "left_out" if decision.has_other else "no_room"
+        self._metrics.count_memory_decision(result)
+        if not self._sampler.allows("memory", result, self._clock.now_ms()):
+            return
+        if decision.full_lives:
+            log(_LOGGER, self._runners_full(decision))
+            return
+        log(
+            _LOGGER,
+            events.RequestTooLarge(
                 request=decision.request_id,
                 prompt=decision.prompt_tokens,
                 hint=decision.hint_tokens,
                 capacity=decision.capacity_tokens,
                 config=decision.config_version,
                 config_age_ms=self._config_age_ms(),
-            )
-        else:
-            self._metrics.count_memory_decision("left_out" if decision.has_other else "no_room")
-            event = events.RunnersFull(
-                request=decision.request_id,
-                need=decision.need_tokens,
-                prompt=decision.prompt_tokens,
-                hint=decision.hint_tokens,
-                margin=decision.margin,
-                capacity=decision.capacity_tokens,
-                least_used=decision.least_used_tokens,
-                runners=",".join(decision.full_lives[:MAX_LOGGED_RUNNERS]),
-                has_other=decision.has_other,
-                reports_age_ms=decision.reports_age_ms,
-            )
-        if self._sampler.allows("memory", type(event).__name__, self._clock.now_ms()):
-            log(_LOGGER, event)
+            ),
+        )
+
+    def _runners_full(self, decision: MemoryDecision) -> events.RunnersFull:
+        return events.RunnersFull(
+            request=decision.request_id,
+            need=decision.need_tokens,
+            prompt=decision.prompt_tokens,
+            hint=decision.hint_tokens,
+            margin=decision.margin,
+            capacity=decision.capacity_tokens,
+            least_used=decision.least_used_tokens,
+            runners=",".join(decision.full_lives[:MAX_LOGGED_RUNNERS]),
+            has_other=decision.has_other,
+            reports_age_ms=self._reports_age_ms(),
+        )
 
     def log_accepted(self, job: Job, config_version: int) -> None:
         """Log that a request was accepted for a route."""
--- a/monsoonflow/gateway/runner_memory.py
+++ b/monsoonflow/gateway/runner_memory.py
@@ -45,7 +45,6 @@
     :param least_used_tokens: KV cache in use at the least used of these runners; ``None`` if no
         runner was compared.
     :param has_other: whether another runner has room.
-    :param reports_age_ms: age of the oldest report of a peer that counts; ``None`` without peers.
     :param config_version: of the configuration that states the capacity.
     """
 
@@ -58,7 +57,6 @@
     full_lives: tuple[ServerLife, ...] = ()
     least_used_tokens: int | None = None
     has_other: bool = False
-    reports_age_ms: int | None = None
     config_version: int = 0
 
 
@@ -143,7 +141,6 @@
                     full_lives=tuple(used_by_life),
                     least_used_tokens=min(used_by_life.values()),
                     has_other=bool(fitting),
-                    reports_age_ms=self._backlog.reports_age_ms(now_ms),
                 )
             )
         return fitting
--- a/tests/entry/test_runner_memory.py
+++ b/tests/entry/test_runner_memory.py
@@ -175,3 +175,29 @@
     assert "cell=llm adapter=m/a1 need=120 capacity=100000 left_out=" in line
     assert "result=noslot" in line
     assert node.daemon.metrics.memory_decisions.labels("slots_full")._value.get() == 1
+
+
+def test_without_the_store_the_memory_is_still_respected(fleet, node, runners):
+    """Only heartbeats and slot requests are used, so a lost store changes nothing."""
+    full, other = lives(node)
+    use_memory(node, full, KV_TOKENS)
+    fleet.store.stop()
+    gevent.sleep(0.5)
+    for number in range(4):
+        assert fleet.generate(node, "a1", f"r{number}").head.status == 200
+    by_life = {runner.server_id: len(runner.requests) for runner in runners}
+    assert (by_life[full.server_id], by_life[other.server_id]) == (0, 4)
+
+
+def test_after_the_lease_holder_was_killed_the_memory_is_still_respected(fleet, node, runners):
+    """The other node sends by its own view until a successor plans, which knows the reports."""
+    survivor = fleet.node()
+    wait_for(lambda: len(lives(survivor)) == 2)
+    full, other = lives(survivor)
+    use_memory(survivor, full, KV_TOKENS)
+    fleet.holder().kill()
+    for number in range(20):
+        assert fleet.generate(survivor, "a1", f"r{number}").head.status == 200
+        gevent.sleep(0.1)
+    by_life = {runner.server_id: len(runner.requests) for runner in runners}
+    assert (by_life[full.server_id], by_life[other.server_id]) == (0, 20)
--- a/tests/gateway/test_runner_memory.py
+++ b/tests/gateway/test_runner_memory.py
@@ -59,6 +59,7 @@
 
     view: FleetView
     in_flight: InFlight
+    backlog: Backlog
     decisions: list[MemoryDecision]
     memory: RunnerMemory
     runners: list[BackendServer]
@@ -81,9 +82,10 @@
 
     def make(is_enabled: bool = True) -> MemoryOfNode:
         view, in_flight, decisions = FleetView("n"), InFlight(), []
-        memory = RunnerMemory(Backlog(in_flight, view), is_enabled, decisions.append)
+        backlog = Backlog(in_flight, view)
+        memory = RunnerMemory(backlog, is_enabled, decisions.append)
         runners = [BackendServer(life, "s", "10.0.0.1:80", "dc") for life in LIVES[:2]]
-        return MemoryOfNode(view, in_flight, decisions, memory, runners)
+        return MemoryOfNode(view, in_flight, backlog, decisions, memory, runners)
 
     return make
 
@@ -95,7 +97,7 @@
     assert node.fitting(job_of(hint=50)) == [LIVES[1]]
     [decision] = node.decisions
     assert decision == MemoryDecision(
-        "q", 2_200, 2_000, 50, 4.0, KV_TOKENS, (LIVES[0],), 118_000, True, 0
+        "q", 2_200, 2_000, 50, 4.0, KV_TOKENS, (LIVES[0],), 118_000, True
     )
 
 
@@ -248,9 +250,14 @@
     """The cause of a wait or a refusal must be found in the log."""
     caplog.set_level("INFO")
     metrics = EntryMetrics()
-    request_log = RequestLog(ManualClock(NOW_MS), metrics, config_age_ms=lambda: 90)
     node = make_node()
     node.report(118_000)
+    request_log = RequestLog(
+        ManualClock(NOW_MS),
+        metrics,
+        config_age_ms=lambda: 90,
+        reports_age_ms=lambda: node.backlog.reports_age_ms(NOW_MS + 150),
+    )
     node.fitting(job_of(hint=50))
     too_large = job_of(prompt_tokens=KV_TOKENS)
     too_large.config_version = 7
@@ -260,7 +267,7 @@
     lines = [record.getMessage() for record in caplog.records if "request_log" in record.name]
     assert lines == [
         "event=runners_full request=q need=2200 prompt=2000 hint=50 margin=4.0 capacity=120000"
-        " least_used=118000 runners=i-0 has_other=True reports_age_ms=0",
+        " least_used=118000 runners=i-0 has_other=True reports_age_ms=150",
         "event=request_too_large request=q prompt=120000 capacity=120000 config=7 config_age_ms=90",
     ]
     counts = {
