--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -31,6 +31,7 @@
 from ..gateway.quota_peers import QuotaPeerTracker
 from ..gateway.request_log import RequestLog
 from ..gateway.runner_chooser import RunnerChooser
+from ..gateway.runner_memory import RunnerMemory
 from ..gateway.server_limits import SharedServerLimits
 from ..gateway.service_paths import ServicePaths
 from ..gateway.usage_announcer import UsageAnnouncer
@@ -53,6 +54,7 @@
 from ..storage.models import ChangedRow, ChangeFeed, RawTable
 from ..storage.retrying_table import RetryingTable
 from ..transport.client import ConnectionPools
+from ..transport.held_bytes import HeldBytes
 from ..transport.models import MessageLimits
 from ..transport.server import Handler, HttpServer
 from .address_directory import AddressDirectory
@@ -160,6 +162,7 @@
         self.connection_pools = ConnectionPools(self.clock)
         self.forwarding_pools = ConnectionPools(self.clock)
         self.metrics = EntryMetrics()
+        self.held_bytes = HeldBytes()
         self.stall_detector = StallDetector(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._heartbeat_sequence = 0
         self._lost_services_by_peer: dict[str, frozenset[str]] = {}
@@ -524,6 +527,19 @@
             self.metrics.add_gauge(name, help_text, read)
 
         cluster_state, now_ms = self.cluster_state, self.clock.now_ms
+        answers, bodies = self.held_bytes.answers, self.held_bytes.bodies
+        gauge("held_answer_bytes", "Bytes of answers held for callers.", lambda: answers.total)
+        gauge("held_body_bytes", "Bytes of requests held.", lambda: bodies.total)
+        gauge(
+            "slow_callers_ended",
+            "Callers cut off since they read too slowly.",
+            lambda: answers.ended_count,
+        )
+        gauge(
+            "bodies_refused",
+            "Requests refused since too many bytes are held.",
+            lambda: bodies.refused_count,
+        )
         gauge("ready", "Whether callers should come here.", lambda: float(self.is_ready()))
         gauge("config_version", "Configuration in force.", lambda: self.config_version())
         gauge(
@@ -646,6 +662,14 @@
             self.rng,
             settings.data_centre,
         )
+        request_log = RequestLog(
+            self.clock,
+            self.metrics,
+            lambda: self._answer_age_ms("servers"),
+            lambda: self.configuration_status().age_ms,
+            lambda: self.backlog.reports_age_ms(self.clock.now_ms()),
+        )
+        self.runner_memory = RunnerMemory(self.backlog, on_decision=request_log.log_memory_decision)
         engine_chooser = RunnerChooser(
             registry,
             self.backlog,
@@ -655,8 +679,8 @@
             self.clock,
             self.rng,
             settings.data_centre,
+            self.runner_memory,
         )
-        request_log = RequestLog(self.clock, self.metrics, lambda: self._answer_age_ms("servers"))
         self.gateway = Gateway(
             self.clock,
             integration.dialect,
@@ -684,6 +708,7 @@
             self.configuration_status,
             self.shared_quota,
             self._handle_server_leaving,
+            self.runner_memory,
         )
         self.address_directory = AddressDirectory(
             self.view,
@@ -705,7 +730,11 @@
         default_limits = MessageLimits
         return Ports(
             callers=HttpServer(
-                settings.callers_address, self.gateway.handle, self._message_limits, self.clock
+                settings.callers_address,
+                self.gateway.handle,
+                self._message_limits,
+                self.clock,
+                held=self.held_bytes,
             ),
             ready=HttpServer(
                 settings.ready_address,
@@ -720,7 +749,11 @@
                 self.clock,
             ),
             peers=HttpServer(
-                settings.peer_address, peer_api.handle, self._peer_message_limits, self.clock
+                settings.peer_address,
+                peer_api.handle,
+                self._peer_message_limits,
+                self.clock,
+                held=self.held_bytes,
             ),
             metrics=HttpServer(
                 settings.metrics_address, self.metrics.handle, default_limits, self.clock
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -16,11 +16,15 @@
 from .configuration_status import ConfigurationStatus
 from .job import Job
 from .models import AtLimit, AttemptResult, Call, Chosen, ForwardedRequest
+from .runner_memory import MemoryDecision
 
 _LOGGER = logging.getLogger(__name__)
 SAMPLED_OUTCOMES: Final = frozenset({"refused"})
 """Outcomes whose log lines are sampled, since they repeat at overload; others are always logged."""
 
+MAX_LOGGED_RUNNERS: Final = 4
+"""Runners named in one line; a popular adapter may be at dozens."""
+
 SUCCESSFUL_OUTCOMES: Final = frozenset({"answered", "passed"})
 
 
@@ -44,6 +48,9 @@
     def count_over_quota(self) -> None:
         """Count a request that was refused since its customer's quota is used up."""
 
+    def count_memory_decision(self, result: str) -> None:
+        """Count a decision by the memory of runners."""
+
     def count_attempt(self, result: str) -> None:
         """Count an attempt at a server by its result."""
 
@@ -62,6 +69,10 @@
 
     :param servers_age_ms: returns how long ago the store last answered about servers; ``None`` if
         it never did.
+    :param config_age_ms: returns how long ago the store last confirmed the configuration; ``None``
+        if unknown.
+    :param reports_age_ms: returns the age of the oldest report of a peer that counts; ``None``
+        without peers.
     """
 
     def __init__(
@@ -69,10 +80,14 @@
         clock: Clock,
         metrics: RequestMetrics,
         servers_age_ms: Callable[[], int | None] = lambda: None,
+        config_age_ms: Callable[[], int | None] = lambda: None,
+        reports_age_ms: Callable[[], int | None] = lambda: None,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._servers_age_ms = servers_age_ms
+        self._config_age_ms = config_age_ms
+        self._reports_age_ms = reports_age_ms
         self._sampler = Sampler()
 
     def log_unauthorized(
@@ -122,6 +137,43 @@
             ),
         )
 
+    def log_memory_decision(self, decision: MemoryDecision) -> None:
+        """Log and count that a request was refused, or runners left out, for want of memory."""
+        result = "too_large"
+        if decision.full_lives:
+            result = "left_out" if decision.has_other else "no_room"
+        self._metrics.count_memory_decision(result)
+        if not self._sampler.allows("memory", result, self._clock.now_ms()):
+            return
+        if decision.full_lives:
+            log(_LOGGER, self._runners_full(decision))
+            return
+        log(
+            _LOGGER,
+            events.RequestTooLarge(
+                request=decision.request_id,
+                prompt=decision.prompt_tokens,
+                hint=decision.hint_tokens,
+                capacity=decision.capacity_tokens,
+                config=decision.config_version,
+                config_age_ms=self._config_age_ms(),
+            ),
+        )
+
+    def _runners_full(self, decision: MemoryDecision) -> events.RunnersFull:
+        return events.RunnersFull(
+            request=decision.request_id,
+            need=decision.need_tokens,
+            prompt=decision.prompt_tokens,
+            hint=decision.hint_tokens,
+            margin=decision.margin,
+            capacity=decision.capacity_tokens,
+            least_used=decision.least_used_tokens,
+            runners=",".join(decision.full_lives[:MAX_LOGGED_RUNNERS]),
+            has_other=decision.has_other,
+            reports_age_ms=self._reports_age_ms(),
+        )
+
     def log_accepted(self, job: Job, config_version: int) -> None:
         """Log that a request was accepted for a route."""
         call, route = job.call, job.route
@@ -165,6 +217,7 @@
                 after_event=last_event_id.decode("latin-1") if last_event_id is not None else None,
                 servers_age_ms=self._servers_age_ms(),
                 software_version=chosen.software_version,
+                memory_tokens=chosen.memory_tokens if queue is not None else None,
             ),
         )
 
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -44,11 +44,15 @@
     RequestForwarded,
     RequestOverQuota,
     RequestSent,
+    RequestTooLarge,
     RequestUnauthorized,
     RequestWaited,
+    RunnersFull,
     ServerAtLimit,
     ServerRefused,
+    SlotsFull,
     TryFailed,
+    UnusableSlotNeed,
 )
 from .servers import (
     AdapterVersion,
@@ -88,6 +92,7 @@
     LinesSuppressed,
     LogLinesDropped,
     NotBound,
+    SlowCallerEnded,
 )
 
 __all__ = [
@@ -129,7 +134,9 @@
     "RequestEnded",
     "RequestQuarantined",
     "RequestSent",
+    "RequestTooLarge",
     "RequestWaited",
+    "RunnersFull",
     "Seats",
     "ServerCame",
     "ServerEnded",
@@ -142,6 +149,8 @@
     "ServerRefused",
     "ServiceReachable",
     "ServiceUnreachable",
+    "SlotsFull",
+    "SlowCallerEnded",
     "SoftwareVersionsChanged",
     "SoftwareVersionsRecorded",
     "StreamVersionSearched",
@@ -156,6 +165,7 @@
     "UnusablePeerConfiguration",
     "UnusableReport",
     "UnusableServerLimit",
+    "UnusableSlotNeed",
     "UnusableRow",
     "UnusableSettings",
     "WasFrozen",
