Requests are placed by expected time: relative pace of runners

Each node now keeps the relative pace of runners from times to the first event, gaps between events and announcements of peers, and weighs queues, slots and load targets by it. A request whose adapter is only on a slow runner waits for a load on a faster one if that saves time.

--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -382,6 +382,7 @@
                 self._daemon.settings.bounds.load_window_ms,
                 self._is_retired,
                 now_ms,
+                self._daemon.backlog.pace_of,
             )
         scheduler = lease.scheduler
         scheduler.model_load_limit.cells = len(self._lease_by_cell)
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -61,6 +61,7 @@
 from .metrics import EntryMetrics
 from .node_activity import NodeActivity
 from .node_registration import NodeRegistration
+from .pace_exchange import PaceExchange
 from .peers import PeerApi, PeerClient
 from .placement_client import PlacementClient
 from .settings import EntrySettings, PeerBounds
@@ -156,6 +157,7 @@
         self.cluster_state = ClusterState(self.clock)
         self.in_flight = InFlight(self._handle_adapter_use_change, self._handle_work_change)
         self.backlog = Backlog(self.in_flight, self.view)
+        self.pace_exchange = PaceExchange(self.backlog.pace, self.clock)
         self.health_tracker = HealthTracker()
         self.connection_pools = ConnectionPools(self.clock)
         self.forwarding_pools = ConnectionPools(self.clock)
@@ -402,6 +404,7 @@
             unreachable_services=self.service_paths.lost_services(),
             rejections_by_brittle_server=self.server_limits.announced_rejections(),
             keeps_stream_versions=True,
+            pace_by_server=self.pace_exchange.announced_paces(),
         )
 
     def _work_delta(self) -> WorkDelta:
@@ -496,6 +499,7 @@
         self._check_services_lost_by(heartbeat)
         self.shared_quota.handle_heartbeat(heartbeat)
         self.server_limits.handle_heartbeat(heartbeat)
+        self.pace_exchange.handle_heartbeat(heartbeat)
         self.quarantine_manager.apply_announced(
             heartbeat.name,
             heartbeat.crashes,
@@ -521,6 +525,8 @@
 
         cluster_state, now_ms = self.cluster_state, self.clock.now_ms
         gauge("ready", "Whether callers should come here.", lambda: float(self.is_ready()))
+        slow_runners = "Runners that are slower than the median of their cell."
+        gauge("slow_runners", slow_runners, lambda: float(self.pace_exchange.slow_count()))
         gauge("config_version", "Configuration in force.", lambda: self.config_version())
         gauge(
             "servers",
@@ -760,6 +766,7 @@
                 self.backlog.forget(life)
             registered = frozenset(self.cluster_state.server_registry.server_by_life)
             self.server_limits.forget_unused(registered)
+            self.pace_exchange.maintain(registered)
 
     def _fetch_configuration_loop(self) -> None:
         """Fetch newer configurations from peers.
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -32,6 +32,7 @@
     WorkDelta,
     bounded_cores,
 )
+from .pace_fields import read_paces
 
 ZLIB_LEVEL: Final = 1
 """Names repeat within a heartbeat: level 1 reduces it to a third of its bytes in about 20 us."""
@@ -106,6 +107,7 @@
                 for crash in heartbeat.parts_crashes
             ],
             [[sound.part, sound.lives] for sound in heartbeat.sound_parts],
+            {str(life): pace for life, pace in heartbeat.pace_by_server.items()},
         ]
     )
 
@@ -293,6 +295,7 @@
 
 def _heartbeat_from_fields(fields: list[Any]) -> Heartbeat:
     flags = int(fields[3])
+    pace_by_server, has_malformed_paces = read_paces(_optional_field(fields, 29))
     return Heartbeat(
         record=NodeRecord(*map(str, fields[1]), cores=bounded_cores(_optional_field(fields, 13))),
         sequence=int(fields[2]),
@@ -335,6 +338,8 @@
             SoundPart(str(part), _lives_from_fields(lives))
             for part, lives in _optional_field(fields, 28) or ()
         ),
+        pace_by_server=pace_by_server,
+        has_malformed_paces=has_malformed_paces,
     )
 
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -179,6 +179,9 @@
     :param rejections_by_brittle_server: recent rejections by brittle servers.
     :param keeps_stream_versions: whether the node keeps for its peers which software version began
         a stream; a node of an earlier release does not.
+    :param pace_by_server: relative paces of runners that deviate from the median of their cell, by
+        the node's own observations.
+    :param has_malformed_paces: whether some of the paces received could not be used; not sent.
     """
 
     record: NodeRecord
@@ -209,6 +212,8 @@
     keeps_stream_versions: bool = False
     parts_crashes: tuple[PartsCrash, ...] = ()
     sound_parts: tuple[SoundPart, ...] = ()
+    pace_by_server: dict[ServerLife, float] = attrs.Factory(dict)
+    has_malformed_paces: bool = False
 
     @property
     def name(self) -> str:
--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -69,6 +69,7 @@
     :param on_server_notices: called with what the head of any answer of the server says, also one
         that belongs to another request.
     :param stream_headers: added to the head of a stream.
+    :param on_more_events: called when events of a stream after the first ones have arrived.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         on_terms: Callable[[AnswerTerms], None] = lambda _terms: None,
         on_server_notices: Callable[[AnswerTerms], None] = lambda _terms: None,
         stream_headers: Sequence[Header] = (),
+        on_more_events: Callable[[], None] = lambda: None,
     ) -> None:
         self._pools = pools
         self._dialect = dialect
@@ -104,6 +106,7 @@
         self._on_terms = on_terms
         self._on_server_notices = on_server_notices
         self._stream_headers = stream_headers
+        self._on_more_events = on_more_events
 
     def send(
         self,
@@ -249,7 +252,9 @@
                 raise BrokenAnswer("an event is too long")
             if not events:
                 continue
-            if not has_begun and splitter.event_count > earlier_count:
+            if has_begun:
+                self._on_more_events()
+            elif splitter.event_count > earlier_count:
                 has_begun = True
                 if not _follows(events, resumed_after):
                     splitter.last_event_id, splitter.event_count = resumed_after, earlier_count
--- a/monsoonflow/gateway/backlog.py
+++ b/monsoonflow/gateway/backlog.py
@@ -13,6 +13,7 @@
 from ..routing.overload import apply_holder_report
 from ..routing.prefill_rate import MIN_DRAIN_MS, PrefillRate
 from ..routing.recently_sent import RecentlySent
+from ..routing.runner_pace import RunnerPace
 from .job import Job
 from .models import Chosen, QueueAhead
 
@@ -31,12 +32,14 @@
 
     :param in_flight: the requests of this node.
     :param view: the requests of the peers.
+    :param pace: the relative pace of runners; ``None`` to treat all as equal.
     """
 
     in_flight: InFlight
     view: FleetView
     prefill_rate: PrefillRate = attrs.Factory(PrefillRate)
     recently_sent: RecentlySent = attrs.Factory(lambda: RecentlySent(UNREPORTED_MS))
+    pace: RunnerPace | None = attrs.Factory(RunnerPace)
 
     def work_at(self, life: ServerLife, cell: str, now_ms: int) -> ServerWork:
         """Return what all nodes together have in progress at a runner of a cell."""
@@ -61,8 +64,18 @@
         pending = self.work_at(life, job.service.name, now_ms).pending_prefill_ahead(
             job.rank_at(now_ms)
         )
-        expected_ms = self.prefill_rate.expected_ms(life, pending + job.call.prompt_tokens, now_ms)
-        return QueueAhead(pending, expected_ms)
+        tokens = pending + job.call.prompt_tokens
+        expected_ms = self.prefill_rate.expected_ms(life, tokens, now_ms)
+        pace = self.pace_of(life, now_ms)
+        if pace > 1.0:
+            # The node's own rate of this runner may have too few observations to be lower.
+            common_ms = self.prefill_rate.expected_ms(None, tokens, now_ms)
+            expected_ms = max(expected_ms, round(common_ms * pace))
+        return QueueAhead(pending, expected_ms, job.service.name)
+
+    def pace_of(self, life: ServerLife, now_ms: int) -> float:
+        """Return the relative pace of a runner; 1.0 is the median, larger is slower."""
+        return self.pace.pace_of(life, now_ms) if self.pace is not None else 1.0
 
     def can_prefill_in_time(
         self, life: ServerLife, job: Job, now_ms: int, start_deadline_ms: int | None = None
@@ -111,17 +124,37 @@
         """Record how long a request waited for its first event."""
         if chosen.queue is not None:
             tokens = chosen.queue.pending_prefill_tokens + chosen.prefill_tokens
+            self._record_pace(chosen, tokens, took_ms, now_ms)
             self.prefill_rate.record(chosen.life, tokens, chosen.prefill_tokens, took_ms, now_ms)
 
     def record_missing_first_event(self, chosen: Chosen, waited_ms: int, now_ms: int) -> None:
         """Record that a request has ended without a first event."""
         if chosen.queue is not None:
             tokens = chosen.queue.pending_prefill_tokens + chosen.prefill_tokens
+            if waited_ms > chosen.queue.expected_ms:
+                self._record_pace(chosen, tokens, waited_ms, now_ms)
             self.prefill_rate.record_overdue(
                 chosen.life, tokens, chosen.prefill_tokens, waited_ms, now_ms
             )
 
+    def record_gap(self, chosen: Chosen, gap_ms: float, now_ms: int) -> None:
+        """Record the time between two events of a stream."""
+        if self.pace is None or chosen.queue is None:
+            return
+        requests = (
+            self.view.work_at(chosen.life, now_ms).requests
+            + self.in_flight.work_at(chosen.life).requests
+        )
+        self.pace.record_gap(chosen.life, chosen.queue.cell, gap_ms, requests, now_ms)
+
+    def _record_pace(self, chosen: Chosen, tokens: int, took_ms: int, now_ms: int) -> None:
+        if self.pace is not None and chosen.queue is not None:
+            common_ms = self.prefill_rate.expected_ms(None, tokens, now_ms)
+            self.pace.record_first_event(chosen.life, chosen.queue.cell, common_ms, took_ms, now_ms)
+
     def forget(self, life: ServerLife) -> None:
         """Drop the estimates for a runner that was removed."""
+        if self.pace is not None:
+            self.pace.forget(life)
         self.prefill_rate.forget(life)
         self.recently_sent.forget(life)
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -507,6 +507,7 @@
             lambda terms: self._record_terms(job, chosen, ticket, terms),
             lambda terms: self._record_server_notices(job, chosen, terms),
             self._stream_headers(job, chosen),
+            lambda: self._record_more_events(job, chosen),
         )
         result: AttemptResult | None = None
         try:
@@ -609,7 +610,8 @@
     def _record_first_event(self, job: Job, chosen: Chosen, ticket: Ticket) -> None:
         self._in_flight.record_first_event(ticket)
         now_ms = self._clock.now_ms()
-        job.attempt_first_event_ms = now_ms
+        job.attempt_first_event_ms = job.last_event_ms = now_ms
+        job.timed_event_count = job.splitter.event_count if job.splitter is not None else 0
         took_ms = now_ms - ticket.sent_ms
         self._backlog.record_first_event(chosen, took_ms, now_ms)
         version = chosen.software_version
@@ -620,6 +622,13 @@
             job.first_event_ms = now_ms
             self.first_event_estimator.record(job.call.prompt_tokens, took_ms)
 
+    def _record_more_events(self, job: Job, chosen: Chosen) -> None:
+        now_ms, count = self._clock.now_ms(), job.splitter.event_count
+        if count > job.timed_event_count:
+            gap_ms = (now_ms - job.last_event_ms) / (count - job.timed_event_count)
+            self._backlog.record_gap(chosen, gap_ms, now_ms)
+            job.last_event_ms, job.timed_event_count = now_ms, count
+
     def _stream_headers(self, job: Job, chosen: Chosen) -> list[Header]:
         """Return the headers that tell a peer by which software version its stream is generated."""
         if not job.is_forwarded or chosen.software_version is None:
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -63,6 +63,8 @@
     :param unsent_count: attempts in which nothing could be sent.
     :param first_event_ms: when the first part of the answer arrived.
     :param attempt_first_event_ms: when the first event of its last attempt arrived.
+    :param last_event_ms: when the last events of its last attempt arrived.
+    :param timed_event_count: number of its events until then.
     :param is_attempt_sound: whether the server of its last attempt has answered for a while.
     :param answer_framing: how the server that answered last marks the end of its answer.
     :param config_version: of the configuration by which it was routed.
@@ -103,6 +105,8 @@
     unsent_count: int = 0
     first_event_ms: int | None = None
     attempt_first_event_ms: int | None = None
+    last_event_ms: int = 0
+    timed_event_count: int = 0
     is_attempt_sound: bool = False
     answer_framing: Framing | None = None
     config_version: int = 0
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -297,10 +297,12 @@
 
     :param pending_prefill_tokens: prompt tokens that the runner processes before the request's own.
     :param expected_ms: expected time until the request's first event.
+    :param cell: the service of the runner.
     """
 
     pending_prefill_tokens: int
     expected_ms: int
+    cell: str = ""
 
 
 @attrs.frozen(slots=True)
--- a/monsoonflow/gateway/runner_chooser.py
+++ b/monsoonflow/gateway/runner_chooser.py
@@ -32,6 +32,7 @@
     Unsent,
     Whole,
 )
+from .pace_choice import choose_life, is_faster_elsewhere
 from .protocols import ServerLimiter
 
 NO_SERVER_RETRY_AFTER_MS: Final = 400
@@ -129,7 +130,13 @@
         if not in_time:
             overloaded = [runner.life for runner in holding]
             return self.placement.request_slot(call, route, service, job, overloaded)
-        best = min(in_time, key=lambda runner: self._cost(runner, now_ms))
+        best = self._choose_best(in_time, now_ms)
+        if is_faster_elsewhere(
+            self.backlog, best.life, [runner.life for runner in usable], job, now_ms
+        ):
+            faster = self.placement.request_slot(call, route, service, job)
+            if isinstance(faster, Chosen):
+                return faster
         return self._build_chosen(best, call, version_by_life[best.life], job, now_ms)
 
     def _can_prefill_in_time(self, life: ServerLife, version: int, job: Job, now_ms: int) -> bool:
@@ -144,7 +151,7 @@
         if not in_time:
             queue_drain_ms = self.backlog.queue_drain_ms([r.life for r in runners], job, now_ms)
             return NoServer("every queue is longer than the time left", queue_drain_ms)
-        best = min(in_time, key=lambda runner: self._cost(runner, now_ms))
+        best = self._choose_best(in_time, now_ms)
         return self._build_chosen(best, call, None, job, now_ms)
 
     @staticmethod
@@ -246,7 +253,15 @@
         work = self.backlog.work_at(runner.life, runner.service, now_ms)
         running, queued = work.requests, work.pending_prefill_tokens
         success = 1.0 - self.health.failure_share(runner.life, now_ms)
-        return (queued + DECODE_COST_TOKENS * (running + 1)) / max(0.1, success) + self.rng.random()
+        pace = self.backlog.pace_of(runner.life, now_ms)
+        tokens = (queued + DECODE_COST_TOKENS * (running + 1)) * pace
+        return tokens / max(0.1, success) + self.rng.random()
+
+    def _choose_best(self, runners: list[BackendServer], now_ms: int) -> BackendServer:
+        runner_by_life = {runner.life: runner for runner in runners}
+        cost_by_life = {life: self._cost(runner, now_ms) for life, runner in runner_by_life.items()}
+        pace_by_life = {life: self.backlog.pace_of(life, now_ms) for life in runner_by_life}
+        return runner_by_life[choose_life(cost_by_life, pace_by_life, self.rng)]
 
     def _pending_prefill_tokens(self, runner: BackendServer, now_ms: int) -> int:
         """Return the prompt tokens that a runner still has to process."""
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -103,6 +103,28 @@
     value: str
 
 
+@event
+class RunnerPaceChanged(Event):
+    """A runner has become slower or faster than the median of its cell, or equal to it (1.0)."""
+
+    # ``pace`` is relative, larger is slower; ``observations`` count less with age, and the last of
+    # them, of this node or a peer, is ``age_ms`` old.
+
+    server: str
+    pace: float
+    before: float
+    observations: float
+    age_ms: int
+
+
+@event
+class MalformedPaces(Event):
+    """A peer announced paces that can't be used; they are ignored. Logged once per peer."""
+
+    LEVEL: ClassVar[int] = logging.WARNING
+    peer: str
+
+
 @event
 class EarlierLife(Event):
     """An update names an earlier life (run of the server's process) than the known one."""
--- a/monsoonflow/placement/load_target.py
+++ b/monsoonflow/placement/load_target.py
@@ -8,6 +8,8 @@
 from ..helpers.hashing import weight
 from .cached_copies import CachedCopies
 from .candidate_runners import CandidateRunner, CandidateRunners
+from .faster_runners import FasterRunners
+from .load_times import COLD_LOAD_MS, WARM_LOAD_MS
 from .request_queue import QueuedRequest
 from .slots import RunnerSlots, SlotState
 
@@ -17,6 +19,7 @@
     """Selects among the runners of a cell."""
 
     cached_copies: CachedCopies
+    faster: FasterRunners
 
     def select(
         self,
@@ -28,9 +31,9 @@
         """Return the best runner to load an adapter; ``None`` when no load can be ordered now.
 
         Runners without requests on an older version of the adapter come first, then those that are
-        not overloaded, then those that keep a cached copy: they load the adapter in a tenth of the
-        time and without the weight store. Among equal runners the adapter's hash decides, so that
-        later loads find the copy there.
+        not overloaded, then those with the shortest load and first event: runners that keep a
+        cached copy load the adapter in a tenth of the time and without the weight store. Among
+        equal runners the adapter's hash decides, so that later loads find the copy there.
 
         :param ref: the adapter version to load.
         :param is_cold_allowed: whether one more adapter may be fetched from the weight store now.
@@ -41,20 +44,23 @@
             if is_cold_allowed
             else candidates.candidates_among(warm_lives)
         )
-        best_rank: tuple[bool, bool, bool] | None = None
+        best_rank: tuple[bool, bool, float] | None = None
         best_runners: list[RunnerSlots] = []
         for candidate in considered:
             if not _can_load(candidate, request, ref):
                 continue
-            if not request.can_prefill_in_time(candidate.work, 0, candidates.now_ms):
-                continue
             runner = candidate.runner
+            pace = self.faster.pace_of(runner.life, candidates.now_ms)
+            if not request.can_prefill_in_time(candidate.work, 0, candidates.now_ms, pace):
+                continue
             # Replacing a version in use waits for its requests to finish, and so do new requests.
             is_in_use = (
                 request.adapter_name in runner.slots
                 and candidate.work.requests_by_adapter.get(request.adapter_name, 0) > 0
             )
-            rank = (is_in_use, candidate.is_overloaded, runner.life not in warm_lives)
+            load_ms = WARM_LOAD_MS if runner.life in warm_lives else COLD_LOAD_MS
+            cost_ms = self.faster.load_cost_ms(request, runner.life, load_ms, candidates.now_ms)
+            rank = (is_in_use, candidate.is_overloaded, cost_ms)
             if best_rank is None or rank < best_rank:
                 best_rank, best_runners = rank, []
             if rank == best_rank:
--- a/monsoonflow/placement/request_queue.py
+++ b/monsoonflow/placement/request_queue.py
@@ -88,11 +88,14 @@
             self.software_version is None or runner.software_version == self.software_version
         )
 
-    def can_prefill_in_time(self, work: ServerWork, granted_tokens: int, now_ms: int) -> bool:
+    def can_prefill_in_time(
+        self, work: ServerWork, granted_tokens: int, now_ms: int, pace: float = 1.0
+    ) -> bool:
         """Tell whether a runner completes the prefill of the prompt before the caller leaves.
 
         :param granted_tokens: prompt tokens of requests that were granted a slot there and are not
             yet part of a report.
+        :param pace: relative pace of the runner; larger is slower.
         """
         if self.read_by_ms is None:
             return True
@@ -100,12 +103,14 @@
             # An idle runner is not ruled out by its estimated prefill rate: without any request it
             # could never prove to be faster than estimated.
             return now_ms < self.read_by_ms
-        return self.prefill_done_ms(work, granted_tokens, now_ms) <= self.read_by_ms
+        return self.prefill_done_ms(work, granted_tokens, now_ms, pace) <= self.read_by_ms
 
-    def prefill_done_ms(self, work: ServerWork, granted_tokens: int, now_ms: int) -> int:
+    def prefill_done_ms(
+        self, work: ServerWork, granted_tokens: int, now_ms: int, pace: float = 1.0
+    ) -> int:
         """Return when a runner would complete the prefill if the request were sent there now."""
         tokens = work.pending_prefill_ahead(self.rank) + granted_tokens + self.prompt_tokens
-        return now_ms + BASE_LATENCY_MS + int(tokens / self.tokens_per_ms)
+        return now_ms + int((BASE_LATENCY_MS + tokens / self.tokens_per_ms) * pace)
 
     def is_late(self, now_ms: int) -> bool:
         """Tell whether the first event would be late even if the load started now."""
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -31,9 +31,11 @@
 from ..routing.routes import EngineTraits
 from .cached_copies import CachedCopies
 from .candidate_runners import CandidateRunners, SlotOnRunner
+from .faster_runners import FasterRunners, equal_pace
 from .idle_slots import IdleSlots
 from .load_limit import LoadLimit
 from .load_target import LoadTargetSelector
+from .load_times import COLD_LOAD_MS, WARM_LOAD_MS
 from .model_load_limit import LONG_AGO_MS, ModelLoadLimit
 from .replicas import RunnerWorkloads, find_wanted_replica
 from .request_queue import NoSlot, Placed, QueueAdmission, QueuedRequest, in_service_order
@@ -41,11 +43,6 @@
 from .slots import OrderStep, RunnerSlots, Slot, SlotState, slot_count
 from .usage_scores import UsageScores
 
-COLD_LOAD_MS: Final = 250
-WARM_LOAD_MS: Final = 25
-"""Typical duration of a load according to the weight store's data sheet: the time until the runner
-is first asked whether the load is complete."""
-
 CONFIRM_INTERVAL_MS: Final = 20
 """Interval at which a runner is asked whether a load is complete: each time costs a round trip of
 3 ms."""
@@ -107,6 +104,7 @@
     :param is_retired: tells whether requests may soon no longer start on a version, so that its
         runners must unload it.
     :param holder_since_ms: when this node became the lease holder of the cell.
+    :param pace_of: returns the relative pace of a runner; by default all are equal.
     """
 
     def __init__(
@@ -116,6 +114,7 @@
         load_window_ms: int = 5_000,
         is_retired: Callable[[AdapterRef], bool] = lambda ref: False,
         holder_since_ms: int = LONG_AGO_MS,
+        pace_of: Callable[[ServerLife, int], float] = equal_pace,
     ) -> None:
         self.traits = traits
         self._newest_by_adapter = newest_by_adapter
@@ -126,7 +125,8 @@
         self._usage_scores = UsageScores()
         self._idle_slots = IdleSlots(self.runners, self._usage_scores, newest_by_adapter)
         self._cached_copies = CachedCopies()
-        self._load_target_selector = LoadTargetSelector(self._cached_copies)
+        self._faster = FasterRunners(self.runners, self._idle_slots, self._cached_copies, pace_of)
+        self._load_target_selector = LoadTargetSelector(self._cached_copies, self._faster)
         self._workloads = RunnerWorkloads()
         self.load_limit = LoadLimit()
         self._usage_updated_ms = 0
@@ -357,11 +357,17 @@
             if self._is_retired(slot.ref):
                 continue
             granted_tokens = self._grants.tokens(runner.life, now_ms)
-            if request.can_prefill_in_time(work.get(runner.life, _NO_WORK), granted_tokens, now_ms):
-                found.append(
-                    (_workload(work, runner.life) + granted_tokens, len(found), runner, slot)
-                )
-        return min(found)[2:] if found else None
+            pace = self._faster.pace_of(runner.life, now_ms)
+            at_runner = work.get(runner.life, _NO_WORK)
+            if request.can_prefill_in_time(at_runner, granted_tokens, now_ms, pace):
+                tokens = _workload(work, runner.life) + granted_tokens + request.prompt_tokens + 60
+                workload = tokens * pace
+                found.append((workload, len(found), runner, slot))
+        if not found:
+            return None
+        best = min(found)[2:]
+        should_wait = self._faster.should_wait(request, best, self._queue, work, now_ms)
+        return None if should_wait else best
 
     def _prefill_overrun_ms(
         self, request: QueuedRequest, now_ms: int, work: dict[ServerLife, ServerWork]
@@ -377,10 +383,11 @@
             if not request.may_use(runner):
                 continue
             runner_work = work.get(runner.life, _NO_WORK)
-            if request.can_prefill_in_time(runner_work, 0, now_ms):
+            pace = self._faster.pace_of(runner.life, now_ms)
+            if request.can_prefill_in_time(runner_work, 0, now_ms, pace):
                 # Usually this is the first runner examined.
                 return None
-            overrun_ms = request.prefill_done_ms(runner_work, 0, now_ms) - request.read_by_ms
+            overrun_ms = request.prefill_done_ms(runner_work, 0, now_ms, pace) - request.read_by_ms
             min_overrun_ms = (
                 overrun_ms if min_overrun_ms is None else min(min_overrun_ms, overrun_ms)
             )
