--- a/monsoonflow/gateway/pace_choice.py
+++ b/monsoonflow/gateway/pace_choice.py
@@ -48,6 +48,8 @@
     if backlog.pace is None or job.is_resuming():
         return False
     pace = backlog.pace_of(life, now_ms)
+    if pace <= 1.0:
+        return False
     fastest = min((backlog.pace_of(other, now_ms) for other in others), default=pace)
     if pace <= fastest * EQUAL_PACE_FACTOR:
         return False
--- a/monsoonflow/placement/faster_runners.py
+++ b/monsoonflow/placement/faster_runners.py
@@ -22,6 +22,9 @@
 """Load targets whose paces are in the same step count as equal, so that the adapter's hash still
 decides among them and later loads find the cached copy."""
 
+PACE_MAX_AGE_MS: Final = 40
+"""How long a pace is kept: a plan reads the paces of 30 runners for each of 64 requests."""
+
 MAX_WAIT_MS: Final = 400
 """Longest wait of a request for a load on a faster runner, about one and a half cold loads."""
 
@@ -39,24 +42,30 @@
     """Decides whether a request waits for a load on a faster runner.
 
     :param runners: the runners of the cell.
-    :param pace_of: returns the relative pace of a runner; larger is slower.
+    :param read_pace: returns the relative pace of a runner; larger is slower.
     """
 
     runners: Mapping[ServerLife, RunnerSlots]
     idle_slots: IdleSlots
     cached_copies: CachedCopies
-    pace_of: Callable[[ServerLife, int], float] = equal_pace
-
-    def pace_step(self, life: ServerLife, now_ms: int) -> int:
-        """Return the pace of a runner in coarse steps, 0 near the median."""
-        return int(math.log(self.pace_of(life, now_ms), PACE_STEP))
-
-    def load_cost_ms(
-        self, request: QueuedRequest, life: ServerLife, load_ms: int, now_ms: int
-    ) -> float:
-        """Return the expected time of a load and the first event, by the pace of a runner."""
-        pace = PACE_STEP ** self.pace_step(life, now_ms)
-        return load_ms + request.prefill_done_ms(_NO_WORK, 0, 0, pace)
+    read_pace: Callable[[ServerLife, int], float] = equal_pace
+    _pace_by_life: dict[ServerLife, float] = attrs.field(init=False, factory=dict)
+    _read_ms: int = attrs.field(init=False, default=0)
+
+    def pace_of(self, life: ServerLife, now_ms: int) -> float:
+        """Return the pace of a runner, at most ``PACE_MAX_AGE_MS`` old."""
+        if not 0 <= now_ms - self._read_ms < PACE_MAX_AGE_MS:
+            self._pace_by_life.clear()
+            self._read_ms = now_ms
+        pace = self._pace_by_life.get(life)
+        if pace is None:
+            pace = self._pace_by_life[life] = self.read_pace(life, now_ms)
+        return pace
+
+    def stepped_pace_of(self, life: ServerLife, now_ms: int) -> float:
+        """Return the pace of a runner, rounded towards 1.0 in steps of ``PACE_STEP``."""
+        pace = self.pace_of(life, now_ms)
+        return 1.0 if pace == 1.0 else PACE_STEP ** int(math.log(pace, PACE_STEP))
 
     def should_wait(
         self,
--- a/monsoonflow/placement/load_target.py
+++ b/monsoonflow/placement/load_target.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import attrs
 
 from ..core.adapter import AdapterRef
 from ..helpers.hashing import weight
+from ..routing.in_flight import ServerWork
 from .cached_copies import CachedCopies
 from .candidate_runners import CandidateRunner, CandidateRunners
 from .faster_runners import FasterRunners
@@ -13,6 +16,8 @@
 from .request_queue import QueuedRequest
 from .slots import RunnerSlots, SlotState
 
+_NO_WORK: Final = ServerWork()
+
 
 @attrs.define(slots=True)
 class LoadTargetSelector:
@@ -44,6 +49,7 @@
             if is_cold_allowed
             else candidates.candidates_among(warm_lives)
         )
+        first_event_ms = request.prefill_done_ms(_NO_WORK, 0, 0)
         best_rank: tuple[bool, bool, float] | None = None
         best_runners: list[RunnerSlots] = []
         for candidate in considered:
@@ -59,7 +65,8 @@
                 and candidate.work.requests_by_adapter.get(request.adapter_name, 0) > 0
             )
             load_ms = WARM_LOAD_MS if runner.life in warm_lives else COLD_LOAD_MS
-            cost_ms = self.faster.load_cost_ms(request, runner.life, load_ms, candidates.now_ms)
+            stepped_pace = self.faster.stepped_pace_of(runner.life, candidates.now_ms)
+            cost_ms = load_ms + first_event_ms * stepped_pace
             rank = (is_in_use, candidate.is_overloaded, cost_ms)
             if best_rank is None or rank < best_rank:
                 best_rank, best_runners = rank, []
