--- a/monsoonflow/gateway/runner_chooser.py
+++ b/monsoonflow/gateway/runner_chooser.py
@@ -135,7 +135,11 @@
             self.backlog, best.life, [runner.life for runner in usable], job, now_ms
         ):
             faster = self.placement.request_slot(call, route, service, job)
-            if isinstance(faster, Chosen):
+            now_ms = self.clock.now_ms()
+            # A refusal does not count while the runner that holds the adapter can serve it.
+            if isinstance(faster, Chosen) or not self._can_prefill_in_time(
+                best.life, version_by_life[best.life], job, now_ms
+            ):
                 return faster
         return self._build_chosen(best, call, version_by_life[best.life], job, now_ms)
 
--- a/tests/gateway/pace_simulation.py
+++ b/tests/gateway/pace_simulation.py
@@ -131,6 +131,8 @@
     :param prompt_tokens: prompt length of each request.
     :param events: events of each answer.
     :param event_gap_ms: time between events at a runner of factor 1 with few requests.
+    :param is_pace_used: whether the part takes effect.
+    :param is_pace_used_by_holder: whether it does at the lease holder's scheduler.
     :param sent_by_life: requests sent, by runner.
     :param first_event_ms: times from arrival to the first event.
     :param took_ms: times from arrival to the end of the answer.
@@ -148,6 +150,7 @@
     objective_ms: int = 600
     seed: int = 1
     is_pace_used: bool = True
+    is_pace_used_by_holder: bool = True
     clock: ManualClock = attrs.Factory(lambda: ManualClock(100_000))
     nodes: list[SimulatedNode] = attrs.Factory(list)
     fake_by_life: dict[ServerLife, FakeRunner] = attrs.Factory(dict)
@@ -204,7 +207,7 @@
                 node.view.add_record(other.record)
 
     def _scheduler(self, traits: EngineTraits) -> AdapterScheduler:
-        if not self.is_pace_used:
+        if not (self.is_pace_used and self.is_pace_used_by_holder):
             return AdapterScheduler(traits, {})
         return AdapterScheduler(
             traits, {}, pace_of=lambda life, now_ms: self.holder.backlog.pace_of(life, now_ms)
--- a/tests/gateway/test_runner_pace.py
+++ b/tests/gateway/test_runner_pace.py
@@ -4,11 +4,14 @@
 
 import pytest
 
+from monsoonflow.gateway.models import Chosen, NoServer
 from monsoonflow.routing.runner_pace import RunnerPace
 from tests.gateway.pace_simulation import PaceSimulation, RunnerModel, lives, runners
+from tests.gateway.runner_simulation import FixedPlacement, RunnerSimulation
 
 SEEDS = (1, 2, 3)
 WARM_UP_MS = 6_000
+LATE_STARTS = [RunnerModel(1.0, 500 * (number >= 3)) for number in range(6)]
 DEPLOYMENT = {
     "slot_count": 5,
     "adapters": 200,
@@ -22,8 +25,9 @@
 
 def late_starts(seed: int, node_count: int, is_pace_used: bool = True) -> PaceSimulation:
     """Return the load of observation 7: three of six runners start each request 0.5 s late."""
-    models = [RunnerModel(1.0, 500 * (number >= 3)) for number in range(6)]
-    simulation = PaceSimulation(runners(*models), node_count, seed=seed, is_pace_used=is_pace_used)
+    simulation = PaceSimulation(
+        runners(*LATE_STARTS), node_count, seed=seed, is_pace_used=is_pace_used
+    )
     simulation.run(WARM_UP_MS, 12)
     simulation.reset_counts()
     simulation.run(20_000, 12)
@@ -85,6 +89,56 @@
     assert simulation.share_over(600) < 0.15
 
 
+def test_nodes_of_the_previous_release_are_served_as_before_and_the_others_gain():
+    """Half of the nodes, not the lease holder, observe and announce nothing."""
+    simulation = PaceSimulation(runners(*LATE_STARTS), 6)
+    for node in simulation.nodes[3:]:
+        node.backlog.pace = None
+    simulation.run(WARM_UP_MS, 12)
+    simulation.reset_counts()
+    simulation.run(20_000, 12)
+    assert simulation.refused == 0
+    assert simulation.share_of(lives(6)[3:]) < 0.35
+
+
+def test_lease_holder_of_the_previous_release_grants_slow_slots_at_once():
+    """Nodes ask it for a faster runner; it knows no paces, and nobody may wait for that."""
+    simulation = PaceSimulation(runners(*LATE_STARTS), 6, is_pace_used_by_holder=False)
+    simulation.run(WARM_UP_MS, 12)
+    simulation.reset_counts()
+    simulation.run(20_000, 12)
+    assert simulation.refused == 0
+    assert simulation.share_over(1_200) <= 0.02
+
+
+class RefusingPlacement(FixedPlacement):
+    """Refuses slot requests after a while, like a lease holder that is silent or has no slot."""
+
+    clock = None
+    wait_ms = 0
+
+    def request_slot(self, *_, **__):
+        """Refuse."""
+        self.slot_request_count += 1
+        self.clock.advance(self.wait_ms)
+        return NoServer("no slot", 500)
+
+
+@pytest.mark.parametrize(("wait_ms", "is_served"), [(0, True), (800, True), (4_000, False)])
+def test_slow_runner_serves_a_request_that_gets_no_faster_slot(wait_ms: int, is_served: bool):
+    """The lease holder refuses or does not answer; the slow runner is free and still in time."""
+    slow, fast = lives(2)
+    placement = RefusingPlacement({"a": {slow: 1}})
+    simulation = RunnerSimulation(placement, 1, (slow, fast))
+    placement.clock, placement.wait_ms = simulation.clock, wait_ms
+    (node,) = simulation.nodes
+    for peer in range(6):
+        node.backlog.pace.receive(f"p{peer}", {slow: 4.0}, simulation.clock.now_ms())
+    result = simulation.receive_request(node, "a")
+    assert placement.slot_request_count == 1
+    assert isinstance(result, Chosen) is is_served
+
+
 def test_late_starts_are_reproduced_without_the_part():
     """The load must show the fault, or the bounds above would say nothing."""
     simulation = late_starts(1, 2, is_pace_used=False)
