--- a/measure/desk_load.py
+++ b/measure/desk_load.py
@@ -25,6 +25,7 @@
 from monsoonflow.fleet.heartbeat_rounds import HEARTBEAT_INTERVAL_MS
 from monsoonflow.fleet.models import Heartbeat, NodeRecord
 from monsoonflow.fleet.view import FleetView
+from monsoonflow.gateway.backlog import Backlog
 from monsoonflow.helpers.gevent_tasks import GeventTasks
 from monsoonflow.orders.models import Order, OrderResult, RunnerReport
 from monsoonflow.placement.slots import OrderStep
@@ -322,6 +323,7 @@
             tasks=_Tasks(),
             view=self.view,
             in_flight=self.in_flight,
+            backlog=Backlog(self.in_flight, self.view),
             service_paths=_OpenPaths(),
             cluster_state=SimpleNamespace(
                 server_registry=book,
--- a/monsoonflow/entry/pace_exchange.py
+++ b/monsoonflow/entry/pace_exchange.py
@@ -51,7 +51,7 @@
         """Log the runners whose pace has changed, and drop those that are gone."""
         if self._pace is None:
             return
-        self._pace.keep_announced(registered)
+        self._pace.keep_only(registered)
         for crossing in self._pace.crossings(self._clock.now_ms()):
             log(
                 _LOGGER,
--- a/monsoonflow/routing/runner_pace.py
+++ b/monsoonflow/routing/runner_pace.py
@@ -66,13 +66,6 @@
 """If the times to the first event exceed what the gaps tell by more than this (a factor of two), a
 runner starts requests late although it generates at the usual rate, and the gaps do not count."""
 
-SPELL_HALF_LIFE_MS: Final = 150
-SPELL_MIN_WEIGHT: Final = 3.0
-SPELL_MAX_AGE_MS: Final = 300
-SPELL_LOG: Final = 0.4
-"""A runner has a slow spell when its last gaps are 1.5 times as long as those of the last seconds.
-Spells last 0.6 s, so what is older than half of that says nothing."""
-
 _EQUAL_LOG: Final = math.log(EQUAL_PACE_FACTOR)
 _MAX_RATIO: Final = 50.0
 
@@ -87,16 +80,6 @@
     gaps: EventGaps = attrs.Factory(EventGaps)
 
 
-@attrs.define(slots=True)
-class _RunnerGaps:
-    """The gaps at a runner, of the last seconds and of the last moment."""
-
-    lasting: PaceAverage = attrs.Factory(
-        lambda: PaceAverage(GAP_WEIGHT_HALF_LIFE_MS, MAX_GAP_WEIGHT)
-    )
-    recent: PaceAverage = attrs.Factory(lambda: PaceAverage(SPELL_HALF_LIFE_MS, MAX_GAP_WEIGHT))
-
-
 @attrs.frozen(slots=True)
 class PaceCrossing:
     """A runner's pace has become different from 1.0, or equal to it again.
@@ -129,7 +112,7 @@
 
     def __init__(self) -> None:
         self._own_by_life: dict[ServerLife, PaceAverage] = {}
-        self._gaps_by_life: dict[ServerLife, _RunnerGaps] = {}
+        self._gaps_by_life: dict[ServerLife, PaceAverage] = {}
         self._announced_by_life: dict[ServerLife, PaceAverage] = {}
         self._announced_lives_by_peer: dict[str, frozenset[ServerLife]] = {}
         self._cell_by_life: dict[ServerLife, str] = {}
@@ -174,9 +157,9 @@
         log_ratio = gaps.log_ratio(gap_ms, requests)
         at_runner = self._gaps_by_life.get(life)
         if at_runner is None:
-            at_runner = self._gaps_by_life[life] = _RunnerGaps()
-        at_runner.lasting.add(log_ratio, now_ms)
-        at_runner.recent.add(log_ratio, now_ms)
+            at_runner = PaceAverage(GAP_WEIGHT_HALF_LIFE_MS, MAX_GAP_WEIGHT)
+            self._gaps_by_life[life] = at_runner
+        at_runner.add(log_ratio, now_ms)
 
     def receive(
         self, peer: str, pace_by_server: Mapping[ServerLife, float] | None, now_ms: int
@@ -231,7 +214,7 @@
             total += announced_weight * announced.mean * age_factor
         if weight < MIN_WEIGHT:
             return 1.0
-        log_pace = total / (weight + PRIOR_WEIGHT) + self._spell_log(life, now_ms)
+        log_pace = total / (weight + PRIOR_WEIGHT)
         return math.exp(log_pace) if abs(log_pace) >= _min_log(weight) else 1.0
 
     def level(self, cell: str, now_ms: int) -> float:
@@ -246,16 +229,20 @@
             if (pace > 1.0) - (pace < 1.0) == (before > 1.0) - (before < 1.0):
                 continue
             self._reported_by_life[life] = pace
-            sources = [
-                average
-                for by_life in (self._own_by_life, self._announced_by_life)
-                if (average := by_life.get(life)) is not None
-            ]
-            weight = sum(average.weight_at(now_ms) for average in sources)
-            age_ms = now_ms - max((average.updated_ms for average in sources), default=now_ms)
+            averages = self._averages(life)
+            weight = sum(average.weight_at(now_ms) for average in averages)
+            age_ms = now_ms - max(average.updated_ms for average in averages)
             found.append(PaceCrossing(life, pace, before, weight, age_ms))
         return found
 
+    def _averages(self, life: ServerLife) -> list[PaceAverage]:
+        candidates = [
+            self._own_by_life.get(life),
+            self._announced_by_life.get(life),
+            self._gaps_by_life.get(life),
+        ]
+        return [average for average in candidates if average is not None]
+
     def slow_count(self, now_ms: int) -> int:
         """Return the number of runners that are slower than the median."""
         return sum(
@@ -274,9 +261,12 @@
         ):
             by_life.pop(life, None)
 
-    def keep_announced(self, lives: frozenset[ServerLife]) -> None:
-        """Drop announcements of runners that this node does not know."""
-        for life in set(self._announced_by_life).difference(lives):
+    def keep_only(self, lives: frozenset[ServerLife]) -> None:
+        """Drop runners that this node does not know, also those of peers' announcements.
+
+        A stream may end, and be recorded, after its runner was removed.
+        """
+        for life in {*self._cell_by_life, *self._announced_by_life}.difference(lives):
             self.forget(life)
         self._announced_lives_by_peer = {
             peer: known
@@ -294,11 +284,11 @@
             age_factor = _age_factor(now_ms - first_events.updated_ms)
             log_pace = (first_events.mean - median_log) * age_factor
         if gaps is not None:
-            count = gaps.lasting.weight_at(now_ms)
+            count = gaps.weight_at(now_ms)
             gap_weight = GAP_OBSERVATIONS * min(1.0, count / MIN_GAP_WEIGHT)
-            age_factor = _age_factor(now_ms - gaps.lasting.updated_ms)
+            age_factor = _age_factor(now_ms - gaps.updated_ms)
             gap_log = (
-                gaps.lasting.mean - self._median_gap_log(self._cell_by_life[life], now_ms)
+                gaps.mean - self._median_gap_log(self._cell_by_life[life], now_ms)
             ) * age_factor
         if weight >= MIN_WEIGHT and log_pace - gap_log > FIRST_EVENT_EXCESS_LOG:
             return weight, log_pace
@@ -307,16 +297,6 @@
             return 0.0, 0.0
         return total, (weight * log_pace + gap_weight * gap_log) / total
 
-    def _spell_log(self, life: ServerLife, now_ms: int) -> float:
-        """Return by how much a runner is slower now than in the last seconds."""
-        gaps = self._gaps_by_life.get(life)
-        if gaps is None or now_ms - gaps.recent.updated_ms > SPELL_MAX_AGE_MS:
-            return 0.0
-        if gaps.recent.weight_at(now_ms) < SPELL_MIN_WEIGHT:
-            return 0.0
-        excess = gaps.recent.mean - gaps.lasting.mean
-        return excess if excess >= SPELL_LOG else 0.0
-
     def _cell(self, name: str) -> _Cell:
         cell = self._cell_by_name.get(name)
         if cell is None:
@@ -340,10 +320,9 @@
                 # With as many slow as fast runners, the fast ones are the reference.
                 cell.median_log = means[(len(means) - 1) // 2]
             gap_means = sorted(
-                gaps.lasting.mean
+                gaps.mean
                 for life, gaps in self._gaps_by_life.items()
-                if self._cell_by_life[life] == name
-                and gaps.lasting.weight_at(now_ms) >= MIN_GAP_WEIGHT
+                if self._cell_by_life[life] == name and gaps.weight_at(now_ms) >= MIN_GAP_WEIGHT
             )
             if gap_means:
                 cell.median_gap_log = gap_means[(len(gap_means) - 1) // 2]
