--- a/monsoonflow/entry/pace_exchange.py
+++ b/monsoonflow/entry/pace_exchange.py
@@ -9,13 +9,16 @@
 from ..core.server_life import ServerLife
 from ..fleet.models import Heartbeat
 from ..logs import events, log
-from ..routing.runner_pace import RunnerPace
+from ..routing.runner_pace import MAX_ANNOUNCED_PACES, RunnerPace
 
 _LOGGER = logging.getLogger(__name__)
 LARGE_FLEET_INTERVAL_MS: Final = 1_000
 """How often paces are announced in a large fleet, where a node sends 100 heartbeats a second: with
 ten slow runners they are 87 bytes of each, which is 8.7 kB/s, and 1.7 kB/s at this interval."""
 
+LARGE_FLEET_PACES: Final = 10
+"""Number of runners in one announcement in a large fleet; 64 of them would take 12 kB/s."""
+
 
 class PaceExchange:
     """Connects the paces that this node keeps with its heartbeats.
@@ -37,7 +40,8 @@
         if not is_fleet_small and now_ms < self._next_announced_ms:
             return None
         self._next_announced_ms = now_ms + LARGE_FLEET_INTERVAL_MS
-        return self._pace.announced_paces(now_ms)
+        limit = MAX_ANNOUNCED_PACES if is_fleet_small else LARGE_FLEET_PACES
+        return self._pace.announced_paces(now_ms, limit)
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Apply the paces that a peer announces."""
--- a/monsoonflow/routing/runner_pace.py
+++ b/monsoonflow/routing/runner_pace.py
@@ -189,8 +189,13 @@
             self._announced_by_life[life] = average
         return average
 
-    def announced_paces(self, now_ms: int) -> dict[ServerLife, float]:
-        """Return the runners that deviate by this node's own observations, for its heartbeat."""
+    def announced_paces(
+        self, now_ms: int, limit: int = MAX_ANNOUNCED_PACES
+    ) -> dict[ServerLife, float]:
+        """Return the runners that deviate by this node's own observations, for its heartbeat.
+
+        :param limit: number of runners, those that deviate most.
+        """
         log_by_life = {}
         for life in self._cell_by_life:
             weight, log_pace = self._own(life, now_ms)
@@ -199,7 +204,7 @@
         largest = sorted(log_by_life, key=lambda life: -abs(log_by_life[life]))
         return {
             life: round(min(MAX_PACE, max(MIN_PACE, math.exp(log_by_life[life]))), 2)
-            for life in largest[:MAX_ANNOUNCED_PACES]
+            for life in largest[:limit]
         }
 
     def pace_of(self, life: ServerLife, now_ms: int) -> float:
--- a/tests/routing/test_runner_pace.py
+++ b/tests/routing/test_runner_pace.py
@@ -178,6 +178,7 @@
             pace.record_first_event(life, "s", 200, took_ms, now_ms)
     announced = pace.announced_paces(1_000)
     assert len(announced) == MAX_ANNOUNCED_PACES
+    assert len(pace.announced_paces(1_000, limit=10)) == 10
     assert all(MIN_PACE <= value <= MAX_PACE for value in announced.values())
 
 
