A resumed stream takes a slow slot at once

Its caller has a part of the answer; it waited for a load on a faster runner like a new request. The workload of a runner in _find_slot includes the new request, without a literal beside it.

--- a/monsoonflow/placement/faster_runners.py
+++ b/monsoonflow/placement/faster_runners.py
@@ -77,15 +77,16 @@
     ) -> bool:
         """Return whether a request gains from a load on a faster runner than the one with a slot.
 
-        It does not wait when it would be late, when others wait for the same idle slots, and when
-        it has waited for as long as it could gain.
+        A stream that is being resumed and a returning caller never wait. Any other request does not
+        wait if it would be late, if others wait for the same idle slots, or once it has waited for
+        as long as it could gain.
 
         :param best: the slot that could serve the request now.
         :param queued: the requests that wait for a slot.
         """
         life, ref = best[0].life, best[1].ref
         pace = self.pace_of(life, now_ms)
-        if pace <= 1.0 or request.tried_ms:
+        if pace <= 1.0 or request.tried_ms or request.read_by_ms is None:
             return False
         faster = [
             (other_pace, runner)
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -360,7 +360,7 @@
             pace = self._faster.pace_of(runner.life, now_ms)
             at_runner = work.get(runner.life, _NO_WORK)
             if request.can_prefill_in_time(at_runner, granted_tokens, now_ms, pace):
-                tokens = _workload(work, runner.life) + granted_tokens + request.prompt_tokens + 60
+                tokens = _workload(work, runner.life) + granted_tokens + request.prompt_tokens
                 workload = tokens * pace
                 found.append((workload, len(found), runner, slot))
         if not found:
@@ -726,5 +726,6 @@
 
 
 def _workload(work: dict[ServerLife, ServerWork], life: ServerLife) -> int:
+    """Return the workload of a runner with one more request, in pending prefill tokens."""
     runner_work = work.get(life, _NO_WORK)
-    return runner_work.pending_prefill_tokens + 60 * runner_work.requests
+    return runner_work.pending_prefill_tokens + 60 * (runner_work.requests + 1)
--- a/tests/placement/test_faster_runners.py
+++ b/tests/placement/test_faster_runners.py
@@ -43,7 +43,8 @@
 
 
 def request(cell, tag="r", **changes):
-    return cell.request("a1", tag, prompt_tokens=PROMPT_TOKENS, **changes)
+    fields = {"prompt_tokens": PROMPT_TOKENS, "read_by_ms": cell.now_ms + 3_000, **changes}
+    return cell.request("a1", tag, **fields)
 
 
 def test_request_waits_for_a_load_on_a_faster_runner(cell):
@@ -80,6 +81,12 @@
     assert cell.runner_of("r") == SLOW
 
 
+def test_slow_slot_is_granted_to_a_stream_that_is_resumed(cell):
+    """Its caller has a part of the answer and waits for the rest."""
+    request(cell, read_by_ms=None)
+    assert cell.runner_of("r") == SLOW
+
+
 def test_slow_slot_is_granted_if_the_fast_runner_must_not_be_used(cell):
     request(cell, excluded_runners=frozenset({FAST}))
     assert cell.runner_of("r") == SLOW
