--- a/monsoonflow/entry/metrics.py
+++ b/monsoonflow/entry/metrics.py
@@ -82,8 +82,8 @@
         )
         self.memory_decisions = self._counter(
             "memory_decisions",
-            "Requests by what was decided for want of KV cache at runners: too_large, left_out"
-            " (another runner has room), no_room, slots_full (at the lease holder).",
+            "Decisions for want of KV cache at runners: too_large, left_out (another runner has"
+            " room), no_room, and requests with slots_full at the lease holder.",
             "result",
         )
         self.retries = self._counter(
