Requests larger than a runner: 503 with a retry time instead of 413

Cause: 413 counts as an error of the caller, though the request is within the limits that the configuration sets, and callers never retry it. Change: 503, which promises that nothing ran, with a Retry-After of 10 s.

--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -69,6 +69,9 @@
 """When a caller may retry at a node that has no configuration yet: it usually has one by then."""
 
 TOO_LARGE: Final = "the prompt exceeds the memory of a runner"
+TOO_LARGE_RETRY_AFTER_MS: Final = 10_000
+"""Only a new configuration can make the request fit, which is in force some seconds later."""
+
 
 MIN_TIME_TO_SEND_MS: Final = 20
 """A request with less time left is not sent to a server any more."""
@@ -337,14 +340,17 @@
         return job
 
     def _refuse_if_too_large(self, job: Job, reply: Reply) -> bool:
-        """Refuse a request that no runner can hold; a retry would be refused as well."""
+        """Refuse a request that no runner can hold.
+
+        The caller is within the limits of the configuration, so this is no error of the caller.
+        """
         if not self._runner_memory.is_too_large(job):
             return False
         if job.may_have_run:
             self._finish_unserved(job, reply, TOO_LARGE, NOT_READY_RETRY_AFTER_MS)
             return True
-        not_run = self._dialect.not_run_headers()
-        self._send_own_answer(reply, job.call, 413, TOO_LARGE, None, not_run)
+        headers = self._dialect.not_run_headers() if job.is_forwarded else []
+        self._send_own_answer(reply, job.call, 503, TOO_LARGE, TOO_LARGE_RETRY_AFTER_MS, headers)
         self._request_log.log_ended(job, reply, "refused", TOO_LARGE)
         return True
 
