Placement: a request whose adapter is being loaded is not refused

Such requests also counted as adapters ahead. Change: they are neither refused nor counted; QueuePolicy disables this.

--- /dev/null
+++ b/monsoonflow/placement/queue_policy.py
@@ -0,0 +1,20 @@
+"""Which parts of the order of waiting are enabled; all of them except in ablation measurements."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class QueuePolicy:
+    """The parts of the order of waiting that can be disabled.
+
+    :param keeps_loading_requests: whether a request whose adapter is being loaded is never refused.
+    """
+
+    keeps_loading_requests: bool = True
+
+
+DEFAULT_POLICY: Final = QueuePolicy()
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -35,6 +35,7 @@
 from .load_limit import LoadLimit
 from .load_target import LoadTargetSelector
 from .model_load_limit import LONG_AGO_MS, ModelLoadLimit
+from .queue_policy import DEFAULT_POLICY, QueuePolicy
 from .replicas import RunnerWorkloads, find_wanted_replica
 from .request_queue import NoSlot, Placed, QueueAdmission, QueuedRequest, in_service_order
 from .returning_callers import ReturningCallers
@@ -107,6 +108,7 @@
     :param is_retired: tells whether requests may soon no longer start on a version, so that its
         runners must unload it.
     :param holder_since_ms: when this node became the lease holder of the cell.
+    :param policy: the parts of the order of waiting that are enabled.
     """
 
     def __init__(
@@ -116,8 +118,10 @@
         load_window_ms: int = 5_000,
         is_retired: Callable[[AdapterRef], bool] = lambda ref: False,
         holder_since_ms: int = LONG_AGO_MS,
+        policy: QueuePolicy = DEFAULT_POLICY,
     ) -> None:
         self.traits = traits
+        self._policy = policy
         self._newest_by_adapter = newest_by_adapter
         self._is_retired = is_retired
         self.runners: dict[ServerLife, RunnerSlots] = {}
@@ -235,19 +239,26 @@
             self._queue[request] = None
             self.process_queue(now_ms, work)
             return
-        if self._assign_slot(request, self._ready_slots(request.adapter_name), now_ms, work):
+        if self._assign_slot(
+            request, self._slots_in(request.adapter_name, SlotState.READY), now_ms, work
+        ):
             return
-        refusal = self._admission.check_new_request(request, now_ms)
+        loading = self._slots_in(request.adapter_name, SlotState.LOADING)
+        refusal = (
+            None
+            if self._is_kept(request, loading)
+            else self._admission.check_new_request(request, now_ms)
+        )
         if refusal is None:
             self._queue[request] = None
         else:
             self._refuse(request, refusal, now_ms)
 
-    def _ready_slots(self, name: str) -> list[SlotOnRunner]:
+    def _slots_in(self, name: str, state: SlotState) -> list[SlotOnRunner]:
         return [
             (runner, slot)
             for runner in self.runners.values()
-            if (slot := runner.slots.get(name)) is not None and slot.state is SlotState.READY
+            if (slot := runner.slots.get(name)) is not None and slot.state is state
         ]
 
     def _assign_slot(
@@ -321,21 +332,34 @@
                 remaining[request] = None
         total_slots = sum(runner.slot_count for runner in self.runners.values())
         idle_count = self._idle_slots.count(now_ms, work)
+        loading = self._slots_by_adapter(SlotState.LOADING)
+        without_slot = [
+            request
+            for request in remaining
+            if not self._is_kept(request, loading.get(request.adapter_name, ()))
+        ]
         for request, refusal in self._admission.check_queue(
-            list(remaining), total_slots, idle_count, now_ms
+            without_slot, total_slots, idle_count, now_ms
         ):
             del remaining[request]
             self._refuse(request, refusal, now_ms)
         self._queue = remaining
         self._queue_processed_ms = now_ms
 
+    def _is_kept(self, request: QueuedRequest, loading: Sequence[SlotOnRunner]) -> bool:
+        """Tell whether a request waits only for a load in progress.
+
+        It is not refused, since the load would be useless, and needs no other slot.
+        """
+        return self._policy.keeps_loading_requests and _is_loading(request, loading)
+
     def process_queue_for_adapter(
         self, name: str, now_ms: int, work: dict[ServerLife, ServerWork]
     ) -> None:
         """Assign slots to the queued requests for an adapter that was just loaded."""
         waiting = [request for request in self._queue if request.adapter_name == name]
         for request in waiting:
-            if self._assign_slot(request, self._ready_slots(name), now_ms, work):
+            if self._assign_slot(request, self._slots_in(name, SlotState.READY), now_ms, work):
                 del self._queue[request]
 
     def _find_slot(
--- /dev/null
+++ b/tests/placement/load_replay.py
@@ -0,0 +1,183 @@
+"""Replays a load over one lease holder and its runners in virtual time, without a network."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from heapq import heappop, heappush
+
+import attrs
+
+from monsoonflow.core.server_life import ServerLife
+from monsoonflow.placement.queue_policy import DEFAULT_POLICY, QueuePolicy
+from monsoonflow.placement.request_queue import NoSlot, Placed, QueuedRequest
+from monsoonflow.placement.scheduler import AdapterScheduler
+from monsoonflow.placement.slots import SlotState
+from tests.placement.conftest import MODEL, TRAITS, FakeRunner, SimulatedCell
+
+STEP_MS = 10
+SLOT_WAIT_SHARE = 0.6
+FIRST_EVENT_MS = 100
+RUN_MS = 450
+
+
+@attrs.frozen
+class Stream:
+    """A kind of requests.
+
+    :param weights: popularity of its adapters, most popular first.
+    """
+
+    name: str
+    rate_per_s: float
+    customer: str | None = None
+    priority: int = 0
+    objective_ms: int = 1_000
+    deadline_ms: int = 3_000
+    weights: tuple[float, ...] = (1.0,) * 40
+    from_ms: int = 0
+    until_ms: int = 1_000_000
+
+
+@attrs.define
+class Tally:
+    """What became of the requests of a stream."""
+
+    sent: int = 0
+    served: int = 0
+    waits_ms: list[int] = attrs.Factory(list)
+    retry_after_ms: list[int] = attrs.Factory(list)
+
+    @property
+    def share(self) -> float:
+        """Return the served share."""
+        return self.served / max(1, self.sent)
+
+
+class LoadReplay:
+    """One holder, three runners with three slots each, and callers that do not return.
+
+    :param streams: the load.
+    :param run_ms: how long each request uses its slot after the load.
+    """
+
+    def __init__(
+        self,
+        streams: Iterable[Stream],
+        seed: int,
+        run_ms: int = RUN_MS,
+        policy: QueuePolicy = DEFAULT_POLICY,
+    ) -> None:
+        self.streams = list(streams)
+        self.run_ms = run_ms
+        traits = attrs.evolve(TRAITS, adapter_slots=3)
+        self.cell = SimulatedCell(AdapterScheduler(traits, {}, policy=policy), {})
+        for number in range(3):
+            life = ServerLife(f"i-{number}")
+            self.cell.runners[life] = FakeRunner(life, slot_count=3)
+            self.cell.scheduler.add_runner(life)
+        self._rng = random.Random(seed)
+        self._waiting: dict[QueuedRequest, int] = {}
+        self._ends: list[tuple[int, int, ServerLife, str]] = []
+        self.tally_by_stream = {stream.name: Tally() for stream in self.streams}
+        self._sequence = 0
+        self.refused_with_free_slot = 0
+
+    def run(self, for_ms: int) -> dict[str, Tally]:
+        """Replay the load for a time; return the tally of each stream."""
+        cell = self.cell
+        arrivals = self._arrivals(for_ms)
+        cell.run(100)
+        start_ms = cell.now_ms
+        for after_ms, stream in arrivals:
+            while start_ms + after_ms > cell.now_ms:
+                self._step()
+            self._arrive(stream)
+        return self.tally_by_stream
+
+    def _arrivals(self, for_ms: int) -> list[tuple[int, Stream]]:
+        arrivals = []
+        for stream in self.streams:
+            at_ms = stream.from_ms + self._rng.expovariate(stream.rate_per_s / 1000)
+            while at_ms < min(for_ms, stream.until_ms):
+                arrivals.append((int(at_ms), stream))
+                at_ms += self._rng.expovariate(stream.rate_per_s / 1000)
+        return sorted(arrivals, key=lambda arrival: arrival[0])
+
+    def _step(self) -> None:
+        cell = self.cell
+        cell.now_ms += STEP_MS
+        while self._ends and self._ends[0][0] <= cell.now_ms:
+            _, _, life, name = heappop(self._ends)
+            work = cell.work[life]
+            work.requests -= 1
+            work.requests_by_adapter[name] -= 1
+            if not work.requests_by_adapter[name]:
+                del work.requests_by_adapter[name]
+        for request, left_ms in list(self._waiting.items()):
+            if left_ms <= cell.now_ms:
+                del self._waiting[request]
+                cell.scheduler.remove_request(request, cell.now_ms)
+        cell.run_plan()
+
+    def _arrive(self, stream: Stream) -> None:
+        now_ms = self.cell.now_ms
+        tally = self.tally_by_stream[stream.name]
+        tally.sent += 1
+        number = self._rng.choices(range(len(stream.weights)), stream.weights)[0]
+        name = f"{MODEL}/{stream.customer or stream.name}-{number}"
+        holder = self._runner_with(name)
+        if holder is not None:
+            self._start(stream, holder, name, now_ms)
+            return
+        wait_ms = int(stream.deadline_ms * SLOT_WAIT_SHARE)
+
+        def finish(result: Placed | NoSlot | None) -> None:
+            self._waiting.pop(request, None)
+            match result:
+                case Placed(life=life):
+                    self._start(stream, life, name, now_ms)
+                case NoSlot(retry_after_ms=retry_after_ms):
+                    self.refused_with_free_slot += self._has_unneeded_slot()
+                    tally.retry_after_ms.append(retry_after_ms)
+
+        request = QueuedRequest(
+            adapter_name=name,
+            min_version=1,
+            priority=stream.priority,
+            first_attempt_ms=now_ms,
+            on_time_until_ms=now_ms + stream.objective_ms - FIRST_EVENT_MS,
+            deadline_ms=now_ms + wait_ms,
+            excluded_runners=frozenset(),
+            on_result=finish,
+        )
+        self._waiting[request] = now_ms + wait_ms
+        self.cell.scheduler.request_slot(request, now_ms, self.cell.work)
+
+    def _runner_with(self, name: str) -> ServerLife | None:
+        """Return the runner that the residency report names for an adapter."""
+        for runner in self.cell.scheduler.runners.values():
+            slot = runner.slots.get(name)
+            if slot is not None and slot.state is SlotState.READY:
+                return runner.life
+        return None
+
+    def _has_unneeded_slot(self) -> bool:
+        """Tell whether there are more free slots than adapters that wait for one."""
+        scheduler = self.cell.scheduler
+        free = sum(runner.free_slots() for runner in scheduler.runners.values())
+        return free > len({request.adapter_name for request in scheduler.queued_requests})
+
+    def _start(self, stream: Stream, life: ServerLife, name: str, arrived_ms: int) -> None:
+        now_ms = self.cell.now_ms
+        tally = self.tally_by_stream[stream.name]
+        tally.served += 1
+        tally.waits_ms.append(now_ms - arrived_ms)
+        self.cell.start_requests(life, name.partition("/")[2])
+        self._sequence += 1
+        heappush(self._ends, (now_ms + self.run_ms, self._sequence, life, name))
+
+
+def zipf(count: int, exponent: float = 1.2) -> tuple[float, ...]:
+    """Return Zipf weights."""
+    return tuple(1 / (rank + 1) ** exponent for rank in range(count))
