Placement: fair shares of slots by customer, and draining of slots

Change: nodes announce for how long their requests were at runners, by customer (at the end of the full heartbeat; in a large fleet only to holders and standbys). The holder orders waiting requests by level, that is how far their customer is above its share, and drains slots that only customers of a higher level use. Slot requests name the customer. QueuePolicy disables each part.

--- a/measure/desk_load.py
+++ b/measure/desk_load.py
@@ -27,6 +27,7 @@
 from monsoonflow.fleet.view import FleetView
 from monsoonflow.helpers.gevent_tasks import GeventTasks
 from monsoonflow.orders.models import Order, OrderResult, RunnerReport
+from monsoonflow.placement.fair_share import FairShares
 from monsoonflow.placement.slots import OrderStep
 from monsoonflow.routing.in_flight import InFlight
 from monsoonflow.routing.routes import EngineTraits, Service
@@ -332,6 +333,7 @@
             settings=SimpleNamespace(name=HOLDER, bounds=PeerBounds()),
             store_watches=None,
             gossip=SimpleNamespace(send_round=lambda: None),
+            customer_shares=SimpleNamespace(fair_shares=FairShares()),
             metrics=SimpleNamespace(orders=_Metric(), order_time=_Metric()),
         )
 
--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -24,6 +24,7 @@
 from ..placement.request_queue import NoSlot, Placed, QueuedRequest
 from ..placement.scheduler import AdapterScheduler
 from ..placement.slots import OrderStep, SlotState
+from ..placement.usage_reports import valid_customer
 from ..routing.in_flight import ServerWork, sum_work
 from ..routing.overload import OverloadedRunners, overloaded_runners
 from ..routing.routes import Service
@@ -282,6 +283,8 @@
             on_result=result.set,
             session_key=slot_request["session"],
             tried_ms=slot_request["tried_ms"],
+            # Nodes of an earlier release name no customer.
+            customer=valid_customer(slot_request.get("customer")),
             **_prefill_fields(slot_request, now_ms),
         )
         scheduler = lease.scheduler
@@ -382,6 +385,7 @@
                 self._daemon.settings.bounds.load_window_ms,
                 self._is_retired,
                 now_ms,
+                fair_shares=self._daemon.customer_shares.fair_shares,
             )
         scheduler = lease.scheduler
         scheduler.model_load_limit.cells = len(self._lease_by_cell)
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -42,6 +42,7 @@
 from ..quarantine.crash_probe import CrashProbe
 from ..quarantine.manager import QuarantineManager
 from ..routing.budget import FleetRetryBudget, RetryAllowance
+from ..routing.customer_usage import CustomerUsage
 from ..routing.full_servers import FullServers
 from ..routing.health import HealthTracker
 from ..routing.in_flight import InFlight
@@ -58,6 +59,7 @@
 from .address_directory import AddressDirectory
 from .cell_leases import CellLeases
 from .cluster_state import ClusterState
+from .customer_shares import CustomerShares
 from .metrics import EntryMetrics
 from .node_activity import NodeActivity
 from .node_registration import NodeRegistration
@@ -233,6 +235,10 @@
             self._is_end_expected,
         )
         self.peer_client = PeerClient(self.view, self.clock, integration.decoders.table)
+        self.customer_usage = CustomerUsage()
+        self.customer_shares = CustomerShares(
+            settings.name, self.boot_id, self.customer_usage, self.clock, self._quota_rate_of
+        )
         self.cell_leases = CellLeases(self, integration.runners(self._handle_server_leaving))
         self.store_follower = StoreFollower(
             integration.decoders,
@@ -402,6 +408,7 @@
             unreachable_services=self.service_paths.lost_services(),
             rejections_by_brittle_server=self.server_limits.announced_rejections(),
             keeps_stream_versions=True,
+            runner_ms_by_customer=self.customer_shares.own_totals_ms(),
         )
 
     def _work_delta(self) -> WorkDelta:
@@ -428,6 +435,15 @@
         server = self.cluster_state.server_registry.server_by_life.get(life)
         return server.max_concurrent_requests if server is not None else 1
 
+    def _quota_rate_of(self, customer: str) -> float | None:
+        """Return the rate of a customer's quota; ``None`` if it has none in tokens.
+
+        Quotas in requests say little of how long the runners are used.
+        """
+        route_table = self.cluster_state.route_table
+        quota = route_table.quota_by_customer.get(customer) if route_table is not None else None
+        return quota.rate_per_s if quota is not None and quota.counts_tokens else None
+
     def _handle_usage_delta(self, delta: UsageDelta) -> None:
         self.shared_quota.handle_delta(delta)
         self.server_limits.handle_delta(delta)
@@ -496,6 +512,7 @@
         self._check_services_lost_by(heartbeat)
         self.shared_quota.handle_heartbeat(heartbeat)
         self.server_limits.handle_heartbeat(heartbeat)
+        self.customer_shares.handle_heartbeat(heartbeat)
         self.quarantine_manager.apply_announced(
             heartbeat.name,
             heartbeat.crashes,
@@ -679,6 +696,7 @@
             self.configuration_status,
             self.shared_quota,
             self._handle_server_leaving,
+            self.customer_usage,
         )
         self.address_directory = AddressDirectory(
             self.view,
--- a/monsoonflow/entry/placement_client.py
+++ b/monsoonflow/entry/placement_client.py
@@ -274,6 +274,7 @@
             "avoid": self._runners_to_avoid(service, job, overloaded),
             "software_version": job.software_version,
             "session": call.session,
+            "customer": job.customer_name,
             "lacking": self._daemon.cell_leases.residency.runners_lacking(call.adapter or ""),
             "rank": job.rank_at(now_ms),
             "prompt_tokens": call.prompt_tokens,
--- a/monsoonflow/entry/residency_reporter.py
+++ b/monsoonflow/entry/residency_reporter.py
@@ -18,7 +18,7 @@
     """Reports the adapters of each runner, and reuses the entries of those that have not changed.
 
     Building and applying the entries of 45 runners again after each plan would take a tenth of a
-    busy holder's processor time.
+    busy holder's processor time. Slots that drain are left out, so that nodes request a slot.
     """
 
     def __init__(self) -> None:
@@ -52,7 +52,13 @@
 
     def _resident_adapters(self, runner: RunnerSlots) -> ResidentAdapters:
         ready = SlotState.READY
-        refs = tuple([slot.ref for slot in runner.slots.values() if slot.state is ready])
+        refs = tuple(
+            [
+                slot.ref
+                for slot in runner.slots.values()
+                if slot.state is ready and slot.draining_level is None
+            ]
+        )
         current = self._current_by_life.get(runner.life)
         if current is not None and current.adapters == refs:
             return current
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -106,6 +106,7 @@
                 for crash in heartbeat.parts_crashes
             ],
             [[sound.part, sound.lives] for sound in heartbeat.sound_parts],
+            heartbeat.runner_ms_by_customer,
         ]
     )
 
@@ -335,6 +336,7 @@
             SoundPart(str(part), _lives_from_fields(lives))
             for part, lives in _optional_field(fields, 28) or ()
         ),
+        runner_ms_by_customer=_optional_field(fields, 29),
     )
 
 
--- a/monsoonflow/fleet/gossip.py
+++ b/monsoonflow/fleet/gossip.py
@@ -122,13 +122,31 @@
         full = recipients
         if not _concerns_idle_peers(heartbeat):
             full = view.full_heartbeat_recipients(recipients)
-        self._send_heartbeat(heartbeat, [addresses[name] for name in full])
+        self._send_full_heartbeat(heartbeat, {name: addresses[name] for name in full})
         short = set(recipients).difference(full)
         if short:
             self._send_short_heartbeat(
                 heartbeat, [addresses[name] for name in recipients if name in short]
             )
 
+    def _send_full_heartbeat(self, heartbeat: Heartbeat, addresses: dict[str, str]) -> None:
+        """Send a full heartbeat; in a large fleet only lease holders and standbys need all of it.
+
+        The usage of 64 customers is 0.5 kB. With up to twenty peers in each round it would be most
+        of what a node sends.
+
+        :param addresses: of the recipients, by name.
+        """
+        if self._view.is_small() or not heartbeat.runner_ms_by_customer:
+            self._send_heartbeat(heartbeat, list(addresses.values()))
+            return
+        deciding = self._view.holder_and_standby_names().intersection(addresses)
+        self._send_heartbeat(heartbeat, [addresses[name] for name in deciding])
+        self._send_heartbeat(
+            attrs.evolve(heartbeat, runner_ms_by_customer=None),
+            [address for name, address in addresses.items() if name not in deciding],
+        )
+
     def schedule_broadcast(self) -> None:
         """Schedule a heartbeat to all peers, for changes that each must learn of without delay.
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
@@ -179,6 +179,9 @@
     :param rejections_by_brittle_server: recent rejections by brittle servers.
     :param keeps_stream_versions: whether the node keeps for its peers which software version began
         a stream; a node of an earlier release does not.
+    :param runner_ms_by_customer: for how long the node's requests have been at runners since its
+        start, by customer. As received, so it may have any type; ``None`` if the message does not
+        contain it.
     """
 
     record: NodeRecord
@@ -209,6 +212,7 @@
     keeps_stream_versions: bool = False
     parts_crashes: tuple[PartsCrash, ...] = ()
     sound_parts: tuple[SoundPart, ...] = ()
+    runner_ms_by_customer: Any = None
 
     @property
     def name(self) -> str:
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -12,6 +12,7 @@
 from ..quarantine.models import RequestTraits, Turn
 from ..quarantine.parts import HARDLY_BEGUN_MS
 from ..routing.caller_timeouts import TypicalCallerTimeouts
+from ..routing.customer_usage import CustomerUsage
 from ..routing.customers import Identity, Unauthorized
 from ..routing.first_event import FirstEventEstimator
 from ..routing.in_flight import InFlight, Ticket
@@ -110,6 +111,7 @@
     :param stream_versions: knows the software versions that began streams.
     :param on_server_leaving: called when a server states that it is shutting down, with the answer
         that says so.
+    :param customer_usage: measures how long requests are at model runners, by customer.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         ),
         quotas: CustomerQuotas | None = None,
         on_server_leaving: Callable[[ServerLife, str], None] = lambda _life, _source: None,
+        customer_usage: CustomerUsage | None = None,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -155,6 +158,7 @@
         self._quotas = quotas
         self._stream_versions = stream_versions
         self._on_server_leaving = on_server_leaving
+        self._customer_usage = customer_usage or CustomerUsage()
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
@@ -489,6 +493,9 @@
             chosen.memory_tokens,
             forwarded.rank,
         )
+        customer = job.customer_name if job.service.engine is not None else None
+        if customer is not None:
+            self._customer_usage.begin(customer, sent_ms)
         self._backlog.record_sent(chosen, sent_ms)
         self._request_log.log_sent(job, chosen, forwarded)
         attempt = Attempt(
@@ -521,6 +528,8 @@
                     ticket.is_awaiting_first_event and waited_ms > job.route.objective_ms * 2
                 )
             self._release_turn(job)
+            if customer is not None:
+                self._customer_usage.end(customer, self._clock.now_ms())
             self._finish_attempt(job, ticket, chooser, chosen, result, sent_ms)
 
     def _release_turn(self, job: Job) -> None:
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -24,6 +24,7 @@
     ReportUnread,
     ReportUnsent,
     UnreadableDatagram,
+    UnusableCustomerUsage,
 )
 from .process import (
     Reloaded,
@@ -153,6 +154,7 @@
     "StoreReturned",
     "TryFailed",
     "UnreadableDatagram",
+    "UnusableCustomerUsage",
     "UnusablePeerConfiguration",
     "UnusableReport",
     "UnusableServerLimit",
--- a/monsoonflow/logs/events/fleet.py
+++ b/monsoonflow/logs/events/fleet.py
@@ -75,6 +75,14 @@
     cause: str
 
 
+@event
+class UnusableCustomerUsage(Event):
+    """A peer announced an invalid or impossible usage of a customer; logged once for each peer."""
+
+    LEVEL: ClassVar[int] = logging.WARNING
+    peer: str
+
+
 @event
 class ReportUnread(Event):
     """Receiving a heartbeat datagram failed."""
--- a/monsoonflow/placement/idle_slots.py
+++ b/monsoonflow/placement/idle_slots.py
@@ -34,9 +34,13 @@
     def least_valuable(
         self, runner: RunnerSlots, now_ms: int, work: Mapping[ServerLife, ServerWork]
     ) -> Slot | None:
-        """Return the least valuable idle slot of a runner."""
+        """Return the least valuable idle slot of a runner; those that drain come first."""
         idle = self.idle_slots_of(runner, now_ms, work)
-        return min(idle, key=lambda slot: self.value_of(slot, now_ms), default=None)
+        return min(
+            idle,
+            key=lambda slot: (slot.draining_level is None, self.value_of(slot, now_ms)),
+            default=None,
+        )
 
     def has_room(
         self, runner: RunnerSlots, now_ms: int, work: Mapping[ServerLife, ServerWork]
--- a/monsoonflow/placement/request_queue.py
+++ b/monsoonflow/placement/request_queue.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Final, TypeAlias
 
 import attrs
@@ -39,8 +40,8 @@
 MIN_RETRY_AFTER_MS: Final = 250
 
 
-GroupSortKey: TypeAlias = tuple[int, int]
-"""Priority and first attempt: the order among requests on time, and among late requests."""
+GroupSortKey: TypeAlias = tuple[int, int, int]
+"""Level, priority and first attempt: the order among requests on time, and among late requests."""
 
 
 @attrs.define(slots=True, eq=False)
@@ -63,6 +64,8 @@
     :param read_by_ms: when the prefill of its prompt must be complete; ``None`` if a queue at the
         runner does not matter.
     :param tokens_per_ms: prefill rate of runners as observed by its node.
+    :param customer: whose request it is; ``None`` without customers.
+    :param level: how far its customer is above its share of the runners; 0 is served first.
     """
 
     adapter_name: str
@@ -81,6 +84,8 @@
     read_by_ms: int | None = None
     tokens_per_ms: float = INITIAL_TOKENS_PER_MS
     software_version: str | None = None
+    customer: str | None = None
+    level: int = 0
 
     def may_use(self, runner: RunnerSlots) -> bool:
         """Tell whether the request may be sent to a runner."""
@@ -111,29 +116,31 @@
         """Tell whether the first event would be late even if the load started now."""
         return now_ms + self.expected_load_ms > self.on_time_until_ms
 
-    def sort_key(self, now_ms: int) -> tuple[bool, int, int]:
+    def sort_key(self, now_ms: int) -> tuple[int, bool, int, int]:
         """Return the sort key for assigning slots, smallest first.
 
         Requests that can still be on time come first. In order of arrival a rush would make all
         requests late: the oldest one, which is already late, would take the slot of one that is
         not.
         """
-        return (self.is_late(now_ms), self.priority, self.first_attempt_ms)
+        return (self.level, self.is_late(now_ms), self.priority, self.first_attempt_ms)
 
     def group_sort_key(self) -> GroupSortKey:
         """Return the sort key among the requests on time, or among the late ones."""
-        return (self.priority, self.first_attempt_ms)
+        return (self.level, self.priority, self.first_attempt_ms)
 
 
 def in_service_order(requests: Iterable[QueuedRequest], now_ms: int) -> list[QueuedRequest]:
-    """Return requests sorted by :meth:`QueuedRequest.sort_key`: on time first, then late."""
+    """Return requests sorted by :meth:`QueuedRequest.sort_key`."""
     on_time: list[QueuedRequest] = []
     late: list[QueuedRequest] = []
     for request in requests:
         (late if request.is_late(now_ms) else on_time).append(request)
     on_time.sort(key=QueuedRequest.group_sort_key)
     late.sort(key=QueuedRequest.group_sort_key)
-    return on_time + late
+    ordered = on_time + late
+    ordered.sort(key=attrgetter("level"))
+    return ordered
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -31,6 +31,7 @@
 from ..routing.routes import EngineTraits
 from .cached_copies import CachedCopies
 from .candidate_runners import CandidateRunners, SlotOnRunner
+from .fair_share import FairShares
 from .idle_slots import IdleSlots
 from .load_limit import LoadLimit
 from .load_target import LoadTargetSelector
@@ -39,6 +40,7 @@
 from .replicas import RunnerWorkloads, find_wanted_replica
 from .request_queue import NoSlot, Placed, QueueAdmission, QueuedRequest, in_service_order
 from .returning_callers import ReturningCallers
+from .slot_draining import SlotDraining
 from .slots import OrderStep, RunnerSlots, Slot, SlotState, slot_count
 from .usage_scores import UsageScores
 
@@ -109,6 +111,7 @@
         runners must unload it.
     :param holder_since_ms: when this node became the lease holder of the cell.
     :param policy: the parts of the order of waiting that are enabled.
+    :param fair_shares: the recent usage of each customer.
     """
 
     def __init__(
@@ -119,9 +122,11 @@
         is_retired: Callable[[AdapterRef], bool] = lambda ref: False,
         holder_since_ms: int = LONG_AGO_MS,
         policy: QueuePolicy = DEFAULT_POLICY,
+        fair_shares: FairShares | None = None,
     ) -> None:
         self.traits = traits
         self._policy = policy
+        self._fair_shares = fair_shares or FairShares()
         self._newest_by_adapter = newest_by_adapter
         self._is_retired = is_retired
         self.runners: dict[ServerLife, RunnerSlots] = {}
@@ -129,6 +134,7 @@
         self._queue_processed_ms: int | None = None
         self._usage_scores = UsageScores()
         self._idle_slots = IdleSlots(self.runners, self._usage_scores, newest_by_adapter)
+        self.slot_draining = SlotDraining(self._idle_slots, self._fair_shares)
         self._cached_copies = CachedCopies()
         self._load_target_selector = LoadTargetSelector(self._cached_copies)
         self._workloads = RunnerWorkloads()
@@ -228,6 +234,9 @@
         self._usage_scores.add(request.adapter_name, REQUEST_USAGE_SCORE, now_ms)
         self._restore_first_attempt(request, now_ms)
         request.expected_load_ms = self._expected_load_ms(request)
+        self.slot_draining.customers.record(request.adapter_name, request.customer, now_ms)
+        if self._policy.fair_shares:
+            request.level = self._fair_shares.level_of(request.customer)
         overrun_ms = self._prefill_overrun_ms(request, now_ms, work)
         if overrun_ms is not None:
             self._refuse(request, NoSlot(max(MIN_DRAIN_MS, overrun_ms)), now_ms)
@@ -324,6 +333,8 @@
 
     def process_queue(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
         """Assign slots to queued requests, and refuse those that can't be served in time."""
+        if self._policy.fair_shares:
+            self._fair_shares.assign_levels(self._queue, now_ms)
         remaining: dict[QueuedRequest, None] = {}
         ready = self._slots_by_adapter(SlotState.READY)
         for request in in_service_order(self._queue, now_ms):
@@ -344,6 +355,9 @@
             del remaining[request]
             self._refuse(request, refusal, now_ms)
         self._queue = remaining
+        if self._policy.drains_slots:
+            waiting = [request for request in without_slot if request in remaining]
+            self.slot_draining.update(waiting, now_ms, work)
         self._queue_processed_ms = now_ms
 
     def _is_kept(self, request: QueuedRequest, loading: Sequence[SlotOnRunner]) -> bool:
@@ -378,7 +392,7 @@
         for runner, slot in ready:
             if not request.may_use(runner) or slot.ref.version < request.min_version:
                 continue
-            if self._is_retired(slot.ref):
+            if self._is_retired(slot.ref) or not slot.accepts(request.level):
                 continue
             granted_tokens = self._grants.tokens(runner.life, now_ms)
             if request.can_prefill_in_time(work.get(runner.life, _NO_WORK), granted_tokens, now_ms):
--- a/monsoonflow/placement/slots.py
+++ b/monsoonflow/placement/slots.py
@@ -52,6 +52,7 @@
     :param is_cold: whether the adapter is fetched from the weight store, without a cached copy.
     :param concurrent_loads: number of fetches from the weight store in progress when its load
         started, including itself; 0 if unknown.
+    :param draining_level: set while the slot drains; only requests of a lower level are sent there.
     """
 
     ref: AdapterRef
@@ -62,6 +63,11 @@
     granted_until_ms: int = 0
     is_cold: bool = True
     concurrent_loads: int = 0
+    draining_level: int | None = None
+
+    def accepts(self, level: int) -> bool:
+        """Tell whether a request of a level may be sent there."""
+        return self.draining_level is None or level < self.draining_level
 
 
 @attrs.frozen(slots=True)
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -14,7 +14,13 @@
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.fleet import codec
 from monsoonflow.fleet.gossip import Gossip
-from monsoonflow.fleet.models import Heartbeat, NodeRecord, ShortHeartbeat, WorkDelta
+from monsoonflow.fleet.models import (
+    CellLeaseClaim,
+    Heartbeat,
+    NodeRecord,
+    ShortHeartbeat,
+    WorkDelta,
+)
 from monsoonflow.fleet.view import FleetView
 from monsoonflow.helpers.gevent_tasks import GeventTasks
 from monsoonflow.transport.sockets import split_address
@@ -106,6 +112,43 @@
     assert isinstance(message, Heartbeat) == is_full
 
 
+def test_in_a_large_fleet_only_lease_holders_receive_the_usage_of_customers():
+    """Sent to all peers with callers it would be 6 kB a second of each of 1,100 nodes."""
+    view = FleetView("me")
+    listeners = {name: socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for name in ("n1", "n2")}
+    for name, listener in listeners.items():
+        listener.bind(("127.0.0.1", 0))
+        listener.settimeout(5)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        claims = (CellLeaseClaim("llm", "n1", 1),) if name == "n1" else ()
+        record = NodeRecord(name, "b", "dc", "1:1", "1:2", address)
+        view.receive(Heartbeat(record, 1, True, False, 1, True, claims=claims), 0)
+    for number in range(3, 30):
+        record = NodeRecord(f"n{number}", "b", "dc", "1:1", "1:2", "127.0.0.1:9")
+        view.receive(Heartbeat(record, 1, True, False, 1, True, is_active=False), 0)
+    own_record = NodeRecord("me", "b", "dc", "1:1", "1:2", "127.0.0.1:9")
+    heartbeat = Heartbeat(own_record, 1, True, False, 1, True, runner_ms_by_customer={"alpha": 7})
+    delta = WorkDelta("me", "b", 1, {})
+    gossip = Gossip(
+        "127.0.0.1:9",
+        view,
+        lambda: heartbeat,
+        lambda _: None,
+        GeventTasks(),
+        MonotonicClock(),
+        lambda: delta,
+    )
+    gossip.send_round()
+    received = {
+        name: codec.decode(listener.recv(60_000)).runner_ms_by_customer
+        for name, listener in listeners.items()
+    }
+    gossip.close()
+    for listener in listeners.values():
+        listener.close()
+    assert received == {"n1": {"alpha": 7}, "n2": None}
+
+
 def test_full_heartbeats_are_requested_and_answered_at_a_limited_rate(address, received):
     """A datagram with a node's record is lost; later ones are short heartbeats without it.
 
--- a/tests/placement/load_replay.py
+++ b/tests/placement/load_replay.py
@@ -9,13 +9,19 @@
 import attrs
 
 from monsoonflow.core.server_life import ServerLife
+from monsoonflow.placement.fair_share import FairShares
 from monsoonflow.placement.queue_policy import DEFAULT_POLICY, QueuePolicy
 from monsoonflow.placement.request_queue import NoSlot, Placed, QueuedRequest
 from monsoonflow.placement.scheduler import AdapterScheduler
 from monsoonflow.placement.slots import SlotState
+from monsoonflow.placement.usage_reports import UsageReports
+from monsoonflow.routing.customer_usage import CustomerUsage
 from tests.placement.conftest import MODEL, TRAITS, FakeRunner, SimulatedCell
 
 STEP_MS = 10
+REPORT_INTERVAL_MS = 200
+"""Interval of full heartbeats in a small fleet."""
+
 SLOT_WAIT_SHARE = 0.6
 FIRST_EVENT_MS = 100
 RUN_MS = 450
@@ -71,14 +77,18 @@
         self.streams = list(streams)
         self.run_ms = run_ms
         traits = attrs.evolve(TRAITS, adapter_slots=3)
-        self.cell = SimulatedCell(AdapterScheduler(traits, {}, policy=policy), {})
+        self.fair_shares = FairShares()
+        scheduler = AdapterScheduler(traits, {}, policy=policy, fair_shares=self.fair_shares)
+        self.cell = SimulatedCell(scheduler, {})
+        self._usage = CustomerUsage()
+        self._reports = UsageReports()
         for number in range(3):
             life = ServerLife(f"i-{number}")
             self.cell.runners[life] = FakeRunner(life, slot_count=3)
             self.cell.scheduler.add_runner(life)
         self._rng = random.Random(seed)
         self._waiting: dict[QueuedRequest, int] = {}
-        self._ends: list[tuple[int, int, ServerLife, str]] = []
+        self._ends: list[tuple[int, int, ServerLife, str, str | None]] = []
         self.tally_by_stream = {stream.name: Tally() for stream in self.streams}
         self._sequence = 0
         self.refused_with_free_slot = 0
@@ -93,6 +103,8 @@
             while start_ms + after_ms > cell.now_ms:
                 self._step()
             self._arrive(stream)
+        while self._waiting:
+            self._step()
         return self.tally_by_stream
 
     def _arrivals(self, for_ms: int) -> list[tuple[int, Stream]]:
@@ -107,8 +119,14 @@
     def _step(self) -> None:
         cell = self.cell
         cell.now_ms += STEP_MS
+        if cell.now_ms % REPORT_INTERVAL_MS == 0:
+            totals = self._usage.totals_ms(cell.now_ms)
+            used = self._reports.apply("n1", "boot", totals, cell.now_ms)
+            self.fair_shares.record_usage(used, cell.now_ms)
         while self._ends and self._ends[0][0] <= cell.now_ms:
-            _, _, life, name = heappop(self._ends)
+            _, _, life, name, customer = heappop(self._ends)
+            if customer is not None:
+                self._usage.end(customer, cell.now_ms)
             work = cell.work[life]
             work.requests -= 1
             work.requests_by_adapter[name] -= 1
@@ -150,6 +168,7 @@
             deadline_ms=now_ms + wait_ms,
             excluded_runners=frozenset(),
             on_result=finish,
+            customer=stream.customer,
         )
         self._waiting[request] = now_ms + wait_ms
         self.cell.scheduler.request_slot(request, now_ms, self.cell.work)
@@ -158,7 +177,7 @@
         """Return the runner that the residency report names for an adapter."""
         for runner in self.cell.scheduler.runners.values():
             slot = runner.slots.get(name)
-            if slot is not None and slot.state is SlotState.READY:
+            if slot is not None and slot.state is SlotState.READY and slot.draining_level is None:
                 return runner.life
         return None
 
@@ -175,7 +194,10 @@
         tally.waits_ms.append(now_ms - arrived_ms)
         self.cell.start_requests(life, name.partition("/")[2])
         self._sequence += 1
-        heappush(self._ends, (now_ms + self.run_ms, self._sequence, life, name))
+        if stream.customer is not None:
+            self._usage.begin(stream.customer, now_ms)
+        end = (now_ms + self.run_ms, self._sequence, life, name, stream.customer)
+        heappush(self._ends, end)
 
 
 def zipf(count: int, exponent: float = 1.2) -> tuple[float, ...]:
