Entry: log and count refusals of slots and draining slots, with inputs

Cause: a refused request could not be traced to what the lease holder knew. Change: one line for each refusal and drain, written by the holder, with the request's id, customer, level, forecast and the age of the usage; counters by reason, priority and rank of the customer (8 ranks and others). Requests of customers that waited in vain are told the forecast instead of 500 ms, and refusals of customers are spread by up to a quarter. Result: in the test with a real node the counters equal the lines.

--- a/measure/desk_load.py
+++ b/measure/desk_load.py
@@ -334,7 +334,12 @@
             store_watches=None,
             gossip=SimpleNamespace(send_round=lambda: None),
             customer_shares=SimpleNamespace(fair_shares=FairShares()),
-            metrics=SimpleNamespace(orders=_Metric(), order_time=_Metric()),
+            metrics=SimpleNamespace(
+                orders=_Metric(),
+                order_time=_Metric(),
+                count_slot_refusal=lambda *_: None,
+                count_slot_drain=lambda: None,
+            ),
         )
 
 
--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -36,6 +36,7 @@
 from .residency import Residency
 from .residency_reporter import ResidencyReporter
 from .settings import PeerBounds
+from .slot_log import SlotLog
 
 if TYPE_CHECKING:
     from .daemon import EntryDaemon
@@ -113,6 +114,7 @@
         self.residency = Residency(daemon.clock)
         self._row_by_cell: dict[str, ChangedRow] = {}
         self._planned_work: dict[ServerLife, ServerWork] = {}
+        self._slot_log = SlotLog(daemon.customer_shares.fair_shares, daemon.metrics, daemon.clock)
 
     def start(self) -> None:
         """Start the lease checks and the planner."""
@@ -293,11 +295,21 @@
         scheduler.request_slot(queued_request, now_ms, self._total_work())
         self.wake_planner()
         try:
-            return result.get(timeout=slot_request["wait_ms"] / 1000)
+            answer = result.get(timeout=slot_request["wait_ms"] / 1000)
         except gevent.Timeout:
-            return NoSlot(REFUSED_RETRY_AFTER_MS)
+            answer = self._refusal_at_deadline(scheduler, queued_request)
         finally:
             scheduler.remove_request(queued_request, self._daemon.clock.now_ms())
+        if isinstance(answer, NoSlot):
+            answer = self._slot_log.record_refusal(
+                lease.service.name, slot_request.get("request"), queued_request, answer, now_ms
+            )
+        return answer
+
+    def _refusal_at_deadline(self, scheduler: AdapterScheduler, request: QueuedRequest) -> NoSlot:
+        if request.customer is None:
+            return NoSlot(REFUSED_RETRY_AFTER_MS, "deadline")
+        return scheduler.admission.refusal_at_deadline(request, self._daemon.clock.now_ms())
 
     def _lease_check_loop(self) -> None:
         while True:
@@ -414,6 +426,7 @@
         if now_ms - lease.last_queue_check_ms >= QUEUE_CHECK_INTERVAL_MS:
             lease.last_queue_check_ms = now_ms
             scheduler.process_queue(now_ms, work)
+        self._slot_log.record_drains(lease.service.name, scheduler.slot_draining.pop_started())
         for step in scheduler.plan(now_ms, work):
             self._daemon.tasks.spawn(self._send_order, lease, scheduler, step)
         self.residency.apply_report(lease.residency_reporter.report_changes(scheduler, now_ms))
--- a/monsoonflow/entry/metrics.py
+++ b/monsoonflow/entry/metrics.py
@@ -29,6 +29,8 @@
 )
 ORDER_BUCKETS_S: Final = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
 METRIC_PREFIX: Final = "monsoonflow_entry_"
+MAX_PRIORITY_LABELS: Final = 10
+"""Priorities that are counted one by one; the value is from a peer's message."""
 
 
 class EntryMetrics:
@@ -91,6 +93,17 @@
             "Streams taken up again, by where the software version that began them was found.",
             "found",
         )
+        self.slot_refusals = self._counter(
+            "slot_refusals",
+            "Slot requests refused by the lease holder, by reason, priority and rank of the "
+            "customer in usage.",
+            "reason",
+            "priority",
+            "customer_rank",
+        )
+        self.slot_drains = self._counter(
+            "slot_drains", "Slots chosen to be freed for customers below their share."
+        )
         self.log_lines_dropped = self._counter("log_lines_dropped", "Log lines never written.")
 
     def count_request(
@@ -137,6 +150,15 @@
         """Count a stream whose software version was looked up."""
         self.stream_versions.labels(found).inc()
 
+    def count_slot_refusal(self, reason: str, priority: int, customer_rank: str) -> None:
+        """Count a slot request that the lease holder refused."""
+        label = str(priority) if -1 <= priority < MAX_PRIORITY_LABELS else "other"
+        self.slot_refusals.labels(reason, label, customer_rank).inc()
+
+    def count_slot_drain(self) -> None:
+        """Count a slot that was chosen for draining."""
+        self.slot_drains.inc()
+
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read whenever the metrics are requested."""
         Gauge(METRIC_PREFIX + name, help_text, registry=self.registry).set_function(read)
--- a/monsoonflow/entry/placement_client.py
+++ b/monsoonflow/entry/placement_client.py
@@ -275,6 +275,7 @@
             "software_version": job.software_version,
             "session": call.session,
             "customer": job.customer_name,
+            "request": call.request_id,
             "lacking": self._daemon.cell_leases.residency.runners_lacking(call.adapter or ""),
             "rank": job.rank_at(now_ms),
             "prompt_tokens": call.prompt_tokens,
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -49,6 +49,8 @@
     RequestWaited,
     ServerAtLimit,
     ServerRefused,
+    SlotDrains,
+    SlotRefused,
     TryFailed,
 )
 from .servers import (
@@ -141,6 +143,8 @@
     "ServerRests",
     "ServerSilent",
     "ServerRefused",
+    "SlotDrains",
+    "SlotRefused",
     "ServiceReachable",
     "ServiceUnreachable",
     "SoftwareVersionsChanged",
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -155,6 +155,51 @@
     waited_ms: int
 
 
+@event
+class SlotRefused(Event):
+    """The lease holder of a cell refused a slot request."""
+
+    # ``cause`` is "forecast" if the wait would be too long, "deadline" if the request has waited
+    # for as long as it could, "prefill" if the queues of all runners are too long. ``level`` is how
+    # far the customer is above its share, ``late`` whether the first event would be late, ``ahead``
+    # the number of adapters that are loaded before, ``idle`` the free and idle slots, ``per_s`` the
+    # slots assigned per second to such requests, ``in_use`` the mean number of the customer's
+    # requests at runners, and ``usage_age_ms`` the age of the last report of usage.
+
+    request: str | None
+    cell: str
+    adapter: str
+    cause: str
+    customer: str | None
+    priority: int
+    level: int
+    late: bool
+    waited_ms: int
+    tried_ms: int
+    retry_after_ms: int
+    ahead: int | None
+    idle: int | None
+    per_s: float | None
+    in_use: float
+    usage_age_ms: int | None
+
+
+@event
+class SlotDrains(Event):
+    """A slot takes no more requests of customers of its level, since others wait for a slot."""
+
+    # ``level`` is the lowest of the customers that use the slot, ``for_level`` and ``for_customer``
+    # are those of the waiting request.
+
+    cell: str
+    server: str
+    adapter: str
+    level: int
+    for_level: int
+    for_customer: str | None
+    usage_age_ms: int | None
+
+
 @event
 class RequestEnded(Event):
     """A request ended at this node; ``tried`` lists the servers that it was sent to."""
--- a/monsoonflow/placement/request_queue.py
+++ b/monsoonflow/placement/request_queue.py
@@ -8,7 +8,7 @@
 from bisect import bisect_left, bisect_right, insort
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from operator import attrgetter
 from typing import Final, TypeAlias
 
@@ -157,14 +157,33 @@
     tried_ms: int = 0
 
 
+@attrs.frozen(slots=True)
+class Forecast:
+    """The forecast of a wait, and what it is derived from.
+
+    :param adapters_ahead: adapters that are loaded before.
+    :param idle_slots: free and idle slots.
+    :param rate_per_s: slots assigned per second to such requests.
+    """
+
+    adapters_ahead: int
+    idle_slots: int
+    rate_per_s: float
+    wait_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class NoSlot:
     """The request is refused: no runner can serve it in time.
 
     :param retry_after_ms: time until the queue will have drained.
+    :param reason: "forecast", "prefill" if all runners' queues are too long, or "deadline".
+    :param forecast: the inputs of the decision, for the log.
     """
 
     retry_after_ms: int
+    reason: str = field(default="forecast", compare=False)
+    forecast: Forecast | None = field(default=None, compare=False)
 
 
 class _AdaptersAhead:
@@ -258,6 +277,13 @@
             ahead.insert(request)
         return refusal
 
+    def refusal_at_deadline(self, request: QueuedRequest, now_ms: int) -> NoSlot:
+        """Return the refusal of a request that has waited for as long as it could."""
+        is_late = request.is_late(now_ms)
+        ahead = self._ahead_by_lateness[is_late].count_before(request)
+        forecast = self._forecast(ahead, self._slot_rates(now_ms)[is_late])
+        return NoSlot(max(MIN_RETRY_AFTER_MS, forecast.wait_ms), "deadline", forecast)
+
     def _slot_rates(self, now_ms: int) -> dict[bool, float]:
         """Return the slots assigned per second, by whether requests are late."""
         min_rate = 1000 * self._slot_count / ASSUMED_SLOT_USE_MS
@@ -269,13 +295,18 @@
     def _refusal_if_too_late(
         self, request: QueuedRequest, ahead: int, rate: float, now_ms: int
     ) -> NoSlot | None:
-        adapters_ahead = max(0, ahead - self._idle_count - ALWAYS_QUEUED_ADAPTERS)
-        wait_ms = 1000 * adapters_ahead / max(1.0, rate)
+        forecast = self._forecast(ahead, rate)
         remaining_ms = request.deadline_ms - now_ms
-        if remaining_ms <= 0 or wait_ms > remaining_ms * MAX_WAIT_SHARE:
-            return NoSlot(max(MIN_RETRY_AFTER_MS, int(wait_ms)))
+        if remaining_ms <= 0 or forecast.wait_ms > remaining_ms * MAX_WAIT_SHARE:
+            retry_after_ms = max(MIN_RETRY_AFTER_MS, forecast.wait_ms)
+            return NoSlot(retry_after_ms, forecast=forecast)
         return None
 
+    def _forecast(self, ahead: int, rate: float) -> Forecast:
+        adapters_ahead = max(0, ahead - self._idle_count - ALWAYS_QUEUED_ADAPTERS)
+        wait_ms = int(1000 * adapters_ahead / max(1.0, rate))
+        return Forecast(ahead, self._idle_count, rate, wait_ms)
+
 
 def _events_per_s(times_ms: deque[int], now_ms: int) -> float:
     """Return the number of events per second within ``RATE_WINDOW_MS``; drops older ones."""
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -141,7 +141,7 @@
         self.load_limit = LoadLimit()
         self._usage_updated_ms = 0
         self.model_load_limit = ModelLoadLimit(traits.loads_per_s, load_window_ms, holder_since_ms)
-        self._admission = QueueAdmission()
+        self.admission = QueueAdmission()
         self._grants = RecentlySent(REQUEST_REPORT_DELAY_MS)
         self._returning_callers = ReturningCallers()
         self.load_count = 0
@@ -239,7 +239,7 @@
             request.level = self._fair_shares.level_of(request.customer)
         overrun_ms = self._prefill_overrun_ms(request, now_ms, work)
         if overrun_ms is not None:
-            self._refuse(request, NoSlot(max(MIN_DRAIN_MS, overrun_ms)), now_ms)
+            self._refuse(request, NoSlot(max(MIN_DRAIN_MS, overrun_ms), "prefill"), now_ms)
             return
         if (
             self._queue_processed_ms is None
@@ -256,7 +256,7 @@
         refusal = (
             None
             if self._is_kept(request, loading)
-            else self._admission.check_new_request(request, now_ms)
+            else self.admission.check_new_request(request, now_ms)
         )
         if refusal is None:
             self._queue[request] = None
@@ -285,7 +285,7 @@
         slot.granted_until_ms = now_ms + GRANT_HOLD_MS
         slot.last_used_ms = now_ms
         self._grants.add(runner.life, request.prompt_tokens, now_ms)
-        self._admission.record_assignment(request, now_ms)
+        self.admission.record_assignment(request, now_ms)
         request.on_result(Placed(runner.life, slot.ref.version, request.tried_ms))
         return True
 
@@ -349,7 +349,7 @@
             for request in remaining
             if not self._is_kept(request, loading.get(request.adapter_name, ()))
         ]
-        for request, refusal in self._admission.check_queue(
+        for request, refusal in self.admission.check_queue(
             without_slot, total_slots, idle_count, now_ms
         ):
             del remaining[request]
--- a/tests/entry/test_fair_shares.py
+++ b/tests/entry/test_fair_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import time
 from collections import Counter
@@ -9,7 +10,9 @@
 import gevent
 import pytest
 
+from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.entry.placement_client import PlacementClient
+from monsoonflow.transport.client import ConnectionPools, call
 from tests.entry.conftest import MODEL, route, wait_for
 
 SMALL = ("s1", "s2", "s3")
@@ -66,12 +69,22 @@
     return statuses
 
 
-def test_small_customers_are_served_beside_a_hot_one(fleet, entry_node):
+def test_small_customers_are_served_beside_a_hot_one(fleet, entry_node, caplog):
     """Three customers with 2 requests per second were served 0.17 beside one with 50."""
+    caplog.set_level(logging.INFO)
     statuses = send_load(fleet, entry_node, {**dict.fromkeys(SMALL, 2.0), HOT: 50.0})
     small = sum((statuses[customer] for customer in SMALL), Counter())
     assert small[200] >= 0.95 * small.total(), statuses
     assert statuses[HOT][200] >= 8 * FOR_S, statuses
+    lines = [record.getMessage() for record in caplog.records]
+    refused = [line for line in lines if "event=slot_refused" in line]
+    assert any(f"customer={HOT}" in line and "cause=forecast" in line for line in refused)
+    drained = [line for line in lines if "event=slot_drains" in line]
+    address = entry_node.daemon.settings.metrics_address
+    answer = call(ConnectionPools(MonotonicClock()), address, "GET", "/metrics", b"", 2_000)
+    counts = [line for line in answer.body.decode().splitlines() if "slot_refusals_total{" in line]
+    assert sum(float(line.rpartition(" ")[2]) for line in counts) == len(refused)
+    assert f"slot_drains_total {len(drained)}.0" in answer.body.decode()
 
 
 def test_a_successor_of_the_lease_holder_knows_the_usage(fleet, entry_node):
