Tests: replays with callers that return when they were told to

Change: refused callers of the replay ask again at the time of Retry-After, up to a number of attempts.

--- a/tests/placement/load_replay.py
+++ b/tests/placement/load_replay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Iterable
 from heapq import heappop, heappush
 
@@ -23,6 +24,7 @@
 """Interval of full heartbeats in a small fleet."""
 
 SLOT_WAIT_SHARE = 0.6
+DEADLINE_RETRY_AFTER_MS = 500
 FIRST_EVENT_MS = 100
 RUN_MS = 450
 
@@ -32,6 +34,7 @@
     """A kind of requests.
 
     :param weights: popularity of its adapters, most popular first.
+    :param attempts: how often its callers ask, each time when they were told to.
     """
 
     name: str
@@ -43,6 +46,7 @@
     weights: tuple[float, ...] = (1.0,) * 40
     from_ms: int = 0
     until_ms: int = 1_000_000
+    attempts: int = 1
 
 
 @attrs.define
@@ -52,7 +56,7 @@
     sent: int = 0
     served: int = 0
     waits_ms: list[int] = attrs.Factory(list)
-    retry_after_ms: list[int] = attrs.Factory(list)
+    refusals_by_attempt: Counter[int] = attrs.Factory(Counter)
 
     @property
     def share(self) -> float:
@@ -60,8 +64,19 @@
         return self.served / max(1, self.sent)
 
 
+@attrs.define
+class Caller:
+    """A caller, whose session key identifies it when it returns."""
+
+    stream: Stream
+    adapter: str
+    session_key: str
+    attempts: int = 0
+    first_attempt_ms: int = 0
+
+
 class LoadReplay:
-    """One holder, three runners with three slots each, and callers that do not return.
+    """One holder, three runners with three slots each, and callers.
 
     :param streams: the load.
     :param run_ms: how long each request uses its slot after the load.
@@ -88,6 +103,7 @@
             self.cell.scheduler.add_runner(life)
         self._rng = random.Random(seed)
         self._waiting: dict[QueuedRequest, int] = {}
+        self._arriving: list[tuple[int, int, Caller]] = []
         self._ends: list[tuple[int, int, ServerLife, str, str | None]] = []
         self.tally_by_stream = {stream.name: Tally() for stream in self.streams}
         self._sequence = 0
@@ -96,14 +112,12 @@
     def run(self, for_ms: int) -> dict[str, Tally]:
         """Replay the load for a time; return the tally of each stream."""
         cell = self.cell
-        arrivals = self._arrivals(for_ms)
         cell.run(100)
-        start_ms = cell.now_ms
-        for after_ms, stream in arrivals:
-            while start_ms + after_ms > cell.now_ms:
-                self._step()
-            self._arrive(stream)
-        while self._waiting:
+        for after_ms, stream in self._arrivals(for_ms):
+            self._schedule(cell.now_ms + after_ms, self._new_caller(stream))
+        while self._waiting or self._arriving:
+            while self._arriving and self._arriving[0][0] <= cell.now_ms:
+                self._arrive(heappop(self._arriving)[2])
             self._step()
         return self.tally_by_stream
 
@@ -116,6 +130,17 @@
                 at_ms += self._rng.expovariate(stream.rate_per_s / 1000)
         return sorted(arrivals, key=lambda arrival: arrival[0])
 
+    def _new_caller(self, stream: Stream) -> Caller:
+        number = self._rng.choices(range(len(stream.weights)), stream.weights)[0]
+        self._sequence += 1
+        return Caller(
+            stream, f"{MODEL}/{stream.customer or stream.name}-{number}", str(self._sequence)
+        )
+
+    def _schedule(self, at_ms: int, caller: Caller) -> None:
+        self._sequence += 1
+        heappush(self._arriving, (at_ms, self._sequence, caller))
+
     def _step(self) -> None:
         cell = self.cell
         cell.now_ms += STEP_MS
@@ -134,19 +159,21 @@
                 del work.requests_by_adapter[name]
         for request, left_ms in list(self._waiting.items()):
             if left_ms <= cell.now_ms:
-                del self._waiting[request]
                 cell.scheduler.remove_request(request, cell.now_ms)
+                request.on_result(NoSlot(DEADLINE_RETRY_AFTER_MS))
         cell.run_plan()
 
-    def _arrive(self, stream: Stream) -> None:
+    def _arrive(self, caller: Caller) -> None:
         now_ms = self.cell.now_ms
+        stream, name = caller.stream, caller.adapter
         tally = self.tally_by_stream[stream.name]
-        tally.sent += 1
-        number = self._rng.choices(range(len(stream.weights)), stream.weights)[0]
-        name = f"{MODEL}/{stream.customer or stream.name}-{number}"
+        caller.attempts += 1
+        if caller.attempts == 1:
+            tally.sent += 1
+            caller.first_attempt_ms = now_ms
         holder = self._runner_with(name)
         if holder is not None:
-            self._start(stream, holder, name, now_ms)
+            self._start(stream, holder, name, caller.first_attempt_ms)
             return
         wait_ms = int(stream.deadline_ms * SLOT_WAIT_SHARE)
 
@@ -154,10 +181,10 @@
             self._waiting.pop(request, None)
             match result:
                 case Placed(life=life):
-                    self._start(stream, life, name, now_ms)
+                    self._start(stream, life, name, caller.first_attempt_ms)
                 case NoSlot(retry_after_ms=retry_after_ms):
                     self.refused_with_free_slot += self._has_unneeded_slot()
-                    tally.retry_after_ms.append(retry_after_ms)
+                    self._refuse(caller, retry_after_ms)
 
         request = QueuedRequest(
             adapter_name=name,
@@ -169,10 +196,17 @@
             excluded_runners=frozenset(),
             on_result=finish,
             customer=stream.customer,
+            session_key=caller.session_key if stream.attempts > 1 else None,
         )
         self._waiting[request] = now_ms + wait_ms
         self.cell.scheduler.request_slot(request, now_ms, self.cell.work)
 
+    def _refuse(self, caller: Caller, retry_after_ms: int) -> None:
+        tally = self.tally_by_stream[caller.stream.name]
+        tally.refusals_by_attempt[caller.attempts] += 1
+        if caller.attempts < caller.stream.attempts:
+            self._schedule(self.cell.now_ms + retry_after_ms, caller)
+
     def _runner_with(self, name: str) -> ServerLife | None:
         """Return the runner that the residency report names for an adapter."""
         for runner in self.cell.scheduler.runners.values():
--- a/tests/placement/test_fair_shares.py
+++ b/tests/placement/test_fair_shares.py
@@ -234,3 +234,12 @@
     reports.apply("n2", "b", heartbeat.runner_ms_by_customer, 0)
     reports.apply("n2", "b", short.to_heartbeat(heartbeat, RECORD).runner_ms_by_customer, 200)
     assert reports.apply("n2", "b", {"alpha": 90}, 400) == {"alpha": 20}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_returning_callers_of_a_hot_customer_do_not_displace_others(seed):
+    """Its refused callers return when they were told to, which triples its requests."""
+    streams = [attrs.evolve(stream, attempts=3) for stream in (*SMALL, MANY_ADAPTERS)]
+    tallies = LoadReplay(streams, seed).run(FOR_MS)
+    assert of_small(tallies)[0] >= 0.95
+    assert tallies["hot"].served >= 8 * FOR_MS / 1000
