Placement: choose draining slots only while a request of a lower level needs one

Cause: each check of the queue examined the slots of all runners as soon as any customer was above its share. Change: it ends early when unused slots suffice or no waiting request has a lower level; a report with unchanged totals is skipped.

--- a/monsoonflow/placement/fair_share.py
+++ b/monsoonflow/placement/fair_share.py
@@ -99,9 +99,9 @@
         for request in requests:
             request.level = self.level_of(request.customer)
 
-    def has_levels(self) -> bool:
-        """Tell whether any customer is above its share."""
-        return any(self._level_by_customer.values())
+    def max_level(self) -> int:
+        """Return the highest level of any customer."""
+        return max(self._level_by_customer.values(), default=0)
 
     def level_of(self, customer: str | None) -> int:
         """Return a customer's level; 0 for requests without a customer."""
--- a/monsoonflow/placement/slot_draining.py
+++ b/monsoonflow/placement/slot_draining.py
@@ -110,7 +110,13 @@
 
         :param waiting: the requests that need a slot, in the order in which they get one.
         """
-        chosen = self._choose(waiting, now_ms, work) if self._fair_shares.has_levels() else []
+        max_level = self._fair_shares.max_level()
+        first_by_adapter: dict[str, QueuedRequest] = {}
+        for request in waiting if max_level else ():
+            first_by_adapter.setdefault(request.adapter_name, request)
+        needs_slot = list(first_by_adapter.values())
+        is_needed = any(request.level < max_level for request in needs_slot)
+        chosen = self._choose(needs_slot, now_ms, work) if is_needed else []
         draining = [candidate.slot for candidate, _ in chosen]
         for slot in self._draining:
             if not any(slot is other for other in draining):
@@ -136,16 +142,32 @@
 
     def _choose(
         self,
-        waiting: Iterable[QueuedRequest],
+        needs_slot: Sequence[QueuedRequest],
         now_ms: int,
         work: Mapping[ServerLife, ServerWork],
     ) -> list[tuple[_Candidate, QueuedRequest]]:
-        first_by_adapter: dict[str, QueuedRequest] = {}
-        for request in waiting:
-            first_by_adapter.setdefault(request.adapter_name, request)
-        unused, candidates = self._examine_slots(now_ms, work)
+        """Return a slot for each request beyond those for which unused slots suffice.
+
+        :param needs_slot: one request for each adapter.
+        """
+        idle_by_life = {
+            runner.life: self._idle_slots.idle_slots_of(runner, now_ms, work)
+            for runner in self._idle_slots.runners.values()
+        }
+        unused = sum(
+            runner.available_slots(now_ms)
+            + sum(slot.draining_level is None for slot in idle_by_life[runner.life])
+            for runner in self._idle_slots.runners.values()
+        )
+        if unused >= len(needs_slot):
+            return []
+        candidates = [
+            candidate
+            for runner in self._idle_slots.runners.values()
+            for candidate in self._candidates_of(runner, idle_by_life[runner.life], now_ms, work)
+        ]
         chosen = []
-        for request in list(first_by_adapter.values())[unused:]:
+        for request in needs_slot[unused:]:
             fitting = [c for c in candidates if c.level > request.level]
             if not fitting:
                 break
@@ -154,18 +176,6 @@
             chosen.append((best, request))
         return chosen
 
-    def _examine_slots(
-        self, now_ms: int, work: Mapping[ServerLife, ServerWork]
-    ) -> tuple[int, list[_Candidate]]:
-        """Return how many slots are unused, and the slots that may drain."""
-        unused, candidates = 0, []
-        for runner in self._idle_slots.runners.values():
-            idle = self._idle_slots.idle_slots_of(runner, now_ms, work)
-            unused += runner.available_slots(now_ms)
-            unused += sum(slot.draining_level is None for slot in idle)
-            candidates += self._candidates_of(runner, idle, now_ms, work)
-        return unused, candidates
-
     def _candidates_of(
         self,
         runner: RunnerSlots,
@@ -175,10 +185,10 @@
     ) -> list[_Candidate]:
         runner_work = work.get(runner.life)
         requests = runner_work.requests_by_adapter if runner_work is not None else {}
+        unused_names = {slot.ref.name for slot in idle if slot.draining_level is None}
         candidates = []
         for name, slot in runner.slots.items():
-            is_unused = slot.draining_level is None and any(slot is other for other in idle)
-            if slot.state is not SlotState.READY or is_unused:
+            if slot.state is not SlotState.READY or name in unused_names:
                 continue
             customers = self.customers.of(name, now_ms)
             level = min((self._fair_shares.level_of(customer) for customer in customers), default=0)
--- a/monsoonflow/placement/usage_reports.py
+++ b/monsoonflow/placement/usage_reports.py
@@ -64,15 +64,18 @@
         :param totals_ms: as received from the node; invalid values are left out. ``None`` if the
             node announced none, as a node of an earlier release.
         """
+        previous = self._report_by_node.get(node)
         if totals_ms is None:
             return {}
+        if previous is not None and boot == previous.boot and totals_ms == previous.totals_ms:
+            previous.received_ms = now_ms
+            return {}
         valid = _valid_totals(totals_ms)
         if valid is None:
             self._faulty_nodes.add(node)
             return {}
         if len(valid) != len(totals_ms):
             self._faulty_nodes.add(node)
-        previous = self._report_by_node.get(node)
         self._report_by_node[node] = _Report(
             boot, valid, now_ms, len(totals_ms) < MAX_ANNOUNCED_CUSTOMERS
         )
