Tests: count only requests of the replay during which the load continues

Cause: after the end of the load, waiting requests got the slots that became free: the patient kind seemed to get 0.07 instead of 0.01 to 0.04. Change: the load goes on before and after the time in which requests count.

--- a/tests/placement/load_replay.py
+++ b/tests/placement/load_replay.py
@@ -23,6 +23,10 @@
 REPORT_INTERVAL_MS = 200
 """Interval of full heartbeats in a small fleet."""
 
+WARM_UP_MS = 2_000
+TAIL_MS = 8_000
+"""Longer than a request waits."""
+
 SLOT_WAIT_SHARE = 0.6
 DEADLINE_RETRY_AFTER_MS = 500
 FIRST_EVENT_MS = 100
@@ -73,6 +77,7 @@
     session_key: str
     attempts: int = 0
     first_attempt_ms: int = 0
+    is_counted: bool = False
 
 
 class LoadReplay:
@@ -110,11 +115,17 @@
         self.refused_with_free_slot = 0
 
     def run(self, for_ms: int) -> dict[str, Tally]:
-        """Replay the load for a time; return the tally of each stream."""
+        """Replay the load; return the tally of the requests of a time after the warm-up.
+
+        The load goes on until all of these have been answered: otherwise waiting requests would get
+        the slots that become free at its end.
+        """
         cell = self.cell
         cell.run(100)
-        for after_ms, stream in self._arrivals(for_ms):
-            self._schedule(cell.now_ms + after_ms, self._new_caller(stream))
+        for after_ms, stream in self._arrivals(WARM_UP_MS + for_ms + TAIL_MS):
+            caller = self._new_caller(stream)
+            caller.is_counted = WARM_UP_MS <= after_ms < WARM_UP_MS + for_ms
+            self._schedule(cell.now_ms + after_ms, caller)
         while self._waiting or self._arriving:
             while self._arriving and self._arriving[0][0] <= cell.now_ms:
                 self._arrive(heappop(self._arriving)[2])
@@ -169,11 +180,11 @@
         tally = self.tally_by_stream[stream.name]
         caller.attempts += 1
         if caller.attempts == 1:
-            tally.sent += 1
+            tally.sent += caller.is_counted
             caller.first_attempt_ms = now_ms
         holder = self._runner_with(name)
         if holder is not None:
-            self._start(stream, holder, name, caller.first_attempt_ms)
+            self._start(caller, holder)
             return
         wait_ms = int(stream.deadline_ms * SLOT_WAIT_SHARE)
 
@@ -181,7 +192,7 @@
             self._waiting.pop(request, None)
             match result:
                 case Placed(life=life):
-                    self._start(stream, life, name, caller.first_attempt_ms)
+                    self._start(caller, life)
                 case NoSlot(retry_after_ms=retry_after_ms):
                     self.refused_with_free_slot += self._has_unneeded_slot()
                     self._refuse(caller, retry_after_ms)
@@ -203,7 +214,7 @@
 
     def _refuse(self, caller: Caller, retry_after_ms: int) -> None:
         tally = self.tally_by_stream[caller.stream.name]
-        tally.refusals_by_attempt[caller.attempts] += 1
+        tally.refusals_by_attempt[caller.attempts] += caller.is_counted
         if caller.attempts < caller.stream.attempts:
             self._schedule(self.cell.now_ms + retry_after_ms, caller)
 
@@ -221,11 +232,13 @@
         free = sum(runner.free_slots() for runner in scheduler.runners.values())
         return free > len({request.adapter_name for request in scheduler.queued_requests})
 
-    def _start(self, stream: Stream, life: ServerLife, name: str, arrived_ms: int) -> None:
+    def _start(self, caller: Caller, life: ServerLife) -> None:
         now_ms = self.cell.now_ms
+        stream, name = caller.stream, caller.adapter
         tally = self.tally_by_stream[stream.name]
-        tally.served += 1
-        tally.waits_ms.append(now_ms - arrived_ms)
+        if caller.is_counted:
+            tally.served += 1
+            tally.waits_ms.append(now_ms - caller.first_attempt_ms)
         self.cell.start_requests(life, name.partition("/")[2])
         self._sequence += 1
         if stream.customer is not None:
