--- a/measure/desk_load.py
+++ b/measure/desk_load.py
@@ -28,6 +28,7 @@
 from monsoonflow.gateway.backlog import Backlog
 from monsoonflow.helpers.gevent_tasks import GeventTasks
 from monsoonflow.orders.models import Order, OrderResult, RunnerReport
+from monsoonflow.placement.fair_share import FairShares
 from monsoonflow.placement.slots import OrderStep
 from monsoonflow.routing.in_flight import InFlight
 from monsoonflow.routing.routes import EngineTraits, Service
@@ -334,7 +335,13 @@
             settings=SimpleNamespace(name=HOLDER, bounds=PeerBounds()),
             store_watches=None,
             gossip=SimpleNamespace(send_round=lambda: None),
-            metrics=SimpleNamespace(orders=_Metric(), order_time=_Metric()),
+            customer_shares=SimpleNamespace(fair_shares=FairShares()),
+            metrics=SimpleNamespace(
+                orders=_Metric(),
+                order_time=_Metric(),
+                count_slot_refusal=lambda *_: None,
+                count_slot_drain=lambda: None,
+            ),
         )
 
 
--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -24,6 +24,7 @@
 from ..placement.request_queue import NoSlot, Placed, QueuedRequest
 from ..placement.scheduler import AdapterScheduler
 from ..placement.slots import OrderStep, SlotState
+from ..placement.usage_reports import valid_customer
 from ..routing.in_flight import ServerWork, sum_work
 from ..routing.overload import OverloadedRunners, overloaded_runners
 from ..routing.routes import Service
@@ -35,6 +36,7 @@
 from .residency import Residency
 from .residency_reporter import ResidencyReporter
 from .settings import PeerBounds
+from .slot_log import SlotLog
 from .slot_memory import SlotMemory
 
 if TYPE_CHECKING:
@@ -114,6 +116,7 @@
         self._slot_memory = SlotMemory(daemon)
         self._row_by_cell: dict[str, ChangedRow] = {}
         self._planned_work: dict[ServerLife, ServerWork] = {}
+        self._slot_log = SlotLog(daemon.customer_shares.fair_shares, daemon.metrics, daemon.clock)
 
     def start(self) -> None:
         """Start the lease checks and the planner."""
@@ -285,6 +288,8 @@
             session_key=slot_request["session"],
             tried_ms=slot_request["tried_ms"],
             memory_tokens=self._slot_memory.read_need(slot_request),
+            # Nodes of an earlier release name no customer.
+            customer=valid_customer(slot_request.get("customer")),
             **_prefill_fields(slot_request, now_ms),
         )
         scheduler = lease.scheduler
@@ -296,7 +301,7 @@
         try:
             answer = result.get(timeout=slot_request["wait_ms"] / 1000)
         except gevent.Timeout:
-            answer = NoSlot(REFUSED_RETRY_AFTER_MS)
+            answer = self._refusal_at_deadline(scheduler, queued_request)
         finally:
             ended_ms = self._daemon.clock.now_ms()
             scheduler.remove_request(queued_request, ended_ms)
@@ -307,8 +312,17 @@
                 answer,
                 ended_ms - now_ms,
             )
+        if isinstance(answer, NoSlot):
+            answer = self._slot_log.record_refusal(
+                lease.service.name, slot_request.get("request"), queued_request, answer, now_ms
+            )
         return answer
 
+    def _refusal_at_deadline(self, scheduler: AdapterScheduler, request: QueuedRequest) -> NoSlot:
+        if request.customer is None:
+            return NoSlot(REFUSED_RETRY_AFTER_MS, "deadline")
+        return scheduler.admission.refusal_at_deadline(request, self._daemon.clock.now_ms())
+
     def _lease_check_loop(self) -> None:
         while True:
             self._daemon.tasks.sleep(LEASE_CHECK_INTERVAL_MS)
@@ -398,6 +412,7 @@
                 self._is_retired,
                 now_ms,
                 pace_of=self._daemon.backlog.pace_of,
+                fair_shares=self._daemon.customer_shares.fair_shares,
             )
             learned_loads = lease.lease_loop.held_lease.row.learned_loads
             if learned_loads is not None:
@@ -429,6 +444,7 @@
         if now_ms - lease.last_queue_check_ms >= QUEUE_CHECK_INTERVAL_MS:
             lease.last_queue_check_ms = now_ms
             scheduler.process_queue(now_ms, work)
+        self._slot_log.record_drains(lease.service.name, scheduler.slot_draining.pop_started())
         for step in scheduler.plan(now_ms, work):
             self._daemon.tasks.spawn(self._send_order, lease, scheduler, step)
         self.residency.apply_report(lease.residency_reporter.report_changes(scheduler, now_ms))
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -119,6 +119,7 @@
             ],
             [[sound.part, sound.lives] for sound in heartbeat.sound_parts],
             pace_fields(heartbeat.pace_by_server),
+            heartbeat.runner_ms_by_customer,
         ]
     )
 
@@ -351,6 +352,7 @@
         ),
         pace_by_server=pace_by_server,
         has_malformed_paces=has_malformed_paces,
+        runner_ms_by_customer=_optional_field(fields, 30),
     )
 
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
@@ -182,6 +182,9 @@
     :param pace_by_server: relative paces of runners that deviate from the median of their cell, by
         the node's own observations; ``None`` means unchanged since its last announcement.
     :param has_malformed_paces: whether some of the paces received could not be used; not sent.
+    :param runner_ms_by_customer: for how long the node's requests have been at runners since its
+        start, by customer. As received, so it may have any type; ``None`` if the message does not
+        contain it.
     """
 
     record: NodeRecord
@@ -214,6 +217,7 @@
     sound_parts: tuple[SoundPart, ...] = ()
     pace_by_server: dict[ServerLife, float] | None = None
     has_malformed_paces: bool = False
+    runner_ms_by_customer: Any = None
 
     @property
     def name(self) -> str:
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -24,6 +24,7 @@
     ReportUnread,
     ReportUnsent,
     UnreadableDatagram,
+    UnusableCustomerUsage,
 )
 from .process import (
     Reloaded,
@@ -50,6 +51,8 @@
     RunnersFull,
     ServerAtLimit,
     ServerRefused,
+    SlotDrains,
+    SlotRefused,
     SlotsFull,
     TryFailed,
     UnusableSlotNeed,
@@ -151,6 +154,8 @@
     "ServerRests",
     "ServerSilent",
     "ServerRefused",
+    "SlotDrains",
+    "SlotRefused",
     "ServiceReachable",
     "ServiceUnreachable",
     "SlotsFull",
@@ -166,6 +171,7 @@
     "StoreReturned",
     "TryFailed",
     "UnreadableDatagram",
+    "UnusableCustomerUsage",
     "UnusablePeerConfiguration",
     "UnusableReport",
     "UnusableServerLimit",
--- a/monsoonflow/placement/request_queue.py
+++ b/monsoonflow/placement/request_queue.py
@@ -8,7 +8,8 @@
 from bisect import bisect_left, bisect_right, insort
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from operator import attrgetter
 from typing import Final, TypeAlias
 
 import attrs
@@ -39,8 +40,8 @@
 MIN_RETRY_AFTER_MS: Final = 250
 
 
-GroupSortKey: TypeAlias = tuple[int, int]
-"""Priority and first attempt: the order among requests on time, and among late requests."""
+GroupSortKey: TypeAlias = tuple[int, int, int]
+"""Level, priority and first attempt: the order among requests on time, and among late requests."""
 
 
 @attrs.define(slots=True, eq=False)
@@ -65,6 +66,8 @@
     :param tokens_per_ms: prefill rate of runners as observed by its node.
     :param memory_tokens: KV cache that it needs; 0 if its node does not say.
     :param full_runner_count: how often a runner was left out for it, since that had no room.
+    :param customer: whose request it is; ``None`` without customers.
+    :param level: how far its customer is above its share of the runners; 0 is served first.
     """
 
     adapter_name: str
@@ -85,6 +88,8 @@
     software_version: str | None = None
     memory_tokens: int = 0
     full_runner_count: int = 0
+    customer: str | None = None
+    level: int = 0
 
     def may_use(self, runner: RunnerSlots) -> bool:
         """Tell whether the request may be sent to a runner."""
@@ -120,29 +125,31 @@
         """Tell whether the first event would be late even if the load started now."""
         return now_ms + self.expected_load_ms > self.on_time_until_ms
 
-    def sort_key(self, now_ms: int) -> tuple[bool, int, int]:
+    def sort_key(self, now_ms: int) -> tuple[int, bool, int, int]:
         """Return the sort key for assigning slots, smallest first.
 
         Requests that can still be on time come first. In order of arrival a rush would make all
         requests late: the oldest one, which is already late, would take the slot of one that is
         not.
         """
-        return (self.is_late(now_ms), self.priority, self.first_attempt_ms)
+        return (self.level, self.is_late(now_ms), self.priority, self.first_attempt_ms)
 
     def group_sort_key(self) -> GroupSortKey:
         """Return the sort key among the requests on time, or among the late ones."""
-        return (self.priority, self.first_attempt_ms)
+        return (self.level, self.priority, self.first_attempt_ms)
 
 
 def in_service_order(requests: Iterable[QueuedRequest], now_ms: int) -> list[QueuedRequest]:
-    """Return requests sorted by :meth:`QueuedRequest.sort_key`: on time first, then late."""
+    """Return requests sorted by :meth:`QueuedRequest.sort_key`."""
     on_time: list[QueuedRequest] = []
     late: list[QueuedRequest] = []
     for request in requests:
         (late if request.is_late(now_ms) else on_time).append(request)
     on_time.sort(key=QueuedRequest.group_sort_key)
     late.sort(key=QueuedRequest.group_sort_key)
-    return on_time + late
+    ordered = on_time + late
+    ordered.sort(key=attrgetter("level"))
+    return ordered
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,14 +166,33 @@
     tried_ms: int = 0
 
 
+@attrs.frozen(slots=True)
+class Forecast:
+    """The forecast of a wait, and what it is derived from.
+
+    :param adapters_ahead: adapters that are loaded before.
+    :param idle_slots: free and idle slots.
+    :param rate_per_s: slots assigned per second to such requests.
+    """
+
+    adapters_ahead: int
+    idle_slots: int
+    rate_per_s: float
+    wait_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class NoSlot:
     """The request is refused: no runner can serve it in time.
 
     :param retry_after_ms: time until the queue will have drained.
+    :param reason: "forecast", "prefill" if all runners' queues are too long, or "deadline".
+    :param forecast: the inputs of the decision, for the log.
     """
 
     retry_after_ms: int
+    reason: str = field(default="forecast", compare=False)
+    forecast: Forecast | None = field(default=None, compare=False)
 
 
 class _AdaptersAhead:
@@ -260,6 +286,13 @@
             ahead.insert(request)
         return refusal
 
+    def refusal_at_deadline(self, request: QueuedRequest, now_ms: int) -> NoSlot:
+        """Return the refusal of a request that has waited for as long as it could."""
+        is_late = request.is_late(now_ms)
+        ahead = self._ahead_by_lateness[is_late].count_before(request)
+        forecast = self._forecast(ahead, self._slot_rates(now_ms)[is_late])
+        return NoSlot(max(MIN_RETRY_AFTER_MS, forecast.wait_ms), "deadline", forecast)
+
     def _slot_rates(self, now_ms: int) -> dict[bool, float]:
         """Return the slots assigned per second, by whether requests are late."""
         min_rate = 1000 * self._slot_count / ASSUMED_SLOT_USE_MS
@@ -271,13 +304,18 @@
     def _refusal_if_too_late(
         self, request: QueuedRequest, ahead: int, rate: float, now_ms: int
     ) -> NoSlot | None:
-        adapters_ahead = max(0, ahead - self._idle_count - ALWAYS_QUEUED_ADAPTERS)
-        wait_ms = 1000 * adapters_ahead / max(1.0, rate)
+        forecast = self._forecast(ahead, rate)
         remaining_ms = request.deadline_ms - now_ms
-        if remaining_ms <= 0 or wait_ms > remaining_ms * MAX_WAIT_SHARE:
-            return NoSlot(max(MIN_RETRY_AFTER_MS, int(wait_ms)))
+        if remaining_ms <= 0 or forecast.wait_ms > remaining_ms * MAX_WAIT_SHARE:
+            retry_after_ms = max(MIN_RETRY_AFTER_MS, forecast.wait_ms)
+            return NoSlot(retry_after_ms, forecast=forecast)
         return None
 
+    def _forecast(self, ahead: int, rate: float) -> Forecast:
+        adapters_ahead = max(0, ahead - self._idle_count - ALWAYS_QUEUED_ADAPTERS)
+        wait_ms = int(1000 * adapters_ahead / max(1.0, rate))
+        return Forecast(ahead, self._idle_count, rate, wait_ms)
+
 
 def _events_per_s(times_ms: deque[int], now_ms: int) -> float:
     """Return the number of events per second within ``RATE_WINDOW_MS``; drops older ones."""
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -31,6 +31,7 @@
 from ..routing.routes import EngineTraits
 from .cached_copies import CachedCopies
 from .candidate_runners import CandidateRunners, SlotOnRunner
+from .fair_share import FairShares
 from .faster_runners import FasterRunners, equal_pace
 from .idle_slots import IdleSlots
 from .load_limit import LoadLimit
@@ -38,9 +39,11 @@
 from .load_times import COLD_LOAD_MS, WARM_LOAD_MS
 from .memory_grants import MemoryGrants
 from .model_load_limit import LONG_AGO_MS, ModelLoadLimit
+from .queue_policy import DEFAULT_POLICY, QueuePolicy
 from .replicas import RunnerWorkloads, find_wanted_replica
 from .request_queue import NoSlot, Placed, QueueAdmission, QueuedRequest, in_service_order
 from .returning_callers import ReturningCallers
+from .slot_draining import SlotDraining
 from .slots import OrderStep, RunnerSlots, Slot, SlotState, slot_count
 from .usage_scores import UsageScores
 
@@ -107,6 +110,8 @@
     :param holder_since_ms: when this node became the lease holder of the cell.
     :param checks_memory: whether runners without room for a request are left out.
     :param pace_of: returns the relative pace of a runner; by default all are equal.
+    :param policy: the parts of the order of waiting that are enabled.
+    :param fair_shares: the recent usage of each customer.
     """
 
     def __init__(
@@ -118,8 +123,12 @@
         holder_since_ms: int = LONG_AGO_MS,
         checks_memory: bool = True,
         pace_of: Callable[[ServerLife, int], float] = equal_pace,
+        policy: QueuePolicy = DEFAULT_POLICY,
+        fair_shares: FairShares | None = None,
     ) -> None:
         self.traits = traits
+        self._policy = policy
+        self._fair_shares = fair_shares or FairShares()
         self._newest_by_adapter = newest_by_adapter
         self._is_retired = is_retired
         self.runners: dict[ServerLife, RunnerSlots] = {}
@@ -127,6 +136,7 @@
         self._queue_processed_ms: int | None = None
         self._usage_scores = UsageScores()
         self._idle_slots = IdleSlots(self.runners, self._usage_scores, newest_by_adapter)
+        self.slot_draining = SlotDraining(self._idle_slots, self._fair_shares)
         self._cached_copies = CachedCopies()
         self._memory = MemoryGrants(traits.memory_tokens if checks_memory else 0)
         self._faster = FasterRunners(self.runners, self._idle_slots, self._cached_copies, pace_of)
@@ -137,7 +147,7 @@
         self.load_limit = LoadLimit()
         self._usage_updated_ms = 0
         self.model_load_limit = ModelLoadLimit(traits.loads_per_s, load_window_ms, holder_since_ms)
-        self._admission = QueueAdmission()
+        self.admission = QueueAdmission()
         self._grants = RecentlySent(REQUEST_REPORT_DELAY_MS)
         self._returning_callers = ReturningCallers()
         self.load_count = 0
@@ -231,9 +241,12 @@
         self._usage_scores.add(request.adapter_name, REQUEST_USAGE_SCORE, now_ms)
         self._restore_first_attempt(request, now_ms)
         request.expected_load_ms = self._expected_load_ms(request)
+        self.slot_draining.customers.record(request.adapter_name, request.customer, now_ms)
+        if self._policy.fair_shares:
+            request.level = self._fair_shares.level_of(request.customer)
         overrun_ms = self._prefill_overrun_ms(request, now_ms, work)
         if overrun_ms is not None:
-            self._refuse(request, NoSlot(max(MIN_DRAIN_MS, overrun_ms)), now_ms)
+            self._refuse(request, NoSlot(max(MIN_DRAIN_MS, overrun_ms), "prefill"), now_ms)
             return
         if (
             self._queue_processed_ms is None
@@ -242,19 +255,26 @@
             self._queue[request] = None
             self.process_queue(now_ms, work)
             return
-        if self._assign_slot(request, self._ready_slots(request.adapter_name), now_ms, work):
+        if self._assign_slot(
+            request, self._slots_in(request.adapter_name, SlotState.READY), now_ms, work
+        ):
             return
-        refusal = self._admission.check_new_request(request, now_ms)
+        loading = self._slots_in(request.adapter_name, SlotState.LOADING)
+        refusal = (
+            None
+            if self._is_kept(request, loading)
+            else self.admission.check_new_request(request, now_ms)
+        )
         if refusal is None:
             self._queue[request] = None
         else:
             self._refuse(request, refusal, now_ms)
 
-    def _ready_slots(self, name: str) -> list[SlotOnRunner]:
+    def _slots_in(self, name: str, state: SlotState) -> list[SlotOnRunner]:
         return [
             (runner, slot)
             for runner in self.runners.values()
-            if (slot := runner.slots.get(name)) is not None and slot.state is SlotState.READY
+            if (slot := runner.slots.get(name)) is not None and slot.state is state
         ]
 
     def _assign_slot(
@@ -273,7 +293,7 @@
         slot.last_used_ms = now_ms
         self._grants.add(runner.life, request.prompt_tokens, now_ms)
         self._memory.add(request, runner.life, work.get(runner.life, _NO_WORK), now_ms)
-        self._admission.record_assignment(request, now_ms)
+        self.admission.record_assignment(request, now_ms)
         request.on_result(Placed(runner.life, slot.ref.version, request.tried_ms))
         return True
 
@@ -321,6 +341,8 @@
 
     def process_queue(self, now_ms: int, work: dict[ServerLife, ServerWork]) -> None:
         """Assign slots to queued requests, and refuse those that can't be served in time."""
+        if self._policy.fair_shares:
+            self._fair_shares.assign_levels(self._queue, now_ms)
         remaining: dict[QueuedRequest, None] = {}
         ready = self._slots_by_adapter(SlotState.READY)
         for request in in_service_order(self._queue, now_ms):
@@ -329,21 +351,37 @@
                 remaining[request] = None
         total_slots = sum(runner.slot_count for runner in self.runners.values())
         idle_count = self._idle_slots.count(now_ms, work)
-        for request, refusal in self._admission.check_queue(
-            list(remaining), total_slots, idle_count, now_ms
+        loading = self._slots_by_adapter(SlotState.LOADING)
+        without_slot = [
+            request
+            for request in remaining
+            if not self._is_kept(request, loading.get(request.adapter_name, ()))
+        ]
+        for request, refusal in self.admission.check_queue(
+            without_slot, total_slots, idle_count, now_ms
         ):
             del remaining[request]
             self._refuse(request, refusal, now_ms)
         self._queue = remaining
+        if self._policy.drains_slots:
+            waiting = [request for request in without_slot if request in remaining]
+            self.slot_draining.update(waiting, now_ms, work)
         self._queue_processed_ms = now_ms
 
+    def _is_kept(self, request: QueuedRequest, loading: Sequence[SlotOnRunner]) -> bool:
+        """Tell whether a request waits only for a load in progress.
+
+        It is not refused, since the load would be useless, and needs no other slot.
+        """
+        return self._policy.keeps_loading_requests and _is_loading(request, loading)
+
     def process_queue_for_adapter(
         self, name: str, now_ms: int, work: dict[ServerLife, ServerWork]
     ) -> None:
         """Assign slots to the queued requests for an adapter that was just loaded."""
         waiting = [request for request in self._queue if request.adapter_name == name]
         for request in waiting:
-            if self._assign_slot(request, self._ready_slots(name), now_ms, work):
+            if self._assign_slot(request, self._slots_in(name, SlotState.READY), now_ms, work):
                 del self._queue[request]
 
     def _find_slot(
@@ -362,7 +400,7 @@
         for runner, slot in ready:
             if not request.may_use(runner) or slot.ref.version < request.min_version:
                 continue
-            if self._is_retired(slot.ref):
+            if self._is_retired(slot.ref) or not slot.accepts(request.level):
                 continue
             runner_work = work.get(runner.life, _NO_WORK)
             if not self._memory.has_room(request, runner.life, runner_work, now_ms):
