Placement: two requests of each customer may wait before any usage is known

Change: the forecast does not refuse a request of a customer with fewer than two waiting, for up to 16 customers.

--- a/monsoonflow/placement/request_queue.py
+++ b/monsoonflow/placement/request_queue.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right, insort
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from operator import attrgetter
@@ -34,6 +34,13 @@
 ALWAYS_QUEUED_ADAPTERS: Final = 4
 """Number of adapters whose requests may always wait, regardless of the rate."""
 
+ALWAYS_QUEUED_CUSTOMERS: Final = 16
+"""Number of customers of which requests may always wait: the customers of a deployment. With
+hundreds of customers most of such requests would wait in vain."""
+
+ALWAYS_QUEUED_PER_CUSTOMER: Final = 2
+"""With one, two of 45 requests of small customers were refused when all began at once."""
+
 MAX_WAIT_SHARE: Final = 0.5
 """Share of the remaining time that a request may wait; the rest is for its answer."""
 
@@ -220,9 +227,14 @@
 
 
 class QueueAdmission:
-    """Refuses requests that will not get a slot in time, from the recent rate of assigned slots."""
+    """Refuses requests that will not get a slot in time, from the recent rate of assigned slots.
 
-    def __init__(self) -> None:
+    :param fair_shares: whether a few requests of each customer may always wait.
+    """
+
+    def __init__(self, fair_shares: bool = True) -> None:
+        self._fair_shares = fair_shares
+        self._waiting_by_customer: Counter[str] = Counter()
         self._assigned_ms: deque[int] = deque()
         self._assigned_late_ms: deque[int] = deque()
         self._slot_count = 0
@@ -250,6 +262,7 @@
         """
         self._slot_count, self._idle_count = slot_count, idle_count
         self._ahead_by_lateness = {False: _AdaptersAhead(), True: _AdaptersAhead()}
+        self._waiting_by_customer = Counter()
         rates = self._slot_rates(now_ms)
         refused = []
         for request in requests:
@@ -297,11 +310,30 @@
     ) -> NoSlot | None:
         forecast = self._forecast(ahead, rate)
         remaining_ms = request.deadline_ms - now_ms
-        if remaining_ms <= 0 or forecast.wait_ms > remaining_ms * MAX_WAIT_SHARE:
+        is_too_long = forecast.wait_ms > remaining_ms * MAX_WAIT_SHARE
+        if remaining_ms <= 0 or (is_too_long and not self._may_always_wait(request)):
             retry_after_ms = max(MIN_RETRY_AFTER_MS, forecast.wait_ms)
             return NoSlot(retry_after_ms, forecast=forecast)
+        if request.customer is not None:
+            self._waiting_by_customer[request.customer] += 1
         return None
 
+    def _may_always_wait(self, request: QueuedRequest) -> bool:
+        """Tell whether a request may wait since its customer has hardly any that wait.
+
+        Until usage is reported, a customer that begins to send would be refused because of the
+        requests of another one that began at the same time.
+        """
+        return (
+            self._fair_shares
+            and request.customer is not None
+            and self._waiting_by_customer[request.customer] < ALWAYS_QUEUED_PER_CUSTOMER
+            and (
+                request.customer in self._waiting_by_customer
+                or len(self._waiting_by_customer) < ALWAYS_QUEUED_CUSTOMERS
+            )
+        )
+
     def _forecast(self, ahead: int, rate: float) -> Forecast:
         adapters_ahead = max(0, ahead - self._idle_count - ALWAYS_QUEUED_ADAPTERS)
         wait_ms = int(1000 * adapters_ahead / max(1.0, rate))
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -141,7 +141,7 @@
         self.load_limit = LoadLimit()
         self._usage_updated_ms = 0
         self.model_load_limit = ModelLoadLimit(traits.loads_per_s, load_window_ms, holder_since_ms)
-        self.admission = QueueAdmission()
+        self.admission = QueueAdmission(policy.fair_shares)
         self._grants = RecentlySent(REQUEST_REPORT_DELAY_MS)
         self._returning_callers = ReturningCallers()
         self.load_count = 0
