Lease holder: slot requests are validated, and a failed plan does not end the plan loop

Cause: a slot request with a rate of 0 or a text as its priority was queued, and each later plan of the cell raised an exception. The loop had no handler, so the lease was renewed by a holder that gave no orders (found in a review, with a script). Change: types and ranges are checked before a request is queued (400 otherwise); after an exception the scheduler of the cell starts anew and its requests are sent again.

Paces: a request does not wait for a load beyond its deadline, at a runner with another base model, or for a draining slot; after a wait the runner that was chosen before is checked again.

--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -38,6 +38,7 @@
 from .settings import PeerBounds
 from .slot_log import SlotLog
 from .slot_memory import SlotMemory
+from .slot_request import MIN_TOKENS_PER_MS, check_slot_request
 
 if TYPE_CHECKING:
     from .daemon import EntryDaemon
@@ -78,7 +79,7 @@
         "rank": slot_request["rank"],
         "prompt_tokens": slot_request["prompt_tokens"],
         "read_by_ms": now_ms + slot_request["read_ms"],
-        "tokens_per_ms": slot_request["tokens_per_ms"],
+        "tokens_per_ms": max(MIN_TOKENS_PER_MS, slot_request["tokens_per_ms"]),
     }
 
 
@@ -271,10 +272,9 @@
         """Queue a request at this node's scheduler until it gets a slot or is refused."""
         now_ms = self._daemon.clock.now_ms()
         result: AsyncResult = AsyncResult()
+        check_slot_request(slot_request)
         # Nodes of an earlier release name no software version.
         adapter, software_version = slot_request["adapter"], slot_request.get("software_version")
-        if not (isinstance(adapter, str) and isinstance(software_version, str | None)):
-            raise TypeError("adapter and software version must be text")
         queued_request = QueuedRequest(
             adapter_name=adapter,
             min_version=slot_request["version"],
@@ -387,7 +387,7 @@
                     continue
                 work = self._total_work() if work is None else work
                 self._planned_work = work
-                self._plan(lease, now_ms, work)
+                self._plan_or_restart(lease, now_ms, work)
             self._apply_peer_residency(now_ms)
             # Changes that arrive meanwhile are planned for together: during a burst a plan for each
             # change would use the whole processor, and the answers to the holder's own orders would
@@ -396,6 +396,20 @@
             if took_ms:
                 self._daemon.tasks.sleep(pause_after_plan_ms(took_ms))
 
+    def _plan_or_restart(
+        self, lease: CellLease, now_ms: int, work: dict[ServerLife, ServerWork]
+    ) -> None:
+        """Plan for a cell; after a bug its scheduler starts anew.
+
+        The lease would otherwise be renewed for ever by a holder that gives no more orders.
+        """
+        try:
+            self._plan(lease, now_ms, work)
+        except Exception as error:
+            log(_LOGGER, events.PlanFailed(cell=lease.service.name, cause=repr(error)))
+            _LOGGER.exception("event=plan_trace")
+            lease.close_scheduler()
+
     def _sync_scheduler(self, lease: CellLease, now_ms: int) -> bool:
         """Open a scheduler when the lease is won, close it when the lease is lost."""
         if not lease.lease_loop.holds(now_ms):
--- a/monsoonflow/entry/customer_shares.py
+++ b/monsoonflow/entry/customer_shares.py
@@ -22,6 +22,8 @@
     :param boot: of this node's process.
     :param own_usage: the usage of this node's requests.
     :param quota_rate_of: returns the rate of a customer's quota; ``None`` without a quota.
+    :param is_customer: tells whether the configuration has a customer. A name that only a peer
+        knows would change the shares of all others.
     """
 
     def __init__(
@@ -31,11 +33,13 @@
         own_usage: CustomerUsage,
         clock: Clock,
         quota_rate_of: Callable[[str], float | None],
+        is_customer: Callable[[str], bool] = lambda _name: True,
     ) -> None:
         self._name = name
         self._boot = boot
         self._own_usage = own_usage
         self._clock = clock
+        self._is_customer = is_customer
         self._reports = UsageReports()
         self._logged_nodes: set[str] = set()
         self.fair_shares = FairShares(quota_rate_of)
@@ -53,7 +57,8 @@
 
     def _apply(self, node: str, boot: str, totals_ms: object) -> None:
         now_ms = self._clock.now_ms()
-        usage_ms = self._reports.apply(node, boot, totals_ms, now_ms)
+        reported_ms = self._reports.apply(node, boot, totals_ms, now_ms)
+        usage_ms = {name: ms for name, ms in reported_ms.items() if self._is_customer(name)}
         if usage_ms:
             self.fair_shares.record_usage(usage_ms, now_ms)
         if self._reports.is_faulty(node) and node not in self._logged_nodes:
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -242,7 +242,12 @@
         self.peer_client = PeerClient(self.view, self.clock, integration.decoders.table)
         self.customer_usage = CustomerUsage()
         self.customer_shares = CustomerShares(
-            settings.name, self.boot_id, self.customer_usage, self.clock, self._quota_rate_of
+            settings.name,
+            self.boot_id,
+            self.customer_usage,
+            self.clock,
+            self._quota_rate_of,
+            self._is_customer,
         )
         self.cell_leases = CellLeases(self, integration.runners(self._handle_server_leaving))
         self.store_follower = StoreFollower(
@@ -451,6 +456,11 @@
         quota = route_table.quota_by_customer.get(customer) if route_table is not None else None
         return quota.rate_per_s if quota is not None and quota.counts_tokens else None
 
+    def _is_customer(self, name: str) -> bool:
+        """Return whether the configuration has a customer."""
+        route_table = self.cluster_state.route_table
+        return route_table is not None and name in route_table.customer_names
+
     def _handle_usage_delta(self, delta: UsageDelta) -> None:
         self.shared_quota.handle_delta(delta)
         self.server_limits.handle_delta(delta)
--- a/monsoonflow/entry/peers.py
+++ b/monsoonflow/entry/peers.py
@@ -32,7 +32,7 @@
 millisecond. A node with a link of 10 Mbit/s that sends them to three peers needs a second without
 compression."""
 
-MAX_CONFIGURATION_BYTES: Final = 64 << 20
+MAX_CONFIGURATION_BYTES: Final = 16 << 20
 """A configuration that decompresses to more is rejected."""
 
 STORE_GRACE_MS: Final = 1_000
--- a/monsoonflow/gateway/runner_chooser.py
+++ b/monsoonflow/gateway/runner_chooser.py
@@ -146,12 +146,22 @@
             faster = self.placement.request_slot(call, route, service, job)
             now_ms = self.clock.now_ms()
             # A refusal does not count while the runner that holds the adapter can serve it.
-            if isinstance(faster, Chosen) or not self._can_prefill_in_time(
-                best.life, version_by_life[best.life], job, now_ms
+            if isinstance(faster, Chosen) or not self._can_still_serve(
+                best, version_by_life[best.life], job, now_ms
             ):
                 return faster
         return self._build_chosen(best, call, version_by_life[best.life], job, now_ms)
 
+    def _can_still_serve(self, runner: BackendServer, version: int, job: Job, now_ms: int) -> bool:
+        """Return whether a runner that was chosen before a wait can serve the request now."""
+        held = self.placement.runners_with_adapter(job.call.adapter, {runner.life})
+        return (
+            held.get(runner.life) == version
+            and self.registry.is_accepting_work(runner.life)
+            and bool(self.memory.with_room([runner], job, now_ms))
+            and self._can_prefill_in_time(runner.life, version, job, now_ms)
+        )
+
     def _can_prefill_in_time(self, life: ServerLife, version: int, job: Job, now_ms: int) -> bool:
         start_deadline_ms = self.placement.start_deadline_ms(job.call.adapter, version)
         return self.backlog.can_prefill_in_time(life, job, now_ms, start_deadline_ms)
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -10,6 +10,7 @@
     DutyLost,
     DutyReleased,
     DutyWon,
+    PlanFailed,
     RenewalFailed,
 )
 from .event import Event
@@ -127,6 +128,7 @@
     "Order",
     "PeerHeard",
     "PeerSilent",
+    "PlanFailed",
     "QuarantineLifted",
     "Reloaded",
     "RenewalFailed",
--- a/monsoonflow/logs/events/cell_leases.py
+++ b/monsoonflow/logs/events/cell_leases.py
@@ -11,6 +11,15 @@
 from .event import Event, event
 
 
+@event
+class PlanFailed(Event):
+    """A bug made a plan fail: waiting requests are sent again, and the scheduler starts anew."""
+
+    LEVEL: ClassVar[int] = logging.ERROR
+    cell: str
+    cause: str
+
+
 @event
 class DutyWon(Event):
     """The node acquired a cell lease; ``before`` is the previous holder."""
--- a/monsoonflow/placement/fair_share.py
+++ b/monsoonflow/placement/fair_share.py
@@ -24,6 +24,10 @@
 MAX_CUSTOMERS: Final = 4_096
 """Customers whose usage is kept; those with the least are dropped."""
 
+WAITING_VALID_MS: Final = 200
+"""How long a customer counts as waiting after it was last seen in a queue: the queues of the cells
+of one holder are checked one after the other, every 30 ms."""
+
 LEVELS_VALID_MS: Final = 20
 """How long computed levels are used: a tenth of the interval at which nodes announce usage."""
 
@@ -63,6 +67,7 @@
         self._usage_by_customer: dict[str, float] = {}
         self._updated_ms = 0
         self._level_by_customer: dict[str, int] = {}
+        self._waiting_ms_by_customer: dict[str, int] = {}
         self._levels_computed_ms: int | None = None
         self.reported_ms: int | None = None
 
@@ -80,14 +85,22 @@
     def update_levels(self, waiting: Collection[str], now_ms: int) -> None:
         """Compute the levels anew, unless that was done just now.
 
-        :param waiting: customers with waiting requests.
+        :param waiting: customers with waiting requests in one cell; those of the other cells of
+            this holder count as well.
         """
+        self._waiting_ms_by_customer.update(dict.fromkeys(waiting, now_ms))
         computed_ms = self._levels_computed_ms
-        if computed_ms is not None and 0 <= now_ms - computed_ms < LEVELS_VALID_MS:
+        is_recent = computed_ms is not None and 0 <= now_ms - computed_ms < LEVELS_VALID_MS
+        if is_recent and all(name in self._level_by_customer for name in waiting):
             return
+        self._waiting_ms_by_customer = {
+            name: seen_ms
+            for name, seen_ms in self._waiting_ms_by_customer.items()
+            if now_ms - seen_ms <= WAITING_VALID_MS
+        }
         self._levels_computed_ms = now_ms
         self._decay(now_ms)
-        names = {*self._usage_by_customer, *waiting}
+        names = {*self._usage_by_customer, *self._waiting_ms_by_customer}
         self._level_by_customer = (
             compute_levels(self._usage_by_customer, self._weights(names)) if len(names) > 1 else {}
         )
@@ -97,7 +110,7 @@
         waiting = {request.customer for request in requests if request.customer is not None}
         self.update_levels(waiting, now_ms)
         for request in requests:
-            request.level = self.level_of(request.customer)
+            request.level = self.level_of_request(request)
 
     def max_level(self) -> int:
         """Return the highest level of any customer."""
@@ -107,6 +120,13 @@
         """Return a customer's level; 0 for requests without a customer."""
         return self._level_by_customer.get(customer, 0) if customer is not None else 0
 
+    def level_of_request(self, request: QueuedRequest) -> int:
+        """Return the level of a request; 0 for a stream of which its caller has a part.
+
+        Half an answer is worth nothing, and its caller has been served that much already.
+        """
+        return 0 if request.priority < 0 else self.level_of(request.customer)
+
     def usage_of(self, customer: str | None) -> float:
         """Return the mean number of requests in progress of a customer."""
         return self._usage_by_customer.get(customer, 0.0) if customer is not None else 0.0
--- a/monsoonflow/placement/faster_runners.py
+++ b/monsoonflow/placement/faster_runners.py
@@ -93,6 +93,7 @@
             for runner in self.runners.values()
             if (other_pace := self.pace_of(runner.life, now_ms)) * EQUAL_PACE_FACTOR < pace
             and request.may_use(runner)
+            and runner.model == best[0].model
             and _accepts_load(runner)
         ]
         if not faster:
@@ -107,12 +108,15 @@
         waited_ms = now_ms - request.first_attempt_ms
         if waited_ms >= MAX_WAIT_MS or waited_ms + load_ms >= gain_ms:
             return False
-        if now_ms + load_ms > request.on_time_until_ms:
+        if now_ms + load_ms > min(request.on_time_until_ms, request.deadline_ms):
             return False
         waiting = len({other.adapter_name for other in queued} - {request.adapter_name})
         room = sum(
-            runner.available_slots(now_ms)
-            + len(self.idle_slots.idle_slots_of(runner, now_ms, work))
+            max(0, runner.available_slots(now_ms))
+            + sum(
+                slot.draining_level is None
+                for slot in self.idle_slots.idle_slots_of(runner, now_ms, work)
+            )
             for _, runner in faster
         )
         return room > waiting
--- a/monsoonflow/placement/scheduler.py
+++ b/monsoonflow/placement/scheduler.py
@@ -243,7 +243,7 @@
         request.expected_load_ms = self._expected_load_ms(request)
         self.slot_draining.customers.record(request.adapter_name, request.customer, now_ms)
         if self._policy.fair_shares:
-            request.level = self._fair_shares.level_of(request.customer)
+            request.level = self._fair_shares.level_of_request(request)
         overrun_ms = self._prefill_overrun_ms(request, now_ms, work)
         if overrun_ms is not None:
             self._refuse(request, NoSlot(max(MIN_DRAIN_MS, overrun_ms), "prefill"), now_ms)
--- a/monsoonflow/placement/slot_draining.py
+++ b/monsoonflow/placement/slot_draining.py
@@ -155,8 +155,9 @@
             for runner in self._idle_slots.runners.values()
         }
         unused = sum(
-            runner.available_slots(now_ms)
+            max(0, runner.available_slots(now_ms))
             + sum(slot.draining_level is None for slot in idle_by_life[runner.life])
+            + sum(slot.state is SlotState.UNLOADING for slot in runner.slots.values())
             for runner in self._idle_slots.runners.values()
         )
         if unused >= len(needs_slot):
@@ -191,7 +192,12 @@
             if slot.state is not SlotState.READY or name in unused_names:
                 continue
             customers = self.customers.of(name, now_ms)
-            level = min((self._fair_shares.level_of(customer) for customer in customers), default=0)
+            # An adapter in steady use is never requested here, and a new lease holder has heard of
+            # no request. If another customer uses it too, its next request ends the draining.
+            level = min(
+                (self._fair_shares.level_of(customer) for customer in customers),
+                default=self._fair_shares.max_level(),
+            )
             if level:
                 candidates.append(_Candidate(runner.life, slot, level, requests.get(name, 0)))
         return candidates
--- a/monsoonflow/placement/usage_reports.py
+++ b/monsoonflow/placement/usage_reports.py
@@ -19,6 +19,10 @@
 """Heartbeats may be delayed, so the time between two receipts may be shorter than between their
 totals."""
 
+MAX_REPORT_GAP_MS: Final = 5_000
+"""Usage over a longer gap between two reports is not counted: it would count as if it were used
+just now, while most of it has decayed."""
+
 MAX_TOTAL_MS: Final = 1 << 53
 """Totals up to this value are exact in all JSON parsers."""
 
@@ -79,7 +83,7 @@
         self._report_by_node[node] = _Report(
             boot, valid, now_ms, len(totals_ms) < MAX_ANNOUNCED_CUSTOMERS
         )
-        if previous is None:
+        if previous is None or now_ms - previous.received_ms > MAX_REPORT_GAP_MS:
             return {}
         usage_ms = _difference(previous, boot, valid)
         max_ms = MAX_REQUESTS_PER_NODE * (now_ms - previous.received_ms + REPORT_MARGIN_MS)
--- a/monsoonflow/routing/routes.py
+++ b/monsoonflow/routing/routes.py
@@ -162,6 +162,7 @@
     """One version of the configured routes, services and customers.
 
     :param customer_by_key: the customer of each API key; ``None`` if requests carry no keys.
+    :param customer_names: all customers.
     :param quota_by_customer: the quotas of the customers that have one, by name.
     :param rank_offset_by_priority: what is added to a route's priority for a customer's priority.
 
@@ -179,6 +180,7 @@
     customer_by_key: dict[str, Customer] | None = attrs.field(default=None, repr=False)
     rank_offset_by_priority: dict[int, int] = attrs.Factory(dict)
     quota_by_customer: dict[str, Quota] = attrs.Factory(dict)
+    customer_names: frozenset[str] = frozenset()
 
     @classmethod
     def build(
@@ -204,6 +206,7 @@
             customer_by_key,
             {priority: index * route_levels for index, priority in enumerate(priorities)},
             {known.name: known.quota for known in customers if known.quota is not None},
+            frozenset(known.name for known in customers),
         )
 
     def match(self, host: str, path: str) -> Route | None:
--- a/tests/placement/test_fair_shares.py
+++ b/tests/placement/test_fair_shares.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import attrs
 import pytest
 
+from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.core.server_life import ServerLife
 from monsoonflow.fleet import codec
 from monsoonflow.fleet.models import Heartbeat, NodeRecord, ShortHeartbeat
 from monsoonflow.placement.fair_share import TIME_CONSTANT_MS, FairShares
+from monsoonflow.placement.idle_slots import IdleSlots
 from monsoonflow.placement.queue_policy import QueuePolicy
+from monsoonflow.placement.request_queue import QueuedRequest
+from monsoonflow.placement.slot_draining import SlotDraining
+from monsoonflow.placement.slots import RunnerSlots, Slot, SlotState
 from monsoonflow.placement.usage_reports import UsageReports, valid_customer
+from monsoonflow.placement.usage_scores import UsageScores
 from monsoonflow.routing.customer_usage import MAX_ANNOUNCED_CUSTOMERS, CustomerUsage
+from monsoonflow.routing.in_flight import ServerWork
 from tests.placement.load_replay import WARM_UP_MS, LoadReplay, Stream, zipf
 
 SEEDS = (1, 2, 3)
@@ -245,3 +255,59 @@
     tallies = LoadReplay(streams, seed).run(FOR_MS)
     assert of_small(tallies)[0] >= 0.95
     assert tallies["hot"].served >= 8 * FOR_MS / 1000
+
+
+@pytest.mark.parametrize("requested_ms_ago", [29_000, 31_000, None])
+def test_slots_drain_whose_customers_the_holder_has_not_heard_of_lately(requested_ms_ago):
+    """Requests for a resident adapter do not pass the holder, and a new holder has heard of none.
+
+    After 30 s nothing drained, and one customer kept all slots.
+    """
+    now_ms = 100_000
+    shares = FairShares()
+    shares.record_usage({"hot": 60_000, "small": 100}, now_ms)
+    shares.update_levels(["small"], now_ms)
+    runner = RunnerSlots(ServerLife("r"), 1)
+    runner.slots["m/h"] = slot = Slot(AdapterRef("m/h", 1), SlotState.READY, 0)
+    work = {runner.life: ServerWork(requests=1, requests_by_adapter=Counter({"m/h": 1}))}
+    draining = SlotDraining(IdleSlots({runner.life: runner}, UsageScores(), {}), shares)
+    if requested_ms_ago is not None:
+        draining.customers.record("m/h", "hot", now_ms - requested_ms_ago)
+    request = queued("m/s", "small")
+    request.level = shares.level_of_request(request)
+    draining.update([request], now_ms, work)
+    assert slot.draining_level
+
+
+def test_customers_that_wait_in_another_cell_count():
+    """The cells of a holder are checked one after the other; the second one had no levels."""
+    shares = FairShares()
+    shares.record_usage({"hot": 60_000}, 1_000)
+    shares.assign_levels([queued("m/a", "hot")], 1_000)
+    waiting = queued("m/b", "small")
+    shares.assign_levels([waiting], 1_001)
+    assert shares.level_of("hot") > shares.level_of("small") == 0
+
+
+def test_a_stream_that_is_resumed_never_waits_for_its_customers_share():
+    """It waited for three seconds behind a request of another customer."""
+    shares = FairShares()
+    shares.record_usage({"hot": 60_000, "small": 100}, 1_000)
+    resumed = queued("m/a", "hot")
+    resumed.priority = -1
+    shares.assign_levels([resumed, queued("m/b", "small")], 1_000)
+    assert resumed.level == 0 < shares.level_of("hot")
+
+
+def test_usage_over_a_long_gap_does_not_count_as_recent():
+    """A standby that hears a node again after ten minutes counted all of them as just now."""
+    reports = UsageReports()
+    reports.apply("n1", "b", {"alpha": 0}, 0)
+    assert reports.apply("n1", "b", {"alpha": 600_000}, 600_000) == {}
+    assert reports.apply("n1", "b", {"alpha": 600_200}, 600_200) == {"alpha": 200}
+
+
+def queued(adapter, customer):
+    return QueuedRequest(
+        adapter, 1, 0, 0, 200_000, 200_000, frozenset(), lambda _: None, customer=customer
+    )
