Soak: customers in a rush, and a bound for those that send little

Cause: no fault kind sent uneven load by customer, so the soak could not see one customer shut out by another.

Change: the kind customer-rushes lets one customer send 4 to 8 times its usual requests in addition for 4 to 7 s, for 40 adapters of their own. A customer that sends less than half as much to the same path must get at least a quarter of its requests served, if it sent eight or more in the rush, outside of other faults and their recovery. Paths are judged apart: plain requests, two thirds of the load, always got through and hid refused streams. The injector now notes until when each fault is in force, and prints the shares of each rush.

A promise on runners' memory is not part of this change.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 
 from script.processes import ROOT
 
+from .customers import Share
 from .faults import KINDS, FaultInjector
 from .fleet import Fleet
 from .judge import Late
@@ -31,6 +32,7 @@
     mixed_of,
     parts_of,
     resumptions_of,
+    shares_of,
     unheeded_of,
     worse_served_of,
 )
@@ -57,6 +59,7 @@
     mixed: int
     resumptions: Resumptions
     crashes_by_part: dict[str, int]
+    shares: list[Share]
 
 
 def run_seed(seed: int, seconds: float, folder: Path, given: argparse.Namespace) -> Run:
@@ -71,6 +74,8 @@
     finally:
         fleet.close()
     late = late_of(fleet, injector.disturbances)
+    faults = [*injector.faults, *injector.disturbances]
+    shares = shares_of(fleet, injector.rushes, faults)
     broken = [
         *broken_of(fleet),
         *looking_complete_of(fleet),
@@ -80,6 +85,7 @@
         *falls_of(fleet, injector.brittle_services),
         *parts_of(fleet, injector.partitions, injector.disturbances),
         *unheeded_of(fleet, injector.disturbances),
+        *(share.line() for share in shares if share.is_shut_out()),
     ]
     return Run(
         late,
@@ -90,6 +96,7 @@
         len(mixed_of(fleet)),
         resumptions_of(fleet, injector.partitions, injector.disturbances),
         crashes_by_part(fleet),
+        shares,
     )
 
 
@@ -137,6 +144,8 @@
         print(f"  {count} {cause}")
     for late in broken[:SHOWN]:
         print(f"    {late.line()}")
+    for share in run.shares:
+        print(f"  {share.line()}")
     for line in run.promises[:SHOWN]:
         print(f"    {line}")
     if broken or run.promises:
--- a/soak/const.py
+++ b/soak/const.py
@@ -61,6 +61,10 @@
     ],
 }
 
+RUSH_ADAPTERS: Final = tuple(f"{MODEL}/r{number}" for number in range(40))
+"""The additional requests of a rush name these, more than there are slots, and not the adapters of
+the other requests: otherwise those would stay resident for the customers that send little."""
+
 ONCE_PATH: Final = "/write/x"
 """Requests to it may run once at most."""
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,8 @@
 
 from .answer_faults import answers_broken_off, answers_unframed, server_crashes
 from .const import CONTACT_MS, LAPSE_S, SERVES_MS, USUAL_WORK_MS
+from .customer_faults import customer_rushes
+from .customers import Rush
 from .fleet import STORE, Fleet
 from .judge import Disturbance
 from .notice_faults import leaves_by_word, servers_rest
@@ -32,6 +34,8 @@
 PAUSE_S: Final = (0.4, 2.5)
 """Least and longest pause between two troubles."""
 
+RUSHES: Final = "customer-rushes"
+"""The kind that is load rather than a fault, so it excuses nothing."""
 
 LIMITS_PER_S: Final = ("0.5", "1", "2.5", "8")
 NEED_S: Final = (4.0, 15.0)
@@ -57,6 +61,9 @@
     :ivar partitioned: nodes that are so now.
     :ivar brittle: services whose servers are brittle now.
     :ivar brittle_services: services whose servers were brittle, once for each time.
+    :ivar rushes: when which customer sent many times its usual requests.
+    :ivar faults: when faults of any kind were in force, without the recovery.
+    :ivar calm_until: no further trouble begins before, on the monotonic clock.
     """
 
     fleet: Fleet
@@ -69,6 +76,9 @@
     partitioned: set[str] = attrs.Factory(set)
     brittle: set[str] = attrs.Factory(set)
     brittle_services: list[str] = attrs.Factory(list)
+    rushes: list[Rush] = attrs.Factory(list)
+    faults: list[Disturbance] = attrs.Factory(list)
+    calm_until: float = 0.0
     _ends: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
 
     def inject(self, until: float) -> None:
@@ -78,14 +88,24 @@
         while (now := time.monotonic()) < until:
             self._end_due(now)
             self._replace_crashed()
-            if now >= next_at:
+            if now >= max(next_at, self.calm_until):
                 kind = self.rng.choice(kinds)
                 self.counts[kind] = self.counts.get(kind, 0) + 1
-                KINDS[kind](self)
+                self.begin(kind)
                 next_at = now + self.rng.uniform(*PAUSE_S)
             time.sleep(0.02)
         self._end_due(float("inf"))
 
+    def begin(self, kind: str) -> None:
+        """Begin a trouble and note until when its last change comes, as a fault of its kind."""
+        ends_before, now_s = len(self._ends), time.monotonic()
+        now_ms = round(time.time() * 1000)
+        KINDS[kind](self)
+        if kind != RUSHES:
+            last_s = max([now_s, *(at_s for at_s, _ in self._ends[ends_before:])])
+            until_ms = now_ms + round((last_s - now_s) * 1000)
+            self.faults.append(Disturbance(kind, now_ms, until_ms))
+
     def _replace_crashed(self) -> None:
         for server in self.fleet.remove_crashed():
             self.disturbed(server, LAPSE_S)
@@ -350,4 +370,5 @@
     "part-turns-bad": part_turns_bad,
     "leaves-by-word": leaves_by_word,
     "servers-rest": servers_rest,
+    RUSHES: customer_rushes,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -26,6 +26,7 @@
     HOST,
     MODEL,
     PLAIN,
+    RUSH_ADAPTERS,
     USUAL_WORK_MS,
     ZONES,
 )
@@ -95,9 +96,11 @@
         self._directories: list[str] = []
         self._store_ports: dict[str, int] = {}
         self._config_version = CONFIGURATION["version"]
+        self._per_s = 0.0
 
     def start(self, nodes: int, plain: int, engines: int, per_s: float, seed: int) -> None:
         """Start everything and wait until all nodes are ready."""
+        self._per_s = per_s
         self.processes.start(LINKS, "stand_ins.links")
         self.processes.start(
             STORE,
@@ -202,6 +205,20 @@
         for callers in self.callers:
             self.processes.command(callers, "reset", ip=self.ip_of(node))
 
+    def rush(self, customer: str, times: float, for_s: float) -> None:
+        """Let a customer send so many times its usual requests in addition, for some seconds."""
+        keys = list(CUSTOMER_BY_KEY.values())
+        usual_per_s = self._per_s * keys.count(customer) / len(keys)
+        for callers in self.callers:
+            self.processes.command(
+                callers,
+                "rush",
+                customer=customer,
+                per_s=times * usual_per_s / len(self.callers),
+                for_s=for_s,
+                adapters=RUSH_ADAPTERS,
+            )
+
     def stop(self, name: str) -> None:
         """Let a process stand still."""
         self.standing_still.add(name)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -76,7 +76,11 @@
 
     def within_contact(self, at_ms: int) -> bool:
         """Tell whether it reaches into the time of contact before a moment."""
-        return self.from_ms <= at_ms and at_ms < self.until_ms + CONTACT_MS
+        return self.overlaps(at_ms, at_ms)
+
+    def overlaps(self, from_ms: int, until_ms: int) -> bool:
+        """Tell whether it, or the time of contact after it, overlaps a period."""
+        return self.from_ms <= until_ms and from_ms < self.until_ms + CONTACT_MS
 
 
 @attrs.define
--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -10,6 +10,7 @@
 from monsoonflow.report.timeline import read
 
 from .const import CONTACT_MS, ENGINES, LAPSE_S
+from .customers import Rush, Share, shares_in_rushes
 from .fleet import STORE, Fleet
 from .judge import Disturbance, Late, late_arrivals, leaves_by_server
 from .limits import exceeded_limits
@@ -175,6 +176,19 @@
     )
 
 
+def shares_of(fleet: Fleet, rushes: Iterable[Rush], faults: Iterable[Disturbance]) -> list[Share]:
+    """Return how the customers beside one in a rush were served outside of faults.
+
+    :param faults: of any process, since each may concern each customer.
+    """
+    in_force = list(faults)
+
+    def is_excused(from_ms: int, until_ms: int) -> bool:
+        return any(d.overlaps(from_ms, until_ms) for d in in_force)
+
+    return shares_in_rushes(_of(fleet, fleet.callers), rushes, is_excused)
+
+
 def parts_of(
     fleet: Fleet, partitions: Iterable[Partition], disturbances: Iterable[Disturbance]
 ) -> list[str]:
--- a/stand_ins/callers.py
+++ b/stand_ins/callers.py
@@ -5,6 +5,8 @@
 import argparse
 import random
 import time
+from collections.abc import Sequence
+from functools import partial
 from typing import Any, Final
 
 import attrs
@@ -96,17 +98,33 @@
             gevent.spawn(self.send_one)
             gevent.sleep(self._rng.expovariate(per_s))
 
+    def rush(self, customer: str, per_s: float, for_s: float, adapters: list[str]) -> None:
+        """Send additional requests of one customer for some seconds.
+
+        :param per_s: additional requests per second.
+        :param adapters: requested instead of those of the routes.
+        """
+        keys = [key for key, of in self._customer_by_key.items() if of == customer]
+        until = time.monotonic() + for_s
+        while time.monotonic() < until:
+            gevent.spawn(self.send_one, keys, adapters)
+            gevent.sleep(self._rng.expovariate(per_s))
+
     def reset(self, ip: str) -> None:
         """Reset the connections to a node on which answers are due."""
         self._client.reset(ip)
 
-    def send_one(self) -> None:
-        """Send a request of any kind; take up its stream again if it breaks off."""
+    def send_one(self, keys: Sequence[str] = (), adapters: Sequence[str] = ()) -> None:
+        """Send a request of any kind; take up its stream again if it breaks off.
+
+        :param keys: to choose from; all keys if empty.
+        :param adapters: to choose from instead of those of the route.
+        """
         address = self._address()
         if address is None:
             return
         route = self._rng.choice(self._routes)
-        key = self._rng.choice(list(self._customer_by_key))
+        key = self._rng.choice(list(keys or self._customer_by_key))
         first = self._next_name()
         headers = {
             "Host": self._host,
@@ -115,7 +133,7 @@
             **route["headers"],
         }
         if "adapters" in route:
-            headers["X-Model"] = self._rng.choice(route["adapters"])
+            headers["X-Model"] = self._rng.choice(list(adapters or route["adapters"]))
         if "parts" in route:
             headers["X-Prompt-Prefix"] = self._prompt_prefix(route["parts"], first)
         until = time.monotonic() + route["deadline_ms"] / 1000
@@ -218,7 +236,7 @@
         given.seed,
     )
     gevent.spawn(callers.send_for_good, given.per_s)
-    follow({"reset": callers.reset})
+    follow({"reset": callers.reset, "rush": partial(gevent.spawn, callers.rush)})
 
 
 if __name__ == "__main__":
