Store: the era that it states, and rows that are ignored, are logged

The logs do not tell whether the store has come back from an older state or a replica lags: the answers' Store-Era is not read, and a row that is ignored by itself leaves no line.

Now one line when the era changes, one for each ignored row, one when the header can't be used, and a gauge. No decision depends on them yet.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -112,6 +112,9 @@
             that says so.
         """
 
+    def store_era(self) -> int:
+        """Return the era that the store states, which rises when it loses rows; 0: none."""
+
     def store_calls(self) -> int:
         """Return how many calls to the store were made."""
 
@@ -614,6 +617,7 @@
         gauge("duties", "Duties held.", lambda: len(self.cell_leases.claims()))
         gauge("in_progress", "Requests in progress.", lambda: self.ports.callers.active_count)
         gauge("store_calls", "Calls to the store since the start.", integration.store_calls)
+        gauge("store_era", "Era that the store states; 0: none.", integration.store_era)
         for kind in ("operator", "servers", "own"):
             gauge(
                 f"{kind}_answer_age_seconds",
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -86,11 +86,14 @@
     Configuration,
     HistoryLost,
     MalformedRow,
+    RowIgnored,
     StaleRead,
+    StoreEra,
     StoreLost,
     StoreReturned,
     UnusablePeerConfiguration,
     UnusableRow,
+    UnusableStoreEra,
 )
 from .transport import (
     BadMessage,
@@ -144,6 +147,7 @@
     "RequestSent",
     "RequestTooLarge",
     "RequestWaited",
+    "RowIgnored",
     "RunnerPaceChanged",
     "RunnersFull",
     "Seats",
@@ -166,6 +170,7 @@
     "SoftwareVersionsRecorded",
     "StreamVersionSearched",
     "StaleRead",
+    "StoreEra",
     "Started",
     "Stopped",
     "Stopping",
@@ -179,6 +184,7 @@
     "UnusableServerLimit",
     "UnusableSlotNeed",
     "UnusableRow",
+    "UnusableStoreEra",
     "UnusableSettings",
     "WasFrozen",
 ]
--- a/monsoonflow/logs/events/store.py
+++ b/monsoonflow/logs/events/store.py
@@ -59,6 +59,32 @@
     known: int
 
 
+@event
+class RowIgnored(Event):
+    """A row that was read has an older version than the known one and was ignored."""
+
+    collection: str
+    row: str
+    version: int
+    known: int
+
+
+@event
+class StoreEra(Event):
+    """The store states another era than before (0: none)."""
+
+    era: int
+    before: int
+
+
+@event
+class UnusableStoreEra(Event):
+    """The store states an era that can't be used; the answer counts for the known one."""
+
+    LEVEL: ClassVar[int] = logging.WARNING
+    stated: str
+
+
 @event
 class StoreLost(Event):
     """The store is unreachable from this node."""
--- a/monsoonflow/platform/outside.py
+++ b/monsoonflow/platform/outside.py
@@ -15,6 +15,7 @@
 from . import configuration, directory, servers, store
 from .engine import PlatformRunnerControl
 from .headers import HeaderDialect
+from .store_era import StoreEra
 
 
 class RowDecoders:
@@ -54,6 +55,7 @@
         self._settings = settings
         self._clock = clock
         self._stores: list[store.PlatformStore] = []
+        self._store_era = StoreEra()
         self.dialect = HeaderDialect()
         self.decoders = RowDecoders()
 
@@ -63,10 +65,14 @@
 
     def feed(self) -> store.PlatformStore:
         """Return a change feed with its own connections."""
-        client = store.PlatformStore(self._settings.store_address, self._clock)
+        client = store.PlatformStore(self._settings.store_address, self._clock, self._store_era)
         self._stores.append(client)
         return client
 
+    def store_era(self) -> int:
+        """Return the era that the store states; 0 if it states none."""
+        return self._store_era.value
+
     def store_calls(self) -> int:
         """Return the number of calls made to the store."""
         return sum(client.call_count for client in self._stores)
--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -26,6 +26,7 @@
 )
 from ..transport.client import Answer, ConnectionPools, ServerConnection, call
 from ..transport.models import Lost
+from .store_era import StoreEra
 
 _LOGGER = logging.getLogger(__name__)
 JSON_HEADERS: Final = ((b"Content-Type", b"application/json"),)
@@ -42,10 +43,13 @@
 
     All keys of this project are rows of one table with an empty ``part``, so that one transaction
     can change several of them.
+
+    :param era: shared by all clients of the store.
     """
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    def __init__(self, address: str, clock: Clock, era: StoreEra | None = None) -> None:
         self._address = address
+        self._era = era or StoreEra()
         self._pools = ConnectionPools(clock, max_idle=4)
         self.call_count = 0
         self._feed_connection: ServerConnection | None = None
@@ -217,7 +221,7 @@
     ) -> Answer | Lost:
         self.call_count += 1
         headers = JSON_HEADERS if body else ()
-        return call(
+        answer = call(
             self._pools,
             self._address,
             method,
@@ -228,6 +232,9 @@
             on_acquired=on_connection,
             body_gap_ms=body_gap_ms,
         )
+        if isinstance(answer, Answer):
+            self._era.record_answer(answer.head)
+        return answer
 
 
 def _encode_value(value: dict[str, Any]) -> str:
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -289,7 +289,14 @@
         self._has_gap = False
 
     def _apply_row(self, row: ChangedRow) -> None:
-        if row.version < self._row_version_by_key.get(row.key, 0):
+        known = self._row_version_by_key.get(row.key, 0)
+        if row.version < known:
+            log(
+                _LOGGER,
+                events.RowIgnored(
+                    collection=self._collection, row=row.key, version=row.version, known=known
+                ),
+            )
             return
         if row.body is None:
             self._row_version_by_key.pop(row.key, None)
