Known red: nodes after their store has returned from an older copy

The stand-in store now states an era, returns from a copy and gives its versions out again; requests for changes after a number that it does not have get 410.

--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -12,6 +12,7 @@
 from gevent.event import Event
 
 from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.storage.models import ChangedRow
 from monsoonflow.transport.models import MessageLimits, Request
 from monsoonflow.transport.server import HttpServer, Reply
 
@@ -21,6 +22,14 @@
 """How far the store's steady clock is from those of the nodes, which have another start."""
 
 
+@attrs.frozen
+class StoreCopy:
+    """The store's state at one moment."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[int, str | None]]
+
+
 @attrs.define
 class StoreFaults:
     """How the store misbehaves.
@@ -37,10 +46,14 @@
 
 
 class PlatformStore:
-    """Rows of any table with one counter of versions."""
+    """Rows of any table with one counter of versions.
 
-    def __init__(self, address: str) -> None:
+    :ivar era: rises with each return from a copy; ``None``: its answers state none.
+    """
+
+    def __init__(self, address: str, era: int | None = None) -> None:
         self.address = address
+        self.era = era
         self.faults = StoreFaults()
         self.version = 0
         self.forgotten = 0
@@ -66,11 +79,30 @@
         """Remove a row."""
         return self._apply([(table, key, None)])
 
+    def table_rows(self, table: str) -> list[ChangedRow]:
+        """Return the rows of a table."""
+        return [
+            ChangedRow(key, version, base64.b64decode(value))
+            for (name, key), (version, value) in self.rows.items()
+            if name == table and value is not None
+        ]
+
     def forget_history(self) -> None:
         """Drop what has changed so far."""
         self.forgotten = self.version
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the current state."""
+        return StoreCopy(self.version, dict(self.rows))
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Forget all that was written after a copy; its versions are given out again."""
+        self.version, self.rows = copy.version, dict(copy.rows)
+        self.forgotten = min(self.forgotten, copy.version)
+        self.era = (self.era or 0) + 1
+        self._wake()
+
     def _apply(self, changes: list[tuple[str, str, str | None]]) -> int:
         self.version += 1
         for table, key, value in changes:
@@ -87,7 +119,7 @@
         if self.faults.silent:
             gevent.sleep(60)
         if self.faults.down:
-            reply.send_whole(503, [])
+            self._refuse(reply, 503)
             return
         path, _, text = request.target.decode().partition("?")
         query = {name: values[0] for name, values in parse_qs(text).items()}
@@ -101,7 +133,7 @@
             case "/v1/rows-feed":
                 self._feed(query, reply)
             case _:
-                reply.send_whole(404, [])
+                self._refuse(reply, 404)
 
     def _table(self, table: str, start: str) -> list[dict[str, Any]]:
         return [
@@ -133,8 +165,8 @@
         after = int(query["after"])
         until = gevent.get_hub().loop.now() + int(query["waitMs"]) / 1000
         while True:
-            if self.faults.down or after < self.forgotten:
-                reply.send_whole(503 if self.faults.down else 410, [])
+            if self.faults.down or not self.forgotten <= after <= self.version:
+                self._refuse(reply, 503 if self.faults.down else 410)
                 return
             rows = [
                 self._row(table, key)
@@ -153,5 +185,13 @@
     def _answer(self, reply: Reply, status: int, data: dict[str, Any]) -> None:
         now_ms = self._clock.now_ms() + CLOCK_OFFSET_MS
         reply.send_whole(
-            status, JSON, orjson.dumps({**data, "rowVersion": self.version, "nowMs": now_ms})
+            status,
+            [*JSON, *self._era_header()],
+            orjson.dumps({**data, "rowVersion": self.version, "nowMs": now_ms}),
         )
+
+    def _refuse(self, reply: Reply, status: int) -> None:
+        reply.send_whole(status, self._era_header())
+
+    def _era_header(self) -> list[tuple[bytes, bytes]]:
+        return [] if self.era is None else [(b"Store-Era", b"%d" % self.era)]
--- /dev/null
+++ b/tests/entry/test_store_return.py
@@ -0,0 +1,253 @@
+"""Nodes whose store comes back from an older copy of its rows and counts on from there."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import gevent
+import pytest
+
+from monsoonflow.entry.lease_loop import CELL_LEASE_PREFIX, decode_cell_lease
+from monsoonflow.entry.store_follower import MISSING_GRACE_MS, NODE_RECORD_PREFIX
+from monsoonflow.platform.store import OWN_TABLE
+from stand_ins.platform_runner import PlatformServer
+from stand_ins.platform_store import StoreCopy
+from tests.entry.conftest import CONFIG, Fleet, Node, route, wait_for
+
+LOST_WRITES = 12
+"""Versions that were given out after the copy."""
+
+ADDED = {"version": 3, "routes": [*CONFIG["routes"], route("added", "idempotent", "plain")]}
+IN_FORCE_S = 2.0
+"""Within this time a confirmed change is in force."""
+
+
+@pytest.fixture
+def store(fleet):
+    """Return the fleet's store; its answers state an era."""
+    fleet.store.era = 1
+    return fleet.store
+
+
+@pytest.fixture(params=["old numbers unknown", "old numbers given out again"])
+def return_from(request, store) -> Callable[..., None]:
+    """Return a function that has the store return from a copy, and then writes something.
+
+    Requests for changes after an old number get 410, or it has been given out again before, and so
+    have those of the writes.
+    """
+
+    def return_from_copy(copy: StoreCopy, write: Callable[[], None] = lambda: None) -> None:
+        last = store.version
+        store.return_from(copy)
+        write()
+        while request.param == "old numbers given out again" and store.version <= last:
+            store.put("other", "row", {})
+
+    return return_from_copy
+
+
+@pytest.fixture
+def versions_seen() -> Iterator[Callable[[Node], list[int]]]:
+    """Return a function that records the configurations in force at a node from now on."""
+    tasks = []
+
+    def follow(node: Node, versions: list[int]) -> None:
+        while True:
+            versions.append(node.daemon.config_version())
+            gevent.sleep(0.005)
+
+    def start(node: Node) -> list[int]:
+        versions: list[int] = []
+        tasks.append(gevent.spawn(follow, node, versions))
+        return versions
+
+    yield start
+    gevent.killall(tasks)
+
+
+def write_more(fleet: Fleet) -> None:
+    for number in range(LOST_WRITES):
+        fleet.store.put("other", f"row {number}", {})
+
+
+def takes_work(node: Node, server: PlatformServer) -> bool:
+    registry = node.daemon.cluster_state.server_registry
+    life = registry.life_of(server.server_id)
+    return life is not None and registry.is_accepting_work(life)
+
+
+def write_again(fleet: Fleet, server: PlatformServer, **changes: str) -> None:
+    fleet.store.put("servers", server.server_id, server.entry(**changes))
+
+
+def stored_epoch(fleet: Fleet) -> int:
+    """Return the epoch of the stored cell lease; 0 without one."""
+    row = next(
+        (row for row in fleet.store.table_rows(OWN_TABLE) if row.key == CELL_LEASE_PREFIX + "llm"),
+        None,
+    )
+    lease_row = decode_cell_lease("llm", row.body if row is not None else None)
+    return lease_row.epoch if lease_row is not None else 0
+
+
+def test_a_configuration_confirmed_after_the_return_is_in_force_in_time(
+    fleet, store, return_from, versions_seen
+):
+    """Callers got 404 for a route seconds after its configuration was confirmed."""
+    node = fleet.node()
+    copy = store.copy()
+    write_more(fleet)
+    fleet.configure(version=2)
+    wait_for(lambda: node.daemon.config_version() == 2)
+    seen = versions_seen(node)
+
+    def write() -> None:
+        fleet.configure(version=2)
+        fleet.configure(**ADDED)
+
+    return_from(copy, write)
+    wait_for(lambda: node.daemon.config_version() == 3, within_s=IN_FORCE_S)
+    assert min(seen) == 2
+
+
+def test_a_configuration_that_the_store_forgot_stays_in_force(
+    fleet, store, return_from, versions_seen
+):
+    node = fleet.node()
+    copy = store.copy()
+    write_more(fleet)
+    fleet.configure(version=2)
+    wait_for(lambda: node.daemon.config_version() == 2)
+    seen = versions_seen(node)
+    return_from(copy)
+    gevent.sleep(1.5)
+    assert set(seen) == {2}
+
+
+def test_a_server_that_leaves_after_the_return_gets_no_requests_in_time(fleet, store, return_from):
+    """Requests reached a server seconds after its leaving was confirmed."""
+    server = fleet.plain("i-1")
+    fleet.plain("i-2")
+    node = fleet.node()
+    copy = store.copy()
+    write_more(fleet)
+    write_again(fleet, server)
+    gevent.sleep(1.2)
+    return_from(copy, lambda: write_again(fleet, server, state="draining"))
+    wait_for(lambda: not takes_work(node, server), within_s=IN_FORCE_S)
+
+
+def test_a_server_whose_leaving_the_store_forgot_gets_no_requests(fleet, store, return_from):
+    server = fleet.plain("i-1")
+    node = fleet.node()
+    copy = store.copy()
+    write_more(fleet)
+    write_again(fleet, server, state="draining")
+    wait_for(lambda: not takes_work(node, server))
+    return_from(copy)
+    for _ in range(15):
+        gevent.sleep(0.1)
+        assert not takes_work(node, server)
+
+
+def test_a_server_that_the_store_forgot_stays_in_use_until_it_has_registered_again(
+    fleet, store, return_from
+):
+    """A server that had registered after the copy counted as gone, although it served."""
+    fleet.plain("i-1")
+    node = fleet.node()
+    copy = store.copy()
+    write_more(fleet)
+    server = fleet.plain("i-2")
+    wait_for(lambda: takes_work(node, server))
+    return_from(copy)
+    for step in range(40):
+        gevent.sleep(0.1)
+        assert takes_work(node, server), step
+        if step in (15, 25):
+            write_again(fleet, server)
+
+
+def test_a_server_that_does_not_register_again_gets_no_requests(fleet, store, return_from):
+    fleet.plain("i-1")
+    node = fleet.node()
+    copy = store.copy()
+    write_more(fleet)
+    server = fleet.plain("i-2")
+    wait_for(lambda: takes_work(node, server))
+    return_from(copy)
+    wait_for(lambda: not takes_work(node, server), within_s=MISSING_GRACE_MS / 1000 + 1.0)
+
+
+def test_the_lease_holder_goes_on_after_the_return(fleet, store, return_from):
+    """No node held the lease for more than a minute: no adapter was loaded."""
+    fleet.runner("i-1")
+    fleet.node()
+    fleet.node()
+    holder = fleet.holder()
+    scheduler = holder.daemon.cell_leases.lease_of("llm").scheduler
+    lease_loop = holder.daemon.cell_leases.lease_of("llm").lease_loop
+    copy = store.copy()
+    write_more(fleet)
+    first_epoch = stored_epoch(fleet)
+    gevent.sleep(1.0)
+    return_from(copy)
+    gevent.sleep(3.0)
+    assert lease_loop.holds(holder.daemon.clock.now_ms())
+    assert holder.daemon.cell_leases.lease_of("llm").scheduler is scheduler
+    assert stored_epoch(fleet) > first_epoch
+
+
+def test_fencing_numbers_do_not_repeat_when_the_store_forgot_a_claim(fleet, store, return_from):
+    """All nodes end with the store, so that only runners remember the numbers given out."""
+    fleet.runner("i-1")
+    fleet.node()
+    fleet.holder()
+    copy = store.copy()
+    epochs = [stored_epoch(fleet)]
+    for _ in range(2):
+        fleet.nodes[-1].kill()
+        fleet.node()
+        wait_for(lambda: stored_epoch(fleet) > epochs[-1])
+        epochs.append(stored_epoch(fleet))
+    fleet.nodes[-1].kill()
+    return_from(copy)
+    fleet.node()
+    wait_for(lambda: stored_epoch(fleet) != epochs[0])
+    assert stored_epoch(fleet) > max(epochs)
+
+
+def test_node_records_that_the_store_forgot_are_written_again(fleet, store, return_from):
+    """Peers and callers did not learn of a node that had started after the copy."""
+    first = fleet.node()
+    copy = store.copy()
+    write_more(fleet)
+    second = fleet.node()
+    name = second.daemon.settings.name
+    wait_for(lambda: name in first.daemon.view.record_by_name)
+    return_from(copy)
+    key = NODE_RECORD_PREFIX + name
+
+    def is_stored() -> bool:
+        assert name in first.daemon.view.record_by_name
+        return any(row.key == key for row in store.table_rows(OWN_TABLE))
+
+    wait_for(is_stored, within_s=4.0)
+    third = fleet.node()
+    wait_for(lambda: name in third.daemon.view.record_by_name, within_s=1.0)
+
+
+def test_a_node_that_starts_on_the_copy_has_the_configuration_of_its_peers(
+    fleet, store, return_from
+):
+    """It would refuse a route that its peers serve."""
+    fleet.node()
+    copy = store.copy()
+    write_more(fleet)
+    fleet.configure(**ADDED)
+    wait_for(lambda: fleet.nodes[0].daemon.config_version() == 3)
+    return_from(copy)
+    late = fleet.node()
+    wait_for(lambda: late.daemon.config_version() == 3, within_s=IN_FORCE_S)
+    assert late.daemon.store_follower.snapshot() == fleet.nodes[0].daemon.store_follower.snapshot()
