Cell lease: the holder claims again after the store's return from a copy

Cause: the holder's renewal depended on a row version that the store no longer had, so it gave the lease up (duty_lost "the row has changed"); the row that was read next had a lower version and was ignored by all, so that each further claim failed as well. Worse, epochs that were given out after the copy are forgotten, and the next claim may use the same number: 1, 5, 9, then 5 again. Runners accept the orders of both holders.

Now a holder that learns of the return reads the row and claims the lease anew, keeping its scheduler; a lost row is judged as the one that was known until its holder has had time; nodes do not claim from a holder whose claim they hear although the store has forgotten it. A runner's refusal of an order with this node's own earlier number no longer ends the lease. Each era of the store has epochs of its own, above all of the one before: a node that knows the copy alone can't repeat one. Where no era is stated, epochs begin at 1 as before.

Two fakes returned None from get() where the store was unreachable, which says that there is no row: they now return Unavailable, as the protocol has it.

--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -17,6 +17,7 @@
     Gone,
     Order,
     RunnerControl,
+    Stale,
     Superseded,
     Unanswered,
     Unusable,
@@ -138,6 +139,16 @@
         if lease is not None:
             lease.lease_loop.handle_row(row)
 
+    def handle_row_lost(self, key: str) -> None:
+        """Handle that the store has lost the row of a cell lease."""
+        if not key.startswith(CELL_LEASE_PREFIX):
+            return
+        cell = key.removeprefix(CELL_LEASE_PREFIX)
+        self._row_by_cell.pop(cell, None)
+        lease = self._lease_by_cell.get(cell)
+        if lease is not None:
+            lease.lease_loop.handle_row_lost()
+
     def update_bounds(self, bounds: PeerBounds) -> None:
         """Apply changed bounds."""
         for lease in self._lease_by_cell.values():
@@ -553,6 +564,9 @@
         )
         sent_ms = daemon.clock.now_ms()
         answer = self._runner_control.send_order(step.life, server.address, order)
+        if isinstance(answer, Superseded) and order.fence < lease.epoch:
+            # This node has claimed the lease again meanwhile, and the runner knows its new number.
+            answer = Stale()
         if isinstance(answer, Gone):
             self._handle_replaced_runner(scheduler, step.life)
         self._record_contact(lease, not isinstance(answer, Unanswered | Unusable))
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -266,6 +266,7 @@
             self._announce_store_changes,
             self.gossip.schedule_broadcast,
             self._handle_server_row,
+            self.cell_leases.handle_row_lost,
         )
         self.stream_versions = self._create_stream_versions()
         self.activity = NodeActivity(
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -24,12 +24,23 @@
     CellLeaseRow,
     CellLeaseWatch,
     HeldCellLease,
+    first_epoch,
     machine_class,
     ranked_candidates,
 )
 from ..ownership.models import LeaseTiming
 from ..placement.load_limit import LearnedLoads
-from ..storage.models import ChangedRow, Committed, Conflict, Row, Table, Transaction, Unavailable
+from ..storage.models import (
+    ChangedRow,
+    CommitResult,
+    Committed,
+    Conflict,
+    Outdated,
+    Row,
+    Table,
+    Transaction,
+    Unavailable,
+)
 
 _LOGGER = logging.getLogger(__name__)
 CELL_LEASE_PREFIX: Final = "duty/"
@@ -204,6 +215,10 @@
         if held_row is not None and lease_row.epoch > held_row.epoch:
             self._handle_lost_lease(f"claimed by {lease_row.holder}")
 
+    def handle_row_lost(self) -> None:
+        """Handle that the store has lost the row of the cell lease."""
+        self._lease_watch.record_loss(self._clock.now_ms())
+
     def step(self) -> None:
         """Do what is due: renew the lease, or claim it if it is free."""
         now_ms = self._clock.now_ms()
@@ -212,6 +227,8 @@
             newest_claim = self._view.claim_of(self.cell)
             if newest_claim is not None and newest_claim.epoch > self.held_lease.row.epoch:
                 self._handle_lost_lease(f"claimed by {newest_claim.holder}")
+            elif self._is_of_earlier_era(self.held_lease.row):
+                self._claim_again(now_ms)
             elif now_ms - self._renewed_ms >= self._renew_every_ms:
                 self._renew(now_ms)
             return
@@ -239,8 +256,9 @@
         """Write that the lease is free, so that another node claims it at once."""
         released = attrs.evolve(row, counter=row.counter + 1, is_released=True)
         result = self._commit_row(released, version)
-        if isinstance(result, Conflict):
-            # A renewal was in progress; left as it is, the row would keep all other nodes waiting.
+        if isinstance(result, Conflict | Outdated):
+            # A renewal was in progress, or the store came back from a copy. Left as it is, the row
+            # would keep all other nodes waiting.
             current = self._table.get(CELL_LEASE_PREFIX + self.cell)
             if isinstance(current, Row) and current.value.get("boot") == self._boot:
                 result = self._commit_row(released, current.version)
@@ -399,13 +417,49 @@
             return tuple(self._ranked(ready_names))[:MAX_CANDIDATES]
         return (*previous, *self._ranked(names))[:MAX_STANDBYS]
 
+    def _is_of_earlier_era(self, row: CellLeaseRow) -> bool:
+        return row.epoch < first_epoch(self._table.era())
+
+    def _claim_again(self, now_ms: int) -> None:
+        """Claim the lease that this node holds anew, since the store came back from a copy.
+
+        The store may have forgotten the claim, and holds another version of the row.
+        """
+        if now_ms - self._last_read_attempt_ms < READ_ROW_INTERVAL_MS:
+            return
+        self._last_read_attempt_ms = now_ms
+        self.store_lost = not self._read_row()
+        if not self.store_lost and self.held_lease.row is not None:
+            self._claim(now_ms)
+
+    def _is_held_by_peer(self, now_ms: int) -> bool:
+        """Return whether a peer announces that it holds the lease, by a claim not in the store.
+
+        The store has forgotten that claim; the peer is about to claim again.
+        """
+        row, newest_claim = self._lease_watch.row, self._view.claim_of(self.cell)
+        received_claim = self._view.received_claim(self.cell)
+        if newest_claim is None or received_claim is None or newest_claim.holder == self._node:
+            return False
+        if row is not None and row.epoch >= newest_claim.epoch:
+            return False
+        silent_ms = self._view.holder_silence_timeout_ms(HOLDER_TIMEOUT_MS)
+        is_recent = now_ms - received_claim.last_received_ms <= silent_ms
+        return is_recent and received_claim.epoch == newest_claim.epoch
+
     def _is_claimable(self, now_ms: int) -> bool:
+        row = self._lease_watch.row
+        if row is not None and row.holder == self._node and self._is_of_earlier_era(row):
+            # This node's claim was applied after the store's return, but could not be relied on.
+            return True
+        if self.store_reachable and self._is_held_by_peer(now_ms):
+            return False
         if self.store_reachable and self._is_row_outdated():
             # Judged by a row that was read half a minute ago, each node of a large fleet would
             # claim a lease that is held and be refused every few seconds: a sixth of all calls to
             # the store.
             return False
-        holder = self._lease_watch.row.holder if self._lease_watch.row is not None else ""
+        holder = row.holder if row is not None else ""
         holder_silent = holder != "" and self._is_silent(holder, now_ms)
         peers_heard = holder_silent and self._hears_most_peers(holder, now_ms)
         return self._lease_watch.may_claim(
@@ -463,12 +517,14 @@
         known_row = self._lease_watch.row
         newest_claim = self._view.claim_of(self.cell)
         epoch = max(
+            first_epoch(self._table.era()),
             known_row.next_epoch() if known_row else 1,
             newest_claim.epoch + 1 if newest_claim else 0,
         )
-        previous_holder = known_row.holder if known_row is not None else ""
-        if known_row is not None and previous_holder == self._node:
-            previous_holder = known_row.previous_holder
+        previous_row = known_row if self._is_standby_lease else self.held_lease.row or known_row
+        previous_holder = previous_row.holder if previous_row is not None else ""
+        if previous_row is not None and previous_holder == self._node:
+            previous_holder = previous_row.previous_holder
         row = CellLeaseRow(
             self.cell,
             self._node,
@@ -477,7 +533,7 @@
             0,
             self._choose_standbys(now_ms),
             previous_holder=previous_holder,
-            learned_loads=known_row.learned_loads if known_row is not None else None,
+            learned_loads=previous_row.learned_loads if previous_row is not None else None,
         )
         self._claim_candidates = set(row.standbys)
         result = self._commit_row(
@@ -498,8 +554,8 @@
                 ),
             )
             self._on_won()
-        elif isinstance(result, Conflict):
-            if self._is_standby_lease:
+        elif isinstance(result, Conflict | Outdated):
+            if self._is_standby_lease and isinstance(result, Conflict):
                 self._handle_lost_lease("another node claimed")
             self._read_row()
 
@@ -545,14 +601,20 @@
         self._is_standby_lease = False
         log(_LOGGER, events.DutyLost(cell=self.cell, epoch=epoch, cause=cause))
 
-    def _read_row(self) -> None:
+    def _read_row(self) -> bool:
+        """Read the row; return whether the store answered."""
         requested_ms = self._clock.now_ms()
         row = self._table.get(CELL_LEASE_PREFIX + self.cell)
-        if isinstance(row, Row):
-            self._last_read_ms = requested_ms
+        if isinstance(row, Unavailable):
+            return False
+        self._last_read_ms = requested_ms
+        if row is None:
+            self.handle_row_lost()
+        else:
             self.handle_row(row)
+        return True
 
-    def _commit_row(self, row: CellLeaseRow, version: int) -> Committed | Conflict | Unavailable:
+    def _commit_row(self, row: CellLeaseRow, version: int) -> CommitResult:
         key = CELL_LEASE_PREFIX + self.cell
         value = {
             "holder": row.holder,
--- a/monsoonflow/entry/store_follower.py
+++ b/monsoonflow/entry/store_follower.py
@@ -176,6 +176,8 @@
     :param on_departure: called in addition when a server departed, which all peers must know at
         once.
     :param on_server_row: called with the id of each server whose entry was applied.
+    :param on_own_row_lost: called with the key of each row of the nodes' collection that the store
+        has lost, if it is not a node record.
     :ivar watches_servers: whether the peers rely on this node to ask for servers.
     """
 
@@ -190,6 +192,7 @@
         on_change: Callable[[], None],
         on_departure: Callable[[], None] = lambda: None,
         on_server_row: Callable[[str], None] = lambda _server_id: None,
+        on_own_row_lost: Callable[[str], None] = lambda _key: None,
     ) -> None:
         self._decoders = decoders
         self._cluster_state = cluster_state
@@ -200,6 +203,7 @@
         self._on_change = on_change
         self._on_departure = on_departure
         self._on_server_row = on_server_row
+        self._on_own_row_lost = on_own_row_lost
         self._store_watches: StoreWatches | None = None
         self._tasks: Tasks | None = None
         self.watches_servers = True
@@ -269,6 +273,7 @@
                 ),
                 on_lost=self._restart_waiting_requests,
                 first_retry_delay_ms=UNRESPONSIVE_REQUEST_INTERVAL_MS * 2 // 3,
+                on_row_lost=self._handle_own_row_lost,
             ),
         )
         self._store_watches = watches
@@ -450,6 +455,11 @@
             self._on_change()
             self._on_departure()
 
+    def _handle_own_row_lost(self, key: str) -> None:
+        # A node whose record is lost writes it again; if it is gone, its record is removed later.
+        if not key.startswith(NODE_RECORD_PREFIX):
+            self._on_own_row_lost(key)
+
     def _handle_own_row(self, row: ChangedRow) -> None:
         if not row.key.startswith(NODE_RECORD_PREFIX):
             self._on_own_row(row)
--- a/monsoonflow/ownership/cell_lease.py
+++ b/monsoonflow/ownership/cell_lease.py
@@ -40,6 +40,21 @@
 reason to move a lease, and within a class the hash spreads the leases of several cells."""
 
 
+EPOCHS_PER_ERA: Final = 2**20
+"""A store that comes back from a copy may have forgotten claims. The epochs of each of its eras are
+above those of the one before, so that no number is used twice, even by a node that knows only the
+copy. They last for three days of a claim each second."""
+
+
+def first_epoch(era: int) -> int:
+    """Return the lowest epoch that may be claimed in an era of the store.
+
+    >>> first_epoch(0), first_epoch(2) - first_epoch(1) == EPOCHS_PER_ERA
+    (1, True)
+    """
+    return era * EPOCHS_PER_ERA + 1
+
+
 def ranked_candidates(cell: str, cores_by_name: Mapping[str, float]) -> list[str]:
     """Return who should hold a cell's lease, best first: by class of machine, then by hash.
 
@@ -231,6 +246,12 @@
         self.row = row
         self.row_version = row_version
 
+    def record_loss(self, now_ms: int) -> None:
+        """Record that the store has lost the row: its holder has time to write it again."""
+        if self.row_version:
+            self._renewal_seen_ms = now_ms
+        self.row_version = 0
+
     def has_lapsed(self, now_ms: int, since_ms: int) -> bool:
         """Return whether a lease whose renewal was seen at some time has run out."""
         return now_ms - since_ms > self._timing.claim_after_ms
--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -102,6 +102,10 @@
         rows = [_decode_row(row) for row in table.rows if row.key.startswith(prefix)]
         return [row for row in rows if row is not None and row.key > after]
 
+    def era(self) -> int:
+        """Return the era that the store states; 0 if it states none."""
+        return self._era.value
+
     def commit_once(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once, without retries.
 
@@ -109,8 +113,7 @@
         a row's value is the id of the transaction that wrote it.
         """
         conditions, generation = transaction.conditions, self._era.generation
-        expected = [version for version in conditions.values() if version]
-        if any(generation_of(version) != generation for version in expected):
+        if any(version and generation_of(version) != generation for version in conditions.values()):
             return Outdated()
         operation_field = {"op": transaction.operation_id}
         body = {
@@ -130,8 +133,8 @@
         answer = self._call("POST", "/v1/rows-tx", orjson.dumps(body), CALL_TIMEOUT_MS)
         if isinstance(answer, Lost):
             return Unavailable(answer.reason, ambiguous=answer.sent)
-        if expected and answer.generation != generation:
-            # The versions were given out again, and a condition may have held by chance.
+        if conditions and answer.generation != generation:
+            # The versions were given out again: a condition may have held by chance.
             return Outdated()
         match answer.status:
             case 200:
--- a/monsoonflow/storage/models.py
+++ b/monsoonflow/storage/models.py
@@ -84,6 +84,9 @@
     def commit(self, transaction: Transaction) -> CommitResult:
         """Write a transaction; retry and resolve an ambiguous result."""
 
+    def era(self) -> int:
+        """Return the era of the service, which rises when it loses rows; 0: it states none."""
+
 
 class RawTable(Protocol):
     """The table service without retries: the result of a commit may be ambiguous."""
@@ -97,6 +100,9 @@
     def commit_once(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once, without a retry."""
 
+    def era(self) -> int:
+        """Return the era of the service, which rises when it loses rows; 0: it states none."""
+
 
 class ObjectStore(Protocol):
     """The object store."""
--- a/monsoonflow/storage/retrying_table.py
+++ b/monsoonflow/storage/retrying_table.py
@@ -11,6 +11,7 @@
     CommitResult,
     Committed,
     Conflict,
+    Outdated,
     RawTable,
     Row,
     Transaction,
@@ -35,6 +36,10 @@
         """Return the rows with a key prefix in key order, only those after ``after``."""
         return self._raw.scan(prefix, after)
 
+    def era(self) -> int:
+        """Return the era of the service, which rises when it loses rows; 0: it states none."""
+        return self._raw.era()
+
     def commit(self, transaction: Transaction) -> CommitResult:
         """Write a transaction; retry and resolve an ambiguous result.
 
@@ -47,7 +52,7 @@
         for _ in range(MAX_COMMIT_ATTEMPTS):
             result = self._raw.commit_once(transaction)
             match result:
-                case Committed():
+                case Committed() | Outdated():
                     return result
                 case Conflict():
                     return self._resolve_conflict(transaction) if is_ambiguous else result
--- a/monsoonflow/storage/table.py
+++ b/monsoonflow/storage/table.py
@@ -53,6 +53,10 @@
             case Lost(reason=reason):
                 return Unavailable(reason)
 
+    def era(self) -> int:
+        """Return 0: the service never loses rows that it has confirmed."""
+        return 0
+
     def commit_once(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once, without a retry."""
         self.writes += 1
--- a/tests/entry/one_row.py
+++ b/tests/entry/one_row.py
@@ -12,6 +12,17 @@
         self.row = None
         self.version = 0
         self.is_down = False
+        self.stored_era = 0
+
+    def era(self):
+        """Return the era of the store."""
+        return self.stored_era
+
+    def return_from(self, row):
+        """Come back from a copy with another row, or none; its version is not the one before."""
+        self.stored_era += 1
+        self.version += 1_000
+        self.row = None if row is None else Row(row.key, self.version, row.value)
 
     def get(self, key):
         """Return the row."""
--- a/tests/entry/stream_fleet.py
+++ b/tests/entry/stream_fleet.py
@@ -71,6 +71,10 @@
             return Unavailable("no answer")
         return self.fleet.store.rows.get(key)
 
+    def era(self) -> int:
+        """Return that the store loses no rows."""
+        return 0
+
     def commit(self, transaction: Transaction) -> CommitResult:
         """Write rows if their versions are still the expected ones."""
         store = self.fleet.store
--- a/tests/entry/test_duty_without_fences.py
+++ b/tests/entry/test_duty_without_fences.py
@@ -72,8 +72,14 @@
     node: Node
 
     def get(self, key: str) -> object:
-        """Return the row, or ``None`` where the node does not reach it."""
-        return None if self.node.is_refused or self.table.is_down else self.table.get(key)
+        """Return the row, if the node reaches it."""
+        if self.node.is_refused or self.table.is_down:
+            return Unavailable("refused")
+        return self.table.get(key)
+
+    def era(self) -> int:
+        """Return the era of the store."""
+        return self.table.era()
 
     def commit(self, transaction: object) -> object:
         """Write the row, unless the node is refused."""
@@ -386,3 +392,23 @@
     fleet.read(*fleet.nodes)
     fleet.run(UNNAMED_CLAIM_DELAY_MS + LEASE_MS + 2_000)
     assert fleet.holder() is not None
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_there_are_never_two_holders_when_the_store_returns_from_copies(fleet, seed):
+    """As before, and the store forgets its last seconds; numbers that were forgotten stay used."""
+    rng = random.Random(seed)
+    epochs_by_holder: dict[str, set[int]] = {}
+    copy = fleet.table.row
+    for fault_number in range(60):
+        cause_random_fault(fleet, rng, fault_number)
+        copy = rng.choice((copy, fleet.table.row))
+        if rng.random() < 0.3:
+            fleet.table.return_from(copy)
+        fleet.run(rng.choice((100, 300, 600, 1_600)))
+        for node in fleet.nodes.values():
+            if node.lease_loop.holds(fleet.clock.now_ms()):
+                epoch = node.lease_loop.held_lease.row.epoch
+                epochs_by_holder.setdefault(node.boot_id, set()).add(epoch)
+    epochs = [epoch for held in epochs_by_holder.values() for epoch in held]
+    assert len(epochs) == len(set(epochs))
--- a/tests/entry/test_lease_loop.py
+++ b/tests/entry/test_lease_loop.py
@@ -10,6 +10,7 @@
 from monsoonflow.entry.lease_loop import CellLeaseLoop, decode_cell_lease
 from monsoonflow.fleet.models import CellLeaseClaim, Heartbeat, NodeRecord
 from monsoonflow.fleet.view import FleetView
+from monsoonflow.ownership.cell_lease import first_epoch
 from monsoonflow.placement.load_limit import LearnedLoads
 from tests.entry.one_row import OneRowTable
 
@@ -201,3 +202,63 @@
     row = decode_cell_lease("llm", orjson.dumps({**fields, "loads": stored}))
     assert row.epoch == 3
     assert row.learned_loads is None
+
+
+@pytest.mark.parametrize("has_row", [True, False])
+def test_a_holder_claims_again_when_the_store_has_returned_from_a_copy(
+    make_loop, clock, table, has_row
+):
+    """The holder lost its lease, and no node could claim it."""
+    loop, _ = make_loop("a")
+    run_loop(clock, loop, 500)
+    copied = table.row
+    run_loop(clock, loop, 3_000)
+    table.return_from(copied if has_row else None)
+    for _ in range(20):
+        run_loop(clock, loop, 100)
+        assert loop.holds(clock.now_ms())
+    assert table.row.value["epoch"] == first_epoch(1)
+
+
+def test_a_claim_after_a_return_has_a_higher_number_than_all_forgotten_ones(
+    make_loop, clock, table
+):
+    """The node knows nothing but the copy; a forgotten holder had used the next number."""
+    previous, _ = make_loop("a")
+    run_loop(clock, previous, 300)
+    copied = table.row
+    table.return_from(copied)
+    loop, _ = make_loop("b")
+    loop.handle_row(table.row)
+    run_loop(clock, loop, 4_000)
+    assert table.row.value["holder"] == "b"
+    assert table.row.value["epoch"] > copied.value["epoch"] + 1_000
+
+
+@pytest.mark.parametrize("has_row", [True, False])
+def test_a_lease_is_not_claimed_from_a_holder_that_the_store_has_forgotten(
+    make_loop, clock, table, has_row
+):
+    """The copy names a holder that is gone; its successor announces the lease all the time."""
+    first, _ = make_loop("z")
+    run_loop(clock, first, 300)
+    copied = table.row
+    loop, view = make_loop("b", ["a", "c"])
+    table.return_from(copied if has_row else None)
+    if has_row:
+        loop.handle_row(table.row)
+    claim = CellLeaseClaim("llm", "a", 9, (), 3)
+    for sequence in range(1, 41):
+        view.receive(attrs.evolve(heartbeat("a", sequence), claims=(claim,)), clock.now_ms())
+        view.receive(heartbeat("c", sequence), clock.now_ms())
+        run_loop(clock, loop, 100)
+    assert not loop.holds(clock.now_ms())
+
+
+def test_a_stopping_holder_releases_the_row_of_the_copy(make_loop, clock, table):
+    loop, _ = make_loop("a")
+    run_loop(clock, loop, 500)
+    row, version = loop.drop_lease()
+    table.return_from(table.row)
+    loop.release_row(row, version)
+    assert table.row.value["released"]
--- a/tests/entry/unequal_fleet.py
+++ b/tests/entry/unequal_fleet.py
@@ -32,8 +32,8 @@
         self.conflicts = 0
 
     def get(self, key: str) -> object:
-        """Return the row, or ``None`` while the table is down."""
-        return None if self.is_down else super().get(key)
+        """Return the row, unless the table is down."""
+        return Unavailable("down") if self.is_down else super().get(key)
 
     def commit(self, transaction: object) -> object:
         """Write the row, if its version is as expected."""
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -79,6 +79,12 @@
     assert era.value == 2
 
 
+def test_a_row_that_must_not_exist_says_nothing_of_a_store_that_has_lost_it(store, client):
+    client.read_all("op")
+    store.return_from(store.copy())
+    assert write(client, "duty/a") == Outdated()
+
+
 @pytest.mark.parametrize("eras", [(b"x",), (b"-1",), (b"3", b"4"), (b"",), (b"9" * 400,)])
 def test_an_unusable_era_is_logged_once_and_ends_nothing(era, caplog, eras):
     caplog.set_level("INFO")
@@ -153,7 +159,7 @@
 def test_a_write_without_conditions_is_confirmed_by_the_era_that_answers(store, client):
     client.read_all("op")
     store.return_from(store.copy())
-    result = write(client, "node/a")
+    result = client.commit_once(Transaction("op-1", {}, {"node/a": {"a": 1}}))
     assert isinstance(result, Committed)
     assert generation_of(result.version) == 1
 
--- a/tests/randomised/fakes.py
+++ b/tests/randomised/fakes.py
@@ -132,6 +132,10 @@
 
         return self._send(effect, Unavailable("lost"))
 
+    def era(self) -> int:
+        """Return that no rows are lost."""
+        return 0
+
     def commit_once(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once."""
         lost = Unavailable("lost", ambiguous=True)
