Nodes: records that the store forgot are written again, and peers hand on nothing older

A node that had started after the copy was unknown to nodes and callers that read the list afterwards; and a node that started while it did not reach the store got from its peers the older configuration, and leaving servers as ready, that these had just read and refused themselves.

A row is kept for nodes that start only if it is not older than what is in force.

--- a/monsoonflow/discovery/registry.py
+++ b/monsoonflow/discovery/registry.py
@@ -176,6 +176,10 @@
         self._announced_lives.add(life)
         self.mark_leaving(life, now_ms, f"said so in {source}")
 
+    def has_left(self, life: ServerLife) -> bool:
+        """Return whether a life accepts no new requests any more."""
+        return life in self._left_ms_by_life
+
     def has_announced_leave(self, life: ServerLife) -> bool:
         """Return whether a server has said that it is shutting down: its end is no crash."""
         return life in self._announced_lives
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -267,6 +267,8 @@
             self.gossip.schedule_broadcast,
             self._handle_server_row,
             self.cell_leases.handle_row_lost,
+            lambda name: self.node_registration.handle_record_lost(name),
+            lambda: self.node_registration.check_soon(),
         )
         self.stream_versions = self._create_stream_versions()
         self.activity = NodeActivity(
--- a/monsoonflow/entry/node_registration.py
+++ b/monsoonflow/entry/node_registration.py
@@ -43,6 +43,8 @@
         self._tasks = tasks
         self._clock = clock
         self._missing_since_by_name: dict[str, int] = {}
+        self._lost_names: set[str] = set()
+        self._check_soon_flag = tasks.flag()
         self.is_written = False
 
     def run(self) -> None:
@@ -50,11 +52,26 @@
         while not self._write():
             self._tasks.sleep(RETRY_PAUSE_MS)
         while True:
-            self._tasks.sleep(CHECK_INTERVAL_MS)
+            self._check_soon_flag.wait(CHECK_INTERVAL_MS)
+            self._check_soon_flag.clear()
             if self._view.record_by_name.get(self._view.name) != self._node_record():
                 self._write()
             self._remove_departed_nodes()
 
+    def check_soon(self) -> None:
+        """Check the list soon: the store has lost rows, and this node's may be an older one."""
+        self._check_soon_flag.set()
+
+    def handle_record_lost(self, name: str) -> None:
+        """Handle that the store has lost a node's record.
+
+        A node that runs writes its record again; until then it is reached by the known one.
+        """
+        if name == self._view.name:
+            self._view.remove_record(name)
+        else:
+            self._lost_names.add(name)
+
     def _write(self) -> bool:
         record = self._node_record()
         key = NODE_RECORD_PREFIX + record.name
@@ -74,8 +91,13 @@
         for name in names:
             if name in alive:
                 self._missing_since_by_name.pop(name, None)
+                self._lost_names.discard(name)
                 continue
             missing_since_ms = self._missing_since_by_name.setdefault(name, now_ms)
+            if name in self._lost_names and now_ms - missing_since_ms > REMOVE_AFTER_MS:
+                # The store reports no removal of a row that it has lost.
+                self._lost_names.discard(name)
+                self._view.remove_record(name)
             # Only the first of the live nodes removes it: the others would only repeat the write.
             if now_ms - missing_since_ms > REMOVE_AFTER_MS and alive[0] == own_name:
                 self._table.commit(Transaction(new_id("op"), {}, {}, (NODE_RECORD_PREFIX + name,)))
--- a/monsoonflow/entry/store_follower.py
+++ b/monsoonflow/entry/store_follower.py
@@ -178,6 +178,9 @@
     :param on_server_row: called with the id of each server whose entry was applied.
     :param on_own_row_lost: called with the key of each row of the nodes' collection that the store
         has lost, if it is not a node record.
+    :param on_node_record_lost: called with the name of each node whose record the store has lost.
+    :param on_own_rows_lost: called when the store has lost rows of the nodes' collection, or holds
+        older ones.
     :ivar watches_servers: whether the peers rely on this node to ask for servers.
     """
 
@@ -193,6 +196,8 @@
         on_departure: Callable[[], None] = lambda: None,
         on_server_row: Callable[[str], None] = lambda _server_id: None,
         on_own_row_lost: Callable[[str], None] = lambda _key: None,
+        on_node_record_lost: Callable[[str], None] = lambda _name: None,
+        on_own_rows_lost: Callable[[], None] = lambda: None,
     ) -> None:
         self._decoders = decoders
         self._cluster_state = cluster_state
@@ -204,6 +209,8 @@
         self._on_departure = on_departure
         self._on_server_row = on_server_row
         self._on_own_row_lost = on_own_row_lost
+        self._on_node_record_lost = on_node_record_lost
+        self._on_own_rows_lost = on_own_rows_lost
         self._store_watches: StoreWatches | None = None
         self._tasks: Tasks | None = None
         self.watches_servers = True
@@ -273,6 +280,7 @@
                 ),
                 on_lost=self._restart_waiting_requests,
                 first_retry_delay_ms=UNRESPONSIVE_REQUEST_INTERVAL_MS * 2 // 3,
+                on_rows_lost=self._on_own_rows_lost,
                 on_row_lost=self._handle_own_row_lost,
             ),
         )
@@ -380,24 +388,30 @@
         return bool(rows)
 
     def _remember_row(self, kind: str, row: ChangedRow) -> None:
+        """Keep a row for nodes that start: never one that is older than what is in force."""
         if row.body is None:
             self._bodies_by_kind[kind].pop(row.key, None)
         else:
             self._bodies_by_kind[kind][row.key] = row.body
 
     def _handle_operator_row(self, row: ChangedRow) -> None:
-        self._remember_row("operator", row)
+        cluster_state = self._cluster_state
         if row.body is None:
+            self._remember_row("operator", row)
             return
         routes = self._decoders.routes(row.key, row.body)
         if isinstance(routes, RouteTable):
-            if self._cluster_state.apply_route_table(routes, row.body, "store"):
+            if cluster_state.apply_route_table(routes, row.body, "store"):
                 self._on_change()
+            if cluster_state.route_table.version == routes.version:
+                self._remember_row("operator", row)
             return
         ref = self._decoders.adapter_version(row.key, row.body) if routes is None else routes
         if isinstance(ref, AdapterRef):
-            if self._cluster_state.record_version(ref, "store", self._published_after_ms()):
+            if cluster_state.record_version(ref, "store", self._published_after_ms()):
                 self._on_change()
+            if cluster_state.version_by_adapter[ref.name] == ref.version:
+                self._remember_row("operator", row)
         elif ref is not None:
             # The last valid value stays in force.
             log(_LOGGER, events.UnusableRow(row=row.key, cause=ref))
@@ -412,11 +426,11 @@
         return LONG_AGO_MS if at_ms is None else at_ms
 
     def _handle_server_row(self, row: ChangedRow) -> None:
-        self._remember_row("servers", row)
         now_ms = self._clock.now_ms()
         registry = self._cluster_state.server_registry
         previous_life = registry.life_of(row.key)
         took_work = previous_life is not None and registry.is_accepting_work(previous_life)
+        is_outdated = False
         if row.body is None:
             registry.remove(row.key, now_ms)
         else:
@@ -425,6 +439,9 @@
                 registry.mark_unreadable(row.key, server)
             else:
                 registry.put(server, now_ms, row.version)
+                is_outdated = not server.is_leaving and registry.has_left(server.life)
+        if not is_outdated:
+            self._remember_row("servers", row)
         self._on_server_row(row.key)
         # Announced only once: a leaving server goes on writing its entry every second for many
         # seconds.
@@ -456,8 +473,9 @@
             self._on_departure()
 
     def _handle_own_row_lost(self, key: str) -> None:
-        # A node whose record is lost writes it again; if it is gone, its record is removed later.
-        if not key.startswith(NODE_RECORD_PREFIX):
+        if key.startswith(NODE_RECORD_PREFIX):
+            self._on_node_record_lost(key.removeprefix(NODE_RECORD_PREFIX))
+        else:
             self._on_own_row_lost(key)
 
     def _handle_own_row(self, row: ChangedRow) -> None:
--- a/tests/entry/test_store_return.py
+++ b/tests/entry/test_store_return.py
@@ -18,6 +18,7 @@
 """Versions that were given out after the copy."""
 
 ADDED = {"version": 3, "routes": [*CONFIG["routes"], route("added", "idempotent", "plain")]}
+NO_STORE = "127.0.0.1:1"
 IN_FORCE_S = 2.0
 """Within this time a confirmed change is in force."""
 
@@ -250,4 +251,23 @@
     return_from(copy)
     late = fleet.node()
     wait_for(lambda: late.daemon.config_version() == 3, within_s=IN_FORCE_S)
-    assert late.daemon.store_follower.snapshot() == fleet.nodes[0].daemon.store_follower.snapshot()
+
+
+def test_a_node_that_starts_without_the_store_gets_nothing_older_from_its_peers(
+    fleet, store, return_from
+):
+    """The peers' copies of the rows were those that they had just refused."""
+    server = fleet.plain("i-1")
+    fleet.plain("i-2")
+    first = fleet.node()
+    copy = store.copy()
+    write_more(fleet)
+    fleet.configure(**ADDED)
+    write_again(fleet, server, state="draining")
+    wait_for(lambda: first.daemon.config_version() == 3 and not takes_work(first, server))
+    return_from(copy)
+    gevent.sleep(1.5)
+    late = fleet.node(seeds=(first.daemon.settings.peer_address,), store_address=NO_STORE)
+    assert late.daemon.config_version() == 3
+    assert not takes_work(late, server)
+    assert len(late.daemon.cluster_state.server_registry.server_by_life) == 2
