Software versions: a record that the store forgot is written again

After the store's return a record that had been written since the copy was gone, and no holder wrote it: its condition named the forgotten row, and the versions had not changed. After a restart of all nodes streams would have been refused. A record that came back older lacked versions that had left since, so that a stream could go on at another one.

Each record now counts as unwritten once the store has lost rows. What is read of the copy is merged with what was known, and the holder writes it again unless the copy holds all of it.

tests/entry/test_store_return.py: the record was not written within 5 s before.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -268,7 +268,7 @@
             self._handle_server_row,
             self.cell_leases.handle_row_lost,
             lambda name: self.node_registration.handle_record_lost(name),
-            lambda: self.node_registration.check_soon(),
+            self._handle_own_rows_lost,
         )
         self.stream_versions = self._create_stream_versions()
         self.activity = NodeActivity(
@@ -530,6 +530,10 @@
         if not self.quarantine_manager.apply_row(row) and not self.version_records.apply_row(row):
             self.cell_leases.handle_row(row)
 
+    def _handle_own_rows_lost(self) -> None:
+        self.node_registration.check_soon()
+        self.version_records.handle_rows_lost()
+
     def _handle_server_row(self, server_id: str) -> None:
         self.software_versions.record_server_row(server_id)
 
--- a/monsoonflow/entry/version_record.py
+++ b/monsoonflow/entry/version_record.py
@@ -40,6 +40,21 @@
         }
 
 
+def merged(stored: VersionRecord, known: VersionRecord) -> VersionRecord:
+    """Return a record that a store may have replaced by an older one, with all that was known.
+
+    :param stored: what the store holds now.
+    :param known: what was read before.
+    """
+    present = stored.present | known.present
+    left_ms = {
+        version: max(record.left_ms.get(version, 0) for record in (stored, known))
+        for version in (stored.left_ms.keys() | known.left_ms.keys()) - present
+    }
+    since_ms = min(stored.since_ms, known.since_ms)
+    return VersionRecord(stored.row_version, stored.read_ms, since_ms, present, left_ms)
+
+
 class VersionRecordFields(Struct):
     """The stored value of a record."""
 
--- a/monsoonflow/entry/version_records.py
+++ b/monsoonflow/entry/version_records.py
@@ -21,6 +21,7 @@
     VersionRecord,
     decode_version_record,
     encode_version_record,
+    merged,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -64,6 +65,8 @@
         self._services_being_read: set[str] = set()
         self._next_write_ms_by_service: dict[str, int] = {}
         self._services_being_written: set[str] = set()
+        self._services_of_copy: set[str] = set()
+        self._unwritten_services: set[str] = set()
 
     def apply_row(self, row: ChangedRow) -> bool:
         """Apply a changed row; return whether it is a record."""
@@ -73,6 +76,13 @@
             self._apply(row.key.removeprefix(VERSION_RECORD_PREFIX), row.body, row.version)
         return True
 
+    def handle_rows_lost(self) -> None:
+        """Handle that the store has lost rows: its records are older than those known, or gone."""
+        self._services_of_copy = set(self._record_by_service)
+        self._unwritten_services |= self._services_of_copy
+        for service, record in self._record_by_service.items():
+            self._record_by_service[service] = attrs.evolve(record, row_version=0)
+
     def _apply(self, service: str, body: bytes, row_version: int) -> None:
         known = self._record_by_service.get(service)
         if known is not None and known.row_version >= row_version:
@@ -81,8 +91,14 @@
         if isinstance(record, str):
             key = VERSION_RECORD_PREFIX + service
             log(_LOGGER, events.UnusableRow(row=key, cause=record))
-        else:
-            self._record_by_service[service] = record
+            return
+        self._unwritten_services.discard(service)
+        if service in self._services_of_copy:
+            self._services_of_copy.discard(service)
+            stored, record = record, merged(record, known)
+            if record != stored:
+                self._unwritten_services.add(service)
+        self._record_by_service[service] = record
 
     def record_of(self, service: str) -> VersionRecord | None:
         """Return the record of a service as last read."""
@@ -141,7 +157,8 @@
         """Return the record to write; ``None`` if the store's one is still right."""
         known = self._record_by_service.get(service)
         present = frozenset(self._versions.present(service))
-        if (known is None and not present) or (known is not None and known.present == present):
+        is_right = known.present == present if known is not None else not present
+        if is_right and service not in self._unwritten_services:
             return None
         left_ms = dict(known.left_ms) if known is not None else {}
         past = self._versions.seen(service) | (known.present if known is not None else set())
--- a/tests/entry/test_store_return.py
+++ b/tests/entry/test_store_return.py
@@ -9,6 +9,7 @@
 
 from monsoonflow.entry.lease_loop import CELL_LEASE_PREFIX, decode_cell_lease
 from monsoonflow.entry.store_follower import MISSING_GRACE_MS, NODE_RECORD_PREFIX
+from monsoonflow.entry.version_record import VERSION_RECORD_PREFIX, VersionRecord, merged
 from monsoonflow.platform.store import OWN_TABLE
 from stand_ins.platform_runner import PlatformServer
 from stand_ins.platform_store import StoreCopy
@@ -219,6 +220,34 @@
     assert stored_epoch(fleet) > max(epochs)
 
 
+def test_a_record_of_software_versions_that_the_store_forgot_is_written_again(
+    fleet, store, return_from
+):
+    """After a restart of all nodes streams would have been refused: no version was known."""
+    copy = store.copy()
+    fleet.runner("i-1")
+    fleet.node()
+    key = VERSION_RECORD_PREFIX + "llm"
+
+    def is_stored() -> bool:
+        return any(row.key == key for row in store.table_rows(OWN_TABLE))
+
+    wait_for(is_stored)
+    write_more(fleet)
+    return_from(copy, lambda: write_again(fleet, fleet.servers[0]))
+    assert not is_stored()
+    wait_for(is_stored, within_s=5.0)
+
+
+def test_a_record_keeps_the_versions_that_a_copy_of_it_lacks():
+    """A version that had left was unknown again, and its streams went on at another one."""
+    known = VersionRecord(70, 5, 1_000, frozenset({"v2", "v3"}), {"v1": 4_000, "v0": 3_000})
+    stored = VersionRecord(10**12 + 60, 9, 1_000, frozenset({"v1", "v2"}), {"v0": 3_500})
+    assert merged(stored, known) == VersionRecord(
+        10**12 + 60, 9, 1_000, frozenset({"v1", "v2", "v3"}), {"v0": 3_500}
+    )
+
+
 def test_node_records_that_the_store_forgot_are_written_again(fleet, store, return_from):
     """Peers and callers did not learn of a node that had started after the copy."""
     first = fleet.node()
