Cell lease: a node reads the row of a holder that it hears before it has read any

The row is now read when the claim is heard. It costs one read, instead of a refused claim and a read.

--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -313,12 +313,11 @@
         The row is otherwise followed with a delay of seconds; a claim needs its newest version.
         """
         row = self._lease_watch.row
-        if (
-            row is None
-            or not self.store_reachable
-            or now_ms - self._last_read_attempt_ms < READ_ROW_INTERVAL_MS
-        ):
+        if not self.store_reachable or now_ms - self._last_read_attempt_ms < READ_ROW_INTERVAL_MS:
             return False
+        if row is None:
+            # A new holder's row: without it a node would be late to claim once that one is silent.
+            return self._is_held_by_peer(now_ms)
         may_claim_first = not self._fenced and self._node in row.standbys
         if not may_claim_first and not self._is_row_outdated():
             return False
