Quarantine: rows that the store forgot are written again

A request that has crashed servers is kept in a row of the store, so that nodes that start later do not send it. The node that had found it believed its row written and never wrote it again after the store's return; the copy counted fewer trials than had been made, so that more servers could crash; and a row that had been removed since the copy came back.

Now rows count as unwritten once the store has lost some. Their finder writes them again, and after 2 to 12 s any node that knows them; trials are not counted back; a forgotten removal is repeated.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -533,6 +533,7 @@
     def _handle_own_rows_lost(self) -> None:
         self.node_registration.check_soon()
         self.version_records.handle_rows_lost()
+        self.quarantine_manager.handle_rows_lost()
 
     def _handle_server_row(self, server_id: str) -> None:
         self.software_versions.record_server_row(server_id)
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -12,6 +12,7 @@
 from ..core.clock import Clock
 from ..core.server_life import ServerLife
 from ..core.tasks import Tasks
+from ..helpers.hashing import weight
 from ..helpers.ids import new_id
 from ..helpers.strict import read
 from ..logs import events, log
@@ -41,6 +42,14 @@
 """Trials that a node begins each time: the first may make others unnecessary."""
 
 
+MIN_REWRITE_DELAY_MS: Final = 2_000
+REWRITE_DELAY_SPREAD_MS: Final = 10_000
+"""When a node writes a row that the store has lost and that it has not found itself: nodes write at
+different times, and read before whether another one has."""
+
+REMOVAL_MEMORY_MS: Final = 60_000
+"""How long a node knows which rows were removed: longer than the time that a store loses."""
+
 MAX_TURN_WAIT_MS: Final = 1_000
 """How long a suspect request waits for other suspects."""
 
@@ -75,6 +84,7 @@
         on_quarantined: Callable[[], None],
         is_end_expected: Callable[[ServerLife], bool] = lambda _life: False,
     ) -> None:
+        self._name = name
         self.suspects = Suspects(name)
         self.parts = PartQuarantine(name)
         self._crash_probe = crash_probe
@@ -85,6 +95,9 @@
         self._is_end_expected = is_end_expected
         self._version_by_stored_key: dict[str, int] = {}
         self._keys_to_remove: set[str] = set()
+        self._removed_ms_by_key: dict[str, int] = {}
+        self._forgotten_removals: set[str] = set()
+        self._rewrite_ms_by_lost_key: dict[str, int] = {}
         self._turn = BoundedSemaphore(1)
 
     def refusal_cause(self, traits: RequestTraits) -> str | None:
@@ -227,6 +240,19 @@
         for fingerprint in quarantined:
             self._quarantine(QuarantinedRequest(fingerprint, (), source))
 
+    def handle_rows_lost(self) -> None:
+        """Handle that the store has lost rows; those that it still has are applied next.
+
+        Rows that this node has found are written again at once. Others are written by whoever
+        knows them, in case the node that has found them is gone.
+        """
+        now_ms = self._clock.now_ms()
+        for key in self._version_by_stored_key:
+            delay_ms = MIN_REWRITE_DELAY_MS + weight(self._name, key) % REWRITE_DELAY_SPREAD_MS
+            self._rewrite_ms_by_lost_key[key] = now_ms + delay_ms
+        self._version_by_stored_key.clear()
+        self._forgotten_removals = set(self._removed_ms_by_key)
+
     def apply_row(self, row: ChangedRow) -> bool:
         """Apply a changed row of the store; return whether it belongs to the quarantine."""
         if not row.key.startswith(ROW_PREFIX):
@@ -235,6 +261,7 @@
         now_ms = self._clock.now_ms()
         if row.body is None:
             self._version_by_stored_key.pop(key, None)
+            self._removed_ms_by_key[key] = now_ms
             is_part = culprit_of(key) is not None
             table = self.parts if is_part else self.suspects
             if table.lift(key, now_ms):
@@ -242,8 +269,12 @@
             return True
         is_changed = self._version_by_stored_key.get(key) != row.version
         self._version_by_stored_key[key] = row.version
-        if self.parts.is_disproved(key, now_ms):
-            # The node that wrote it may have ended before it came to the same conclusion.
+        self._rewrite_ms_by_lost_key.pop(key, None)
+        was_removed = key in self._forgotten_removals
+        self._forgotten_removals.discard(key)
+        if was_removed or self.parts.is_disproved(key, now_ms):
+            # The store has forgotten that it was removed, or the node that wrote it has ended
+            # before it came to the same conclusion.
             self._keys_to_remove.add(key)
             return True
         fields = read(row.body, QuarantineRow)
@@ -252,7 +283,7 @@
             return True
         lives = tuple(map(ServerLife, fields.lives))
         self._quarantine(QuarantinedRequest(key, lives, fields.source))
-        if is_changed and fields.trials:
+        if is_changed and fields.trials > self.parts.trials(key):
             # Another node tries a request: this one waits for its result.
             self.parts.record_trial(key, fields.trials, is_own=False, now_ms=now_ms)
         return True
@@ -282,11 +313,17 @@
             transaction = Transaction(new_id("op"), {}, {}, (ROW_PREFIX + key,))
             if isinstance(self._table.commit(transaction), Committed):
                 self._keys_to_remove.discard(key)
-        self._write_missing_rows()
+                self._removed_ms_by_key[key] = now_ms
+        self._removed_ms_by_key = {
+            key: at_ms
+            for key, at_ms in self._removed_ms_by_key.items()
+            if now_ms - at_ms <= REMOVAL_MEMORY_MS
+        }
+        self._write_missing_rows(now_ms)
         for key in self.parts.due_for_trial(now_ms)[:MAX_TRIALS_AT_ONCE]:
             self._claim_trial(key)
 
-    def _write_missing_rows(self) -> None:
+    def _write_missing_rows(self, now_ms: int) -> None:
         found_here = [
             request
             for request in self.suspects.quarantined()
@@ -297,7 +334,15 @@
             for request in self.parts.quarantined()
             if self.parts.has_seen_crash(request.fingerprint)
         ]
-        for request in found_here:
+        due_keys = {key for key, at_ms in self._rewrite_ms_by_lost_key.items() if now_ms >= at_ms}
+        lost = [
+            request
+            for request in (*self.suspects.quarantined(), *self.parts.quarantined())
+            if due_keys and request.fingerprint in due_keys
+        ]
+        for key in due_keys:
+            del self._rewrite_ms_by_lost_key[key]
+        for request in (*found_here, *lost):
             if request.fingerprint not in self._version_by_stored_key:
                 self._write_row(request)
 
@@ -308,6 +353,8 @@
             "lives": list(request.lives),
             "source": request.source,
         }
+        if trials := self.parts.trials(request.fingerprint):
+            value["trials"] = trials
         result = self._table.commit(Transaction(new_id("op"), {key: 0}, {key: value}))
         if isinstance(result, Committed):
             self._version_by_stored_key[request.fingerprint] = result.version
