Readiness: a node that has read the servers once stays ready

The nodes knew all servers meanwhile.

A node is now ready once it has read the servers, not only while it has read everything since history was last lost.

The new test in tests/entry/test_store_return.py failed before: not ready after 0.1 s.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -391,7 +391,7 @@
             not self.is_leaving
             and self.cluster_state.route_table is not None
             and self.store_watches is not None
-            and (self.store_watches.servers.is_loaded or self.peer_client.has_snapshot)
+            and (self.store_watches.servers.has_been_loaded or self.peer_client.has_snapshot)
         )
 
     def heartbeat(self) -> Heartbeat:
--- a/monsoonflow/storage/watch.py
+++ b/monsoonflow/storage/watch.py
@@ -66,6 +66,7 @@
     :param max_gap_ms: the longest pause after which the time between two requests counts as known.
     :ivar coverage: for which time the rows are known.
     :ivar is_loaded: whether all rows have been read; ``False`` again after lost history.
+    :ivar has_been_loaded: whether all rows have been read once.
     :ivar lost_since_ms: when the current outage was noticed; ``None`` while the service answers.
     :ivar last_outage_ms: duration of the last outage that has ended.
     """
@@ -110,6 +111,7 @@
         self._generation = 0
         self._row_version_by_key: dict[str, int] = {}
         self.is_loaded = False
+        self.has_been_loaded = False
         self.lost_since_ms: int | None = None
         self.last_outage_ms = 0
         self._last_unanswered_ms: int | None = None
@@ -291,7 +293,7 @@
             else:
                 self._apply_row(ChangedRow(key, result.version, None))
         self._version, self._generation = result.version, result.generation
-        self.is_loaded = True
+        self.is_loaded = self.has_been_loaded = True
         self._record_coverage(sent_ms, result.service_now_ms)
         self._end_gap()
         return 0
--- a/tests/entry/test_store_return.py
+++ b/tests/entry/test_store_return.py
@@ -11,6 +11,7 @@
 from monsoonflow.entry.store_follower import MISSING_GRACE_MS, NODE_RECORD_PREFIX
 from monsoonflow.entry.version_record import VERSION_RECORD_PREFIX, VersionRecord, merged
 from monsoonflow.platform.store import OWN_TABLE
+from monsoonflow.storage.models import Unavailable
 from stand_ins.platform_runner import PlatformServer
 from stand_ins.platform_store import StoreCopy
 from tests.entry.conftest import CONFIG, Fleet, Node, route, wait_for
@@ -182,6 +183,19 @@
     wait_for(lambda: not takes_work(node, server), within_s=MISSING_GRACE_MS / 1000 + 1.0)
 
 
+def test_a_node_stays_ready_when_the_store_is_lost_again_before_all_rows_were_read(fleet, store):
+    """All nodes were taken out of use at once, although they knew all servers."""
+    fleet.plain("i-1")
+    node = fleet.node()
+    read_all = node.daemon.store_watches.servers._feed.read_all
+    node.daemon.store_watches.servers._feed.read_all = lambda _: Unavailable("down")
+    store.return_from(store.copy())
+    for _ in range(20):
+        gevent.sleep(0.1)
+        assert node.daemon.is_ready()
+    node.daemon.store_watches.servers._feed.read_all = read_all
+
+
 def test_the_lease_holder_goes_on_after_the_return(fleet, store, return_from):
     """No node held the lease for more than a minute: no adapter was loaded."""
     fleet.runner("i-1")
