Soak: a store that returns from a copy

A new kind of fault, store-returns: a copy is taken, configurations change, servers leave and a node restarts, the store goes away for up to 3 s, comes back from the copy with the next era, at times twice, and at times gives all lost versions out again at once. The operator and the servers write again within 2 s. Three new promises: a confirmed configuration is in force within 2 s at undisturbed nodes; no process serves an older one than before; no two nodes send orders under one number.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,8 +30,10 @@
     late_of,
     looking_complete_of,
     mixed_of,
+    outdated_of,
     parts_of,
     resumptions_of,
+    shared_numbers_of,
     shares_of,
     unheeded_of,
     worse_served_of,
@@ -85,6 +87,8 @@
         *falls_of(fleet, injector.brittle_services),
         *parts_of(fleet, injector.partitions, injector.disturbances),
         *unheeded_of(fleet, injector.disturbances),
+        *outdated_of(fleet, injector.disturbances),
+        *shared_numbers_of(fleet),
         *(share.line() for share in shares if share.is_shut_out()),
     ]
     return Run(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,7 @@
 from .part_faults import part_turns_bad
 from .partitions import Partition
 from .release_faults import callers_reset, release
+from .store_faults import store_returns_from_copy
 
 GRACE_S: Final = 8.0
 """How long a node that is told to stop may take."""
@@ -137,6 +138,10 @@
         without_word = self.rng.random() < 0.3
         self.fleet.leave(server or self.a_server(), SERVES_MS, without_word)
 
+    def node_is_killed(self) -> None:
+        """Kill a node, which starts again soon."""
+        _node_killed(self)
+
     def leaves_soon(self) -> None:
         """Let a server leave shortly after a trouble."""
         self.later(self.rng.uniform(0.05, 1.5), self.server_leaves)
@@ -351,6 +356,7 @@
     "store-cut": _store_cut,
     "store-stands-still": _store_stands_still,
     "store-forgets": _store_forgets,
+    "store-returns": store_returns_from_copy,
     "server-stands-still": _server_stands_still,
     "server-connections-silent": _server_connections_silent,
     "node-stands-still": _node_stands_still,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -96,6 +96,7 @@
         self._directories: list[str] = []
         self._store_ports: dict[str, int] = {}
         self._config_version = CONFIGURATION["version"]
+        self._configuration: dict[str, Any] = CONFIGURATION
         self._per_s = 0.0
 
     def start(self, nodes: int, plain: int, engines: int, per_s: float, seed: int) -> None:
@@ -107,7 +108,7 @@
             "stand_ins.store_process",
             *("--listen", self._store_address, "--heartbeat-ms", str(HEARTBEAT_MS)),
         )
-        self.processes.command(STORE, "put", table="op", key="config", value=CONFIGURATION)
+        self.write_configuration_again()
         self._await_record(STORE, "started")
         for _ in range(plain):
             self.add_server(PLAIN)
@@ -247,8 +248,16 @@
         self._config_version += 1
         first, *others = CONFIGURATION["routes"]
         changed = {**first, "timeoutMs": first["timeoutMs"] + self._config_version % 2 * 50}
-        value = {**CONFIGURATION, "version": self._config_version, "routes": [changed, *others]}
-        self.processes.command(STORE, "put", table="op", key="config", value=value)
+        self._configuration = {
+            **CONFIGURATION,
+            "version": self._config_version,
+            "routes": [changed, *others],
+        }
+        self.write_configuration_again()
+
+    def write_configuration_again(self) -> None:
+        """Write the newest configuration, also if the store has forgotten it."""
+        self.processes.command(STORE, "configure", value=self._configuration)
 
     def start_again(self, node: str) -> None:
         """Start a node that has ended, or end it first."""
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -146,13 +146,13 @@
         left = leaves.get(record.source, Leaves()).since(record.at_ms)
         if left is None:
             continue
-        counts_from_ms = _stable_from(left[0], store_disturbed)
+        counts_from_ms = stable_from(left[0], store_disturbed)
         if record.at_ms - counts_from_ms > DRAIN_MS:
             late.append(_late(record, left, counts_from_ms, sends, known, disturbed, store_name))
     return late
 
 
-def _stable_from(at_ms: int, disturbed: list[Disturbance]) -> int:
+def stable_from(at_ms: int, disturbed: list[Disturbance]) -> int:
     """Return from when on a confirmation counts: a store that was disturbed binds nobody yet."""
     for disturbance in disturbed:
         if disturbance.within_contact(at_ms):
--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -9,12 +9,14 @@
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.report.timeline import read
 
+from .configurations import outdated_requests
 from .const import CONTACT_MS, ENGINES, LAPSE_S
 from .customers import Rush, Share, shares_in_rushes
 from .fleet import STORE, Fleet
-from .judge import Disturbance, Late, late_arrivals, leaves_by_server
+from .judge import Disturbance, Late, late_arrivals, leaves_by_server, stable_from
 from .limits import exceeded_limits
 from .notices import after_leave, in_rests
+from .orders import shared_numbers
 from .partitions import Partition, worse_served
 from .parts import crash_times_ms, later_requests, refused_sound_requests, wrongly_refused
 from .processes import Record
@@ -125,6 +127,26 @@
     ]
 
 
+def outdated_of(fleet: Fleet, disturbances: Iterable[Disturbance]) -> list[str]:
+    """Return a line for each request that an older configuration than it must has handled."""
+    logs = [
+        entry
+        for node in fleet.nodes
+        for entry in read(fleet.processes.written(node).splitlines(), node)
+    ]
+    disturbed = sorted(disturbances, key=lambda d: d.from_ms)
+
+    def counts_from(node: str, at_ms: int) -> int:
+        return stable_from(at_ms, [d for d in disturbed if d.name in (node, STORE)])
+
+    return outdated_requests(fleet.processes.records(STORE), logs, counts_from)
+
+
+def shared_numbers_of(fleet: Fleet) -> list[str]:
+    """Return a line for each fencing number that two nodes have used."""
+    return shared_numbers(_of(fleet, fleet.service_by_server))
+
+
 def unheeded_of(fleet: Fleet, disturbances: Iterable[Disturbance]) -> list[str]:
     """Return a line for each server that got requests after it had said that it takes none."""
     arrivals = _of(fleet, fleet.service_by_server)
--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -104,6 +104,11 @@
 class RunnerProcess(NotesArrivals, PlatformRunner):
     """A model runner; notes of each stream how many events a whole one has."""
 
+    def _order(self, data: dict[str, Any]) -> int:
+        status = super()._order(data)
+        record("ordered", holder=data["dutyHolder"], fence=data["fenceToken"], status=status)
+        return status
+
     def _answer(self, request: Request, reply: Reply) -> None:
         name = (request.value(b"x-request-id") or b"").decode()
         record("generates", request=name, events=self.events)
--- a/stand_ins/store_process.py
+++ b/stand_ins/store_process.py
@@ -18,6 +18,7 @@
 from stand_ins.platform_store import PlatformStore  # noqa: E402
 
 SERVERS: Final = "servers"
+OPERATOR: Final = "op"
 MISSED_HEARTBEATS: Final = 3
 CHECK_S: Final = 0.1
 
@@ -26,7 +27,8 @@
     """A store that notes when it accepted that a server leaves, and when an entry lapsed."""
 
     def __init__(self, address: str, heartbeat_ms: int) -> None:
-        super().__init__(address)
+        super().__init__(address, era=1)
+        self._copy = self.copy()
         self._lapse_s = heartbeat_ms * MISSED_HEARTBEATS / 1000
         self._heard_at_by_id: dict[str, float] = {}
         self._state_by_id: dict[str, str] = {}
@@ -45,6 +47,34 @@
         for name, value in faults.items():
             setattr(self.faults, name, value)
 
+    def configure(self, value: dict[str, Any]) -> None:
+        """Write the operator's configuration; an unavailable store accepts it later."""
+        while self.faults.down or self.faults.silent:
+            gevent.sleep(CHECK_S)
+        self.put(OPERATOR, "config", value)
+        record("configured", version=value["version"])
+
+    def keep_copy(self) -> None:
+        """Keep a copy of the current state."""
+        self._copy = self.copy()
+
+    def return_from_copy(self, overtakes: bool) -> None:
+        """Come back from the copy that was kept.
+
+        :param overtakes: whether all versions that were lost are given out again at once.
+        """
+        last = self.version
+        self.return_from(self._copy)
+        now = time.monotonic()
+        for table, server in self.rows:
+            if table == SERVERS and self.rows[table, server][1] is not None:
+                # An entry that nobody writes again lapses.
+                self._heard_at_by_id.setdefault(server, now)
+                self._state_by_id.setdefault(server, "copied")
+        record("returned", era=self.era, version=self.version, last=last)
+        while overtakes and self.version <= last:
+            self.put("other", "row", {})
+
     def _handle(self, request: Request, reply: Reply) -> None:
         if request.target == b"/register" and not self.faults.down and not self.faults.silent:
             self._register(**orjson.loads(request.body))
@@ -83,6 +113,9 @@
         {
             "put": store.put,
             "remove": store.remove,
+            "configure": lambda value: gevent.spawn(store.configure, value),
+            "copy": store.keep_copy,
+            "return_from_copy": store.return_from_copy,
             "forget_history": store.forget_history,
             "misbehave": store.misbehave,
         }
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -17,7 +17,9 @@
     falls_of,
     late_of,
     looking_complete_of,
+    outdated_of,
     parts_of,
+    shared_numbers_of,
     unheeded_of,
     worse_served_of,
 )
@@ -29,11 +31,17 @@
 """Left to runs by hand: what lies unread at such a server is read late."""
 
 
-@pytest.mark.parametrize("seed", [1, 2])
-def test_no_promise_is_broken_under_faults_in_series(tmp_path, seed):
+RETURNS = "store-returns"
+IN_SERIES = tuple(kind for kind in KINDS if kind not in (STILL, RETURNS))
+BESIDE_RETURNS = (RETURNS, RETURNS, "node-killed", "node-stands-still", "store-cut", "node-stops")
+
+
+@pytest.mark.parametrize(
+    ("seed", "kinds"), [(1, IN_SERIES), (2, IN_SERIES), (1, BESIDE_RETURNS), (2, (RETURNS,))]
+)
+def test_no_promise_is_broken_under_faults_in_series(tmp_path, seed, kinds):
     """Guards against promises that hold only in virtual time."""
     fleet = Fleet(tmp_path)
-    kinds = tuple(kind for kind in KINDS if kind != STILL)
     injector = FaultInjector(fleet, random.Random(seed), kinds)
     try:
         fleet.start(NODES, plain=3, engines=3, per_s=40.0, seed=seed)
@@ -51,4 +59,6 @@
     assert not falls_of(fleet, injector.brittle_services)
     assert not parts_of(fleet, injector.partitions, injector.disturbances)
     assert not unheeded_of(fleet, injector.disturbances)
+    assert not outdated_of(fleet, injector.disturbances)
+    assert not shared_numbers_of(fleet)
     assert answers_of(fleet)[200] > SECONDS * 40 / 4
