Heartbeats state the store's era

A node of a large fleet asks the store seldom: a change is announced to it by six others. If the store returns from a copy while that node's waiting request is on a connection that has fallen silent, it learns of the return up to 20 s later; until then it uses the versions of its rows in conditions and its waiting request.

Heartbeats now carry the era. A node that hears a higher one than the store has stated to it reads all rows again, once for each era; one that finds the return itself announces it at once. Nodes of an earlier release ignore the field and send none.

One test of the codec cut the last field to stand for an earlier release; it names the field's position now, since another one follows. New tests: test_store_return.py, and test_silent_store.py with 7 and 90 nodes in virtual time (a server that leaves after the return is known in time).

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -175,6 +175,7 @@
         self.held_bytes = HeldBytes()
         self.stall_detector = StallDetector(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._heartbeat_sequence = 0
+        self._announced_era = 0
         self._lost_services_by_peer: dict[str, frozenset[str]] = {}
         self._stop_requested = Event()
         bounds = settings.bounds
@@ -431,6 +432,7 @@
             keeps_stream_versions=True,
             pace_by_server=self.pace_exchange.announced_paces(self.view.is_small()),
             runner_ms_by_customer=self.customer_shares.own_totals_ms(),
+            store_era=self.store_table.era(),
         )
 
     def _work_delta(self) -> WorkDelta:
@@ -525,6 +527,18 @@
     def _handle_store_return(self) -> None:
         if self.store_watches is not None:
             self.store_watches.read_again()
+            self.gossip.send_round()
+
+    def _handle_announced_era(self, era: int) -> None:
+        """Read the store's rows again if a peer has heard that it has lost some.
+
+        A node of a large fleet asks the store seldom, and its waiting request may be on a
+        connection that has fallen silent.
+        """
+        if era > max(self._announced_era, self.store_table.era()):
+            self._announced_era = era
+            if self.store_watches is not None:
+                self.store_watches.read_again()
 
     def _handle_own_row(self, row: ChangedRow) -> None:
         if not self.quarantine_manager.apply_row(row) and not self.version_records.apply_row(row):
@@ -548,6 +562,7 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.store_follower.handle_heartbeat(heartbeat)
+        self._handle_announced_era(heartbeat.store_era)
         self._check_services_lost_by(heartbeat)
         self.shared_quota.handle_heartbeat(heartbeat)
         self.server_limits.handle_heartbeat(heartbeat)
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -120,6 +120,7 @@
             [[sound.part, sound.lives] for sound in heartbeat.sound_parts],
             pace_fields(heartbeat.pace_by_server),
             heartbeat.runner_ms_by_customer,
+            heartbeat.store_era,
         ]
     )
 
@@ -153,6 +154,7 @@
             heartbeat.quarantined_fingerprints,
             heartbeat.unreachable_services,
             heartbeat.keeps_stream_versions,
+            heartbeat.store_era,
         ]
     )
 
@@ -285,6 +287,7 @@
         quarantined_fingerprints=tuple(map(str, _optional_field(fields, 11) or ())),
         unreachable_services=_names_from_fields(_optional_field(fields, 12)),
         keeps_stream_versions=_optional_field(fields, 13) is True,
+        store_era=max(0, int(_optional_field(fields, 14) or 0)),
     )
 
 
@@ -353,6 +356,7 @@
         pace_by_server=pace_by_server,
         has_malformed_paces=has_malformed_paces,
         runner_ms_by_customer=_optional_field(fields, 30),
+        store_era=max(0, int(_optional_field(fields, 31) or 0)),
     )
 
 
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -185,6 +185,7 @@
     :param runner_ms_by_customer: for how long the node's requests have been at runners since its
         start, by customer. As received, so it may have any type; ``None`` if the message does not
         contain it.
+    :param store_era: the era that the store has stated to the node, which rises when it loses rows.
     """
 
     record: NodeRecord
@@ -218,6 +219,7 @@
     pace_by_server: dict[ServerLife, float] | None = None
     has_malformed_paces: bool = False
     runner_ms_by_customer: Any = None
+    store_era: int = 0
 
     @property
     def name(self) -> str:
@@ -297,6 +299,7 @@
     quarantined_fingerprints: tuple[str, ...] = ()
     unreachable_services: tuple[str, ...] | None = ()
     keeps_stream_versions: bool = False
+    store_era: int = 0
 
     @classmethod
     def from_heartbeat(cls, heartbeat: Heartbeat, with_record: bool) -> ShortHeartbeat:
@@ -322,6 +325,7 @@
             heartbeat.quarantined_fingerprints,
             heartbeat.unreachable_services,
             heartbeat.keeps_stream_versions,
+            heartbeat.store_era,
         )
 
     def to_heartbeat(self, previous: Heartbeat | None, record: NodeRecord) -> Heartbeat:
@@ -356,4 +360,5 @@
             usage_by_limited_server=previous.usage_by_limited_server if keeps_previous else {},
             unreachable_services=self.unreachable_services,
             keeps_stream_versions=self.keeps_stream_versions,
+            store_era=self.store_era,
         )
--- a/tests/entry/silent_store.py
+++ b/tests/entry/silent_store.py
@@ -23,7 +23,8 @@
 from monsoonflow.fleet.models import Heartbeat, NodeRecord
 from monsoonflow.fleet.view import FleetView
 from monsoonflow.platform.outside import RowDecoders
-from monsoonflow.storage.models import ChangedRow, Changes, Unavailable
+from monsoonflow.platform.store_era import GENERATION_VERSIONS, generation_of, row_version
+from monsoonflow.storage.models import ChangedRow, Changes, HistoryLost, Unavailable
 from tests.entry.conftest import CONFIG, MODEL
 from tests.randomised.virtual import VirtualFlag, VirtualTasks, World
 
@@ -62,6 +63,7 @@
         self.silent = False
         self.answer_delay_ms = ANSWER_DELAY_MS
         self.answers_to_lose = 0
+        self.generation = 0
         self.version = 1
         self.calls = 0
         self._rows: dict[tuple[str, str], ChangedRow] = {}
@@ -87,6 +89,23 @@
             self._answer(request)
         return True
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], ChangedRow]]:
+        """Return a copy of the rows and their newest version."""
+        return self.version, dict(self._rows)
+
+    def return_from(self, copy: tuple[int, dict[tuple[str, str], ChangedRow]]) -> None:
+        """Forget what was written after a copy; requests that wait are never answered."""
+        self._waiting_requests.clear()
+        self.generation += 1
+        number = copy[0] % GENERATION_VERSIONS
+        self.version = row_version(self.generation, number)
+        self._rows = {
+            place: attrs.evolve(
+                row, version=row_version(self.generation, row.version % GENERATION_VERSIONS)
+            )
+            for place, row in copy[1].items()
+        }
+
     def fall_silent(self, for_ms: int) -> None:
         """Answer no requests for a time."""
         self.silent = True
@@ -103,7 +122,7 @@
             row for (row_collection, _), row in self._rows.items() if row_collection == collection
         ]
         rows = sorted((row for row in changed if row.version > after), key=lambda row: row.version)
-        return Changes(tuple(rows), self.version)
+        return Changes(tuple(rows), self.version, generation=self.generation)
 
     def handle_request(self, collection: str, after: int, wait_ms: int, answer: Callable) -> None:
         """Answer a request for changes now, at the next change, or after ``wait_ms``."""
@@ -144,9 +163,12 @@
 
     def changes(
         self, collection: str, after: int, wait_ms: int, answer_timeout_ms: int = 1_500
-    ) -> Changes | Unavailable:
+    ) -> Changes | HistoryLost | Unavailable:
         """Return the rows that changed, as soon as there are any."""
-        return self._request(collection, after, wait_ms, wait_ms + answer_timeout_ms)
+        result = self._request(collection, after, wait_ms, wait_ms + answer_timeout_ms)
+        if isinstance(result, Changes) and result.generation != generation_of(after):
+            return HistoryLost()
+        return result
 
     def cancel_request(self) -> None:
         """Abandon the request in progress."""
--- a/tests/entry/test_silent_store.py
+++ b/tests/entry/test_silent_store.py
@@ -176,3 +176,20 @@
         for _ in range(30):
             fleet.run(100)
             assert not any(has_stopped_using("i-1")(node) for node in fleet.nodes), phase_ms
+
+
+@pytest.mark.parametrize("recovery_ms", [0, RECOVERY_MS])
+@pytest.mark.parametrize("count", [7, 90])
+def test_a_server_that_drains_after_a_return_from_a_copy_is_known_in_time(
+    count: int, recovery_ms: int
+):
+    """Requests that wait for changes are never answered, and versions are given out again."""
+    fleet = Fleet(count, DRAIN_MS)
+    fleet.run(8_000)
+    copy = fleet.store.copy()
+    fleet.run(4_000)
+    fleet.store.return_from(copy)
+    fleet.run(recovery_ms)
+    assert fleet.drain("i-1")
+    assert fleet.until_all_know_ms(has_stopped_using("i-1"), 30_000) < DRAIN_MS
+    assert not has_stopped_using("i-2")(fleet.nodes[0])
--- a/tests/entry/test_store_return.py
+++ b/tests/entry/test_store_return.py
@@ -4,17 +4,23 @@
 
 from collections.abc import Callable, Iterator
 
+import attrs
 import gevent
+import orjson
 import pytest
 
 from monsoonflow.entry.lease_loop import CELL_LEASE_PREFIX, decode_cell_lease
 from monsoonflow.entry.store_follower import MISSING_GRACE_MS, NODE_RECORD_PREFIX
 from monsoonflow.entry.version_record import VERSION_RECORD_PREFIX, VersionRecord, merged
+from monsoonflow.fleet import codec
+from monsoonflow.fleet.models import ShortHeartbeat
 from monsoonflow.platform.store import OWN_TABLE
 from monsoonflow.storage.models import Unavailable
+from monsoonflow.storage.watch import CollectionWatch
 from stand_ins.platform_runner import PlatformServer
 from stand_ins.platform_store import StoreCopy
 from tests.entry.conftest import CONFIG, Fleet, Node, route, wait_for
+from tests.entry.test_lease_loop import HEARTBEAT
 
 LOST_WRITES = 12
 """Versions that were given out after the copy."""
@@ -114,6 +120,34 @@
     assert min(seen) == 2
 
 
+def test_a_node_that_asks_the_store_seldom_reads_it_when_a_peer_has_heard_of_a_return(
+    fleet, store, monkeypatch
+):
+    """Its request could wait for 20 s on a connection that had fallen silent."""
+    node = fleet.node()
+    restarts = []
+    monkeypatch.setattr(
+        CollectionWatch, "restart_waiting_request", lambda watch: restarts.append(watch)
+    )
+    heartbeat = attrs.evolve(HEARTBEAT, store_era=store.era)
+    node.daemon._handle_heartbeat(heartbeat)
+    assert not restarts
+    for _ in range(2):
+        node.daemon._handle_heartbeat(attrs.evolve(heartbeat, store_era=store.era + 1))
+    assert len(restarts) == 3
+
+
+def test_heartbeats_state_the_era_and_those_of_an_earlier_release_none(fleet, store):
+    node = fleet.node()
+    wait_for(lambda: node.daemon.store_table.era() == store.era)
+    heartbeat = node.daemon.heartbeat()
+    assert codec.decode(codec.encode_heartbeat(heartbeat)).store_era == store.era
+    short = codec.encode_short_heartbeat(ShortHeartbeat.from_heartbeat(heartbeat, True))
+    assert codec.decode(short).store_era == store.era
+    assert codec.decode(short).to_heartbeat(None, heartbeat.record).store_era == store.era
+    assert codec.decode(orjson.dumps(orjson.loads(short)[:14])).store_era == 0
+
+
 def test_a_configuration_that_the_store_forgot_stays_in_force(
     fleet, store, return_from, versions_seen
 ):
--- a/tests/fleet/test_begun_streams_codec.py
+++ b/tests/fleet/test_begun_streams_codec.py
@@ -67,5 +67,5 @@
     fields = orjson.loads(codec._heartbeat_json(HEARTBEAT))[:26]
     assert not codec._heartbeat_from_fields(fields).keeps_stream_versions
     short = codec.encode_short_heartbeat(ShortHeartbeat.from_heartbeat(HEARTBEAT, True))
-    earlier = orjson.dumps(orjson.loads(short)[:-1])
+    earlier = orjson.dumps(orjson.loads(short)[:13])
     assert codec.decode(earlier) == attrs.evolve(codec.decode(short), keeps_stream_versions=False)
