Soak: servers remove their entries again after the store's return

Traced: the removal was confirmed at 476.390 and lost with the store's return at 478.044, before any node had read it; the entry was back and stayed until it lapsed at 481.655. The stand-in writes states and configurations again after a return, but not removals, which are what a server writes as well. They are repeated within 2 s now, like the rest.

--- a/stand_ins/store_process.py
+++ b/stand_ins/store_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import random
 import time
 from typing import Any, Final
 
@@ -21,6 +22,8 @@
 OPERATOR: Final = "op"
 MISSED_HEARTBEATS: Final = 3
 CHECK_S: Final = 0.1
+WRITES_AGAIN_S: Final = 2.0
+"""Within this time after a return servers remove their entries again."""
 
 
 class StoreProcess(PlatformStore):
@@ -32,6 +35,7 @@
         self._lapse_s = heartbeat_ms * MISSED_HEARTBEATS / 1000
         self._heard_at_by_id: dict[str, float] = {}
         self._state_by_id: dict[str, str] = {}
+        self._removed_ids: set[str] = set()
 
     def lapse_for_good(self) -> None:
         """Remove the entries of servers that have been silent for too long."""
@@ -67,7 +71,11 @@
         self.return_from(self._copy)
         now = time.monotonic()
         for table, server in self.rows:
-            if table == SERVERS and self.rows[table, server][1] is not None:
+            if table != SERVERS or self.rows[table, server][1] is None:
+                continue
+            if server in self._removed_ids:
+                gevent.spawn_later(random.uniform(0, WRITES_AGAIN_S), self.remove, SERVERS, server)
+            else:
                 # An entry that nobody writes again lapses.
                 self._heard_at_by_id.setdefault(server, now)
                 self._state_by_id.setdefault(server, "copied")
@@ -84,6 +92,7 @@
 
     def _register(self, server: str, entry: dict[str, Any] | None) -> None:
         if entry is None:
+            self._removed_ids.add(server)
             self._gone(server, "removed")
             return
         self._heard_at_by_id[server] = time.monotonic()
