--- a/tests/entry/test_server_notices.py
+++ b/tests/entry/test_server_notices.py
@@ -84,16 +84,18 @@
     for runner in leaving:
         runner.faults.leaving = True
     load_adapters(fleet, "b")
-    wait_for(lambda: all(runner.said for runner in leaving))
+    with gevent.Timeout(6):
+        while not all(runner.said for runner in leaving):
+            load_adapters(fleet, "b", count=1)
     gevent.sleep(0.5)
     sequences = [runner.sequence for runner in leaving]
     load_adapters(fleet, "c")
     assert [runner.sequence for runner in leaving] == sequences
 
 
-def load_adapters(fleet, prefix):
+def load_adapters(fleet, prefix, count=4):
     """Ask for adapters that no runner holds."""
-    for number in range(4):
+    for number in range(count):
         assert fleet.generate(fleet.nodes[0], f"{prefix}{number}", f"n1-{prefix}{number}")
         gevent.sleep(0.2)
 
