Cell lease: a node does not take back from a copy what it had lost

Found by review. After the store's return the copy may name a node that had lost the lease to another one since. That node claimed it at once, since a row of its own of an earlier era counted as its own claim that could not be relied on: the lease changed hands for no reason, and without fencing numbers within the time of the other holder's lease.

A peer that announces the lease is now respected first, and without fencing numbers a node waits as before. The new test in test_lease_loop.py failed before.

--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -448,11 +448,16 @@
 
     def _is_claimable(self, now_ms: int) -> bool:
         row = self._lease_watch.row
-        if row is not None and row.holder == self._node and self._is_of_earlier_era(row):
-            # This node's claim was applied after the store's return, but could not be relied on.
-            return True
         if self.store_reachable and self._is_held_by_peer(now_ms):
             return False
+        if (
+            self._fenced
+            and row is not None
+            and row.holder == self._node
+            and self._is_of_earlier_era(row)
+        ):
+            # This node's claim was applied after the store's return, but could not be relied on.
+            return True
         if self.store_reachable and self._is_row_outdated():
             # Judged by a row that was read half a minute ago, each node of a large fleet would
             # claim a lease that is held and be refused every few seconds: a sixth of all calls to
--- a/tests/entry/test_lease_loop.py
+++ b/tests/entry/test_lease_loop.py
@@ -262,3 +262,20 @@
     table.return_from(table.row)
     loop.release_row(row, version)
     assert table.row.value["released"]
+
+
+def test_a_node_that_lost_the_lease_does_not_take_it_back_from_a_copy(make_loop, clock, table):
+    """The copy names this node; another one has claimed since, and announces it."""
+    loop, view = make_loop("b", ["a", "c"])
+    run_loop(clock, loop, 500)
+    copied = table.row
+    claim = CellLeaseClaim("llm", "a", 9, (), 3)
+    view.receive(attrs.evolve(heartbeat("a"), claims=(claim,)), clock.now_ms())
+    run_loop(clock, loop, 100)
+    assert loop.held_lease.row is None
+    table.return_from(copied)
+    loop.handle_row(table.row)
+    for sequence in range(2, 30):
+        view.receive(attrs.evolve(heartbeat("a", sequence), claims=(claim,)), clock.now_ms())
+        run_loop(clock, loop, 100)
+    assert not loop.holds(clock.now_ms())
