Store return: handlers of lost rows in one type, the era read from one place

No change of behaviour. Three callbacks of the store follower that belong together are LostRowHandlers; the gauge reads the era from the table as all others do; the quarantine's due rewrites are a function of their own.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -72,7 +72,7 @@
 from .software_versions import STREAM_LIFE_MS, SoftwareVersions
 from .stall_detector import StallDetector
 from .stopping import stop_gracefully
-from .store_follower import Decoders, StoreFollower, StoreWatches
+from .store_follower import Decoders, LostRowHandlers, StoreFollower, StoreWatches
 from .stream_version_links import StreamVersionLinks
 from .stream_versions import FleetStreamVersions
 from .version_records import VersionRecords
@@ -112,9 +112,6 @@
             that says so.
         """
 
-    def store_era(self) -> int:
-        """Return the era that the store states, which rises when it loses rows; 0: none."""
-
     def call_on_store_return(self, on_return: Callable[[], None]) -> None:
         """Have a function called when the store has returned from a copy and has lost rows."""
 
@@ -267,9 +264,11 @@
             self._announce_store_changes,
             self.gossip.schedule_broadcast,
             self._handle_server_row,
-            self.cell_leases.handle_row_lost,
-            lambda name: self.node_registration.handle_record_lost(name),
-            self._handle_own_rows_lost,
+            LostRowHandlers(
+                self._handle_own_rows_lost,
+                self.cell_leases.handle_row_lost,
+                lambda name: self.node_registration.handle_record_lost(name),
+            ),
         )
         self.stream_versions = self._create_stream_versions()
         self.activity = NodeActivity(
@@ -648,7 +647,7 @@
         gauge("duties", "Duties held.", lambda: len(self.cell_leases.claims()))
         gauge("in_progress", "Requests in progress.", lambda: self.ports.callers.active_count)
         gauge("store_calls", "Calls to the store since the start.", integration.store_calls)
-        gauge("store_era", "Era that the store states; 0: none.", integration.store_era)
+        gauge("store_era", "Era that the store states; 0: none.", self.store_table.era)
         for kind in ("operator", "servers", "own"):
             gauge(
                 f"{kind}_answer_age_seconds",
--- a/monsoonflow/entry/store_follower.py
+++ b/monsoonflow/entry/store_follower.py
@@ -167,6 +167,20 @@
             watch.request_soon()
 
 
+@attrs.frozen(slots=True)
+class LostRowHandlers:
+    """What is called when the store has come back from a copy without the newest rows of the nodes.
+
+    :param on_rows_lost: called first; rows that are left may be older than those known.
+    :param on_row_lost: called with the key of each row that is missing and no node record.
+    :param on_node_record_lost: called with the name of each node whose record is missing.
+    """
+
+    on_rows_lost: Callable[[], None] = lambda: None
+    on_row_lost: Callable[[str], None] = lambda _key: None
+    on_node_record_lost: Callable[[str], None] = lambda _name: None
+
+
 class StoreFollower:
     """Keeps the cluster state up to date from the store.
 
@@ -176,11 +190,7 @@
     :param on_departure: called in addition when a server departed, which all peers must know at
         once.
     :param on_server_row: called with the id of each server whose entry was applied.
-    :param on_own_row_lost: called with the key of each row of the nodes' collection that the store
-        has lost, if it is not a node record.
-    :param on_node_record_lost: called with the name of each node whose record the store has lost.
-    :param on_own_rows_lost: called when the store has lost rows of the nodes' collection, or holds
-        older ones.
+    :param lost_rows: called when the store has lost rows of the nodes' collection.
     :ivar watches_servers: whether the peers rely on this node to ask for servers.
     """
 
@@ -195,9 +205,7 @@
         on_change: Callable[[], None],
         on_departure: Callable[[], None] = lambda: None,
         on_server_row: Callable[[str], None] = lambda _server_id: None,
-        on_own_row_lost: Callable[[str], None] = lambda _key: None,
-        on_node_record_lost: Callable[[str], None] = lambda _name: None,
-        on_own_rows_lost: Callable[[], None] = lambda: None,
+        lost_rows: LostRowHandlers | None = None,
     ) -> None:
         self._decoders = decoders
         self._cluster_state = cluster_state
@@ -208,9 +216,7 @@
         self._on_change = on_change
         self._on_departure = on_departure
         self._on_server_row = on_server_row
-        self._on_own_row_lost = on_own_row_lost
-        self._on_node_record_lost = on_node_record_lost
-        self._on_own_rows_lost = on_own_rows_lost
+        self._lost_rows = lost_rows or LostRowHandlers()
         self._store_watches: StoreWatches | None = None
         self._tasks: Tasks | None = None
         self.watches_servers = True
@@ -280,7 +286,7 @@
                 ),
                 on_lost=self._restart_waiting_requests,
                 first_retry_delay_ms=UNRESPONSIVE_REQUEST_INTERVAL_MS * 2 // 3,
-                on_rows_lost=self._on_own_rows_lost,
+                on_rows_lost=self._lost_rows.on_rows_lost,
                 on_row_lost=self._handle_own_row_lost,
             ),
         )
@@ -474,9 +480,9 @@
 
     def _handle_own_row_lost(self, key: str) -> None:
         if key.startswith(NODE_RECORD_PREFIX):
-            self._on_node_record_lost(key.removeprefix(NODE_RECORD_PREFIX))
+            self._lost_rows.on_node_record_lost(key.removeprefix(NODE_RECORD_PREFIX))
         else:
-            self._on_own_row_lost(key)
+            self._lost_rows.on_row_lost(key)
 
     def _handle_own_row(self, row: ChangedRow) -> None:
         if not row.key.startswith(NODE_RECORD_PREFIX):
--- a/monsoonflow/platform/outside.py
+++ b/monsoonflow/platform/outside.py
@@ -69,10 +69,6 @@
         self._stores.append(client)
         return client
 
-    def store_era(self) -> int:
-        """Return the era that the store states; 0 if it states none."""
-        return self._store_era.value
-
     def call_on_store_return(self, on_return: Callable[[], None]) -> None:
         """Have a function called when the store has returned from a copy."""
         self._store_era.call_on_return(on_return)
--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -334,17 +334,19 @@
             for request in self.parts.quarantined()
             if self.parts.has_seen_crash(request.fingerprint)
         ]
+        for request in (*found_here, *self._pop_due_rewrites(now_ms)):
+            if request.fingerprint not in self._version_by_stored_key:
+                self._write_row(request)
+
+    def _pop_due_rewrites(self, now_ms: int) -> list[QuarantinedRequest]:
+        """Return what is still quarantined and has a row that was lost and must be written now."""
         due_keys = {key for key, at_ms in self._rewrite_ms_by_lost_key.items() if now_ms >= at_ms}
-        lost = [
-            request
-            for request in (*self.suspects.quarantined(), *self.parts.quarantined())
-            if due_keys and request.fingerprint in due_keys
-        ]
+        if not due_keys:
+            return []
         for key in due_keys:
             del self._rewrite_ms_by_lost_key[key]
-        for request in (*found_here, *lost):
-            if request.fingerprint not in self._version_by_stored_key:
-                self._write_row(request)
+        quarantined = (*self.suspects.quarantined(), *self.parts.quarantined())
+        return [request for request in quarantined if request.fingerprint in due_keys]
 
     def _write_row(self, request: QuarantinedRequest) -> None:
         key = ROW_PREFIX + request.fingerprint
