--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -32,7 +32,8 @@
 from ..storage.models import ChangedRow
 from ..transport.models import Request
 from ..transport.server import Reply
-from .lease_loop import CELL_LEASE_PREFIX, CellLeaseLoop
+from .cell_lease_row import CELL_LEASE_PREFIX
+from .lease_loop import CellLeaseLoop
 from .plan_pause import pause_after_plan_ms
 from .residency import Residency
 from .residency_reporter import ResidencyReporter
--- a/monsoonflow/entry/lease_loop.py
+++ b/monsoonflow/entry/lease_loop.py
@@ -4,17 +4,15 @@
 
 import logging
 from collections.abc import Callable
-from typing import Annotated, Any, Final
+from typing import Final
 
 import attrs
 import orjson
-from msgspec import Meta, Struct
 
 from ..core.clock import Clock
 from ..fleet.models import CellLeaseClaim
 from ..fleet.view import FleetView
 from ..helpers.ids import new_id
-from ..helpers.strict import read
 from ..logs import events, log
 from ..ownership.cell_lease import (
     MAX_CANDIDATES,
@@ -41,9 +39,9 @@
     Transaction,
     Unavailable,
 )
+from .cell_lease_row import CELL_LEASE_PREFIX, decode_cell_lease, encode_cell_lease
 
 _LOGGER = logging.getLogger(__name__)
-CELL_LEASE_PREFIX: Final = "duty/"
 RENEW_SHARE: Final = 0.4
 """A lease is renewed after this share of its duration: two renewals may be lost before it
 expires."""
@@ -620,33 +618,10 @@
 
     def _commit_row(self, row: CellLeaseRow, version: int) -> CommitResult:
         key = CELL_LEASE_PREFIX + self.cell
-        value = {
-            "holder": row.holder,
-            "boot": row.boot,
-            "epoch": row.epoch,
-            "counter": row.counter,
-            "heirs": list(row.standbys),
-            "released": row.is_released,
-            "before": row.previous_holder,
-        }
-        if row.learned_loads is not None:
-            value["loads"] = list(attrs.astuple(row.learned_loads))
+        value = encode_cell_lease(row)
         return self._table.commit(Transaction(new_id("op"), {key: version}, {key: value}))
 
 
-class CellLeaseFields(Struct):
-    """The stored value of a cell lease."""
-
-    holder: str
-    boot: str
-    epoch: Annotated[int, Meta(ge=0)]
-    counter: Annotated[int, Meta(ge=0)]
-    released: bool
-    heirs: tuple[str, ...] = ()
-    before: str = ""
-    loads: Any = None
-
-
 def _lease_timing(lease_ms: int, fenced: bool) -> LeaseTiming:
     """Return how long leases last.
 
@@ -658,33 +633,3 @@
         # store.
         lease_ms = int(lease_ms * UNFENCED_LEASE_SHARE)
     return LeaseTiming(lease_ms, int(lease_ms * MARGIN_SHARE))
-
-
-def decode_cell_lease(cell: str, body: bytes | None) -> CellLeaseRow | None:
-    """Return the row of a cell lease, or ``None`` when it is malformed or missing."""
-    fields = read(body, CellLeaseFields) if body is not None else "gone"
-    if isinstance(fields, str):
-        return None
-    return CellLeaseRow(
-        cell,
-        fields.holder,
-        fields.boot,
-        fields.epoch,
-        fields.counter,
-        fields.heirs,
-        fields.released,
-        fields.before,
-        _decode_learned_loads(fields.loads),
-    )
-
-
-def _decode_learned_loads(fields: Any) -> LearnedLoads | None:
-    """Return what a holder has learned; ``None`` if it can't be used.
-
-    A malformed value must not hide the row: nobody could claim the lease.
-    """
-    match fields:
-        case [int(limit), int(full_speed_ms)]:
-            learned_loads = LearnedLoads(limit, full_speed_ms)
-            return learned_loads if learned_loads.is_plausible() else None
-    return None
--- a/tests/entry/test_lease_loop.py
+++ b/tests/entry/test_lease_loop.py
@@ -7,7 +7,8 @@
 import pytest
 
 from monsoonflow.core.clock import ManualClock
-from monsoonflow.entry.lease_loop import CellLeaseLoop, decode_cell_lease
+from monsoonflow.entry.cell_lease_row import decode_cell_lease
+from monsoonflow.entry.lease_loop import CellLeaseLoop
 from monsoonflow.fleet.models import CellLeaseClaim, Heartbeat, NodeRecord
 from monsoonflow.fleet.view import FleetView
 from monsoonflow.ownership.cell_lease import first_epoch
--- a/tests/entry/test_store_return.py
+++ b/tests/entry/test_store_return.py
@@ -9,7 +9,7 @@
 import orjson
 import pytest
 
-from monsoonflow.entry.lease_loop import CELL_LEASE_PREFIX, decode_cell_lease
+from monsoonflow.entry.cell_lease_row import CELL_LEASE_PREFIX, decode_cell_lease
 from monsoonflow.entry.store_follower import MISSING_GRACE_MS, NODE_RECORD_PREFIX
 from monsoonflow.entry.version_record import VERSION_RECORD_PREFIX, VersionRecord, merged
 from monsoonflow.fleet import codec
@@ -80,6 +80,12 @@
         fleet.store.put("other", f"row {number}", {})
 
 
+def serve_second_configuration(fleet: Fleet, node: Node) -> None:
+    write_more(fleet)
+    fleet.configure(version=2)
+    wait_for(lambda: node.daemon.config_version() == 2)
+
+
 def takes_work(node: Node, server: PlatformServer) -> bool:
     registry = node.daemon.cluster_state.server_registry
     life = registry.life_of(server.server_id)
@@ -106,9 +112,7 @@
     """Callers got 404 for a route seconds after its configuration was confirmed."""
     node = fleet.node()
     copy = store.copy()
-    write_more(fleet)
-    fleet.configure(version=2)
-    wait_for(lambda: node.daemon.config_version() == 2)
+    serve_second_configuration(fleet, node)
     seen = versions_seen(node)
 
     def write() -> None:
@@ -153,9 +157,7 @@
 ):
     node = fleet.node()
     copy = store.copy()
-    write_more(fleet)
-    fleet.configure(version=2)
-    wait_for(lambda: node.daemon.config_version() == 2)
+    serve_second_configuration(fleet, node)
     seen = versions_seen(node)
     return_from(copy)
     gevent.sleep(1.5)
--- a/tests/platform/test_invalid_rows.py
+++ b/tests/platform/test_invalid_rows.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from monsoonflow.discovery.models import BackendServer
-from monsoonflow.entry.lease_loop import decode_cell_lease
+from monsoonflow.entry.cell_lease_row import decode_cell_lease
 from monsoonflow.entry.store_follower import decode_node_record, encode_node_record
 from monsoonflow.fleet.models import NodeRecord
 from monsoonflow.ownership.cell_lease import CellLeaseRow
