Quarantine: a row written after the store's return is no forgotten removal

Found by review. The removals known at a return stayed marked until a row with their key came, however late. A request or part that crashed servers again after the return would have had its new row removed by each node that knew the earlier removal. They count for the rows of the copy only, which are applied before the next sync.

The new test in tests/quarantine/test_lost_rows.py failed before.

--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -303,6 +303,8 @@
     def sync_rows(self) -> None:
         """Write the rows of requests that this node has helped to find, and remove lifted ones."""
         now_ms = self._clock.now_ms()
+        # By now the rows of the copy have been applied: one that comes later is new.
+        self._forgotten_removals.clear()
         for fingerprint in self.suspects.lift_expired(now_ms):
             self._log_lifted(fingerprint, "expired")
             self._keys_to_remove.add(fingerprint)
--- a/tests/quarantine/test_lost_rows.py
+++ b/tests/quarantine/test_lost_rows.py
@@ -127,3 +127,16 @@
     assert not manager.suspects.is_quarantined("f1")
     manager.sync_rows()
     assert not table.rows
+
+
+def test_a_row_that_is_written_later_than_the_copy_was_read_is_no_forgotten_removal(manager, table):
+    """A part that crashed servers again was allowed at once."""
+    key = KEY_PREFIX + "p1"
+    put(table, manager, key)
+    del table.rows[ROW_PREFIX + key]
+    manager.apply_row(ChangedRow(ROW_PREFIX + key, table.version + 1, None))
+    return_from(table, manager, {})
+    manager.sync_rows()
+    put(table, manager, key)
+    manager.sync_rows()
+    assert ROW_PREFIX + key in table.rows
