--- a/tests/entry/test_server_notices.py
+++ b/tests/entry/test_server_notices.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 
 import gevent
@@ -84,9 +85,10 @@
     for runner in leaving:
         runner.faults.leaving = True
     load_adapters(fleet, "b")
+    asked = itertools.count()
     with gevent.Timeout(6):
         while not all(runner.said for runner in leaving):
-            load_adapters(fleet, "b", count=1)
+            load_adapters(fleet, f"d{next(asked)}-", count=1)
     gevent.sleep(0.5)
     sequences = [runner.sequence for runner in leaving]
     load_adapters(fleet, "c")
