--- a/review/harness/servers.py
+++ b/review/harness/servers.py
@@ -23,6 +23,7 @@
 from .store import Store
 
 HEARTBEAT_S = 1.2
+MISSED_HEARTBEATS = 3
 REPORT_LAG_S = 0.1
 COLD_LOAD_S, WARM_LOAD_S = 0.25, 0.025
 MAX_LOADS = 4
@@ -53,6 +54,7 @@
         self._store = store
         self._rng = random.Random(server_id)
         self._sequence = 0
+        self._is_cut_off = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -68,10 +70,24 @@
 
     async def _beat(self) -> None:
         while True:
-            self._sequence += 1
-            await self._store.put("servers", self.server_id, self.entry())
+            if not self._is_cut_off:
+                self._sequence += 1
+                await self._store.put("servers", self.server_id, self.entry())
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def cut_off(self, for_s: float) -> None:
+        """Cut the server off from the store, which removes the entry of a silent server."""
+        self.record.note(f"{self.server_id} is cut off from the store")
+        self._is_cut_off = True
+        await asyncio.sleep(HEARTBEAT_S * MISSED_HEARTBEATS)
+        await self._store.remove("servers", self.server_id)
+        self.record.note(f"the entry of {self.server_id} is removed")
+        await asyncio.sleep(for_s - HEARTBEAT_S * MISSED_HEARTBEATS)
+        self._is_cut_off = False
+        self._sequence += 1
+        await self._store.put("servers", self.server_id, self.entry())
+        self.record.note(f"{self.server_id} is back and has written its entry again")
+
     def entry(self) -> dict[str, Any]:
         """Return the entry in the store."""
         return {
