--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,8 +20,8 @@
 from harness.servers import Runner  # noqa: E402
 
 HOST, MODEL, SERVICE = "case.example", "base", "lluvia"
-NODES, RUNNERS, PLACES, ADAPTERS = 7, 5, 6, 48
-PER_S, FOR_S = 120.0, 98.0
+NODES, RUNNERS, PLACES, ADAPTERS = 7, 5, 6, 42
+PER_S, FOR_S = 130.0, 98.0
 FAULTY_RUNNERS, EXTRA_SHARE = 3, 0.03
 FAULTY_S, PAUSE_S = 5.0, 0.5
 
