Registry: a line and a gauge for registered servers that get no requests

server_came said that an entry had been read, not whether the server gets requests. A line names an entry of a life that counts as left, with the reason and its age; the gauge excluded_servers counts registered servers that get none.

--- a/monsoonflow/discovery/registry.py
+++ b/monsoonflow/discovery/registry.py
@@ -37,6 +37,14 @@
     row_version: int
 
 
+@attrs.frozen(slots=True)
+class _Departure:
+    """Since when a life counts as left, and why."""
+
+    at_ms: int
+    cause: str
+
+
 class ServerRegistry:
     """The backend servers by life, and which of them accept new requests.
 
@@ -54,7 +62,7 @@
         self._removed_lives: list[ServerLife] = []
         self._birth_time_count = 0
         self._missing_until_ms_by_life: dict[ServerLife, int] = {}
-        self._left_ms_by_life: dict[ServerLife, int] = {}
+        self._departure_by_life: dict[ServerLife, _Departure] = {}
         self._announced_lives: set[ServerLife] = set()
         self._added_ms_by_life: dict[ServerLife, int] = {}
         self._grace_until_ms = 0
@@ -83,6 +91,14 @@
         if known == server:
             return
         self._store(server, now_ms)
+        departure = self._departure_by_life.get(server.life)
+        if departure is not None and not server.is_leaving:
+            log(
+                _LOGGER,
+                events.DepartedServerRegistered(
+                    server=server.life, cause=departure.cause, ago_ms=now_ms - departure.at_ms
+                ),
+            )
         if server.is_leaving:
             self.record_announced_leave(server.life, now_ms, "its entry")
         elif known is None:
@@ -163,8 +179,8 @@
 
     def mark_leaving(self, life: ServerLife, now_ms: int, cause: str) -> None:
         """Record that a life accepts no new requests; the cause is only logged."""
-        if life not in self._left_ms_by_life:
-            self._left_ms_by_life[life] = now_ms
+        if life not in self._departure_by_life:
+            self._departure_by_life[life] = _Departure(now_ms, cause)
             self.version += 1
             log(_LOGGER, events.ServerLeaves(server=life, cause=cause))
 
@@ -178,7 +194,7 @@
 
     def has_left(self, life: ServerLife) -> bool:
         """Return whether a life accepts no new requests any more."""
-        return life in self._left_ms_by_life
+        return life in self._departure_by_life
 
     def has_announced_leave(self, life: ServerLife) -> bool:
         """Return whether a server has said that it is shutting down: its end is no crash."""
@@ -196,9 +212,9 @@
     def pop_removed(self, now_ms: int) -> list[ServerLife]:
         """Remove servers that stayed missing; return all lives removed since the last call."""
         self.remove_missing(now_ms)
-        for life, at_ms in list(self._left_ms_by_life.items()):
-            if now_ms - at_ms > DEPARTED_RETENTION_MS and life not in self.server_by_life:
-                del self._left_ms_by_life[life]
+        for life, departure in list(self._departure_by_life.items()):
+            if now_ms - departure.at_ms > DEPARTED_RETENTION_MS and life not in self.server_by_life:
+                del self._departure_by_life[life]
                 self._announced_lives.discard(life)
         removed, self._removed_lives = self._removed_lives, []
         return removed
@@ -220,10 +236,16 @@
             if server.service == service and self._is_usable(server)
         ]
 
+    def excluded_count(self) -> int:
+        """Return the number of registered servers that get no new requests."""
+        return sum(not self._is_usable(server) for server in self.server_by_life.values())
+
     def recently_left(self, now_ms: int, within_ms: int) -> list[ServerLife]:
         """Return the lives that left within the given time, to be sent to peers."""
         return [
-            life for life, at_ms in self._left_ms_by_life.items() if now_ms - at_ms <= within_ms
+            life
+            for life, departure in self._departure_by_life.items()
+            if now_ms - departure.at_ms <= within_ms
         ]
 
     def recently_added(self, now_ms: int, within_ms: int) -> list[ServerLife]:
@@ -234,10 +256,10 @@
 
     def is_known(self, life: ServerLife) -> bool:
         """Return whether a life is known or has departed recently."""
-        return life in self.server_by_life or life in self._left_ms_by_life
+        return life in self.server_by_life or life in self._departure_by_life
 
     def _is_usable(self, server: BackendServer) -> bool:
-        if server.life in self._left_ms_by_life or self._is_missing_birth_time(server.life):
+        if server.life in self._departure_by_life or self._is_missing_birth_time(server.life):
             return False
         if server.life.server_id in self._unreadable_cause_by_id:
             return False
@@ -270,7 +292,7 @@
     def _replace_life(self, previous: ServerLife, life: ServerLife, now_ms: int) -> None:
         self.mark_leaving(previous, now_ms, f"started again as {life}")
         self._forget(previous)
-        self._left_ms_by_life.pop(life, None)
+        self._departure_by_life.pop(life, None)
         self._announced_lives.discard(life)
         self._restarted_ms_by_life[life] = now_ms
         self._earlier_life_by_id.pop(life.server_id, None)
@@ -282,7 +304,7 @@
         self._missing_until_ms_by_life.pop(server.life, None)
         if self._unreadable_cause_by_id.pop(server_id, None) is not None:
             self.version += 1
-        if server.life in self._left_ms_by_life:
+        if server.life in self._departure_by_life:
             return
         owner = self._owner_by_address.get(server.address)
         if owner is None or owner.life == server.life or owner.life not in self.server_by_life:
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -613,6 +613,11 @@
             "Backend servers known.",
             lambda: len(cluster_state.server_registry.server_by_life),
         )
+        gauge(
+            "excluded_servers",
+            "Registered backend servers that get no new requests.",
+            cluster_state.server_registry.excluded_count,
+        )
         gauge("peers", "Other nodes heard.", lambda: len(self.view.heartbeats(now_ms())))
         gauge(
             "callers_named",
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -26,6 +26,15 @@
     cause: str
 
 
+@event
+class DepartedServerRegistered(Event):
+    """The entry of a server that counts as left, for ``cause``, was written again."""
+
+    server: str
+    cause: str
+    ago_ms: int
+
+
 @event
 class ServerRests(Event):
     """A server refused a request and gets no others from this node for ``rest_ms``."""
