Registry: a server that only seemed to have left is used again

Cause: every departure of a server's life was final, whatever it rested on: an entry that had lapsed, another server at its address, the report of a peer.

Only what a server says of itself is final now, and a newer life of it. Any other departure ends when the server has been registered for longer than the entry of a silent one would last (3.5 heartbeats, from the settings), as far as the node has read the store. Where a service has no other server, one whose entry was written again is used at once. A delayed write lapses before, and the store's return from a copy starts the count anew. Nodes announce whether a departure is final and how old its evidence is, so that two of them do not renew each other's report; a report without these, of an earlier release, is ignored for a while after the server's return.

--- a/monsoonflow/discovery/models.py
+++ b/monsoonflow/discovery/models.py
@@ -38,3 +38,17 @@
     leaving_in_ms: int | None = None
     models: tuple[HeldModel, ...] = ()
     software_version: str | None = None
+
+
+@attrs.frozen(slots=True)
+class DepartedServer:
+    """A life of a server that has left, as nodes announce it to each other.
+
+    :param is_final: whether the server said so itself, or has another life by now; ``None`` from a
+        node of an earlier release, which does not tell.
+    :param age_ms: age of the evidence.
+    """
+
+    life: ServerLife
+    is_final: bool | None = None
+    age_ms: int = 0
--- a/monsoonflow/discovery/registry.py
+++ b/monsoonflow/discovery/registry.py
@@ -9,12 +9,10 @@
 
 from ..core.server_life import ServerLife
 from ..logs import events, log
-from .models import BackendServer, HeldModel
+from .departures import Departures
+from .models import BackendServer, DepartedServer, HeldModel
 
 _LOGGER = logging.getLogger(__name__)
-DEPARTED_RETENTION_MS: Final = 60_000
-"""How long a departed life is remembered, so that an outdated list does not add it again."""
-
 EARLIER_LIFE_ACCEPT_MS: Final = 1_000
 """If a life with an earlier birth time is still reported after this time and the known life is not,
 it is the current one, and not a delayed entry: the machine's clock was set back between two starts.
@@ -37,14 +35,6 @@
     row_version: int
 
 
-@attrs.frozen(slots=True)
-class _Departure:
-    """Since when a life counts as left, and why."""
-
-    at_ms: int
-    cause: str
-
-
 class ServerRegistry:
     """The backend servers by life, and which of them accept new requests.
 
@@ -62,7 +52,7 @@
         self._removed_lives: list[ServerLife] = []
         self._birth_time_count = 0
         self._missing_until_ms_by_life: dict[ServerLife, int] = {}
-        self._departure_by_life: dict[ServerLife, _Departure] = {}
+        self._departures = Departures()
         self._announced_lives: set[ServerLife] = set()
         self._added_ms_by_life: dict[ServerLife, int] = {}
         self._grace_until_ms = 0
@@ -86,17 +76,20 @@
             if not self._is_newer_life(server.life, known_life, now_ms):
                 return
             self._replace_life(known_life, server.life, now_ms)
+        if row_version and not server.is_leaving:
+            self._departures.record_registration(server.life, now_ms)
         self._record_registration(server, row_version)
         known = self.server_by_life.get(server.life)
         if known == server:
             return
         self._store(server, now_ms)
-        departure = self._departure_by_life.get(server.life)
+        departure = self._departures.get(server.life)
         if departure is not None and not server.is_leaving:
+            ago_ms = now_ms - departure.evidence_ms
             log(
                 _LOGGER,
                 events.DepartedServerRegistered(
-                    server=server.life, cause=departure.cause, ago_ms=now_ms - departure.at_ms
+                    server=server.life, cause=departure.cause, ago_ms=ago_ms
                 ),
             )
         if server.is_leaving:
@@ -178,11 +171,11 @@
         return False
 
     def mark_leaving(self, life: ServerLife, now_ms: int, cause: str) -> None:
-        """Record that a life accepts no new requests; the cause is only logged."""
-        if life not in self._departure_by_life:
-            self._departure_by_life[life] = _Departure(now_ms, cause)
-            self.version += 1
-            log(_LOGGER, events.ServerLeaves(server=life, cause=cause))
+        """Record that a life seems to have left; it is used again if it stays registered.
+
+        :param cause: only logged.
+        """
+        self._record_departure(life, now_ms, cause, is_final=False)
 
     def record_announced_leave(self, life: ServerLife, now_ms: int, source: str) -> None:
         """Record that a server itself says that it is shutting down.
@@ -190,11 +183,46 @@
         :param source: where it says so; only logged.
         """
         self._announced_lives.add(life)
-        self.mark_leaving(life, now_ms, f"said so in {source}")
+        self._record_departure(life, now_ms, f"said so in {source}", is_final=True)
+
+    def record_peer_report(self, departed: DepartedServer, now_ms: int, peer: str) -> None:
+        """Record that a peer knows of the departure of a registered server."""
+        life, cause = departed.life, f"reported by {peer}"
+        if life not in self.server_by_life:
+            return
+        if departed.is_final is None:
+            is_news = self._departures.record_undated_report(life, now_ms, cause)
+        else:
+            is_news = self._departures.record_report(
+                life, now_ms, cause, is_final=departed.is_final, age_ms=departed.age_ms
+            )
+        if is_news:
+            self._handle_departure(life, cause)
+
+    def handle_rows_lost(self, now_ms: int) -> None:
+        """Handle the store's return from an older copy, which may hold entries of servers gone."""
+        self._departures.restart_registrations(now_ms)
+
+    def end_refuted_departures(self, known_until_ms: int, lapse_ms: int) -> bool:
+        """Use servers again that seemed to have left but stay registered; return whether any is.
+
+        :param known_until_ms: up to when this node knows which servers are registered.
+        :param lapse_ms: how long the entry of a silent server stays in the store.
+        """
+        refuted = self._departures.end_refuted(known_until_ms, lapse_ms)
+        for life, departure in refuted:
+            after_ms = known_until_ms - departure.evidence_ms
+            log(
+                _LOGGER,
+                events.ServerReturned(server=life, cause=departure.cause, after_ms=after_ms),
+            )
+            self._claim_address(self.server_by_life[life], 0)
+            self.version += 1
+        return bool(refuted)
 
     def has_left(self, life: ServerLife) -> bool:
         """Return whether a life accepts no new requests any more."""
-        return life in self._departure_by_life
+        return life in self._departures
 
     def has_announced_leave(self, life: ServerLife) -> bool:
         """Return whether a server has said that it is shutting down: its end is no crash."""
@@ -212,10 +240,8 @@
     def pop_removed(self, now_ms: int) -> list[ServerLife]:
         """Remove servers that stayed missing; return all lives removed since the last call."""
         self.remove_missing(now_ms)
-        for life, departure in list(self._departure_by_life.items()):
-            if now_ms - departure.at_ms > DEPARTED_RETENTION_MS and life not in self.server_by_life:
-                del self._departure_by_life[life]
-                self._announced_lives.discard(life)
+        for life in self._departures.forget_old(now_ms, self.server_by_life):
+            self._announced_lives.discard(life)
         removed, self._removed_lives = self._removed_lives, []
         return removed
 
@@ -226,26 +252,28 @@
     def is_accepting_work(self, life: ServerLife) -> bool:
         """Return whether a server may get new requests."""
         server = self.server_by_life.get(life)
-        return server is not None and self._is_usable(server)
+        if server is None:
+            return False
+        return self._is_usable(server) or server in self._last_resort(server.service)
 
     def servers_of(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that accept new requests."""
-        return [
+        usable = [
             server
             for server in self.server_by_life.values()
             if server.service == service and self._is_usable(server)
         ]
+        return usable or self._last_resort(service)
 
     def excluded_count(self) -> int:
         """Return the number of registered servers that get no new requests."""
         return sum(not self._is_usable(server) for server in self.server_by_life.values())
 
-    def recently_left(self, now_ms: int, within_ms: int) -> list[ServerLife]:
-        """Return the lives that left within the given time, to be sent to peers."""
+    def recently_left(self, now_ms: int, within_ms: int) -> list[DepartedServer]:
+        """Return the servers that left within the given time, to be sent to peers."""
         return [
-            life
-            for life, departure in self._departure_by_life.items()
-            if now_ms - departure.at_ms <= within_ms
+            DepartedServer(life, departure.is_final, now_ms - departure.evidence_ms)
+            for life, departure in self._departures.recent(now_ms, within_ms)
         ]
 
     def recently_added(self, now_ms: int, within_ms: int) -> list[ServerLife]:
@@ -256,10 +284,34 @@
 
     def is_known(self, life: ServerLife) -> bool:
         """Return whether a life is known or has departed recently."""
-        return life in self.server_by_life or life in self._departure_by_life
+        return life in self.server_by_life or life in self._departures
+
+    def _last_resort(self, service: str) -> list[BackendServer]:
+        """Return the servers that seemed to have left and are registered again, without any other.
+
+        To refuse all requests of a service until their entries have proved to last is worse than to
+        use them at once.
+        """
+        servers = [server for server in self.server_by_life.values() if server.service == service]
+        if any(self._is_usable(server) for server in servers):
+            return []
+        return [server for server in servers if self._is_registered_again(server)]
+
+    def _is_registered_again(self, server: BackendServer) -> bool:
+        departure = self._departures.get(server.life)
+        return (
+            departure is not None
+            and not departure.is_final
+            and departure.is_written_again
+            and self._is_entry_valid(server)
+        )
 
     def _is_usable(self, server: BackendServer) -> bool:
-        if server.life in self._departure_by_life or self._is_missing_birth_time(server.life):
+        return server.life not in self._departures and self._is_entry_valid(server)
+
+    def _is_entry_valid(self, server: BackendServer) -> bool:
+        """Return whether a server's entry is its own and names an address that is its own."""
+        if self._is_missing_birth_time(server.life):
             return False
         if server.life.server_id in self._unreadable_cause_by_id:
             return False
@@ -290,9 +342,9 @@
         return now_ms - earlier.first_seen_ms >= EARLIER_LIFE_ACCEPT_MS
 
     def _replace_life(self, previous: ServerLife, life: ServerLife, now_ms: int) -> None:
-        self.mark_leaving(previous, now_ms, f"started again as {life}")
+        self._record_departure(previous, now_ms, f"started again as {life}", is_final=True)
         self._forget(previous)
-        self._departure_by_life.pop(life, None)
+        self._departures.forget(life)
         self._announced_lives.discard(life)
         self._restarted_ms_by_life[life] = now_ms
         self._earlier_life_by_id.pop(life.server_id, None)
@@ -304,8 +356,11 @@
         self._missing_until_ms_by_life.pop(server.life, None)
         if self._unreadable_cause_by_id.pop(server_id, None) is not None:
             self.version += 1
-        if server.life in self._departure_by_life:
-            return
+        if server.life not in self._departures:
+            self._claim_address(server, row_version)
+
+    def _claim_address(self, server: BackendServer, row_version: int) -> None:
+        """Record that an address may belong to a server now."""
         owner = self._owner_by_address.get(server.address)
         if owner is None or owner.life == server.life or owner.life not in self.server_by_life:
             self._owner_by_address[server.address] = _AddressOwner(server.life, row_version)
@@ -330,9 +385,22 @@
         self._life_by_id[server.life.server_id] = server.life
         self.version += 1
 
+    def _record_departure(
+        self, life: ServerLife, now_ms: int, cause: str, *, is_final: bool
+    ) -> None:
+        is_registered = life in self.server_by_life
+        if self._departures.record(
+            life, now_ms, cause, is_final=is_final, is_registered=is_registered
+        ):
+            self._handle_departure(life, cause)
+
+    def _handle_departure(self, life: ServerLife, cause: str) -> None:
+        self.version += 1
+        log(_LOGGER, events.ServerLeaves(server=life, cause=cause))
+
     def _remove(self, life: ServerLife, now_ms: int, cause: str) -> None:
-        self.mark_leaving(life, now_ms, cause)
         self._forget(life)
+        self.mark_leaving(life, now_ms, cause)
 
     def _forget(self, life: ServerLife) -> None:
         self._missing_until_ms_by_life.pop(life, None)
--- a/monsoonflow/entry/cluster_state.py
+++ b/monsoonflow/entry/cluster_state.py
@@ -10,6 +10,7 @@
 from ..core.adapter import AdapterRef
 from ..core.clock import Clock
 from ..core.server_life import ServerLife
+from ..discovery.models import DepartedServer
 from ..discovery.registry import ServerRegistry
 from ..fleet.models import Heartbeat, RecentVersion
 from ..logs import events, log
@@ -110,7 +111,7 @@
             if now_ms - published[-1].at_ms <= ANNOUNCE_MS
         )
 
-    def recently_departed_servers(self) -> tuple[ServerLife, ...]:
+    def recently_departed_servers(self) -> tuple[DepartedServer, ...]:
         """Return the servers that recently announced, or were reported, to be leaving."""
         return tuple(self.server_registry.recently_left(self._clock.now_ms(), ANNOUNCE_MS))
 
@@ -128,9 +129,8 @@
         ):
             return False
         now_ms = self._clock.now_ms()
-        for life in heartbeat.departed_servers:
-            if life in self.server_registry.server_by_life:
-                self.server_registry.mark_leaving(life, now_ms, f"reported by {heartbeat.name}")
+        for departed in heartbeat.departed_servers:
+            self.server_registry.record_peer_report(departed, now_ms, heartbeat.name)
         for named_version in heartbeat.versions:
             self.record_version(named_version.ref, heartbeat.name, now_ms - named_version.age_ms)
         # An unknown server is reported only once: if a heartbeat keeps naming a server that the
--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -85,6 +85,9 @@
 MAINTENANCE_INTERVAL_MS = 500
 """How often idle connections and unconfirmed servers are checked."""
 
+ENTRY_LAPSE_HEARTBEATS = 3.5
+"""The store removes an entry after three heartbeats of silence, and servers beat irregularly."""
+
 
 PEER_CHECK_MS: Final = 300
 """How long peers take to check and to announce whether they reach a service that this node lost."""
@@ -864,6 +867,7 @@
             self.forwarding_pools.close_stale()
             self.store_watches.servers.end_overlong_pause()
             self.stream_versions.maintain()
+            self._end_refuted_departures()
             for life in self.cluster_state.server_registry.pop_removed(self.clock.now_ms()):
                 self.cell_leases.residency.forget(life)
                 self.connection_pools.close_idle(life)
@@ -873,6 +877,12 @@
             self.server_limits.forget_unused(registered)
             self.pace_exchange.maintain(registered)
 
+    def _end_refuted_departures(self) -> None:
+        lapse_ms = round(ENTRY_LAPSE_HEARTBEATS * self.settings.bounds.server_heartbeat_ms)
+        known_until_ms = self.store_watches.servers.coverage.until_ms
+        if self.cluster_state.server_registry.end_refuted_departures(known_until_ms, lapse_ms):
+            self.cell_leases.wake_planner()
+
     def _fetch_configuration_loop(self) -> None:
         """Fetch newer configurations from peers.
 
--- a/monsoonflow/entry/settings.py
+++ b/monsoonflow/entry/settings.py
@@ -35,6 +35,7 @@
     :param quota_overshoot: share that a customer may use beyond its quota in each window.
     :param quota_slack: units that it may use in addition, summed over all nodes.
     :param thaw_ms: how long no orders are sent after the process was suspended.
+    :param server_heartbeat_ms: how often backend servers report to the store.
     """
 
     lease_ms: int = attrs.field(default=3_000, validator=_validate_positive)
@@ -51,6 +52,7 @@
     quota_window_ms: int = attrs.field(default=8_000, validator=_validate_positive)
     quota_overshoot: float = 0.0
     quota_slack: float = 0.0
+    server_heartbeat_ms: int = attrs.field(default=1_200, validator=_validate_positive)
 
 
 @attrs.frozen(slots=True)
--- a/monsoonflow/entry/store_follower.py
+++ b/monsoonflow/entry/store_follower.py
@@ -271,7 +271,7 @@
                 ),
                 self._restart_waiting_requests,
                 max_gap_ms=drain_ms,
-                on_rows_lost=self._keep_missing_servers,
+                on_rows_lost=self._handle_server_rows_lost,
             ),
             CollectionWatch(
                 open_feed(),
@@ -455,14 +455,24 @@
             self._on_server_departed(previous_life)
             self._on_change()
             self._on_departure()
-        elif previous_life != registry.life_of(row.key):
+        elif previous_life != registry.life_of(row.key) or self._has_returned(row.key, took_work):
             self._on_change()
 
+    def _has_returned(self, server_id: str, took_work: bool) -> bool:
+        """Return whether a server takes work that did not before its entry was applied."""
+        registry = self._cluster_state.server_registry
+        life = registry.life_of(server_id)
+        return not took_work and life is not None and registry.is_accepting_work(life)
+
     def _handle_store_return(self) -> None:
         if self._store_watches.servers.last_outage_ms >= MIN_OUTAGE_MS:
             self._keep_missing_servers()
         self._notify_store_answers()
 
+    def _handle_server_rows_lost(self) -> None:
+        self._cluster_state.server_registry.handle_rows_lost(self._clock.now_ms())
+        self._keep_missing_servers()
+
     def _keep_missing_servers(self) -> None:
         """Keep servers without an entry for a moment: they are about to write it again."""
         servers = self._store_watches.servers
--- a/monsoonflow/fleet/codec.py
+++ b/monsoonflow/fleet/codec.py
@@ -12,6 +12,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
+from ..discovery.models import DepartedServer
 from ..quarantine.models import PartsCrash, ServerCrash, SoundPart
 from ..routing.budget import RetryUsage
 from ..routing.in_flight import ServerWork
@@ -86,7 +87,7 @@
             heartbeat.config_version,
             {str(life): _work_fields(work) for life, work in heartbeat.work_by_server.items()},
             _retry_usage_fields(heartbeat.retry_usage_by_service),
-            heartbeat.departed_servers,
+            [departed.life for departed in heartbeat.departed_servers],
             [str(version.ref) for version in heartbeat.versions],
             _claim_fields(heartbeat.claims),
             (
@@ -121,6 +122,7 @@
             pace_fields(heartbeat.pace_by_server),
             heartbeat.runner_ms_by_customer,
             heartbeat.store_era,
+            [[departed.is_final, departed.age_ms] for departed in heartbeat.departed_servers],
         ]
     )
 
@@ -322,7 +324,7 @@
             ServerLife(life): _work_from_fields(work) for life, work in fields[5].items()
         },
         retry_usage_by_service=_retry_usage_from_fields(fields[6]),
-        departed_servers=tuple(map(ServerLife, fields[7])),
+        departed_servers=_departed_servers_from_fields(fields[7], _optional_field(fields, 32)),
         versions=_versions_from_fields(fields[8], _optional_field(fields, 14)),
         claims=tuple(_claim_from_fields(entry) for entry in fields[9]),
         residency=(
@@ -360,6 +362,24 @@
     )
 
 
+def _departed_servers_from_fields(
+    lives: list[Any], evidence: list[Any] | None
+) -> tuple[DepartedServer, ...]:
+    """Return departed servers.
+
+    :param evidence: whether each departure is final, and its age; a node of an earlier release
+        sends none.
+    """
+    if evidence is None:
+        return tuple([DepartedServer(ServerLife(life)) for life in lives])
+    return tuple(
+        [
+            DepartedServer(ServerLife(life), bool(is_final), max(0, int(age_ms)))
+            for life, (is_final, age_ms) in zip(lives, evidence, strict=True)
+        ]
+    )
+
+
 def _parts_crash_from_fields(fields: list[Any]) -> PartsCrash:
     fingerprint, life, known = fields
     known_lives_by_part = {str(part): _lives_from_fields(lives) for part, lives in known.items()}
--- a/monsoonflow/fleet/models.py
+++ b/monsoonflow/fleet/models.py
@@ -9,6 +9,7 @@
 
 from ..core.adapter import AdapterRef
 from ..core.server_life import ServerLife
+from ..discovery.models import DepartedServer
 from ..quarantine.models import PartsCrash, ServerCrash, SoundPart
 from ..routing.budget import RetryUsage
 from ..routing.in_flight import ServerWork
@@ -152,7 +153,7 @@
     :param sequence: rises with each message of one boot.
     :param is_store_reachable: whether the node reaches the store.
     :param retry_usage_by_service: the requests and retries that the node has counted.
-    :param departed_servers: servers that, as the node learned recently, are leaving.
+    :param departed_servers: servers that, as the node learned recently, have left or are leaving.
     :param versions: adapter versions that the node learned of recently.
     :param claims: the cell leases that the node holds.
     :param residency: set by the lease holder of a cell; ``None`` means unchanged since its last
@@ -196,7 +197,7 @@
     is_store_reachable: bool
     work_by_server: dict[ServerLife, ServerWork] = attrs.Factory(dict)
     retry_usage_by_service: dict[str, RetryUsage] = attrs.Factory(dict)
-    departed_servers: tuple[ServerLife, ...] = ()
+    departed_servers: tuple[DepartedServer, ...] = ()
     versions: tuple[RecentVersion, ...] = ()
     claims: tuple[CellLeaseClaim, ...] = ()
     residency: tuple[ResidentAdapters, ...] | None = ()
--- a/monsoonflow/logs/events/servers.py
+++ b/monsoonflow/logs/events/servers.py
@@ -35,6 +35,15 @@
     ago_ms: int
 
 
+@event
+class ServerReturned(Event):
+    """A server that counted as left, for ``cause``, stays registered and is used again."""
+
+    server: str
+    cause: str
+    after_ms: int
+
+
 @event
 class ServerRests(Event):
     """A server refused a request and gets no others from this node for ``rest_ms``."""
--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -114,6 +114,7 @@
             quota_window_ms=_to_ms(bounds.get("quotaWindowS", 8)),
             quota_overshoot=float(bounds.get("quotaOvershoot", 0)),
             quota_slack=float(bounds.get("quotaSlack", 0)),
+            server_heartbeat_ms=int(fields.get("heartbeatMs", 1_200)),
         ),
     )
 
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -6,7 +6,7 @@
 import pytest
 
 from monsoonflow.core.server_life import ServerLife
-from monsoonflow.discovery.models import BackendServer
+from monsoonflow.discovery.models import BackendServer, DepartedServer
 from monsoonflow.discovery.registry import ServerRegistry
 
 ONE = BackendServer(ServerLife("i-1"), "s", "10.0.0.1:80", "dc", 4)
@@ -44,7 +44,7 @@
 def test_server_with_a_removed_entry_is_removed_at_once(registry):
     registry.remove("i-1", 10)
     assert names(registry) == ["i-2"]
-    assert registry.recently_left(20, 1_000) == ["i-1"]
+    assert registry.recently_left(20, 1_000) == [DepartedServer("i-1", False, 10)]
 
 
 def test_servers_with_missing_entries_are_kept_after_an_outage(registry):
--- a/tests/discovery/test_server_restarts.py
+++ b/tests/discovery/test_server_restarts.py
@@ -7,7 +7,7 @@
 
 from monsoonflow.core.adapter import AdapterRef
 from monsoonflow.core.server_life import ServerLife
-from monsoonflow.discovery.models import BackendServer, HeldModel
+from monsoonflow.discovery.models import BackendServer, DepartedServer, HeldModel
 from monsoonflow.discovery.registry import EARLIER_LIFE_ACCEPT_MS, ServerRegistry
 
 OLD = ServerLife.of("i-1", 1_000)
@@ -56,7 +56,7 @@
     assert lives(registry) == [OTHER.life]
     registry.put(RESTARTED, 100, 13)
     assert lives(registry) == [NEW, OTHER.life]
-    assert registry.recently_left(150, 1_000) == [OLD]
+    assert registry.recently_left(150, 1_000) == [DepartedServer(OLD, True, 100)]
 
 
 def test_delayed_entry_of_the_previous_life_is_ignored(registry):
--- a/tests/entry/test_restarts.py
+++ b/tests/entry/test_restarts.py
@@ -141,3 +141,34 @@
     assert request.get().head.status == 200
     assert runner.left == 1
     assert runner.requests[-1].value(b"x-expect-version") == b"2"
+
+
+@pytest.mark.parametrize("kind", ["plain", "runner"])
+def test_servers_that_lost_the_store_for_some_seconds_get_requests_again(fleet, kind):
+    """The entries of both servers lapse, one after the other, and are written again."""
+    servers = [
+        fleet.plain(name) if kind == "plain" else fleet.runner(name) for name in ("i-1", "i-2")
+    ]
+    nodes = [fleet.node(), fleet.node()]
+    registries = [node.daemon.cluster_state.server_registry for node in nodes]
+    for server in servers:
+        fleet.store.remove("servers", server.server_id)
+        wait_for(lambda: all(len(registry.server_by_life) == 1 for registry in registries))
+        fleet.store.put("servers", server.server_id, server.entry())
+        wait_for(lambda: all(len(registry.server_by_life) == 2 for registry in registries))
+    for node in nodes:
+        answer = (
+            fleet.ask(node, "/look/x", f"r-{node.address}", method="GET")
+            if kind == "plain"
+            else fleet.generate(node, "a1", f"r-{node.address}")
+        )
+        assert answer.head.status == 200
+    lives = [ServerLife(server.server_id) for server in servers]
+    wait_for(
+        lambda: all(
+            len(registry.servers_of(servers[0].service)) == 2
+            and all(map(registry.is_accepting_work, lives))
+            for registry in registries
+        ),
+        within_s=8,
+    )
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -12,6 +12,7 @@
 
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.core.server_life import ServerLife
+from monsoonflow.discovery.models import DepartedServer
 from monsoonflow.fleet import codec
 from monsoonflow.fleet.gossip import Gossip
 from monsoonflow.fleet.models import (
@@ -76,7 +77,7 @@
     ("changes", "is_full"),
     [
         ({}, False),
-        ({"departed_servers": (ServerLife("i-1"),)}, True),
+        ({"departed_servers": (DepartedServer(ServerLife("i-1"), False),)}, True),
         ({"added_servers": (ServerLife("i-1"),)}, True),
     ],
 )
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -14,6 +14,7 @@
 from monsoonflow.core.adapter import AdapterRef
 from monsoonflow.core.clock import ManualClock
 from monsoonflow.core.server_life import ServerLife
+from monsoonflow.discovery.models import DepartedServer
 from monsoonflow.fleet import codec
 from monsoonflow.fleet.models import (
     AnnouncedRejection,
@@ -45,7 +46,7 @@
         ServerLife("i-1"): ServerWork(2, 100, 300, Counter({"m/a1": 2}), {1: 60, 6: 40})
     },
     retry_usage_by_service={"s": RetryUsage(10, 2)},
-    departed_servers=(ServerLife("i-9"),),
+    departed_servers=(DepartedServer(ServerLife("i-9"), True, 500),),
     versions=(RecentVersion(AdapterRef("m/a1", 3), 1_200),),
     claims=(CellLeaseClaim("s", "b", 4),),
     residency=(ResidentAdapters(ServerLife("i-1"), (AdapterRef("m/a1", 3),)),),
@@ -89,6 +90,7 @@
     expected = attrs.evolve(expected, crashes=(), quarantined_fingerprints=())
     expected = attrs.evolve(expected, parts_crashes=(), sound_parts=())
     expected = attrs.evolve(expected, unreachable_services=None)
+    expected = attrs.evolve(expected, departed_servers=(DepartedServer(ServerLife("i-9")),))
     assert codec.decode(zlib.compress(orjson.dumps(older_fields))) == expected
 
 
