Request log: on which connection a server refused a request, and after how long

server_refused named the server and the status. Whether two refusals of one request came on one connection, and whether the second came sooner than a round trip, could not be seen.

--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -216,7 +216,9 @@
             if not reply.keep(size):
                 raise BrokenAnswer(TOO_MANY_BYTES)
         if terms.not_run:
-            return Rejected(f"status {head.status}", terms.retry_after_ms, head.status == 421)
+            return Rejected(
+                f"status {head.status}", terms.retry_after_ms, head.status == 421, connection.number
+            )
         return Whole(head, terms, b"".join(pieces))
 
     def _forward_large(
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -798,7 +798,7 @@
             job.refused_ms_by_life[chosen.life] = self._clock.now_ms()
         job.retry_after_ms = result.retry_after_ms or job.retry_after_ms
         reason = result.reason
-        self._request_log.log_refused(job, chosen, reason, result.misrouted, result.retry_after_ms)
+        self._request_log.log_refused(job, chosen, result, took_ms)
         return self._retry_or_finish(job, reply, chosen, reason, took_ms, may_have_run=False)
 
     def _handle_unsent(
--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -211,11 +211,13 @@
 
     :param misrouted: it is another server than expected, or lacks the adapter version that the
         request needs.
+    :param connection: number of the connection on which it said so.
     """
 
     reason: str
     retry_after_ms: int | None = None
     misrouted: bool = False
+    connection: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -15,7 +15,7 @@
 from ..transport.server import Reply
 from .configuration_status import ConfigurationStatus
 from .job import Job
-from .models import AtLimit, AttemptResult, Call, Chosen, ForwardedRequest
+from .models import AtLimit, AttemptResult, Call, Chosen, ForwardedRequest, Rejected
 from .runner_memory import MemoryDecision
 
 _LOGGER = logging.getLogger(__name__)
@@ -221,14 +221,18 @@
             ),
         )
 
-    def log_refused(
-        self, job: Job, chosen: Chosen, cause: str, misrouted: bool, retry_after_ms: int | None
-    ) -> None:
+    def log_refused(self, job: Job, chosen: Chosen, result: Rejected, took_ms: int) -> None:
         """Log that a server refused to run a request."""
         log(
             _LOGGER,
             events.ServerRefused(
-                job.call.request_id, chosen.life, cause, misrouted, retry_after_ms
+                request=job.call.request_id,
+                server=chosen.life,
+                cause=result.reason,
+                moved=result.misrouted,
+                retry_after_ms=result.retry_after_ms,
+                took_ms=took_ms,
+                connection=result.connection,
             ),
         )
 
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -165,13 +165,16 @@
 class ServerRefused(Event):
     """A server refused a request without running it."""
 
-    # ``moved``: it is another server, or does not hold what the request needs.
+    # ``moved``: it is another server, or does not hold what the request needs. ``connection`` is the
+    # number of the connection among those that the node has opened.
 
     request: str
     server: str
     cause: str
     moved: bool
     retry_after_ms: int | None = None
+    took_ms: int | None = None
+    connection: int | None = None
 
 
 @event
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -37,9 +37,13 @@
 
 
 class ServerConnection:
-    """A connection to a server that carries one request at a time."""
+    """A connection to a server that carries one request at a time.
 
-    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+    :param number: counts the connections of a pool, for the log.
+    """
+
+    def __init__(self, sock: socket.socket, clock: Clock, number: int = 0) -> None:
+        self.number = number
         self._sock = sock
         self._clock = clock
         self._reader = AnswerReader()
@@ -211,7 +215,7 @@
             is_refused = isinstance(error, ConnectionRefusedError)
             return Lost(False, f"no connection: {type(error).__name__}", is_refused)
         self.opened_count += 1
-        return ServerConnection(sock, self.clock)
+        return ServerConnection(sock, self.clock, self.opened_count)
 
     def release(self, key: str, connection: ServerConnection, head: AnswerHead) -> None:
         """Keep a connection whose answer was read completely for reuse, or close it."""
