--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -165,8 +165,8 @@
 class ServerRefused(Event):
     """A server refused a request without running it."""
 
-    # ``moved``: it is another server, or does not hold what the request needs. ``connection`` is the
-    # number of the connection among those that the node has opened.
+    # ``moved``: it is another server, or lacks what the request needs. ``connection`` is the
+    # number of the connection on which it said so.
 
     request: str
     server: str
