Connections: no request is sent twice on one connection

A caller who came back with its id got 503 for a request that ran.

Cause: the id that comes back with an answer says whose request it is, not which sending of it. A runner refuses an attempt with 421; the node has the adapter loaded and sends the request again, on the connection that was released last. The second copy of the 421 comes there first, bears the id, and is taken for the answer: nothing ran, on to the next runner. Meanwhile the first one runs the request.

Now a connection remembers the ids that it has carried, and the pool passes over it for a request that it has carried already. On a new connection no answer to an earlier sending can come. That holds for every kind of retry, a resumed stream, a request that a peer handed over and a caller that returns, without a judgement of the answer. A connection is replaced after 512 requests, so that it need not remember more.

--- a/monsoonflow/backend/plain_http.py
+++ b/monsoonflow/backend/plain_http.py
@@ -91,12 +91,15 @@
         if fresh or tls is not None:
             connection = self.pools.open(place.netloc, tls=tls)
         else:
-            connection = self.pools.acquire(address, place.netloc)
+            connection = self.pools.acquire(address, place.netloc, request_id=call.request_id)
         if isinstance(connection, Lost):
             return connection
         try:
             connection.send(
-                _head(place.netloc, place.path, call), call.body, call.method == b"HEAD"
+                _head(place.netloc, place.path, call),
+                call.body,
+                call.method == b"HEAD",
+                call.request_id,
             )
             head = connection.read_head(self.patience())
         except (OSError, BrokenAnswer) as error:
--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -127,7 +127,8 @@
         # was answered 115 ms after the route's timeout.
         remaining_ms = self._answer_deadline_ms - self._pools.clock.now_ms()
         connect_ms = max(1, min(CONNECT_TIMEOUT_MS, remaining_ms))
-        connection = self._pools.acquire(chosen.life, chosen.address, connect_ms)
+        request_id = self._call.request_id
+        connection = self._pools.acquire(chosen.life, chosen.address, connect_ms, request_id)
         if isinstance(connection, Lost):
             return Unsent(connection.reason, connection.refused)
         is_reusable = False
@@ -145,7 +146,8 @@
             self._on_send()
             # The head holds the remaining time, so it is built only now: with the time from before
             # a connection that took 0.5 s, the server would go on working after the caller left.
-            connection.send(build_head(), self._request.body, self._request.method == b"HEAD")
+            is_head_request = self._request.method == b"HEAD"
+            connection.send(build_head(), self._request.body, is_head_request, request_id)
             answer_head, terms = self._read_matching_head(connection)
             if splitter is None or not _is_event_stream(answer_head):
                 result = self._read_whole(connection, answer_head, terms, reply)
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -36,6 +36,10 @@
 which is shared with streams."""
 
 
+MAX_REQUESTS_PER_CONNECTION: Final = 512
+"""After this many requests with an id a connection is replaced, since it remembers all of them."""
+
+
 class ServerConnection:
     """A connection to a server that carries one request at a time.
 
@@ -52,16 +56,35 @@
         self.idle_since_ms = clock.now_ms()
         self.max_idle_ms = float(DEFAULT_MAX_IDLE_MS)
         self.request_count = 0
+        self._carried_ids: set[int] = set()
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id was sent on the connection before.
+
+        A server may send its answer once more when the next one is due. The id tells whose answer
+        it is, not to which attempt: on the same connection, the second copy of a refusal would be
+        taken for the answer to the next attempt, which the server runs.
+        """
+        return hash(request_id) in self._carried_ids
 
-    def send(self, head: bytes, body: bytes, is_head_request: bool = False) -> None:
+    def send(
+        self,
+        head: bytes,
+        body: bytes,
+        is_head_request: bool = False,
+        request_id: str | None = None,
+    ) -> None:
         """Send a request.
 
+        :param request_id: the id that the answer repeats, if any.
         :param is_head_request: whether the answer has no body although it states a length.
         :raises OSError: when it can't be sent completely; the server may still have received it.
         """
         if is_head_request:
             self._reader.expect_no_body()
         self.request_count += 1
+        if request_id is not None:
+            self._carried_ids.add(hash(request_id))
         if len(body) > BACKGROUND_BODY_BYTES:
             self._sender = gevent.spawn(self._send_in_background, head, body)
             return
@@ -134,7 +157,14 @@
         caller would get them as its answer.
         """
         is_sent = self._sender is None or (self._sender.ready() and bool(self._sender.value))
-        return is_sent and not self._eof and self._reader.keep_alive and self._reader.is_clean
+        is_worn = len(self._carried_ids) >= MAX_REQUESTS_PER_CONNECTION
+        return (
+            is_sent
+            and not self._eof
+            and not is_worn
+            and self._reader.keep_alive
+            and self._reader.is_clean
+        )
 
     def is_stale(self, now_ms: int) -> bool:
         """Return whether the connection was idle for too long or received something while idle."""
@@ -178,19 +208,27 @@
         key: str,
         address: str,
         timeout_ms: int = CONNECT_TIMEOUT_MS,
+        request_id: str | None = None,
     ) -> ServerConnection | Lost:
         """Return an idle connection to the server, or a new one.
 
         :param key: identifies the server's process; another one may get its address later.
+        :param request_id: no connection that has carried this request before is returned.
         """
         now_ms = self.clock.now_ms()
-        idle = self._idle_by_key.get(key)
-        while idle:
+        idle = self._idle_by_key.get(key, deque())
+        unsuitable = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
-            if not connection.is_stale(now_ms):
-                return connection
-            connection.close()
-        return self.open(address, timeout_ms)
+            if connection.is_stale(now_ms):
+                connection.close()
+            elif request_id is not None and connection.has_carried(request_id):
+                unsuitable.append(connection)
+            else:
+                found = connection
+        idle.extend(reversed(unsuitable))
+        return found if found is not None else self.open(address, timeout_ms)
 
     def open(
         self,
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -6,13 +6,14 @@
 import time
 from collections import Counter
 from typing import Any, Final
+from weakref import WeakKeyDictionary
 
 import attrs
 import gevent
 import orjson
 
 from monsoonflow.core.clock import MonotonicClock
-from monsoonflow.transport.models import CallerLeft, Framing, MessageLimits, Request
+from monsoonflow.transport.models import CallerLeft, Framing, Header, MessageLimits, Request
 from monsoonflow.transport.server import HttpServer, Reply
 from stand_ins.raw_answers import BreakPlace, RawAnswer
 
@@ -41,6 +42,8 @@
     :param break_off: how many answers break off.
     :param break_place: where they break off.
     :param break_resets: whether that is a reset of the connection rather than a close.
+    :param second_answers: how many refusals, and answers to orders, are sent once more when the
+        next answer on their connection is due.
     :param leaving: says in all its answers that it is shutting down.
     :param rest: the delay that a refusal without work asks for, as text.
     """
@@ -65,6 +68,7 @@
     break_off: int = 0
     break_place: BreakPlace = BreakPlace.PIECE
     break_resets: bool = False
+    second_answers: int = 0
     leaving: bool = False
     rest: str | None = None
 
@@ -115,6 +119,7 @@
         self._rejected_s: list[float] = []
         self._running: set[gevent.Greenlet] = set()
         self._raw_answers: set[RawAnswer] = set()
+        self._second_answers: WeakKeyDictionary[Any, bytes] = WeakKeyDictionary()
         self._rng = random.Random(server_id)
         self._port = HttpServer(address, self._handle, MessageLimits, MonotonicClock())
 
@@ -183,7 +188,23 @@
     def _born(self) -> dict[str, int]:
         return {} if self.born is None else {"born": self.born}
 
+    def _refuse(self, request: Request, reply: Reply, status: int, *headers: Header) -> None:
+        self._send_twice(reply, status, [*self._headers(request, signed=False), *headers])
+
+    def _send_twice(self, reply: Reply, status: int, headers: list[Header]) -> None:
+        """Send an answer without a body, and keep a second copy if there is such a fault."""
+        reply.send_whole(status, headers)
+        if self.faults.second_answers > 0:
+            self.faults.second_answers -= 1
+            head = b"HTTP/1.1 %d Again\r\n" % status
+            lines = [*headers, (b"Content-Length", b"0"), (b"Keep-Alive", b"timeout=15")]
+            copy = head + b"".join(b"%s: %s\r\n" % header for header in lines) + b"\r\n"
+            self._second_answers[reply._connection] = copy  # noqa: SLF001
+
     def _handle(self, request: Request, reply: Reply) -> None:
+        second_answer = self._second_answers.pop(reply._connection, b"")  # noqa: SLF001
+        if second_answer:
+            reply._connection.send(second_answer)  # noqa: SLF001
         expected = request.value(b"x-expect-instance")
         if expected is not None and expected.decode() != self.server_id:
             reply.send_whole(421, self._headers(request, signed=False))
@@ -204,8 +225,9 @@
         faults = self.faults
         if faults.shed > 0:
             faults.shed -= 1
-            headers = self._headers(request, signed=False) + self._rest_headers(request)
-            reply.send_whole(503, [*headers, (b"X-Not-Executed", b"1")])
+            self._refuse(
+                request, reply, 503, *self._rest_headers(request), (b"X-Not-Executed", b"1")
+            )
             return
         if faults.shed_silently > 0:
             faults.shed_silently -= 1
@@ -355,7 +377,7 @@
             return True
         if request.target == b"/v1/order":
             status = self._order(orjson.loads(request.body))
-            reply.send_whole(status, self._leaving_headers(request))
+            self._send_twice(reply, status, self._leaving_headers(request))
             return True
         return False
 
@@ -391,12 +413,10 @@
         expected = request.value(b"x-expect-version")
         held = self.adapters.get(adapter)
         if adapter and (held is None or (expected is not None and int(expected) != held)):
-            reply.send_whole(421, self._headers(request, signed=False))
+            self._refuse(request, reply, 421)
             return
         if not self._waits_its_turn(request, adapter):
-            reply.send_whole(
-                503, [*self._headers(request, signed=False), (b"X-Not-Executed", b"1")]
-            )
+            self._refuse(request, reply, 503, (b"X-Not-Executed", b"1"))
             return
         super()._run(request, reply)
 
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -28,7 +28,13 @@
     clock: ManualClock
     timeouts_ms: list[int] = attrs.Factory(list)
 
-    def acquire(self, key: str, address: str, timeout_ms: int = CONNECT_TIMEOUT_MS) -> Lost:
+    def acquire(
+        self,
+        key: str,
+        address: str,
+        timeout_ms: int = CONNECT_TIMEOUT_MS,
+        request_id: str | None = None,
+    ) -> Lost:
         """Fail to connect, and record the timeout."""
         self.timeouts_ms.append(timeout_ms)
         return Lost(False, "no connection")
@@ -44,14 +50,24 @@
     closed: bool = False
 
     def acquire(
-        self, key: str, address: str, timeout_ms: int = CONNECT_TIMEOUT_MS
+        self,
+        key: str,
+        address: str,
+        timeout_ms: int = CONNECT_TIMEOUT_MS,
+        request_id: str | None = None,
     ) -> SlowConnection:
         """Return the connection as late as after one lost packet."""
         self.clock.advance(450)
         self.while_connecting()
         return self
 
-    def send(self, head: bytes, body: bytes, is_head_request: bool = False) -> None:
+    def send(
+        self,
+        head: bytes,
+        body: bytes,
+        is_head_request: bool = False,
+        request_id: str | None = None,
+    ) -> None:
         """Record what is sent."""
         self.sent.append(head)
         raise OSError("no answer is needed")
--- a/tests/gateway/test_server_notices.py
+++ b/tests/gateway/test_server_notices.py
@@ -29,15 +29,16 @@
     heads: list[AnswerHead]
     pieces: list[bytes]
     breaks_off: bool = False
+    number: int = 1
 
-    def acquire(self, key, address, timeout_ms):
+    def acquire(self, key, address, timeout_ms, request_id=None):
         """Return the connection."""
         return self
 
     def release(self, key, connection, head):
         """Accept the connection back."""
 
-    def send(self, head, body, is_head_request=False):
+    def send(self, head, body, is_head_request=False, request_id=None):
         """Accept the request."""
 
     def read_head(self, until_ms):
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -10,7 +10,12 @@
 from gevent.server import StreamServer
 
 from monsoonflow.core.clock import MonotonicClock
-from monsoonflow.transport.client import Answer, ConnectionPools, call
+from monsoonflow.transport.client import (
+    MAX_REQUESTS_PER_CONNECTION,
+    Answer,
+    ConnectionPools,
+    call,
+)
 from monsoonflow.transport.models import BrokenAnswer, Lost
 from monsoonflow.transport.sockets import is_readable
 
@@ -250,3 +255,28 @@
     answer = call(pools, serve(handle), "GET", "/x", b"", 300, body_gap_ms=gap_ms)
     assert isinstance(answer, Lost)
     assert MonotonicClock().now_ms() - started_ms < within_ms
+
+
+def test_a_request_is_not_sent_twice_on_one_connection(serve):
+    """Its first answer could come once more, and be taken for the answer to the second attempt."""
+    pools = ConnectionPools(MonotonicClock())
+    address = serve(lambda _: gevent.sleep(5))
+    first = pools.acquire("s", address, request_id="r")
+    first.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", b"", request_id="r")
+    second = pools.acquire("s", address, request_id="other")
+    for connection in (second, first):
+        pools.add_idle("s", connection)
+    assert pools.acquire("s", address, request_id="r") is second
+    assert pools.acquire("s", address, request_id="r") not in (first, second)
+    assert pools.acquire("s", address, request_id="next") is first
+
+
+def test_a_connection_is_replaced_before_it_has_too_many_requests_to_remember(serve):
+    connection = ConnectionPools(MonotonicClock()).acquire("s", serve(lambda _: gevent.sleep(5)))
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    connection._reader.feed(answer)  # noqa: SLF001
+    connection.read_piece(0)
+    for number in range(MAX_REQUESTS_PER_CONNECTION):
+        assert connection.is_reusable()
+        connection.send(b"", b"", request_id=f"r{number}")
+    assert not connection.is_reusable()
