--- a/monsoonflow/entry/stopping.py
+++ b/monsoonflow/entry/stopping.py
@@ -47,6 +47,7 @@
         or daemon.cell_leases.holds_any()
     ):
         daemon.tasks.sleep(CHECK_INTERVAL_MS)
+    daemon.gateway.log_unfinished()
     log(
         _LOGGER,
         events.Stopped(
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -21,6 +21,7 @@
 from ..transport.client import ConnectionPools
 from ..transport.models import CallerLeft, Framing, Header, Request
 from ..transport.server import Reply
+from .active_requests import ActiveRequests
 from .attempt import NOT_RUN_STATUSES, Attempt
 from .backlog import Backlog
 from .configuration_status import ConfigurationStatus
@@ -171,6 +172,7 @@
         self._typical_timeouts = TypicalCallerTimeouts()
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
+        self.active_requests = ActiveRequests()
         self.forwarded_count = 0
 
     def handle(self, request: Request, reply: Reply) -> None:
@@ -191,6 +193,11 @@
             self.forwarded_count -= 1
         return True
 
+    def log_unfinished(self) -> None:
+        """Log the requests that are not answered when the process ends."""
+        for active in self.active_requests:
+            self._request_log.log_unfinished(active)
+
     def _handle(self, request: Request, reply: Reply, handover: Handover | None) -> None:
         call = self._dialect.read_call(request)
         if isinstance(call, Malformed):
@@ -247,6 +254,7 @@
         self._request_log.log_accepted(job, route_table.version)
         if not job.is_forwarded:
             self._retry_budget.record_request(service.name)
+        active = self.active_requests.begin(job, reply)
         try:
             if self._refuse_if_too_large(job, reply):
                 return
@@ -256,6 +264,7 @@
             self._request_log.log_ended(job, reply, "caller_left")
             raise
         finally:
+            self.active_requests.end(active)
             self._release_turn(job)
             if job.is_trial and not job.has_reached_server:
                 self._quarantine.return_trial(job.traits)
@@ -449,11 +458,11 @@
             self._refuse_unready(reply, job.call, "no server can be reached", is_forwarded=True)
             self._request_log.log_ended(job, reply, "refused", "no server can be reached")
             return True
-        result = (
-            None
-            if job.is_forwarded
-            else self._forwarding.forward(job, reply, lambda: self._use_reserved_retry(job))
-        )
+        result = None
+        if not job.is_forwarded:
+            job.is_at_server = True
+            result = self._forwarding.forward(job, reply, lambda: self._use_reserved_retry(job))
+            job.is_at_server = False
         match result:
             case Passed():
                 job.has_reached_server = True
@@ -555,10 +564,12 @@
             lambda: self._record_more_events(job, chosen),
         )
         result: AttemptResult | None = None
+        job.is_at_server = True
         try:
             result = attempt.send(
                 chosen, lambda: self._build_head(job, chosen), reply, job.splitter
             )
+            job.is_at_server = False
             return result
         finally:
             if result is None:
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -70,6 +70,7 @@
     :param config_version: of the configuration by which it was routed.
     :param is_forwarded: whether a peer that does not reach the servers has forwarded it.
     :param tried_peers: the peers that it was forwarded to, in order.
+    :param is_at_server: whether an attempt is in progress.
     :param software_version: of the servers that may go on with its stream; ``None`` for any.
     :param only_life: the only server that may go on with its stream, since the software version of
         the first one is unknown; ``None`` for any.
@@ -112,6 +113,7 @@
     config_version: int = 0
     is_forwarded: bool = False
     tried_peers: list[str] = attrs.Factory(list)
+    is_at_server: bool = False
     software_version: str | None = None
     only_life: ServerLife | None = None
 
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -13,6 +13,7 @@
 from ..routing.quota import OverQuota
 from ..routing.routes import Route, RouteKind
 from ..transport.server import Reply
+from .active_requests import ActiveRequest
 from .configuration_status import ConfigurationStatus
 from .job import Job
 from .models import AtLimit, AttemptResult, Call, Chosen, ForwardedRequest, Rejected
@@ -197,6 +198,22 @@
             ),
         )
 
+    def log_unfinished(self, active: ActiveRequest) -> None:
+        """Log a request that is not answered when the process ends."""
+        job = active.job
+        log(
+            _LOGGER,
+            events.RequestUnfinished(
+                request=job.call.request_id,
+                route=job.route.name,
+                adapter=job.call.adapter,
+                state=active.state(),
+                took_ms=self._clock.now_ms() - job.request.arrived_ms,
+                left_ms=job.answer_deadline_ms - self._clock.now_ms(),
+                tried=",".join(job.tried_lives) or None,
+            ),
+        )
+
     def log_sent(self, job: Job, chosen: Chosen, forwarded: ForwardedRequest) -> None:
         """Log that a request is being sent to a server."""
         last_event_id = forwarded.last_event_id
--- a/monsoonflow/logs/events/requests.py
+++ b/monsoonflow/logs/events/requests.py
@@ -267,6 +267,19 @@
     usage_age_ms: int | None
 
 
+@event
+class RequestUnfinished(Event):
+    """A request is not answered when the process ends; ``state`` is what it does at that moment."""
+
+    request: str
+    route: str
+    adapter: str | None
+    state: str
+    took_ms: int
+    left_ms: int
+    tried: str | None
+
+
 @event
 class RequestEnded(Event):
     """A request ended at this node; ``tried`` lists the servers that it was sent to."""
