Stop: requests that wait in a stopping node are answered before it ends

Cause: each wait in a node is bounded by the request's own time; nothing told it that the process ends sooner.

One deadline decides now, the earlier of the request's and the moment at which the last answers can be written. It is given to all requests when the stop begins, those of peers included, and to those that come later. A request is refused, here or on arrival, once most answers of its route would not be complete in time (the route's observed answers, its objective before there are any); the holder of its cell is asked for a place within that time. At the end, whatever has got no part of an answer is answered: 503 with a time to come back if nothing was sent to a server, else 502 or 504. A request that can still be served is served.

--- a/monsoonflow/entry/placement_client.py
+++ b/monsoonflow/entry/placement_client.py
@@ -176,7 +176,7 @@
         until_ms = began_ms + int((job.answer_deadline_ms - began_ms) * SLOT_WAIT_SHARE)
         if not job.is_resuming():
             until_ms = min(until_ms, self._slot_useful_until_ms(call, route, job))
-        while (left_ms := until_ms - clock.now_ms()) > 0:
+        while (left_ms := self._waits_until_ms(route, until_ms) - clock.now_ms()) > 0:
             runners = self._usable_runners(service, job)
             if job.needs_software_version() and not runners:
                 return no_server_of_version(job)
@@ -198,6 +198,11 @@
                 return chosen
         return NoServer("no slot for the adapter in time", REFUSED_RETRY_AFTER_MS)
 
+    def _waits_until_ms(self, route: Route, until_ms: int) -> int:
+        """Return until when a request may wait, as a stop of this process may begin meanwhile."""
+        last_send_ms = self._daemon.gateway.stop_deadline.last_send_ms(route)
+        return until_ms if last_send_ms is None else min(until_ms, last_send_ms)
+
     def _slot_useful_until_ms(self, call: Call, route: Route, job: Job) -> int:
         """Return until when a slot still allows a first event before the caller leaves.
 
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -11,6 +11,7 @@
 from ..quarantine.fingerprint import fingerprint
 from ..quarantine.models import RequestTraits, Turn
 from ..quarantine.parts import HARDLY_BEGUN_MS
+from ..routing.answer_times import AnswerTimes
 from ..routing.caller_timeouts import TypicalCallerTimeouts
 from ..routing.customer_usage import CustomerUsage
 from ..routing.customers import Identity, Unauthorized
@@ -66,6 +67,7 @@
 )
 from .request_log import RequestLog
 from .runner_memory import RunnerMemory
+from .stop_deadline import NodeStopping, StopDeadline
 
 NOT_READY_RETRY_AFTER_MS: Final = 300
 """When a caller may retry at a node that has no configuration yet: it usually has one by then."""
@@ -90,6 +92,7 @@
 """When a caller may retry a quarantined request."""
 
 END_UNKNOWN: Final = "the server marked no end"
+STOPPING: Final = "this node is stopping"
 
 MAX_VERSION_SEARCH_MS: Final = 500
 """Longest wait for peers that may know which software version began a stream."""
@@ -173,6 +176,8 @@
         self.first_event_estimator = FirstEventEstimator()
         self.accepts_requests = True
         self.active_requests = ActiveRequests()
+        self._answer_times = AnswerTimes()
+        self.stop_deadline = StopDeadline(clock, self.active_requests, self._answer_times)
         self.forwarded_count = 0
 
     def handle(self, request: Request, reply: Reply) -> None:
@@ -205,7 +210,7 @@
             return
         route_table = self._route_table()
         if not self.accepts_requests or route_table is None:
-            cause = "no configuration yet" if self.accepts_requests else "this node is stopping"
+            cause = "no configuration yet" if self.accepts_requests else STOPPING
             self._refuse_unready(reply, call, cause, is_forwarded=handover is not None)
             return
         route = route_table.match(call.host, call.path)
@@ -216,6 +221,9 @@
         if isinstance(identity, Unauthorized):
             self._refuse_unauthorized(reply, call, route, identity, route_table.version)
             return
+        if self.stop_deadline.is_too_late(route):
+            self._refuse_unready(reply, call, STOPPING, is_forwarded=handover is not None)
+            return
         self._accept(request, reply, call, route_table, route, identity, handover)
 
     def _accept(
@@ -254,6 +262,10 @@
         self._request_log.log_accepted(job, route_table.version)
         if not job.is_forwarded:
             self._retry_budget.record_request(service.name)
+        self._serve_and_release(job, reply)
+
+    def _serve_and_release(self, job: Job, reply: Reply) -> None:
+        """Answer a request, and give back what was reserved for it, however it ends."""
         active = self.active_requests.begin(job, reply)
         try:
             if self._refuse_if_too_large(job, reply):
@@ -263,13 +275,16 @@
         except CallerLeft:
             self._request_log.log_ended(job, reply, "caller_left")
             raise
+        except NodeStopping:
+            job.possible_runs += job.is_at_server
+            self._finish_unserved(job, reply, STOPPING, NOT_READY_RETRY_AFTER_MS)
         finally:
             self.active_requests.end(active)
             self._release_turn(job)
             if job.is_trial and not job.has_reached_server:
                 self._quarantine.return_trial(job.traits)
             if job.has_reserved_retry:
-                self._retry_budget.release_retry(service.name)
+                self._retry_budget.release_retry(job.service.name)
             if job.quota_cost and not job.has_reached_server:
                 self._quotas.give_back(job.identity.customer, job.quota_cost)
 
@@ -350,6 +365,8 @@
         )
         if route.kind is RouteKind.STREAM:
             job.splitter = EventSplitter(call.last_event_id)
+        if self.stop_deadline.end_ms is not None:
+            job.end_by(self.stop_deadline.end_ms)
         return job
 
     def _refuse_if_too_large(self, job: Job, reply: Reply) -> bool:
@@ -661,6 +678,8 @@
         if ticket.is_awaiting_first_event and isinstance(result, Abandoned | TimedOut | Recalled):
             self._backlog.record_missing_first_event(chosen, now_ms - sent_ms, now_ms)
         self._in_flight.end(ticket)
+        if isinstance(result, Passed | Whole):
+            self._answer_times.record(job.route.name, now_ms - sent_ms)
         self._runner_memory.record_result(job, result, now_ms - sent_ms)
         if not isinstance(result, Rejected | Unsent | AtLimit | Withheld):
             job.has_reached_server = True
--- a/monsoonflow/gateway/job.py
+++ b/monsoonflow/gateway/job.py
@@ -128,6 +128,10 @@
         """Return whether an attempt may have run on a server."""
         return self.possible_runs > 0
 
+    def end_by(self, end_ms: int) -> None:
+        """Bound the time of the request by the end of the process."""
+        self.answer_deadline_ms = min(self.answer_deadline_ms, end_ms)
+
     def objective_deadline_ms(self) -> int:
         """Return the time until which a first event meets the route's latency objective."""
         return self.first_tried_ms + self.route.objective_ms
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -181,18 +181,33 @@
         ]
         pools = ConnectionPools(MonotonicClock())
         answer = call(
-            pools, node.address, method, target, body, 5_000, tuple(sent_headers), host=HOST
+            pools,
+            node.address,
+            method,
+            target,
+            body,
+            max(5_000, deadline_ms),
+            tuple(sent_headers),
+            host=HOST,
         )
         assert isinstance(answer, Answer), answer
         return answer
 
-    def generate(self, node: Node, adapter: str, request_id: str, path: str = "read") -> Answer:
+    def generate(
+        self,
+        node: Node,
+        adapter: str,
+        request_id: str,
+        path: str = "read",
+        deadline_ms: int = 2_000,
+    ) -> Answer:
         """Send a request for a generation with an adapter."""
         return self.ask(
             node,
             f"/{path}/x",
             request_id,
             b"prompt",
+            deadline_ms=deadline_ms,
             X_Model=f"{MODEL}/{adapter}",
             X_Token_Count="100,20",
         )
