Transport: bytes without end block nothing and fill no memory

One server that sends without pause made its node deaf and filled its memory: a call of 1.5 s held hundreds of megabytes and let no other task run for a second, one for a configuration went on for 8 s with gigabytes. Trailer fields and chunk extensions of servers and callers were read for as long as they came, a byte now and then kept a caller's connection for ever, and a refused caller that went on sending was read without end as well.

Nothing bounded the bytes of a body, of a trailer or of a chunk's extension; and a socket that always has data never lets another task run.

Bodies of control calls, late answers to other requests and what comes beside a body in a row have bounds in bytes now, and a request has a time for its head and for its body by what has arrived of it. A task that has read for 5 ms lets others run, by a pause that is not zero: gevent serves neither timers nor sockets in one of zero. A bound that is exceeded closes the connection, counts against the server as a broken answer does, and is logged (too_many_bytes) and counted (answers_too_long).

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -602,6 +602,11 @@
             "Callers cut off since they read too slowly.",
             lambda: answers.ended_count,
         )
+        gauge(
+            "answers_too_long",
+            "Answers of servers that were given up since they exceeded a bound.",
+            lambda: self.connection_pools.too_many_bytes_count,
+        )
         gauge(
             "bodies_refused",
             "Requests refused since too many bytes are held.",
--- a/monsoonflow/entry/peers.py
+++ b/monsoonflow/entry/peers.py
@@ -12,6 +12,7 @@
 from ..logs import events, log
 from ..routing.routes import RouteTable
 from ..transport.client import Answer, ConnectionPools, call
+from ..transport.const import MAX_LARGE_CALL_BYTES
 from ..transport.models import Lost, Request
 from ..transport.server import Reply
 from .cluster_state import ClusterState
@@ -70,6 +71,7 @@
             timeout_ms,
             ACCEPT_DEFLATE,
             body_gap_ms=timeout_ms,
+            max_bytes=MAX_LARGE_CALL_BYTES,
         )
 
     def _fetch(self, address: str, path: str) -> bytes | None:
--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -189,10 +189,15 @@
                 return head, terms
             if terms.request_id is None:
                 break
-            while connection.read_piece(self._response_deadline_ms) is not None:
-                pass
+            self._drop_body(connection)
         raise BrokenAnswer("the answer belongs to another request")
 
+    def _drop_body(self, connection: ServerConnection) -> None:
+        size = 0
+        while (piece := connection.read_piece(self._response_deadline_ms)) is not None:
+            size += len(piece)
+            connection.check_size(size, REPLY_BUFFER_BYTES, "an answer to another request")
+
     def _read_whole(
         self,
         connection: ServerConnection,
--- a/monsoonflow/logs/events/__init__.py
+++ b/monsoonflow/logs/events/__init__.py
@@ -105,6 +105,7 @@
     LogLinesDropped,
     NotBound,
     SlowCallerEnded,
+    TooManyBytes,
 )
 
 __all__ = [
@@ -182,6 +183,7 @@
     "Stopping",
     "StoreLost",
     "StoreReturned",
+    "TooManyBytes",
     "TryFailed",
     "UnreadableDatagram",
     "UnusableCustomerUsage",
--- a/monsoonflow/logs/events/transport.py
+++ b/monsoonflow/logs/events/transport.py
@@ -16,6 +16,15 @@
     cause: str
 
 
+@event
+class TooManyBytes(Event):
+    """A server sent more than ``bound`` allows, maybe without end; the connection is closed."""
+
+    address: str
+    bound: str
+    max_bytes: int
+
+
 @event
 class SlowCallerEnded(Event):
     """A caller that reads too slowly was cut off, since too many bytes of answers are held."""
--- a/monsoonflow/platform/store.py
+++ b/monsoonflow/platform/store.py
@@ -27,6 +27,7 @@
     Unavailable,
 )
 from ..transport.client import Answer, ConnectionPools, ServerConnection, call
+from ..transport.const import MAX_LARGE_CALL_BYTES
 from ..transport.models import Lost
 from .store_era import StoreEra, generation_of, number_of, row_version
 
@@ -273,6 +274,7 @@
             headers,
             on_acquired=on_connection,
             body_gap_ms=body_gap_ms,
+            max_bytes=MAX_LARGE_CALL_BYTES,
         )
         if isinstance(answer, Lost):
             return answer
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import ssl
 from collections import deque
 from collections.abc import Callable
@@ -12,11 +13,13 @@
 from gevent import socket
 
 from ..core.clock import Clock
+from ..logs import events, log
 from .codec import AnswerReader
-from .const import CONNECT_TIMEOUT_MS, READ_BYTES
-from .models import AnswerHead, BrokenAnswer, Header, Lost
-from .sockets import connect, is_readable, split_address
+from .const import CONNECT_TIMEOUT_MS, MAX_CALL_BYTES, READ_BYTES
+from .models import AnswerHead, BrokenAnswer, Header, Lost, TooManyBytes
+from .sockets import Turns, connect, is_readable, split_address
 
+_LOGGER = logging.getLogger(__name__)
 DEFAULT_MAX_IDLE_MS: Final = 4_000
 """Longest idle time where the server states none: less than the typical timeout of 5 s."""
 
@@ -44,13 +47,22 @@
     """A connection to a server that carries one request at a time.
 
     :param number: counts the connections of a pool, for the log.
+    :param on_too_many_bytes: called when the server sends more than a bound allows.
     """
 
-    def __init__(self, sock: socket.socket, clock: Clock, number: int = 0) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        clock: Clock,
+        number: int = 0,
+        on_too_many_bytes: Callable[[TooManyBytes], None] = lambda _error: None,
+    ) -> None:
         self.number = number
+        self._on_too_many_bytes = on_too_many_bytes
         self._sock = sock
         self._clock = clock
         self._reader = AnswerReader()
+        self._turns = Turns()
         self._sender: gevent.Greenlet | None = None
         self._eof = False
         self.idle_since_ms = clock.now_ms()
@@ -129,6 +141,17 @@
         pieces.clear()
         return data
 
+    def check_size(self, size: int, max_bytes: int, bound: str) -> None:
+        """Check the size of what has been read so far.
+
+        :param bound: what is bounded; only logged.
+        :raises TooManyBytes: when it is larger than the server may send.
+        """
+        if size > max_bytes:
+            error = TooManyBytes(bound, max_bytes)
+            self._on_too_many_bytes(error)
+            raise error
+
     def _receive(self, deadline_ms: int) -> None:
         if self._eof:
             raise BrokenAnswer("the connection ended inside the answer")
@@ -138,7 +161,12 @@
         self._sock.settimeout(remaining_ms / 1000)
         data = self._sock.recv(READ_BYTES)
         if data:
-            self._reader.feed(data)
+            try:
+                self._reader.feed(data)
+            except TooManyBytes as error:
+                self._on_too_many_bytes(error)
+                raise
+            self._turns.record_read(len(data))
             return
         self._eof = True
         self._reader.handle_eof()
@@ -196,11 +224,13 @@
 
     :param max_idle: maximum number of idle connections per server.
     :param opened_count: connections opened since the start.
+    :param too_many_bytes_count: answers that exceeded a bound since the start.
     """
 
     clock: Clock
     max_idle: int = 64
     opened_count: int = 0
+    too_many_bytes_count: int = 0
     _idle_by_key: dict[str, deque[ServerConnection]] = attrs.Factory(dict)
 
     def acquire(
@@ -253,7 +283,19 @@
             is_refused = isinstance(error, ConnectionRefusedError)
             return Lost(False, f"no connection: {type(error).__name__}", is_refused)
         self.opened_count += 1
-        return ServerConnection(sock, self.clock, self.opened_count)
+        return ServerConnection(
+            sock,
+            self.clock,
+            self.opened_count,
+            lambda error: self._record_too_many_bytes(address, error),
+        )
+
+    def _record_too_many_bytes(self, address: str, error: TooManyBytes) -> None:
+        self.too_many_bytes_count += 1
+        log(
+            _LOGGER,
+            events.TooManyBytes(address=address, bound=error.bound, max_bytes=error.max_bytes),
+        )
 
     def release(self, key: str, connection: ServerConnection, head: AnswerHead) -> None:
         """Keep a connection whose answer was read completely for reuse, or close it."""
@@ -315,6 +357,7 @@
     host: str | None = None,
     on_acquired: Callable[[ServerConnection], None] = lambda _: None,
     body_gap_ms: int | None = None,
+    max_bytes: int = MAX_CALL_BYTES,
 ) -> Answer | Lost:
     """Send one control request and return its complete answer.
 
@@ -322,6 +365,7 @@
     :param body_gap_ms: how long nothing of the answer's body may be received; the call then takes
         longer than its timeout while a large body is still being received, up to
         ``MAX_BODY_TIME_MS``. ``None``: the timeout is for the whole answer.
+    :param max_bytes: largest body that is read.
     """
     deadline_ms = pools.clock.now_ms() + timeout_ms
     connection = pools.acquire(address, address, timeout_ms=min(timeout_ms, CONNECT_TIMEOUT_MS))
@@ -335,7 +379,7 @@
     try:
         connection.send(b"\r\n".join(lines) + b"\r\n\r\n", body)
         head = connection.read_head(deadline_ms)
-        body = _read_body(connection, deadline_ms, body_gap_ms, pools.clock)
+        body = _read_body(connection, deadline_ms, body_gap_ms, pools.clock, max_bytes)
     except (OSError, BrokenAnswer) as error:
         connection.close()
         return Lost(True, f"{type(error).__name__}: {error}")
@@ -347,13 +391,20 @@
 
 
 def _read_body(
-    connection: ServerConnection, deadline_ms: int, gap_ms: int | None, clock: Clock
+    connection: ServerConnection,
+    deadline_ms: int,
+    gap_ms: int | None,
+    clock: Clock,
+    max_bytes: int,
 ) -> bytes:
     """Return the body of an answer whose head was read."""
     pieces = []
+    size = 0
     last_deadline_ms = clock.now_ms() + MAX_BODY_TIME_MS
     while (piece := connection.read_piece(deadline_ms)) is not None:
         pieces.append(piece)
+        size += len(piece)
+        connection.check_size(size, max_bytes, "the body")
         if gap_ms is not None:
             deadline_ms = max(deadline_ms, min(clock.now_ms() + gap_ms, last_deadline_ms))
     return b"".join(pieces)
--- a/monsoonflow/transport/codec.py
+++ b/monsoonflow/transport/codec.py
@@ -8,7 +8,12 @@
 
 import httptools
 
-from .const import MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS
+from .const import (
+    MAX_ANSWER_HEAD_BYTES,
+    MAX_FRAMING_BYTES,
+    MAX_INTERIM_ANSWERS,
+    MIN_BODY_BYTES_PER_S,
+)
 from .models import (
     AnswerHead,
     BadMessage,
@@ -17,6 +22,7 @@
     IncomingAnswer,
     MessageLimits,
     Request,
+    TooManyBytes,
 )
 
 BODILESS_STATUSES: Final = frozenset({204, 304})
@@ -51,6 +57,7 @@
         self._headers: list[Header] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._framing_bytes = 0
         self._arrived_ms = 0
 
     @property
@@ -58,6 +65,13 @@
         """Return whether a request has begun whose head is incomplete."""
         return self.has_begun and not self._is_head_complete
 
+    def deadline_ms(self) -> int:
+        """Return when the request that has begun must be complete, as far as it has arrived."""
+        if not self._is_head_complete:
+            return self._arrived_ms + self.limits.head_ms
+        body_ms = self._body_bytes * 1000 // MIN_BODY_BYTES_PER_S
+        return self._arrived_ms + self.limits.head_ms + self.limits.idle_ms + body_ms
+
     def feed(self, data: bytes, now_ms: int) -> None:
         """Parse received bytes.
 
@@ -65,6 +79,7 @@
         """
         self._now_ms = now_ms
         was_in_head = not self._is_head_complete
+        body_bytes = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -75,6 +90,10 @@
             self._head_bytes += len(data)
             if self._head_bytes > self.limits.head_bytes:
                 self._error = BadMessage(431, "the head is too large")
+        has_progressed = was_in_head or self._body_bytes != body_bytes or not self.has_begun
+        self._framing_bytes = 0 if has_progressed else self._framing_bytes + len(data)
+        if self._error is None and self._framing_bytes > self.limits.head_bytes:
+            self._error = BadMessage(431, "too many bytes beside the body")
         if self._error is not None:
             raise self._error
 
@@ -176,9 +195,12 @@
         self.has_begun = False
         self.keep_alive = False
         self.error: str | None = None
+        self._too_many: TooManyBytes | None = None
         self._is_head_request = False
         self._interim_count = 0
         self._head_bytes = 0
+        self._framing_bytes = 0
+        self._has_progressed = False
         self._parser = httptools.HttpResponseParser(self)
         self._reason = b""
         self._headers: list[Header] = []
@@ -197,6 +219,7 @@
             raise BrokenAnswer(self.error)
         if not self._is_head_complete:
             self._head_bytes += len(data)
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -204,9 +227,15 @@
         except httptools.HttpParserError as error:
             self.error = str(error)
         if not self._is_head_complete and self._head_bytes > MAX_ANSWER_HEAD_BYTES + len(data):
-            self.error = "the head exceeds the size limit"
+            self._too_many = TooManyBytes("the head", MAX_ANSWER_HEAD_BYTES)
+        is_framing = self._is_head_complete and not self._has_progressed
+        self._framing_bytes = self._framing_bytes + len(data) if is_framing else 0
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._too_many = TooManyBytes("what is sent beside the body", MAX_FRAMING_BYTES)
+        if self._too_many is not None:
+            self.error = str(self._too_many)
         if self.error is not None and not (self.answers and self.answers[0].is_complete):
-            raise BrokenAnswer(self.error)
+            raise self._too_many or BrokenAnswer(self.error)
 
     def handle_eof(self) -> None:
         """Handle an orderly close of the connection; it completes an answer without a length."""
@@ -240,6 +269,7 @@
     def on_headers_complete(self) -> None:
         """Handle the end of the head."""
         self._is_head_complete = True
+        self._has_progressed = True
         self._head_bytes = 0
         status = self._parser.get_status_code()
         if 100 <= status < 200:
@@ -258,6 +288,7 @@
 
     def on_body(self, piece: bytes) -> None:
         """Handle a part of the body."""
+        self._has_progressed = True
         if self.answers and not self.answers[-1].is_complete:
             self.answers[-1].pieces.append(piece)
 
--- a/monsoonflow/transport/const.py
+++ b/monsoonflow/transport/const.py
@@ -13,6 +13,27 @@
 MAX_ANSWER_HEAD_BYTES: Final = 65_536
 """Maximum size of an answer's head; a server that sends more is faulty."""
 
+MAX_FRAMING_BYTES: Final = 65_536
+"""Maximum bytes of chunk extensions or trailer fields in a row; nobody needs any of them."""
+
+MAX_CALL_BYTES: Final = 1 << 20
+"""Maximum body of the answer to an ordinary control call: a runner's report lists a few hundred
+adapters."""
+
+MAX_LARGE_CALL_BYTES: Final = 8 << 20
+"""The same for what may be large: pages of the store, configurations and snapshots of peers."""
+
+TURN_BYTES: Final = 131_072
+TURN_S: Final = 0.005
+"""A task lets others run when it has read this much and for this long: a socket that always has
+data would never let them."""
+
+TURN_PAUSE_S: Final = 0.000_01
+"""A pause of zero would let other ready tasks run, but neither timers nor sockets be served."""
+
+MIN_BODY_BYTES_PER_S: Final = 4_096
+"""A caller whose body arrives more slowly than this, after its first seconds, is refused."""
+
 USER_TIMEOUT_MS: Final = 2_500
 """Time without acknowledgement after which the kernel drops a connection (TCP_USER_TIMEOUT).
 
@@ -45,6 +66,10 @@
 Closing with unread bytes sends a reset, which may overtake the answer.
 """
 
+MAX_LINGER_MS: Final = 1_000
+MAX_LINGER_BYTES: Final = 1 << 20
+"""Bounds of the same for a caller that goes on sending."""
+
 LISTEN_BACKLOG: Final = 1_024
 
 MAX_INTERIM_ANSWERS: Final = 8
--- a/monsoonflow/transport/models.py
+++ b/monsoonflow/transport/models.py
@@ -146,6 +146,18 @@
     """Raised when a server's answer is invalid or incomplete."""
 
 
+class TooManyBytes(BrokenAnswer):
+    """Raised when a server sends more than a bound allows, maybe without end.
+
+    :ivar bound: what was exceeded.
+    """
+
+    def __init__(self, bound: str, max_bytes: int) -> None:
+        super().__init__(f"{bound} exceeds {max_bytes} bytes")
+        self.bound = bound
+        self.max_bytes = max_bytes
+
+
 class CallerLeft(BaseException):
     """Raised in a handler whose caller has closed the connection.
 
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -18,6 +18,8 @@
 from .const import (
     LINGER_MS,
     LISTEN_BACKLOG,
+    MAX_LINGER_BYTES,
+    MAX_LINGER_MS,
     MAX_PENDING_BYTES,
     READ_BYTES,
     SEND_BUFFER_BYTES,
@@ -25,7 +27,7 @@
 )
 from .held_bytes import HeldBytes
 from .models import BadMessage, CallerLeft, Header, MessageLimits, Request
-from .sockets import FLUSH_AT_CLOSE, RESET_AT_CLOSE, set_socket_options, split_address
+from .sockets import FLUSH_AT_CLOSE, RESET_AT_CLOSE, Turns, set_socket_options, split_address
 
 _LOGGER = logging.getLogger(__name__)
 IDLE_CHECK_INTERVAL_S = 0.02
@@ -190,6 +192,7 @@
         self._sender: gevent.Greenlet | None = None
         self._close_after_answer = False
         self._pending = b""
+        self._turns = Turns()
         self._is_closed = False
 
     def serve(self) -> None:
@@ -347,6 +350,7 @@
             if not data:
                 return None
             reader.feed(data, self._http_server.clock.now_ms())
+            self._turns.record_read(len(data))
             if reader.wants_continue and not reader.complete_requests:
                 reader.wants_continue = False
                 self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -355,7 +359,10 @@
     def _read(self) -> bytes:
         reader = self._reader
         has_begun = reader.has_begun
-        timeout_ms = reader.limits.head_ms if has_begun else reader.limits.idle_ms + 1_000
+        timeout_ms = reader.limits.idle_ms + 1_000
+        if has_begun:
+            left_ms = reader.deadline_ms() - self._http_server.clock.now_ms()
+            timeout_ms = max(1, min(left_ms, reader.limits.head_ms))
         self._sock.settimeout(timeout_ms / 1000)
         if not has_begun:
             self._http_server.idle_connections.add(self)
@@ -389,10 +396,17 @@
         """
         self._sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, FLUSH_AT_CLOSE)
         self._sock.shutdown(native.SHUT_WR)
-        self._sock.settimeout(LINGER_MS / 1000)
+        clock = self._http_server.clock
+        until_ms = clock.now_ms() + MAX_LINGER_MS
+        left_bytes = MAX_LINGER_BYTES
         try:
-            while self._sock.recv(READ_BYTES):
-                pass
+            while (left_ms := until_ms - clock.now_ms()) > 0 and left_bytes > 0:
+                self._sock.settimeout(min(left_ms, LINGER_MS) / 1000)
+                data = self._sock.recv(READ_BYTES)
+                if not data:
+                    return
+                left_bytes -= len(data)
+                self._turns.record_read(len(data))
         except OSError:
             return
 
--- a/monsoonflow/transport/sockets.py
+++ b/monsoonflow/transport/sockets.py
@@ -4,9 +4,11 @@
 
 import socket as native
 import struct
+import time
 from functools import lru_cache
 from typing import Final
 
+import gevent
 from gevent import socket
 
 from .const import (
@@ -14,9 +16,30 @@
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_PROBES,
+    TURN_BYTES,
+    TURN_PAUSE_S,
+    TURN_S,
     USER_TIMEOUT_MS,
 )
 
+
+class Turns:
+    """Lets other tasks run while one reads from a socket that always has data."""
+
+    def __init__(self) -> None:
+        self._read_bytes = 0
+        self._began_s = 0.0
+
+    def record_read(self, size: int) -> None:
+        """Count bytes that were read, and let other tasks run when the turn is over."""
+        if not self._read_bytes:
+            self._began_s = time.monotonic()
+        self._read_bytes += size
+        if self._read_bytes >= TURN_BYTES and time.monotonic() - self._began_s >= TURN_S:
+            self._read_bytes = 0
+            gevent.sleep(TURN_PAUSE_S)
+
+
 RESET_AT_CLOSE: Final = struct.pack("ii", 1, 0)
 FLUSH_AT_CLOSE: Final = struct.pack("ii", 0, 0)
 """Values of SO_LINGER: discard what is unsent and reset the connection, or send it first."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from collections.abc import Callable, Iterator
+from pathlib import Path
 
 import pytest
 from hypothesis import settings
@@ -11,6 +14,7 @@
 
 settings.register_profile("ci", derandomize=True, deadline=None, max_examples=150, database=None)
 settings.load_profile("ci")
+ENDLESS_SENDER = Path(__file__).with_name("endless_sender.py")
 
 
 @pytest.fixture
@@ -35,3 +39,23 @@
     yield start
     for server in servers:
         server.close()
+
+
+@pytest.fixture
+def start_sender():
+    """Return a function that starts a sender of endless bytes and returns its address."""
+    processes = []
+
+    def start(kind: str, pause_s: float = 0.0) -> str:
+        process = subprocess.Popen(
+            [sys.executable, str(ENDLESS_SENDER), kind, str(pause_s)],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        processes.append(process)
+        return f"127.0.0.1:{process.stdout.readline().strip()}"
+
+    yield start
+    for process in processes:
+        process.kill()
+        process.wait()
