--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -236,8 +236,11 @@
         answers = self._http_server.held.answers
         self._sender = gevent.getcurrent()
         answers.begin_send(self, len(data))
+        unsent = memoryview(data)
         try:
-            self._sock.sendall(data)
+            # Each part has the whole timeout: a slow caller that goes on reading is not cut off.
+            while unsent:
+                unsent = unsent[self._sock.send(unsent) :]
         except OSError as error:
             raise CallerLeft(str(error)) from None
         finally:
