Server: an answer to HEAD, or with status 204 or 304, has no body

After 404 to HEAD on a kept connection the caller's next answer began with 'no route'. Refusals of the node's own and streams sent their body whatever the method was; only answers of bottle applications did not.

tests/transport/test_server.py: six cases failed before.

--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -53,10 +53,18 @@
 
 
 class Reply:
-    """Writes the answer to one request."""
+    """Writes the answer to one request.
 
-    def __init__(self, connection: CallerConnection) -> None:
+    No body follows the head of an answer to a HEAD request, or with status 204 or 304: its bytes
+    would be taken for the next answer on the connection.
+
+    :param is_head_request: whether the answer is to a HEAD request.
+    """
+
+    def __init__(self, connection: CallerConnection, is_head_request: bool = False) -> None:
         self._connection = connection
+        self._is_head_request = is_head_request
+        self._has_no_body = False
         self._chunked = False
         self._remaining_bytes: int | None = None
         self.ends_with_connection = False
@@ -96,6 +104,11 @@
         :param ends_with_connection: send neither a length nor chunks: only the end of the
             connection marks the end of the body.
         """
+        if self._is_head_request or status in BODILESS_STATUSES:
+            self._has_no_body = True
+            # The length of a server's answer to HEAD is not known here.
+            self._send_head_alone(status, headers, length or None, reason)
+            return
         phrase = REASON_PHRASES.get(status, b"") if reason is None else reason
         all_headers = list(headers)
         self.ends_with_connection = ends_with_connection
@@ -105,7 +118,7 @@
             self._connection.end_with_answer()
         elif length is None:
             all_headers.append((b"Transfer-Encoding", b"chunked"))
-        elif status not in BODILESS_STATUSES:
+        else:
             all_headers.append((b"Content-Length", b"%d" % length))
         self._send_head(status, phrase, all_headers, self._frame(body))
 
@@ -116,16 +129,21 @@
 
         :param length: length of the body that a GET request would get, if known.
         """
+        self._send_head_alone(status, headers, length, reason)
+        self.finished = True
+
+    def _send_head_alone(
+        self, status: int, headers: list[Header], length: int | None, reason: bytes | None
+    ) -> None:
         phrase = REASON_PHRASES.get(status, b"") if reason is None else reason
         all_headers = list(headers)
         if length is not None and status not in BODILESS_STATUSES:
             all_headers.append((b"Content-Length", b"%d" % length))
         self._send_head(status, phrase, all_headers)
-        self.finished = True
 
     def write(self, data: bytes) -> None:
         """Send a part of the body."""
-        if data:
+        if data and not self._has_no_body:
             self._send(self._frame(data))
 
     def keep(self, size: int) -> bool:
@@ -137,6 +155,9 @@
 
         :raises ValueError: when fewer body bytes were sent than stated.
         """
+        if self._has_no_body:
+            self.finished = True
+            return
         if self._chunked:
             self._send(b"0\r\n\r\n")
         elif self._remaining_bytes:
@@ -268,7 +289,7 @@
         if request is None:
             return False
         self._close_after_answer = not request.keep_alive
-        reply = Reply(self)
+        reply = Reply(self, request.method == b"HEAD")
         self._http_server.active_count += 1
         try:
             self._handle(request, reply)
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -286,3 +286,39 @@
         except ConnectionRefusedError:
             gevent.sleep(0.05)
     raise TimeoutError
+
+
+def answer_in_pieces(_request, reply):
+    reply.begin(200, [], None)
+    reply.write(b"piece")
+    reply.finish()
+
+
+@pytest.mark.parametrize(
+    "handler",
+    [
+        lambda _request, reply: reply.send_whole(404, [], b"no route"),
+        lambda _request, reply: reply.send_whole(503, [(b"Retry-After", b"1")], b"stopping"),
+        lambda _request, reply: reply.send_whole(200, [], b"body"),
+        answer_in_pieces,
+    ],
+)
+def test_an_answer_to_a_head_request_has_no_body(listen, handler):
+    """Its bytes were taken for the next answer on the connection."""
+    running = listen(handler)
+    requests = b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n" * 2
+    received = running.exchange(
+        requests + b"HEAD /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    )
+    heads = received.split(b"\r\n\r\n")
+    assert len(heads) == 4
+    assert heads.pop() == b""
+    assert all(head.startswith(b"HTTP/1.1 ") for head in heads)
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_an_answer_whose_status_allows_no_body_has_none(listen, status):
+    running = listen(lambda _request, reply: reply.send_whole(status, [], b"body"))
+    received = running.exchange(b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    assert received.partition(b"\r\n\r\n")[2] == b""
+    assert b"Content-Length" not in received
