Server: changed limits hold on kept connections

After a configuration that raised the size of bodies, a caller on a kept connection got 413 for as long as it kept it; a lowered limit did not hold there either. A connection took the limits when it was opened; each request takes them now.

tests/transport/test_server.py, raised and lowered: both failed before.

--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -373,6 +373,9 @@
                 data = self._read()
             if not data:
                 return None
+            if not reader.has_begun:
+                # The configuration may have changed while the connection was idle.
+                reader.limits = self._http_server.limits()
             reader.feed(data, self._http_server.clock.now_ms())
             self._turns.record_read(len(data))
             if reader.wants_continue and not reader.complete_requests:
@@ -445,7 +448,7 @@
 class HttpServer:
     """HTTP server that listens at one address.
 
-    :param limits: returns the limits for new connections.
+    :param limits: returns the limits for the next request.
     :param tls: the TLS context, or ``None`` for plain TCP.
     :param ends_with_caller: whether a handler is ended when its caller closes the connection.
     :param refusal: returns content type and body of the answer to a rejected message.
--- a/tests/transport/conftest.py
+++ b/tests/transport/conftest.py
@@ -52,10 +52,12 @@
 
 @pytest.fixture
 def listen() -> Iterator[Callable[..., RunningServer]]:
-    """Return a function that starts a server."""
+    """Return a function that starts a server; limits in a list may be changed later."""
     servers: list[HttpServer] = []
 
-    def start(handler: Handler = echo, limits: MessageLimits | None = None) -> RunningServer:
+    def start(
+        handler: Handler = echo, limits: MessageLimits | list[MessageLimits] | None = None
+    ) -> RunningServer:
         port = free_port()
         requests: list[Request] = []
 
@@ -63,9 +65,8 @@
             requests.append(request)
             handler(request, reply)
 
-        server = HttpServer(
-            f"127.0.0.1:{port}", handle, lambda: limits or MessageLimits(), MonotonicClock()
-        )
+        current = limits if isinstance(limits, list) else [limits or MessageLimits()]
+        server = HttpServer(f"127.0.0.1:{port}", handle, lambda: current[0], MonotonicClock())
         assert server.start()
         servers.append(server)
         return RunningServer(server, port, requests)
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -322,3 +322,17 @@
     received = running.exchange(b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
     assert received.partition(b"\r\n\r\n")[2] == b""
     assert b"Content-Length" not in received
+
+
+@pytest.mark.parametrize(("before", "after", "status"), [(10, 1_000, b"200"), (1_000, 10, b"413")])
+def test_changed_limits_hold_on_kept_connections(listen, before, after, status):
+    """A kept connection went on with the limits of the configuration under which it was opened."""
+    limits = [MessageLimits(body_bytes=before)]
+    running = listen(limits=limits)
+    sock = running.connect()
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert sock.recv(1_000).startswith(b"HTTP/1.1 200")
+    gevent.sleep(0.05)
+    limits[0] = MessageLimits(body_bytes=after)
+    sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n" + b"x" * 100)
+    assert sock.recv(1_000).startswith(b"HTTP/1.1 " + status)
