Plain servers: a server is tried as soon as its rest is over

A plain server that had asked for rests got no request for five seconds and more after them, while others served its share.

Cause: nothing kept it out any more, but nothing brought it back either. Its refusals count as failures, so that its expected time is longer than that of any other server, and the server with the shortest one is chosen each time; while the others have room, no answer can show that it has recovered. The first request after a rest goes to the server that has rested now, one of each node, spread as the rests are.

tests/entry/test_server_notices.py, after one and after six refusals: both failed before.

--- a/monsoonflow/gateway/plain_server_chooser.py
+++ b/monsoonflow/gateway/plain_server_chooser.py
@@ -82,6 +82,11 @@
         if not candidates:
             return NoServer("no server takes work", job.retry_after_ms or NO_SERVER_RETRY_AFTER_MS)
         expected_ms_by_life = {s.life: self._expected_ms(s, now_ms) for s in candidates}
+        # After its refusals a server is expected to be slower than any other: while the others
+        # have room it would get no request that could show the opposite.
+        candidates = [
+            s for s in candidates if self.server_limits.awaits_return(s.life)
+        ] or candidates
         best = min(candidates, key=lambda s: (expected_ms_by_life[s.life], self.rng.random()))
         expected_ms = expected_ms_by_life[best.life]
         if expected_ms > 2 * (job.answer_deadline_ms - now_ms) and self._is_full(best, now_ms):
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -72,6 +72,9 @@
     def record_rest(self, life: ServerLife, rest_ms: int) -> None:
         """Record that a server asks this node for no requests for a time."""
 
+    def awaits_return(self, life: ServerLife) -> bool:
+        """Return whether the rest of a server is over and it has got no request since."""
+
     def is_resting(self, life: ServerLife) -> bool:
         """Return whether a server has asked this node for no requests until later."""
 
--- a/monsoonflow/gateway/server_limits.py
+++ b/monsoonflow/gateway/server_limits.py
@@ -109,6 +109,10 @@
         """Return whether a server has asked this node for no requests until later."""
         return self._rests.is_resting(life, self._clock.now_ms())
 
+    def awaits_return(self, life: ServerLife) -> bool:
+        """Return whether the rest of a server is over and it has got no request since."""
+        return self._rests.awaits_return(life, self._clock.now_ms())
+
     def resting_count(self) -> int:
         """Return the number of servers that have asked this node for rest."""
         return self._rests.resting_count(self._clock.now_ms())
--- a/monsoonflow/routing/server_rests.py
+++ b/monsoonflow/routing/server_rests.py
@@ -146,6 +146,11 @@
         """Return whether a server has asked for rest until later."""
         return self.ends_in_ms(life, now_ms) > 0
 
+    def awaits_return(self, life: ServerLife, now_ms: int) -> bool:
+        """Return whether the rest of a server is over and it has got no request since."""
+        rest = self._rest_by_life.get(life)
+        return rest is not None and rest.returned_ms is None and now_ms >= rest.until_ms
+
     def ends_in_ms(self, life: ServerLife, now_ms: int) -> int:
         """Return when the rest of a server ends; 0 if it does not rest."""
         rest = self._rest_by_life.get(life)
--- a/tests/entry/test_server_notices.py
+++ b/tests/entry/test_server_notices.py
@@ -214,3 +214,23 @@
 def served(fleet, node, request_id):
     """Return whether a request is answered with success."""
     return look(fleet, node, request_id).head.status == 200
+
+
+@pytest.mark.parametrize("refusals", [1, 6])
+def test_a_server_is_tried_within_a_second_of_the_end_of_its_rest(fleet, refusals):
+    """Others served all requests meanwhile, and its capacity lay idle for seconds."""
+    server, other = fleet.plain("i-1"), fleet.plain("i-2")
+    other.faults.slow_ms = server.faults.slow_ms = 20
+    node = fleet.node()
+    wait_for(lambda: len(node.daemon.cluster_state.server_registry.servers_of("plain")) == 2)
+    for number in range(10):
+        look(fleet, node, f"warm-{number}")
+    for number in range(refusals):
+        server.faults.shed, server.faults.rest = 1, "0.3"
+        wait_for(lambda number=number: look(fleet, node, f"r{number}") and not server.faults.shed)
+    gevent.sleep(0.35)
+    before = len(server.requests)
+    for number in range(20):
+        look(fleet, node, f"after-{number}")
+        gevent.sleep(0.03)
+    assert len(server.requests) > before
--- a/tests/gateway/unlimited_servers.py
+++ b/tests/gateway/unlimited_servers.py
@@ -16,6 +16,10 @@
         """Return ``False``."""
         return False
 
+    def awaits_return(self, life):
+        """Return ``False``."""
+        return False
+
     def rate_per_s(self, life):
         """Return ``None``."""
         return
