--- a/tests/entry/test_server_notices.py
+++ b/tests/entry/test_server_notices.py
@@ -8,6 +8,7 @@
 import gevent
 import pytest
 
+from monsoonflow.core.server_life import ServerLife
 from tests.entry.conftest import wait_for
 from tests.entry.server_notices import (
     MAX_IN_REST,
@@ -219,18 +220,19 @@
 @pytest.mark.parametrize("refusals", [1, 6])
 def test_a_server_is_tried_within_a_second_of_the_end_of_its_rest(fleet, refusals):
     """Others served all requests meanwhile, and its capacity lay idle for seconds."""
-    server, other = fleet.plain("i-1"), fleet.plain("i-2")
-    other.faults.slow_ms = server.faults.slow_ms = 20
-    node = fleet.node()
-    wait_for(lambda: len(node.daemon.cluster_state.server_registry.servers_of("plain")) == 2)
-    for number in range(10):
-        look(fleet, node, f"warm-{number}")
-    for number in range(refusals):
-        server.faults.shed, server.faults.rest = 1, "0.3"
-        wait_for(lambda number=number: look(fleet, node, f"r{number}") and not server.faults.shed)
+    servers = [fleet.plain("i-1"), fleet.plain("i-2")]
+    daemon = (node := fleet.node()).daemon
+    wait_for(lambda: len(daemon.cluster_state.server_registry.servers_of("plain")) == 2)
+    rested, other = map(ServerLife, ("i-1", "i-2"))
+    for server in servers:
+        server.faults.slow_ms = 20
+    for life in (rested, other) * 30:
+        daemon.health_tracker.record_result(life, True, 25, daemon.clock.now_ms())
+    for _ in range(refusals):
+        daemon.health_tracker.record_result(rested, False, 2, daemon.clock.now_ms())
+        daemon.server_limits.record_rest(rested, 300)
     gevent.sleep(0.35)
-    before = len(server.requests)
     for number in range(20):
-        look(fleet, node, f"after-{number}")
-        gevent.sleep(0.03)
-    assert len(server.requests) > before
+        assert served(fleet, node, f"after-{number}")
+        gevent.sleep(0.02)
+    assert servers[0].requests
