Registry: an entry of the store's older copy is no reason to use a gone server at once

A server that was gone could get requests again right after the store's return from an older copy, where it had been the only one of its service: the row of the copy is reported after the return, and counted as one that the server had written again. Found by reading again; the test called the two in the other order than a node does. A departure from before the return ends by an entry that lasts only.

tests/discovery/test_departures.py, rows of an older copy, the only server: both cases failed in the order of a node.

--- a/monsoonflow/discovery/departures.py
+++ b/monsoonflow/discovery/departures.py
@@ -32,6 +32,8 @@
     :param registered_ms: since when the life is registered in spite of the evidence, as far as this
         node knows; ``None`` if it is not.
     :param is_written_again: whether its entry was written after the evidence.
+    :param predates_copy: whether the store has come back from an older copy since: an entry that
+        appears may be that of the copy.
     """
 
     evidence_ms: int
@@ -39,6 +41,11 @@
     is_final: bool
     registered_ms: int | None = None
     is_written_again: bool = False
+    predates_copy: bool = False
+
+    def seems_refuted(self) -> bool:
+        """Return whether a new entry speaks against the departure, though it has not lasted yet."""
+        return not self.is_final and self.is_written_again and not self.predates_copy
 
 
 class Departures:
@@ -69,7 +76,7 @@
             departure.evidence_ms = now_ms
         elif not departure.is_final:
             departure.evidence_ms, departure.registered_ms = now_ms, registered_ms
-            departure.is_written_again = False
+            departure.is_written_again = departure.predates_copy = False
         return False
 
     def record_report(
@@ -119,7 +126,7 @@
         The copy may hold the entries of servers that are gone.
         """
         for departure in self._departure_by_life.values():
-            departure.is_written_again = False
+            departure.predates_copy = True
             if departure.registered_ms is not None:
                 departure.registered_ms = now_ms
 
--- a/monsoonflow/discovery/registry.py
+++ b/monsoonflow/discovery/registry.py
@@ -299,12 +299,7 @@
 
     def _is_registered_again(self, server: BackendServer) -> bool:
         departure = self._departures.get(server.life)
-        return (
-            departure is not None
-            and not departure.is_final
-            and departure.is_written_again
-            and self._is_entry_valid(server)
-        )
+        return departure is not None and departure.seems_refuted() and self._is_entry_valid(server)
 
     def _is_usable(self, server: BackendServer) -> bool:
         return server.life not in self._departures and self._is_entry_valid(server)
--- a/tests/discovery/test_departures.py
+++ b/tests/discovery/test_departures.py
@@ -96,8 +96,8 @@
     if is_alone:
         registry.record_announced_leave(OTHER.life, 1_000, "its entry")
     for returned_ms in (3_000, 5_000):
-        registry.put(server, returned_ms, 10_000 + returned_ms)
         registry.handle_rows_lost(returned_ms)
+        registry.put(server, returned_ms, 10_000 + returned_ms)
         assert not is_used(registry, server, returned_ms + 3_600)
 
 
