Configuration: a node that starts on an older copy denies nothing that its peers serve

Cause: the node took what it had read for the whole configuration. Its peers announce a newer one, but it had not heard them yet; and while the store answers, a configuration is fetched from a peer only after a second.

A node that starts denies a route or a key only when it has heard all peers that it knows of, or after 2 s; until then it answers 503 with a time to come back.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -89,6 +89,14 @@
 """The store removes an entry after three heartbeats of silence, and servers beat irregularly."""
 
 
+HEAR_PEERS_MS: Final = 2_000
+"""How long a node that starts waits to hear its peers before it denies a route or a key: what it
+has read from the store may be an older copy. Heartbeats of small fleets arrive within 0.2 s."""
+
+START_MS: Final = 10_000
+"""How long after its start a node counts as starting: a configuration of two thousand routes takes
+a second or two on a shared link."""
+
 PEER_CHECK_MS: Final = 300
 """How long peers take to check and to announce whether they reach a service that this node lost."""
 
@@ -175,6 +183,7 @@
         self.held_bytes = HeldBytes()
         self.stall_detector = StallDetector(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._heartbeat_sequence = 0
+        self._started_ms = self.clock.now_ms()
         self._announced_era = 0
         self._lost_services_by_peer: dict[str, frozenset[str]] = {}
         self._stop_requested = Event()
@@ -339,6 +348,7 @@
 
     def start(self) -> bool:
         """Listen and start all background tasks; return whether all addresses could be bound."""
+        self._started_ms = self.clock.now_ms()
         for port in self.ports.all():
             if not port.start():
                 return False
@@ -395,6 +405,30 @@
             and self.cluster_state.route_table is not None
             and self.store_watches is not None
             and (self.store_watches.servers.has_been_loaded or self.peer_client.has_snapshot)
+            and not self._starts_behind_peers()
+        )
+
+    def _starts_behind_peers(self) -> bool:
+        """Return whether this node is starting, and its peers have a newer configuration.
+
+        The store may serve an older copy, in which a route that they serve is missing.
+        """
+        is_starting = self.clock.now_ms() - self._started_ms < START_MS
+        return is_starting and self._is_behind_peers()
+
+    def _is_behind_peers(self) -> bool:
+        own_version = self.config_version()
+        heartbeats = self.view.heartbeats(self.clock.now_ms())
+        return any(heartbeat.config_version > own_version for heartbeat in heartbeats)
+
+    def _has_heard_peers(self) -> bool:
+        """Return whether this node has heard what its peers serve, or has waited long enough."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self._started_ms >= HEAR_PEERS_MS:
+            return True
+        peers = self.view.record_by_name.keys() - {self.settings.name}
+        return self.store_watches.own.has_been_loaded and all(
+            self.view.heartbeat_age_ms(name, now_ms) is not None for name in peers
         )
 
     def heartbeat(self) -> Heartbeat:
@@ -692,16 +726,14 @@
 
     def configuration_status(self) -> ConfigurationStatus:
         """Return how current the configuration in force is."""
-        watches, own_version = self.store_watches, self.config_version()
+        watches = self.store_watches
         is_current = (
             watches is not None
             and watches.operator.is_loaded
             and not watches.operator.is_receiving()
             and watches.reaches_store()
-            and not any(
-                heartbeat.config_version > own_version
-                for heartbeat in self.view.heartbeats(self.clock.now_ms())
-            )
+            and self._has_heard_peers()
+            and not self._is_behind_peers()
         )
         return ConfigurationStatus(is_current, self._answer_age_ms("operator"))
 
@@ -897,8 +929,9 @@
         while True:
             self.tasks.sleep(MAINTENANCE_INTERVAL_MS)
             watches = self.store_watches
+            may_come_from_store = watches is not None and watches.reaches_store()
             self.peer_client.fetch_newer_configuration(
-                self.cluster_state, watches is not None and watches.reaches_store()
+                self.cluster_state, may_come_from_store and not self._starts_behind_peers()
             )
 
 
--- a/tests/entry/test_store_return.py
+++ b/tests/entry/test_store_return.py
@@ -350,3 +350,27 @@
     assert late.daemon.config_version() == 3
     assert not takes_work(late, server)
     assert len(late.daemon.cluster_state.server_registry.server_by_life) == 2
+
+
+def test_a_node_that_starts_on_a_copy_denies_no_route_that_its_peers_serve(
+    fleet, store, return_from
+):
+    """It took the copy for the whole configuration, and answered 404 for a confirmed route."""
+    fleet.plain("i-1")
+    first = fleet.node()
+    write_more(fleet)
+    copy = store.copy()
+    fleet.configure(**ADDED)
+    wait_for(lambda: first.daemon.config_version() == ADDED["version"])
+    peer = fleet.node()
+    wait_for(lambda: peer.daemon.config_version() == ADDED["version"])
+    return_from(copy)
+    fleet.first_start = False
+    late = fleet.node(seeds=(first.daemon.settings.peer_address,))
+    statuses = []
+    for number in range(40):
+        answer = fleet.ask(late, "/added/x", f"r{number}", method="GET")
+        statuses.append(answer.head.status)
+        gevent.sleep(0.05)
+    assert 404 not in statuses
+    assert statuses[-1] == 200
