Tests: full garbage collections no longer scan the collected tests

A whole run in which a callback timed collections: a full one took 0.1 s of processor time once all tests were collected (some 170,000 objects), and up to 0.63 s late in the run.

The collected tests are frozen, as the node freezes what its start created, and what a test leaves is collected before the next one. No check or bound changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import subprocess
 import sys
 from collections.abc import Callable, Iterator
@@ -17,6 +18,20 @@
 ENDLESS_SENDER = Path(__file__).with_name("endless_sender.py")
 
 
+def pytest_collection_finish():
+    """Exempt what was collected from garbage collection, as a node exempts what its start created.
+
+    Scanning thousands of tests held a worker for half a second in the middle of timed requests.
+    """
+    gc.collect()
+    gc.freeze()
+
+
+def pytest_runtest_setup():
+    """Collect what earlier tests left, not in the middle of this one."""
+    gc.collect()
+
+
 @pytest.fixture
 def fleet(tmp_path):
     """Give a fleet of real processes on loopback that ends with the test."""
