A sound part of prompts is tried again soon after crashes of other causes

Cause: three crashes in a row with a part decide, which a popular part meets by chance while answers are slow. The first trial came after a minute, whatever else crashed, and it belonged to one node: the next request with a rare part came there only after 50 s.

Now crashes of servers without the part, which no other refused part explains, make it doubtful: it is tried 5 s after its last crash, and once more 5 s after the last crash of any server, since the first trial may meet one. The request that finds its parts due is the one that is tried. The number of trials stays two, so a bad part costs no more servers than before.

--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -38,9 +38,8 @@
 MAX_ANNOUNCED_QUARANTINED: Final = 32
 STORE_SYNC_INTERVAL_MS: Final = 500
 DECISION_INTERVAL_MS: Final = 250
-MAX_TRIALS_AT_ONCE: Final = 1
-"""Trials that a node begins each time: the first may make others unnecessary."""
-
+TRIAL_INTERVAL_MS: Final = 500
+"""Least time between two trials of a node: the first may make others unnecessary."""
 
 MIN_REWRITE_DELAY_MS: Final = 2_000
 REWRITE_DELAY_SPREAD_MS: Final = 10_000
@@ -99,6 +98,7 @@
         self._forgotten_removals: set[str] = set()
         self._rewrite_ms_by_lost_key: dict[str, int] = {}
         self._turn = BoundedSemaphore(1)
+        self._trial_claimed_ms: int | None = None
 
     def refusal_cause(self, traits: RequestTraits) -> str | None:
         """Return why a request must not be sent to any server; ``None`` if it may."""
@@ -109,10 +109,28 @@
         return None
 
     def begin_trial(self, traits: RequestTraits) -> bool:
-        """Return whether a quarantined request is sent once, to see whether it is sound now."""
-        return not self.suspects.is_quarantined(traits.fingerprint) and self.parts.begin_trial(
-            traits.parts
-        )
+        """Return whether a quarantined request is sent once, to see whether it is sound now.
+
+        The request that finds its parts due is the one that is tried: another one with a rare part
+        may not come to the same node for long.
+        """
+        if self.suspects.is_quarantined(traits.fingerprint):
+            return False
+        if not self.parts.begin_trial(traits.parts):
+            self._claim_trials(traits.parts)
+            return self.parts.begin_trial(traits.parts)
+        return True
+
+    def _claim_trials(self, parts: tuple[str, ...]) -> None:
+        now_ms = self._clock.now_ms()
+        claimed_ms = self._trial_claimed_ms
+        if claimed_ms is not None and now_ms - claimed_ms < TRIAL_INTERVAL_MS:
+            return
+        due = self.parts.due_for_trial(parts, now_ms)
+        if due:
+            self._trial_claimed_ms = now_ms
+        for key in due:
+            self._claim_trial(key)
 
     def return_trial(self, traits: RequestTraits) -> None:
         """Let another request be tried, since this one has reached no server."""
@@ -322,8 +340,6 @@
             if now_ms - at_ms <= REMOVAL_MEMORY_MS
         }
         self._write_missing_rows(now_ms)
-        for key in self.parts.due_for_trial(now_ms)[:MAX_TRIALS_AT_ONCE]:
-            self._claim_trial(key)
 
     def _write_missing_rows(self, now_ms: int) -> None:
         found_here = [
--- a/monsoonflow/quarantine/part_evidence.py
+++ b/monsoonflow/quarantine/part_evidence.py
@@ -43,6 +43,11 @@
 OUTAGE_TIME_MS: Final = 5_000
 """The same while nothing at all is answered: all runners may have crashed, and are back by then."""
 
+BESIDE_MS: Final = 10_000
+"""How long before the first and after the last crash that counts against a part another crash still
+tells that servers crash without it."""
+
+MAX_CRASHES: Final = 256
 MAX_CULPRIT_PARTS: Final = 4
 """Parts that are named together at most; their names must fit in the key of a row."""
 
@@ -139,6 +144,7 @@
         self._answered_ms_by_part: OrderedDict[str, int] = OrderedDict()
         self._first_answer_ms: int | None = None
         self._last_answer_ms: int | None = None
+        self._crashed_ms_by_life: OrderedDict[ServerLife, int] = OrderedDict()
 
     def known_lives(self, parts: Sequence[str]) -> dict[str, tuple[ServerLife, ...]]:
         """Return the crashes that count against some parts now, the newest ones."""
@@ -155,6 +161,7 @@
 
         :return: whether that is new.
         """
+        self.record_server_crash(crash.life, now_ms)
         is_new = False
         for part, known_lives in crash.known_lives_by_part.items():
             state = self._state(part, now_ms)
@@ -174,6 +181,12 @@
             entry.earlier_lives.update(known_lives)
         return is_new
 
+    def record_server_crash(self, life: ServerLife, now_ms: int) -> None:
+        """Record that a server crashed, whatever it had to answer."""
+        if life not in self._crashed_ms_by_life:
+            self._crashed_ms_by_life[life] = now_ms
+            trim(self._crashed_ms_by_life, MAX_CRASHES)
+
     def _state(self, part: str, now_ms: int) -> _Part:
         state = self._part_by_id.get(part)
         if state is None:
@@ -263,6 +276,13 @@
         state = self._part_by_id.get(part)
         return state is not None and state.last_crash_ms >= since_ms
 
+    def last_crash_ms(self, culprit: Culprit | None) -> int | None:
+        """Return when the last server crashed with any of some parts; with ``None``, any server."""
+        if culprit is None:
+            return max(self._crashed_ms_by_life.values(), default=None)
+        states = [state for part in culprit if (state := self._part_by_id.get(part)) is not None]
+        return max((state.last_crash_ms for state in states), default=None)
+
     def crashes_in_a_row(self, part: str) -> int:
         """Return how many crashes in a row count against a part."""
         state = self._part_by_id.get(part)
@@ -276,6 +296,28 @@
         shared = frozenset.intersection(*(state.lives() for state in states))
         return tuple(life for life in states[0].open_crash_by_life if life in shared)
 
+    def crashes_beside(self, culprit: Culprit) -> frozenset[ServerLife]:
+        """Return the servers that crashed without some parts, beside those that count against them.
+
+        They show that something else crashes servers too.
+        """
+        states = [state for part in culprit if (state := self._part_by_id.get(part)) is not None]
+        open_crashes = [crash for state in states for crash in state.open_crash_by_life.values()]
+        if not open_crashes:
+            return frozenset()
+        from_ms = min(crash.known_ms for crash in open_crashes) - BESIDE_MS
+        until_ms = max(crash.known_ms for crash in open_crashes) + BESIDE_MS
+        with_parts = {
+            life
+            for state in states
+            for life in (*state.open_crash_by_life, *state.cleared_ms_by_life)
+        }
+        return frozenset(
+            life
+            for life, at_ms in self._crashed_ms_by_life.items()
+            if from_ms <= at_ms <= until_ms and life not in with_parts
+        )
+
     def is_cleared(self, culprit: Culprit, lives: Iterable[ServerLife]) -> bool:
         """Return whether crashes that counted against parts no longer count against one of them."""
         states = [self._part_by_id.get(part) for part in culprit]
--- a/monsoonflow/quarantine/parts.py
+++ b/monsoonflow/quarantine/parts.py
@@ -26,7 +26,12 @@
 that were refused wrongly; each costs a server if they are bad, so there is none after the last."""
 
 DOUBTFUL_TRIAL_AFTER_MS: Final = 5_000
-"""When a request is tried if other refused parts explain the crashes as well."""
+"""The same if other refused parts explain the crashes as well, or something else crashes servers
+too."""
+
+MIN_CRASHES_BESIDE: Final = 2
+"""Crashes of servers without a part, beside those with it, that make its guilt doubtful. A single
+one may be a crash whose requests the node has not heard of."""
 
 MAX_QUARANTINED_PARTS: Final = 256
 MAX_OWN_CRASHES: Final = 512
@@ -140,6 +145,7 @@
 
     def record_server_crash(self, life: ServerLife, now_ms: int) -> Findings:
         """Record that a server has crashed."""
+        self._evidence.record_server_crash(life, now_ms)
         return self._record_own_crashes(self._broken_connections.record_crash(life, now_ms), now_ms)
 
     def _record_own_crashes(self, crashes: dict[str, PartsCrash], now_ms: int) -> Findings:
@@ -249,20 +255,42 @@
         kept = frozenset().union(*(entry.culprit for entry in self._entry_by_key.values()))
         self._evidence.forget_old(kept, now_ms)
 
-    def due_for_trial(self, now_ms: int) -> list[str]:
-        """Return the keys of parts that have been refused for so long that one request is tried."""
-        return [
-            key
-            for key, entry in self._entry_by_key.items()
-            if entry.trials < len(TRIALS_AFTER_MS)
-            and now_ms - entry.since_ms > self._trial_after_ms(entry)
-        ]
+    def due_for_trial(self, parts: tuple[str, ...], now_ms: int) -> list[str]:
+        """Return the keys of the refused parts that a request with these parts would try.
 
-    def _trial_after_ms(self, entry: _Entry) -> int:
-        is_doubtful = entry.trials == 0 and self._is_doubtful(entry)
-        return DOUBTFUL_TRIAL_AFTER_MS if is_doubtful else TRIALS_AFTER_MS[entry.trials]
+        None unless all that refuse the request have been refused for long enough.
+        """
+        held = frozenset(parts)
+        refusing = {
+            key: entry for key, entry in self._entry_by_key.items() if entry.culprit <= held
+        }
+        waiting = [key for key, entry in refusing.items() if not entry.allows_trial]
+        if all(self._is_due_for_trial(refusing[key], now_ms) for key in waiting):
+            return waiting
+        return []
 
-    def _is_doubtful(self, entry: _Entry) -> bool:
+    def _is_due_for_trial(self, entry: _Entry, now_ms: int) -> bool:
+        if entry.trials >= len(TRIALS_AFTER_MS):
+            return False
+        refused_for_ms = now_ms - entry.since_ms
+        if refused_for_ms > TRIALS_AFTER_MS[entry.trials]:
+            return True
+        if self._has_crashes_beside(entry):
+            return self._is_due_beside_crashes(entry, now_ms)
+        is_doubtful = entry.trials == 0 and self._is_explained_by_others(entry)
+        return is_doubtful and refused_for_ms > DOUBTFUL_TRIAL_AFTER_MS
+
+    def _is_due_beside_crashes(self, entry: _Entry, now_ms: int) -> bool:
+        """Return whether to try parts while something else crashes servers too.
+
+        The first trial may meet such a crash; the second waits for their end, for a minute at most.
+        """
+        if entry.trials and now_ms - entry.since_ms > TRIALS_AFTER_MS[0]:
+            return True
+        last_ms = self._evidence.last_crash_ms(None if entry.trials else entry.culprit)
+        return last_ms is not None and now_ms - last_ms > DOUBTFUL_TRIAL_AFTER_MS
+
+    def _is_explained_by_others(self, entry: _Entry) -> bool:
         """Return whether other refused parts are at nearly all of the same crashes."""
         others = [
             set(other.lives)
@@ -276,6 +304,12 @@
         )
         return bool(entry.lives) and not is_tried and len(unexplained) < MIN_UNEXPLAINED_CRASHES
 
+    def _has_crashes_beside(self, entry: _Entry) -> bool:
+        """Return whether servers crash for a cause that no refused part explains."""
+        explained = {life for other in self._entry_by_key.values() for life in other.lives}
+        unexplained = self._evidence.crashes_beside(entry.culprit) - explained
+        return len(unexplained) >= MIN_CRASHES_BESIDE
+
     def trials(self, key: str) -> int:
         """Return how many requests with refused parts have been tried, as known here."""
         entry = self._entry_by_key.get(key)
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -331,13 +331,14 @@
     for key in ("part:bad+own", "part:bad+other", "part:bad+third"):
         node.quarantine(key, lives, "x", world.now_ms)
     later_ms = world.now_ms + DOUBTFUL_TRIAL_AFTER_MS + 1
-    due = node.due_for_trial(later_ms)
+    all_parts = ("bad", "own", "other", "third")
+    due = node.due_for_trial(all_parts, later_ms)
     assert len(due) == 3
     node.record_trial(due[0], 1, True, later_ms)
-    assert node.due_for_trial(later_ms) == []
+    assert node.due_for_trial(all_parts, later_ms) == []
     node.quarantine("part:bad", lives, "x", later_ms)
     assert world.refused()[0] == ["part:bad"]
-    assert node.due_for_trial(later_ms + TRIALS_AFTER_MS[0] + 1) == []
+    assert node.due_for_trial(all_parts, later_ms + TRIALS_AFTER_MS[0] + 1) == []
 
 
 def test_after_its_time_only_one_request_is_tried(world):
@@ -345,14 +346,14 @@
     node = world.nodes[0]
     later_ms = world.now_ms
     for number, after_ms in enumerate(TRIALS_AFTER_MS, 1):
-        assert node.due_for_trial(later_ms) == []
+        assert node.due_for_trial(("bad",), later_ms) == []
         later_ms += after_ms + 1
-        assert node.due_for_trial(later_ms) == ["part:bad"]
+        assert node.due_for_trial(("bad",), later_ms) == ["part:bad"]
         assert not node.begin_trial(("bad",))
         node.record_trial("part:bad", number, True, later_ms)
         assert [node.begin_trial(("bad",)) for _ in range(3)] == [True, False, False]
         assert node.is_quarantined(("bad",))
-    assert node.due_for_trial(later_ms * 1_000) == []
+    assert node.due_for_trial(("bad",), later_ms * 1_000) == []
     node.record_answered(("bad",), later_ms + 1, later_ms + 2)
     assert not node.is_quarantined(("bad",))
 
@@ -366,11 +367,35 @@
     crash_in_a_row(world, 1, "own", node=1)
     assert a.is_quarantined(("bad",))
     assert a.is_quarantined(("own",))
-    assert a.due_for_trial(world.now_ms + DOUBTFUL_TRIAL_AFTER_MS - 1_000) == []
-    assert a.due_for_trial(world.now_ms + DOUBTFUL_TRIAL_AFTER_MS + 1_000) == [
-        "part:bad",
-        "part:own",
-    ]
+    both, after_ms = ("bad", "own"), DOUBTFUL_TRIAL_AFTER_MS
+    assert a.due_for_trial(both, world.now_ms + after_ms - 1_000) == []
+    assert a.due_for_trial(both, world.now_ms + after_ms + 1_000) == ["part:bad", "part:own"]
+
+
+def test_a_part_is_tried_soon_if_servers_also_crash_without_it(world):
+    """A sound part that was at three of many crashes waited a minute for its trial."""
+    node = world.nodes[0]
+    crash_in_a_row(world, 3, "first")
+    assert node.is_quarantined(("first",))
+    world.crash(world.send(node, "other"))
+    later_ms = world.now_ms + DOUBTFUL_TRIAL_AFTER_MS + 1
+    assert node.due_for_trial(("first",), later_ms) == []
+    world.crash(world.send(node, "other"))
+    assert node.due_for_trial(("first",), later_ms) == ["part:first"]
+
+
+def test_the_second_trial_of_a_doubtful_part_waits_for_the_end_of_the_crashes(world):
+    node = world.nodes[0]
+    crash_in_a_row(world, 3, "first")
+    for part in ("second", "third"):
+        world.crash(world.send(node, part))
+    world.now_ms += DOUBTFUL_TRIAL_AFTER_MS
+    node.record_trial("part:first", 1, True, world.now_ms)
+    assert node.begin_trial(("first",))
+    world.crash(world.send(node, "fourth"))
+    crashed_ms = world.now_ms
+    assert node.due_for_trial(("first",), crashed_ms + DOUBTFUL_TRIAL_AFTER_MS - 1) == []
+    assert node.due_for_trial(("first",), crashed_ms + DOUBTFUL_TRIAL_AFTER_MS + 1)
 
 
 def test_crashes_expire_but_not_those_of_a_refused_part(world):
--- a/tests/quarantine/test_parts_of_large_fleets.py
+++ b/tests/quarantine/test_parts_of_large_fleets.py
@@ -24,6 +24,9 @@
 
 ANSWER_MS = (100, 900)
 END_MS = 20_000
+LIFTED_WITHIN_MS = 10_000
+"""How long after its last crash a sound part may be refused."""
+
 Sent: TypeAlias = tuple[PartQuarantine, RequestTraits, dict[str, tuple[ServerLife, ...]]]
 """A node, a request that it has sent, and what it knew of the request's parts then."""
 
@@ -40,6 +43,11 @@
     sound_per_s: float
     rng: random.Random
     other_crashes_per_s: float = 0.0
+    crashes_until_ms: int = END_MS
+    end_ms: int = END_MS
+    queue_ms: tuple[int, int] = QUEUE_MS
+    first_parts: tuple[str, ...] = ("first",)
+    refused_until_ms: int = 0
     now_ms: int = 0
     crashes_ms: list[int] = attrs.Factory(list)
     arrivals_ms: list[int] = attrs.Factory(list)
@@ -59,7 +67,7 @@
         if self.other_crashes_per_s:
             self._at(WARM_UP_MS, self._crash_of_other_cause)
         self._at(1, self._send_sound)
-        while self._events and self._events[0][0] < END_MS:
+        while self._events and self._events[0][0] < self.end_ms:
             self.now_ms, _, action = heapq.heappop(self._events)
             action()
 
@@ -112,7 +120,7 @@
             self._try_bad(node, traits, attempts - 1)
             self._answer_bystanders(bystanders)
 
-        self._at(self.rng.uniform(*QUEUE_MS), crash)
+        self._at(self.rng.uniform(*self.queue_ms), crash)
 
     def _crash(self, lost: list[Sent]) -> None:
         life = ServerLife(f"i-{len(self.crashes_ms)}")
@@ -121,7 +129,16 @@
             node.record_broken_connection(traits, life, known, self.now_ms)
             self._urgently(node, node.record_server_crash(life, self.now_ms))
 
+    def _begin_trial(self, node: PartQuarantine, parts: tuple[str, ...]) -> bool:
+        for key in node.due_for_trial(parts, self.now_ms):
+            trials = node.trials(key) + 1
+            for other in self.nodes:
+                other.record_trial(key, trials, other is node, self.now_ms)
+        return node.begin_trial(parts)
+
     def _crash_of_other_cause(self) -> None:
+        if self.now_ms >= self.crashes_until_ms:
+            return
         self._at(self.rng.expovariate(self.other_crashes_per_s / 1_000), self._crash_of_other_cause)
         lost = self._send_bystanders()
 
@@ -129,7 +146,7 @@
             self._crash(lost)
             self._answer_bystanders(lost)
 
-        self._at(self.rng.uniform(*QUEUE_MS), crash)
+        self._at(self.rng.uniform(*self.queue_ms), crash)
 
     def _send_bystanders(self) -> list[Sent]:
         return [
@@ -140,17 +157,22 @@
         return [
             (
                 self.rng.choice(self.nodes),
-                RequestTraits(f"s{next(self._numbers)}", ("first", f"m{self.rng.randrange(40)}")),
+                RequestTraits(f"s{next(self._numbers)}", self._sound_parts()),
             )
             for _ in range(count)
         ]
 
+    def _sound_parts(self) -> tuple[str, str]:
+        first = self.rng.choice(self.first_parts) if len(self.first_parts) > 1 else "first"
+        return first, f"m{self.rng.randrange(40)}"
+
     def _send_sound(self) -> None:
         self._at(self.rng.expovariate(self.sound_per_s / 1_000), self._send_sound)
         ((node, traits),) = self._some_sound(1)
         self.sound_sent += 1
-        if node.is_quarantined(traits.parts):
+        if node.is_quarantined(traits.parts) and not self._begin_trial(node, traits.parts):
             self.sound_refused += 1
+            self.refused_until_ms = self.now_ms
         else:
             self._answer(node, traits)
 
@@ -161,7 +183,7 @@
                 self._answer(node, traits)
 
     def _answer(self, node: PartQuarantine, traits: RequestTraits) -> None:
-        began_ms = self.now_ms + int(self.rng.uniform(*QUEUE_MS))
+        began_ms = self.now_ms + int(self.rng.uniform(*self.queue_ms))
 
         def answer() -> None:
             self._urgently(node, node.record_answered(traits.parts, began_ms, self.now_ms))
@@ -200,3 +222,86 @@
     simulation.run()
     assert len(simulation.crashes_ms) > 5
     assert not any(node.quarantined() for node in simulation.nodes)
+
+
+@attrs.define
+class CrashingRunners(Simulation):
+    """A few runners that crash for reasons of their own, with all that waits for them."""
+
+    runners: int = 4
+    attempts: int = 3
+    _waiting: list[list[Sent]] = attrs.Factory(list)
+
+    def _answer(self, node: PartQuarantine, traits: RequestTraits, retries: int = 2) -> None:
+        sent = node, traits, node.known_lives(traits.parts)
+        waiting = self.rng.choice(self._queues())
+        waiting.append(sent)
+        began_ms = self.now_ms + int(self.rng.uniform(*self.queue_ms))
+
+        def begin() -> None:
+            if sent in waiting:
+                waiting.remove(sent)
+                self._at(self.rng.uniform(*ANSWER_MS), end)
+            elif retries and not node.is_quarantined(traits.parts):
+                self._answer(node, traits, retries - 1)
+
+        def end() -> None:
+            self._urgently(node, node.record_answered(traits.parts, began_ms, self.now_ms))
+
+        self._at(began_ms - self.now_ms, begin)
+
+    def _crash_of_other_cause(self) -> None:
+        if self.now_ms < self.crashes_until_ms:
+            wait_ms = self.rng.expovariate(self.other_crashes_per_s / 1_000)
+            self._at(wait_ms, self._crash_of_other_cause)
+            waiting = self.rng.choice(self._queues())
+            self._crash(list(waiting))
+            waiting.clear()
+            # The next request finds the port closed.
+            life = ServerLife(f"i-{len(self.crashes_ms) - 1}")
+            self.rng.choice(self.nodes).record_server_crash(life, self.now_ms)
+
+    def _queues(self) -> list[list[Sent]]:
+        if not self._waiting:
+            self._waiting = [[] for _ in range(self.runners)]
+        return self._waiting
+
+
+@pytest.mark.parametrize("seed", range(1, 21))
+@pytest.mark.parametrize(("size", "heartbeat_ms"), [(7, 200), (90, 1_600)])
+def test_a_sound_part_is_allowed_again_soon_after_crashes_of_other_causes(size, heartbeat_ms, seed):
+    """Three of them in a row during slow answers had it refused for a minute."""
+    crashes_until_ms = WARM_UP_MS + 18_000
+    simulation = CrashingRunners(
+        size,
+        heartbeat_ms,
+        bad_per_s=0.0,
+        sound_per_s=6.0,
+        rng=random.Random(seed),
+        other_crashes_per_s=1.44,
+        crashes_until_ms=crashes_until_ms,
+        end_ms=crashes_until_ms + 70_000,
+        queue_ms=(200, 2_000),
+        first_parts=("f1", "f2", "f3", "f4"),
+    )
+    simulation.run()
+    assert simulation.refused_until_ms <= max(simulation.crashes_ms) + LIFTED_WITHIN_MS
+
+
+@pytest.mark.parametrize("seed", range(1, 11))
+@pytest.mark.parametrize(("size", "heartbeat_ms"), [(7, 200), (90, 1_600)])
+def test_a_bad_part_is_refused_in_time_beside_crashes_of_other_causes(size, heartbeat_ms, seed):
+    """Early trials of doubtful parts must not let a bad one crash server after server."""
+    simulation = Simulation(
+        size,
+        heartbeat_ms,
+        bad_per_s=2.0,
+        sound_per_s=17.0,
+        rng=random.Random(seed),
+        other_crashes_per_s=1.0,
+        crashes_until_ms=WARM_UP_MS + 18_000,
+        end_ms=WARM_UP_MS + 100_000,
+    )
+    simulation.run()
+    assert simulation.later_requests() <= MAX_LATER
+    assert simulation.sound_refused <= simulation.sound_sent / 2
