A stream that repeats an event is taken for broken, and goes on at another server

Cause: only the first event after a resumption was compared with the one before. Within an answer an event could come again, and a server in trouble can send one without end.

Now an event whose id is not above that of the event before breaks the answer off at that point: the events before it are forwarded, and the stream goes on after them at another server. The check at resumption is the same one and needs no code of its own any more.

The new test failed before (no complete answer within its time) and passes now. The stand-in server learns to send without end; the sender process moves beside it.

--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -9,7 +9,7 @@
 from ..transport.const import CONNECT_TIMEOUT_MS, REPLY_BUFFER_BYTES
 from ..transport.models import AnswerHead, BrokenAnswer, Header, Lost, Request
 from ..transport.server import Reply
-from .event_splitter import MAX_EVENT_BYTES, EventSplitter, first_event_id
+from .event_splitter import MAX_EVENT_BYTES, EventSplitter
 from .models import (
     AnswerTerms,
     AtLimit,
@@ -255,8 +255,7 @@
         splitter: EventSplitter,
     ) -> AttemptResult:
         self._check_head(head, terms)
-        splitter.incomplete = b""
-        resumed_after = splitter.last_event_id
+        splitter.begin()
         earlier_count = splitter.event_count
         has_begun = False
         while (piece := self._next_piece(connection, not has_begun)) is not None:
@@ -266,17 +265,15 @@
                 raise BrokenAnswer("an event is too long")
             if not reply.keep(len(splitter.incomplete)):
                 raise BrokenAnswer(TOO_MANY_BYTES)
-            if not events:
-                continue
-            if has_begun:
-                self._on_more_events()
-            elif splitter.event_count > earlier_count:
-                has_begun = True
-                if not _follows(events, resumed_after):
-                    splitter.last_event_id, splitter.event_count = resumed_after, earlier_count
-                    raise BrokenAnswer("the stream did not resume after the last event")
-                self._on_first_event()
-            self._forward_events(head, events, reply)
+            if events:
+                if has_begun:
+                    self._on_more_events()
+                elif splitter.event_count > earlier_count:
+                    has_begun = True
+                    self._on_first_event()
+                self._forward_events(head, events, reply)
+            if splitter.repeats:
+                raise BrokenAnswer("the stream repeats an event")
         return self._end_stream(head, reply, splitter, has_begun)
 
     def _end_stream(
@@ -330,14 +327,6 @@
         reply.begin(head.status, headers, None, head.reason, events, head.ends_with_connection)
 
 
-def _follows(events: bytes, after: bytes | None) -> bool:
-    """Return whether events go on after an event; a caller must not get events twice."""
-    first = first_event_id(events)
-    if after is None or first is None or not (after.isdigit() and first.isdigit()):
-        return True
-    return int(first) > int(after)
-
-
 def _is_event_stream(head: AnswerHead) -> bool:
     content_type = head.value(b"content-type")
     is_other_type = content_type is not None and not content_type.strip().lower().startswith(
--- a/monsoonflow/gateway/event_splitter.py
+++ b/monsoonflow/gateway/event_splitter.py
@@ -23,12 +23,16 @@
     event from one server and the rest from another would be a text that neither has generated.
 
     :param is_position_known: whether the last event has an id, after which a stream can be resumed.
+    :param repeats: whether an event came whose id is not above that of the one before. It and what
+        follows are held back: the caller must not get an event twice.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     b'id: 1\ndata: a\n\n'
     >>> splitter.last_event_id, splitter.feed(b"ta: b\n\n")
     (b'1', b'id: 2\ndata: b\n\n')
+    >>> splitter.feed(b"id: 3\ndata: c\n\nid: 2\ndata: d\n\n"), splitter.repeats
+    (b'id: 3\ndata: c\n\n', True)
     """
 
     def __init__(self, last_event_id: bytes | None = None) -> None:
@@ -36,6 +40,7 @@
         self.incomplete = b""
         self.event_count = 0
         self.is_position_known = True
+        self.repeats = False
 
     @property
     def is_inside_event(self) -> bool:
@@ -64,11 +69,24 @@
         text = self.incomplete + data if self.incomplete else data
         end = 0
         for found in EVENT_END.finditer(text, searched):
-            self._record_event(text[end : found.end()])
+            event = text[end : found.end()]
+            if self._is_repeated(event):
+                self.repeats = True
+                break
+            self._record_event(event)
             end = found.end()
         events, self.incomplete = text[:end], text[end:]
         return events
 
+    def begin(self) -> None:
+        """Begin with the answer of another server, which goes on after the last event."""
+        self.incomplete, self.repeats = b"", False
+
+    def _is_repeated(self, event: bytes) -> bool:
+        ids = ID_FIELD.findall(event)
+        last, this = (self.last_event_id or b"").strip(), ids[-1].strip() if ids else b""
+        return last.isdigit() and this.isdigit() and int(this) <= int(last)
+
     def _record_event(self, event: bytes) -> None:
         # Comments and settings of the connection, which end like events, are none.
         if EVENT_FIELD.search(event) is None:
@@ -78,15 +96,3 @@
         self.is_position_known = bool(ids)
         if ids:
             self.last_event_id = ids[-1].strip()
-
-
-def first_event_id(events: bytes) -> bytes | None:
-    r"""Return the id of the first event that has one.
-
-    >>> first_event_id(b"x-v: 2\nid: 7\ndata: a\n\n")
-    b'7'
-    """
-    for line in events.split(b"\n"):
-        if line.startswith(b"id:"):
-            return line[3:].strip()
-    return None
--- a/tests/endless_sender.py
+++ b/stand_ins/endless_sender.py
@@ -1,7 +1,7 @@
 """A process that answers each request with bytes that do not end, until its peer closes.
 
-Run as ``python endless_sender.py KIND [PAUSE_S]``; prints its port. With a pause it sends a byte at
-a time.
+Run as ``python -m stand_ins.endless_sender KIND [PAUSE_S]``; prints its port. With a pause it sends
+a byte at a time.
 """
 
 from __future__ import annotations
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -15,6 +15,7 @@
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.transport.models import CallerLeft, Framing, Header, MessageLimits, Request
 from monsoonflow.transport.server import HttpServer, Reply
+from stand_ins.endless_sender import pieces as endless_pieces
 from stand_ins.raw_answers import BreakPlace, RawAnswer
 
 
@@ -44,6 +45,7 @@
     :param break_resets: whether that is a reset of the connection rather than a close.
     :param second_answers: how many refusals, and answers to orders, are sent once more when the
         next answer on their connection is due.
+    :param endless: which bytes it sends without end for an answer, a key of ``START_BY_KIND``.
     :param leaving: says in all its answers that it is shutting down.
     :param rest: the delay that a refusal without work asks for, as text.
     """
@@ -69,6 +71,7 @@
     break_place: BreakPlace = BreakPlace.PIECE
     break_resets: bool = False
     second_answers: int = 0
+    endless: str | None = None
     leaving: bool = False
     rest: str | None = None
 
@@ -76,6 +79,9 @@
 FIRST_VERSION: Final = "v1"
 """The software of servers of which nothing else is said."""
 
+ENDLESS_PAUSE_S: Final = 0.001
+"""Lets the server do its other work beside an answer without end."""
+
 POISON_DELAY_S: Final = 0.075
 """How long a model runner works on a part of a prompt under which it ends."""
 
@@ -250,8 +256,20 @@
             self.left += 1
             raise
 
+    def _send_without_end(self, request: Request, reply: Reply) -> None:
+        reply.started = True
+        request_id = request.value(b"x-request-id") or b""
+        for piece in endless_pieces(self.faults.endless, request_id, 0.0):
+            if self.faults.endless is None:
+                return
+            reply._connection.send(piece)  # noqa: SLF001
+            gevent.sleep(ENDLESS_PAUSE_S)
+
     def _answer(self, request: Request, reply: Reply) -> None:
         faults = self.faults
+        if faults.endless is not None:
+            self._send_without_end(request, reply)
+            return
         if faults.lose > 0:
             faults.lose -= 1
             return
@@ -443,7 +461,8 @@
         return begins
 
     def _answer(self, request: Request, reply: Reply) -> None:
-        if self.faults.fail or self.faults.rot or self.faults.foreign or self.faults.lose:
+        faults = self.faults
+        if faults.fail or faults.rot or faults.foreign or faults.lose or faults.endless:
             super()._answer(request, reply)
             return
         if self.faults.poison_parts.intersection(earlier_parts(request)):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,7 @@
 
 settings.register_profile("ci", derandomize=True, deadline=None, max_examples=150, database=None)
 settings.load_profile("ci")
-ENDLESS_SENDER = Path(__file__).with_name("endless_sender.py")
+REPOSITORY = Path(__file__).resolve().parent.parent
 
 
 def pytest_collection_finish():
@@ -63,8 +63,9 @@
 
     def start(kind: str, pause_s: float = 0.0) -> str:
         process = subprocess.Popen(
-            [sys.executable, str(ENDLESS_SENDER), kind, str(pause_s)],
+            [sys.executable, "-m", "stand_ins.endless_sender", kind, str(pause_s)],
             stdout=subprocess.PIPE,
+            cwd=REPOSITORY,
             text=True,
         )
         processes.append(process)
--- a/tests/entry/test_endless_bytes.py
+++ b/tests/entry/test_endless_bytes.py
@@ -7,7 +7,7 @@
 import gevent
 import pytest
 
-from tests.endless_sender import START_BY_KIND
+from stand_ins.endless_sender import START_BY_KIND
 from tests.entry.conftest import wait_for
 from tests.loop_watch import LoopWatch
 
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -62,6 +62,15 @@
     assert len(re.findall(rb"data: r1-\d", answer.body)) == 4
 
 
+def test_a_stream_that_repeats_an_event_continues_at_another_runner(fleet, entry_node, runners):
+    """The caller got one event again and again, then the rest, in an answer that looked whole."""
+    fleet.generate(entry_node, "a1", "warm")
+    first_runner = next(runner for runner in runners if "a1" in runner.adapters)
+    first_runner.faults.endless = "events"
+    answer = fleet.generate(entry_node, "a1", "r1")
+    assert event_ids(answer.body) == [1, 2, 3, 4]
+
+
 def test_a_stream_that_may_not_be_resumed_ends_where_it_broke(fleet, entry_node, runners):
     """The route may not be resumed, as it is unknown whether the rest ran.
 
--- a/tests/transport/test_endless_bytes.py
+++ b/tests/transport/test_endless_bytes.py
@@ -13,7 +13,7 @@
 from monsoonflow.transport.const import READ_BYTES
 from monsoonflow.transport.models import Lost, MessageLimits
 from monsoonflow.transport.sockets import Turns
-from tests.endless_sender import START_BY_KIND
+from stand_ins.endless_sender import START_BY_KIND
 from tests.loop_watch import LoopWatch
 
 MAX_LOOP_DELAY_S = 0.05
