--- a/soak/answer_faults.py
+++ b/soak/answer_faults.py
@@ -1,9 +1,10 @@
-"""Faults of servers' answers: without length and chunks, broken off, ended by a crash."""
+"""Faults of servers' answers: without length or end, broken off, sent twice, ended by a crash."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
+from stand_ins.endless_sender import START_BY_KIND
 from stand_ins.raw_answers import BreakPlace
 
 from .const import ENGINES, LAPSE_S
@@ -22,6 +23,13 @@
 PLACES: Final = (*BreakPlace, BreakPlace.PIECE, BreakPlace.PIECE)
 """Half an event is the only sign of a break in an answer that ends with its connection."""
 
+ENDLESS_S: Final = (1.0, 5.0)
+"""Least and longest time for which servers send without end."""
+
+TWICE: Final = (5, 20, 80)
+TWICE_S: Final = (2.0, 8.0)
+"""How many answers a server sends twice, and within how long."""
+
 CRASHES_AFTER_S: Final = (0.3, 1.5)
 """How long a server that will crash answers without length and chunks before."""
 
@@ -47,6 +55,28 @@
     injector.later(rng.uniform(*BROKEN_OFF_S), lambda: _end(injector, servers))
 
 
+def answers_without_end(injector: FaultInjector) -> None:
+    """Some servers of a service send bytes until the caller closes; at least one stays sound."""
+    rng = injector.rng
+    servers = _some_servers(injector)
+    if len(servers) > 1:
+        servers = servers[: rng.randint(1, len(servers) - 1)]
+    kind = rng.choice(sorted(START_BY_KIND))
+    for name in servers:
+        injector.fleet.misbehave(name, endless=kind)
+    injector.later(rng.uniform(*ENDLESS_S), lambda: _end(injector, servers, endless=None))
+
+
+def answers_sent_twice(injector: FaultInjector) -> None:
+    """Some servers send refusals, and answers to orders, once more with the next answer."""
+    rng = injector.rng
+    servers, count = _some_servers(injector), rng.choice(TWICE)
+    for name in servers:
+        injector.fleet.misbehave(name, second_answers=count, shed=count)
+    after_s = rng.uniform(*TWICE_S)
+    injector.later(after_s, lambda: _end(injector, servers, second_answers=0, shed=0))
+
+
 def server_crashes(injector: FaultInjector) -> None:
     """A server ends in the middle of its answers, some of which have no length and no chunks."""
     server = _a_server(injector)
@@ -80,6 +110,6 @@
     return [name for name in injector.fleet.servers if service_by_server[name] == service]
 
 
-def _end(injector: FaultInjector, servers: list[str]) -> None:
+def _end(injector: FaultInjector, servers: list[str], **faults: Any) -> None:
     for name in servers:
-        injector.fleet.misbehave(name, unframed=0.0, break_off=0)
+        injector.fleet.misbehave(name, **(faults or {"unframed": 0.0, "break_off": 0}))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,13 @@
 
 from stand_ins.links import Mode
 
-from .answer_faults import answers_broken_off, answers_unframed, server_crashes
+from .answer_faults import (
+    answers_broken_off,
+    answers_sent_twice,
+    answers_unframed,
+    answers_without_end,
+    server_crashes,
+)
 from .const import CONTACT_MS, LAPSE_S, SERVES_MS, USUAL_WORK_MS
 from .customer_faults import customer_rushes
 from .customers import Rush
@@ -203,6 +209,15 @@
     injector.later(for_s, lambda: injector.fleet.go_on(server))
 
 
+def _entry_lapses(injector: FaultInjector) -> None:
+    """A server serves on while its entry lapses, and comes back into the list."""
+    server = injector.a_server()
+    for_s = LAPSE_S + injector.rng.uniform(0.5, 4.0)
+    injector.disturbed(server, for_s)
+    injector.fleet.lapse(server, round(for_s * 1_000))
+    injector.later(for_s, lambda: None)
+
+
 def _server_connections_silent(injector: FaultInjector) -> None:
     server = injector.a_server()
     injector.fleet.set_link(server, injector.rng.choice((Mode.OLD_SILENT, Mode.SILENT)))
@@ -376,5 +391,8 @@
     "part-turns-bad": part_turns_bad,
     "leaves-by-word": leaves_by_word,
     "servers-rest": servers_rest,
+    "answers-without-end": answers_without_end,
+    "answers-sent-twice": answers_sent_twice,
+    "entry-lapses": _entry_lapses,
     RUSHES: customer_rushes,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -271,6 +271,11 @@
         if self.processes.runs(server):
             self.processes.command(server, "misbehave", **faults)
 
+    def lapse(self, server: str, for_ms: int) -> None:
+        """Let a server serve without writing its entry."""
+        if self.processes.runs(server):
+            self.processes.command(server, "lapse", for_ms=for_ms)
+
     def set_link(self, name: str, mode: Mode) -> None:
         """Change what the link of a server, or of a node to the store, does."""
         self.processes.command(LINKS, "set", name=name, mode=mode)
--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -146,6 +146,15 @@
             written = self._write() if self._registers else True
             gevent.sleep(self._heartbeat_s if written else AGAIN_S)
 
+    def lapse(self, for_ms: int) -> None:
+        """Serve without writing the entry, which lapses; then write it again."""
+        gevent.spawn(self._lapse, for_ms)
+
+    def _lapse(self, for_ms: int) -> None:
+        self._registers = False
+        gevent.sleep(for_ms / 1000)
+        self._registers = self._state == "ready"
+
     def leave(self, serves_ms: int, without_word: bool = False, by_word: bool = False) -> None:
         """Leave: say so or remove the entry, serve on for a while, and end.
 
@@ -157,7 +166,7 @@
         if by_word:
             self._server.faults.leaving = True
         elif without_word:
-            self._registers = False
+            self._registers, self._state = False, "removed"
             self._until_written(removed=True)
         else:
             self._state = "draining"
@@ -228,7 +237,14 @@
         server.break_off_answers()
         os._exit(1)
 
-    follow({"leave": registration.leave, "misbehave": misbehave, "crash": crash})
+    follow(
+        {
+            "leave": registration.leave,
+            "lapse": registration.lapse,
+            "misbehave": misbehave,
+            "crash": crash,
+        }
+    )
 
 
 if __name__ == "__main__":
