--- a/stand_ins/endless_sender.py
+++ b/stand_ins/endless_sender.py
@@ -38,16 +38,22 @@
     "trailer fields": b"X-Many: of them\r\n",
     "chunked body": b"2000\r\n" + b"x" * 0x2000 + b"\r\n",
     "tiny chunks": b"1\r\nx\r\n",
-    "events": b"%x\r\n%s\r\n" % (len(EVENT), EVENT),
 }
 
 
-def pieces(kind: str, request_id: bytes, pause_s: float) -> Iterator[bytes]:
-    """Yield what is sent."""
+def pieces(
+    kind: str, request_id: bytes, pause_s: float = 0.0, event: bytes = EVENT
+) -> Iterator[bytes]:
+    """Yield what is sent.
+
+    :param event: what a stream of events repeats.
+    """
     head = START_BY_KIND[kind].replace(HEAD, HEAD + b"X-Request-Id: " + request_id + b"\r\n")
     if head:
         yield head
     repeated = REPEATED_BY_KIND.get(kind, b"x")
+    if kind == "events":
+        repeated = b"%x\r\n%s\r\n" % (len(event), event)
     if pause_s:
         for byte in itertools.cycle(repeated):
             time.sleep(pause_s)
