An event id of thousands of digits is no error

What callers saw: no answer; the request's task failed with a ValueError, since int() refuses numbers of more than 4,300 digits and the ids of a resumed stream are compared as numbers. Found by reading, reproduced with an id of 5,000 digits.

Ids are compared by length and digits now. The id of an event is searched for once, not twice. The new test failed before.

--- a/monsoonflow/gateway/event_splitter.py
+++ b/monsoonflow/gateway/event_splitter.py
@@ -70,10 +70,12 @@
         end = 0
         for found in EVENT_END.finditer(text, searched):
             event = text[end : found.end()]
-            if self._is_repeated(event):
+            ids = ID_FIELD.findall(event)
+            event_id = ids[-1].strip() if ids else None
+            if self._is_repeated(event_id):
                 self.repeats = True
                 break
-            self._record_event(event)
+            self._record_event(event, event_id)
             end = found.end()
         events, self.incomplete = text[:end], text[end:]
         return events
@@ -82,17 +84,27 @@
         """Begin with the answer of another server, which goes on after the last event."""
         self.incomplete, self.repeats = b"", False
 
-    def _is_repeated(self, event: bytes) -> bool:
-        ids = ID_FIELD.findall(event)
-        last, this = (self.last_event_id or b"").strip(), ids[-1].strip() if ids else b""
-        return last.isdigit() and this.isdigit() and int(this) <= int(last)
+    def _is_repeated(self, event_id: bytes | None) -> bool:
+        last = self.last_event_id
+        if event_id is None or last is None or not (event_id.isdigit() and last.isdigit()):
+            return False
+        return _number_key(event_id) <= _number_key(last)
 
-    def _record_event(self, event: bytes) -> None:
+    def _record_event(self, event: bytes, event_id: bytes | None) -> None:
         # Comments and settings of the connection, which end like events, are none.
         if EVENT_FIELD.search(event) is None:
             return
         self.event_count += 1
-        ids = ID_FIELD.findall(event)
-        self.is_position_known = bool(ids)
-        if ids:
-            self.last_event_id = ids[-1].strip()
+        self.is_position_known = event_id is not None
+        if event_id is not None:
+            self.last_event_id = event_id
+
+
+def _number_key(digits: bytes) -> tuple[int, bytes]:
+    """Return a key that orders numbers; ``int`` refuses those of thousands of digits.
+
+    >>> _number_key(b"9") < _number_key(b"010") < _number_key(b"9" * 5_000)
+    True
+    """
+    significant = digits.lstrip(b"0")
+    return len(significant), significant
--- a/tests/gateway/test_event_splitter.py
+++ b/tests/gateway/test_event_splitter.py
@@ -39,3 +39,12 @@
     assert cut.event_count == whole.event_count
     assert cut.is_position_known == whole.is_position_known
     assert cut.is_inside_event == whole.is_inside_event
+
+
+def test_an_id_of_thousands_of_digits_is_no_error():
+    """The request's task failed at it: its caller got no answer."""
+    splitter = EventSplitter(b"1")
+    event = b"id: %s\ndata: a\n\n" % (b"9" * 5_000)
+    assert splitter.feed(event) == event
+    assert splitter.feed(b"id: 2\ndata: b\n\n") == b""
+    assert splitter.repeats
