Numbers beyond any range in headers and rows are refused or ignored, not raised

X-Deadline-Ms: 1e999 or inf raised an OverflowError where a malformed header answers 400; Keep-Alive: timeout= with 5,000 digits raised a ValueError after a complete answer, so that its caller got none; an adapter version of 5,000 digits raised in the decoder of a server's row. The length of a body is checked by the parser already (tried).

The tests of the first two failed before; the doctest guards the third.

--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -101,7 +101,7 @@
             return Malformed("missing header: x-request-id")
         try:
             return self._decode_call(request, value_by_name)
-        except ValueError as error:
+        except (ValueError, OverflowError) as error:
             return Malformed(f"malformed header: {error}")
 
     def _decode_call(self, request: Request, value_by_name: dict[bytes, bytes]) -> Call:
--- a/monsoonflow/platform/servers.py
+++ b/monsoonflow/platform/servers.py
@@ -16,6 +16,7 @@
 SERVERS_TABLE = "servers"
 MAX_PORT: Final = 65_535
 MAX_SOFTWARE_VERSION_CHARS: Final = 100
+MAX_VERSION_DIGITS: Final = 18
 
 
 def decode_server(server_id: str, body: bytes) -> BackendServer | str:
@@ -69,10 +70,12 @@
 
     >>> str(parse_adapter_ref("m/a3")), parse_adapter_ref("m/a3@x")
     ('m/a3@1', 'invalid adapter version: m/a3@x')
+    >>> isinstance(parse_adapter_ref("m/a3@" + "9" * 5_000), str)
+    True
     """
     name, separator, version = text.partition("@")
     if not separator:
         return AdapterRef(name, 1)
-    if not (version.isascii() and version.isdigit()):
+    if not (version.isascii() and version.isdigit() and len(version) <= MAX_VERSION_DIGITS):
         return f"invalid adapter version: {text}"
     return AdapterRef(name, int(version))
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -23,6 +23,9 @@
 DEFAULT_MAX_IDLE_MS: Final = 4_000
 """Longest idle time where the server states none: less than the typical timeout of 5 s."""
 
+MAX_TIMEOUT_DIGITS: Final = 6
+"""A stated keep-alive timeout of more digits is ignored; ``int`` refuses thousands of them."""
+
 KEEP_ALIVE_SHARE: Final = 0.85
 """Share of a server's keep-alive timeout that is used: no request may be sent as the server closes.
 
@@ -208,7 +211,7 @@
             return
         for part in keep_alive.split(b","):
             name, _, value = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
+            if name.lower() == b"timeout" and value.isdigit() and len(value) <= MAX_TIMEOUT_DIGITS:
                 self.max_idle_ms = int(value) * 1000 * KEEP_ALIVE_SHARE
 
     def close(self) -> None:
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -235,6 +235,8 @@
     [
         (b"X-Request-Id", b"r2"),
         (b"X-Deadline-Ms", b"soon"),
+        (b"X-Deadline-Ms", b"1e999"),
+        (b"X-Deadline-Ms", b"inf"),
         (b"X-Token-Count", b"a,b"),
         (b"X-Model", b"\xff"),
     ],
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -280,3 +280,14 @@
         assert connection.is_reusable()
         connection.send(b"", b"", request_id=f"r{number}")
     assert not connection.is_reusable()
+
+
+def test_a_keep_alive_timeout_of_thousands_of_digits_is_ignored(serve_raw):
+    """The request's task failed at it after a complete answer."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=%s\r\n\r\n" % (
+        b"9" * 5_000
+    )
+    server = serve_raw(head + b"ok")
+    answer = call(ConnectionPools(MonotonicClock()), server.address, "GET", "/", b"", 1_000)
+    assert isinstance(answer, Answer)
+    assert answer.body == b"ok"
