--- a/soak/answer_faults.py
+++ b/soak/answer_faults.py
@@ -23,6 +23,9 @@
 PLACES: Final = (*BreakPlace, BreakPlace.PIECE, BreakPlace.PIECE)
 """Half an event is the only sign of a break in an answer that ends with its connection."""
 
+ENDLESS_KINDS: Final = sorted(START_BY_KIND.keys() - {"bytes after a complete answer"})
+"""What comes before the bytes after an answer would look like another server's answer."""
+
 ENDLESS_S: Final = (1.0, 5.0)
 """Least and longest time for which servers send without end."""
 
@@ -61,7 +64,7 @@
     servers = _some_servers(injector)
     if len(servers) > 1:
         servers = servers[: rng.randint(1, len(servers) - 1)]
-    kind = rng.choice(sorted(START_BY_KIND))
+    kind = rng.choice(ENDLESS_KINDS)
     for name in servers:
         injector.fleet.misbehave(name, endless=kind)
     injector.later(rng.uniform(*ENDLESS_S), lambda: _end(injector, servers, endless=None))
