--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -16,7 +16,7 @@
 from monsoonflow.transport.models import CallerLeft, Framing, Header, MessageLimits, Request
 from monsoonflow.transport.server import HttpServer, Reply
 from stand_ins.endless_sender import pieces as endless_pieces
-from stand_ins.raw_answers import BreakPlace, RawAnswer
+from stand_ins.raw_answers import BreakPlace, RawAnswer, reset_at_close
 
 
 @attrs.define
@@ -266,6 +266,8 @@
         event = self._event(request, int(request.value(b"last-event-id") or 0) + 1)
         for piece in endless_pieces(self.faults.endless, request_id, event=event):
             if self.faults.endless is None:
+                # An orderly close would be the end of an answer without a length.
+                reset_at_close(reply)
                 return
             reply._connection.send(piece)  # noqa: SLF001
             gevent.sleep(ENDLESS_PAUSE_S)
--- a/stand_ins/raw_answers.py
+++ b/stand_ins/raw_answers.py
@@ -23,6 +23,12 @@
     PIECE = "piece"
 
 
+def reset_at_close(reply: Reply) -> None:
+    """Have the connection of an answer reset rather than closed in order."""
+    sock = reply._connection._sock  # noqa: SLF001
+    sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET_AT_CLOSE)
+
+
 class RawAnswer:
     """Writes one answer with status 200.
 
@@ -73,8 +79,7 @@
             shows = place is BreakPlace.PIECE and self._shows_halves
             resets = resets or (self._framing is Framing.CONNECTION and not shows)
         if resets:
-            sock = self._connection._sock  # noqa: SLF001
-            sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, RESET_AT_CLOSE)
+            reset_at_close(self._reply)
 
     def send_half_a_piece(self) -> None:
         """Send half of the next piece, so that a close does not look like the end."""
