--- a/monsoonflow/platform/servers.py
+++ b/monsoonflow/platform/servers.py
@@ -17,6 +17,7 @@
 MAX_PORT: Final = 65_535
 MAX_SOFTWARE_VERSION_CHARS: Final = 100
 MAX_VERSION_DIGITS: Final = 18
+"""More than any adapter has; ``int`` refuses numbers of thousands of digits."""
 
 
 def decode_server(server_id: str, body: bytes) -> BackendServer | str:
