A request with quarantined parts does not wait for a store that does not answer

Since the request that finds its parts due claims the trial itself; the claim repeats its calls of 1.5 s while the store is out of reach, beyond the request's own time, where it was refused at once before.

The claim runs in a task of its own and the request waits for it for 300 ms at most; what is claimed later is for the node's next request. One claim at a time. The new test failed before: the request waited for the whole second that its store took.

--- a/monsoonflow/quarantine/manager.py
+++ b/monsoonflow/quarantine/manager.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
+import gevent
 from gevent.lock import BoundedSemaphore
 from msgspec import Struct
 
@@ -41,6 +42,9 @@
 TRIAL_INTERVAL_MS: Final = 500
 """Least time between two trials of a node: the first may make others unnecessary."""
 
+MAX_CLAIM_WAIT_MS: Final = 300
+"""Longest wait of a request for the store to tell whether it is the one tried."""
+
 MIN_REWRITE_DELAY_MS: Final = 2_000
 REWRITE_DELAY_SPREAD_MS: Final = 10_000
 """When a node writes a row that the store has lost and that it has not found itself: nodes write at
@@ -99,6 +103,7 @@
         self._rewrite_ms_by_lost_key: dict[str, int] = {}
         self._turn = BoundedSemaphore(1)
         self._trial_claimed_ms: int | None = None
+        self._claim: gevent.Greenlet | None = None
 
     def refusal_cause(self, traits: RequestTraits) -> str | None:
         """Return why a request must not be sent to any server; ``None`` if it may."""
@@ -122,14 +127,24 @@
         return True
 
     def _claim_trials(self, parts: tuple[str, ...]) -> None:
+        """Claim the trials of parts that are due; what is claimed too late is for the next request.
+
+        While the store does not answer, a claim lasts longer than requests may.
+        """
         now_ms = self._clock.now_ms()
         claimed_ms = self._trial_claimed_ms
         if claimed_ms is not None and now_ms - claimed_ms < TRIAL_INTERVAL_MS:
             return
+        if self._claim is not None and not self._claim.ready():
+            return
         due = self.parts.due_for_trial(parts, now_ms)
         if due:
             self._trial_claimed_ms = now_ms
-        for key in due:
+            self._claim = gevent.spawn(self._claim_each, due)
+            self._claim.join(MAX_CLAIM_WAIT_MS / 1000)
+
+    def _claim_each(self, keys: list[str]) -> None:
+        for key in keys:
             self._claim_trial(key)
 
     def return_trial(self, traits: RequestTraits) -> None:
--- a/tests/quarantine/test_trials.py
+++ b/tests/quarantine/test_trials.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import time
+
+import gevent
+
 from monsoonflow.quarantine.manager import ROW_PREFIX, TRIAL_INTERVAL_MS, QuarantineManager
 from monsoonflow.quarantine.models import RequestTraits
 from monsoonflow.quarantine.parts import KEY_PREFIX, TRIALS_AFTER_MS
@@ -52,3 +56,17 @@
     table.rows.clear()
     clock.advance(TRIALS_AFTER_MS[0] + 1)
     assert not manager.begin_trial(TRAITS)
+
+
+def test_a_request_does_not_wait_for_a_store_that_does_not_answer(manager, table, clock):
+    """It waited beyond its own time for the store, where it had been refused at once before."""
+    put(table, manager, BAD)
+    clock.advance(TRIALS_AFTER_MS[0] + 1)
+    get = table.get
+    table.get = lambda key: (gevent.sleep(1.0), get(key))[1]
+    began_s = time.perf_counter()
+    assert not manager.begin_trial(TRAITS)
+    assert time.perf_counter() - began_s <= 0.5
+    gevent.sleep(1.0)
+    assert manager.begin_trial(TRAITS)
+    assert trials_in(table) == 1
