--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -85,6 +85,9 @@
 POISON_DELAY_S: Final = 0.075
 """How long a model runner works on a part of a prompt under which it ends."""
 
+MAX_HEAD_BYTES: Final = 65_536
+"""Nodes add headers to those of a caller, which may already be as large as a caller's may be."""
+
 FALL_S: Final = 2.0
 """How long a brittle server that falls over is gone."""
 
@@ -103,6 +106,11 @@
     rest_s: float | None = None
 
 
+def message_limits() -> MessageLimits:
+    """Return the limits for what nodes send."""
+    return MessageLimits(head_bytes=MAX_HEAD_BYTES)
+
+
 class PlatformServer:
     """A server that notes what it ran."""
 
@@ -127,7 +135,7 @@
         self._raw_answers: set[RawAnswer] = set()
         self._second_answers: WeakKeyDictionary[Any, bytes] = WeakKeyDictionary()
         self._rng = random.Random(server_id)
-        self._port = HttpServer(address, self._handle, MessageLimits, MonotonicClock())
+        self._port = HttpServer(address, self._handle, message_limits, MonotonicClock())
 
     def start(self) -> None:
         """Begin to serve."""
@@ -173,7 +181,7 @@
         """Called when the server falls over."""
 
     def _serve_again(self) -> None:
-        self._port = HttpServer(self.address, self._handle, MessageLimits, MonotonicClock())
+        self._port = HttpServer(self.address, self._handle, message_limits, MonotonicClock())
         self.start()
 
     def entry(self, **changes: Any) -> dict[str, Any]:
