A request is parsed after the one ahead of it on its connection has been answered

Callers saw a node end: it ran out of memory under connections that each sent 60 KB of small requests, the first of which waited for a server.

Cause: all that was read was parsed at once, and a parsed request of 30 bytes takes several hundred; none of them was counted. Evidence: 300 such connections took 156 MB at a node that may use 128.

The reader stops at the end of a request, which it knows without the parser: by the declared length, or else by a blank line, with which heads and chunked bodies end. What follows stays as received, up to 64 KB, and is counted, as heads are now. A request ahead of rejected bytes is answered before they are refused; it was refused with them.

The tests of arbitrary bytes take each complete request, so that what follows is parsed as before.

--- a/monsoonflow/transport/codec.py
+++ b/monsoonflow/transport/codec.py
@@ -28,31 +28,42 @@
 )
 
 BODILESS_STATUSES: Final = frozenset({204, 304})
+
+
+HEAD_END: Final = b"\r\n\r\n"
 CHECKED_HEADERS: Final = frozenset(
     {b"host", b"transfer-encoding", b"content-length", b"upgrade", b"expect"}
 )
+REQUEST_FRAME_BYTES: Final = 32
+"""Room for the method, the version and the blank line, which the limit of a head leaves out."""
 
 
 class RequestReader:
-    """Parses a caller's bytes into complete requests.
+    """Parses a caller's bytes into requests, one at a time.
+
+    What follows a complete request is kept as it was received until that request has been taken: a
+    parsed request takes many times the size of a short one.
 
     The library rejects conflicting lengths, folded headers, bare line ends and the like. This class
     also rejects what the library accepts (two ``Host`` headers, transfer codings other than
     ``chunked``, absolute targets) and enforces the limits.
 
-    :param may_hold: returns whether the bytes of all bodies that were received and not yet released
-        may be held; ``held_bytes`` is reduced by whoever has served a request.
+    :param may_hold: returns whether the bytes that were received and not yet released may be held;
+        ``held_bytes`` is reduced by whoever has served a request.
     """
 
     def __init__(
         self, limits: MessageLimits, may_hold: Callable[[int], bool] = lambda _bytes: True
     ) -> None:
         self.limits = limits
-        self.held_bytes = 0
-        self._may_hold = may_hold
-        self.complete_requests: deque[Request] = deque()
         self.has_begun = False
         self.wants_continue = False
+        self._may_hold = may_hold
+        self._request: Request | None = None
+        self._is_busy = False
+        self._unparsed = b""
+        self._last_bytes = b""
+        self._taken_bytes = 0
         self._now_ms = 0
         self._head_bytes = 0
         self._is_head_complete = False
@@ -62,9 +73,27 @@
         self._headers = BytesIO()
         self._body = BytesIO()
         self._body_bytes = 0
+        self._declared_bytes = 0
         self._framing_bytes = 0
         self._arrived_ms = 0
 
+    @property
+    def has_request(self) -> bool:
+        """Return whether a request is complete and has not been taken."""
+        return self._request is not None
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Return how many bytes wait behind a complete request."""
+        return len(self._unparsed)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are held: of requests taken, complete or begun, and behind them."""
+        begun_bytes = self._head_bytes + self._body_bytes if self.has_begun else 0
+        complete_bytes = self._request.size if self._request is not None else 0
+        return self._taken_bytes + complete_bytes + begun_bytes + len(self._unparsed)
+
     def deadline_ms(self) -> int:
         """Return when the request that has begun must be complete, as far as it has arrived."""
         if not self._is_head_complete:
@@ -73,27 +102,72 @@
         return self._arrived_ms + self.limits.head_ms + self.limits.idle_ms + body_ms
 
     def feed(self, data: bytes, now_ms: int) -> None:
-        """Parse received bytes.
+        """Take received bytes and parse them up to the end of a request.
 
         :raises BadMessage: when they are rejected; the reader must not be fed again.
         """
+        unread = self._unparsed + data if self._unparsed else data
+        self._unparsed = b""
+        offset = 0
+        while offset < len(unread) and not self._is_busy:
+            end = self._end_of_part(unread, offset)
+            self._parse(unread[offset:end], now_ms)
+            offset = end
+        self._unparsed = unread[offset:]
+
+    def take_request(self) -> Request:
+        """Return the complete request; no other is parsed until it is released."""
+        request, self._request = self._request, None
+        self._taken_bytes = request.size
+        return request
+
+    def release_request(self) -> None:
+        """Let the next request be parsed: the one that was taken has been answered."""
+        self._is_busy = False
+        self._taken_bytes = 0
+
+    def _end_of_part(self, data: bytes, offset: int) -> int:
+        """Return up to where bytes can be parsed without those of a next request.
+
+        A request without a body, or with a chunked one, ends with a blank line.
+        """
+        left_bytes = self._declared_bytes - self._body_bytes
+        if self._is_head_complete and left_bytes > 0:
+            return min(len(data), offset + left_bytes)
+        across = self._last_bytes + data[offset : offset + len(HEAD_END) - 1]
+        found = across.find(HEAD_END)
+        if found >= 0:
+            end = offset + found + len(HEAD_END) - len(self._last_bytes)
+        else:
+            found = data.find(HEAD_END, offset)
+            end = found + len(HEAD_END) if found >= 0 else len(data)
+        if self._is_head_complete:
+            return end
+        most_bytes = self.limits.head_bytes + REQUEST_FRAME_BYTES + 1
+        begun_bytes = self._head_bytes if self.has_begun else 0
+        return min(end, offset + most_bytes - begun_bytes)
+
+    def _parse(self, data: bytes, now_ms: int) -> None:
         self._now_ms = now_ms
+        self._last_bytes = (self._last_bytes + data[1 - len(HEAD_END) :])[1 - len(HEAD_END) :]
         was_in_head = not self._is_head_complete
         body_bytes = self._body_bytes
+        if was_in_head:
+            self._head_bytes = len(data) + (self._head_bytes if self.has_begun else 0)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._error = self._error or BadMessage(400, "upgrades are not offered")
+            self._refuse(400, "upgrades are not offered")
         except httptools.HttpParserError as error:
-            self._error = self._error or BadMessage(400, str(error))
-        if self._error is None and was_in_head and not self._is_head_complete and self.has_begun:
-            self._head_bytes += len(data)
-            if self._head_bytes > self.limits.head_bytes:
-                self._error = BadMessage(431, "the head is too large")
+            self._refuse(400, str(error))
+        if was_in_head and self.has_begun:
+            self._check_head_size()
         has_progressed = was_in_head or self._body_bytes != body_bytes or not self.has_begun
         self._framing_bytes = 0 if has_progressed else self._framing_bytes + len(data)
-        if self._error is None and self._framing_bytes > self.limits.head_bytes:
-            self._error = BadMessage(431, "too many bytes beside the body")
+        if self._framing_bytes > self.limits.head_bytes:
+            self._refuse(431, "too many bytes beside the body")
+        if self._error is None and not self._may_hold(self.held_bytes):
+            self._refuse(503, "too many bytes of requests are held")
         if self._error is not None:
             raise self._error
 
@@ -101,12 +175,12 @@
         """Handle the start of a request."""
         self.has_begun = True
         self._is_head_complete = False
-        self._head_bytes = 0
         self._arrived_ms = self._now_ms
         self._target = []
         self._headers = BytesIO()
         self._body = BytesIO()
         self._body_bytes = 0
+        self._declared_bytes = 0
 
     def on_url(self, piece: bytes) -> None:
         """Handle a part of the request target."""
@@ -133,10 +207,6 @@
         if self._body_bytes > self.limits.body_bytes:
             self._refuse(413, "the body is too large")
             return
-        self.held_bytes += len(piece)
-        if not self._may_hold(self.held_bytes):
-            self._refuse(503, "too many bytes of requests are held")
-            return
         # One buffer: an object for each piece would take many times the size of small pieces.
         self._body.write(piece)
 
@@ -147,21 +217,25 @@
         self.wants_continue = False
         if self._error is not None:
             return
-        self.complete_requests.append(
-            Request(
-                self._parser.get_method(),
-                b"".join(self._target),
-                self._parser.get_http_version(),
-                HeaderLines(self._headers.getvalue()),
-                self._body.getvalue(),
-                self._parser.should_keep_alive(),
-                self._arrived_ms,
-            )
+        self._is_busy = True
+        self._request = Request(
+            self._parser.get_method(),
+            b"".join(self._target),
+            self._parser.get_http_version(),
+            HeaderLines(self._headers.getvalue()),
+            self._body.getvalue(),
+            self._parser.should_keep_alive(),
+            self._arrived_ms,
         )
+        self._target, self._headers, self._body = [], BytesIO(), BytesIO()
 
     def _refuse(self, status: int, reason: str) -> None:
         self._error = self._error or BadMessage(status, reason)
 
+    def _check_head_size(self) -> None:
+        if self._head_bytes > self.limits.head_bytes + REQUEST_FRAME_BYTES:
+            self._refuse(431, "the head is too large")
+
     def _check_head(self, headers: HeaderLines) -> None:
         values_by_name: dict[bytes, list[bytes]] = {}
         for name, value in headers:
@@ -171,6 +245,7 @@
         target = b"".join(self._target)
         hosts = values_by_name.get(b"host", [])
         codings = [value.lower() for value in values_by_name.get(b"transfer-encoding", [])]
+        self._declared_bytes = self._declared_length(values_by_name)
         if len(hosts) != 1 or not hosts[0]:
             self._refuse(400, "exactly one Host header is needed")
         elif not target.startswith(b"/") or b"#" in target:
@@ -179,7 +254,7 @@
             self._refuse(400, "the only coding taken is chunked")
         elif b"upgrade" in values_by_name:
             self._refuse(400, "upgrades are not offered")
-        elif self._declared_length(values_by_name) > self.limits.body_bytes:
+        elif self._declared_bytes > self.limits.body_bytes:
             self._refuse(413, "the body is too large")
         self.wants_continue = b"100-continue" in [
             value.lower() for value in values_by_name.get(b"expect", [])
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -209,10 +209,9 @@
     def __init__(self, sock: socket.socket, server: HttpServer) -> None:
         self._sock = sock
         self._http_server = server
-        self._reader = RequestReader(server.limits(), self._may_hold_bodies)
+        self._reader = RequestReader(server.limits(), self._may_hold)
         self._sender: gevent.Greenlet | None = None
         self._close_after_answer = False
-        self._pending = b""
         self._turns = Turns()
         self._is_closed = False
 
@@ -281,8 +280,8 @@
         """Count the bytes of an answer that are kept for the caller."""
         return self._http_server.held.answers.keep(self, size)
 
-    def _may_hold_bodies(self, size: int) -> bool:
-        return self._http_server.held.bodies.hold(self, size + len(self._pending))
+    def _may_hold(self, size: int) -> bool:
+        return self._http_server.held.bodies.hold(self, size)
 
     def _serve_one(self) -> bool:
         request = self._next_request()
@@ -296,8 +295,8 @@
         finally:
             self._http_server.active_count -= 1
             self._http_server.held.answers.keep(self, 0)
-            self._reader.held_bytes -= len(request.body)
-            self._may_hold_bodies(self._reader.held_bytes)
+            self._reader.release_request()
+            self._may_hold(self._reader.held_bytes)
         if not reply.finished:
             # Closing without the proper end shows the caller that the answer is incomplete.
             return False
@@ -343,9 +342,9 @@
         except OSError:
             data = b""
         if data:
-            self._pending += data
-            may_hold = self._may_hold_bodies(self._reader.held_bytes)
-            if len(self._pending) > MAX_PENDING_BYTES or not may_hold:
+            self._reader.feed(data, self._http_server.clock.now_ms())
+            may_hold = self._may_hold(self._reader.held_bytes)
+            if self._reader.unparsed_bytes > MAX_PENDING_BYTES or not may_hold:
                 watcher.stop()  # type: ignore[attr-defined]
             return
         watcher.stop()  # type: ignore[attr-defined]
@@ -367,21 +366,21 @@
 
     def _next_request(self) -> Request | None:
         reader = self._reader
-        while not reader.complete_requests:
-            data, self._pending = self._pending, b""
-            if not data:
-                data = self._read()
-            if not data:
-                return None
+        data = b""
+        while True:
             if not reader.has_begun:
                 # The configuration may have changed while the connection was idle.
                 reader.limits = self._http_server.limits()
             reader.feed(data, self._http_server.clock.now_ms())
             self._turns.record_read(len(data))
-            if reader.wants_continue and not reader.complete_requests:
+            if reader.has_request:
+                return reader.take_request()
+            if reader.wants_continue:
                 reader.wants_continue = False
                 self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-        return reader.complete_requests.popleft()
+            data = self._read()
+            if not data:
+                return None
 
     def _read(self) -> bytes:
         reader = self._reader
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -173,6 +173,10 @@
     try:
         for start in range(0, len(data), piece_bytes):
             reader.feed(data[start : start + piece_bytes], 0)
+            while reader.has_request:
+                reader.take_request()
+                reader.release_request()
+                reader.feed(b"", 0)
     except BadMessage as error:
         assert 400 <= error.status < 500
 
@@ -185,10 +189,31 @@
     with pytest.raises(BadMessage):
         for start in range(0, len(data), piece_bytes):
             reader.feed(data[start : start + piece_bytes], MonotonicClock().now_ms())
-            assert not reader.complete_requests
+            assert not reader.has_request
         raise BadMessage(400, "incomplete")
 
 
+def test_a_request_behind_another_one_is_parsed_after_its_answer():
+    """Parsed ahead, 60 KB of small requests took ten times their size while the first waited."""
+    reader = RequestReader(MessageLimits())
+    first = b"POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n\r\n\r\n\r\n0\r\n\r\n"
+    second = b"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+    third = b"GET /3 HTTP/1.1\r\nHost: h\r\n\r\n"
+    received = first + second + third
+    reader.feed(received, 0)
+    taken = []
+    for behind in (second + third, third, b""):
+        request = reader.take_request()
+        assert reader.unparsed_bytes == len(behind)
+        assert reader.held_bytes == request.size + len(behind)
+        reader.release_request()
+        reader.feed(b"", 0)
+        taken.append((request.target, request.body))
+    assert taken == [(b"/1", b"\r\n\r\n"), (b"/2", b"ab"), (b"/3", b"")]
+    assert not reader.has_request
+    assert reader.held_bytes == 0
+
+
 def test_an_unexpected_exception_is_logged_and_answered_with_500(listen, caplog):
     """A handler raises an unexpected exception.
 
