What a connection has received is freed when it closes

Callers saw a node end after several waves of callers that left in the middle of their requests.

Cause: the reader and its parser refer to each other, so that their buffers stayed until a full garbage collection, which is rare in a process with many objects. Besides, each connection kept the bytes of its last read, up to 64 KB, while it waited for more.

The reader drops its parser and buffers when the connection ends.

--- a/monsoonflow/transport/codec.py
+++ b/monsoonflow/transport/codec.py
@@ -126,6 +126,17 @@
         self._is_busy = False
         self._taken_bytes = 0
 
+    def close(self) -> None:
+        """Drop all that was received; the reader must not be used again.
+
+        The parser and this object refer to each other: what they hold would stay in memory until a
+        full garbage collection.
+        """
+        self._parser = self._request = None
+        self._may_hold = bool
+        self._unparsed = b""
+        self._target, self._headers, self._body = [], BytesIO(), BytesIO()
+
     def _end_of_part(self, data: bytes, offset: int) -> int:
         """Return up to where bytes can be parsed without those of a next request.
 
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -229,6 +229,7 @@
         finally:
             self._http_server.held.answers.release(self)
             self._http_server.held.bodies.hold(self, 0)
+            self._reader.close()
             self._sock.close()
 
     def connection_header(self) -> bytes:
@@ -372,7 +373,10 @@
                 # The configuration may have changed while the connection was idle.
                 reader.limits = self._http_server.limits()
             reader.feed(data, self._http_server.clock.now_ms())
-            self._turns.record_read(len(data))
+            size = len(data)
+            # The bytes that were read must not stay while more are awaited.
+            data = b""
+            self._turns.record_read(size)
             if reader.has_request:
                 return reader.take_request()
             if reader.wants_continue:
--- a/tests/transport/test_held_bytes.py
+++ b/tests/transport/test_held_bytes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import tracemalloc
 
 import attrs
@@ -263,6 +264,24 @@
         assert running.held.bodies.total == 0
 
 
+def test_what_a_closed_connection_has_sent_is_freed_without_a_garbage_collection(listen_limited):
+    """Memory grew with each wave of callers that closed in the middle of their requests."""
+    running = listen_limited(lambda _request, reply: reply.send_whole(200, []))
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n"
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        for _ in range(20):
+            running.connect(head + b"x" * 40_000).close()
+        gevent.sleep(0.2)
+        left_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert left_bytes < 200_000
+
+
 def test_a_body_is_not_copied_for_a_server_that_reads_slowly():
     """The body was joined with the head, so that the node held it twice during the send."""
     listener = socket.create_server(("127.0.0.1", 0))
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -196,7 +196,10 @@
 def test_a_request_behind_another_one_is_parsed_after_its_answer():
     """Parsed ahead, 60 KB of small requests took ten times their size while the first waited."""
     reader = RequestReader(MessageLimits())
-    first = b"POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n\r\n\r\n\r\n0\r\n\r\n"
+    first = (
+        b"POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"4\r\n\r\n\r\n\r\n0\r\n\r\n"
+    )
     second = b"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
     third = b"GET /3 HTTP/1.1\r\nHost: h\r\n\r\n"
     received = first + second + third
