Requests that never end make room for others

Ordinary callers got 503 while a crowd of callers had stopped just short of the end of their bodies: whoever held a share of the budget kept it until a timeout of many seconds, and the newest request was refused. The budget was a constant that fits nodes of 160 MB.

When the budget is short, the request that has been incomplete for the longest gets 503, which is true: it has not run. A request is refused only if no older incomplete one of its size class is left to make room. The budgets are a tenth of the memory that the settings state, 16 MB as before where they state none.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -180,7 +180,7 @@
         self.connection_pools = ConnectionPools(self.clock)
         self.forwarding_pools = ConnectionPools(self.clock)
         self.metrics = EntryMetrics()
-        self.held_bytes = HeldBytes()
+        self.held_bytes = HeldBytes.for_memory(settings.memory_bytes)
         self.stall_detector = StallDetector(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._heartbeat_sequence = 0
         self._started_ms = self.clock.now_ms()
@@ -646,6 +646,11 @@
             "Requests refused since too many bytes are held.",
             lambda: bodies.refused_count,
         )
+        gauge(
+            "incomplete_requests_ended",
+            "Incomplete requests refused since others needed the memory.",
+            lambda: bodies.ended_count,
+        )
         gauge("ready", "Whether callers should come here.", lambda: float(self.is_ready()))
         slow_runners = "Runners that are slower than the median of their cell."
         gauge("slow_runners", slow_runners, lambda: float(self.pace_exchange.slow_count()))
--- a/monsoonflow/entry/settings.py
+++ b/monsoonflow/entry/settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..fleet.models import DEFAULT_CORES
+from ..transport.held_bytes import DEFAULT_MEMORY_BYTES
 
 
 def _validate_address(_instance: object, field: attrs.Attribute, value: str) -> None:
@@ -67,6 +68,7 @@
     :param metrics_address: where metrics are read.
     :param seeds: peer addresses of some nodes, which may be out of date.
     :param cores: how much processor time this process has, as announced in its node record.
+    :param memory_bytes: how much memory this process may use; bounds what it holds for callers.
     :param first_start: whether the whole system starts for the first time: no retries were spent
         before.
     """
@@ -84,6 +86,7 @@
     bounds: PeerBounds = PeerBounds()
     seeds: tuple[str, ...] = ()
     cores: float = DEFAULT_CORES
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     first_start: bool = True
 
     def immutable_settings(self) -> tuple[str, ...]:
--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -11,6 +11,7 @@
 from ..entry.settings import EntrySettings, PeerBounds
 from ..fleet.models import DEFAULT_CORES, bounded_cores
 from ..helpers.settings import Setting, SettingError, one_of, pattern, whole
+from ..transport.held_bytes import DEFAULT_MEMORY_BYTES
 
 SCHEMA: Final = [
     Setting(
@@ -98,6 +99,7 @@
         seeds=tuple(str(seed) for seed in fields.get("seedNodes", ())),
         store_address=str(platform["address"]),
         cores=_decode_cores(fields.get("limits")),
+        memory_bytes=_decode_memory_bytes(fields.get("limits")),
         first_start=fields.get("bootstrap") is True,
         bounds=PeerBounds(
             lease_ms=int(bounds.get("leaseMs", 3_000)),
@@ -130,5 +132,13 @@
     return bounded_cores(share * speed)
 
 
+def _decode_memory_bytes(limits: object) -> int:
+    """Return the memory that the process may use; a default if it is not given."""
+    memory_mb = limits.get("memoryMb") if isinstance(limits, Mapping) else None
+    if not isinstance(memory_mb, int) or memory_mb <= 0:
+        return DEFAULT_MEMORY_BYTES
+    return memory_mb << 20
+
+
 def _to_ms(seconds: float) -> int:
     return round(float(seconds) * 1000)
--- a/monsoonflow/transport/held_bytes.py
+++ b/monsoonflow/transport/held_bytes.py
@@ -6,13 +6,19 @@
 
 import attrs
 
-MAX_ANSWER_BYTES: Final = 16 << 20
-"""Bytes of answers held for all callers together: a tenth of the memory of the smallest nodes, and
-fifty answers of the largest size that is read completely before it is forwarded."""
+DEFAULT_MEMORY_BYTES: Final = 160 << 20
+"""The memory of the smallest nodes, for a process that is not told how much it may use."""
 
-MAX_BODY_BYTES: Final = 16 << 20
-"""Bytes held of large bodies together, and of small bodies together. One caller's single body is
-always held, up to the limit of the configuration."""
+ANSWERS_SHARE: Final = 1 / 10
+"""Share of the memory for the answers held for all callers together. On the smallest nodes these
+are fifty of the largest size that is read completely before it is forwarded."""
+
+REQUESTS_SHARE: Final = 1 / 10
+"""Share of the memory for large requests together, and for small ones together. One caller's single
+request is always held, up to the limits of the configuration."""
+
+MAX_ANSWER_BYTES: Final = int(ANSWERS_SHARE * DEFAULT_MEMORY_BYTES)
+MAX_BODY_BYTES: Final = int(REQUESTS_SHARE * DEFAULT_MEMORY_BYTES)
 
 SMALL_BODY_BYTES: Final = 65_536
 """Bodies up to this size do not share a limit with larger ones: some large bodies for a server that
@@ -26,6 +32,13 @@
         """End the send in progress and close the connection."""
 
 
+class Receiver(Protocol):
+    """A connection that receives a request."""
+
+    def end_receive(self) -> None:
+        """Refuse the request that is being received and close the connection."""
+
+
 @attrs.define(slots=True)
 class _Held:
     """What is held for one caller.
@@ -113,7 +126,11 @@
 class BodyBytes:
     """The bytes of requests that are being received, and of those that servers have not read yet.
 
-    :param max_bytes: limit for small bodies together, and for large ones together.
+    If they exceed the limit, the requests that have been incomplete for the longest are ended: a
+    caller that stops short of the end of its request must not keep out those that go on. A request
+    that no older one can make room for is refused.
+
+    :param max_bytes: limit for small requests together, and for large ones together.
 
     >>> bodies = BodyBytes(max_bytes=200_000)
     >>> [bodies.hold(name, 150_000) for name in ("a", "b")], bodies.hold("c", 10_000)
@@ -126,36 +143,65 @@
         self._max_bytes = max_bytes
         self._bytes_by_holder: dict[object, int] = {}
         self._total_by_is_large = {False: 0, True: 0}
+        self._receiving: dict[Receiver, None] = {}
         self.peak = 0
         self.refused_count = 0
+        self.ended_count = 0
 
     @property
     def total(self) -> int:
         """Return the bytes that are held."""
         return sum(self._total_by_is_large.values())
 
+    def begin_receive(self, receiver: Receiver) -> None:
+        """Record that the request of a connection is incomplete."""
+        self._receiving.setdefault(receiver)
+
+    def end_receive(self, receiver: Receiver) -> None:
+        """Record that it is complete or has been given up."""
+        self._receiving.pop(receiver, None)
+
     def hold(self, holder: object, size: int) -> bool:
         """Count the bytes of a caller's requests; return whether they may be held.
 
         :param size: all bytes of the caller; replaces the earlier value. It is not counted if it
             may not be held.
         """
-        before = self._bytes_by_holder.get(holder, 0)
-        if before:
-            self._total_by_is_large[before > SMALL_BODY_BYTES] -= before
-        is_large = size > SMALL_BODY_BYTES
-        others = self._total_by_is_large[is_large]
-        is_held = size <= before or others + size <= self._max_bytes or not others
+        before = self._release(holder)
+        is_held = size <= before or self._has_room(size) or self._make_room(holder, size)
         self.refused_count += not is_held
         kept = size if is_held else before
         self._total_by_is_large[kept > SMALL_BODY_BYTES] += kept
         if kept:
             self._bytes_by_holder[holder] = kept
-        else:
-            self._bytes_by_holder.pop(holder, None)
         self.peak = max(self.peak, self.total)
         return is_held
 
+    def _release(self, holder: object) -> int:
+        size = self._bytes_by_holder.pop(holder, 0)
+        self._total_by_is_large[size > SMALL_BODY_BYTES] -= size
+        return size
+
+    def _has_room(self, size: int) -> bool:
+        others = self._total_by_is_large[size > SMALL_BODY_BYTES]
+        return others + size <= self._max_bytes or not others
+
+    def _make_room(self, holder: object, size: int) -> bool:
+        is_large = size > SMALL_BODY_BYTES
+        for receiver in list(self._receiving):
+            if receiver is holder:
+                return False
+            held = self._bytes_by_holder.get(receiver, 0)
+            if not held or (held > SMALL_BODY_BYTES) is not is_large:
+                continue
+            self._release(receiver)
+            del self._receiving[receiver]
+            self.ended_count += 1
+            receiver.end_receive()
+            if self._has_room(size):
+                return True
+        return False
+
 
 @attrs.frozen(slots=True)
 class HeldBytes:
@@ -163,3 +209,11 @@
 
     answers: AnswerBytes = attrs.Factory(AnswerBytes)
     bodies: BodyBytes = attrs.Factory(BodyBytes)
+
+    @classmethod
+    def for_memory(cls, memory_bytes: int) -> HeldBytes:
+        """Return bounds for a process that may use some memory."""
+        return cls(
+            AnswerBytes(int(ANSWERS_SHARE * memory_bytes)),
+            BodyBytes(int(REQUESTS_SHARE * memory_bytes)),
+        )
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -214,6 +214,8 @@
         self._close_after_answer = False
         self._turns = Turns()
         self._is_closed = False
+        self._is_receiving = False
+        self._end_cause: BaseException | None = None
 
     def serve(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -228,8 +230,7 @@
             pass
         finally:
             self._http_server.held.answers.release(self)
-            self._http_server.held.bodies.hold(self, 0)
-            self._reader.close()
+            self._release_requests()
             self._sock.close()
 
     def connection_header(self) -> bytes:
@@ -281,6 +282,30 @@
         """Count the bytes of an answer that are kept for the caller."""
         return self._http_server.held.answers.keep(self, size)
 
+    def end_receive(self) -> None:
+        """Refuse the request that is being received: others need the memory that it takes."""
+        self._end_soon(BadMessage(503, "others need the memory of this incomplete request"))
+
+    def _end_soon(self, cause: BaseException) -> None:
+        """Raise an exception where the connection waits for bytes, or before it reads on."""
+        self._end_cause = cause
+        gevent.get_hub().cancel_wait(self._sock._read_event, cause)  # noqa: SLF001
+
+    def _set_receiving(self, is_receiving: bool) -> None:
+        if is_receiving is self._is_receiving:
+            return
+        self._is_receiving = is_receiving
+        requests = self._http_server.held.bodies
+        if is_receiving:
+            requests.begin_receive(self)
+        else:
+            requests.end_receive(self)
+
+    def _release_requests(self) -> None:
+        self._set_receiving(False)
+        self._http_server.held.bodies.hold(self, 0)
+        self._reader.close()
+
     def _may_hold(self, size: int) -> bool:
         return self._http_server.held.bodies.hold(self, size)
 
@@ -377,8 +402,13 @@
             # The bytes that were read must not stay while more are awaited.
             data = b""
             self._turns.record_read(size)
+            if self._end_cause is not None:
+                raise self._end_cause
             if reader.has_request:
+                self._set_receiving(False)
                 return reader.take_request()
+            if reader.has_begun:
+                self._set_receiving(True)
             if reader.wants_continue:
                 reader.wants_continue = False
                 self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -408,6 +438,8 @@
     def _refuse(self, error: BadMessage) -> None:
         """Answer a rejected message and close; nothing of it reaches the handler."""
         self._close_after_answer = True
+        # What was received must not stay until the caller has read its answer.
+        self._release_requests()
         log(_LOGGER, events.BadMessage(status=error.status, cause=error.reason))
         try:
             content_type, body = self._http_server.refusal(error)
--- a/tests/transport/test_held_bytes.py
+++ b/tests/transport/test_held_bytes.py
@@ -112,6 +112,56 @@
     assert not bodies.hold("b", 2 * SMALL_BODY_BYTES)
 
 
+@attrs.define(eq=False)
+class RecordedReceiver:
+    """A connection that records whether its incomplete request was ended."""
+
+    ended: bool = False
+
+    def end_receive(self) -> None:
+        """Record it."""
+        self.ended = True
+
+
+def test_the_requests_that_are_incomplete_for_the_longest_make_room():
+    """Callers that stopped just short of the end of their bodies kept out all others."""
+    bodies = BodyBytes(max_bytes=1_000)
+    receivers = [RecordedReceiver() for _ in range(4)]
+    assert bodies.hold("complete", 100)
+    for receiver in receivers[:3]:
+        bodies.begin_receive(receiver)
+        assert bodies.hold(receiver, 300)
+    bodies.end_receive(receivers[0])
+    bodies.begin_receive(receivers[3])
+    assert bodies.hold(receivers[3], 200)
+    assert [receiver.ended for receiver in receivers] == [False, True, False, False]
+    assert bodies.total == 900
+    assert bodies.ended_count == 1
+
+
+def test_a_request_without_an_older_incomplete_one_is_refused():
+    """What is complete may be at a server, and the newest must not be ended for an older one."""
+    bodies = BodyBytes(max_bytes=1_000)
+    older, newer = RecordedReceiver(), RecordedReceiver()
+    assert bodies.hold("complete", 800)
+    bodies.begin_receive(older)
+    bodies.begin_receive(newer)
+    assert bodies.hold(newer, 100)
+    assert not bodies.hold(older, 300)
+    assert not newer.ended
+    assert bodies.total == 900
+
+
+def test_small_incomplete_requests_make_no_room_for_large_ones():
+    bodies = BodyBytes(max_bytes=3 * SMALL_BODY_BYTES)
+    small = RecordedReceiver()
+    bodies.begin_receive(small)
+    assert bodies.hold(small, 100)
+    assert bodies.hold("a", 2 * SMALL_BODY_BYTES)
+    assert not bodies.hold("b", 2 * SMALL_BODY_BYTES)
+    assert not small.ended
+
+
 @attrs.define
 class LimitedServer:
     """A server with small bounds."""
@@ -240,6 +290,25 @@
     assert running.held.bodies.peak <= 2 * LIMIT_BYTES
 
 
+def test_requests_that_stop_short_of_their_end_do_not_keep_out_others(listen_limited):
+    """Forty bodies that lack their last byte, then ordinary ones: those got 503 for seconds."""
+    running = listen_limited(lambda _request, reply: reply.send_whole(200, [], b"ok"))
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\n\r\n"
+    body = b"x" * 60_000
+    short = [running.connect(head % len(body) + body[1:]) for _ in range(40)]
+    gevent.sleep(0.5)
+    ordinary = [running.connect(head % len(body) + body) for _ in range(5)]
+    assert all(read_all(connection).startswith(b"HTTP/1.1 200") for connection in ordinary)
+    ended = running.held.bodies.ended_count
+    assert ended >= 40 - LIMIT_BYTES // len(body)
+    answers = [read_all(connection) for connection in short[:ended]]
+    assert all(answer.startswith(b"HTTP/1.1 503") for answer in answers)
+    assert all(b"Retry-After: 1\r\n" in answer for answer in answers)
+    for connection in short[ended:]:
+        connection.sendall(b"x")
+        assert read_all(connection).startswith(b"HTTP/1.1 200")
+
+
 def test_a_refused_body_is_answered_with_the_time_of_a_retry(listen_limited):
     """Nothing ran, and the caller may retry."""
     running = listen_limited(lambda _request, reply: reply.send_whole(200, []))
