Connections of callers are bounded, and whoever connects is preferred to idle ones

Callers that sent nothing took all descriptors of a node, on any of its listeners: it could open no connection to servers, peers or the store, and ordinary callers waited in the listen queue until a timeout of others.

Cause: nothing bounded the connections but the process's limit. Evidence: 300 connections to each of the five listeners of a node with 256 descriptors left it with none.

Each group of listeners (callers; peers; readiness, addresses and metrics) may have a share of the sockets that the settings state, and for callers of the memory. At the bound, a connection is closed for each new one: first those that send nothing, then idle ones, then those whose request has been incomplete for the longest, which get 503. A request that is being served is never cut.

The listeners that answer without a server share a bound on what they hold, too.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -55,6 +55,12 @@
 from ..storage.models import ChangedRow, ChangeFeed, RawTable
 from ..storage.retrying_table import RetryingTable
 from ..transport.client import ConnectionPools
+from ..transport.connection_limit import (
+    ConnectionLimit,
+    callers_limit,
+    control_limit,
+    peers_limit,
+)
 from ..transport.held_bytes import HeldBytes
 from ..transport.models import MessageLimits
 from ..transport.server import Handler, HttpServer
@@ -100,6 +106,10 @@
 PEER_CHECK_MS: Final = 300
 """How long peers take to check and to announce whether they reach a service that this node lost."""
 
+CONTROL_MEMORY_SHARE: Final = 1 / 8
+"""Share of the memory from which the listeners that answer without a server have their bounds:
+their requests have no bodies."""
+
 FORWARDED_HEAD_BYTES: Final = 2_048
 """What a node adds to the head of a request that it forwards."""
 
@@ -181,6 +191,9 @@
         self.forwarding_pools = ConnectionPools(self.clock)
         self.metrics = EntryMetrics()
         self.held_bytes = HeldBytes.for_memory(settings.memory_bytes)
+        self.caller_connections = ConnectionLimit(
+            callers_limit(settings.memory_bytes, settings.max_sockets)
+        )
         self.stall_detector = StallDetector(self.clock, self.tasks, settings.bounds.thaw_ms)
         self._heartbeat_sequence = 0
         self._started_ms = self.clock.now_ms()
@@ -651,6 +664,18 @@
             "Incomplete requests refused since others needed the memory.",
             lambda: bodies.ended_count,
         )
+        connections = self.caller_connections
+        gauge("caller_connections", "Connections of callers.", lambda: len(connections))
+        gauge(
+            "caller_connections_closed",
+            "Connections closed since others needed them.",
+            lambda: connections.closed_count,
+        )
+        gauge(
+            "caller_connections_refused",
+            "Connections refused since all others were serving requests.",
+            lambda: connections.refused_count,
+        )
         gauge("ready", "Whether callers should come here.", lambda: float(self.is_ready()))
         slow_runners = "Runners that are slower than the median of their cell."
         gauge("slow_runners", slow_runners, lambda: float(self.pace_exchange.slow_count()))
@@ -845,7 +870,8 @@
             self.stream_versions.answer,
             self.gateway.handle_forwarded,
         )
-        default_limits = MessageLimits
+        control_connections = ConnectionLimit(control_limit(settings.max_sockets))
+        control_held = HeldBytes.for_memory(int(CONTROL_MEMORY_SHARE * settings.memory_bytes))
         return Ports(
             callers=HttpServer(
                 settings.callers_address,
@@ -853,18 +879,23 @@
                 self._message_limits,
                 self.clock,
                 held=self.held_bytes,
+                connections=self.caller_connections,
             ),
             ready=HttpServer(
                 settings.ready_address,
                 integration.readiness(self.is_ready),
-                default_limits,
+                MessageLimits,
                 self.clock,
+                held=control_held,
+                connections=control_connections,
             ),
             directory=HttpServer(
                 settings.directory_address,
                 integration.directory(self.address_directory.choose),
-                default_limits,
+                MessageLimits,
                 self.clock,
+                held=control_held,
+                connections=control_connections,
             ),
             peers=HttpServer(
                 settings.peer_address,
@@ -872,9 +903,15 @@
                 self._peer_message_limits,
                 self.clock,
                 held=self.held_bytes,
+                connections=ConnectionLimit(peers_limit(settings.max_sockets)),
             ),
             metrics=HttpServer(
-                settings.metrics_address, self.metrics.handle, default_limits, self.clock
+                settings.metrics_address,
+                self.metrics.handle,
+                MessageLimits,
+                self.clock,
+                held=control_held,
+                connections=control_connections,
             ),
         )
 
--- a/monsoonflow/entry/settings.py
+++ b/monsoonflow/entry/settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..fleet.models import DEFAULT_CORES
+from ..transport.connection_limit import default_max_sockets
 from ..transport.held_bytes import DEFAULT_MEMORY_BYTES
 
 
@@ -69,6 +70,7 @@
     :param seeds: peer addresses of some nodes, which may be out of date.
     :param cores: how much processor time this process has, as announced in its node record.
     :param memory_bytes: how much memory this process may use; bounds what it holds for callers.
+    :param max_sockets: how many sockets this process may have open.
     :param first_start: whether the whole system starts for the first time: no retries were spent
         before.
     """
@@ -87,6 +89,7 @@
     seeds: tuple[str, ...] = ()
     cores: float = DEFAULT_CORES
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_sockets: int = attrs.field(factory=default_max_sockets)
     first_start: bool = True
 
     def immutable_settings(self) -> tuple[str, ...]:
--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -11,6 +11,7 @@
 from ..entry.settings import EntrySettings, PeerBounds
 from ..fleet.models import DEFAULT_CORES, bounded_cores
 from ..helpers.settings import Setting, SettingError, one_of, pattern, whole
+from ..transport.connection_limit import FILE_DESCRIPTORS, default_max_sockets
 from ..transport.held_bytes import DEFAULT_MEMORY_BYTES
 
 SCHEMA: Final = [
@@ -100,6 +101,7 @@
         store_address=str(platform["address"]),
         cores=_decode_cores(fields.get("limits")),
         memory_bytes=_decode_memory_bytes(fields.get("limits")),
+        max_sockets=_decode_max_sockets(fields.get("limits")),
         first_start=fields.get("bootstrap") is True,
         bounds=PeerBounds(
             lease_ms=int(bounds.get("leaseMs", 3_000)),
@@ -140,5 +142,14 @@
     return memory_mb << 20
 
 
+def _decode_max_sockets(limits: object) -> int:
+    """Return how many sockets the process may open; some descriptors are reserved for files."""
+    max_descriptors = limits.get("maxFds") if isinstance(limits, Mapping) else None
+    allowed = default_max_sockets()
+    if not isinstance(max_descriptors, int) or max_descriptors <= FILE_DESCRIPTORS:
+        return allowed
+    return min(allowed, max_descriptors - FILE_DESCRIPTORS)
+
+
 def _to_ms(seconds: float) -> int:
     return round(float(seconds) * 1000)
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -15,6 +15,7 @@
 from ..core.clock import Clock
 from ..logs import events, log
 from .codec import BODILESS_STATUSES, RequestReader
+from .connection_limit import ConnectionLimit, Phase, callers_limit, default_max_sockets
 from .const import (
     LINGER_MS,
     LISTEN_BACKLOG,
@@ -25,7 +26,7 @@
     SEND_BUFFER_BYTES,
     WRITE_TIMEOUT_MS,
 )
-from .held_bytes import HeldBytes
+from .held_bytes import DEFAULT_MEMORY_BYTES, HeldBytes
 from .models import BadMessage, CallerLeft, Header, MessageLimits, Request
 from .sockets import FLUSH_AT_CLOSE, RESET_AT_CLOSE, Turns, set_socket_options, split_address
 
@@ -215,10 +216,15 @@
         self._turns = Turns()
         self._is_closed = False
         self._is_receiving = False
+        self._makes_room = False
         self._end_cause: BaseException | None = None
 
     def serve(self) -> None:
         """Serve requests until either side closes the connection."""
+        connections = self._http_server.connections
+        if not connections.admit(self, self._http_server.clock.now_ms()):
+            self._sock.close()
+            return
         try:
             set_socket_options(self._sock)
             self._sock.setsockopt(native.SOL_SOCKET, native.SO_SNDBUF, SEND_BUFFER_BYTES)
@@ -231,6 +237,7 @@
         finally:
             self._http_server.held.answers.release(self)
             self._release_requests()
+            connections.remove(self)
             self._sock.close()
 
     def connection_header(self) -> bytes:
@@ -286,6 +293,17 @@
         """Refuse the request that is being received: others need the memory that it takes."""
         self._end_soon(BadMessage(503, "others need the memory of this incomplete request"))
 
+    def end_for_room(self) -> None:
+        """Close the connection: there are too many, and it is the one that matters least."""
+        self._makes_room = True
+        if self._is_receiving:
+            self._end_soon(BadMessage(503, "others need the connection of this incomplete request"))
+        else:
+            self._end_soon(CallerLeft("others need the connection"))
+
+    def _move(self, phase: Phase) -> None:
+        self._http_server.connections.move(self, phase, self._http_server.clock.now_ms())
+
     def _end_soon(self, cause: BaseException) -> None:
         """Raise an exception where the connection waits for bytes, or before it reads on."""
         self._end_cause = cause
@@ -298,6 +316,7 @@
         requests = self._http_server.held.bodies
         if is_receiving:
             requests.begin_receive(self)
+            self._move(Phase.RECEIVING)
         else:
             requests.end_receive(self)
 
@@ -316,6 +335,7 @@
         self._close_after_answer = not request.keep_alive
         reply = Reply(self, request.method == b"HEAD")
         self._http_server.active_count += 1
+        self._move(Phase.SERVING)
         try:
             self._handle(request, reply)
         finally:
@@ -329,6 +349,7 @@
         if self._close_after_answer:
             self._close_gracefully()
             return False
+        self._move(Phase.IDLE)
         return True
 
     def _handle(self, request: Request, reply: Reply) -> None:
@@ -458,6 +479,9 @@
         """
         self._sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, FLUSH_AT_CLOSE)
         self._sock.shutdown(native.SHUT_WR)
+        if self._makes_room:
+            return
+        self._move(Phase.CLOSING)
         clock = self._http_server.clock
         until_ms = clock.now_ms() + MAX_LINGER_MS
         left_bytes = MAX_LINGER_BYTES
@@ -488,6 +512,7 @@
     :param ends_with_caller: whether a handler is ended when its caller closes the connection.
     :param refusal: returns content type and body of the answer to a rejected message.
     :param held: bounds the bytes that are held for all callers; ``None`` for a bound of its own.
+    :param connections: bounds the open connections; ``None`` for a bound of its own.
     """
 
     def __init__(
@@ -500,6 +525,7 @@
         ends_with_caller: bool = True,
         refusal: RefusalFormatter = plain_text_refusal,
         held: HeldBytes | None = None,
+        connections: ConnectionLimit | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
@@ -507,6 +533,11 @@
         self.clock = clock
         self.refusal = refusal
         self.held = held or HeldBytes()
+        if connections is None:
+            connections = ConnectionLimit(
+                callers_limit(DEFAULT_MEMORY_BYTES, default_max_sockets())
+            )
+        self.connections = connections
         self.ends_with_caller = ends_with_caller
         self.keeps_alive = True
         self.active_count = 0
