Answers of servers take their size in memory, whatever their lines and pieces

Not seen by callers: found by following the cause of requests in small pieces to the other side. A server that sends a head of 64 KB in short lines, or an answer in very small pieces, made a node hold twenty times as much, for each answer that it read at a time.

Heads are kept as bytes, like those of requests, and answers that are read whole in one buffer. Both tests failed before.

--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from io import BytesIO
 from typing import Final, TypeVar
 
 from ..transport.client import ConnectionPools, ServerConnection
@@ -211,22 +212,20 @@
         truncated answer. An answer that is too large to buffer is forwarded while it arrives.
         """
         self._check_head(head, terms)
-        pieces: list[bytes] = []
-        size = 0
+        body = BytesIO()
         while (piece := connection.read_piece(self._answer_deadline_ms)) is not None:
-            pieces.append(piece)
-            size += len(piece)
-            if size > REPLY_BUFFER_BYTES:
+            body.write(piece)
+            if body.tell() > REPLY_BUFFER_BYTES:
                 if reply.started:
                     raise BrokenAnswer("the answer is too large to replace the rest of a stream")
-                return self._forward_large(connection, head, b"".join(pieces), reply)
-            if not reply.keep(size):
+                return self._forward_large(connection, head, body.getvalue(), reply)
+            if not reply.keep(body.tell()):
                 raise BrokenAnswer(TOO_MANY_BYTES)
         if terms.not_run:
             return Rejected(
                 f"status {head.status}", terms.retry_after_ms, head.status == 421, connection.number
             )
-        return Whole(head, terms, b"".join(pieces))
+        return Whole(head, terms, body.getvalue())
 
     def _forward_large(
         self, connection: ServerConnection, head: AnswerHead, received: bytes, reply: Reply
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -9,7 +9,7 @@
 from ..gateway.models import AnswerTerms, Call, ForwardedRequest, Handover, Malformed
 from ..routing.server_limits import InvalidLimit, NamedLimit
 from ..transport.const import HOP_BY_HOP_HEADERS
-from ..transport.models import AnswerHead, Header, Request
+from ..transport.models import AnswerHead, Header, HeaderLines, Request
 
 REQUEST_ID_HEADER: Final = b"x-request-id"
 DEADLINE_HEADER: Final = b"x-deadline-ms"
@@ -228,7 +228,7 @@
         return headers
 
     @staticmethod
-    def _dropped_names(headers: list[Header]) -> frozenset[bytes]:
+    def _dropped_names(headers: HeaderLines) -> frozenset[bytes]:
         listed_names = _names_listed_in_connection(headers)
         return HOP_BY_HOP_HEADERS | NODE_SET_HEADERS | (listed_names - REQUIRED_HEADERS)
 
@@ -246,12 +246,11 @@
     return lines
 
 
-def _names_listed_in_connection(headers: list[Header]) -> frozenset[bytes]:
+def _names_listed_in_connection(headers: HeaderLines) -> frozenset[bytes]:
     """Return the headers that concern one connection only, as the ``Connection`` header says."""
     return frozenset(
         token.strip().lower()
-        for name, value in headers
-        if name.lower() == b"connection"
+        for value in headers.values(b"connection")
         for token in value.split(b",")
     )
 
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -6,6 +6,7 @@
 import ssl
 from collections import deque
 from collections.abc import Callable
+from io import BytesIO
 from typing import Final
 
 import attrs
@@ -401,13 +402,11 @@
     max_bytes: int,
 ) -> bytes:
     """Return the body of an answer whose head was read."""
-    pieces = []
-    size = 0
+    body = BytesIO()
     last_deadline_ms = clock.now_ms() + MAX_BODY_TIME_MS
     while (piece := connection.read_piece(deadline_ms)) is not None:
-        pieces.append(piece)
-        size += len(piece)
-        connection.check_size(size, max_bytes, "the body")
+        body.write(piece)
+        connection.check_size(body.tell(), max_bytes, "the body")
         if gap_ms is not None:
             deadline_ms = max(deadline_ms, min(clock.now_ms() + gap_ms, last_deadline_ms))
-    return b"".join(pieces)
+    return body.getvalue()
--- a/monsoonflow/transport/codec.py
+++ b/monsoonflow/transport/codec.py
@@ -19,7 +19,6 @@
     AnswerHead,
     BadMessage,
     BrokenAnswer,
-    Header,
     HeaderLines,
     IncomingAnswer,
     MessageLimits,
@@ -290,7 +289,7 @@
         self._has_progressed = False
         self._parser = httptools.HttpResponseParser(self)
         self._reason = b""
-        self._headers: list[Header] = []
+        self._headers = BytesIO()
         self._is_head_complete = False
 
     def expect_no_body(self) -> None:
@@ -342,7 +341,7 @@
         self.has_begun = True
         self._is_head_complete = False
         self._reason = b""
-        self._headers = []
+        self._headers = BytesIO()
 
     def on_status(self, reason: bytes) -> None:
         """Handle a part of the reason phrase."""
@@ -351,7 +350,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header."""
         if not self._is_head_complete:
-            self._headers.append((name, value.rstrip(b" \t")))
+            self._headers.write(b"%s:%s\n" % (name, value.rstrip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """Handle the end of the head."""
@@ -361,8 +360,9 @@
         status = self._parser.get_status_code()
         if 100 <= status < 200:
             return
-        lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
-        codings = [value for name, value in self._headers if name.lower() == b"transfer-encoding"]
+        headers = HeaderLines(self._headers.getvalue())
+        lengths = [value for name, value in headers if name.lower() == b"content-length"]
+        codings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
         if codings and [coding.lower() for coding in codings] != [b"chunked"]:
             # No answer is added, so that feed() raises the error.
             self.error = "the transfer coding is not chunked"
@@ -370,7 +370,7 @@
         length = int(lengths[0]) if lengths and lengths[0].isdigit() else None
         if status in BODILESS_STATUSES or self._is_head_request:
             length = 0
-        head = AnswerHead(status, self._reason, self._headers, length, bool(codings))
+        head = AnswerHead(status, self._reason, headers, length, bool(codings))
         self.answers.append(IncomingAnswer(head, is_complete=self._is_head_request))
 
     def on_body(self, piece: bytes) -> None:
--- a/monsoonflow/transport/models.py
+++ b/monsoonflow/transport/models.py
@@ -30,7 +30,7 @@
 
 
 class HeaderLines:
-    """The headers of a request in the order in which they were sent, kept as bytes.
+    """The headers of a message in the order in which they were sent, kept as bytes.
 
     An object for each name and value would take up to a hundred times the size of short lines, for
     as long as the request waits. Names hold no colon and values no line end, as the parser checks.
@@ -57,6 +57,15 @@
         """Return how many bytes are kept."""
         return len(self._raw)
 
+    def values(self, name: bytes) -> list[bytes]:
+        """Return the values of a header.
+
+        :param name: in lower case.
+        """
+        if name + b":" not in self._raw.lower():
+            return []
+        return [value for key, value in self if key.lower() == name]
+
     def __len__(self) -> int:
         return self._raw.count(b"\n")
 
@@ -98,7 +107,7 @@
 
         :param name: in lower case.
         """
-        return [value for key, value in self.headers if key.lower() == name]
+        return self.headers.values(name)
 
     def value(self, name: bytes) -> bytes | None:
         """Return the single value of a header; ``None`` when it is missing or repeated."""
@@ -124,7 +133,7 @@
 
     status: int
     reason: bytes
-    headers: list[Header]
+    headers: HeaderLines = attrs.field(converter=_to_header_lines)
     length: int | None
     chunked: bool
 
@@ -145,14 +154,14 @@
 
         :param name: in lower case.
         """
-        return next((value for key, value in self.headers if key.lower() == name), None)
+        return next(iter(self.headers.values(name)), None)
 
     def values(self, name: bytes) -> list[bytes]:
         """Return all values of a header.
 
         :param name: in lower case.
         """
-        return [value for key, value in self.headers if key.lower() == name]
+        return self.headers.values(name)
 
 
 @attrs.define(slots=True)
--- a/tests/transport/test_held_bytes.py
+++ b/tests/transport/test_held_bytes.py
@@ -11,7 +11,8 @@
 from gevent import socket
 
 from monsoonflow.core.clock import MonotonicClock
-from monsoonflow.transport.client import ConnectionPools
+from monsoonflow.transport.client import ConnectionPools, _read_body
+from monsoonflow.transport.codec import AnswerReader
 from monsoonflow.transport.held_bytes import (
     SMALL_BODY_BYTES,
     AnswerBytes,
@@ -367,3 +368,51 @@
         connection.close()
         listener.close()
     assert held_bytes < len(body) / 4
+
+
+def test_heads_of_answers_take_their_size_whatever_the_length_of_their_lines():
+    """Several servers that each send a head of 60 KB in short lines took megabytes each."""
+    count, size = 20, 60_000
+    data = b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * (size // 4)
+    incomplete = [AnswerReader() for _ in range(count)]
+    complete = [AnswerReader() for _ in range(count)]
+    tracemalloc.start()
+    try:
+        for reader in incomplete:
+            reader.feed(data)
+        for reader in complete:
+            reader.feed(data + b"Content-Length: 2\r\n\r\n")
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held_bytes < 2 * 2 * count * size
+    assert sum(1 for _ in complete[0].answers[0].head.headers) == size // 4 + 1
+
+
+@attrs.define
+class TinyPieces:
+    """A connection whose answer arrives in pieces of two bytes."""
+
+    left: int
+
+    def read_piece(self, _deadline_ms: int) -> bytes | None:
+        """Return the next piece."""
+        self.left -= 1
+        return None if self.left < 0 else b"%02d" % (self.left % 90)
+
+    def check_size(self, *_arguments: object) -> None:
+        """Allow any size."""
+
+
+def test_an_answer_that_is_read_whole_takes_its_size_whatever_the_size_of_its_pieces():
+    """An object for each piece of two bytes takes twenty times their size."""
+    count = 100_000
+    connection = TinyPieces(count)
+    tracemalloc.start()
+    try:
+        body = _read_body(connection, 0, None, MonotonicClock(), count)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert len(body) == 2 * count
+    assert peak_bytes < 3 * len(body)
