Refused messages of one cause write a bounded number of lines

A crowd of callers whose messages are refused wrote a line for each: 200 lines for 200 refusals in the new test, which failed before. They are sampled like refusals of requests, 20 lines a second and cause, and the others are counted.

--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -14,6 +14,7 @@
 
 from ..core.clock import Clock
 from ..logs import events, log
+from ..logs.sampling import Sampler
 from .codec import BODILESS_STATUSES, RequestReader
 from .connection_limit import ConnectionLimit, Phase, callers_limit, default_max_sockets
 from .const import (
@@ -465,7 +466,7 @@
         self._close_after_answer = True
         # What was received must not stay until the caller has read its answer.
         self._release_requests()
-        log(_LOGGER, events.BadMessage(status=error.status, cause=error.reason))
+        self._http_server.log_refusal(error)
         try:
             content_type, body = self._http_server.refusal(error)
             headers = [(b"Content-Type", content_type)]
@@ -544,6 +545,7 @@
         self.connections = connections
         self.ends_with_caller = ends_with_caller
         self.keeps_alive = True
+        self._sampler = Sampler()
         self.active_count = 0
         self.idle_connections: set[CallerConnection] = set()
         tls_options = {"ssl_context": tls} if tls is not None else {}
@@ -551,6 +553,14 @@
             split_address(address), self._serve_connection, backlog=LISTEN_BACKLOG, **tls_options
         )
 
+    def log_refusal(self, error: BadMessage) -> None:
+        """Log that a message was refused; a crowd must not fill the log with one cause."""
+        now_ms = self.clock.now_ms()
+        for kind, cause, count in self._sampler.left_out(now_ms):
+            log(_LOGGER, events.LinesSuppressed(kind, cause, count))
+        if self._sampler.allows("bad_message", error.reason, now_ms):
+            log(_LOGGER, events.BadMessage(status=error.status, cause=error.reason))
+
     def start(self) -> bool:
         """Start to listen; return whether the address could be bound."""
         try:
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import subprocess
 import sys
 import time
@@ -13,6 +14,7 @@
 from hypothesis import strategies as st
 
 from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.logs.sampling import MAX_LINES_PER_SECOND
 from monsoonflow.transport.codec import RequestReader
 from monsoonflow.transport.models import BadMessage, CallerLeft, MessageLimits, Request
 from monsoonflow.transport.server import Reply
@@ -364,3 +366,14 @@
     limits[0] = MessageLimits(body_bytes=after)
     sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n" + b"x" * 100)
     assert sock.recv(1_000).startswith(b"HTTP/1.1 " + status)
+
+
+def test_a_crowd_of_rejected_messages_writes_a_bounded_number_of_lines(listen, caplog):
+    """Each refusal wrote a line: callers that nobody controls filled the log."""
+    caplog.set_level(logging.INFO)
+    running = listen()
+    for _ in range(10 * MAX_LINES_PER_SECOND):
+        assert running.exchange(b"GET / HTTP/1.1\r\n\r\n").startswith(b"HTTP/1.1 400")
+    seconds = len({int(record.created) for record in caplog.records}) + 1
+    lines = [record for record in caplog.records if "event=bad_message" in record.getMessage()]
+    assert MAX_LINES_PER_SECOND <= len(lines) <= MAX_LINES_PER_SECOND * seconds
