Keys that outlive a request have a bounded length

Not seen by callers; found by following what a node keeps of a request after its end. Ids of streams, adapters and prompts are kept in tables that are bounded in number, but a value may have 16 KB: the 20,000 streams alone could take 300 MB, and the ids are sent to peers in datagrams.

Values longer than any proper name are replaced by a digest where they become keys. The headers are forwarded as before. The five cases of the new test failed before. Peers that run earlier code know a stream with a longer id by another key, so that it is not found there.

--- a/monsoonflow/gateway/models.py
+++ b/monsoonflow/gateway/models.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..core.server_life import ServerLife
+from ..helpers.keys import bounded_key
 from ..routing.customers import Identity
 from ..routing.server_limits import InvalidLimit, NamedLimit
 from ..transport.models import AnswerHead, Framing, Header, Request
@@ -56,7 +57,7 @@
         """Return the caller's attempt that brought, or will bring, the stream's first event."""
         if self.resumes_stream and self.resumed_request_id is not None:
             return self.resumed_request_id
-        return self.request_id
+        return bounded_key(self.request_id)
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoonflow/platform/headers.py
+++ b/monsoonflow/platform/headers.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote, unquote
 
 from ..gateway.models import AnswerTerms, Call, ForwardedRequest, Handover, Malformed
+from ..helpers.keys import bounded_key
 from ..routing.server_limits import InvalidLimit, NamedLimit
 from ..transport.const import HOP_BY_HOP_HEADERS
 from ..transport.models import AnswerHead, Header, HeaderLines, Request
@@ -117,14 +118,14 @@
             host=value_by_name[b"host"].decode("latin-1"),
             path=request.target.partition(b"?")[0].decode("latin-1"),
             deadline_ms=None if deadline_ms is None else max(0, int(float(deadline_ms))),
-            model=model or None,
-            adapter=f"{model}/{adapter}" if adapter else None,
+            model=bounded_key(model) or None,
+            adapter=bounded_key(f"{model}/{adapter}") if adapter else None,
             prompt_tokens=_parse_token_count(prompt_tokens),
             max_output_tokens=_parse_token_count(max_output_tokens),
             length_hint=_parse_length_hint(length_hint),
-            session=_decode_part_id(last_part) or None,
+            session=bounded_key(_decode_part_id(last_part)) or None,
             last_event_id=value_by_name.get(LAST_EVENT_ID_HEADER),
-            resumed_request_id=value_by_name.get(RESUMES_HEADER, b"").decode("latin-1") or None,
+            resumed_request_id=_decode_resumed_id(value_by_name.get(RESUMES_HEADER, b"")),
             api_key=_parse_api_key(value_by_name.get(AUTHORIZATION_HEADER, b"")),
             prompt_parts=_decode_part_ids(earlier_parts),
         )
@@ -286,6 +287,10 @@
     return part.partition(b":")[0].decode("latin-1").strip()
 
 
+def _decode_resumed_id(value: bytes) -> str | None:
+    return bounded_key(value.decode("latin-1")) or None
+
+
 def _decode_part_ids(parts: bytes) -> tuple[str, ...]:
     """Return the different ids in a list of parts of a prompt.
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -15,6 +15,7 @@
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.core.server_life import ServerLife
 from monsoonflow.gateway.models import ForwardedRequest, Handover, Malformed
+from monsoonflow.helpers.keys import MAX_KEY_CHARS
 from monsoonflow.helpers.settings import SettingError
 from monsoonflow.orders.models import (
     Accepted,
@@ -474,3 +475,30 @@
     headers = [(b"Server-Limit", value) for value in values]
     terms = HeaderDialect().read_answer(AnswerHead(503, b"", headers, 0, False))
     assert terms.limit == limit
+
+
+LONG_VALUES = [b"%d" % number + b"k" * 16_000 for number in (1, 1, 2)]
+
+
+@pytest.mark.parametrize(
+    ("header", "read_key"),
+    [
+        ((b"X-Request-Id", b"%s"), lambda call: call.stream_id),
+        ((b"Resumes", b"%s"), lambda call: call.stream_id),
+        ((b"X-Model", b"m/%s"), lambda call: call.adapter),
+        ((b"X-Model", b"%s"), lambda call: call.model),
+        ((b"X-Prompt-Prefix", b"5c1e:8,%s:250"), lambda call: call.session),
+    ],
+)
+def test_keys_that_outlive_a_request_have_a_bounded_length(header, read_key):
+    """Twenty thousand streams with ids of 16 KB would take 300 MB."""
+    name, template = header
+    keys = []
+    for value in LONG_VALUES:
+        headers = [(b"Host", b"h"), (b"Last-Event-Id", b"1"), (name, template % value)]
+        if name != b"X-Request-Id":
+            headers.append((b"X-Request-Id", b"r1"))
+        call = HeaderDialect().read_call(Request(b"POST", b"/a/", "1.1", headers, b"", True, 0))
+        keys.append(read_key(call))
+    assert max(map(len, keys)) <= MAX_KEY_CHARS
+    assert keys[0] == keys[1] != keys[2]
