Log lines are bounded in bytes, in the queue and each by itself

A reader of standard output that falls behind made a node keep 4,000 lines, whatever their length, and a value that a caller chose stood in a line as it was. Evidence: 64 MB were queued in lines of 16 KB where the constant meant a megabyte, and a line with such a value had 16 KB.

The queue is bounded to 1 MB besides, and values are cut after 1,000 characters, but for traces.

--- a/monsoonflow/helpers/logfmt.py
+++ b/monsoonflow/helpers/logfmt.py
@@ -14,10 +14,20 @@
 SECRET_KEYS: Final = frozenset({"token", "key", "authorization", "secret"})
 
 
+MAX_VALUE_CHARS: Final = 1_000
+"""Longer values are cut: those of callers may have 16 KB, in several lines for each request."""
+
+
 def _quote(value: Any) -> str:
     if type(value) is int:
         return str(value)
     text = value if isinstance(value, str) else str(value)
+    if len(text) > MAX_VALUE_CHARS:
+        text = text[:MAX_VALUE_CHARS] + "..."
+    return _escape(text)
+
+
+def _escape(text: str) -> str:
     if PLAIN.fullmatch(text):
         return text
     return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
@@ -52,7 +62,7 @@
         head = f"time={self._stamp}.{millis:03d} level={record.levelname.lower()}"
         text = f"{head} logger={record.name} {record.getMessage()}"
         if record.exc_info:
-            text += " " + pairs(trace=self.formatException(record.exc_info))
+            text += " trace=" + _escape(self.formatException(record.exc_info))
         return text
 
 
--- a/monsoonflow/logs/lines.py
+++ b/monsoonflow/logs/lines.py
@@ -17,7 +17,8 @@
 from .write import log
 
 MAX_QUEUED_LINES: Final = 4_000
-"""Lines kept for a slow reader of standard output; about a megabyte."""
+MAX_QUEUED_BYTES: Final = 1 << 20
+"""What is kept for a slow reader of standard output."""
 
 WRITE_INTERVAL_S: Final = 0.2
 """Pause between writes, which batches lines into few system calls. On the busiest days logging
@@ -37,6 +38,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.queued_lines: deque[bytes] = deque()
+        self.queued_bytes = 0
         self.dropped_by_level: Counter[str] = Counter()
         self.on_drop: Callable[[], None] = lambda: None
 
@@ -46,11 +48,26 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a record's line."""
-        if len(self.queued_lines) >= MAX_QUEUED_LINES and record.levelno < logging.ERROR:
+        if self._is_full() and record.levelno < logging.ERROR:
             self.dropped_by_level[record.levelname.lower()] += 1
             self.on_drop()
             return
-        self.queued_lines.append((self.format(record) + "\n").encode("utf-8", "replace"))
+        line = (self.format(record) + "\n").encode("utf-8", "replace")
+        self.queued_lines.append(line)
+        self.queued_bytes += len(line)
+
+    def clear(self) -> None:
+        """Drop all lines."""
+        self.queued_lines.clear()
+        self.queued_bytes = 0
+
+    def _is_full(self) -> bool:
+        return len(self.queued_lines) >= MAX_QUEUED_LINES or self.queued_bytes >= MAX_QUEUED_BYTES
+
+    def _pop_line(self) -> bytes:
+        line = self.queued_lines.popleft()
+        self.queued_bytes -= len(line)
+        return line
 
     def write_available(self, file_descriptor: int) -> bool:
         """Write what the file accepts without blocking; return whether all lines are written."""
@@ -61,9 +78,9 @@
             while (
                 self.queued_lines and len(chunk) + len(self.queued_lines[0]) <= MAX_PIPE_WRITE_BYTES
             ):
-                chunk += self.queued_lines.popleft()
+                chunk += self._pop_line()
             if not chunk:
-                chunk += self.queued_lines.popleft()[: MAX_PIPE_WRITE_BYTES - 1] + b"\n"
+                chunk += self._pop_line()[: MAX_PIPE_WRITE_BYTES - 1] + b"\n"
             os.write(file_descriptor, chunk)
         return True
 
@@ -101,7 +118,7 @@
             is_all_written = handler.write_available(file_descriptor)
         except OSError:
             # The reader has closed the pipe; the process continues without its log.
-            handler.queued_lines.clear()
+            handler.clear()
             continue
         if is_all_written and handler.dropped_by_level:
             dropped_by_level, handler.dropped_by_level = handler.dropped_by_level, Counter()
@@ -116,4 +133,4 @@
     try:
         handler.write_available(sys.stdout.fileno())
     except OSError:
-        handler.queued_lines.clear()
+        handler.clear()
--- a/tests/logs/test_lines.py
+++ b/tests/logs/test_lines.py
@@ -15,7 +15,7 @@
 
 from monsoonflow.helpers.logfmt import LineFormatter
 from monsoonflow.logs import events, log
-from monsoonflow.logs.lines import MAX_QUEUED_LINES, QueueHandler
+from monsoonflow.logs.lines import MAX_QUEUED_BYTES, MAX_QUEUED_LINES, QueueHandler
 from monsoonflow.logs.sampling import Sampler
 from monsoonflow.logs.write import format_event
 
@@ -63,6 +63,25 @@
     assert b"event=broken" in handler.queued_lines[-1]
 
 
+def test_the_queue_is_bounded_in_bytes_whatever_the_length_of_its_lines(handler, pipe):
+    """Values of callers may have 16 KB: four thousand such lines took 64 MB."""
+    for _ in range(MAX_QUEUED_LINES):
+        handler.emit(create_record(text="event=x " + "y" * 16_000))
+    assert sum(map(len, handler.queued_lines)) <= MAX_QUEUED_BYTES + 17_000
+    assert handler.dropped_by_level["info"] > 0
+    os.set_blocking(pipe[0], False)
+    while not handler.write_available(pipe[1]):
+        os.read(pipe[0], 65_536)
+    handler.emit(create_record())
+    assert len(handler.queued_lines) == 1
+
+
+def test_long_values_are_cut():
+    """An id of 16 KB stood in each of the lines of its request."""
+    line = format_event(events.BadMessage(400, "x" * 16_000))
+    assert len(line) < 2_000
+
+
 def test_lines_arrive_complete_and_in_order(handler, pipe):
     for number in range(300):
         handler.emit(create_record(text=f"event=x number={number} " + "y" * 100))
