A TLS handshake has the time of a request's head

Callers of the product's own interface that never ended their handshake kept a task and a descriptor for ever: the library's server shakes hands without a timeout, before the connection is known here.

The connection begins TLS itself, after it has been counted and within the time that a head may take.

--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -231,6 +231,8 @@
             set_socket_options(self._sock)
             self._sock.setsockopt(native.SOL_SOCKET, native.SO_SNDBUF, SEND_BUFFER_BYTES)
             self._sock.setsockopt(native.SOL_SOCKET, native.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            if self._http_server.tls is not None:
+                self._shake_hands(self._http_server.tls)
             while self._serve_one():
                 pass
         except BadMessage as error:
@@ -243,6 +245,16 @@
             connections.remove(self)
             self._sock.close()
 
+    def _shake_hands(self, tls: ssl.SSLContext) -> None:
+        """Begin TLS, in the time that a request's head may take.
+
+        :raises OSError: when the handshake fails or does not end in time.
+        """
+        self._sock = tls.wrap_socket(self._sock, server_side=True, do_handshake_on_connect=False)
+        timeout = TimeoutError("the handshake did not end in time")
+        with gevent.Timeout(self._reader.limits.head_ms / 1000, timeout):
+            self._sock.do_handshake()
+
     def connection_header(self) -> bytes:
         """Return the header that states whether and how long the connection stays open."""
         if self._close_after_answer or not self._http_server.keeps_alive:
@@ -548,9 +560,9 @@
         self._sampler = Sampler()
         self.active_count = 0
         self.idle_connections: set[CallerConnection] = set()
-        tls_options = {"ssl_context": tls} if tls is not None else {}
+        self.tls = tls
         self._server = StreamServer(
-            split_address(address), self._serve_connection, backlog=LISTEN_BACKLOG, **tls_options
+            split_address(address), self._serve_connection, backlog=LISTEN_BACKLOG
         )
 
     def log_refusal(self, error: BadMessage) -> None:
