What applications are given for each header counts as held

Found by following heads of many lines to the product's own interface: its applications are given each line as text, under several names, for as long as a request waits. Evidence: all of 60 requests with 1,900 lines were with the application at once, some 58 MB.

Lines beyond the usual number count with what they take there; requests beyond the bound get 503 and have not run. The new test failed before, with the constant added for its collection.

--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -6,7 +6,7 @@
 import socket as native
 import ssl
 from collections.abc import Callable
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 import gevent
 from gevent import socket
@@ -38,6 +38,9 @@
 """When a caller may retry whose request could not be held: bodies are released as requests end,
 typically within a second."""
 
+USUAL_LINES: Final = 64
+"""Headers of a request whose copies in a handler are not counted."""
+
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -347,6 +350,10 @@
         request = self._next_request()
         if request is None:
             return False
+        unusual_lines = max(0, len(request.headers) - USUAL_LINES)
+        handler_bytes = self._http_server.line_bytes * unusual_lines
+        if handler_bytes and not self._may_hold(self._reader.held_bytes + handler_bytes):
+            raise BadMessage(503, "too many bytes of requests are held")
         self._close_after_answer = not request.keep_alive
         reply = Reply(self, request.method == b"HEAD")
         self._http_server.active_count += 1
@@ -529,6 +536,8 @@
     :param ends_with_caller: whether a handler is ended when its caller closes the connection.
     :param refusal: returns content type and body of the answer to a rejected message.
     :param held: bounds the bytes that are held for all callers; ``None`` for a bound of its own.
+    :param line_bytes: what the handler keeps beside the request for each header of more than
+        usual.
     :param connections: bounds the open connections; ``None`` for a bound of its own.
     """
 
@@ -543,6 +552,7 @@
         refusal: RefusalFormatter = plain_text_refusal,
         held: HeldBytes | None = None,
         connections: ConnectionLimit | None = None,
+        line_bytes: int = 0,
     ) -> None:
         self.address = address
         self.handler = handler
@@ -556,6 +566,7 @@
             )
         self.connections = connections
         self.ends_with_caller = ends_with_caller
+        self.line_bytes = line_bytes
         self.keeps_alive = True
         self._sampler = Sampler()
         self.active_count = 0
--- a/monsoonflow/transport/wsgi.py
+++ b/monsoonflow/transport/wsgi.py
@@ -37,6 +37,9 @@
 BODILESS_STATUSES: Final = frozenset({204, 304})
 DEFAULT_LIMITS: Final = MessageLimits(head_bytes=32_768, body_bytes=1 << 28, idle_ms=60_000)
 
+LINE_BYTES: Final = 512
+"""What an application is given for each header, as text and under the names of WSGI."""
+
 
 class AnswerCut(Exception):
     """Raised by an application that can't complete its answer.
@@ -62,7 +65,9 @@
     """
     handler = WsgiHandler(app, address, "https" if tls is not None else "http")
     clock = MonotonicClock()
-    server = HttpServer(address, handler, lambda: limits, clock, tls, False, refusal)
+    server = HttpServer(
+        address, handler, lambda: limits, clock, tls, False, refusal, line_bytes=LINE_BYTES
+    )
     return server if server.start() else None
 
 
--- a/tests/transport/test_wsgi.py
+++ b/tests/transport/test_wsgi.py
@@ -10,10 +10,12 @@
 import pytest
 from gevent import socket
 
+from monsoonflow.transport.held_bytes import DEFAULT_MEMORY_BYTES, REQUESTS_SHARE
 from monsoonflow.transport.models import MessageLimits
 from monsoonflow.transport.server import HttpServer
 from monsoonflow.transport.wsgi import (
     ENDS_WITH_CONNECTION,
+    LINE_BYTES,
     RAW_HEADERS,
     RAW_TARGET,
     AnswerCut,
@@ -209,3 +211,23 @@
     app.get("/say/<word>", callback=lambda word: word)
     answer = serve(app).exchange(request(b"GET /say/hello"))
     assert answer.startswith(b"HTTP/1.1 200 OK\r\n") and b"hello" in answer
+
+
+def test_applications_hold_a_bounded_number_of_heads_of_many_lines(serve):
+    """An application is given several objects for each line: a head of 16 KB takes a megabyte."""
+    release = gevent.event.Event()
+
+    def wait(environ: dict, start_response: Callable) -> list[bytes]:
+        release.wait(10)
+        return echo(environ, start_response)
+
+    running = serve(wait)
+    lines = b"".join(b"n%d:\r\n" % number for number in range(1_900))
+    head = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + lines + b"\r\n"
+    tasks = [gevent.spawn(running.exchange, head) for _ in range(60)]
+    gevent.sleep(1)
+    held_bytes = len(running.environs) * 1_900 * LINE_BYTES
+    assert 0 < held_bytes <= 2 * REQUESTS_SHARE * DEFAULT_MEMORY_BYTES
+    release.set()
+    statuses = {task.get()[9:12] for task in tasks}
+    assert statuses == {b"200", b"503"}
