Peers accept any head that a caller may send

Callers whose requests are forwarded to a peer would get no answer of a server for heads of thousands of short lines: each line is forwarded with a space that it may lack, and the peer's limit had room for 2 KB more. Found by reading; the reader of a peer refused four of nine such heads with 431.

The limit for peers follows the longest that a head can become. The four cases failed before.

--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -113,6 +113,10 @@
 FORWARDED_HEAD_BYTES: Final = 2_048
 """What a node adds to the head of a request that it forwards."""
 
+FORWARDED_LINE_GROWTH: Final = 5 / 4
+"""How much longer the caller's lines may become: the shortest have four bytes, and are forwarded
+with a space that they lacked."""
+
 
 class PlatformIntegration(Protocol):
     """What the integration with a deployment's platform provides."""
@@ -900,7 +904,7 @@
             peers=HttpServer(
                 settings.peer_address,
                 peer_api.handle,
-                self._peer_message_limits,
+                lambda: peer_message_limits(self._message_limits()),
                 self.clock,
                 held=self.held_bytes,
                 connections=ConnectionLimit(peers_limit(settings.max_sockets)),
@@ -919,15 +923,6 @@
         route_table = self.cluster_state.route_table
         return route_table.limits if route_table is not None else MessageLimits()
 
-    def _peer_message_limits(self) -> MessageLimits:
-        """Return the limits for peers, which may forward any request of a caller."""
-        callers, own = self._message_limits(), MessageLimits()
-        return attrs.evolve(
-            own,
-            head_bytes=max(callers.head_bytes, own.head_bytes) + FORWARDED_HEAD_BYTES,
-            body_bytes=max(callers.body_bytes, own.body_bytes),
-        )
-
     def _fetch_snapshot_loop(self) -> None:
         """Fetch a peer's snapshot if the store does not answer at the start."""
         self.tasks.sleep(PEER_SNAPSHOT_DELAY_MS)
@@ -977,5 +972,19 @@
             )
 
 
+def peer_message_limits(callers: MessageLimits) -> MessageLimits:
+    """Return the limits for peers, which may forward any request of a caller.
+
+    :param callers: the limits for callers.
+    """
+    own = MessageLimits()
+    head_bytes = max(callers.head_bytes, own.head_bytes)
+    return attrs.evolve(
+        own,
+        head_bytes=int(FORWARDED_LINE_GROWTH * head_bytes) + FORWARDED_HEAD_BYTES,
+        body_bytes=max(callers.body_bytes, own.body_bytes),
+    )
+
+
 def _quota_tolerance(bounds: PeerBounds) -> QuotaTolerance:
     return QuotaTolerance(bounds.quota_window_ms, bounds.quota_overshoot, bounds.quota_slack)
