Soak: crowds of callers beside faults, and what nodes use of their memory

A run also fails if a node has ended by itself or has used more memory than its settings state. What such callers send stands in one place for the soak and the tests.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,7 @@
     looking_complete_of,
     mixed_of,
     outdated_of,
+    overtaxed_of,
     parts_of,
     resumptions_of,
     shared_numbers_of,
@@ -81,6 +82,7 @@
     broken = [
         *broken_of(fleet),
         *looking_complete_of(fleet),
+        *overtaxed_of(fleet),
         *broken_at_releases_of(fleet, injector.partitions, injector.disturbances),
         *exceeded_of(fleet, injector.disturbances),
         *worse_served_of(fleet, injector.partitions, injector.disturbances),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,7 @@
     server_crashes,
 )
 from .const import CONTACT_MS, LAPSE_S, SERVES_MS, USUAL_WORK_MS
+from .crowd_faults import callers_crowd
 from .customer_faults import customer_rushes
 from .customers import Rush
 from .fleet import STORE, Fleet
@@ -394,5 +395,6 @@
     "answers-without-end": answers_without_end,
     "answers-sent-twice": answers_sent_twice,
     "entry-lapses": _entry_lapses,
+    "callers-crowd": callers_crowd,
     RUSHES: customer_rushes,
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
+import socket
 import time
 import urllib.request
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, Final
 
@@ -37,6 +40,10 @@
 LINKS: Final = "links"
 READY_WITHIN_S: Final = 20
 CRASHES_WITHIN_S: Final = 5
+MEMORY_MB: Final = 160
+CROWD_TIMEOUT_S: Final = 0.05
+"""How long a caller of a crowd waits for a node that takes no more."""
+
 NODE_SETTINGS: Final = """
 nodeName = "{name}"
 role = "entry"
@@ -54,6 +61,8 @@
 [limits]
 cpuShare = 0.537
 cpuCores = 2
+memoryMb = {memory_mb}
+maxFds = 1224
 [contractParams]
 leaseMs = 3000
 graceS = 8
@@ -71,11 +80,33 @@
 """
 
 
+class Crowd:
+    """Connections of callers that nobody controls."""
+
+    def __init__(self) -> None:
+        self._connections: list[socket.socket] = []
+
+    def join(self, address: tuple[str, int], pieces: Iterable[bytes]) -> None:
+        """Connect and send, as far as the other end takes it."""
+        with contextlib.suppress(OSError):
+            connection = socket.create_connection(address, CROWD_TIMEOUT_S)
+            self._connections.append(connection)
+            for piece in pieces:
+                connection.sendall(piece)
+
+    def leave(self) -> None:
+        """Close all connections."""
+        for connection in self._connections:
+            connection.close()
+
+
 class Fleet:
     """Store, servers, callers, links and nodes.
 
     :param folder: takes logs, records and settings.
     :param node_root: the checkout whose code the nodes run.
+    :ivar lost_nodes: nodes that have ended by themselves.
+    :ivar peak_mb_by_node: the most memory that nodes have used.
     """
 
     def __init__(self, folder: Path, node_root: Path = ROOT) -> None:
@@ -98,6 +129,9 @@
         self._config_version = CONFIGURATION["version"]
         self._configuration: dict[str, Any] = CONFIGURATION
         self._per_s = 0.0
+        self._told_to_end: set[str] = set()
+        self.lost_nodes: list[str] = []
+        self.peak_mb_by_node: dict[str, int] = {}
 
     def start(self, nodes: int, plain: int, engines: int, per_s: float, seed: int) -> None:
         """Start everything and wait until all nodes are ready."""
@@ -232,10 +266,14 @@
 
     def kill_node(self, node: str) -> None:
         """End a node without a word."""
+        self._note_memory(node)
+        self._told_to_end.add(node)
         self.processes.end(node)
 
     def end_node(self, node: str) -> None:
         """Tell a node to stop."""
+        self._note_memory(node)
+        self._told_to_end.add(node)
         self.processes.signal(node, signal.SIGTERM)
 
     def reload_node(self, node: str) -> None:
@@ -262,6 +300,7 @@
     def start_again(self, node: str) -> None:
         """Start a node that has ended, or end it first."""
         self.processes.end(node)
+        self._told_to_end.discard(node)
         path = self._settings_of(node)
         path.write_text(path.read_text().replace("bootstrap = true", "bootstrap = false"))
         self._run_node(node)
@@ -305,8 +344,31 @@
         """End a partition."""
         self._partition_of(node).unlink(missing_ok=True)
 
+    def crowd(self, node: str, count: int, pieces: Callable[[], Iterable[bytes]]) -> Crowd:
+        """Let callers come to a node that each send some pieces and stay."""
+        crowd = Crowd()
+        for _ in range(count):
+            crowd.join((self.ip_of(node), self._ports[0]), pieces())
+        return crowd
+
+    def _note_memory(self, node: str) -> None:
+        status = Path(f"/proc/{self.processes.by_name[node].pid}/status")
+        with contextlib.suppress(OSError):
+            for line in status.read_text().splitlines():
+                if line.startswith("VmHWM"):
+                    peak_mb = int(line.split()[1]) >> 10
+                    self.peak_mb_by_node[node] = max(self.peak_mb_by_node.get(node, 0), peak_mb)
+
+    def _note_nodes(self) -> None:
+        for node in self.nodes:
+            if self.processes.runs(node):
+                self._note_memory(node)
+            elif node not in self._told_to_end:
+                self.lost_nodes.append(node)
+
     def close(self) -> None:
         """End everything."""
+        self._note_nodes()
         self.processes.close()
 
     def _add_node(self, number: int) -> None:
@@ -328,6 +390,7 @@
             control=f"{ip}:{control}",
             directory=f"{ip}:{directory}",
             drain_ms=DRAIN_MS,
+            memory_mb=MEMORY_MB,
             store=store,
         )
         self._settings_of(name).write_text(settings)
--- a/soak/outcome.py
+++ b/soak/outcome.py
@@ -12,7 +12,7 @@
 from .configurations import outdated_requests
 from .const import CONTACT_MS, ENGINES, LAPSE_S
 from .customers import Rush, Share, shares_in_rushes
-from .fleet import STORE, Fleet
+from .fleet import MEMORY_MB, STORE, Fleet
 from .judge import Disturbance, Late, late_arrivals, leaves_by_server, stable_from
 from .limits import exceeded_limits
 from .notices import after_leave, in_rests
@@ -44,6 +44,16 @@
     return broken_promises(_of(fleet, fleet.callers), _of(fleet, fleet.service_by_server))
 
 
+def overtaxed_of(fleet: Fleet) -> list[str]:
+    """Return a line for each node that has ended by itself or has used too much memory."""
+    lost = [f"{node} has ended by itself" for node in fleet.lost_nodes]
+    return lost + [
+        f"{node} has used {peak_mb} MB of {MEMORY_MB}"
+        for node, peak_mb in sorted(fleet.peak_mb_by_node.items())
+        if peak_mb > MEMORY_MB
+    ]
+
+
 def looking_complete_of(fleet: Fleet) -> list[str]:
     """Return a line for each answer that was broken off and looked complete."""
     return broken_streams(_of(fleet, fleet.callers), _of(fleet, fleet.service_by_server))
--- a/tests/processes/test_uncontrolled_callers.py
+++ b/tests/processes/test_uncontrolled_callers.py
@@ -10,7 +10,8 @@
 import pytest
 
 from soak.processes import CommandedProcesses
-from tests.processes.crowds import HEAD_START, CrowdedNode, chunked_body, head_of_lines
+from stand_ins.crowds import HEAD_START, POST_START, chunked_body, head_of_lines
+from tests.processes.crowds import CrowdedNode
 
 pytestmark = pytest.mark.crowd
 
@@ -21,9 +22,6 @@
 
 REQUEST = HEAD_START + b"\r\n"
 SHORT_REQUEST = b"GET /look/1 HTTP/1.1\r\nHost: h\r\n\r\n"
-POST_START = (
-    b"POST /look/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p\r\nX-Deadline-Ms: 20000\r\n"
-)
 
 
 @pytest.fixture
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -18,6 +18,7 @@
     late_of,
     looking_complete_of,
     outdated_of,
+    overtaxed_of,
     parts_of,
     shared_numbers_of,
     unheeded_of,
@@ -35,13 +36,23 @@
 FALSE_ANSWERS = ("answers-without-end", "answers-sent-twice", "entry-lapses")
 """In a run of their own: the older seeds keep their troubles."""
 
-IN_SERIES = tuple(kind for kind in KINDS if kind not in (STILL, RETURNS, *FALSE_ANSWERS))
+CROWD = "callers-crowd"
+BESIDE_CROWDS = (CROWD, CROWD, "node-killed", "node-stops", "changes-in-series", "store-cut")
+OLDER_SEEDS_LACK = (STILL, RETURNS, CROWD, *FALSE_ANSWERS)
+IN_SERIES = tuple(kind for kind in KINDS if kind not in OLDER_SEEDS_LACK)
 BESIDE_RETURNS = (RETURNS, RETURNS, "node-killed", "node-stands-still", "store-cut", "node-stops")
 
 
 @pytest.mark.parametrize(
     ("seed", "kinds"),
-    [(1, IN_SERIES), (2, IN_SERIES), (1, BESIDE_RETURNS), (2, (RETURNS,)), (7130, FALSE_ANSWERS)],
+    [
+        (1, IN_SERIES),
+        (2, IN_SERIES),
+        (1, BESIDE_RETURNS),
+        (2, (RETURNS,)),
+        (7130, FALSE_ANSWERS),
+        (1, BESIDE_CROWDS),
+    ],
 )
 def test_no_promise_is_broken_under_faults_in_series(tmp_path, seed, kinds):
     """Guards against promises that hold only in virtual time."""
@@ -56,6 +67,7 @@
     late = [found.line() for found in late_of(fleet, injector.disturbances) if not found.excused]
     assert not late
     assert not broken_of(fleet)
+    assert not overtaxed_of(fleet)
     assert not looking_complete_of(fleet)
     assert not broken_at_releases_of(fleet, injector.partitions, injector.disturbances)
     assert not exceeded_of(fleet, injector.disturbances)
