--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -41,6 +41,7 @@
 READY_WITHIN_S: Final = 20
 CRASHES_WITHIN_S: Final = 5
 MEMORY_MB: Final = 160
+MAX_DESCRIPTORS: Final = 1_224
 CROWD_TIMEOUT_S: Final = 0.05
 """How long a caller of a crowd waits for a node that takes no more."""
 
@@ -62,7 +63,7 @@
 cpuShare = 0.537
 cpuCores = 2
 memoryMb = {memory_mb}
-maxFds = 1224
+maxFds = {max_descriptors}
 [contractParams]
 leaseMs = 3000
 graceS = 8
@@ -391,6 +392,7 @@
             directory=f"{ip}:{directory}",
             drain_ms=DRAIN_MS,
             memory_mb=MEMORY_MB,
+            max_descriptors=MAX_DESCRIPTORS,
             store=store,
         )
         self._settings_of(name).write_text(settings)
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -15,39 +15,16 @@
 
 from script.fleet import wait_until
 from script.ports import free_port
+from soak.const import DRAIN_MS
+from soak.fleet import NODE_SETTINGS
 from soak.processes import CommandedProcesses
 from stand_ins.configuration import LIMITS, configuration, route
 
 HOST: Final = "h.example"
 MEMORY_MB: Final = 128
 MAX_DESCRIPTORS: Final = 1_024
-SETTINGS: Final = """
-nodeName = "n1"
-role = "entry"
-bindIp = "127.0.0.1"
-zone = "zone-1"
-region = "r"
-portRange = [{reports}, {reports}]
-seedNodes = []
-bootstrap = true
-[listenAddrs]
-front = "127.0.0.1:{callers}"
-ready = "127.0.0.1:{ready}"
-control = "127.0.0.1:{peers}"
-directory = "127.0.0.1:{directory}"
-[limits]
-cpuShare = 0.537
-cpuCores = 2
-memoryMb = {memory_mb}
-maxFds = {max_descriptors}
-[contractParams]
-leaseMs = 3000
-graceS = 8
-requireFence = true
-[platform]
-address = "{store}"
-"""
-PORTS: Final = ("callers", "ready", "peers", "directory", "reports", "metrics")
+IP: Final = "127.0.0.1"
+LISTENERS: Final = ("callers", "ready", "peers", "directory", "reports", "metrics")
 SEND_TIMEOUT_S: Final = 10
 ANSWER_TIMEOUT_S: Final = 30
 SETTLE_TIMEOUT_S: Final = 60
@@ -68,7 +45,7 @@
     folder: Path
     memory_mb: int = MEMORY_MB
     max_descriptors: int = MAX_DESCRIPTORS
-    port_by_name: dict[str, int] = attrs.Factory(lambda: {name: free_port() for name in PORTS})
+    port_by_name: dict[str, int] = attrs.Factory(lambda: {name: free_port() for name in LISTENERS})
     open_connections: list[socket.socket] = attrs.Factory(list)
 
     def start(self, **limits: int) -> None:
@@ -76,7 +53,7 @@
 
         :param limits: what callers may send, as in the operator's configuration.
         """
-        store = f"127.0.0.1:{free_port()}"
+        store = f"{IP}:{free_port()}"
         self.processes.start(
             "store", "stand_ins.store_process", "--listen", store, "--heartbeat-ms", "500"
         )
@@ -84,7 +61,7 @@
         written: dict[str, Any] = configuration(routes, "m")
         written["limits"] = {**LIMITS, **limits}
         self.processes.command("store", "configure", value=written)
-        server = f"127.0.0.1:{free_port()}"
+        server = f"{IP}:{free_port()}"
         self.processes.start(
             "server",
             "stand_ins.server_process",
@@ -94,11 +71,20 @@
         )
         settings = self.folder / "n1.toml"
         settings.write_text(
-            SETTINGS.format(
+            NODE_SETTINGS.format(
+                name="n1",
+                ip=IP,
+                zone="zone-1",
+                reports=self.port_by_name["reports"],
+                seeds=[],
+                front=self._address_of("callers"),
+                ready=self._address_of("ready"),
+                control=self._address_of("peers"),
+                directory=self._address_of("directory"),
+                drain_ms=DRAIN_MS,
                 store=store,
                 memory_mb=self.memory_mb,
                 max_descriptors=self.max_descriptors,
-                **self.port_by_name,
             )
         )
         environment = {
@@ -111,6 +97,9 @@
         )
         wait_until(lambda: self.answers_ordinary_request(5), 30, "the node's first answer")
 
+    def _address_of(self, listener: str) -> str:
+        return f"{IP}:{self.port_by_name[listener]}"
+
     @property
     def process_id(self) -> int:
         """Return the process id of the node."""
@@ -118,9 +107,7 @@
 
     def connect(self, listener: str = "callers") -> socket.socket:
         """Return a connection to one of the node's listeners."""
-        return socket.create_connection(
-            ("127.0.0.1", self.port_by_name[listener]), timeout=SEND_TIMEOUT_S
-        )
+        return socket.create_connection((IP, self.port_by_name[listener]), timeout=SEND_TIMEOUT_S)
 
     def send(self, pieces: Iterable[bytes], listener: str = "callers") -> None:
         """Send what a caller sends, as far as the node takes it, and keep the connection open."""
