--- a/monsoonflow/entry/daemon.py
+++ b/monsoonflow/entry/daemon.py
@@ -645,9 +645,9 @@
             self.metrics.add_gauge(name, help_text, read)
 
         cluster_state, now_ms = self.cluster_state, self.clock.now_ms
-        answers, bodies = self.held_bytes.answers, self.held_bytes.bodies
+        answers, requests = self.held_bytes.answers, self.held_bytes.requests
         gauge("held_answer_bytes", "Bytes of answers held for callers.", lambda: answers.total)
-        gauge("held_body_bytes", "Bytes of requests held.", lambda: bodies.total)
+        gauge("held_body_bytes", "Bytes of requests held.", lambda: requests.total)
         gauge(
             "slow_callers_ended",
             "Callers cut off since they read too slowly.",
@@ -661,12 +661,12 @@
         gauge(
             "bodies_refused",
             "Requests refused since too many bytes are held.",
-            lambda: bodies.refused_count,
+            lambda: requests.refused_count,
         )
         gauge(
             "incomplete_requests_ended",
             "Incomplete requests refused since others needed the memory.",
-            lambda: bodies.ended_count,
+            lambda: requests.ended_count,
         )
         connections = self.caller_connections
         gauge("caller_connections", "Connections of callers.", lambda: len(connections))
--- a/monsoonflow/transport/held_bytes.py
+++ b/monsoonflow/transport/held_bytes.py
@@ -18,10 +18,10 @@
 request is always held, up to the limits of the configuration."""
 
 MAX_ANSWER_BYTES: Final = int(ANSWERS_SHARE * DEFAULT_MEMORY_BYTES)
-MAX_BODY_BYTES: Final = int(REQUESTS_SHARE * DEFAULT_MEMORY_BYTES)
+MAX_REQUEST_BYTES: Final = int(REQUESTS_SHARE * DEFAULT_MEMORY_BYTES)
 
-SMALL_BODY_BYTES: Final = 65_536
-"""Bodies up to this size do not share a limit with larger ones: some large bodies for a server that
+SMALL_REQUEST_BYTES: Final = 65_536
+"""Requests up to this size share no limit with larger ones: some large bodies for a server that
 reads slowly must not keep out typical requests of 10 KB for others."""
 
 
@@ -123,7 +123,7 @@
         self.peak = max(self.peak, self.total)
 
 
-class BodyBytes:
+class RequestBytes:
     """The bytes of requests that are being received, and of those that servers have not read yet.
 
     If they exceed the limit, the requests that have been incomplete for the longest are ended: a
@@ -132,14 +132,14 @@
 
     :param max_bytes: limit for small requests together, and for large ones together.
 
-    >>> bodies = BodyBytes(max_bytes=200_000)
-    >>> [bodies.hold(name, 150_000) for name in ("a", "b")], bodies.hold("c", 10_000)
+    >>> requests = RequestBytes(max_bytes=200_000)
+    >>> [requests.hold(name, 150_000) for name in ("a", "b")], requests.hold("c", 10_000)
     ([True, False], True)
-    >>> bodies.hold("a", 0), bodies.hold("b", 150_000), bodies.total
+    >>> requests.hold("a", 0), requests.hold("b", 150_000), requests.total
     (True, True, 160000)
     """
 
-    def __init__(self, max_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(self, max_bytes: int = MAX_REQUEST_BYTES) -> None:
         self._max_bytes = max_bytes
         self._bytes_by_holder: dict[object, int] = {}
         self._total_by_is_large = {False: 0, True: 0}
@@ -171,7 +171,7 @@
         is_held = size <= before or self._has_room(size) or self._make_room(holder, size)
         self.refused_count += not is_held
         kept = size if is_held else before
-        self._total_by_is_large[kept > SMALL_BODY_BYTES] += kept
+        self._total_by_is_large[kept > SMALL_REQUEST_BYTES] += kept
         if kept:
             self._bytes_by_holder[holder] = kept
         self.peak = max(self.peak, self.total)
@@ -179,20 +179,20 @@
 
     def _release(self, holder: object) -> int:
         size = self._bytes_by_holder.pop(holder, 0)
-        self._total_by_is_large[size > SMALL_BODY_BYTES] -= size
+        self._total_by_is_large[size > SMALL_REQUEST_BYTES] -= size
         return size
 
     def _has_room(self, size: int) -> bool:
-        others = self._total_by_is_large[size > SMALL_BODY_BYTES]
+        others = self._total_by_is_large[size > SMALL_REQUEST_BYTES]
         return others + size <= self._max_bytes or not others
 
     def _make_room(self, holder: object, size: int) -> bool:
-        is_large = size > SMALL_BODY_BYTES
+        is_large = size > SMALL_REQUEST_BYTES
         for receiver in list(self._receiving):
             if receiver is holder:
                 return False
             held = self._bytes_by_holder.get(receiver, 0)
-            if not held or (held > SMALL_BODY_BYTES) is not is_large:
+            if not held or (held > SMALL_REQUEST_BYTES) is not is_large:
                 continue
             self._release(receiver)
             del self._receiving[receiver]
@@ -208,12 +208,12 @@
     """All that a server holds for its callers; several servers may share it."""
 
     answers: AnswerBytes = attrs.Factory(AnswerBytes)
-    bodies: BodyBytes = attrs.Factory(BodyBytes)
+    requests: RequestBytes = attrs.Factory(RequestBytes)
 
     @classmethod
     def for_memory(cls, memory_bytes: int) -> HeldBytes:
         """Return bounds for a process that may use some memory."""
         return cls(
             AnswerBytes(int(ANSWERS_SHARE * memory_bytes)),
-            BodyBytes(int(REQUESTS_SHARE * memory_bytes)),
+            RequestBytes(int(REQUESTS_SHARE * memory_bytes)),
         )
--- a/monsoonflow/transport/server.py
+++ b/monsoonflow/transport/server.py
@@ -35,7 +35,7 @@
 _LOGGER = logging.getLogger(__name__)
 IDLE_CHECK_INTERVAL_S = 0.02
 FULL_RETRY_AFTER_S = 1
-"""When a caller may retry whose request could not be held: bodies are released as requests end,
+"""When a caller may retry whose request could not be held: others are released as they end,
 typically within a second."""
 
 USUAL_LINES: Final = 64
@@ -342,7 +342,7 @@
         if is_receiving is self._is_receiving:
             return
         self._is_receiving = is_receiving
-        requests = self._http_server.held.bodies
+        requests = self._http_server.held.requests
         if is_receiving:
             requests.begin_receive(self)
             self._move(Phase.RECEIVING)
@@ -351,11 +351,11 @@
 
     def _release_requests(self) -> None:
         self._set_receiving(False)
-        self._http_server.held.bodies.hold(self, 0)
+        self._http_server.held.requests.hold(self, 0)
         self._reader.close()
 
     def _may_hold(self, size: int) -> bool:
-        return self._http_server.held.bodies.hold(self, size)
+        return self._http_server.held.requests.hold(self, size)
 
     def _serve_one(self) -> bool:
         request = self._next_request()
--- a/tests/transport/test_held_bytes.py
+++ b/tests/transport/test_held_bytes.py
@@ -15,10 +15,10 @@
 from monsoonflow.transport.client import ConnectionPools, _read_body
 from monsoonflow.transport.codec import AnswerReader
 from monsoonflow.transport.held_bytes import (
-    SMALL_BODY_BYTES,
+    SMALL_REQUEST_BYTES,
     AnswerBytes,
-    BodyBytes,
     HeldBytes,
+    RequestBytes,
 )
 from monsoonflow.transport.models import MessageLimits, Request
 from monsoonflow.transport.server import HttpServer, Reply
@@ -87,31 +87,35 @@
 
 def test_large_bodies_do_not_keep_out_small_ones():
     """Large bodies for a server that reads slowly must not refuse typical requests for others."""
-    bodies = BodyBytes(max_bytes=10 * SMALL_BODY_BYTES)
-    held = [bodies.hold(number, 2 * SMALL_BODY_BYTES) for number in range(50)]
+    requests = RequestBytes(max_bytes=10 * SMALL_REQUEST_BYTES)
+    held = [requests.hold(number, 2 * SMALL_REQUEST_BYTES) for number in range(50)]
     assert sum(held) == 5
-    small = [bodies.hold(f"small{number}", SMALL_BODY_BYTES) for number in range(50)]
+    small = [requests.hold(f"small{number}", SMALL_REQUEST_BYTES) for number in range(50)]
     assert sum(small) == 10
-    assert bodies.total == bodies.peak == 20 * SMALL_BODY_BYTES
+    assert requests.total == requests.peak == 20 * SMALL_REQUEST_BYTES
     for number in range(50):
-        bodies.hold(number, 0)
-        bodies.hold(f"small{number}", 0)
-    assert bodies.total == 0
+        requests.hold(number, 0)
+        requests.hold(f"small{number}", 0)
+    assert requests.total == 0
 
 
 def test_a_body_that_grows_becomes_a_large_one():
     """A body is received in pieces: its size is not known in advance if it is sent in chunks."""
-    bodies = BodyBytes(max_bytes=3 * SMALL_BODY_BYTES)
-    assert bodies.hold("a", 3 * SMALL_BODY_BYTES)
-    assert [bodies.hold("b", size * SMALL_BODY_BYTES) for size in (1, 2, 1)] == [True, False, True]
-    assert bodies.total == 4 * SMALL_BODY_BYTES
+    requests = RequestBytes(max_bytes=3 * SMALL_REQUEST_BYTES)
+    assert requests.hold("a", 3 * SMALL_REQUEST_BYTES)
+    assert [requests.hold("b", size * SMALL_REQUEST_BYTES) for size in (1, 2, 1)] == [
+        True,
+        False,
+        True,
+    ]
+    assert requests.total == 4 * SMALL_REQUEST_BYTES
 
 
 def test_one_body_is_held_whatever_its_size():
     """The operator may allow bodies that are larger than the limit for all together."""
-    bodies = BodyBytes(max_bytes=100)
-    assert bodies.hold("a", 10 * SMALL_BODY_BYTES)
-    assert not bodies.hold("b", 2 * SMALL_BODY_BYTES)
+    requests = RequestBytes(max_bytes=100)
+    assert requests.hold("a", 10 * SMALL_REQUEST_BYTES)
+    assert not requests.hold("b", 2 * SMALL_REQUEST_BYTES)
 
 
 @attrs.define(eq=False)
@@ -127,40 +131,40 @@
 
 def test_the_requests_that_are_incomplete_for_the_longest_make_room():
     """Callers that stopped just short of the end of their bodies kept out all others."""
-    bodies = BodyBytes(max_bytes=1_000)
+    requests = RequestBytes(max_bytes=1_000)
     receivers = [RecordedReceiver() for _ in range(4)]
-    assert bodies.hold("complete", 100)
+    assert requests.hold("complete", 100)
     for receiver in receivers[:3]:
-        bodies.begin_receive(receiver)
-        assert bodies.hold(receiver, 300)
-    bodies.end_receive(receivers[0])
-    bodies.begin_receive(receivers[3])
-    assert bodies.hold(receivers[3], 200)
+        requests.begin_receive(receiver)
+        assert requests.hold(receiver, 300)
+    requests.end_receive(receivers[0])
+    requests.begin_receive(receivers[3])
+    assert requests.hold(receivers[3], 200)
     assert [receiver.ended for receiver in receivers] == [False, True, False, False]
-    assert bodies.total == 900
-    assert bodies.ended_count == 1
+    assert requests.total == 900
+    assert requests.ended_count == 1
 
 
 def test_a_request_without_an_older_incomplete_one_is_refused():
     """What is complete may be at a server, and the newest must not be ended for an older one."""
-    bodies = BodyBytes(max_bytes=1_000)
+    requests = RequestBytes(max_bytes=1_000)
     older, newer = RecordedReceiver(), RecordedReceiver()
-    assert bodies.hold("complete", 800)
-    bodies.begin_receive(older)
-    bodies.begin_receive(newer)
-    assert bodies.hold(newer, 100)
-    assert not bodies.hold(older, 300)
+    assert requests.hold("complete", 800)
+    requests.begin_receive(older)
+    requests.begin_receive(newer)
+    assert requests.hold(newer, 100)
+    assert not requests.hold(older, 300)
     assert not newer.ended
-    assert bodies.total == 900
+    assert requests.total == 900
 
 
 def test_small_incomplete_requests_make_no_room_for_large_ones():
-    bodies = BodyBytes(max_bytes=3 * SMALL_BODY_BYTES)
+    requests = RequestBytes(max_bytes=3 * SMALL_REQUEST_BYTES)
     small = RecordedReceiver()
-    bodies.begin_receive(small)
-    assert bodies.hold(small, 100)
-    assert bodies.hold("a", 2 * SMALL_BODY_BYTES)
-    assert not bodies.hold("b", 2 * SMALL_BODY_BYTES)
+    requests.begin_receive(small)
+    assert requests.hold(small, 100)
+    assert requests.hold("a", 2 * SMALL_REQUEST_BYTES)
+    assert not requests.hold("b", 2 * SMALL_REQUEST_BYTES)
     assert not small.ended
 
 
@@ -185,7 +189,7 @@
     servers: list[HttpServer] = []
 
     def start(handler) -> LimitedServer:
-        held = HeldBytes(AnswerBytes(LIMIT_BYTES), BodyBytes(LIMIT_BYTES))
+        held = HeldBytes(AnswerBytes(LIMIT_BYTES), RequestBytes(LIMIT_BYTES))
         port = free_port()
         server = HttpServer(
             f"127.0.0.1:{port}", handler, MessageLimits, MonotonicClock(), held=held
@@ -272,7 +276,7 @@
     release = gevent.event.Event()
 
     def hang_if_large(request: Request, reply: Reply) -> None:
-        if len(request.body) > SMALL_BODY_BYTES:
+        if len(request.body) > SMALL_REQUEST_BYTES:
             release.wait(10)
         reply.send_whole(200, [], b"ok")
 
@@ -288,8 +292,8 @@
     answers = sorted(read_all(connection)[:12] for connection in large)
     assert answers == [b"HTTP/1.1 200"] * 3 + [b"HTTP/1.1 503"] * 7
     gevent.sleep(0.1)
-    assert running.held.bodies.total == 0
-    assert running.held.bodies.peak <= 2 * LIMIT_BYTES
+    assert running.held.requests.total == 0
+    assert running.held.requests.peak <= 2 * LIMIT_BYTES
 
 
 def test_requests_that_stop_short_of_their_end_do_not_keep_out_others(listen_limited):
@@ -301,7 +305,7 @@
     gevent.sleep(0.5)
     ordinary = [running.connect(head % len(body) + body) for _ in range(5)]
     assert all(read_all(connection).startswith(b"HTTP/1.1 200") for connection in ordinary)
-    ended = running.held.bodies.ended_count
+    ended = running.held.requests.ended_count
     assert ended >= 40 - LIMIT_BYTES // len(body)
     answers = [read_all(connection) for connection in short[:ended]]
     assert all(answer.startswith(b"HTTP/1.1 503") for answer in answers)
@@ -314,8 +318,8 @@
 def test_a_refused_body_is_answered_with_the_time_of_a_retry(listen_limited):
     """Nothing ran, and the caller may retry."""
     running = listen_limited(lambda _request, reply: reply.send_whole(200, []))
-    running.held.bodies.hold("other", LIMIT_BYTES)
-    body = b"x" * (2 * SMALL_BODY_BYTES)
+    running.held.requests.hold("other", LIMIT_BYTES)
+    body = b"x" * (2 * SMALL_REQUEST_BYTES)
     connection = running.connect(
         b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % len(body) + body
     )
@@ -332,7 +336,7 @@
     for _ in range(20):
         connection.sendall(request)
         assert connection.recv(1_000).startswith(b"HTTP/1.1 200")
-        assert running.held.bodies.total == 0
+        assert running.held.requests.total == 0
 
 
 def test_what_a_closed_connection_has_sent_is_freed_without_a_garbage_collection(listen_limited):
