--- a/monsoonflow/entry/cell_leases.py
+++ b/monsoonflow/entry/cell_leases.py
@@ -31,7 +31,7 @@
 from ..routing.routes import Service
 from ..storage.models import ChangedRow
 from ..transport.models import Request
-from ..transport.server import Reply
+from ..transport.reply import Reply
 from .cell_lease_row import CELL_LEASE_PREFIX
 from .lease_loop import CellLeaseLoop
 from .plan_pause import pause_after_plan_ms
--- a/monsoonflow/entry/metrics.py
+++ b/monsoonflow/entry/metrics.py
@@ -8,7 +8,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from ..transport.models import Request
-from ..transport.server import Reply
+from ..transport.reply import Reply
 
 METRICS_PATH: Final = b"/metrics"
 REQUEST_BUCKETS_S: Final = (
--- a/monsoonflow/entry/peers.py
+++ b/monsoonflow/entry/peers.py
@@ -14,7 +14,7 @@
 from ..transport.client import Answer, ConnectionPools, call
 from ..transport.const import MAX_LARGE_CALL_BYTES
 from ..transport.models import Lost, Request
-from ..transport.server import Reply
+from ..transport.reply import Reply
 from .cluster_state import ClusterState
 from .store_follower import StoreFollower
 
--- a/monsoonflow/entry/stream_versions.py
+++ b/monsoonflow/entry/stream_versions.py
@@ -25,7 +25,7 @@
 from ..helpers.strict import read
 from ..logs import events, log
 from ..transport.models import Request
-from ..transport.server import Reply
+from ..transport.reply import Reply
 from .software_versions import (
     UNSTATED_VERSION,
     Conclusion,
--- a/monsoonflow/gateway/active_requests.py
+++ b/monsoonflow/gateway/active_requests.py
@@ -7,7 +7,7 @@
 import attrs
 import gevent
 
-from ..transport.server import Reply
+from ..transport.reply import Reply
 from .job import Job
 
 
--- a/monsoonflow/gateway/attempt.py
+++ b/monsoonflow/gateway/attempt.py
@@ -9,7 +9,7 @@
 from ..transport.client import ConnectionPools, ServerConnection
 from ..transport.const import CONNECT_TIMEOUT_MS, REPLY_BUFFER_BYTES
 from ..transport.models import AnswerHead, BrokenAnswer, Header, Lost, Request
-from ..transport.server import Reply
+from ..transport.reply import Reply
 from .event_splitter import MAX_EVENT_BYTES, EventSplitter
 from .models import (
     AnswerTerms,
--- a/monsoonflow/gateway/forwarding.py
+++ b/monsoonflow/gateway/forwarding.py
@@ -10,7 +10,7 @@
 from ..fleet.models import NodeRecord
 from ..transport.client import ConnectionPools
 from ..transport.models import BrokenAnswer
-from ..transport.server import Reply
+from ..transport.reply import Reply
 from .attempt import Attempt
 from .job import Job
 from .models import AnswerTerms, AttemptResult, Chosen, Dialect, Handover, Rejected, Unsent
--- a/monsoonflow/gateway/handler.py
+++ b/monsoonflow/gateway/handler.py
@@ -21,7 +21,7 @@
 from ..routing.routes import Route, RouteKind, RouteTable, Service
 from ..transport.client import ConnectionPools
 from ..transport.models import CallerLeft, Framing, Header, Request
-from ..transport.server import Reply
+from ..transport.reply import Reply
 from .active_requests import ActiveRequests
 from .attempt import NOT_RUN_STATUSES, Attempt
 from .backlog import Backlog
--- a/monsoonflow/gateway/protocols.py
+++ b/monsoonflow/gateway/protocols.py
@@ -11,7 +11,7 @@
 from ..routing.customers import Customer
 from ..routing.quota import OverQuota, WithinQuota
 from ..routing.routes import Route, Service
-from ..transport.server import Reply
+from ..transport.reply import Reply
 from .job import Job
 from .models import (
     AnswerTerms,
--- a/monsoonflow/gateway/request_log.py
+++ b/monsoonflow/gateway/request_log.py
@@ -12,7 +12,7 @@
 from ..routing.customers import Customer
 from ..routing.quota import OverQuota
 from ..routing.routes import Route, RouteKind
-from ..transport.server import Reply
+from ..transport.reply import Reply
 from .active_requests import ActiveRequest
 from .configuration_status import ConfigurationStatus
 from .job import Job
--- a/monsoonflow/platform/directory.py
+++ b/monsoonflow/platform/directory.py
@@ -8,7 +8,7 @@
 import orjson
 
 from ..transport.models import Request
-from ..transport.server import Reply
+from ..transport.reply import Reply
 
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 
--- /dev/null
+++ b/monsoonflow/transport/answer_reader.py
@@ -0,0 +1,137 @@
+"""Strict parser of HTTP/1.1 answers."""
+
+from __future__ import annotations
+
+from collections import deque
+from io import BytesIO
+
+import httptools
+
+from .const import (
+    BODILESS_STATUSES,
+    MAX_ANSWER_HEAD_BYTES,
+    MAX_FRAMING_BYTES,
+    MAX_INTERIM_ANSWERS,
+)
+from .models import AnswerHead, BrokenAnswer, HeaderLines, IncomingAnswer, TooManyBytes
+
+
+class AnswerReader:
+    """Parses a server's bytes into answers, in the order of arrival."""
+
+    def __init__(self) -> None:
+        self.answers: deque[IncomingAnswer] = deque()
+        self.has_begun = False
+        self.keep_alive = False
+        self.error: str | None = None
+        self._too_many: TooManyBytes | None = None
+        self._is_head_request = False
+        self._interim_count = 0
+        self._head_bytes = 0
+        self._framing_bytes = 0
+        self._has_progressed = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._reason = b""
+        self._headers = BytesIO()
+        self._is_head_complete = False
+
+    def expect_no_body(self) -> None:
+        """Declare that the next answer is to a HEAD request and has no body."""
+        self._is_head_request = True
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        :raises BrokenAnswer: when they are not a valid answer and none was complete before them.
+        """
+        if self.error is not None:
+            raise BrokenAnswer(self.error)
+        if not self._is_head_complete:
+            self._head_bytes += len(data)
+        self._has_progressed = False
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.error = "the server switched protocols"
+        except httptools.HttpParserError as error:
+            self.error = str(error)
+        if not self._is_head_complete and self._head_bytes > MAX_ANSWER_HEAD_BYTES + len(data):
+            self._too_many = TooManyBytes("the head", MAX_ANSWER_HEAD_BYTES)
+        is_framing = self._is_head_complete and not self._has_progressed
+        self._framing_bytes = self._framing_bytes + len(data) if is_framing else 0
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._too_many = TooManyBytes("what is sent beside the body", MAX_FRAMING_BYTES)
+        if self._too_many is not None:
+            self.error = str(self._too_many)
+        if self.error is not None and not (self.answers and self.answers[0].is_complete):
+            raise self._too_many or BrokenAnswer(self.error)
+
+    def handle_eof(self) -> None:
+        """Handle an orderly close of the connection; it completes an answer without a length."""
+        if not self.answers:
+            return
+        last = self.answers[-1]
+        if not last.is_complete and last.head.length is None and not last.head.chunked:
+            last.is_complete = True
+
+    @property
+    def is_clean(self) -> bool:
+        """Return whether nothing was received after the answers that were read."""
+        return self.error is None and not self.has_begun and not self.answers
+
+    def on_message_begin(self) -> None:
+        """Handle the start of an answer."""
+        self.has_begun = True
+        self._is_head_complete = False
+        self._reason = b""
+        self._headers = BytesIO()
+
+    def on_status(self, reason: bytes) -> None:
+        """Handle a part of the reason phrase."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Handle a header."""
+        if not self._is_head_complete:
+            self._headers.write(b"%s:%s\n" % (name, value.rstrip(b" \t")))
+
+    def on_headers_complete(self) -> None:
+        """Handle the end of the head."""
+        self._is_head_complete = True
+        self._has_progressed = True
+        self._head_bytes = 0
+        status = self._parser.get_status_code()
+        if 100 <= status < 200:
+            return
+        headers = HeaderLines(self._headers.getvalue())
+        lengths = [value for name, value in headers if name.lower() == b"content-length"]
+        codings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
+        if codings and [coding.lower() for coding in codings] != [b"chunked"]:
+            # No answer is added, so that feed() raises the error.
+            self.error = "the transfer coding is not chunked"
+            return
+        length = int(lengths[0]) if lengths and lengths[0].isdigit() else None
+        if status in BODILESS_STATUSES or self._is_head_request:
+            length = 0
+        head = AnswerHead(status, self._reason, headers, length, bool(codings))
+        self.answers.append(IncomingAnswer(head, is_complete=self._is_head_request))
+
+    def on_body(self, piece: bytes) -> None:
+        """Handle a part of the body."""
+        self._has_progressed = True
+        if self.answers and not self.answers[-1].is_complete:
+            self.answers[-1].pieces.append(piece)
+
+    def on_message_complete(self) -> None:
+        """Handle the end of an answer."""
+        self.has_begun = False
+        self._is_head_complete = False
+        if 100 <= self._parser.get_status_code() < 200:
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_ANSWERS:
+                self.error = "too many informational answers"
+            return
+        if not self.answers:
+            return
+        self.keep_alive = self._parser.should_keep_alive() and not self._is_head_request
+        self.answers[-1].is_complete = True
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -15,7 +15,7 @@
 
 from ..core.clock import Clock
 from ..logs import events, log
-from .codec import AnswerReader
+from .answer_reader import AnswerReader
 from .const import CONNECT_TIMEOUT_MS, MAX_CALL_BYTES, READ_BYTES
 from .models import AnswerHead, BrokenAnswer, Header, Lost, TooManyBytes
 from .sockets import Turns, connect, is_readable, split_address
--- a/monsoonflow/transport/const.py
+++ b/monsoonflow/transport/const.py
@@ -4,6 +4,9 @@
 
 from typing import Final
 
+BODILESS_STATUSES: Final = frozenset({204, 304})
+"""Statuses of answers that have no body, whatever their headers say."""
+
 READ_BYTES: Final = 65_536
 """Maximum bytes per read; one read holds a complete request of typical size."""
 
--- a/monsoonflow/transport/wsgi.py
+++ b/monsoonflow/transport/wsgi.py
@@ -15,8 +15,10 @@
 from urllib.parse import unquote_to_bytes
 
 from ..core.clock import MonotonicClock
+from .const import BODILESS_STATUSES
 from .models import Header, MessageLimits, Request
-from .server import HttpServer, RefusalFormatter, Reply, plain_text_refusal
+from .reply import Reply
+from .server import HttpServer, RefusalFormatter, plain_text_refusal
 from .sockets import split_address
 
 Environ: TypeAlias = dict[str, Any]
@@ -34,7 +36,6 @@
 Only the end of the connection then marks the end of the body, as in an answer that is passed on.
 """
 
-BODILESS_STATUSES: Final = frozenset({204, 304})
 DEFAULT_LIMITS: Final = MessageLimits(head_bytes=32_768, body_bytes=1 << 28, idle_ms=60_000)
 
 LINE_BYTES: Final = 512
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -14,7 +14,8 @@
 
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.transport.models import CallerLeft, Framing, Header, MessageLimits, Request
-from monsoonflow.transport.server import HttpServer, Reply
+from monsoonflow.transport.reply import Reply
+from monsoonflow.transport.server import HttpServer
 from stand_ins.endless_sender import pieces as endless_pieces
 from stand_ins.raw_answers import BreakPlace, RawAnswer, reset_at_close
 
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -14,7 +14,8 @@
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.storage.models import ChangedRow
 from monsoonflow.transport.models import MessageLimits, Request
-from monsoonflow.transport.server import HttpServer, Reply
+from monsoonflow.transport.reply import Reply
+from monsoonflow.transport.server import HttpServer
 
 JSON = [(b"Content-Type", b"application/json")]
 MAX_PAGE_ROWS: Final = 500
--- a/stand_ins/raw_answers.py
+++ b/stand_ins/raw_answers.py
@@ -10,7 +10,7 @@
 import gevent
 
 from monsoonflow.transport.models import CallerLeft, Framing, Header
-from monsoonflow.transport.server import REASON_PHRASES, Reply
+from monsoonflow.transport.reply import REASON_PHRASES, Reply
 from monsoonflow.transport.sockets import RESET_AT_CLOSE
 
 
--- a/stand_ins/server_process.py
+++ b/stand_ins/server_process.py
@@ -16,7 +16,7 @@
 from monsoonflow.core.clock import MonotonicClock  # noqa: E402
 from monsoonflow.transport.client import Answer, ConnectionPools, call  # noqa: E402
 from monsoonflow.transport.models import Request  # noqa: E402
-from monsoonflow.transport.server import Reply  # noqa: E402
+from monsoonflow.transport.reply import Reply  # noqa: E402
 from stand_ins.commands import follow, record  # noqa: E402
 from stand_ins.platform_runner import (  # noqa: E402
     FIRST_VERSION,
--- a/stand_ins/store_process.py
+++ b/stand_ins/store_process.py
@@ -14,7 +14,7 @@
 config.resolver = "block"
 
 from monsoonflow.transport.models import Request  # noqa: E402
-from monsoonflow.transport.server import Reply  # noqa: E402
+from monsoonflow.transport.reply import Reply  # noqa: E402
 from stand_ins.commands import follow, record  # noqa: E402
 from stand_ins.platform_store import PlatformStore  # noqa: E402
 
--- a/tests/entry/raw_runner.py
+++ b/tests/entry/raw_runner.py
@@ -17,7 +17,7 @@
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.transport.client import ConnectionPools, ServerConnection
 from monsoonflow.transport.models import BrokenAnswer, CallerLeft, Framing, Header, Request
-from monsoonflow.transport.server import Reply
+from monsoonflow.transport.reply import Reply
 from monsoonflow.transport.sockets import RESET_AT_CLOSE
 from script.ports import free_port
 from stand_ins.platform_runner import PlatformRunner, PlatformServer
--- a/tests/entry/test_peer_limits.py
+++ b/tests/entry/test_peer_limits.py
@@ -7,8 +7,8 @@
 from monsoonflow.entry.daemon import peer_message_limits
 from monsoonflow.gateway.models import Handover
 from monsoonflow.platform.headers import HeaderDialect
-from monsoonflow.transport.codec import RequestReader
 from monsoonflow.transport.models import MessageLimits
+from monsoonflow.transport.request_reader import RequestReader
 
 START = b"GET /a/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
 
--- a/tests/transport/conftest.py
+++ b/tests/transport/conftest.py
@@ -11,7 +11,8 @@
 
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.transport.models import MessageLimits, Request
-from monsoonflow.transport.server import HttpServer, Reply
+from monsoonflow.transport.reply import Reply
+from monsoonflow.transport.server import HttpServer
 from script.ports import free_port
 
 
--- a/tests/transport/test_held_bytes.py
+++ b/tests/transport/test_held_bytes.py
@@ -12,8 +12,8 @@
 from gevent import socket
 
 from monsoonflow.core.clock import MonotonicClock
+from monsoonflow.transport.answer_reader import AnswerReader
 from monsoonflow.transport.client import ConnectionPools, _read_body
-from monsoonflow.transport.codec import AnswerReader
 from monsoonflow.transport.held_bytes import (
     SMALL_REQUEST_BYTES,
     AnswerBytes,
@@ -21,7 +21,8 @@
     RequestBytes,
 )
 from monsoonflow.transport.models import MessageLimits, Request
-from monsoonflow.transport.server import HttpServer, Reply
+from monsoonflow.transport.reply import Reply
+from monsoonflow.transport.server import HttpServer
 from script.ports import free_port
 
 PIECE = b"x" * 65_536
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -15,9 +15,9 @@
 
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.logs.sampling import MAX_LINES_PER_SECOND
-from monsoonflow.transport.codec import RequestReader
 from monsoonflow.transport.models import BadMessage, CallerLeft, MessageLimits, Request
-from monsoonflow.transport.server import Reply
+from monsoonflow.transport.reply import Reply
+from monsoonflow.transport.request_reader import RequestReader
 from script.ports import free_port
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
