--- a/monsoonflow/platform/settings.py
+++ b/monsoonflow/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import re
 import tomllib
@@ -136,19 +137,23 @@
 
 def _decode_memory_bytes(limits: object) -> int:
     """Return the memory that the process may use; a default if it is not given."""
-    memory_mb = limits.get("memoryMb") if isinstance(limits, Mapping) else None
-    if not isinstance(memory_mb, int) or memory_mb <= 0:
-        return DEFAULT_MEMORY_BYTES
-    return memory_mb << 20
+    memory_mb = _positive_limit(limits, "memoryMb")
+    return DEFAULT_MEMORY_BYTES if memory_mb is None else int(memory_mb * (1 << 20))
 
 
 def _decode_max_sockets(limits: object) -> int:
     """Return how many sockets the process may open; some descriptors are reserved for files."""
-    max_descriptors = limits.get("maxFds") if isinstance(limits, Mapping) else None
+    max_descriptors = _positive_limit(limits, "maxFds")
     allowed = default_max_sockets()
-    if not isinstance(max_descriptors, int) or max_descriptors <= FILE_DESCRIPTORS:
+    if max_descriptors is None or max_descriptors <= FILE_DESCRIPTORS:
         return allowed
-    return min(allowed, max_descriptors - FILE_DESCRIPTORS)
+    return min(allowed, int(max_descriptors) - FILE_DESCRIPTORS)
+
+
+def _positive_limit(limits: object, name: str) -> float | None:
+    value = limits.get(name) if isinstance(limits, Mapping) else None
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return value if is_number and 0 < value < math.inf else None
 
 
 def _to_ms(seconds: float) -> int:
--- a/monsoonflow/transport/request_reader.py
+++ b/monsoonflow/transport/request_reader.py
@@ -34,8 +34,7 @@
     also rejects what the library accepts (two ``Host`` headers, transfer codings other than
     ``chunked``, absolute targets) and enforces the limits.
 
-    :param may_hold: returns whether the bytes that were received and not yet released may be held;
-        ``held_bytes`` is reduced by whoever has served a request.
+    :param may_hold: returns whether the bytes that were received and not yet released may be held.
     """
 
     def __init__(
