An answer whose status does not exist is a broken answer

Callers saw: a runner's answer with status 000 as an answer; the node wrote the status as a number, so that the caller got a status line of one digit that no client can read, or 600 to 999 as they were.

Cause: the library that parses answers takes any three digits for a status, and nothing behind it looked at the number.

Evidence: bytes fed to the reader, whole, in sevens and one by one, alone and behind an informational answer, and a whole node with stand-ins whose first answer has such a status, for plain and stream routes that may and may not be repeated.

Fix: the reader refuses statuses other than 100 to 599 (RFC 9110, section 15) where the head is complete, before an answer is made of it. All that reads answers over this transport goes through there; to them it is a failed attempt that may have run, and the connection is closed.

--- a/monsoonflow/transport/answer_reader.py
+++ b/monsoonflow/transport/answer_reader.py
@@ -12,6 +12,7 @@
     MAX_ANSWER_HEAD_BYTES,
     MAX_FRAMING_BYTES,
     MAX_INTERIM_ANSWERS,
+    STATUSES,
 )
 from .models import AnswerHead, BrokenAnswer, HeaderLines, IncomingAnswer, TooManyBytes
 
@@ -101,13 +102,16 @@
         self._has_progressed = True
         self._head_bytes = 0
         status = self._parser.get_status_code()
-        if 100 <= status < 200:
+        if status not in STATUSES:
+            # No answer is added, so that feed() raises the error.
+            self.error = f"status {status:03d} does not exist"
+            return
+        if status < 200:
             return
         headers = HeaderLines(self._headers.getvalue())
         lengths = [value for name, value in headers if name.lower() == b"content-length"]
         codings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
         if codings and [coding.lower() for coding in codings] != [b"chunked"]:
-            # No answer is added, so that feed() raises the error.
             self.error = "the transfer coding is not chunked"
             return
         length = int(lengths[0]) if lengths and lengths[0].isdigit() else None
--- a/tests/entry/raw_runner.py
+++ b/tests/entry/raw_runner.py
@@ -41,6 +41,7 @@
     :param headers: besides the request id and the signature.
     :param sends_head: whether anything is sent before the end.
     :param pause_after_bytes: of the body, so that the rest arrives apart from them.
+    :param status_line: in place of the usual one for the status.
     """
 
     body: bytes
@@ -49,6 +50,7 @@
     status: int = 200
     sends_head: bool = True
     pause_after_bytes: int | None = None
+    status_line: bytes | None = None
 
 
 class _RawAnswers:
@@ -63,7 +65,7 @@
         raw = self.raw_answers.popleft()
         connection = reply._connection  # noqa: SLF001
         headers = [*self._headers(request, signed=True), *raw.headers]
-        head = b"HTTP/1.1 %d OK\r\n" % raw.status
+        head = (raw.status_line or b"HTTP/1.1 %d OK" % raw.status) + b"\r\n"
         head += b"".join(b"%s: %s\r\n" % header for header in headers)
         if raw.sends_head:
             connection.send(head + b"\r\n" + raw.body[: raw.pause_after_bytes])
