An answer of another protocol or version is a broken answer

Callers saw: an answer whose status line names HTTP/0.9, HTTP/2.0, RTSP/1.0 or ICE/1.0 as one of HTTP/1.1.

Cause: the library that parses answers reads those protocols too, and does not say which it has read.

Fix: the reader looks at the first bytes of each answer itself, and at the version that the library names. So that it knows where an answer begins, bytes of an informational answer are parsed apart from what is behind them, and blank lines before an answer are passed over. An answer that follows another final one in the same bytes, as a late answer to an earlier request may, is not looked at in this way; its version and status are.

Valid answers stay valid: the tests hold what may be sent (no reason, HTTP/1.0, 1xx before, any token as a name, bytes above 127 in values, extensions, trailers, 204 and 304).

--- a/monsoonflow/transport/answer_reader.py
+++ b/monsoonflow/transport/answer_reader.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from io import BytesIO
+from typing import Final
 
 import httptools
 
@@ -16,9 +18,23 @@
 )
 from .models import AnswerHead, BrokenAnswer, HeaderLines, IncomingAnswer, TooManyBytes
 
+PROTOCOL: Final = b"HTTP/"
+VERSIONS: Final = frozenset({"1.0", "1.1"})
+FINAL_START: Final = b"HTTP/1.1 2"
+START_BYTES: Final = len(FINAL_START)
+"""Up to the first digit of the status, which tells whether another answer follows."""
+
+LINE_END: Final = b"\r\n"
+LINE_ENDS: Final = re.compile(rb"[\r\n]*")
+"""May stand before an answer."""
+
 
 class AnswerReader:
-    """Parses a server's bytes into answers, in the order of arrival."""
+    """Parses a server's bytes into answers, in the order of arrival.
+
+    The library rejects invalid names and values of headers, conflicting lengths and the like. This
+    class also rejects what the library accepts: other protocols and statuses that do not exist.
+    """
 
     def __init__(self) -> None:
         self.answers: deque[IncomingAnswer] = deque()
@@ -35,6 +51,7 @@
         self._reason = b""
         self._headers = BytesIO()
         self._is_head_complete = False
+        self._start = b""
 
     def expect_no_body(self) -> None:
         """Declare that the next answer is to a HEAD request and has no body."""
@@ -51,7 +68,7 @@
             self._head_bytes += len(data)
         self._has_progressed = False
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except httptools.HttpParserUpgrade:
             self.error = "the server switched protocols"
         except httptools.HttpParserError as error:
@@ -67,6 +84,35 @@
         if self.error is not None and not (self.answers and self.answers[0].is_complete):
             raise self._too_many or BrokenAnswer(self.error)
 
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes, those of informational answers apart from what is behind them."""
+        position = 0
+        while position < len(data) and self.error is None:
+            if not self.has_begun:
+                position = LINE_ENDS.match(data, position).end()
+            end = self._end_of_part(data, position)
+            if not self._start.startswith(PROTOCOL[: len(self._start)]):
+                self.error = "not an answer of HTTP"
+                return
+            self._parser.feed_data(data[position:end])
+            position = end
+
+    def _end_of_part(self, data: bytes, position: int) -> int:
+        """Return up to where bytes can be parsed without those of an answer behind them.
+
+        The library does not tell the name of the protocol, nor where in the bytes an answer begins.
+        """
+        if len(self._start) < START_BYTES:
+            self._start += data[position : position + START_BYTES - len(self._start)]
+        if self._start[START_BYTES - 1 :] not in (b"", b"1"):
+            return len(data)
+        # The first line may have begun in earlier bytes, and the blank line may be split.
+        if position == 0 or data.startswith(LINE_END, position):
+            found, length = data.find(b"\n", position), 1
+        else:
+            found, length = data.find(2 * LINE_END, position), 2 * len(LINE_END)
+        return found + length if found >= 0 else len(data)
+
     def handle_eof(self) -> None:
         """Handle an orderly close of the connection; it completes an answer without a length."""
         if not self.answers:
@@ -83,6 +129,9 @@
     def on_message_begin(self) -> None:
         """Handle the start of an answer."""
         self.has_begun = True
+        if not self._start:
+            # Behind a final answer in the same bytes: its start can't be told from the other's end.
+            self._start = FINAL_START
         self._is_head_complete = False
         self._reason = b""
         self._headers = BytesIO()
@@ -101,6 +150,9 @@
         self._is_head_complete = True
         self._has_progressed = True
         self._head_bytes = 0
+        if self._parser.get_http_version() not in VERSIONS:
+            self.error = f"HTTP/{self._parser.get_http_version()}"
+            return
         status = self._parser.get_status_code()
         if status not in STATUSES:
             # No answer is added, so that feed() raises the error.
@@ -129,6 +181,7 @@
     def on_message_complete(self) -> None:
         """Handle the end of an answer."""
         self.has_begun = False
+        self._start = b""
         self._is_head_complete = False
         if 100 <= self._parser.get_status_code() < 200:
             self._interim_count += 1
--- a/tests/entry/test_invalid_answers.py
+++ b/tests/entry/test_invalid_answers.py
@@ -27,6 +27,8 @@
     "status 099": b"HTTP/1.1 099 OK",
     "status 600": b"HTTP/1.1 600 OK",
     "status 999": b"HTTP/1.1 999 OK",
+    "HTTP/2.0": b"HTTP/2.0 200 OK",
+    "another protocol": b"RTSP/1.0 200 OK",
 }
 
 
