An answer with a control byte in its reason is a broken answer

Callers saw: the server's reason in the status line of their answer, with control bytes (NUL, BEL, VT, ESC, DEL) that no valid status line holds and many clients refuse or show.

Cause: the library that parses answers checks names and values of headers, not the reason.

Fix: the reader refuses a reason with bytes other than tab, blank, visible ones and those above 127 (RFC 9112, section 4), where it looks at the status.

--- a/monsoonflow/transport/answer_reader.py
+++ b/monsoonflow/transport/answer_reader.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from ..helpers.http_syntax import TEXT
 from .const import (
     BODILESS_STATUSES,
     MAX_ANSWER_HEAD_BYTES,
@@ -33,7 +34,8 @@
     """Parses a server's bytes into answers, in the order of arrival.
 
     The library rejects invalid names and values of headers, conflicting lengths and the like. This
-    class also rejects what the library accepts: other protocols and statuses that do not exist.
+    class also rejects what the library accepts: other protocols, statuses that do not exist, and
+    control bytes in the reason.
     """
 
     def __init__(self) -> None:
@@ -158,6 +160,9 @@
             # No answer is added, so that feed() raises the error.
             self.error = f"status {status:03d} does not exist"
             return
+        if TEXT.fullmatch(self._reason) is None:
+            self.error = "a control byte in the reason"
+            return
         if status < 200:
             return
         headers = HeaderLines(self._headers.getvalue())
--- a/tests/entry/test_invalid_answers.py
+++ b/tests/entry/test_invalid_answers.py
@@ -29,6 +29,8 @@
     "status 999": b"HTTP/1.1 999 OK",
     "HTTP/2.0": b"HTTP/2.0 200 OK",
     "another protocol": b"RTSP/1.0 200 OK",
+    "a NUL in the reason": b"HTTP/1.1 200 O\x00K",
+    "an escape in the reason": b"HTTP/1.1 200 \x1b[2J",
 }
 
 
--- a/tests/transport/test_answer_reader.py
+++ b/tests/transport/test_answer_reader.py
@@ -171,3 +171,19 @@
     head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     with pytest.raises(BrokenAnswer):
         read(head + size + b"\r\nok\r\n0\r\n\r\n")
+
+
+CONTROL_BYTES = [*range(9), 11, 12, *range(14, 32), 127]
+
+
+@pytest.mark.parametrize("byte", CONTROL_BYTES)
+def test_a_control_byte_in_the_reason_is_refused(read, byte):
+    """The reason was written into the status line that the caller got."""
+    with pytest.raises(BrokenAnswer):
+        read(b"HTTP/1.1 200 O%cK\r\n" % byte + REST)
+
+
+@pytest.mark.parametrize("reason", [b"No Content (yet)", b"a\tb", b"\xc3\xa9t\xc3\xa9", b"200"])
+def test_any_other_reason_is_taken(read, reason):
+    (answer,) = read(b"HTTP/1.1 200 " + reason + b"\r\n" + REST)
+    assert answer.head.reason == reason
