An answer of HTTP/1.0 with a transfer coding is a broken answer

Callers saw: the chunks of an answer of HTTP/1.0 decoded, as a whole answer. That version has no transfer codings: another reader on the way takes the same bytes for a body that ends with the connection, and RFC 9112, section 6.1, has such a message treated as one of faulty framing.

Cause: the library decodes chunks whatever the version; the reader checked the coding alone.

Fix: the reader refuses a transfer coding together with that version. HTTP/1.0 with a length, or without one, is taken as before.

--- a/monsoonflow/transport/answer_reader.py
+++ b/monsoonflow/transport/answer_reader.py
@@ -20,7 +20,8 @@
 from .models import AnswerHead, BrokenAnswer, HeaderLines, IncomingAnswer, TooManyBytes
 
 PROTOCOL: Final = b"HTTP/"
-VERSIONS: Final = frozenset({"1.0", "1.1"})
+VERSION_WITHOUT_CODINGS: Final = "1.0"
+VERSIONS: Final = frozenset({VERSION_WITHOUT_CODINGS, "1.1"})
 FINAL_START: Final = b"HTTP/1.1 2"
 START_BYTES: Final = len(FINAL_START)
 """Up to the first digit of the status, which tells whether another answer follows."""
@@ -34,8 +35,8 @@
     """Parses a server's bytes into answers, in the order of arrival.
 
     The library rejects invalid names and values of headers, conflicting lengths and the like. This
-    class also rejects what the library accepts: other protocols, statuses that do not exist, and
-    control bytes in the reason.
+    class also rejects what the library accepts: other protocols, statuses that do not exist,
+    control bytes in the reason, and chunks of HTTP/1.0.
     """
 
     def __init__(self) -> None:
@@ -152,8 +153,9 @@
         self._is_head_complete = True
         self._has_progressed = True
         self._head_bytes = 0
-        if self._parser.get_http_version() not in VERSIONS:
-            self.error = f"HTTP/{self._parser.get_http_version()}"
+        version = self._parser.get_http_version()
+        if version not in VERSIONS:
+            self.error = f"HTTP/{version}"
             return
         status = self._parser.get_status_code()
         if status not in STATUSES:
@@ -171,6 +173,9 @@
         if codings and [coding.lower() for coding in codings] != [b"chunked"]:
             self.error = "the transfer coding is not chunked"
             return
+        if codings and version == VERSION_WITHOUT_CODINGS:
+            self.error = "a transfer coding that this version does not have"
+            return
         length = int(lengths[0]) if lengths and lengths[0].isdigit() else None
         if status in BODILESS_STATUSES or self._is_head_request:
             length = 0
--- a/tests/transport/test_answer_reader.py
+++ b/tests/transport/test_answer_reader.py
@@ -187,3 +187,10 @@
 def test_any_other_reason_is_taken(read, reason):
     (answer,) = read(b"HTTP/1.1 200 " + reason + b"\r\n" + REST)
     assert answer.head.reason == reason
+
+
+@pytest.mark.parametrize("length", [b"", b"Content-Length: 2\r\n"])
+def test_chunks_of_an_old_version_are_refused(read, length):
+    """A server of HTTP/1.0 knows no chunks: its framing is faulty (RFC 9112, section 6.1)."""
+    with pytest.raises(BrokenAnswer):
+        read(b"HTTP/1.0 200 OK\r\n" + length + CHUNKS)
