--- a/monsoonflow/transport/answer_reader.py
+++ b/monsoonflow/transport/answer_reader.py
@@ -153,28 +153,16 @@
         self._is_head_complete = True
         self._has_progressed = True
         self._head_bytes = 0
-        version = self._parser.get_http_version()
-        if version not in VERSIONS:
-            self.error = f"HTTP/{version}"
-            return
         status = self._parser.get_status_code()
-        if status not in STATUSES:
-            # No answer is added, so that feed() raises the error.
-            self.error = f"status {status:03d} does not exist"
-            return
-        if TEXT.fullmatch(self._reason) is None:
-            self.error = "a control byte in the reason"
-            return
-        if status < 200:
+        self.error = self._status_line_error(status)
+        if self.error is not None or status < 200:
             return
         headers = HeaderLines(self._headers.getvalue())
         lengths = [value for name, value in headers if name.lower() == b"content-length"]
         codings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
-        if codings and [coding.lower() for coding in codings] != [b"chunked"]:
-            self.error = "the transfer coding is not chunked"
-            return
-        if codings and version == VERSION_WITHOUT_CODINGS:
-            self.error = "a transfer coding that this version does not have"
+        self.error = self._coding_error(codings)
+        if self.error is not None:
+            # No answer is added, so that feed() raises the error.
             return
         length = int(lengths[0]) if lengths and lengths[0].isdigit() else None
         if status in BODILESS_STATUSES or self._is_head_request:
@@ -182,6 +170,25 @@
         head = AnswerHead(status, self._reason, headers, length, bool(codings))
         self.answers.append(IncomingAnswer(head, is_complete=self._is_head_request))
 
+    def _status_line_error(self, status: int) -> str | None:
+        version = self._parser.get_http_version()
+        if version not in VERSIONS:
+            return f"the answer's version is {version}"
+        if status not in STATUSES:
+            return f"status {status:03d} does not exist"
+        if TEXT.fullmatch(self._reason) is None:
+            return "a control byte in the reason"
+        return None
+
+    def _coding_error(self, codings: list[bytes]) -> str | None:
+        if not codings:
+            return None
+        if [coding.lower() for coding in codings] != [b"chunked"]:
+            return "the transfer coding is not chunked"
+        if self._parser.get_http_version() == VERSION_WITHOUT_CODINGS:
+            return "a transfer coding that this version does not have"
+        return None
+
     def on_body(self, piece: bytes) -> None:
         """Handle a part of the body."""
         self._has_progressed = True
