No invalid status, reason or header is written to a caller

Callers saw: whatever a handler or an application gave as status, reason, name or value stood in the head of their answer: a status line with two digits, a line end in a reason or a value that begins another header.

Cause: the writer of answers put together what it was given.

--- a/monsoonflow/transport/answer_reader.py
+++ b/monsoonflow/transport/answer_reader.py
@@ -9,13 +9,12 @@
 
 import httptools
 
-from ..helpers.http_syntax import TEXT
+from ..helpers.http_syntax import STATUSES, TEXT
 from .const import (
     BODILESS_STATUSES,
     MAX_ANSWER_HEAD_BYTES,
     MAX_FRAMING_BYTES,
     MAX_INTERIM_ANSWERS,
-    STATUSES,
 )
 from .models import AnswerHead, BrokenAnswer, HeaderLines, IncomingAnswer, TooManyBytes
 
--- a/monsoonflow/transport/const.py
+++ b/monsoonflow/transport/const.py
@@ -4,9 +4,6 @@
 
 from typing import Final
 
-STATUSES: Final = range(100, 600)
-"""Statuses of answers (RFC 9110, section 15); a client can't tell what any other one means."""
-
 BODILESS_STATUSES: Final = frozenset({204, 304})
 """Statuses of answers that have no body, whatever their headers say."""
 
--- a/monsoonflow/transport/reply.py
+++ b/monsoonflow/transport/reply.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from ..helpers.http_syntax import FINAL_STATUSES, NAME, TEXT
 from .const import BODILESS_STATUSES
 from .models import CallerLeft, Header
 
@@ -75,6 +76,7 @@
     ) -> None:
         """Send the head and the first bytes of the body, if any.
 
+        :raises ValueError: when the status, the reason or a header is not valid; nothing is sent.
         :param length: length of the whole body; ``None`` uses chunked transfer coding.
         :param ends_with_connection: send neither a length nor chunks: only the end of the
             connection marks the end of the body.
@@ -150,6 +152,7 @@
     def _send_head(
         self, status: int, reason: bytes, headers: list[Header], first_body_bytes: bytes = b""
     ) -> None:
+        _check_head(status, reason, headers)
         lines = [b"HTTP/1.1 %d %s" % (status, reason)]
         lines += [b"%s: %s" % header for header in headers]
         lines.append(self._connection.connection_header())
@@ -167,3 +170,17 @@
 
     def _send(self, data: bytes) -> None:
         self._connection.send(data)
+
+
+def _check_head(status: int, reason: bytes, headers: list[Header]) -> None:
+    """Check what a handler gives, which it may have from anybody.
+
+    :raises ValueError: when a caller's parser would refuse it or take it for something else.
+    """
+    if status not in FINAL_STATUSES:
+        raise ValueError(f"no status of an answer: {status}")
+    if TEXT.fullmatch(reason) is None:
+        raise ValueError(f"invalid reason: {reason!r}")
+    for name, value in headers:
+        if NAME.fullmatch(name) is None or TEXT.fullmatch(value) is None:
+            raise ValueError(f"invalid header: {name!r}")
