Tests keep that answers with invalid headers are failed attempts

Names with a blank, a control byte, a byte above 127 or a delimiter, folded lines, control bytes in a value, and framings that contradict each other: refused through a whole node on already, for plain and stream routes that may and may not be repeated. Nothing else changes for them.

--- a/tests/entry/test_invalid_answers.py
+++ b/tests/entry/test_invalid_answers.py
@@ -32,6 +32,21 @@
     "a NUL in the reason": b"HTTP/1.1 200 O\x00K",
     "an escape in the reason": b"HTTP/1.1 200 \x1b[2J",
 }
+INVALID_HEADERS = {
+    "a blank in a name": (b"X Name", b"x"),
+    "a blank before the colon": (b"X-Name ", b"x"),
+    "a tab in a name": (b"X\tName", b"x"),
+    "a NUL in a name": (b"X\x00Name", b"x"),
+    "a DEL in a name": (b"X\x7fName", b"x"),
+    "a control byte before a name": (b"\x01X-Name", b"x"),
+    "a byte above 127 in a name": (b"X-N\xe9", b"x"),
+    "a delimiter in a name": (b"X(Name)", b"x"),
+    "no name": (b"", b"x"),
+    "a NUL in a value": (b"X-Name", b"a\x00b"),
+    "a folded value": (b"X-Name", b"a\r\n b"),
+    "another length": (b"Content-Length", b"3"),
+    "chunks beside a length": (b"Transfer-Encoding", b"chunked"),
+}
 
 
 def plain_answer(status_line: bytes | None = None, *headers: tuple[bytes, bytes]) -> RawAnswer:
@@ -95,6 +110,15 @@
     check_is_refused(node, servers, runners, plain_answer(line), stream_answer(line))
 
 
+@pytest.mark.parametrize("name", INVALID_HEADERS)
+def test_an_answer_with_an_invalid_header_is_a_failed_attempt(node, servers, runners, name):
+    """Its caller would get the header, or a body that is not the server's."""
+    header = INVALID_HEADERS[name]
+    check_is_refused(
+        node, servers, runners, plain_answer(None, header), stream_answer(None, header)
+    )
+
+
 def test_a_valid_answer_is_passed_on(node, servers, runners):
     """The answers of these tests are refused for what is invalid in them alone."""
     answer_in_order(servers, plain_answer())
