The client of engines, nodes and services refuses answers with an invalid head

Callers saw: for a head with a bad line, a body that was not the server's ("{}TAIL" for a length of 2), or an answer without the headers behind that line; status 600 to 999, control bytes in values and reasons, and framings that contradict each other were taken.

Cause: the library drops a line whose name it can't read and all that follow it, the length with them, and only logs it; it checks little else.

Status 000 and lengths that differ were refused before.

Fix: connections of the library check the head as they read it, with what the library knows of lines that it could not parse, and the syntax that the transport checks. Such an answer is none: the request may have run, and the connection is closed.

--- a/monsoonflow/helpers/http.py
+++ b/monsoonflow/helpers/http.py
@@ -15,6 +15,8 @@
     SSLError,
 )
 
+from .http_connections import new_pool_manager
+
 JSON_TYPE: Final = "application/json"
 NO_RETRY: Final = urllib3.Retry(0, redirect=0, raise_on_redirect=False, raise_on_status=False)
 
@@ -156,4 +158,4 @@
 
     def _new_pool(self, size: int) -> urllib3.PoolManager:
         extra = {"ssl_context": self._tls} if self._tls else {}
-        return urllib3.PoolManager(num_pools=64, maxsize=size, block=False, **extra)
+        return new_pool_manager(num_pools=64, maxsize=size, block=False, **extra)
--- /dev/null
+++ b/monsoonflow/helpers/http_connections.py
@@ -0,0 +1,102 @@
+"""Connections of the HTTP library that refuse answers which are not valid.
+
+The library passes over a header that it can't read and all that follow it, the length among them.
+"""
+
+from __future__ import annotations
+
+from http.client import HTTPException, HTTPResponse
+from typing import Any, Final
+
+import urllib3
+from urllib3.connection import HTTPConnection, HTTPSConnection
+from urllib3.exceptions import HeaderParsingError
+from urllib3.util.response import assert_header_parsing
+
+from .http_syntax import FINAL_STATUSES, NAME, TEXT
+
+VERSION_WITHOUT_CODINGS: Final = 10
+"""How the library writes HTTP/1.0."""
+
+
+class InvalidAnswer(HTTPException):
+    """Raised for an answer that is not valid HTTP."""
+
+
+class _Response(HTTPResponse):
+    """An answer whose head is checked."""
+
+    def begin(self) -> None:
+        """Read and check the head.
+
+        :raises InvalidAnswer: when it is not valid.
+        """
+        super().begin()
+        error = self._status_line_error() or self._headers_error() or self._framing_error()
+        if error is not None:
+            raise InvalidAnswer(error)
+
+    def _status_line_error(self) -> str | None:
+        if self.status not in FINAL_STATUSES:
+            return f"no status of an answer: {self.status}"
+        if TEXT.fullmatch(self.reason.encode("latin-1")) is None:
+            return "a control byte in the reason"
+        return None
+
+    def _headers_error(self) -> str | None:
+        try:
+            assert_header_parsing(self.headers)
+        except HeaderParsingError as error:
+            return str(error)
+        if self.headers.get_unixfrom() is not None:
+            return "a line of a mailbox"
+        for name, value in self.headers.items():
+            if NAME.fullmatch(name.encode("latin-1")) is None:
+                return f"invalid name: {name!r}"
+            if TEXT.fullmatch(value.encode("latin-1")) is None:
+                return f"invalid value of {name}"
+        return None
+
+    def _framing_error(self) -> str | None:
+        lengths = set(self.headers.get_all("content-length", ()))
+        codings = [coding.lower() for coding in self.headers.get_all("transfer-encoding", ())]
+        if len(lengths) > 1 or not all(one.isascii() and one.isdigit() for one in lengths):
+            return "no length of a body"
+        if codings and (codings != ["chunked"] or lengths):
+            return "the transfer coding is not chunked alone"
+        if codings and self.version == VERSION_WITHOUT_CODINGS:
+            return "a transfer coding that this version does not have"
+        return None
+
+
+class _CheckedConnection:
+    """Makes a connection of the library check the answers that it reads."""
+
+    response_class = _Response
+
+
+class _PlainConnection(_CheckedConnection, HTTPConnection):
+    """A checked connection over TCP."""
+
+
+class _TlsConnection(_CheckedConnection, HTTPSConnection):
+    """A checked connection over TLS."""
+
+
+class _PlainPool(urllib3.HTTPConnectionPool):
+    """Checked connections over TCP to one server."""
+
+    ConnectionCls = _PlainConnection
+
+
+class _TlsPool(urllib3.HTTPSConnectionPool):
+    """Checked connections over TLS to one server."""
+
+    ConnectionCls = _TlsConnection
+
+
+def new_pool_manager(**options: Any) -> urllib3.PoolManager:
+    """Return pools of connections that refuse invalid answers."""
+    manager = urllib3.PoolManager(**options)
+    manager.pool_classes_by_scheme = {"http": _PlainPool, "https": _TlsPool}
+    return manager
