A success before the whole request was received is none to the client of engines and nodes

Callers saw: an engine that answered the import of a KV cache of 20 MB at once with 200 and reset the connection had done it (`OrderDone`), and an object that the object store can't have was stored.

Cause: the library goes on to read the answer where sending the request failed, and tells nobody.

Fix: connections of this client notice whether the request was sent without an error, and whether the server's kernel has acknowledged all of it as the head arrives; a 2xx before that counts as no answer to a request that may have run. A refusal at that moment counts as before: a server may judge by the head.

--- a/monsoonflow/helpers/http_connections.py
+++ b/monsoonflow/helpers/http_connections.py
@@ -1,6 +1,7 @@
 """Connections of the HTTP library that refuse answers which are not valid.
 
-The library passes over a header that it can't read and all that follow it, the length among them.
+The library passes over a header that it can't read and all that follow it, the length among them,
+and ignores that the connection broke while a request was being sent.
 """
 
 from __future__ import annotations
@@ -14,27 +15,45 @@
 from urllib3.util.response import assert_header_parsing
 
 from .http_syntax import FINAL_STATUSES, NAME, TEXT
+from .tcp import unacknowledged_bytes
 
 VERSION_WITHOUT_CODINGS: Final = 10
 """How the library writes HTTP/1.0."""
 
+SUCCESSES: Final = range(200, 300)
+
 
 class InvalidAnswer(HTTPException):
     """Raised for an answer that is not valid HTTP."""
 
 
+class UnreadRequest(HTTPException):
+    """Raised for a success that is stated before the server can have read the whole request."""
+
+
 class _Response(HTTPResponse):
-    """An answer whose head is checked."""
+    """An answer whose head is checked.
+
+    :param is_request_sent: whether the kernel has taken the whole request without an error.
+    """
+
+    def __init__(self, *arguments: Any, is_request_sent: bool, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._is_request_sent = is_request_sent
 
     def begin(self) -> None:
         """Read and check the head.
 
         :raises InvalidAnswer: when it is not valid.
+        :raises UnreadRequest: when it states a success of a request that can't have been read.
         """
         super().begin()
         error = self._status_line_error() or self._headers_error() or self._framing_error()
         if error is not None:
             raise InvalidAnswer(error)
+        is_read = self._is_request_sent and unacknowledged_bytes(self.fileno()) == 0
+        if self.status in SUCCESSES and not is_read:
+            raise UnreadRequest(f"status {self.status} before the whole request was received")
 
     def _status_line_error(self) -> str | None:
         if self.status not in FINAL_STATUSES:
@@ -72,7 +91,17 @@
 class _CheckedConnection:
     """Makes a connection of the library check the answers that it reads."""
 
-    response_class = _Response
+    _is_request_sent = True
+
+    def request(self, *arguments: Any, **options: Any) -> None:
+        """Send a request; the library reads its answer also if that fails."""
+        self._is_request_sent = False
+        super().request(*arguments, **options)
+        self._is_request_sent = True
+
+    def response_class(self, *arguments: Any, **options: Any) -> _Response:
+        """Return the object that reads the answer; called by the library."""
+        return _Response(*arguments, is_request_sent=self._is_request_sent, **options)
 
 
 class _PlainConnection(_CheckedConnection, HTTPConnection):
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -14,11 +14,12 @@
 from gevent import socket
 
 from ..core.clock import Clock
+from ..helpers.tcp import unacknowledged_bytes
 from ..logs import events, log
 from .answer_reader import AnswerReader
 from .const import CONNECT_TIMEOUT_MS, MAX_CALL_BYTES, READ_BYTES
 from .models import AnswerHead, BrokenAnswer, Header, Lost, TooManyBytes
-from .sockets import Turns, connect, is_readable, split_address, unacknowledged_bytes
+from .sockets import Turns, connect, is_readable, split_address
 
 _LOGGER = logging.getLogger(__name__)
 DEFAULT_MAX_IDLE_MS: Final = 4_000
@@ -176,7 +177,7 @@
         # The kernel reports a reset once, maybe to the task that sends. Without an error too, a
         # server that ends the connection before it has the whole request says of no part of an
         # answer that it is all.
-        if self._is_request_sent() and unacknowledged_bytes(self._sock) == 0:
+        if self._is_request_sent() and unacknowledged_bytes(self._sock.fileno()) == 0:
             self._reader.handle_eof()
         if not self._reader.answers or not self._reader.answers[0].is_complete:
             raise BrokenAnswer("the connection ended inside the answer")
--- a/monsoonflow/transport/sockets.py
+++ b/monsoonflow/transport/sockets.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import fcntl
 import socket as native
 import struct
-import sys
-import termios
 import time
 from functools import lru_cache
 from typing import Final
@@ -117,16 +114,6 @@
     return sock
 
 
-def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Return how much of what was sent has not been received by the peer's kernel.
-
-    The end of the peer's side acknowledges all that its kernel had received until then.
-
-    :raises OSError: when the socket is closed.
-    """
-    return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)), sys.byteorder)
-
-
 def is_readable(sock: socket.socket) -> bool:
     """Return whether bytes, a close or an error are pending on an idle connection."""
     try:
--- a/tests/helpers/test_http.py
+++ b/tests/helpers/test_http.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import socket
+import threading
+
 import pytest
 
-from monsoonflow.helpers.http import Answer, HttpClient, Lost
+from monsoonflow.backend.models import OrderDone, OrderStamp, OrderUnclear
+from monsoonflow.backend.openai_http import OpenAiEngine
+from monsoonflow.helpers.http import Answer, Head, HttpClient, Lost
+from monsoonflow.storage.object_store import HttpObjectStore
+from monsoonflow.transport.sockets import RESET_AT_CLOSE
 
 TIMEOUT_MS = 3_000
 LENGTH = b"Content-Length: 2"
@@ -106,3 +113,65 @@
     result = client.call("GET", serve_raw(data).url)
     assert isinstance(result, Answer)
     assert (result.status, result.body) == (200, b"{}")
+
+
+LARGE = b"x" * (20 << 20)
+
+
+@pytest.fixture
+def answer_early():
+    """Return a function that starts a server which answers without reading a body, and resets."""
+    listeners = []
+
+    def start(data: bytes, read_bytes: int = 1) -> str:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listeners.append(listener)
+
+        def serve() -> None:
+            sock, _ = listener.accept()
+            sock.settimeout(TIMEOUT_MS / 1_000)
+            received = b""
+            while b"\r\n\r\n" not in received:
+                received += sock.recv(read_bytes)
+            sock.sendall(data)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            sock.close()
+
+        threading.Thread(target=serve, daemon=True).start()
+        return f"http://127.0.0.1:{listener.getsockname()[1]}"
+
+    yield start
+    for listener in listeners:
+        listener.close()
+
+
+EARLY = {
+    "a length": answer(LENGTH),
+    "no length": answer(),
+    "an empty body": answer(b"Content-Length: 0", body=b""),
+}
+
+
+@pytest.mark.parametrize("name", EARLY)
+def test_a_success_before_the_whole_request_was_received_is_none(client, answer_early, name):
+    """The engine or the store can't have what it says that it took."""
+    data = EARLY[name]
+    assert isinstance(client.open("PUT", answer_early(data), LARGE), Lost)
+    assert isinstance(client.call("POST", answer_early(data), json=LARGE.decode()), Lost)
+    engine = OpenAiEngine(answer_early(data), TIMEOUT_MS)
+    assert isinstance(engine.import_kv(OrderStamp("r.1", 1), LARGE), OrderUnclear)
+    assert not HttpObjectStore(answer_early(data), TIMEOUT_MS).put("key", LARGE)
+
+
+def test_a_refusal_before_the_whole_request_was_received_counts(client, answer_early):
+    """A server may refuse an upload by its head."""
+    refusal = answer(LENGTH, status=b"413 Content Too Large")
+    result = client.open("PUT", answer_early(refusal), LARGE)
+    assert isinstance(result, Head)
+    assert result.status == 413
+
+
+def test_a_success_after_the_whole_request_counts(serve_raw):
+    engine = OpenAiEngine(serve_raw(answer(LENGTH)).url, TIMEOUT_MS)
+    assert engine.import_kv(OrderStamp("r.1", 1), LARGE) == OrderDone()
+    assert HttpObjectStore(serve_raw(answer(LENGTH)).url, TIMEOUT_MS).put("key", LARGE)
