--- a/tests/entry/test_stream_versions_of_nodes.py
+++ b/tests/entry/test_stream_versions_of_nodes.py
@@ -6,6 +6,7 @@
 import time
 
 import attrs
+import gevent
 import pytest
 
 from monsoonflow.core.clock import MonotonicClock
@@ -118,6 +119,19 @@
     assert found == [UnknownVersion("several versions served: v1,v1.1")] * 3
 
 
+def test_after_all_nodes_were_killed_streams_of_two_versions_go_on(fleet, upgraded):
+    """Every stream that was in progress at such a kill is refused, though its servers are there."""
+    upgraded[0].daemon.stream_versions.record_begun("llm", "r1", "v1")
+    upgraded[1].daemon.stream_versions.record_begun("llm", "r2", "v1.1")
+    gevent.sleep(1)
+    for node in upgraded:
+        node.kill()
+    fleet.first_start = False
+    restarted = [fleet.node() for _ in range(3)]
+    assert [find(node, "r1") for node in restarted] == [KnownVersion("v1")] * 3
+    assert [find(node, "r2") for node in restarted] == [KnownVersion("v1.1")] * 3
+
+
 def test_nodes_without_the_store_do_not_conclude_that_there_is_one_version(fleet, three_nodes):
     """Their lists of servers are old: servers of another version may have come."""
     fleet.store.faults.down = True
