Answers without end to the client of engines and nodes are given up

Cause: the library reads a body, a chunk or the trailer fields to their end, however far that is.

What is left: up to the bound is read without pause, so that other tasks of a node may wait for as long as that takes.

--- a/monsoonflow/backend/openai_http.py
+++ b/monsoonflow/backend/openai_http.py
@@ -39,6 +39,8 @@
 HEADER_SERVED: Final = "X-Served-Adapter"
 HEADER_BOOT: Final = "X-Boot-Id"
 LOAD_TIMEOUT_MS: Final = 60_000
+READ_BYTES: Final = 65_536
+"""Maximum bytes per read: a chunk may have any size."""
 
 
 def read_stream(head: Head | Lost) -> Iterator[StreamEvent]:
@@ -57,7 +59,7 @@
     yield Began(told.get(HEADER_SERVED, ""), told.get(HEADER_BOOT, ""), told.get(HEADER_RUN, ""))
     clean = False
     try:
-        for event in sse.decode(response.read_chunked()):
+        for event in sse.decode(response.read_chunked(READ_BYTES)):
             translated = _translate(event)
             if translated is None:
                 continue
--- a/monsoonflow/helpers/http_connections.py
+++ b/monsoonflow/helpers/http_connections.py
@@ -1,7 +1,7 @@
 """Connections of the HTTP library that refuse answers which are not valid.
 
-The library passes over a header that it can't read and all that follow it, the length among them,
-and ignores that the connection broke while a request was being sent.
+The library passes over a header that it can't read and all that follow it, the length among them.
+It ignores that the connection broke while a request was being sent, and reads without bounds.
 """
 
 from __future__ import annotations
@@ -23,6 +23,16 @@
 SUCCESSES: Final = range(200, 300)
 
 
+MAX_ANSWER_BYTES: Final = 64 << 20
+"""Maximum size of an answer: a list of 180,000 adapters takes some 30 MB."""
+
+MAX_FRAMING_BYTES: Final = 65_536
+"""Maximum bytes of a head, chunk extensions or trailer fields in a row; nobody needs more."""
+
+LINE_BYTES: Final = 64
+"""What a line counts beside its bytes: each chunk is an object, however short it is."""
+
+
 class InvalidAnswer(HTTPException):
     """Raised for an answer that is not valid HTTP."""
 
@@ -31,6 +41,59 @@
     """Raised for a success that is stated before the server can have read the whole request."""
 
 
+class _BoundedFile:
+    """What is received on a connection, up to the bounds of an answer.
+
+    The library reads lines and bodies to their end, which a faulty server may never send.
+    """
+
+    def __init__(self, file: Any) -> None:
+        self._file = file
+        self._answer_bytes = 0
+        self._framing_bytes = 0
+
+    def __getattr__(self, name: str) -> Any:
+        """Return what does not read."""
+        return getattr(self._file, name)
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Read a line of a head, of a chunk's size or of the trailer."""
+        most = MAX_FRAMING_BYTES + 1
+        line = self._file.readline(most if limit < 0 else min(limit, most))
+        self._framing_bytes += len(line)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            raise InvalidAnswer(f"more than {MAX_FRAMING_BYTES} bytes beside the body")
+        self._count(len(line) + LINE_BYTES)
+        return line
+
+    def read(self, size: int | None = -1) -> bytes:
+        """Read a part of the body, or all of it."""
+        most = MAX_ANSWER_BYTES + 1 - self._answer_bytes
+        data = self._file.read(most if size is None or size < 0 else min(size, most))
+        self._framing_bytes = 0
+        self._count(len(data))
+        return data
+
+    def read1(self, size: int = -1) -> bytes:
+        """Read what has been received of the body."""
+        data = self._file.read1(size)
+        self._framing_bytes = 0
+        self._count(len(data))
+        return data
+
+    def readinto(self, buffer: Any) -> int:
+        """Read a part of the body into a buffer."""
+        size = self._file.readinto(buffer)
+        self._framing_bytes = 0
+        self._count(size)
+        return size
+
+    def _count(self, size: int) -> None:
+        self._answer_bytes += size
+        if self._answer_bytes > MAX_ANSWER_BYTES:
+            raise InvalidAnswer(f"an answer of more than {MAX_ANSWER_BYTES} bytes")
+
+
 class _Response(HTTPResponse):
     """An answer whose head is checked.
 
@@ -39,6 +102,7 @@
 
     def __init__(self, *arguments: Any, is_request_sent: bool, **options: Any) -> None:
         super().__init__(*arguments, **options)
+        self.fp = _BoundedFile(self.fp)
         self._is_request_sent = is_request_sent
 
     def begin(self) -> None:
--- a/monsoonflow/helpers/sse.py
+++ b/monsoonflow/helpers/sse.py
@@ -49,16 +49,18 @@
     >>> [event.event_id for event in decode([b"id: 1\nda", b"ta: x\n\n:", b" ping\n\nid: 2"])]
     [1, None]
     """
-    rest = b""
+    rest = bytearray()
     for piece in pieces:
+        # Only what is new is searched: pieces may be single bytes.
+        searched_bytes = max(0, len(rest) - 1)
         rest += piece
-        if b"\n\n" not in rest:
+        if rest.find(b"\n\n", searched_bytes) < 0:
             if len(rest) > MAX_EVENT_BYTES:
                 return
             continue
         *events, rest = rest.split(b"\n\n")
         for event in events:
-            yield _parse(event)
+            yield _parse(bytes(event))
 
 
 def _parse(block: bytes) -> SseEvent:
