A test of an event without end in one chunk

It fails where a stream is read by chunks of any size, as it was before: the engine's whole chunk was read before its first event was looked at.

--- a/tests/backend/test_broken_answers.py
+++ b/tests/backend/test_broken_answers.py
@@ -7,6 +7,7 @@
 from monsoonflow.backend.models import Cut, Ended, OrderStamp
 from monsoonflow.backend.openai_http import OpenAiEngine
 from monsoonflow.core.adapter import AdapterRef
+from monsoonflow.helpers.sse import MAX_EVENT_BYTES
 from tests.raw_server import WITH_CHUNKS, WITHOUT_LENGTH, chunk, with_length
 
 SILENCE_MS = 1_000
@@ -111,3 +112,11 @@
     engine = OpenAiEngine(serve_raw(data).url, SILENCE_MS)
     events = list(engine.run(STAMP, ADAPTER, {"prompt": "p"}, fresh=True))
     assert events == [Cut("status 503")]
+
+
+def test_an_event_without_end_in_one_chunk_is_given_up(serve_raw):
+    """The chunk was read to its end first, of whatever size the engine states it."""
+    endless = WITH_CHUNKS + b"40000000\r\n" + b": x\n" * (MAX_EVENT_BYTES // 2)
+    engine = OpenAiEngine(serve_raw(endless).url, SILENCE_MS)
+    events = list(engine.run(STAMP, ADAPTER, {}, fresh=True))
+    assert events[-1] == Cut("the stream ended without its end marker")
