--- a/tests/backend/test_broken_answers.py
+++ b/tests/backend/test_broken_answers.py
@@ -8,13 +8,14 @@
 from monsoonflow.backend.openai_http import OpenAiEngine
 from monsoonflow.core.adapter import AdapterRef
 from monsoonflow.helpers.sse import MAX_EVENT_BYTES
-from tests.raw_server import WITH_CHUNKS, WITHOUT_LENGTH, chunk, with_length
+from tests.raw_server import WITH_CHUNKS, WITHOUT_LENGTH, chunk, invalid_answers, with_length
 
 SILENCE_MS = 1_000
 STAMP = OrderStamp("r.1", 1)
 ADAPTER = AdapterRef("a", 1)
 
 BROKEN_CACHES = {
+    **invalid_answers(b"whole"),
     "shorter than its length": with_length(b"half", 9),
     "closed between two chunks": WITH_CHUNKS + chunk(b"half"),
     "neither length nor chunks": WITHOUT_LENGTH + b"half",
--- a/tests/backend/test_plain_http.py
+++ b/tests/backend/test_plain_http.py
@@ -12,6 +12,7 @@
 from monsoonflow.backend.plain_http import Onward, OpenAnswer, PlainClient
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.transport.models import BrokenAnswer, Lost
+from tests.raw_server import invalid_answers
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -99,3 +100,12 @@
 def test_without_a_connection_nothing_was_sent(client):
     found = client.open("http://127.0.0.1:1", CALL, fresh=False)
     assert isinstance(found, Lost) and not found.sent
+
+
+@pytest.mark.parametrize("name", invalid_answers(b"ok"))
+def test_an_answer_with_an_invalid_head_is_lost(serve, client, name):
+    """The caller of a plain service got it as an answer."""
+    address, _ = serve(invalid_answers(b"ok")[name])
+    result = client.open(address, CALL, fresh=True)
+    assert isinstance(result, Lost)
+    assert result.sent
--- a/tests/client/test_broken_answers.py
+++ b/tests/client/test_broken_answers.py
@@ -9,7 +9,7 @@
 from monsoonflow.backend.models import Cut
 from monsoonflow.client.models import Transcript
 from monsoonflow.client.transport import HttpTransport
-from tests.raw_server import WITH_CHUNKS, WITHOUT_LENGTH, chunk, with_length
+from tests.raw_server import WITH_CHUNKS, WITHOUT_LENGTH, chunk, invalid_answers, with_length
 
 SILENCE_MS = 1_000
 ADDRESSES = b'{"addresses": [{"node": "n1", "address": "h:1", "home": "n1.1"}], "good_for_ms": 9}'
@@ -22,6 +22,17 @@
     assert HttpTransport("key", SILENCE_MS).lookup(seed, "a") is None
 
 
+@pytest.mark.parametrize("name", invalid_answers(ADDRESSES))
+def test_addresses_in_an_invalid_answer_are_none(serve_raw, name):
+    seed = serve_raw(invalid_answers(ADDRESSES)[name]).url
+    assert HttpTransport("key", SILENCE_MS).lookup(seed, "a") is None
+
+
+def test_addresses_in_a_valid_answer_are_found(serve_raw):
+    seed = serve_raw(with_length(ADDRESSES)).url
+    assert HttpTransport("key", SILENCE_MS).lookup(seed, "a").good_for_ms == 9
+
+
 EVENT = b'id: 0\ndata: {"choices":[{"index":0,"text":"so far"}]}\n\n'
 
 
--- a/tests/entry/test_broken_peer_answers.py
+++ b/tests/entry/test_broken_peer_answers.py
@@ -17,7 +17,7 @@
 from monsoonflow.platform.engine import PlatformRunnerControl
 from monsoonflow.platform.outside import RowDecoders
 from tests.entry.conftest import CONFIG
-from tests.raw_server import WITH_CHUNKS, WITHOUT_LENGTH, chunk, with_length
+from tests.raw_server import WITH_CHUNKS, WITHOUT_LENGTH, chunk, invalid_answers, with_length
 
 CONFIGURATION = orjson.dumps(CONFIG)
 SNAPSHOT = orjson.dumps([["servers", "i-1", "e30="], ["servers", "i-2", "e30="]])
@@ -37,8 +37,9 @@
 
 
 def answers(body: bytes) -> list[bytes]:
-    """Return answers that break off in an orderly close."""
+    """Return answers that break off in an orderly close, and whole ones with invalid heads."""
     return [
+        *invalid_answers(body).values(),
         WITHOUT_LENGTH,
         WITHOUT_LENGTH + body[: len(body) // 2],
         WITHOUT_LENGTH + body[:-1],
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -12,7 +12,7 @@
 from monsoonflow.core.clock import MonotonicClock
 from monsoonflow.platform.store import PlatformStore
 from monsoonflow.storage.models import Committed, Transaction, Unavailable
-from tests.raw_server import WITH_CHUNKS, WITHOUT_LENGTH, chunk, with_length
+from tests.raw_server import WITH_CHUNKS, WITHOUT_LENGTH, chunk, invalid_answers, with_length
 
 
 @pytest.fixture
@@ -39,8 +39,9 @@
 
 
 def broken_answers(body: bytes) -> dict[str, bytes]:
-    """Return answers that break off in an orderly close."""
+    """Return answers that break off in an orderly close, and whole ones with invalid heads."""
     return {
+        **invalid_answers(body),
         "without a length, nothing of the body": WITHOUT_LENGTH,
         "without a length, inside the body": WITHOUT_LENGTH + body[: len(body) // 2],
         "without a length, before the last byte": WITHOUT_LENGTH + body[:-1],
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -23,6 +23,26 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def invalid_answers(body: bytes) -> dict[str, bytes]:
+    """Return answers with a whole body whose heads are not valid."""
+    answer = with_length(body)
+    chunks = WITH_CHUNKS + chunk(body) + b"0\r\n\r\n"
+    return {
+        "status 000": answer.replace(b"200", b"000", 1),
+        "status 700": answer.replace(b"200", b"700", 1),
+        "another protocol": answer.replace(b"HTTP", b"RTSP", 1),
+        "another version": answer.replace(b"1.1", b"2.0", 1),
+        "a control byte in the reason": answer.replace(b"OK", b"O\x07K", 1),
+        "a blank in a name": answer.replace(HEAD, HEAD + b"X Name: x\r\n"),
+        "a control byte in a name": answer.replace(HEAD, HEAD + b"X\x01Name: x\r\n"),
+        "a control byte in a value": answer.replace(HEAD, HEAD + b"X-Name: \x01\r\n"),
+        "an invalid name behind the coding": chunks.replace(
+            b"chunked\r\n", b"chunked\r\nX Name: x\r\n", 1
+        ),
+        "chunks of HTTP/1.0": chunks.replace(b"1.1", b"1.0", 1),
+    }
+
+
 def _read_request(connection: socket.socket) -> None:
     """Read a whole request: a close with unread bytes would be a reset."""
     with connection.makefile("rb") as reader:
--- a/tests/storage/test_broken_answers.py
+++ b/tests/storage/test_broken_answers.py
@@ -8,9 +8,10 @@
 from monsoonflow.storage.object_store import HttpObjectStore
 from monsoonflow.storage.table import HttpTable
 from monsoonflow.storage.vm_list import HttpVmList
-from tests.raw_server import HEAD, WITH_CHUNKS, WITHOUT_LENGTH, chunk, with_length
+from tests.raw_server import HEAD, WITH_CHUNKS, WITHOUT_LENGTH, chunk, invalid_answers, with_length
 
 BROKEN_OBJECTS = {
+    **invalid_answers(b"whole"),
     "shorter than its length": with_length(b"half", 9),
     "closed inside a chunk": WITH_CHUNKS + b"9\r\nhalf",
     "closed between two chunks": WITH_CHUNKS + chunk(b"half"),
