The client of engines and nodes tells versions and informational answers apart

Callers saw: HTTP/0.9 and HTTP/1.2 taken as HTTP/1.0 and 1.1, and an informational answer other than 100 taken for the final one, with no body, where a valid answer followed.

Cause: the library reduces versions to two numbers, and passes over 100 alone.

Fix: the status line is kept as it was received and its version compared; heads of informational answers are passed over. What is read of them counts towards the bound of a head.

--- a/monsoonflow/helpers/http_connections.py
+++ b/monsoonflow/helpers/http_connections.py
@@ -17,9 +17,13 @@
 from .http_syntax import FINAL_STATUSES, NAME, TEXT
 from .tcp import unacknowledged_bytes
 
+VERSIONS: Final = (b"HTTP/1.1 ", b"HTTP/1.0 ")
 VERSION_WITHOUT_CODINGS: Final = 10
 """How the library writes HTTP/1.0."""
 
+INFORMATIONAL_STATUSES: Final = range(102, 200)
+"""Statuses of answers that another one follows, but for those that the library knows."""
+
 SUCCESSES: Final = range(200, 300)
 
 
@@ -45,12 +49,15 @@
     """What is received on a connection, up to the bounds of an answer.
 
     The library reads lines and bodies to their end, which a faulty server may never send.
+
+    :ivar first_line: the status line; the library does not tell all versions from each other.
     """
 
     def __init__(self, file: Any) -> None:
         self._file = file
         self._answer_bytes = 0
         self._framing_bytes = 0
+        self.first_line = b""
 
     def __getattr__(self, name: str) -> Any:
         """Return what does not read."""
@@ -60,6 +67,7 @@
         """Read a line of a head, of a chunk's size or of the trailer."""
         most = MAX_FRAMING_BYTES + 1
         line = self._file.readline(most if limit < 0 else min(limit, most))
+        self.first_line = self.first_line or line
         self._framing_bytes += len(line)
         if self._framing_bytes > MAX_FRAMING_BYTES:
             raise InvalidAnswer(f"more than {MAX_FRAMING_BYTES} bytes beside the body")
@@ -112,6 +120,10 @@
         :raises UnreadRequest: when it states a success of a request that can't have been read.
         """
         super().begin()
+        while self.status in INFORMATIONAL_STATUSES:
+            # The library passes over 100 alone. It reads a head only where it has none yet.
+            self.headers = None
+            super().begin()
         error = self._status_line_error() or self._headers_error() or self._framing_error()
         if error is not None:
             raise InvalidAnswer(error)
@@ -120,6 +132,8 @@
             raise UnreadRequest(f"status {self.status} before the whole request was received")
 
     def _status_line_error(self) -> str | None:
+        if not self.fp.first_line.startswith(VERSIONS):
+            return f"not an answer of HTTP/1.1: {self.fp.first_line[:20]!r}"
         if self.status not in FINAL_STATUSES:
             return f"no status of an answer: {self.status}"
         if TEXT.fullmatch(self.reason.encode("latin-1")) is None:
--- a/tests/helpers/test_http.py
+++ b/tests/helpers/test_http.py
@@ -87,6 +87,12 @@
     check_is_refused(client, serve_raw(answer(*lines, body=b"2\r\n{}\r\n0\r\n\r\n")).url)
 
 
+@pytest.mark.parametrize("version", [b"HTTP/0.9", b"HTTP/1.2", b"HTTP/2.0", b"RTSP/1.0"])
+def test_another_protocol_is_no_answer(client, serve_raw, version):
+    """Versions that the library takes for 1.0 or 1.1 were taken."""
+    check_is_refused(client, serve_raw(answer(LENGTH).replace(b"HTTP/1.1", version)).url)
+
+
 def test_chunks_of_an_old_version_are_refused(client, serve_raw):
     """A server of HTTP/1.0 knows no chunks: its framing is faulty."""
     data = answer(CHUNKED, body=b"2\r\n{}\r\n0\r\n\r\n").replace(b"HTTP/1.1", b"HTTP/1.0")
@@ -107,6 +113,8 @@
         answer(LENGTH).replace(b"HTTP/1.1", b"HTTP/1.0"),
         answer(),
         b"HTTP/1.1 100 Continue\r\n\r\n" + answer(LENGTH),
+        b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + answer(LENGTH),
+        3 * b"HTTP/1.1 103 Early Hints\r\n\r\n" + answer(CHUNKED, body=b"2\r\n{}\r\n0\r\n\r\n"),
     ],
 )
 def test_valid_answers_are_taken(client, serve_raw, data):
@@ -123,7 +131,7 @@
     """Return a function that starts a server which answers without reading a body, and resets."""
     listeners = []
 
-    def start(data: bytes, read_bytes: int = 1) -> str:
+    def start(data: bytes) -> str:
         listener = socket.create_server(("127.0.0.1", 0))
         listeners.append(listener)
 
@@ -132,7 +140,7 @@
             sock.settimeout(TIMEOUT_MS / 1_000)
             received = b""
             while b"\r\n\r\n" not in received:
-                received += sock.recv(read_bytes)
+                received += sock.recv(1)
             sock.sendall(data)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             sock.close()
