The soak plays servers whose answers are not valid HTTP

Kind answers-invalid: some servers of a service, not all, give one of eight invalid heads for one to five seconds. A caller that gets a status which does not exist, or a 200 that is not its own, is a broken promise.

--- a/soak/answer_faults.py
+++ b/soak/answer_faults.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from stand_ins.endless_sender import START_BY_KIND
-from stand_ins.raw_answers import BreakPlace
+from stand_ins.raw_answers import INVALID_STARTS, BreakPlace
 
 from .const import ENGINES, LAPSE_S
 
@@ -29,6 +29,10 @@
 ENDLESS_S: Final = (1.0, 5.0)
 """Least and longest time for which servers send without end."""
 
+INVALID_KINDS: Final = sorted(INVALID_STARTS)
+INVALID_S: Final = (1.0, 5.0)
+"""Least and longest time for which servers give answers that are not valid."""
+
 TWICE: Final = (5, 20, 80)
 TWICE_S: Final = (2.0, 8.0)
 """How many answers a server sends twice, and within how long."""
@@ -61,15 +65,23 @@
 def answers_without_end(injector: FaultInjector) -> None:
     """Some servers of a service send bytes until the caller closes; at least one stays sound."""
     rng = injector.rng
-    servers = _some_servers(injector)
-    if len(servers) > 1:
-        servers = servers[: rng.randint(1, len(servers) - 1)]
+    servers = _some_but_one(injector)
     kind = rng.choice(ENDLESS_KINDS)
     for name in servers:
         injector.fleet.misbehave(name, endless=kind)
     injector.later(rng.uniform(*ENDLESS_S), lambda: _end(injector, servers, endless=None))
 
 
+def answers_invalid(injector: FaultInjector) -> None:
+    """Some servers of a service give answers that are not valid HTTP; at least one stays sound."""
+    rng = injector.rng
+    servers = _some_but_one(injector)
+    kind = rng.choice(INVALID_KINDS)
+    for name in servers:
+        injector.fleet.misbehave(name, invalid=kind)
+    injector.later(rng.uniform(*INVALID_S), lambda: _end(injector, servers, invalid=None))
+
+
 def answers_sent_twice(injector: FaultInjector) -> None:
     """Some servers send refusals, and answers to orders, once more with the next answer."""
     rng = injector.rng
@@ -113,6 +125,14 @@
     return [name for name in injector.fleet.servers if service_by_server[name] == service]
 
 
+def _some_but_one(injector: FaultInjector) -> list[str]:
+    """Return a server or several of its service, not all."""
+    servers = _some_servers(injector)
+    if len(servers) > 1:
+        servers = servers[: injector.rng.randint(1, len(servers) - 1)]
+    return servers
+
+
 def _end(injector: FaultInjector, servers: list[str], **faults: Any) -> None:
     for name in servers:
         injector.fleet.misbehave(name, **(faults or {"unframed": 0.0, "break_off": 0}))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 
 from .answer_faults import (
     answers_broken_off,
+    answers_invalid,
     answers_sent_twice,
     answers_unframed,
     answers_without_end,
@@ -394,6 +395,7 @@
     "servers-rest": servers_rest,
     "answers-without-end": answers_without_end,
     "answers-sent-twice": answers_sent_twice,
+    "answers-invalid": answers_invalid,
     "entry-lapses": _entry_lapses,
     "callers-crowd": callers_crowd,
     RUSHES: customer_rushes,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 from typing import Final
 
+from monsoonflow.helpers.http_syntax import FINAL_STATUSES
+
 from .const import ONCE_PATH
 from .processes import Record
 
@@ -34,6 +36,8 @@
         request, status = record.fields["request"], record.fields["status"]
         for arrival in arrivals_by_request.get(request, ()):
             broken += _broken_identity(record, arrival)
+        if status and status not in FINAL_STATUSES:
+            broken.append(f"{request} got status {status}")
         if status == 200 and not record.fields["own"]:
             broken.append(f"{request} got an answer that is not its own, or not whole")
         if record.fields["path"] != ONCE_PATH:
--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -17,7 +17,7 @@
 from monsoonflow.transport.reply import Reply
 from monsoonflow.transport.server import HttpServer
 from stand_ins.endless_sender import pieces as endless_pieces
-from stand_ins.raw_answers import BreakPlace, RawAnswer, reset_at_close
+from stand_ins.raw_answers import BreakPlace, RawAnswer, invalid_answer, reset_at_close
 
 
 @attrs.define
@@ -47,6 +47,7 @@
     :param second_answers: how many refusals, and answers to orders, are sent once more when the
         next answer on their connection is due.
     :param endless: which bytes it sends without end for an answer, a key of ``START_BY_KIND``.
+    :param invalid: what is not valid in the heads of its answers, a key of ``INVALID_STARTS``.
     :param leaving: says in all its answers that it is shutting down.
     :param rest: the delay that a refusal without work asks for, as text.
     """
@@ -73,6 +74,7 @@
     break_resets: bool = False
     second_answers: int = 0
     endless: str | None = None
+    invalid: str | None = None
     leaving: bool = False
     rest: str | None = None
 
@@ -89,6 +91,9 @@
 MAX_HEAD_BYTES: Final = 65_536
 """Nodes add headers to those of a caller, which may already be as large as a caller's may be."""
 
+OTHER_EVENT: Final = b"id: 1\ndata: invalid\n\n"
+"""The body of an answer that is not valid, which nobody can take for its request's own."""
+
 FALL_S: Final = 2.0
 """How long a brittle server that falls over is gone."""
 
@@ -286,6 +291,13 @@
         if faults.endless is not None:
             self._send_without_end(request, reply)
             return
+        if faults.invalid is not None:
+            headers = self._headers(request, signed=True)
+            reply._connection.send(
+                invalid_answer(faults.invalid, headers, b"invalid")
+            )  # noqa: SLF001
+            reply.started = reply.finished = True
+            return
         if faults.lose > 0:
             faults.lose -= 1
             return
@@ -478,7 +490,8 @@
 
     def _answer(self, request: Request, reply: Reply) -> None:
         faults = self.faults
-        if faults.fail or faults.rot or faults.foreign or faults.lose or faults.endless:
+        is_false = faults.endless is not None or faults.invalid is not None
+        if faults.fail or faults.rot or faults.foreign or faults.lose or is_false:
             super()._answer(request, reply)
             return
         if self.faults.poison_parts.intersection(earlier_parts(request)):
--- a/stand_ins/raw_answers.py
+++ b/stand_ins/raw_answers.py
@@ -6,6 +6,7 @@
 import random
 import socket as native
 from enum import StrEnum
+from typing import Final
 
 import gevent
 
@@ -13,6 +14,30 @@
 from monsoonflow.transport.reply import REASON_PHRASES, Reply
 from monsoonflow.transport.sockets import RESET_AT_CLOSE
 
+START: Final = b"HTTP/1.1 200 OK\r\n"
+INVALID_STARTS: Final = {
+    "status 000": START.replace(b"200", b"000"),
+    "status 700": START.replace(b"200", b"700"),
+    "another protocol": START.replace(b"HTTP/1.1", b"RTSP/1.0"),
+    "another version": START.replace(b"HTTP/1.1", b"HTTP/2.0"),
+    "a control byte in the reason": START.replace(b"OK", b"O\x07K"),
+    "a blank in a name": START + b"X Name: x\r\n",
+    "a control byte in a name": START + b"X\x01Name: x\r\n",
+    "a control byte in a value": START + b"X-Name: \x01\r\n",
+}
+"""How heads begin that are not valid HTTP."""
+
+
+def invalid_answer(kind: str, headers: list[Header], body: bytes) -> bytes:
+    """Return an answer that lacks nothing but a valid head.
+
+    :param kind: a key of ``INVALID_STARTS``.
+    """
+    lines = [
+        b"%s: %s\r\n" % header for header in [*headers, (b"Content-Length", b"%d" % len(body))]
+    ]
+    return INVALID_STARTS[kind] + b"".join(lines) + b"\r\n" + body
+
 
 class BreakPlace(StrEnum):
     """Where an answer breaks off; ``FIRST``: after the head, ``BETWEEN``: after some pieces."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -45,6 +45,11 @@
     assert broken_promises([ended(200, own=False)], [at_server("reached")])
 
 
+@pytest.mark.parametrize("status", [99, 600, 700])
+def test_a_status_that_does_not_exist_is_found(status):
+    assert broken_promises([ended(status, path="/look/x")], [at_server("reached")])
+
+
 def arrival(customer, has_key=False):
     return Record("i-1", 0, "reached", {"request": "r", "customer": customer, "has_key": has_key})
 
--- a/tests/soak/test_raw_answers.py
+++ b/tests/soak/test_raw_answers.py
@@ -5,11 +5,13 @@
 import gevent
 import pytest
 
+from monsoonflow.transport.answer_reader import AnswerReader
+from monsoonflow.transport.models import BrokenAnswer
 from script.ports import free_port
 from stand_ins import server_process
 from stand_ins.event_streams import read_events
 from stand_ins.platform_runner import PlatformServer
-from stand_ins.raw_answers import BreakPlace
+from stand_ins.raw_answers import INVALID_STARTS, START, BreakPlace, invalid_answer
 from stand_ins.server_process import PlainProcess
 from stand_ins.strict_client import Ending, StrictClient
 from tests.soak.conftest import EVENTS
@@ -119,3 +121,23 @@
     ask(server)
     assert named[-1] == "2.5"
     server.stop()
+
+
+@pytest.mark.parametrize("kind", INVALID_STARTS)
+def test_an_invalid_answer_lacks_nothing_but_a_valid_head(kind):
+    """A fault beside the one that is played would hide that the latter is not noticed."""
+    headers = [(b"X-Request-Id", b"r")]
+    answer = invalid_answer(kind, headers, b"invalid")
+    with pytest.raises(BrokenAnswer):
+        AnswerReader().feed(answer)
+    reader = AnswerReader()
+    reader.feed(answer.replace(INVALID_STARTS[kind], START))
+    assert reader.answers[0].is_complete
+
+
+def test_a_server_gives_invalid_answers_until_the_fault_ends(plain, runner):
+    for server in (plain, runner):
+        server.faults.invalid = "status 000"
+        assert ask(server).status == 0
+        server.faults.invalid = None
+        assert ask(server).status == 200
--- a/tests/soak/test_seeded_run.py
+++ b/tests/soak/test_seeded_run.py
@@ -36,9 +36,11 @@
 FALSE_ANSWERS = ("answers-without-end", "answers-sent-twice", "entry-lapses")
 """In a run of their own: the older seeds keep their troubles."""
 
+INVALID = "answers-invalid"
+BESIDE_INVALID = (INVALID, INVALID, "leaves")
 CROWD = "callers-crowd"
 BESIDE_CROWDS = (CROWD, CROWD, "node-killed", "node-stops", "changes-in-series", "store-cut")
-OLDER_SEEDS_LACK = (STILL, RETURNS, CROWD, *FALSE_ANSWERS)
+OLDER_SEEDS_LACK = (STILL, RETURNS, CROWD, INVALID, *FALSE_ANSWERS)
 IN_SERIES = tuple(kind for kind in KINDS if kind not in OLDER_SEEDS_LACK)
 BESIDE_RETURNS = (RETURNS, RETURNS, "node-killed", "node-stands-still", "store-cut", "node-stops")
 
@@ -52,6 +54,7 @@
         (2, (RETURNS,)),
         (7130, FALSE_ANSWERS),
         (1, BESIDE_CROWDS),
+        (7202, BESIDE_INVALID),
     ],
 )
 def test_no_promise_is_broken_under_faults_in_series(tmp_path, seed, kinds):
