--- a/monsoonflow/helpers/http_connections.py
+++ b/monsoonflow/helpers/http_connections.py
@@ -26,12 +26,11 @@
 
 SUCCESSES: Final = range(200, 300)
 
-
 MAX_ANSWER_BYTES: Final = 64 << 20
 """Maximum size of an answer: a list of 180,000 adapters takes some 30 MB."""
 
 MAX_FRAMING_BYTES: Final = 65_536
-"""Maximum bytes of a head, chunk extensions or trailer fields in a row; nobody needs more."""
+"""Maximum bytes of heads, chunk extensions or trailer fields in a row; nobody needs more."""
 
 LINE_BYTES: Final = 64
 """What a line counts beside its bytes: each chunk is an object, however short it is."""
--- a/monsoonflow/transport/client.py
+++ b/monsoonflow/transport/client.py
@@ -174,9 +174,8 @@
             self._turns.record_read(len(data))
             return
         self._eof = True
-        # The kernel reports a reset once, maybe to the task that sends. Without an error too, a
-        # server that ends the connection before it has the whole request says of no part of an
-        # answer that it is all.
+        # The kernel reports a reset once, maybe to the task that sends. Even without an error, an
+        # end before the server has the whole request does not say that the answer is whole.
         if self._is_request_sent() and unacknowledged_bytes(self._sock.fileno()) == 0:
             self._reader.handle_eof()
         if not self._reader.answers or not self._reader.answers[0].is_complete:
--- a/soak/answer_faults.py
+++ b/soak/answer_faults.py
@@ -64,22 +64,12 @@
 
 def answers_without_end(injector: FaultInjector) -> None:
     """Some servers of a service send bytes until the caller closes; at least one stays sound."""
-    rng = injector.rng
-    servers = _some_but_one(injector)
-    kind = rng.choice(ENDLESS_KINDS)
-    for name in servers:
-        injector.fleet.misbehave(name, endless=kind)
-    injector.later(rng.uniform(*ENDLESS_S), lambda: _end(injector, servers, endless=None))
+    _answer_falsely(injector, "endless", ENDLESS_KINDS, ENDLESS_S)
 
 
 def answers_invalid(injector: FaultInjector) -> None:
     """Some servers of a service give answers that are not valid HTTP; at least one stays sound."""
-    rng = injector.rng
-    servers = _some_but_one(injector)
-    kind = rng.choice(INVALID_KINDS)
-    for name in servers:
-        injector.fleet.misbehave(name, invalid=kind)
-    injector.later(rng.uniform(*INVALID_S), lambda: _end(injector, servers, invalid=None))
+    _answer_falsely(injector, "invalid", INVALID_KINDS, INVALID_S)
 
 
 def answers_sent_twice(injector: FaultInjector) -> None:
@@ -125,12 +115,18 @@
     return [name for name in injector.fleet.servers if service_by_server[name] == service]
 
 
-def _some_but_one(injector: FaultInjector) -> list[str]:
-    """Return a server or several of its service, not all."""
+def _answer_falsely(
+    injector: FaultInjector, fault: str, kinds: list[str], time_s: tuple[float, float]
+) -> None:
+    """Let a server, or several of its service but not all, answer in one false way for a time."""
+    rng = injector.rng
     servers = _some_servers(injector)
     if len(servers) > 1:
-        servers = servers[: injector.rng.randint(1, len(servers) - 1)]
-    return servers
+        servers = servers[: rng.randint(1, len(servers) - 1)]
+    kind = rng.choice(kinds)
+    for name in servers:
+        injector.fleet.misbehave(name, **{fault: kind})
+    injector.later(rng.uniform(*time_s), lambda: _end(injector, servers, **{fault: None}))
 
 
 def _end(injector: FaultInjector, servers: list[str], **faults: Any) -> None:
--- a/tests/entry/test_unfinished_uploads.py
+++ b/tests/entry/test_unfinished_uploads.py
@@ -21,6 +21,7 @@
 
 UPLOAD = b"x" * 6_000_000
 RESET_DELAY_S = 0.1
+RECEIVE_BUFFER_BYTES = 65_536
 
 
 @attrs.frozen
@@ -47,6 +48,8 @@
     def start(self) -> None:
         """Begin to serve."""
         self._listener.start()
+        # Otherwise the kernel might receive a whole upload that nobody reads.
+        self._listener.socket.setsockopt(native.SOL_SOCKET, native.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
     def stop(self) -> None:
         """Stop to serve."""
--- a/tests/helpers/test_endless_answers.py
+++ b/tests/helpers/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import threading
 import time
 from collections.abc import Callable
@@ -17,12 +18,11 @@
 TIMEOUT_MS = 1_000
 WAIT_S = 8.0
 MAX_GROWTH_BYTES = 200 << 20
-PAGE_BYTES = 4_096
 ENDLESS_KINDS = [kind for kind in START_BY_KIND if kind != "bytes after a complete answer"]
 
 
 def resident_bytes() -> int:
-    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE_BYTES
+    return int(Path("/proc/self/statm").read_text().split()[1]) * resource.getpagesize()
 
 
 def run_bounded(function: Callable[[], object]) -> object | None:
--- a/tests/transport/test_unfinished_uploads.py
+++ b/tests/transport/test_unfinished_uploads.py
@@ -36,6 +36,7 @@
     "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n" + HALF + b"\r\n",
 }
 TIMEOUT_MS = 5_000
+RECEIVE_BUFFER_BYTES = 65_536
 
 
 class Ending(StrEnum):
@@ -77,6 +78,8 @@
     def start(handle: Callable[[socket.socket], None]) -> str:
         server = StreamServer(("127.0.0.1", 0), lambda sock, _: handle(sock))
         server.start()
+        # Otherwise the kernel might receive a whole upload that nobody reads.
+        server.socket.setsockopt(native.SOL_SOCKET, native.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         servers.append(server)
         return f"127.0.0.1:{server.server_port}"
 
