A runner of the soak that sends events without end makes up none after its stream's last

Trace: the endless runner sent event 21 twice (the node: "the stream repeats an event"), the next one had nothing to send after 21 and ended its chunks. The event was the stand-in's; a node can't know how many events a stream has. Such a runner repeats the last event now, which the node refuses before a byte is passed on. The check is as it was.

--- a/stand_ins/platform_runner.py
+++ b/stand_ins/platform_runner.py
@@ -274,10 +274,14 @@
         name, version = request.value(b"x-request-id"), self.software_version.encode()
         return b"id: %d\ndata: %s-%d %s\n\n" % (number, name, number, version)
 
+    def _next_event(self, request: Request) -> int:
+        """Return the number of the event that comes after those that the caller has."""
+        return int(request.value(b"last-event-id") or 0) + 1
+
     def _send_without_end(self, request: Request, reply: Reply) -> None:
         reply.started = True
         request_id = request.value(b"x-request-id") or b""
-        event = self._event(request, int(request.value(b"last-event-id") or 0) + 1)
+        event = self._event(request, self._next_event(request))
         for piece in endless_pieces(self.faults.endless, request_id, event=event):
             if self.faults.endless is None:
                 # An orderly close would be the end of an answer without a length.
@@ -488,6 +492,10 @@
             self.begun.append((name, version))
         return begins
 
+    def _next_event(self, request: Request) -> int:
+        """Return the number of the next event, or of the last one: no stream has any after it."""
+        return min(super()._next_event(request), self.events)
+
     def _answer(self, request: Request, reply: Reply) -> None:
         faults = self.faults
         is_false = faults.endless is not None or faults.invalid is not None
--- a/tests/soak/test_raw_answers.py
+++ b/tests/soak/test_raw_answers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from monsoonflow.transport.answer_reader import AnswerReader
-from monsoonflow.transport.models import BrokenAnswer
+from monsoonflow.transport.models import BrokenAnswer, Request
 from script.ports import free_port
 from stand_ins import server_process
 from stand_ins.event_streams import read_events
@@ -141,3 +141,11 @@
         assert ask(server).status == 0
         server.faults.invalid = None
         assert ask(server).status == 200
+
+
+@pytest.mark.parametrize(("last", "number"), [(0, 1), (EVENTS - 1, EVENTS), (EVENTS, EVENTS)])
+def test_a_stream_without_end_repeats_no_event_that_it_does_not_have(runner, last, number):
+    """An event after the last one looked like one that its node had made up."""
+    headers = [(b"Last-Event-Id", b"%d" % last)]
+    request = Request(b"POST", b"/read/x", "1.1", headers, b"", True, 0)
+    assert runner._next_event(request) == number
