--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -202,8 +202,11 @@
         )
         return address
 
-    def start_node(self, number: int, bootstrap: bool = True) -> str:
-        """Start a node as the deploy file does; return its name."""
+    def start_node(self, number: int, bootstrap: bool = True, store: str | None = None) -> str:
+        """Start a node as the deploy file does; return its name.
+
+        :param store: where it reaches the store, if not at the store's own address.
+        """
         name, ip = f"front-{number}", f"127.0.0.{10 + number}"
         self.nodes[name] = ip
         path = self.folder / f"{name}.toml"
@@ -214,7 +217,7 @@
             seeds=json.dumps([f"127.0.0.{10 + n}:{self.ports['control']}" for n in (1, 2, 3)]),
             bootstrap=str(bootstrap).lower(),
             fenced=str(self._fenced).lower(),
-            store=self.store,
+            store=store or self.store,
             **self.ports,
         )
         path.write_text(text)
@@ -333,6 +336,71 @@
         raise TimeoutError(f"nothing listens at {address}")
 
 
+class Link:
+    """A link to an address that can be cut: its channels are reset, and new ones as well."""
+
+    def __init__(self, target: str) -> None:
+        host, port = target.split(":")
+        self._target = (host, int(port))
+        self._is_cut = False
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self.address = f"127.0.0.1:{free_port()}"
+
+    async def start(self) -> None:
+        """Begin to pass channels on."""
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._pass_on, host, int(port))
+
+    def cut(self) -> None:
+        """Reset all channels, and each new one."""
+        self._is_cut = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Pass channels on again."""
+        self._is_cut = False
+
+    async def close(self) -> None:
+        """End all channels."""
+        self.cut()
+        if self._server is not None:
+            self._server.close()
+        await asyncio.sleep(0.2)
+
+    async def _pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._is_cut:
+            writer.transport.abort()
+            return
+        try:
+            other_reader, other_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        ends = {writer, other_writer}
+        self._writers |= ends
+        try:
+            await asyncio.gather(
+                self._copy(reader, other_writer),
+                self._copy(other_reader, writer),
+                return_exceptions=True,
+            )
+        finally:
+            self._writers -= ends
+
+    @staticmethod
+    async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65_536):
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+
 async def ask(
     address: tuple[str, int],
     request_id: str,
