--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -11,6 +11,8 @@
 import base64
 import json
 import os
+import random
+import shutil
 import socket
 import subprocess
 import tempfile
@@ -30,6 +32,7 @@
 MODEL = "daka510000"
 PLAIN, ENGINES = "campo-api", "lluvia-llm"
 READY_WITHIN_S = 30.0
+PORTS = range(15_000, 30_000)
 
 SETTINGS = """nodeName = "{name}"
 role = "entry"
@@ -74,11 +77,16 @@
 """
 
 
-def free_port(ip: str = "127.0.0.1") -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def free_port() -> int:
+    """Return a port that is free now, below those that the kernel gives to outgoing channels."""
+    for port in random.sample(PORTS, len(PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no port is free")
 
 
 def route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
@@ -162,6 +170,7 @@
         for process in self._processes.values():
             process.wait()
         self._record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def now_s(self) -> float:
         """Return the seconds since the run began."""
